--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: test demo check generate format measure fuzz
+
+test: $(READY)
+	$(BIN)/python -m tests
+
+demo: $(READY)
+	$(BIN)/python -m standins.demo
+
+check: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy dandelionknot standins tools
+	$(BIN)/python tools/generate.py --check
+
+generate: $(READY)
+	$(BIN)/python tools/generate.py
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# The lock file pins every dependency, tools included.
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
--- /dev/null
+++ b/dandelionknot/_mailbox.py
@@ -0,0 +1,62 @@
+"""Bounded mailboxes through which tasks talk to each other."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+from result import Err, Ok, Result
+
+M = TypeVar('M')
+
+
+@dataclass(frozen=True, slots=True)
+class MailboxFull:
+    """The receiving task is behind; the message was not delivered."""
+
+    capacity: int
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A message whose sender waits for one reply."""
+
+    message: Any
+    reply: asyncio.Future
+
+    def answer(self, value: Any) -> None:
+        """Delivers the reply unless the sender has gone."""
+        if not self.reply.done():
+            self.reply.set_result(value)
+
+
+class Mailbox(Generic[M]):
+    """The queue of one task; only that task receives from it."""
+
+    __slots__ = ('_queue',)
+
+    def __init__(self, capacity: int):
+        self._queue: asyncio.Queue[M] = asyncio.Queue(capacity)
+
+    def send(self, message: M) -> Result[None, MailboxFull]:
+        """Delivers a message without waiting."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            return Err(MailboxFull(self._queue.maxsize))
+        return Ok(None)
+
+    async def ask(self, message: Any) -> Result[Any, MailboxFull]:
+        """Sends a message as a `Call` and waits for its reply."""
+        reply = asyncio.get_running_loop().create_future()
+        sent = self.send(Call(message, reply))  # type: ignore[arg-type]
+        if isinstance(sent, Err):
+            return sent
+        return Ok(await reply)
+
+    async def receive(self) -> M:
+        """Waits for the next message."""
+        return await self._queue.get()
+
+    def __len__(self) -> int:
+        """Returns the number of messages that wait."""
+        return self._queue.qsize()
--- /dev/null
+++ b/dandelionknot/codec.py
@@ -0,0 +1,134 @@
+"""Encoding of the schema's classes as JSON, CBOR and YAML.
+
+Every function that reads data from outside returns a `Result`; malformed data
+is a `DecodeError` that names where and what, and never an exception.
+"""
+
+import json
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import cbor2
+import fastjsonschema
+import msgspec
+import yaml
+from result import Err, Ok, Result
+
+from dandelionknot._generated_validators import VALIDATORS_BY_NAME
+
+MAX_NESTING_BYTES = 16 * 1024 * 1024
+
+T = TypeVar('T')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DecodeError:
+    """Data that does not match the schema: the place and the problem."""
+
+    where: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Formats the error as one line."""
+        return f'{self.where}: {self.problem}'
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Loads YAML and refuses duplicate keys, which PyYAML silently accepts."""
+
+
+def _construct_mapping(loader: _UniqueKeyLoader, node: yaml.MappingNode) -> dict:
+    keys: set = set()
+    for key_node, _ in node.value:
+        key = loader.construct_object(key_node)  # type: ignore[no-untyped-call]
+        if not isinstance(key, str):
+            raise yaml.constructor.ConstructorError(
+                None, None, f'key {key!r} is not a string', key_node.start_mark
+            )
+        if key in keys:
+            raise yaml.constructor.ConstructorError(
+                None, None, f'key {key!r} stands twice', key_node.start_mark
+            )
+        keys.add(key)
+    return yaml.SafeLoader.construct_mapping(loader, node, deep=True)
+
+
+_UniqueKeyLoader.add_constructor(
+    yaml.resolver.BaseResolver.DEFAULT_MAPPING_TAG, _construct_mapping
+)
+
+
+def parse_yaml(text: str, where: str) -> Result[Any, DecodeError]:
+    """Parses YAML text; duplicate keys and keys that are not strings are errors."""
+    try:
+        return Ok(yaml.load(text, Loader=_UniqueKeyLoader))  # noqa: S506
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        mark = getattr(error, 'problem_mark', None)
+        place = f'{where}:{mark.line + 1}' if mark else where
+        problem = getattr(error, 'problem', None) or str(error)
+        return Err(DecodeError(where=place, problem=problem))
+
+
+def check(data: Any, cls: type, where: str) -> Result[None, DecodeError]:
+    """Checks plain data against the schema of a class."""
+    try:
+        VALIDATORS_BY_NAME[cls.__name__](data, {}, where)
+    except fastjsonschema.JsonSchemaValueException as error:
+        return Err(DecodeError(where=where, problem=error.message))
+    except RecursionError:
+        return Err(DecodeError(where=where, problem='nested too deeply'))
+    return Ok(None)
+
+
+def from_data(data: Any, cls: type[T], where: str) -> Result[T, DecodeError]:
+    """Checks plain data and builds the class from it."""
+    checked = check(data, cls, where)
+    if isinstance(checked, Err):
+        return checked
+    try:
+        return Ok(msgspec.convert(data, cls))
+    except (msgspec.ValidationError, OverflowError) as error:
+        return Err(DecodeError(where=where, problem=str(error)))
+
+
+def to_data(value: Any) -> Any:
+    """Returns the plain data of an instance of a schema class."""
+    return msgspec.to_builtins(value)
+
+
+def decode_yaml(text: str, cls: type[T], where: str) -> Result[T, DecodeError]:
+    """Decodes YAML text into a class."""
+    return parse_yaml(text, where).and_then(lambda data: from_data(data, cls, where))
+
+
+def decode_json(data: bytes | str, cls: type[T], where: str) -> Result[T, DecodeError]:
+    """Decodes a JSON document into a class."""
+    try:
+        plain = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        return Err(DecodeError(where=where, problem=str(error)))
+    return from_data(plain, cls, where)
+
+
+def encode_json(value: Any) -> bytes:
+    """Encodes an instance of a schema class as JSON."""
+    return msgspec.json.encode(value)
+
+
+def decode_cbor(data: bytes, cls: type[T], where: str) -> Result[T, DecodeError]:
+    """Decodes a CBOR document into a class."""
+    try:
+        plain = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError, OverflowError) as error:
+        return Err(DecodeError(where=where, problem=str(error)))
+    return from_data(plain, cls, where)
+
+
+def encode_cbor(value: Any) -> bytes:
+    """Encodes an instance of a schema class as CBOR."""
+    return cbor2.dumps(msgspec.to_builtins(value))
+
+
+def pretty_json(value: Any) -> str:
+    """Returns indented JSON with sorted keys for people and for `diff`."""
+    return json.dumps(to_data(value), indent=2, sort_keys=True)
--- /dev/null
+++ b/dandelionknot/configuration.py
@@ -0,0 +1,43 @@
+"""The operators' configuration: classes, base file and overlays."""
+
+from dandelionknot._generated_classes import (
+    AvailabilityZone,
+    Configuration,
+    Cooperative,
+    FleetBounds,
+    Host,
+    HostMove,
+    HostState,
+    KeyRecord,
+    LimitProposal,
+    MaintenancePlan,
+    MovePhase,
+    PlanState,
+    Pool,
+    Priority,
+    QueueAccess,
+    Service,
+    Team,
+    ZoneState,
+)
+
+__all__ = [
+    'AvailabilityZone',
+    'Configuration',
+    'Cooperative',
+    'FleetBounds',
+    'Host',
+    'HostMove',
+    'HostState',
+    'KeyRecord',
+    'LimitProposal',
+    'MaintenancePlan',
+    'MovePhase',
+    'PlanState',
+    'Pool',
+    'Priority',
+    'QueueAccess',
+    'Service',
+    'Team',
+    'ZoneState',
+]
--- /dev/null
+++ b/dandelionknot/ports.py
@@ -0,0 +1,85 @@
+"""Ports to the platform and to backend servers.
+
+A port is a set of async functions. Its adapter closes over the connection;
+decisions and tasks see only these functions and the classes of the schema.
+Every failure is a `PortError` value.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from result import Result
+
+from dandelionknot.messages import (
+    HostList,
+    LeaseGrant,
+    LeaseRenewal,
+    LeaseReport,
+    StoredList,
+    StoredValue,
+    TaskReport,
+    TaskStart,
+    UsageReport,
+    WriteRequest,
+    WriteResult,
+)
+
+
+class PortErrorKind(StrEnum):
+    """How far a call got before it failed.
+
+    `NOT_SENT` means that the other side cannot have seen the request;
+    with `NO_ANSWER` it may have taken effect.
+    """
+
+    NOT_SENT = 'not_sent'
+    NO_ANSWER = 'no_answer'
+    REJECTED = 'rejected'
+    MALFORMED = 'malformed'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PortError:
+    """A call that gave no usable answer."""
+
+    kind: PortErrorKind
+    message: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformPort:
+    """The platform's key-value service and its lagging host list.
+
+    `read` gives revision 0 and an empty value for an absent key. `watch`
+    answers with the values below a prefix once something there is newer than
+    the given revision, or with the unchanged list after `wait_ms`.
+    """
+
+    read: Callable[[str], Awaitable[Result[StoredValue, PortError]]]
+    list: Callable[[str], Awaitable[Result[StoredList, PortError]]]
+    compare_and_swap: Callable[
+        [WriteRequest], Awaitable[Result[WriteResult, PortError]]
+    ]
+    watch: Callable[[str, int, int], Awaitable[Result[StoredList, PortError]]]
+    grant_lease: Callable[[int], Awaitable[Result[LeaseGrant, PortError]]]
+    renew_lease: Callable[[str], Awaitable[Result[LeaseGrant, PortError]]]
+    list_hosts: Callable[[], Awaitable[Result[HostList, PortError]]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BackendPort:
+    """One backend server. Each answer carries a new start token.
+
+    `stop` of a task that never started bars it from starting later.
+    """
+
+    start: Callable[[TaskStart], Awaitable[Result[TaskReport, PortError]]]
+    status: Callable[[str, int], Awaitable[Result[TaskReport, PortError]]]
+    renew: Callable[[LeaseRenewal], Awaitable[Result[LeaseReport, PortError]]]
+    usage: Callable[[], Awaitable[Result[UsageReport, PortError]]]
+    stop: Callable[[str], Awaitable[Result[TaskReport, PortError]]]
+    checkpoint: Callable[[str], Awaitable[Result[TaskReport, PortError]]]
+    throttle: Callable[[str, int], Awaitable[Result[TaskReport, PortError]]]
+    drain: Callable[[bool], Awaitable[Result[UsageReport, PortError]]]
+    reboot: Callable[[], Awaitable[Result[UsageReport, PortError]]]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the backend servers, for demo and tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, sorted by feature."""
