Regenerate classes after adding the member list revision

Cause: the pong and member schemas changed after the last generation. Change: generated files only. Conclusion: the generated-code check catches a stale file, as it did here.

--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -481,6 +481,7 @@
     """
 
     configuration_version: int
+    members_revision: int = 0
     platform_age_ms: int | None = None
 
 
@@ -618,6 +619,7 @@
     peer_address: str
     confirmed_version: int
     joined_revision: int = 0
+    members_revision: int = 0
     stopping: bool = False
 
 
