--- /dev/null
+++ b/dandelionknot/_backend_link.py
@@ -0,0 +1,294 @@
+"""One task for each backend server: starts, follows, renews and stops tasks."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok, Result
+
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.events import Event, log_event
+from dandelionknot.messages import (
+    AttemptEnd,
+    AttemptEnded,
+    HostSilent,
+    HostUsage,
+    LeaseRenewal,
+    StartCheck,
+    StartOrder,
+    StartRefusal,
+    StopOrder,
+    StopService,
+    TaskReport,
+    TaskState,
+)
+from dandelionknot.ports import BackendPort, PortError, PortErrorKind
+
+LONG_POLL_MS = 10_000
+SETTLE_BACK_OFF_MS = 50
+MAX_SETTLE_BACK_OFF_MS = 1000
+LEASE_RENEWALS_PER_LEASE = 3
+FIRST_WAIT_MS = 1000
+MAX_STALE_TOKENS = 3
+
+Random = Callable[[], float]
+
+
+@dataclass(slots=True)
+class _Link:
+    """State of the link to one backend server, owned by its task."""
+
+    host_id: str
+    port: BackendPort
+    dispatcher: Mailbox
+    lease_ms: int
+    token_ms: int
+    token: str = ''
+    token_received_ms: int = 0
+    running_by_task: dict[str, StartOrder] = field(default_factory=dict)
+    stop_requested: set[str] = field(default_factory=set)
+    reachable: bool = True
+
+    def keep_token(self, token: str, asked_ms: int) -> None:
+        """Keeps a token; its age counts from before the server issued it."""
+        if token:
+            self.token = token
+            self.token_received_ms = asked_ms
+
+    def token_is_usable(self) -> bool:
+        """Tells whether a start with the token can still arrive in time."""
+        age_ms = now_ms() - self.token_received_ms
+        return bool(self.token) and age_ms <= self.token_ms // 2
+
+
+async def _refresh_token(link: _Link) -> Result[None, PortError]:
+    asked_ms = now_ms()
+    usage = await link.port.usage()
+    if isinstance(usage, Err):
+        return usage
+    link.keep_token(usage.ok_value.start_token, asked_ms)
+    link.dispatcher.send(HostUsage(host_id=link.host_id, usage=usage.ok_value))
+    return Ok(None)
+
+
+def _end(
+    order: StartOrder,
+    link: _Link,
+    end: AttemptEnd,
+    report: TaskReport | None = None,
+    message: str = '',
+) -> AttemptEnded:
+    return AttemptEnded(
+        request_id=order.task.request_id,
+        attempt=order.task.attempt,
+        host_id=link.host_id,
+        end=end,
+        report=report,
+        message=message,
+    )
+
+
+async def _allowed_with_token(link: _Link, order: StartOrder) -> str | None:
+    """Returns why the start is not made, or None once a usable token is held.
+
+    A token must have been received before the dispatcher checked that the
+    start is allowed. A new token therefore needs a new check.
+    """
+    if link.token_is_usable() and link.token_received_ms <= order.checked_at_ms:
+        return None
+    refreshed = await _refresh_token(link)
+    if isinstance(refreshed, Err):
+        return refreshed.err_value.message
+    check = StartCheck(request_id=order.task.request_id)
+    allowed = await link.dispatcher.ask(check)
+    if isinstance(allowed, Err) or not allowed.ok_value:
+        return 'the start is not allowed any more'
+    return None
+
+
+async def _start(link: _Link, order: StartOrder) -> AttemptEnded:
+    for _ in range(MAX_STALE_TOKENS):
+        problem = await _allowed_with_token(link, order)
+        if problem is not None:
+            return _end(order, link, AttemptEnd.NOT_SENT, message=problem)
+        wait_ms = max(0, min(FIRST_WAIT_MS, order.deadline_at_ms - now_ms()))
+        task = replace(
+            order.task,
+            start_token=link.token,
+            lease_ms=link.lease_ms,
+            wait_ms=min(wait_ms, link.lease_ms // 2),
+        )
+        asked_ms = now_ms()
+        started = await link.port.start(task)
+        if isinstance(started, Ok):
+            link.keep_token(started.ok_value.start_token, asked_ms)
+            if started.ok_value.refusal is StartRefusal.STALE_TOKEN:
+                link.token = ''
+                continue
+            return await _follow(link, order, started.ok_value)
+        if started.err_value.kind is PortErrorKind.NOT_SENT:
+            message = started.err_value.message
+            return _end(order, link, AttemptEnd.NOT_SENT, message=message)
+        return await _settle(link, order)
+    return _end(order, link, AttemptEnd.REFUSED, message='start token stale')
+
+
+def is_whole(report: TaskReport, task_id: str) -> bool:
+    """Checks task id, length and digest of a reported result."""
+    if report.task_id != task_id:
+        return False
+    if report.state is not TaskState.FINISHED:
+        return True
+    encoded = (report.result or '').encode()
+    digest = hashlib.sha256(encoded).hexdigest()
+    return report.result_length == len(encoded) and report.result_digest == digest
+
+
+async def _follow(link: _Link, order: StartOrder, report: TaskReport) -> AttemptEnded:
+    """Waits for the end of a task that the server has reported on."""
+    task_id = order.task.task_id
+    while True:
+        if not is_whole(report, task_id):
+            return await _settle(link, order)
+        if report.refusal is not None:
+            return _end(order, link, AttemptEnd.REFUSED, report)
+        if report.state is not TaskState.RUNNING:
+            return _end(order, link, _end_of(report), report)
+        if task_id in link.stop_requested or now_ms() >= order.deadline_at_ms:
+            return await _stop_started(link, order)
+        wait_ms = min(LONG_POLL_MS, max(1, order.deadline_at_ms - now_ms()))
+        answer = await link.port.status(task_id, wait_ms)
+        if isinstance(answer, Err):
+            return await _settle(link, order)
+        report = answer.ok_value
+
+
+def _end_of(report: TaskReport) -> AttemptEnd:
+    if report.state is TaskState.STOPPED:
+        return AttemptEnd.STOPPED
+    if report.state is TaskState.EXPIRED:
+        return AttemptEnd.LEASE_LOST
+    if report.state is TaskState.NEVER_STARTED:
+        return AttemptEnd.REFUSED
+    return AttemptEnd.ANSWERED
+
+
+async def _stop_started(link: _Link, order: StartOrder) -> AttemptEnded:
+    """Stops a task at its deadline or on cancellation."""
+    stopped = await link.port.stop(order.task.task_id)
+    if isinstance(stopped, Err):
+        return _end(order, link, AttemptEnd.DEADLINE_PASSED)
+    report = stopped.ok_value
+    if not is_whole(report, order.task.task_id):
+        return _end(order, link, AttemptEnd.DEADLINE_PASSED)
+    return _end(order, link, _end_of(report), report)
+
+
+async def _settle(link: _Link, order: StartOrder) -> AttemptEnded:
+    """Finds out what became of a start whose answer was lost.
+
+    A task that the server does not know may still arrive, so it is barred by
+    a stop before it counts as never started. The adapter opens a fresh
+    connection after a call without an answer.
+    """
+    task_id = order.task.task_id
+    back_off_ms = SETTLE_BACK_OFF_MS
+    while now_ms() < order.settle_until_ms:
+        answer = await link.port.status(task_id, 0)
+        if isinstance(answer, Ok) and answer.ok_value.task_id == task_id:
+            report = answer.ok_value
+            if report.state is TaskState.NEVER_STARTED:
+                barred = await link.port.stop(task_id)
+                if isinstance(barred, Ok) and is_whole(barred.ok_value, task_id):
+                    report = barred.ok_value
+                    return _end(order, link, _end_of(report), report)
+            elif is_whole(report, task_id):
+                return await _follow(link, order, report)
+        await asyncio.sleep(seconds(back_off_ms))
+        back_off_ms = min(back_off_ms * 2, MAX_SETTLE_BACK_OFF_MS)
+    log_event(Event.ATTEMPT_OUTCOME_UNKNOWN, task_id=task_id, host_id=link.host_id)
+    return _end(order, link, AttemptEnd.NO_ANSWER)
+
+
+async def _attempt(link: _Link, order: StartOrder) -> None:
+    task_id = order.task.task_id
+    link.running_by_task[task_id] = order
+    try:
+        ended = await _start(link, order)
+    finally:
+        link.running_by_task.pop(task_id, None)
+        link.stop_requested.discard(task_id)
+    await link.dispatcher.deliver(ended)
+
+
+async def _stop(link: _Link, order: StopOrder) -> None:
+    """Stops a task; the attempt that follows it sees the stopped state."""
+    link.stop_requested.add(order.task_id)
+    await link.port.stop(order.task_id)
+
+
+async def _renew_leases(link: _Link) -> None:
+    while True:
+        await asyncio.sleep(seconds(link.lease_ms / LEASE_RENEWALS_PER_LEASE))
+        task_ids = sorted(link.running_by_task)
+        if not task_ids:
+            continue
+        asked_ms = now_ms()
+        renewal = LeaseRenewal(task_ids=task_ids, lease_ms=link.lease_ms)
+        renewed = await link.port.renew(renewal)
+        if isinstance(renewed, Ok):
+            link.keep_token(renewed.ok_value.start_token, asked_ms)
+
+
+async def _poll_usage(link: _Link, interval_ms: int, random: Random) -> None:
+    """Reads usage at the interval, spread out so that servers are not asked at once."""
+    await asyncio.sleep(seconds(interval_ms * random()))
+    while True:
+        polled = await _refresh_token(link)
+        if isinstance(polled, Err):
+            polled = await _refresh_token(link)
+        if isinstance(polled, Err) and link.reachable:
+            link.reachable = False
+            log_event(Event.HOST_UNREACHABLE, host_id=link.host_id)
+        elif isinstance(polled, Ok) and not link.reachable:
+            link.reachable = True
+            log_event(Event.HOST_REACHED, host_id=link.host_id)
+        if not link.reachable:
+            link.dispatcher.send(HostSilent(host_id=link.host_id))
+        await asyncio.sleep(seconds(interval_ms))
+
+
+async def run_backend_link(
+    host_id: str,
+    port: BackendPort,
+    mailbox: Mailbox,
+    dispatcher: Mailbox,
+    lease_ms: int,
+    token_ms: int,
+    usage_interval_ms: int,
+    random: Random,
+) -> None:
+    """Carries out start and stop orders for one backend server."""
+    link = _Link(host_id, port, dispatcher, lease_ms, token_ms)
+    async with asyncio.TaskGroup() as group:
+        upkeep = [
+            group.create_task(_renew_leases(link)),
+            group.create_task(_poll_usage(link, usage_interval_ms, random)),
+        ]
+        attempts: set[asyncio.Task] = set()
+        while True:
+            message = await mailbox.receive()
+            if isinstance(message, StopService):
+                break
+            if isinstance(message, StartOrder):
+                attempt = group.create_task(_attempt(link, message))
+                attempts.add(attempt)
+                attempt.add_done_callback(attempts.discard)
+            elif isinstance(message, StopOrder):
+                group.create_task(_stop(link, message))
+        if attempts:
+            await asyncio.wait(attempts)
+        for task in upkeep:
+            task.cancel()
--- /dev/null
+++ b/dandelionknot/_caller_server.py
@@ -0,0 +1,252 @@
+"""HTTP server for callers."""
+
+import contextlib
+import ssl
+from http import HTTPStatus
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+from result import Err
+
+from dandelionknot import codec
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.messages import (
+    AnswerBody,
+    CallerGone,
+    CancelRequest,
+    ErrorCode,
+    FetchAnswer,
+    ReadinessCheck,
+    Refusal,
+    RequestBody,
+    RequestPhase,
+    RunState,
+    SubmitRequest,
+)
+from dandelionknot.settings import EntrySettings, split_address
+
+MAX_HEADER_BYTES = 16 * 1024
+MAX_KEY_LENGTH = 256
+MAX_FETCH_WAIT_MS = 60_000
+BEARER = 'Bearer '
+CHUNK_BYTES = 64 * 1024
+
+STATUS_BY_CODE: dict[ErrorCode, HTTPStatus] = {
+    ErrorCode.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
+    ErrorCode.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ErrorCode.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
+    ErrorCode.KEY_NOT_VALID: HTTPStatus.UNAUTHORIZED,
+    ErrorCode.NOT_AUTHORIZED: HTTPStatus.FORBIDDEN,
+    ErrorCode.TEAM_NOT_ALLOWED: HTTPStatus.FORBIDDEN,
+    ErrorCode.SERVICE_NOT_FOUND: HTTPStatus.NOT_FOUND,
+    ErrorCode.REQUEST_NOT_FOUND: HTTPStatus.NOT_FOUND,
+    ErrorCode.REQUEST_ID_REUSED: HTTPStatus.CONFLICT,
+    ErrorCode.CONFLICT: HTTPStatus.CONFLICT,
+    ErrorCode.REQUEST_ID_TOO_OLD: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.TASK_CANNOT_FIT: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
+    ErrorCode.OUTCOME_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    ErrorCode.TASK_FAILED: HTTPStatus.BAD_GATEWAY,
+    ErrorCode.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.TEAM_LIMIT_REACHED: HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.CANCELLED: HTTPStatus.GONE,
+    ErrorCode.INTERNAL_ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+DONE_PHASES = frozenset(
+    {
+        RequestPhase.FINISHED,
+        RequestPhase.FAILED,
+        RequestPhase.REFUSED,
+        RequestPhase.CANCELLED,
+        RequestPhase.UNKNOWN,
+    }
+)
+
+
+def status_of(code: ErrorCode) -> HTTPStatus:
+    """Returns the HTTP status of an error; 503 unless the table names another."""
+    return STATUS_BY_CODE.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def not_run(code: ErrorCode, message: str) -> Refusal:
+    """Returns a refusal of a request that never reached the dispatcher."""
+    return Refusal(code=code, message=message, run_state=RunState.NOT_RUN)
+
+
+class _Handler(tornado.web.RequestHandler):
+    dispatcher: Mailbox
+    entry_settings: EntrySettings
+
+    def initialize(self, dispatcher: Mailbox, settings: EntrySettings) -> None:
+        self.dispatcher = dispatcher
+        self.entry_settings = settings
+
+    def presented_key(self) -> str | None:
+        """Returns the key of the request, or None."""
+        header = self.request.headers.get('Authorization', '')
+        if not header.startswith(BEARER):
+            return None
+        return header.removeprefix(BEARER).strip()[: MAX_KEY_LENGTH + 1]
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answers with a typed error."""
+        self.set_status(status_of(refusal.code))
+        if refusal.retry_after_ms is not None:
+            self.set_header('Retry-After', str(-(-refusal.retry_after_ms // 1000)))
+        self.set_header('Content-Type', 'application/json')
+        self.finish(codec.encode_json(refusal))
+
+    def answer(self, outcome: AnswerBody | Refusal) -> None:
+        """Answers with the state of a request or a typed error."""
+        if isinstance(outcome, Refusal):
+            self.refuse(outcome)
+            return
+        done = outcome.phase in DONE_PHASES
+        self.set_status(HTTPStatus.OK if done else HTTPStatus.ACCEPTED)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(codec.encode_json(outcome))
+
+    async def ask(self, message: object) -> None:
+        """Passes a message to the dispatcher and answers with its reply."""
+        reply = await self.dispatcher.ask(message)
+        if isinstance(reply, Err):
+            self.refuse(not_run(ErrorCode.QUEUE_FULL, 'the entry host is overloaded'))
+            return
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            self.answer(reply.ok_value)
+
+
+@tornado.web.stream_request_body
+class _RequestsHandler(_Handler):
+    """Takes requests; the body is read in chunks so that its size is limited."""
+
+    def prepare(self) -> None:
+        self.chunks: list[bytes] = []
+        self.size_bytes = 0
+        self.request_id: str | None = None
+        length = self.request.headers.get('Content-Length', '0')
+        if length.isdigit() and int(length) > self.entry_settings.max_body_bytes:
+            self.refuse_size()
+
+    def refuse_size(self) -> None:
+        """Refuses a body that is too large and closes the connection."""
+        limit = self.entry_settings.max_body_bytes
+        self.set_header('Connection', 'close')
+        message = f'the body is larger than {limit} bytes'
+        self.refuse(not_run(ErrorCode.BODY_TOO_LARGE, message))
+
+    def data_received(self, chunk: bytes) -> None:
+        self.size_bytes += len(chunk)
+        if self._finished:
+            return
+        if self.size_bytes > self.entry_settings.max_body_bytes:
+            self.refuse_size()
+            return
+        self.chunks.append(chunk)
+
+    async def post(self) -> None:
+        if self._finished:
+            return
+        decoded = codec.decode_json(b''.join(self.chunks), RequestBody, 'request')
+        if isinstance(decoded, Err):
+            problem = str(decoded.err_value)
+            self.refuse(not_run(ErrorCode.MALFORMED_REQUEST, problem))
+            return
+        body = decoded.ok_value
+        self.request_id = body.request_id
+        await self.ask(SubmitRequest(request=body, presented_key=self.presented_key()))
+
+    def on_connection_close(self) -> None:
+        """Tells the dispatcher that nobody waits for the answer any more."""
+        if self.request_id is not None:
+            self.dispatcher.send(CallerGone(request_id=self.request_id))
+
+
+class _RequestHandler(_Handler):
+    """Fetches the answer to a request again, or cancels it."""
+
+    async def get(self, request_id: str) -> None:
+        wait = self.get_query_argument('wait_ms', '0')
+        if not wait.isdigit():
+            message = f'wait_ms must be a whole number, not {wait!r}'
+            self.refuse(not_run(ErrorCode.MALFORMED_REQUEST, message))
+            return
+        await self.ask(
+            FetchAnswer(
+                request_id=request_id,
+                presented_key=self.presented_key(),
+                wait_ms=min(int(wait), MAX_FETCH_WAIT_MS),
+            )
+        )
+
+    async def delete(self, request_id: str) -> None:
+        await self.ask(
+            CancelRequest(request_id=request_id, presented_key=self.presented_key())
+        )
+
+
+class _HealthHandler(_Handler):
+    """Answers while the event loop runs."""
+
+    def get(self) -> None:
+        self.write({'healthy': True})
+
+
+class _ReadyHandler(_Handler):
+    """Tells the balancer whether to send callers here."""
+
+    async def get(self) -> None:
+        reply = await self.dispatcher.ask(ReadinessCheck())
+        ready = not isinstance(reply, Err) and reply.ok_value
+        if not ready:
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.write({'ready': ready})
+
+
+class _NotFoundHandler(_Handler):
+    def prepare(self) -> None:
+        refusal = not_run(
+            ErrorCode.REQUEST_NOT_FOUND, f'there is nothing at {self.request.path}'
+        )
+        self.refuse(refusal)
+
+
+def server_context(settings: EntrySettings) -> ssl.SSLContext | None:
+    """Returns the TLS context for callers, or None without TLS settings."""
+    if settings.caller_tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(
+        settings.caller_tls.certificate_file, settings.caller_tls.key_file
+    )
+    return context
+
+
+def start_caller_server(
+    settings: EntrySettings, dispatcher: Mailbox
+) -> tornado.httpserver.HTTPServer:
+    """Listens for callers on the caller address."""
+    arguments = {'dispatcher': dispatcher, 'settings': settings}
+    application = tornado.web.Application(
+        [
+            (r'/v1/requests', _RequestsHandler, arguments),
+            (r'/v1/requests/([0-9a-f-]{1,64})', _RequestHandler, arguments),
+            (r'/healthz', _HealthHandler, arguments),
+            (r'/readyz', _ReadyHandler, arguments),
+        ],
+        default_handler_class=_NotFoundHandler,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
+    host, port = split_address(settings.caller_address)
+    server = tornado.httpserver.HTTPServer(
+        application,
+        ssl_options=server_context(settings),
+        max_header_size=MAX_HEADER_BYTES,
+        chunk_size=CHUNK_BYTES,
+        max_body_size=64 * 1024 * 1024,
+        idle_connection_timeout=60,
+    )
+    server.add_sockets(tornado.netutil.bind_sockets(port, host))
+    return server
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -728,6 +728,7 @@
     platform_address: str
     peer_secret: str
     operator_tokens_by_id: dict[str, str]
+    advertised_peer_address: str | None = None
     caller_tls: TlsSettings | None = None
     statsd: StatsdSettings | None = None
     log_level: LogLevel = LogLevel.INFO
@@ -738,10 +739,229 @@
     platform_read_interval_ms: int = 2000
     connect_timeout_ms: int = 500
     read_timeout_ms: int = 2000
+    source_ip: str | None = None
+    backend_connections: int = 256
     claim_flush_ms: int = 40
     drain_timeout_ms: int = 30000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformView:
+    """
+    What the platform held when the question sent at this time was answered.
+    """
+
+    question_sent_ms: int
+    revision: int
+    configuration: Configuration | None = None
+    members_by_id: dict[str, Member] = field(default_factory=dict)
+    members_revision: int = 0
+    alive_ids: list[str] = field(default_factory=list)
+    slices: SliceMap | None = None
+    slices_revision: int = 0
+    grants_by_team: dict[str, GrantRecord] = field(default_factory=dict)
+    grant_revisions_by_team: dict[str, int] = field(default_factory=dict)
+    listed_states_by_host: dict[str, ListedHostState] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAnswered:
+    """
+    A peer answered a ping that was sent at this time.
+    """
+
+    member_id: str
+    question_sent_ms: int
+    pong: Pong
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartOrder:
+    """
+    Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.
+    """
+
+    host_id: str
+    task: TaskStart
+    deadline_at_ms: int
+    checked_at_ms: int
+    settle_until_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopOrder:
+    """
+    Order to a backend link to stop a task.
+    """
+
+    host_id: str
+    task_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartCheck:
+    """
+    Asks the dispatcher whether a start that waited for a token is still allowed.
+    """
+
+    request_id: str
+
+
+class AttemptEnd(StrEnum):
+    """
+    How an attempt ended.
+    """
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+    ANSWERED = "answered"
+    STOPPED = "stopped"
+    LEASE_LOST = "lease_lost"
+    DEADLINE_PASSED = "deadline_passed"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptEnded:
+    """
+    The end of one attempt with the last report of the backend server, if any.
+    """
+
+    request_id: str
+    attempt: int
+    host_id: str
+    end: AttemptEnd
+    report: TaskReport | None = None
+    message: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostUsage:
+    """
+    Usage that a backend server reported.
+    """
+
+    host_id: str
+    usage: UsageReport
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostSilent:
+    """
+    A backend server did not answer a usage call, also not over a fresh connection.
+    """
+
+    host_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tick:
+    """
+    Periodic message that lets a task look at its deadlines.
+    """
+
+    now_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopService:
+    """
+    Order to stop taking new work and to end once running work has been answered.
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordMembership:
+    """
+    Order to write this member's record with what it has confirmed.
+    """
+
+    confirmed_version: int
+    members_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberJoined:
+    """
+    This member's record is on the platform since this revision.
+    """
+
+    incarnation: str
+    joined_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpdatePeers:
+    """
+    The peers to keep connections to.
+    """
+
+    addresses_by_member: dict[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerCall:
+    """
+    Order to ask one peer and return its answer.
+    """
+
+    member_id: str
+    kind: PeerMessageKind
+    body: dict[str, Any]
+    timeout_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone:
+    """
+    The caller of a request has closed its connection.
+    """
+
+    request_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadinessCheck:
+    """
+    Asks the dispatcher whether callers should be sent here.
+    """
+
+    reserved: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriteFinished:
+    """
+    A platform write that the dispatcher asked for; the outcome is null if it is not known.
+    """
+
+    request: WriteRequest
+    outcome: WriteOutcome | None
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpdateLinks:
+    """
+    The backend servers to keep links to.
+    """
+
+    addresses_by_host: dict[str, str]
+    lease_ms: int
+    token_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitUntilIdle:
+    """
+    Asks the dispatcher to reply once every request has an outcome.
+    """
+
+    reserved: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestBody:
     """
@@ -769,3 +989,15 @@
     arrival_age_ms: int
     team: str | None = None
     presented_key: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitRequest:
+    """
+    A request that arrived from a caller or, if forwarded, from a peer.
+    """
+
+    request: RequestBody
+    presented_key: str | None = None
+    age_ms: int = 0
+    forwarded: bool = False
--- a/dandelionknot/_mailbox.py
+++ b/dandelionknot/_mailbox.py
@@ -45,6 +45,10 @@
             return Err(MailboxFull(self._queue.maxsize))
         return Ok(None)
 
+    async def deliver(self, message: M) -> None:
+        """Delivers a message that must not be lost, waiting for room."""
+        await self._queue.put(message)
+
     async def ask(self, message: Any) -> Result[Any, MailboxFull]:
         """Sends a message as a `Call` and waits for its reply."""
         reply = asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/dandelionknot/_peers.py
@@ -0,0 +1,395 @@
+"""Links between entry hosts: one server, and one client task for each peer."""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from dandelionknot import codec
+from dandelionknot._mailbox import Call, Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.events import Event, log_event
+from dandelionknot.messages import (
+    CancelRequest,
+    ConfigurationOffer,
+    Envelope,
+    FetchAnswer,
+    ForwardedAnswer,
+    ForwardedRequest,
+    Hello,
+    PeerAnswered,
+    PeerCall,
+    PeerMessageKind,
+    Ping,
+    Pong,
+    UpdatePeers,
+)
+from dandelionknot.ports import PortError, PortErrorKind
+from dandelionknot.settings import EntrySettings, split_address
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+LINK_MAILBOX_CAPACITY = 1000
+RECONNECT_MS = 200
+HELLO_TIMEOUT_MS = 2000
+
+CLASS_BY_KIND: dict[str, type] = {
+    PeerMessageKind.HELLO: Hello,
+    PeerMessageKind.PING: Ping,
+    PeerMessageKind.PONG: Pong,
+    PeerMessageKind.CONFIGURATION_OFFER: ConfigurationOffer,
+    PeerMessageKind.FORWARDED_REQUEST: ForwardedRequest,
+    PeerMessageKind.FORWARDED_ANSWER: ForwardedAnswer,
+    PeerMessageKind.FETCH_ANSWER: FetchAnswer,
+    PeerMessageKind.CANCEL_REQUEST: CancelRequest,
+}
+KIND_BY_CLASS = {cls: kind for kind, cls in CLASS_BY_KIND.items()}
+
+LINK_ERRORS = (OSError, WebSocketException, TimeoutError, EOFError)
+
+Count = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A received message and the call that it belongs to (0 for none)."""
+
+    call_id: int
+    message: object
+
+
+def encode_message(message: object, call_id: int = 0) -> bytes:
+    """Wraps a peer message in an envelope and encodes it as CBOR."""
+    envelope = Envelope(
+        protocol=PROTOCOL_VERSION,
+        kind=KIND_BY_CLASS[type(message)],
+        call_id=call_id,
+        body=codec.to_data(message),
+    )
+    return codec.encode_cbor(envelope)
+
+
+def decode_message(data: bytes | str) -> Result[PeerMessage, codec.DecodeError]:
+    """Decodes an envelope and the message in it."""
+    if isinstance(data, str):
+        return Err(codec.DecodeError(where='peer', problem='text frame'))
+    decoded = codec.decode_cbor(data, Envelope, 'peer')
+    if isinstance(decoded, Err):
+        return decoded
+    envelope = decoded.ok_value
+    cls = CLASS_BY_KIND.get(envelope.kind)
+    if cls is None:
+        problem = f'message kind {envelope.kind!r} is not known'
+        return Err(codec.DecodeError(where='peer', problem=problem))
+    body: Result = codec.from_data(envelope.body, cls, envelope.kind)
+    return body.map(lambda message: PeerMessage(envelope.call_id, message))
+
+
+def _proof(secret: str, nonce: str, member_id: str) -> str:
+    message = f'{nonce}/{member_id}'.encode()
+    return hmac.new(secret.encode(), message, hashlib.sha256).hexdigest()
+
+
+def _hello(settings: EntrySettings, nonce: str, proof: str) -> Hello:
+    return Hello(
+        member_id=settings.member_id,
+        incarnation=nonce,
+        availability_zone=settings.availability_zone,
+        proof=proof,
+    )
+
+
+async def _receive_hello(connection: ClientConnection | ServerConnection) -> Hello:
+    data = await asyncio.wait_for(connection.recv(), seconds(HELLO_TIMEOUT_MS))
+    decoded = decode_message(data)
+    if isinstance(decoded, Err) or not isinstance(decoded.ok_value.message, Hello):
+        raise EOFError('no hello received')
+    return decoded.ok_value.message
+
+
+async def _check_in(connection: ClientConnection, settings: EntrySettings) -> bool:
+    """Shows the secret to the server and checks that it knows it too."""
+    challenge = await _receive_hello(connection)
+    nonce = secrets.token_hex(16)
+    proof = _proof(settings.peer_secret, challenge.incarnation, settings.member_id)
+    await connection.send(encode_message(_hello(settings, nonce, proof)))
+    confirmation = await _receive_hello(connection)
+    expected = _proof(settings.peer_secret, nonce, confirmation.member_id)
+    return hmac.compare_digest(confirmation.proof, expected)
+
+
+async def _check_client(
+    connection: ServerConnection, settings: EntrySettings
+) -> str | None:
+    """Returns the member id of a client that showed the secret."""
+    nonce = secrets.token_hex(16)
+    await connection.send(encode_message(_hello(settings, nonce, '')))
+    hello = await _receive_hello(connection)
+    expected = _proof(settings.peer_secret, nonce, hello.member_id)
+    if not hmac.compare_digest(hello.proof, expected):
+        return None
+    proof = _proof(settings.peer_secret, hello.incarnation, settings.member_id)
+    await connection.send(encode_message(_hello(settings, nonce, proof)))
+    return hello.member_id
+
+
+@dataclass(slots=True)
+class _Link:
+    """State of one client link; its task is the only one that changes it."""
+
+    member_id: str
+    address: str
+    mailbox: Mailbox
+    pending_by_call: dict[int, Call] = field(default_factory=dict)
+    pings_by_call: dict[int, int] = field(default_factory=dict)
+    next_call_id: int = 1
+    last_heard_ms: int = 0
+
+
+def _not_reached(member_id: str, kind: PortErrorKind) -> Err[PortError]:
+    return Err(PortError(kind=kind, message=f'peer {member_id} gave no answer'))
+
+
+async def _send_calls(connection: ClientConnection, link: _Link) -> None:
+    while True:
+        call: Call = await link.mailbox.receive()
+        order: PeerCall = call.message
+        decoded: Result = codec.from_data(
+            order.body, CLASS_BY_KIND[order.kind], order.kind
+        )
+        message = decoded.unwrap()
+        call_id = link.next_call_id
+        link.next_call_id += 1
+        link.pending_by_call[call_id] = call
+        await connection.send(encode_message(message, call_id))
+
+
+async def _send_pings(
+    connection: ClientConnection, link: _Link, ping_ms: Callable[[], tuple[int, int]]
+) -> None:
+    """Pings at the interval and ends the link when the peer falls silent."""
+    while True:
+        interval_ms, version = ping_ms()
+        call_id = link.next_call_id
+        link.next_call_id += 1
+        link.pings_by_call[call_id] = now_ms()
+        await connection.send(
+            encode_message(Ping(configuration_version=version), call_id)
+        )
+        await asyncio.sleep(seconds(interval_ms))
+        if now_ms() - link.last_heard_ms > 2 * interval_ms:
+            raise TimeoutError(f'peer {link.member_id} is silent')
+
+
+async def _receive(
+    connection: ClientConnection, link: _Link, dispatcher: Mailbox, count: Count
+) -> None:
+    async for data in connection:
+        link.last_heard_ms = now_ms()
+        decoded = decode_message(data)
+        if isinstance(decoded, Err):
+            count('peer_messages_malformed')
+            log_event(Event.PEER_MESSAGE_MALFORMED, problem=str(decoded.err_value))
+            continue
+        call_id, message = decoded.ok_value.call_id, decoded.ok_value.message
+        if isinstance(message, Pong):
+            sent_ms = link.pings_by_call.pop(call_id, None)
+            if sent_ms is not None:
+                dispatcher.send(
+                    PeerAnswered(
+                        member_id=link.member_id, question_sent_ms=sent_ms, pong=message
+                    )
+                )
+        elif isinstance(message, ConfigurationOffer):
+            dispatcher.send(message)
+        elif call_id in link.pending_by_call:
+            link.pending_by_call.pop(call_id).answer(Ok(message))
+
+
+async def _run_connection(
+    link: _Link,
+    settings: EntrySettings,
+    dispatcher: Mailbox,
+    ping_ms: Callable[[], tuple[int, int]],
+    count: Count,
+) -> None:
+    local = (settings.source_ip, 0) if settings.source_ip else None
+    async with connect(
+        f'ws://{link.address}/',
+        max_size=MAX_MESSAGE_BYTES,
+        open_timeout=seconds(settings.connect_timeout_ms),
+        ping_interval=None,
+        compression=None,
+        close_timeout=seconds(settings.connect_timeout_ms),
+        local_addr=local,
+    ) as connection:
+        if not await _check_in(connection, settings):
+            log_event(Event.PEER_REFUSED, address=link.address)
+            return
+        log_event(Event.PEER_CONNECTED, member_id=link.member_id)
+        link.last_heard_ms = now_ms()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_receive_then_end(connection, link, dispatcher, count))
+            group.create_task(_send_calls(connection, link))
+            group.create_task(_send_pings(connection, link, ping_ms))
+
+
+async def _receive_then_end(
+    connection: ClientConnection, link: _Link, dispatcher: Mailbox, count: Count
+) -> None:
+    await _receive(connection, link, dispatcher, count)
+    raise EOFError('connection closed')
+
+
+async def _run_link(
+    link: _Link,
+    settings: EntrySettings,
+    dispatcher: Mailbox,
+    ping_ms: Callable[[], tuple[int, int]],
+    count: Count,
+) -> None:
+    """Keeps one link open; pending calls fail when the connection is lost."""
+    while True:
+        try:
+            await _run_connection(link, settings, dispatcher, ping_ms, count)
+        except* LINK_ERRORS:
+            log_event(Event.PEER_DISCONNECTED, member_id=link.member_id)
+        for call in link.pending_by_call.values():
+            call.answer(_not_reached(link.member_id, PortErrorKind.NO_ANSWER))
+        link.pending_by_call.clear()
+        link.pings_by_call.clear()
+        await asyncio.sleep(seconds(RECONNECT_MS))
+
+
+async def _time_out(call: Call, member_id: str, timeout_ms: int) -> None:
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(asyncio.shield(call.reply), seconds(timeout_ms))
+        return
+    call.answer(_not_reached(member_id, PortErrorKind.NO_ANSWER))
+
+
+async def run_peer_links(
+    settings: EntrySettings,
+    mailbox: Mailbox,
+    dispatcher: Mailbox,
+    ping_ms: Callable[[], tuple[int, int]],
+    count: Count,
+) -> None:
+    """Opens links to the peers it is told of and passes calls to them.
+
+    `ping_ms` returns the ping interval in milliseconds and the configuration
+    version that pings carry.
+    """
+    links: dict[str, tuple[_Link, asyncio.Task]] = {}
+    async with asyncio.TaskGroup() as group:
+        while True:
+            message = await mailbox.receive()
+            if isinstance(message, UpdatePeers):
+                _update_links(
+                    links,
+                    message.addresses_by_member,
+                    lambda link: group.create_task(
+                        _run_link(link, settings, dispatcher, ping_ms, count)
+                    ),
+                )
+                continue
+            order: PeerCall = message.message
+            if order.member_id not in links:
+                message.answer(_not_reached(order.member_id, PortErrorKind.NOT_SENT))
+                continue
+            sent = links[order.member_id][0].mailbox.send(message)
+            if isinstance(sent, Err):
+                message.answer(_not_reached(order.member_id, PortErrorKind.NOT_SENT))
+                continue
+            group.create_task(_time_out(message, order.member_id, order.timeout_ms))
+
+
+def _update_links(
+    links: dict[str, tuple[_Link, asyncio.Task]],
+    addresses_by_member: dict[str, str],
+    start: Callable[[_Link], asyncio.Task],
+) -> None:
+    for member_id in list(links):
+        link, task = links[member_id]
+        if addresses_by_member.get(member_id) != link.address:
+            task.cancel()
+            del links[member_id]
+    for member_id, address in addresses_by_member.items():
+        if member_id not in links:
+            link = _Link(member_id, address, Mailbox(LINK_MAILBOX_CAPACITY))
+            links[member_id] = (link, start(link))
+
+
+async def _serve_connection(
+    connection: ServerConnection,
+    settings: EntrySettings,
+    dispatcher: Mailbox,
+    count: Count,
+) -> None:
+    try:
+        member_id = await _check_client(connection, settings)
+    except LINK_ERRORS:
+        member_id = None
+    if member_id is None:
+        count('peers_refused')
+        log_event(Event.PEER_REFUSED, address=str(connection.remote_address))
+        return
+    try:
+        await _serve_messages(connection, dispatcher, count)
+    except* LINK_ERRORS:
+        log_event(Event.PEER_DISCONNECTED, member_id=member_id)
+
+
+async def _serve_messages(
+    connection: ServerConnection, dispatcher: Mailbox, count: Count
+) -> None:
+    async with asyncio.TaskGroup() as group:
+        async for data in connection:
+            decoded = decode_message(data)
+            if isinstance(decoded, Err):
+                count('peer_messages_malformed')
+                problem = str(decoded.err_value)
+                log_event(Event.PEER_MESSAGE_MALFORMED, problem=problem)
+                continue
+            group.create_task(_answer(connection, decoded.ok_value, dispatcher))
+
+
+async def _answer(
+    connection: ServerConnection, received: PeerMessage, dispatcher: Mailbox
+) -> None:
+    """Lets the dispatcher answer a message and sends its answers back."""
+    if isinstance(received.message, (Hello, Pong, ForwardedAnswer)):
+        return
+    answer = await dispatcher.ask(received.message)
+    if isinstance(answer, Err):
+        return
+    with contextlib.suppress(*LINK_ERRORS):
+        for message in answer.ok_value:
+            await connection.send(encode_message(message, received.call_id))
+
+
+async def start_peer_server(
+    settings: EntrySettings, dispatcher: Mailbox, count: Count
+) -> Server:
+    """Listens for links of other entry hosts."""
+
+    async def handle(connection: ServerConnection) -> None:
+        await _serve_connection(connection, settings, dispatcher, count)
+
+    host, port = split_address(settings.peer_address)
+    return await serve(
+        handle,
+        host,
+        port,
+        max_size=MAX_MESSAGE_BYTES,
+        ping_interval=None,
+        compression=None,
+    )
--- /dev/null
+++ b/dandelionknot/_platform_sync.py
@@ -0,0 +1,338 @@
+"""Tasks that talk to the platform: reader, writer and membership."""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from dandelionknot import codec
+from dandelionknot._mailbox import Call, Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.configuration import Configuration
+from dandelionknot.events import Event, log_event
+from dandelionknot.messages import (
+    GrantRecord,
+    ListedHostState,
+    Member,
+    MemberJoined,
+    PlatformView,
+    RecordMembership,
+    SliceMap,
+    StopService,
+    StoredList,
+    StoredValue,
+    WriteOutcome,
+    WriteRequest,
+    WriteResult,
+)
+from dandelionknot.ports import PlatformPort, PortError
+
+FLEET_PREFIX = 'fleet/'
+CONFIGURATION_KEY = FLEET_PREFIX + 'configuration'
+MEMBERS_PREFIX = FLEET_PREFIX + 'members/'
+ALIVE_PREFIX = FLEET_PREFIX + 'alive/'
+SLICES_KEY = FLEET_PREFIX + 'slices'
+GRANTS_PREFIX = FLEET_PREFIX + 'grants/'
+CLAIMS_PREFIX = 'claims/'
+
+MIN_BACK_OFF_MS = 100
+MAX_BACK_OFF_MS = 1000
+LEASE_RENEWALS_PER_TTL = 3
+
+T = TypeVar('T')
+Random = Callable[[], float]
+
+
+@dataclass(slots=True)
+class _Cache:
+    """Values below the fleet prefix as of `revision`; -1 before the first read."""
+
+    revision: int = -1
+    values_by_key: dict[str, StoredValue] = field(default_factory=dict)
+    decoded_by_key: dict[str, object] = field(default_factory=dict)
+    members_revision: int = 0
+
+
+def _class_of(key: str) -> type | None:
+    if key == CONFIGURATION_KEY:
+        return Configuration
+    if key == SLICES_KEY:
+        return SliceMap
+    if key.startswith(MEMBERS_PREFIX):
+        return Member
+    if key.startswith(GRANTS_PREFIX):
+        return GrantRecord
+    return None
+
+
+def _store(cache: _Cache, stored: StoredValue) -> None:
+    cache.values_by_key[stored.key] = stored
+    cls = _class_of(stored.key)
+    if cls is None:
+        return
+    decoded: Result = codec.decode_json(stored.value, cls, stored.key)
+    if isinstance(decoded, Err):
+        log_event(Event.PLATFORM_VALUE_MALFORMED, problem=str(decoded.err_value))
+        cache.decoded_by_key.pop(stored.key, None)
+        return
+    cache.decoded_by_key[stored.key] = decoded.ok_value
+
+
+def _apply(cache: _Cache, answer: StoredList) -> None:
+    for key in answer.deleted_keys:
+        cache.values_by_key.pop(key, None)
+        cache.decoded_by_key.pop(key, None)
+    for stored in answer.values:
+        _store(cache, stored)
+    cache.revision = answer.revision
+
+
+def _decoded(cache: _Cache, prefix: str, cls: type[T]) -> dict[str, T]:
+    return {
+        key.removeprefix(prefix): value
+        for key, value in cache.decoded_by_key.items()
+        if key.startswith(prefix) and isinstance(value, cls)
+    }
+
+
+def _single(cache: _Cache, key: str, cls: type[T]) -> T | None:
+    value = cache.decoded_by_key.get(key)
+    return value if isinstance(value, cls) else None
+
+
+def _revision_of(cache: _Cache, key: str) -> int:
+    stored = cache.values_by_key.get(key)
+    return stored.revision if stored else 0
+
+
+def _view(
+    cache: _Cache, question_sent_ms: int, listed: dict[str, ListedHostState]
+) -> PlatformView:
+    members_by_id = _decoded(cache, MEMBERS_PREFIX, Member)
+    newest = max((each.joined_revision for each in members_by_id.values()), default=0)
+    cache.members_revision = max(cache.members_revision, newest)
+    grants_by_team = _decoded(cache, GRANTS_PREFIX, GrantRecord)
+    return PlatformView(
+        question_sent_ms=question_sent_ms,
+        revision=cache.revision,
+        configuration=_single(cache, CONFIGURATION_KEY, Configuration),
+        members_by_id=members_by_id,
+        members_revision=cache.members_revision,
+        alive_ids=sorted(
+            key.removeprefix(ALIVE_PREFIX)
+            for key in cache.values_by_key
+            if key.startswith(ALIVE_PREFIX)
+        ),
+        slices=_single(cache, SLICES_KEY, SliceMap),
+        slices_revision=_revision_of(cache, SLICES_KEY),
+        grants_by_team=grants_by_team,
+        grant_revisions_by_team={
+            team: _revision_of(cache, GRANTS_PREFIX + team) for team in grants_by_team
+        },
+        listed_states_by_host=listed,
+    )
+
+
+async def run_reader(
+    port: PlatformPort, dispatcher: Mailbox, wait_ms: int, random: Random
+) -> None:
+    """Watches the fleet prefix and sends a `PlatformView` for every answer.
+
+    An answer without news still proves that the view was the latest when the
+    question was sent. A revision that went back means that the platform was
+    restored, so everything is read again.
+    """
+    cache = _Cache()
+    listed: dict[str, ListedHostState] = {}
+    listed_at_ms = 0
+    reachable = True
+    back_off_ms = MIN_BACK_OFF_MS
+    while True:
+        question_sent_ms = now_ms()
+        if cache.revision < 0:
+            answer = await port.list(FLEET_PREFIX)
+        else:
+            answer = await port.watch(FLEET_PREFIX, cache.revision, wait_ms)
+        if isinstance(answer, Err):
+            if reachable:
+                reachable = False
+                log_event(Event.PLATFORM_UNREACHABLE, problem=answer.err_value.message)
+            await asyncio.sleep(seconds(back_off_ms * (0.5 + random())))
+            back_off_ms = min(back_off_ms * 2, MAX_BACK_OFF_MS)
+            continue
+        if not reachable:
+            log_event(Event.PLATFORM_REACHED)
+        reachable = True
+        back_off_ms = MIN_BACK_OFF_MS
+        if answer.ok_value.revision < cache.revision:
+            cache = _Cache(members_revision=cache.members_revision)
+            continue
+        _apply(cache, answer.ok_value)
+        if now_ms() - listed_at_ms >= wait_ms:
+            hosts = await port.list_hosts()
+            if isinstance(hosts, Ok):
+                listed = hosts.ok_value.states_by_host
+                listed_at_ms = now_ms()
+        await dispatcher.deliver(_view(cache, question_sent_ms, listed))
+
+
+async def run_writer(port: PlatformPort, mailbox: Mailbox) -> None:
+    """Makes the writes that other tasks ask for and replies with each result."""
+    async with asyncio.TaskGroup() as group:
+        while True:
+            call: Call = await mailbox.receive()
+            group.create_task(_answer_write(port, call))
+
+
+async def _answer_write(port: PlatformPort, call: Call) -> None:
+    if isinstance(call.message, WriteRequest):
+        call.answer(await port.compare_and_swap(call.message))
+        return
+    call.answer(await port.list(call.message))
+
+
+async def write_settled(
+    port: PlatformPort, request: WriteRequest
+) -> Result[WriteResult, PortError]:
+    """Writes, and after a lost answer reads back whether the write took effect."""
+    written = await port.compare_and_swap(request)
+    if isinstance(written, Ok):
+        return written
+    stored = await port.read(request.key)
+    if isinstance(stored, Err):
+        return written
+    value = stored.ok_value
+    if value.revision > request.expected_revision and value.value == request.value:
+        outcome = WriteOutcome.WRITTEN
+    else:
+        outcome = WriteOutcome.CONFLICT
+    return Ok(WriteResult(outcome=outcome, revision=value.revision))
+
+
+@dataclass(slots=True)
+class _Membership:
+    """What this member has on the platform."""
+
+    record: Member
+    revision: int = 0
+    lease_id: str | None = None
+
+
+async def _renew_lease(
+    port: PlatformPort, membership: _Membership, ttl_ms: int
+) -> None:
+    if membership.lease_id is not None:
+        renewed = await port.renew_lease(membership.lease_id)
+        if isinstance(renewed, Ok):
+            return
+        log_event(Event.MEMBER_LEASE_LOST, problem=renewed.err_value.message)
+    granted = await port.grant_lease(ttl_ms)
+    if isinstance(granted, Err):
+        return
+    key = ALIVE_PREFIX + membership.record.member_id
+    stored = await port.read(key)
+    if isinstance(stored, Err):
+        return
+    written = await port.compare_and_swap(
+        WriteRequest(
+            key=key,
+            expected_revision=stored.ok_value.revision,
+            value=f'"{membership.record.incarnation}"',
+            lease_id=granted.ok_value.lease_id,
+        )
+    )
+    if isinstance(written, Ok) and written.ok_value.outcome is WriteOutcome.WRITTEN:
+        membership.lease_id = granted.ok_value.lease_id
+
+
+async def _write_record(port: PlatformPort, membership: _Membership) -> bool:
+    """Writes the record; this member is its only writer, so a conflict is a retry."""
+    request = WriteRequest(
+        key=MEMBERS_PREFIX + membership.record.member_id,
+        expected_revision=membership.revision,
+        value=codec.encode_json(membership.record).decode(),
+    )
+    written = await write_settled(port, request)
+    if isinstance(written, Err):
+        return False
+    membership.revision = written.ok_value.revision
+    return written.ok_value.outcome is WriteOutcome.WRITTEN
+
+
+async def _join(port: PlatformPort, membership: _Membership) -> bool:
+    """Writes the record and then its join revision, known only after the first."""
+    if not await _write_record(port, membership):
+        return False
+    joined = replace(membership.record, joined_revision=membership.revision)
+    membership.record = joined
+    return await _write_record(port, membership)
+
+
+async def _join_until_written(port: PlatformPort, membership: _Membership) -> None:
+    back_off_ms = MIN_BACK_OFF_MS
+    while True:
+        if await _join(port, membership):
+            return
+        await asyncio.sleep(seconds(back_off_ms))
+        back_off_ms = min(back_off_ms * 2, MAX_BACK_OFF_MS)
+
+
+async def run_membership(
+    port: PlatformPort,
+    mailbox: Mailbox,
+    dispatcher: Mailbox,
+    record: Member,
+    lease_ms: int,
+) -> None:
+    """Keeps this member's record and lease; ends after a `StopService`."""
+    membership = _Membership(record)
+    interval_ms = lease_ms // LEASE_RENEWALS_PER_TTL
+    await _join_until_written(port, membership)
+    await _renew_lease(port, membership, lease_ms)
+    joined_revision = membership.record.joined_revision
+    await dispatcher.deliver(
+        MemberJoined(incarnation=record.incarnation, joined_revision=joined_revision)
+    )
+    log_event(Event.MEMBER_JOINED, member_id=record.member_id, revision=joined_revision)
+    unwritten = False
+    while True:
+        wait_ms = MIN_BACK_OFF_MS if unwritten else interval_ms
+        try:
+            message = await asyncio.wait_for(mailbox.receive(), seconds(wait_ms))
+        except TimeoutError:
+            message = None
+        if isinstance(message, StopService):
+            await _leave(port, membership)
+            return
+        if isinstance(message, RecordMembership):
+            membership.record = replace(
+                membership.record,
+                confirmed_version=message.confirmed_version,
+                members_revision=message.members_revision,
+            )
+            unwritten = True
+        if unwritten:
+            unwritten = not await _write_record(port, membership)
+        if message is None:
+            await _renew_lease(port, membership, lease_ms)
+
+
+async def _leave(port: PlatformPort, membership: _Membership) -> None:
+    """Deletes the record and the liveness key after a graceful stop."""
+    member_id = membership.record.member_id
+    for key in (MEMBERS_PREFIX + member_id, ALIVE_PREFIX + member_id):
+        stored = await port.read(key)
+        if isinstance(stored, Err) or stored.ok_value.revision == 0:
+            continue
+        revision = stored.ok_value.revision
+        await port.compare_and_swap(
+            WriteRequest(key=key, expected_revision=revision, value=None)
+        )
+
+
+def new_incarnation() -> str:
+    """Returns an id that no other run of any member has."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/dandelionknot/_requests.py
@@ -0,0 +1,156 @@
+"""State of the requests that an entry host has taken, and their answers."""
+
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from dandelionknot import codec
+from dandelionknot._mailbox import Call
+from dandelionknot.messages import (
+    AnswerBody,
+    ErrorCode,
+    Refusal,
+    RequestBody,
+    RequestPhase,
+    RunState,
+)
+
+OPEN_QUEUE_TEAM = 'open'
+
+END_PHASES = frozenset(
+    {
+        RequestPhase.FINISHED,
+        RequestPhase.FAILED,
+        RequestPhase.REFUSED,
+        RequestPhase.CANCELLED,
+        RequestPhase.UNKNOWN,
+    }
+)
+
+
+@dataclass(slots=True)
+class RequestEntry:
+    """One request; the dispatcher is the only task that changes it.
+
+    `deadline_at_ms` and `arrived_ms` are readings of the monotonic clock.
+    `outcome` is set once, when the request ends.
+    """
+
+    body: RequestBody
+    body_digest: str
+    team_id: str | None
+    arrived_ms: int
+    deadline_at_ms: int
+    phase: RequestPhase = RequestPhase.QUEUED
+    attempt: int = 0
+    host_id: str | None = None
+    pool_epoch: int = 0
+    failed_hosts: set[str] = field(default_factory=set)
+    holds_grant: bool = False
+    cancel_requested: bool = False
+    outcome: AnswerBody | Refusal | None = None
+    ended_ms: int = 0
+    waiters: list[Call] = field(default_factory=list)
+
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave the request."""
+        return self.body.request_id
+
+    @property
+    def task_id(self) -> str:
+        """Id of the current attempt at backend servers."""
+        return f'{self.body.request_id}.{self.attempt}'
+
+    @property
+    def accounting_team(self) -> str:
+        """Team name for queues, shares and metrics."""
+        return self.team_id or OPEN_QUEUE_TEAM
+
+
+@dataclass(slots=True)
+class RequestTable:
+    """All requests of an entry host by id, ended ones oldest first."""
+
+    by_id: dict[str, RequestEntry] = field(default_factory=dict)
+    ended_by_id: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+
+def digest_of(body: RequestBody) -> str:
+    """Returns a digest of what the caller asked for, without the deadline.
+
+    A resend of the same work may carry a new deadline and wait in another way.
+    """
+    data = codec.to_data(body)
+    del data['deadline_ms']
+    del data['mode']
+    return hashlib.sha256(codec.pretty_json(data).encode()).hexdigest()
+
+
+def current_answer(entry: RequestEntry) -> AnswerBody | Refusal:
+    """Returns the outcome, or the phase while there is none."""
+    if entry.outcome is not None:
+        return entry.outcome
+    queued = entry.phase is RequestPhase.QUEUED
+    return AnswerBody(
+        request_id=entry.request_id,
+        phase=entry.phase,
+        run_state=RunState.NOT_RUN if queued else RunState.UNKNOWN,
+        host_id=entry.host_id,
+        attempts=entry.attempt,
+    )
+
+
+def end_request(
+    table: RequestTable,
+    entry: RequestEntry,
+    phase: RequestPhase,
+    outcome: AnswerBody | Refusal,
+    now_ms: int,
+) -> None:
+    """Ends a request with its outcome and answers everyone who waits."""
+    entry.phase = phase
+    entry.outcome = outcome
+    entry.ended_ms = now_ms
+    table.ended_by_id[entry.request_id] = None
+    for waiter in entry.waiters:
+        waiter.answer(outcome)
+    entry.waiters.clear()
+
+
+def forget(table: RequestTable, request_id: str) -> None:
+    """Removes a request."""
+    table.by_id.pop(request_id, None)
+    table.ended_by_id.pop(request_id, None)
+
+
+def forget_old(table: RequestTable, before_ms: int, keep_at_most: int) -> None:
+    """Removes requests that ended before a time, and the oldest above a count."""
+    while table.ended_by_id:
+        request_id = next(iter(table.ended_by_id))
+        ended_ms = table.by_id[request_id].ended_ms
+        if ended_ms >= before_ms and len(table.ended_by_id) <= keep_at_most:
+            return
+        forget(table, request_id)
+
+
+def refusal_for(
+    entry: RequestEntry,
+    code: ErrorCode,
+    message: str,
+    run_state: RunState,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    """Returns a refusal that names the request."""
+    return Refusal(
+        code=code,
+        message=message,
+        run_state=run_state,
+        retry_after_ms=retry_after_ms,
+        request_id=entry.request_id,
+    )
+
+
+def unfinished_count(table: RequestTable) -> int:
+    """Returns how many requests have no outcome yet."""
+    return len(table.by_id) - len(table.ended_by_id)
--- /dev/null
+++ b/dandelionknot/core.py
@@ -0,0 +1,33 @@
+"""Runs the daemons until they are told to stop."""
+
+import asyncio
+import signal
+
+from dandelionknot.entry import start_entry
+from dandelionknot.events import set_up_logging
+from dandelionknot.exit_status import ExitStatus
+from dandelionknot.settings import EntrySettings
+
+
+def run_entry(settings: EntrySettings) -> ExitStatus:
+    """Runs an entry host until SIGTERM or SIGINT and stops it gracefully."""
+    set_up_logging(settings.log_level)
+    return asyncio.run(_run_entry(settings))
+
+
+async def _run_entry(settings: EntrySettings) -> ExitStatus:
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+    entry = await start_entry(settings)
+    waiting = asyncio.create_task(stop_requested.wait())
+    broken = asyncio.create_task(entry.wait_until_broken())
+    await asyncio.wait({waiting, broken}, return_when=asyncio.FIRST_COMPLETED)
+    if stop_requested.is_set():
+        broken.cancel()
+        await entry.stop()
+        return ExitStatus.SUCCESS
+    waiting.cancel()
+    await entry.kill()
+    return ExitStatus.ERROR
--- /dev/null
+++ b/dandelionknot/events.py
@@ -0,0 +1,194 @@
+"""Numbered log events; `docs/events.md` is generated from this table."""
+
+import logging
+from dataclasses import dataclass
+from enum import IntEnum
+
+from pythonjsonlogger.json import JsonFormatter
+
+LOGGER_NAME = 'dandelionknot'
+
+
+class Event(IntEnum):
+    """Number of each log event; a number is never used again."""
+
+    ENTRY_STARTED = 1001
+    ENTRY_STOPPING = 1002
+    ENTRY_STOPPED = 1003
+    SETTINGS_REFUSED = 1004
+    TASK_ENDED_UNEXPECTEDLY = 1005
+    PLATFORM_UNREACHABLE = 2001
+    PLATFORM_REACHED = 2002
+    PLATFORM_VALUE_MALFORMED = 2003
+    MEMBER_LEASE_LOST = 2004
+    MEMBER_JOINED = 2005
+    CONFIGURATION_ADOPTED = 3001
+    CONFIGURATION_REVERSION_REFUSED = 3002
+    CONFIGURATION_REPUBLISHED = 3003
+    CHANGE_WRITTEN = 3004
+    CHANGE_ACCEPTED = 3005
+    FRESHNESS_LOST = 3006
+    FRESHNESS_REGAINED = 3007
+    PEER_CONNECTED = 4001
+    PEER_DISCONNECTED = 4002
+    PEER_REFUSED = 4003
+    PEER_MESSAGE_MALFORMED = 4004
+    HOST_UNREACHABLE = 5001
+    HOST_REACHED = 5002
+    HOST_EJECTED = 5003
+    HOST_RETURNED = 5004
+    ATTEMPT_OUTCOME_UNKNOWN = 5005
+    START_REFUSED = 5006
+    SLICES_TAKEN = 6001
+    SLICES_RELEASED = 6002
+    CLAIMS_NOT_WRITTEN = 6003
+    GRANT_CHANGED = 6004
+    GRANT_RECLAIMED = 6005
+    MEMBER_RECORD_DELETED = 6006
+    MOVE_ADVANCED = 7001
+    PLAN_ADVANCED = 7002
+
+
+@dataclass(frozen=True, slots=True)
+class EventInfo:
+    """Meaning of an event for operators."""
+
+    level: int
+    meaning: str
+    action: str
+
+
+INFO = logging.INFO
+WARNING = logging.WARNING
+ERROR = logging.ERROR
+NO_ACTION = 'None.'
+
+INFO_BY_EVENT: dict[Event, EventInfo] = {
+    Event.ENTRY_STARTED: EventInfo(INFO, 'An entry host process serves.', NO_ACTION),
+    Event.ENTRY_STOPPING: EventInfo(
+        INFO, 'The process takes no new work and finishes what runs.', NO_ACTION
+    ),
+    Event.ENTRY_STOPPED: EventInfo(INFO, 'The process has ended.', NO_ACTION),
+    Event.SETTINGS_REFUSED: EventInfo(
+        ERROR, 'The settings file is not valid.', 'Correct the named field.'
+    ),
+    Event.TASK_ENDED_UNEXPECTEDLY: EventInfo(
+        ERROR,
+        'A task of the process ended by an exception; the process stops.',
+        'Report the traceback; the balancer uses the other entry hosts.',
+    ),
+    Event.PLATFORM_UNREACHABLE: EventInfo(
+        WARNING,
+        'A call to the platform gave no answer.',
+        'Check the platform; work goes on while all entry hosts answer each other.',
+    ),
+    Event.PLATFORM_REACHED: EventInfo(INFO, 'The platform answers again.', NO_ACTION),
+    Event.PLATFORM_VALUE_MALFORMED: EventInfo(
+        ERROR,
+        'A stored value does not match the schema and was ignored.',
+        'Find who wrote the key; apply the configuration again.',
+    ),
+    Event.MEMBER_LEASE_LOST: EventInfo(
+        WARNING, 'The lease of this member ended and a new one is taken.', NO_ACTION
+    ),
+    Event.MEMBER_JOINED: EventInfo(INFO, 'This member is recorded.', NO_ACTION),
+    Event.CONFIGURATION_ADOPTED: EventInfo(
+        INFO, 'A newer configuration is in force on this entry host.', NO_ACTION
+    ),
+    Event.CONFIGURATION_REVERSION_REFUSED: EventInfo(
+        ERROR,
+        'The platform holds an older configuration than one already in force.',
+        'Check whether the platform was restored; the newer one is written back.',
+    ),
+    Event.CONFIGURATION_REPUBLISHED: EventInfo(
+        WARNING, 'The newer configuration was written back.', NO_ACTION
+    ),
+    Event.CHANGE_WRITTEN: EventInfo(
+        INFO, 'A change of the configuration was written.', NO_ACTION
+    ),
+    Event.CHANGE_ACCEPTED: EventInfo(
+        INFO, 'A change is in force on every entry host.', NO_ACTION
+    ),
+    Event.FRESHNESS_LOST: EventInfo(
+        WARNING,
+        'The configuration may be out of date; keyed work is not started.',
+        'Check the links to the platform and to the peers.',
+    ),
+    Event.FRESHNESS_REGAINED: EventInfo(
+        INFO, 'Keyed work is started again.', NO_ACTION
+    ),
+    Event.PEER_CONNECTED: EventInfo(INFO, 'A link to a peer is open.', NO_ACTION),
+    Event.PEER_DISCONNECTED: EventInfo(
+        WARNING, 'A link to a peer was lost and is opened again.', NO_ACTION
+    ),
+    Event.PEER_REFUSED: EventInfo(
+        WARNING,
+        'A connection did not show the peer secret.',
+        'Check the settings of the named address.',
+    ),
+    Event.PEER_MESSAGE_MALFORMED: EventInfo(
+        WARNING, 'A peer sent a message that was dropped.', NO_ACTION
+    ),
+    Event.HOST_UNREACHABLE: EventInfo(
+        WARNING, 'A backend server does not answer.', 'Check the host.'
+    ),
+    Event.HOST_REACHED: EventInfo(INFO, 'A backend server answers again.', NO_ACTION),
+    Event.HOST_EJECTED: EventInfo(
+        WARNING, 'A backend server fails too often and gets no work.', 'Check the host.'
+    ),
+    Event.HOST_RETURNED: EventInfo(
+        INFO, 'A backend server gets work again after probes.', NO_ACTION
+    ),
+    Event.ATTEMPT_OUTCOME_UNKNOWN: EventInfo(
+        WARNING, 'Whether a task ran could not be settled.', NO_ACTION
+    ),
+    Event.START_REFUSED: EventInfo(
+        INFO, 'A backend server refused a start; the task has not run.', NO_ACTION
+    ),
+    Event.SLICES_TAKEN: EventInfo(
+        INFO, 'This member owns more slices of the request ids.', NO_ACTION
+    ),
+    Event.SLICES_RELEASED: EventInfo(
+        INFO, 'This member gave slices to others.', NO_ACTION
+    ),
+    Event.CLAIMS_NOT_WRITTEN: EventInfo(
+        WARNING,
+        'Claims could not be written; the requests wait.',
+        'Check the platform.',
+    ),
+    Event.GRANT_CHANGED: EventInfo(INFO, 'A grant of a team changed.', NO_ACTION),
+    Event.GRANT_RECLAIMED: EventInfo(
+        INFO, 'The grant of a stopped member is free again.', NO_ACTION
+    ),
+    Event.MEMBER_RECORD_DELETED: EventInfo(
+        INFO, 'The record of a stopped member was deleted.', NO_ACTION
+    ),
+    Event.MOVE_ADVANCED: EventInfo(
+        INFO, 'A host move entered its next phase.', NO_ACTION
+    ),
+    Event.PLAN_ADVANCED: EventInfo(
+        INFO, 'A maintenance plan drained or returned hosts.', NO_ACTION
+    ),
+}
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Writes one numbered event; values of keys and tokens must not be passed."""
+    info = INFO_BY_EVENT[event]
+    logging.getLogger(LOGGER_NAME).log(
+        info.level,
+        event.name.lower().replace('_', ' '),
+        extra={'event': int(event), **fields},
+    )
+
+
+def set_up_logging(level: str) -> None:
+    """Writes log events as JSON lines to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        JsonFormatter('%(asctime)s %(levelname)s %(message)s %(event)s')
+    )
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
--- /dev/null
+++ b/dandelionknot/journal.py
@@ -0,0 +1,53 @@
+"""Bounded journal of decisions, read by `why`."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+MAX_SUBJECTS = 5000
+MAX_ENTRIES_PER_SUBJECT = 50
+
+
+class Subject(StrEnum):
+    """What an entry is about."""
+
+    REQUEST = 'request'
+    HOST = 'host'
+    TEAM = 'team'
+    CHANGE = 'change'
+    PLAN = 'plan'
+    MEMBER = 'member'
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """One decision: when (Unix milliseconds), what, and why."""
+
+    unix_ms: int
+    what: str
+    reason: str
+
+
+@dataclass(slots=True)
+class Journal:
+    """The latest decisions of each subject; the oldest subjects are dropped."""
+
+    decisions_by_subject: OrderedDict[tuple[Subject, str], deque[Decision]] = field(
+        default_factory=OrderedDict
+    )
+
+    def record(self, subject: Subject, subject_id: str, decision: Decision) -> None:
+        """Adds a decision to its subject."""
+        key = (subject, subject_id)
+        decisions = self.decisions_by_subject.get(key)
+        if decisions is None:
+            decisions = deque(maxlen=MAX_ENTRIES_PER_SUBJECT)
+            self.decisions_by_subject[key] = decisions
+        decisions.append(decision)
+        self.decisions_by_subject.move_to_end(key)
+        if len(self.decisions_by_subject) > MAX_SUBJECTS:
+            self.decisions_by_subject.popitem(last=False)
+
+    def why(self, subject: Subject, subject_id: str) -> list[Decision]:
+        """Returns the decisions about a subject, oldest first."""
+        return list(self.decisions_by_subject.get((subject, subject_id), ()))
--- a/dandelionknot/ports.py
+++ b/dandelionknot/ports.py
@@ -52,8 +52,9 @@
     """The platform's key-value service and its lagging host list.
 
     `read` gives revision 0 and an empty value for an absent key. `watch`
-    answers with the values below a prefix once something there is newer than
-    the given revision, or with the unchanged list after `wait_ms`.
+    answers as soon as something below the prefix is newer than the given
+    revision, with only the newer values and the keys deleted since, or with
+    no values after `wait_ms`. The revision counts all writes to the service.
     """
 
     read: Callable[[str], Awaitable[Result[StoredValue, PortError]]]
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,417 @@
+"""Stand-in for a backend server: runs tasks under leases, over HTTP.
+
+The payload of a task is JSON: `{"run_ms": 20, "text": "..."}`. Its result is
+the text, or the task's failure if `"fail": true`.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+from result import Err
+
+from dandelionknot import codec
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.messages import (
+    LeaseRenewal,
+    LeaseReport,
+    StartRefusal,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    UsageReport,
+)
+
+SCAN_MS = 20
+RETENTION_MS = 600_000
+MAX_WAIT_MS = 60_000
+
+
+@dataclass(slots=True)
+class BackendFaults:
+    """What goes wrong at the moment; tests and the demo set the fields."""
+
+    delay_ms: int = 0
+    down: bool = False
+    fail_all: bool = False
+    lost_start_answers: int = 0
+    lost_starts: int = 0
+    truncated_results: int = 0
+    crossed_results: int = 0
+    usage_lag_ms: int = 0
+    cut_source_ips: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Task:
+    order: TaskStart
+    state: TaskState
+    lease_ends_ms: int
+    ends_ms: int
+    result: str | None = None
+    message: str | None = None
+    changed_ms: int = 0
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(slots=True)
+class BackendState:
+    """Tasks, limits, faults and the counts that tests compare with an oracle."""
+
+    slots: int = 8
+    start_token_ms: int = 2000
+    cores: int = 1024
+    memory_mb: int = 1 << 20
+    boot: int = 1
+    draining: bool = False
+    tasks_by_id: dict[str, _Task] = field(default_factory=dict)
+    barred_task_ids: set[str] = field(default_factory=set)
+    runs_by_request: dict[str, int] = field(default_factory=dict)
+    teams_by_task: dict[str, str] = field(default_factory=dict)
+    peak_running_by_team: dict[str, int] = field(default_factory=dict)
+    start_times_ms: list[int] = field(default_factory=list)
+    faults: BackendFaults = field(default_factory=BackendFaults)
+    lagging_running: int = 0
+    lagging_since_ms: int = 0
+
+    def running(self) -> list[_Task]:
+        """Returns the tasks that run now."""
+        return [
+            task
+            for task in self.tasks_by_id.values()
+            if task.state is TaskState.RUNNING
+        ]
+
+    def token(self) -> str:
+        """Returns a start token that is valid for `start_token_ms`."""
+        return f'{self.boot}.{now_ms()}'
+
+    def token_is_valid(self, token: str) -> bool:
+        """Tells whether this boot issued the token recently enough."""
+        boot, _, issued_ms = token.partition('.')
+        if not issued_ms.isdigit() or boot != str(self.boot):
+            return False
+        return 0 <= now_ms() - int(issued_ms) <= self.start_token_ms
+
+
+def refuse_start(state: BackendState, order: TaskStart) -> StartRefusal | None:
+    """Returns why a task may not start now, or None."""
+    if order.task_id in state.barred_task_ids:
+        return StartRefusal.BARRED
+    if not state.token_is_valid(order.start_token):
+        return StartRefusal.STALE_TOKEN
+    if state.draining:
+        return StartRefusal.DRAINING
+    if order.cores > state.cores or order.memory_mb > state.memory_mb:
+        return StartRefusal.CANNOT_FIT
+    if len(state.running()) >= state.slots:
+        return StartRefusal.BUSY
+    return None
+
+
+def start_task(state: BackendState, order: TaskStart) -> TaskReport:
+    """Starts a task unless it is known or refused, and reports its state."""
+    known = state.tasks_by_id.get(order.task_id)
+    if known is not None:
+        return report(state, order.task_id)
+    refusal = refuse_start(state, order)
+    if refusal is not None:
+        return TaskReport(
+            task_id=order.task_id,
+            state=TaskState.NEVER_STARTED,
+            start_token=state.token(),
+            refusal=refusal,
+        )
+    try:
+        run_ms = max(0, int(json.loads(order.payload or '{}').get('run_ms', 0)))
+    except (ValueError, AttributeError):
+        run_ms = 0
+    now = now_ms()
+    task = _Task(order, TaskState.RUNNING, now + order.lease_ms, now + run_ms)
+    state.tasks_by_id[order.task_id] = task
+    runs = state.runs_by_request
+    runs[order.request_id] = runs.get(order.request_id, 0) + 1
+    state.start_times_ms.append(now)
+    state.teams_by_task[order.task_id] = order.team
+    running = sum(1 for each in state.running() if each.order.team == order.team)
+    peak = state.peak_running_by_team.get(order.team, 0)
+    state.peak_running_by_team[order.team] = max(peak, running)
+    if run_ms == 0:
+        finish_task(state, task)
+    return report(state, order.task_id)
+
+
+def finish_task(state: BackendState, task: _Task) -> None:
+    """Ends a task with its result or failure."""
+    try:
+        payload = json.loads(task.order.payload or '{}')
+        text = payload.get('text', '')
+        fails = bool(payload.get('fail', False))
+    except (ValueError, AttributeError):
+        text, fails = task.order.payload, False
+    task.changed_ms = now_ms()
+    if fails or state.faults.fail_all:
+        task.state = TaskState.FAILED
+        task.message = 'the task failed'
+    else:
+        task.state = TaskState.FINISHED
+        task.result = text
+    task.done.set()
+
+
+def report(state: BackendState, task_id: str) -> TaskReport:
+    """Returns the state of a task, with length and digest of its result."""
+    task = state.tasks_by_id.get(task_id)
+    if task is None:
+        return TaskReport(
+            task_id=task_id, state=TaskState.NEVER_STARTED, start_token=state.token()
+        )
+    result = task.result
+    length = digest = None
+    if result is not None:
+        encoded = result.encode()
+        length = len(encoded)
+        digest = hashlib.sha256(encoded).hexdigest()
+        if state.faults.truncated_results > 0 and encoded:
+            state.faults.truncated_results -= 1
+            result = result[:-1]
+    if state.faults.crossed_results > 0 and result is not None:
+        state.faults.crossed_results -= 1
+        task_id = 'task-of-another-request'
+    return TaskReport(
+        task_id=task_id,
+        state=task.state,
+        start_token=state.token(),
+        result=result,
+        result_length=length,
+        result_digest=digest,
+        message=task.message,
+    )
+
+
+def stop_task(state: BackendState, task_id: str) -> TaskReport:
+    """Stops a task; one that never started is barred from starting later."""
+    task = state.tasks_by_id.get(task_id)
+    if task is None:
+        state.barred_task_ids.add(task_id)
+    elif task.state is TaskState.RUNNING:
+        task.state = TaskState.STOPPED
+        task.changed_ms = now_ms()
+        task.done.set()
+    return report(state, task_id)
+
+
+def renew(state: BackendState, renewal: LeaseRenewal) -> LeaseReport:
+    """Renews the leases of running tasks."""
+    renewed = []
+    missing = []
+    for task_id in renewal.task_ids:
+        task = state.tasks_by_id.get(task_id)
+        if task is None or task.state is not TaskState.RUNNING:
+            missing.append(task_id)
+            continue
+        task.lease_ends_ms = now_ms() + renewal.lease_ms
+        renewed.append(task_id)
+    return LeaseReport(renewed=renewed, missing=missing, start_token=state.token())
+
+
+def scan(state: BackendState) -> None:
+    """Finishes tasks, ends lapsed leases and forgets old results."""
+    now = now_ms()
+    for task in state.running():
+        if task.ends_ms <= now:
+            finish_task(state, task)
+        elif task.lease_ends_ms <= now:
+            task.state = TaskState.EXPIRED
+            task.changed_ms = now
+            task.done.set()
+    old = [
+        task_id
+        for task_id, task in state.tasks_by_id.items()
+        if task.state is not TaskState.RUNNING and now - task.changed_ms > RETENTION_MS
+    ]
+    for task_id in old:
+        del state.tasks_by_id[task_id]
+
+
+def usage(state: BackendState) -> UsageReport:
+    """Reports usage, behind by `usage_lag_ms`."""
+    now = now_ms()
+    if now - state.lagging_since_ms >= state.faults.usage_lag_ms:
+        state.lagging_running = len(state.running())
+        state.lagging_since_ms = now
+    return UsageReport(
+        running=state.lagging_running,
+        slots=state.slots,
+        draining=state.draining,
+        age_ms=now - state.lagging_since_ms,
+        start_token=state.token(),
+    )
+
+
+class _Handler(tornado.web.RequestHandler):
+    state: BackendState
+
+    def initialize(self, state: BackendState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        faults = self.state.faults
+        if faults.delay_ms:
+            await asyncio.sleep(seconds(faults.delay_ms))
+        if faults.down or self.request.remote_ip in faults.cut_source_ips:
+            self.drop()
+
+    def drop(self) -> None:
+        """Closes the connection without an answer."""
+        connection = self.request.connection
+        with contextlib.suppress(AttributeError):
+            connection.stream.close()  # type: ignore[union-attr]
+        self._finished = True
+
+    def send(self, value: object) -> None:
+        """Answers in JSON unless a fault began while the call waited."""
+        faults = self.state.faults
+        if faults.down or self.request.remote_ip in faults.cut_source_ips:
+            self.drop()
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.write(codec.encode_json(value))
+
+    async def wait_for_end(self, task_id: str, wait_ms: int) -> None:
+        """Waits until a task has ended or the time is over."""
+        task = self.state.tasks_by_id.get(task_id)
+        if task is None or wait_ms <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(task.done.wait(), seconds(min(wait_ms, MAX_WAIT_MS)))
+
+
+class _StartHandler(_Handler):
+    async def post(self) -> None:
+        faults = self.state.faults
+        if faults.lost_starts > 0:
+            faults.lost_starts -= 1
+            self.drop()
+            return
+        decoded = codec.decode_json(self.request.body, TaskStart, 'start')
+        if isinstance(decoded, Err):
+            self.set_status(400)
+            self.finish({'message': str(decoded.err_value)})
+            return
+        order = decoded.ok_value
+        started = start_task(self.state, order)
+        if faults.lost_start_answers > 0:
+            faults.lost_start_answers -= 1
+            self.drop()
+            return
+        if started.refusal is not None or started.state is not TaskState.RUNNING:
+            self.send(started)
+            return
+        await self.wait_for_end(order.task_id, order.wait_ms)
+        self.send(report(self.state, order.task_id))
+
+
+class _TaskHandler(_Handler):
+    async def get(self, task_id: str) -> None:
+        await self.wait_for_end(task_id, int(self.get_query_argument('wait_ms', '0')))
+        self.send(report(self.state, task_id))
+
+
+class _StopHandler(_Handler):
+    def post(self, task_id: str, action: str) -> None:
+        if action == 'stop':
+            self.send(stop_task(self.state, task_id))
+            return
+        self.send(report(self.state, task_id))
+
+
+class _RenewalsHandler(_Handler):
+    def post(self) -> None:
+        decoded = codec.decode_json(self.request.body, LeaseRenewal, 'renewal')
+        if isinstance(decoded, Err):
+            self.set_status(400)
+            self.finish({'message': str(decoded.err_value)})
+            return
+        self.send(renew(self.state, decoded.ok_value))
+
+
+class _UsageHandler(_Handler):
+    def get(self) -> None:
+        self.send(usage(self.state))
+
+
+class _DrainHandler(_Handler):
+    def post(self) -> None:
+        self.state.draining = self.get_query_argument('draining') == '1'
+        self.send(usage(self.state))
+
+
+class _RebootHandler(_Handler):
+    def post(self) -> None:
+        for task in self.state.running():
+            stop_task(self.state, task.order.task_id)
+        self.state.tasks_by_id.clear()
+        self.state.boot += 1
+        self.state.draining = False
+        self.send(usage(self.state))
+
+
+class _RunsHandler(_Handler):
+    def get(self) -> None:
+        self.write(json.dumps(self.state.runs_by_request))
+
+
+@dataclass(slots=True)
+class BackendStandin:
+    """A running stand-in with its address."""
+
+    state: BackendState
+    server: tornado.httpserver.HTTPServer
+    address: str
+    scan_task: asyncio.Task
+
+    async def stop(self) -> None:
+        """Closes the socket and ends the scan task."""
+        self.scan_task.cancel()
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+async def _scan(state: BackendState) -> None:
+    while True:
+        await asyncio.sleep(seconds(SCAN_MS))
+        scan(state)
+
+
+async def start_backend(
+    address: str = '127.0.0.1:0', state: BackendState | None = None
+) -> BackendStandin:
+    """Starts the stand-in on `IP:PORT`; port 0 takes a free one."""
+    state = state or BackendState()
+    arguments = {'state': state}
+    application = tornado.web.Application(
+        [
+            (r'/v1/tasks', _StartHandler, arguments),
+            (r'/v1/tasks/([^/]+)', _TaskHandler, arguments),
+            (r'/v1/tasks/([^/]+)/(stop|checkpoint|throttle)', _StopHandler, arguments),
+            (r'/v1/renewals', _RenewalsHandler, arguments),
+            (r'/v1/usage', _UsageHandler, arguments),
+            (r'/v1/drain', _DrainHandler, arguments),
+            (r'/v1/reboot', _RebootHandler, arguments),
+            (r'/v1/runs', _RunsHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    host, _, port = address.rpartition(':')
+    sockets = tornado.netutil.bind_sockets(int(port), host)
+    server = tornado.httpserver.HTTPServer(application)
+    server.add_sockets(sockets)
+    bound_port = sockets[0].getsockname()[1]
+    scan_task = asyncio.create_task(_scan(state))
+    return BackendStandin(state, server, f'{host}:{bound_port}', scan_task)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,300 @@
+"""Stand-in for the platform: key-value service and lagging host list over HTTP."""
+
+import asyncio
+import contextlib
+import json
+from dataclasses import dataclass, field
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+from result import Err
+
+from dandelionknot import codec
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.messages import (
+    HostList,
+    LeaseGrant,
+    ListedHostState,
+    StoredList,
+    StoredValue,
+    WriteOutcome,
+    WriteRequest,
+    WriteResult,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_MS = 60_000
+LEASE_SCAN_MS = 50
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """What goes wrong at the moment; tests and the demo set the fields."""
+
+    delay_ms: int = 0
+    down: bool = False
+    lost_write_answers: int = 0
+    cut_source_ips: set[str] = field(default_factory=set)
+    list_lag_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Entry:
+    revision: int
+    value: str
+    lease_id: str | None
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_ms: int
+    expires_ms: int
+
+
+@dataclass(slots=True)
+class PlatformState:
+    """All that the stand-in stores, its faults and its call counts."""
+
+    revision: int = 0
+    entries_by_key: dict[str, _Entry] = field(default_factory=dict)
+    deleted_revisions_by_key: dict[str, int] = field(default_factory=dict)
+    leases_by_id: dict[str, _Lease] = field(default_factory=dict)
+    listed_states_by_host: dict[str, ListedHostState] = field(default_factory=dict)
+    list_changed_ms: int = 0
+    previous_states_by_host: dict[str, ListedHostState] = field(default_factory=dict)
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    calls_by_kind: dict[str, int] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def count(self, kind: str) -> None:
+        """Counts one call of a kind."""
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+
+    def wake_watches(self) -> None:
+        """Lets every waiting watch look at the values again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: str | None, lease_id: str | None = None) -> int:
+        """Stores or deletes a value and returns the new revision."""
+        self.revision += 1
+        if value is None:
+            self.entries_by_key.pop(key, None)
+            self.deleted_revisions_by_key[key] = self.revision
+        else:
+            self.entries_by_key[key] = _Entry(self.revision, value, lease_id)
+            self.deleted_revisions_by_key.pop(key, None)
+        self.wake_watches()
+        return self.revision
+
+    def expire_leases(self) -> None:
+        """Ends the leases that were not renewed and deletes their values."""
+        now = now_ms()
+        expired = {
+            lease_id
+            for lease_id, lease in self.leases_by_id.items()
+            if lease.expires_ms <= now
+        }
+        for lease_id in expired:
+            del self.leases_by_id[lease_id]
+        keys = [
+            key
+            for key, entry in self.entries_by_key.items()
+            if entry.lease_id in expired
+        ]
+        for key in keys:
+            self.put(key, None)
+
+    def set_listed_state(self, host_id: str, state: ListedHostState) -> None:
+        """Changes the host list; readers see it after `list_lag_ms`."""
+        self.previous_states_by_host = dict(self.listed_states_by_host)
+        self.listed_states_by_host[host_id] = state
+        self.list_changed_ms = now_ms()
+
+
+def compare_and_swap(state: PlatformState, request: WriteRequest) -> WriteResult:
+    """Applies a write if the key still has the expected revision."""
+    entry = state.entries_by_key.get(request.key)
+    revision = entry.revision if entry else 0
+    if revision != request.expected_revision:
+        return WriteResult(outcome=WriteOutcome.CONFLICT, revision=revision)
+    revision = state.put(request.key, request.value, request.lease_id)
+    return WriteResult(outcome=WriteOutcome.WRITTEN, revision=revision)
+
+
+def values_after(state: PlatformState, prefix: str, after: int) -> StoredList:
+    """Returns the values below a prefix that are newer than a revision."""
+    values = [
+        StoredValue(key=key, revision=entry.revision, value=entry.value)
+        for key, entry in sorted(state.entries_by_key.items())
+        if key.startswith(prefix) and entry.revision > after
+    ]
+    deleted = [
+        key
+        for key, revision in sorted(state.deleted_revisions_by_key.items())
+        if key.startswith(prefix) and revision > after >= 0
+    ]
+    return StoredList(revision=state.revision, values=values, deleted_keys=deleted)
+
+
+class _Handler(tornado.web.RequestHandler):
+    """Applies the faults before and after each call."""
+
+    state: PlatformState
+
+    def initialize(self, state: PlatformState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        faults = self.state.faults
+        if faults.delay_ms:
+            await asyncio.sleep(seconds(faults.delay_ms))
+        if faults.down or self.request.remote_ip in faults.cut_source_ips:
+            self.drop()
+
+    def drop(self) -> None:
+        """Closes the connection without an answer."""
+        connection = self.request.connection
+        with contextlib.suppress(AttributeError):
+            connection.stream.close()  # type: ignore[union-attr]
+        self._finished = True
+
+    def send(self, value: object) -> None:
+        """Answers unless a fault began while the call waited."""
+        faults = self.state.faults
+        if faults.down or self.request.remote_ip in faults.cut_source_ips:
+            self.drop()
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.write(codec.encode_json(value))
+
+
+class _ValueHandler(_Handler):
+    def get(self, key: str) -> None:
+        self.state.count('read')
+        entry = self.state.entries_by_key.get(key)
+        if entry is None:
+            self.send(StoredValue(key=key, revision=0, value=''))
+            return
+        self.send(StoredValue(key=key, revision=entry.revision, value=entry.value))
+
+
+class _ValuesHandler(_Handler):
+    async def get(self) -> None:
+        prefix = self.get_query_argument('prefix')
+        after = int(self.get_query_argument('after', '-1'))
+        wait_ms = min(int(self.get_query_argument('wait_ms', '0')), MAX_WAIT_MS)
+        self.state.count('watch' if wait_ms else 'list')
+        deadline_ms = now_ms() + wait_ms
+        found = values_after(self.state, prefix, after)
+        while not found.values and not found.deleted_keys:
+            remaining_ms = deadline_ms - now_ms()
+            if remaining_ms <= 0 or self.state.faults.down:
+                break
+            changed = self.state.changed
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), seconds(remaining_ms))
+            found = values_after(self.state, prefix, after)
+        self.send(found)
+
+    def post(self) -> None:
+        self.state.count('write')
+        decoded = codec.decode_json(self.request.body, WriteRequest, 'write')
+        if isinstance(decoded, Err):
+            self.set_status(400)
+            self.finish({'message': str(decoded.err_value)})
+            return
+        request = decoded.ok_value
+        if len((request.value or '').encode()) > MAX_VALUE_BYTES:
+            self.set_status(413)
+            self.finish({'message': 'value is larger than 1 MB'})
+            return
+        outcome = compare_and_swap(self.state, request)
+        if self.state.faults.lost_write_answers > 0:
+            self.state.faults.lost_write_answers -= 1
+            self.drop()
+            return
+        self.send(outcome)
+
+
+class _LeasesHandler(_Handler):
+    def post(self) -> None:
+        self.state.count('lease')
+        ttl_ms = int(json.loads(self.request.body)['ttl_ms'])
+        lease_id = (
+            f'lease-{self.state.revision}-{len(self.state.leases_by_id)}-{now_ms()}'
+        )
+        self.state.leases_by_id[lease_id] = _Lease(ttl_ms, now_ms() + ttl_ms)
+        self.send(LeaseGrant(lease_id=lease_id, ttl_ms=ttl_ms))
+
+
+class _RenewHandler(_Handler):
+    def post(self, lease_id: str) -> None:
+        self.state.count('renew')
+        self.state.expire_leases()
+        lease = self.state.leases_by_id.get(lease_id)
+        if lease is None:
+            self.set_status(404)
+            self.finish({'message': f'lease {lease_id} has ended'})
+            return
+        lease.expires_ms = now_ms() + lease.ttl_ms
+        self.send(LeaseGrant(lease_id=lease_id, ttl_ms=lease.ttl_ms))
+
+
+class _HostsHandler(_Handler):
+    def get(self) -> None:
+        self.state.count('list_hosts')
+        age_ms = now_ms() - self.state.list_changed_ms
+        lagging = age_ms < self.state.faults.list_lag_ms
+        states = (
+            self.state.previous_states_by_host
+            if lagging
+            else self.state.listed_states_by_host
+        )
+        self.send(HostList(states_by_host=dict(states), age_ms=0))
+
+
+@dataclass(slots=True)
+class PlatformStandin:
+    """A running stand-in with its address."""
+
+    state: PlatformState
+    server: tornado.httpserver.HTTPServer
+    address: str
+    lease_task: asyncio.Task
+
+    async def stop(self) -> None:
+        """Closes the socket and ends the lease task."""
+        self.lease_task.cancel()
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+async def _expire_leases(state: PlatformState) -> None:
+    while True:
+        await asyncio.sleep(seconds(LEASE_SCAN_MS))
+        state.expire_leases()
+
+
+async def start_platform(address: str = '127.0.0.1:0') -> PlatformStandin:
+    """Starts the stand-in on `IP:PORT`; port 0 takes a free one."""
+    state = PlatformState()
+    arguments = {'state': state}
+    application = tornado.web.Application(
+        [
+            (r'/v1/values/(.+)', _ValueHandler, arguments),
+            (r'/v1/values', _ValuesHandler, arguments),
+            (r'/v1/leases', _LeasesHandler, arguments),
+            (r'/v1/leases/([^/]+)/renew', _RenewHandler, arguments),
+            (r'/v1/hosts', _HostsHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    host, _, port = address.rpartition(':')
+    sockets = tornado.netutil.bind_sockets(int(port), host)
+    server = tornado.httpserver.HTTPServer(application)
+    server.add_sockets(sockets)
+    bound_port = sockets[0].getsockname()[1]
+    lease_task = asyncio.create_task(_expire_leases(state))
+    return PlatformStandin(state, server, f'{host}:{bound_port}', lease_task)
