--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,11 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy dandelionknot standins tools
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python -m tools.generate_catalogues --check
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
+	$(BIN)/python -m tools.generate_catalogues
 
 format: $(READY)
 	$(BIN)/ruff format .
