Merge the base file with the overlays of the sites

Cause: the operators keep one agreed base file and one overlay for each site, and nothing read, merged or checked them.

Change: load_base and load_overlay read the files with the line of each field; merge applies the overlays key by key, where null removes an entry, and an overlay changes only hosts, states, plans and keys of its own site. SiteOverlay and Site are added to the schema.

Ruled out: ownership stated by the overlay alone (any site could then claim any zone); raising at the first fault of a merge (operators would need one run for each fault; the schema check still stops at the first fault of a file).

Seen to fail on scratch edits: without the host's zone check, without the team check and with enclosing fields not looked up, test_overlay_changes_only_its_own_entries fails (the first also fails the state machine); without the address check, test_cross_checks_name_file_line_and_field fails.

--- /dev/null
+++ b/dandelionknot/_configuration_files.py
@@ -0,0 +1,186 @@
+"""Reads the base file and the overlays of the sites."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from dandelionknot import codec
+from dandelionknot._faults import (
+    ConfigurationFault,
+    FaultKind,
+    FieldFault,
+    SourceFile,
+    locate_in,
+    place,
+)
+from dandelionknot._generated_classes import (
+    Configuration,
+    Host,
+    HostOverlay,
+    KeyRecord,
+    MaintenancePlan,
+    PlanOverlay,
+    SiteOverlay,
+    Team,
+)
+
+# The fleet writes these fields; a file that states them could undo its work.
+FLEET_FIELDS = ('version', 'change_ids', 'moves_by_host', 'limit_proposals_by_id')
+BASE_CLASSES_BY_SECTION: dict[str, Any] = {
+    'hosts_by_id': Host,
+    'teams_by_id': Team,
+    'maintenance_plans_by_id': MaintenancePlan,
+}
+
+C = TypeVar('C')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BaseFile:
+    """The agreed base file; its configuration has version 0."""
+
+    source: SourceFile
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OverlayFile:
+    """The overlay of one site."""
+
+    source: SourceFile
+    overlay: SiteOverlay
+
+
+def load_base(path: Path) -> Result[BaseFile, list[ConfigurationFault]]:
+    """Reads the base file: a `Configuration` without the fields of the fleet."""
+    marked = _read(path)
+    if isinstance(marked, Err):
+        return marked
+    source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
+    data = marked.ok_value.data
+    faults = [
+        _not_in_base(field)
+        for field in FLEET_FIELDS
+        if isinstance(data, dict) and field in data
+    ]
+    if faults:
+        return Err([locate_in([source])(fault) for fault in faults])
+    complete = data | {'version': 0} if isinstance(data, dict) else data
+    decoded = _decode(complete, Configuration, source)
+    return decoded.map(lambda value: BaseFile(source=source, configuration=value))
+
+
+def load_overlay(path: Path) -> Result[OverlayFile, list[ConfigurationFault]]:
+    """Reads the overlay of a site."""
+    marked = _read(path)
+    if isinstance(marked, Err):
+        return marked
+    source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
+    decoded = _decode(marked.ok_value.data, SiteOverlay, source)
+    return decoded.map(lambda value: OverlayFile(source=source, overlay=value))
+
+
+def _read(path: Path) -> Result[codec.MarkedYaml, list[ConfigurationFault]]:
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or 'is not UTF-8 text'
+        fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=reason)
+        return Err([place(fault, str(path), None)])
+    parsed = codec.parse_yaml_with_lines(text, str(path))
+    if isinstance(parsed, Ok):
+        return parsed
+    problem = parsed.err_value
+    fault = FieldFault(kind=FaultKind.MALFORMED, field='', problem=problem.problem)
+    return Err([place(fault, str(path), problem.line)])
+
+
+def _decode(
+    data: Any, cls: type[C], source: SourceFile
+) -> Result[C, list[ConfigurationFault]]:
+    checked = codec.check_fields(data, cls)
+    if isinstance(checked, Err):
+        problem = checked.err_value
+        if cls is SiteOverlay and isinstance(data, dict):
+            problem = _inner_problem(data, problem)
+        return Err([locate_in([source])(_schema_fault(problem, cls))])
+    decoded = codec.from_data(data, cls, source.name)
+    if isinstance(decoded, Ok):
+        return decoded
+    problem = codec.FieldProblem(field='', problem=decoded.err_value.problem)
+    return Err([locate_in([source])(_schema_fault(problem, cls))])
+
+
+def _inner_problem(
+    overlay: Mapping[str, Any], outer: codec.FieldProblem
+) -> codec.FieldProblem:
+    """Finds the field inside an entry that may also be null.
+
+    For a value that may be null the validator names only the entry.
+    """
+    for prefix, value, cls in _nullable_entries(overlay):
+        if prefix != outer.field or value is None:
+            continue
+        checked = codec.check_fields(value, cls)
+        if isinstance(checked, Err):
+            inner = checked.err_value
+            field = f'{prefix}.{inner.field}' if inner.field else prefix
+            return codec.FieldProblem(field=field, problem=inner.problem)
+    return outer
+
+
+def _nullable_entries(overlay: Mapping[str, Any]) -> list[tuple[str, Any, type]]:
+    entries: list[tuple[str, Any, type]] = []
+    for section, cls in (
+        ('hosts_by_id', HostOverlay),
+        ('maintenance_plans_by_id', PlanOverlay),
+    ):
+        for name, value in _mapping(overlay.get(section)).items():
+            entries.append((f'{section}.{name}', value, cls))
+    for team, value in _mapping(overlay.get('teams_by_id')).items():
+        for key, record in _mapping(_mapping(value).get('keys_by_id')).items():
+            prefix = f'teams_by_id.{team}.keys_by_id.{key}'
+            entries.append((prefix, record, KeyRecord))
+    return entries
+
+
+def _mapping(value: Any) -> Mapping[str, Any]:
+    return value if isinstance(value, dict) else {}
+
+
+def _schema_fault(problem: codec.FieldProblem, cls: type) -> FieldFault:
+    if cls is SiteOverlay and _is_base_field(problem.field):
+        return FieldFault(
+            kind=FaultKind.NOT_IN_OVERLAY,
+            field=problem.field,
+            problem='belongs to the base file; an overlay cannot change it',
+        )
+    return FieldFault(
+        kind=FaultKind.MALFORMED, field=problem.field, problem=problem.problem
+    )
+
+
+def _is_base_field(field: str) -> bool:
+    """Tells whether only the base file may state a field."""
+    section, *inner = field.split('.')
+    if section not in SiteOverlay.__slots__:
+        return section in Configuration.__slots__
+    cls = BASE_CLASSES_BY_SECTION.get(section)
+    overlay_fields: set[str] = {'keys_by_id', *HostOverlay.__slots__}
+    overlay_fields.update(PlanOverlay.__slots__)
+    if section == 'availability_zones_by_id':
+        return inner[1:] == ['region']
+    if cls is None or len(inner) != 2:
+        return False
+    return inner[1] in cls.__slots__ and inner[1] not in overlay_fields
+
+
+def _not_in_base(field: str) -> FieldFault:
+    return FieldFault(
+        kind=FaultKind.NOT_IN_BASE,
+        field=field,
+        problem='is written by the fleet and does not belong in a file',
+    )
--- /dev/null
+++ b/dandelionknot/_crosschecks.py
@@ -0,0 +1,182 @@
+"""Checks of a configuration that reach across its entries."""
+
+import ipaddress
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from dandelionknot._faults import FaultKind, FieldFault
+from dandelionknot._generated_classes import Configuration
+
+MAX_PORT = 65535
+
+Check = Callable[[Configuration], Iterator[FieldFault]]
+
+
+def find_faults(configuration: Configuration) -> list[FieldFault]:
+    """Returns all faults that the schema cannot express, in a stable order."""
+    return [fault for check in CHECKS for fault in check(configuration)]
+
+
+def _unknown(field: str, word: str, name: str) -> FieldFault:
+    return FieldFault(
+        kind=FaultKind.UNKNOWN_REFERENCE,
+        field=field,
+        problem=f'{word} {name!r} does not exist',
+    )
+
+
+def _duplicate(field: str, problem: str) -> FieldFault:
+    return FieldFault(kind=FaultKind.DUPLICATE, field=field, problem=problem)
+
+
+def _out_of_range(field: str, problem: str) -> FieldFault:
+    return FieldFault(kind=FaultKind.OUT_OF_RANGE, field=field, problem=problem)
+
+
+def _hosts_have_zone_and_pool(configuration: Configuration) -> Iterator[FieldFault]:
+    for host_id, host in configuration.hosts_by_id.items():
+        field = f'hosts_by_id.{host_id}'
+        if host.availability_zone not in configuration.availability_zones_by_id:
+            yield _unknown(
+                f'{field}.availability_zone',
+                'availability zone',
+                host.availability_zone,
+            )
+        if host.pool not in configuration.pools_by_id:
+            yield _unknown(f'{field}.pool', 'pool', host.pool)
+
+
+def _addresses_are_valid_and_unique(
+    configuration: Configuration,
+) -> Iterator[FieldFault]:
+    hosts_by_address: dict[str, str] = {}
+    for host_id, host in configuration.hosts_by_id.items():
+        field = f'hosts_by_id.{host_id}.address'
+        problem = address_problem(host.address)
+        if problem:
+            yield _out_of_range(field, problem)
+        other = hosts_by_address.setdefault(host.address, host_id)
+        if other != host_id:
+            yield _duplicate(field, f'host {other!r} has the same address')
+
+
+def address_problem(address: str) -> str:
+    """Returns what is wrong with `IP:PORT`, or an empty string."""
+    host, separator, port = address.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return f'{address!r} is not an IPv4 address with a port'
+    if not separator or not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        return f'the port of {address!r} is not between 1 and {MAX_PORT}'
+    return ''
+
+
+def _racks_are_in_one_zone(configuration: Configuration) -> Iterator[FieldFault]:
+    zones_by_rack: dict[str, str] = {}
+    for host_id, host in configuration.hosts_by_id.items():
+        zone = zones_by_rack.setdefault(host.rack, host.availability_zone)
+        if zone != host.availability_zone:
+            yield _out_of_range(
+                f'hosts_by_id.{host_id}.rack',
+                f'rack {host.rack!r} is in availability zone {zone!r}',
+            )
+
+
+def _services_fit_their_pool(configuration: Configuration) -> Iterator[FieldFault]:
+    host_counts_by_pool = Counter(
+        host.pool for host in configuration.hosts_by_id.values()
+    )
+    for service_id, service in configuration.services_by_id.items():
+        field = f'services_by_id.{service_id}'
+        if service.pool not in configuration.pools_by_id:
+            yield _unknown(f'{field}.pool', 'pool', service.pool)
+        elif service.max_unavailable > host_counts_by_pool[service.pool]:
+            yield _out_of_range(
+                f'{field}.max_unavailable',
+                f'{service.max_unavailable} is more than the '
+                f'{host_counts_by_pool[service.pool]} hosts of pool {service.pool!r}',
+            )
+
+
+def _voters_are_unique(configuration: Configuration) -> Iterator[FieldFault]:
+    # Someone who votes for two co-operatives could agree with themselves.
+    cooperatives_by_voter: dict[str, str] = {}
+    for cooperative_id, cooperative in configuration.cooperatives_by_id.items():
+        for index, voter in enumerate(cooperative.voters):
+            if voter in cooperatives_by_voter:
+                yield _duplicate(
+                    f'cooperatives_by_id.{cooperative_id}.voters[{index}]',
+                    f'{voter!r} already votes for {cooperatives_by_voter[voter]!r}',
+                )
+            cooperatives_by_voter.setdefault(voter, cooperative_id)
+
+
+def _plans_list_hosts_once(configuration: Configuration) -> Iterator[FieldFault]:
+    for plan_id, plan in configuration.maintenance_plans_by_id.items():
+        field = f'maintenance_plans_by_id.{plan_id}'
+        seen: set[str] = set()
+        for index, host_id in enumerate(plan.hosts):
+            if host_id not in configuration.hosts_by_id:
+                yield _unknown(f'{field}.hosts[{index}]', 'host', host_id)
+            elif host_id in seen:
+                yield _duplicate(
+                    f'{field}.hosts[{index}]', f'host {host_id!r} is listed twice'
+                )
+            seen.add(host_id)
+        for index, host_id in enumerate(plan.done):
+            if host_id not in seen:
+                yield _unknown(f'{field}.done[{index}]', 'host of the plan', host_id)
+
+
+def _sites_are_disjoint(configuration: Configuration) -> Iterator[FieldFault]:
+    sites_by_zone: dict[str, str] = {}
+    sites_by_team: dict[str, str] = {}
+    for site_id, site in configuration.sites_by_id.items():
+        field = f'sites_by_id.{site_id}'
+        for index, zone in enumerate(site.availability_zones):
+            place = f'{field}.availability_zones[{index}]'
+            if zone not in configuration.availability_zones_by_id:
+                yield _unknown(place, 'availability zone', zone)
+            elif zone in sites_by_zone:
+                yield _duplicate(
+                    place,
+                    f'availability zone {zone!r} belongs to {sites_by_zone[zone]!r}',
+                )
+            sites_by_zone.setdefault(zone, site_id)
+        for index, team in enumerate(site.teams):
+            place = f'{field}.teams[{index}]'
+            if team not in configuration.teams_by_id:
+                yield _unknown(place, 'team', team)
+            elif team in sites_by_team:
+                yield _duplicate(
+                    place, f'team {team!r} belongs to {sites_by_team[team]!r}'
+                )
+            sites_by_team.setdefault(team, site_id)
+
+
+def _moves_and_proposals_refer(configuration: Configuration) -> Iterator[FieldFault]:
+    for host_id, move in configuration.moves_by_host.items():
+        field = f'moves_by_host.{host_id}'
+        if host_id not in configuration.hosts_by_id:
+            yield _unknown(field, 'host', host_id)
+        for name, pool in (('from_pool', move.from_pool), ('to_pool', move.to_pool)):
+            if pool not in configuration.pools_by_id:
+                yield _unknown(f'{field}.{name}', 'pool', pool)
+    for proposal_id, proposal in configuration.limit_proposals_by_id.items():
+        if proposal.team not in configuration.teams_by_id:
+            yield _unknown(
+                f'limit_proposals_by_id.{proposal_id}.team', 'team', proposal.team
+            )
+
+
+CHECKS: tuple[Check, ...] = (
+    _hosts_have_zone_and_pool,
+    _addresses_are_valid_and_unique,
+    _racks_are_in_one_zone,
+    _services_fit_their_pool,
+    _voters_are_unique,
+    _plans_list_hosts_once,
+    _sites_are_disjoint,
+    _moves_and_proposals_refer,
+)
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -403,6 +403,22 @@
     done: list[DoneItem] = field(default_factory=list)
 
 
+AvailabilityZone1: TypeAlias = str
+
+
+Team1: TypeAlias = str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Site:
+    """
+    A site, its availability zones and the teams whose keys its overlay holds.
+    """
+
+    availability_zones: list[AvailabilityZone1]
+    teams: list[Team1] = field(default_factory=list)
+
+
 ChangeId: TypeAlias = str
 
 
@@ -415,6 +431,7 @@
     version: int
     change_ids: list[ChangeId] = field(default_factory=list)
     bounds: FleetBounds = field(default_factory=lambda: FleetBounds())
+    sites_by_id: dict[str, Site] = field(default_factory=dict)
     availability_zones_by_id: dict[str, AvailabilityZone] = field(default_factory=dict)
     pools_by_id: dict[str, Pool] = field(default_factory=dict)
     hosts_by_id: dict[str, Host] = field(default_factory=dict)
@@ -426,6 +443,66 @@
     maintenance_plans_by_id: dict[str, MaintenancePlan] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ZoneOverlay:
+    """
+    State of one availability zone of the site.
+    """
+
+    state: ZoneState
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostOverlay:
+    """
+    Fields of a host that replace those of the base file; the others stay.
+    """
+
+    availability_zone: str | None = None
+    rack: str | None = None
+    pool: str | None = None
+    address: str | None = None
+    state: HostState | None = None
+    slots: int | None = None
+    connections: int | None = None
+    cores: int | None = None
+    memory_mb: int | None = None
+    accelerators: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanOverlay:
+    """
+    Fields of a maintenance plan that replace those of the base file; the others stay.
+    """
+
+    hosts: list[Host1] | None = None
+    state: PlanState | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TeamOverlay:
+    """
+    Keys of a team of the site; null removes a key.
+    """
+
+    keys_by_id: dict[str, KeyRecord | None]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SiteOverlay:
+    """
+    What one site changes in the base file; null removes a host or a plan.
+    """
+
+    site: str
+    availability_zones: list[AvailabilityZone1]
+    availability_zones_by_id: dict[str, ZoneOverlay] = field(default_factory=dict)
+    hosts_by_id: dict[str, HostOverlay | None] = field(default_factory=dict)
+    teams_by_id: dict[str, TeamOverlay] = field(default_factory=dict)
+    maintenance_plans_by_id: dict[str, PlanOverlay | None] = field(default_factory=dict)
+
+
 class PeerMessageKind(StrEnum):
     """
     Which message an envelope carries.
--- /dev/null
+++ b/dandelionknot/_merge.py
@@ -0,0 +1,302 @@
+"""Merges the agreed base file with the overlays of the sites.
+
+The rules are described in `docs/configuration.md`.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok, Result
+
+from dandelionknot import codec
+from dandelionknot._configuration_files import (
+    BaseFile,
+    OverlayFile,
+    load_base,
+    load_overlay,
+)
+from dandelionknot._crosschecks import find_faults
+from dandelionknot._faults import (
+    ConfigurationFault,
+    FaultKind,
+    FieldFault,
+    locate_in,
+)
+from dandelionknot._generated_classes import (
+    AvailabilityZone,
+    Configuration,
+    Host,
+    HostOverlay,
+    KeyRecord,
+    MaintenancePlan,
+    PlanOverlay,
+    SiteOverlay,
+    Team,
+)
+
+__all__ = ['BaseFile', 'OverlayFile', 'load_base', 'load_overlay', 'merge']
+
+REQUIRED_HOST_FIELDS = ('availability_zone', 'rack', 'pool', 'address')
+
+
+@dataclass(slots=True, kw_only=True)
+class _Merging:
+    """The configuration so far and the faults of the overlay that is applied."""
+
+    zones_by_id: dict[str, AvailabilityZone]
+    hosts_by_id: dict[str, Host]
+    teams_by_id: dict[str, Team]
+    plans_by_id: dict[str, MaintenancePlan]
+    sites_by_changed_field: dict[str, str] = field(default_factory=dict)
+    faults: list[FieldFault] = field(default_factory=list)
+
+
+def merge(
+    base: BaseFile, overlays: Sequence[OverlayFile]
+) -> Result[Configuration, list[ConfigurationFault]]:
+    """Returns the configuration of all files, with version 0, or every fault.
+
+    The order of the overlays does not matter, since no two of them may change
+    the same entry.
+    """
+    configuration = base.configuration
+    state = _Merging(
+        zones_by_id=dict(configuration.availability_zones_by_id),
+        hosts_by_id=dict(configuration.hosts_by_id),
+        teams_by_id=dict(configuration.teams_by_id),
+        plans_by_id=dict(configuration.maintenance_plans_by_id),
+    )
+    faults: list[ConfigurationFault] = []
+    # Plans name hosts that another pass adds, so all hosts come first.
+    for step in (_merge_header, _merge_zones, _merge_hosts, _merge_teams, _merge_plans):
+        if faults and step is _merge_zones:
+            # Without a valid site, every entry of its overlay would be a fault.
+            return Err(faults)
+        for file in overlays:
+            step(state, configuration, file.overlay)
+            locate = locate_in([file.source, base.source])
+            faults.extend(locate(fault) for fault in state.faults)
+            state.faults.clear()
+    if faults:
+        return Err(faults)
+    merged = replace(
+        configuration,
+        availability_zones_by_id=state.zones_by_id,
+        hosts_by_id=state.hosts_by_id,
+        teams_by_id=state.teams_by_id,
+        maintenance_plans_by_id=state.plans_by_id,
+    )
+    return _checked(merged, base, overlays)
+
+
+def _checked(
+    merged: Configuration, base: BaseFile, overlays: Sequence[OverlayFile]
+) -> Result[Configuration, list[ConfigurationFault]]:
+    locate = locate_in([*(file.source for file in overlays), base.source])
+    found = find_faults(merged)
+    # Two files that are valid alone can together exceed a bound of the schema.
+    checked = codec.check_fields(codec.to_data(merged), Configuration)
+    if isinstance(checked, Err):
+        problem = checked.err_value
+        found.append(_fault(FaultKind.MALFORMED, problem.field, problem.problem))
+    if found:
+        return Err([locate(fault) for fault in found])
+    return Ok(merged)
+
+
+def _fault(kind: FaultKind, path: str, problem: str) -> FieldFault:
+    return FieldFault(kind=kind, field=path, problem=problem)
+
+
+def _not_of_site(path: str, what: str, site: str) -> FieldFault:
+    return _fault(
+        FaultKind.NOT_OF_SITE, path, f'{what} does not belong to site {site!r}'
+    )
+
+
+def _merge_header(
+    state: _Merging, configuration: Configuration, overlay: SiteOverlay
+) -> None:
+    site = configuration.sites_by_id.get(overlay.site)
+    if site is None:
+        problem = f'the base file has no site {overlay.site!r}'
+        state.faults.append(_fault(FaultKind.UNKNOWN_REFERENCE, 'site', problem))
+    elif set(site.availability_zones) != set(overlay.availability_zones):
+        problem = 'the base file gives the site ' + ', '.join(site.availability_zones)
+        state.faults.append(
+            _fault(FaultKind.NOT_OF_SITE, 'availability_zones', problem)
+        )
+    _claim(state, 'site', overlay.site, overlay.site)
+
+
+def _zones_of(configuration: Configuration, overlay: SiteOverlay) -> set[str]:
+    """Returns the zones that the base file, not the overlay, gives to the site."""
+    site = configuration.sites_by_id.get(overlay.site)
+    return set(site.availability_zones) if site else set()
+
+
+def _claim(state: _Merging, path: str, name: str, site: str) -> bool:
+    """Notes that an overlay changes an entry; only one overlay may."""
+    key = f'{path}.{name}'
+    if key in state.sites_by_changed_field:
+        other = state.sites_by_changed_field[key]
+        problem = f'the overlay of site {other!r} also states {name!r}'
+        where = path if path == 'site' else key
+        state.faults.append(_fault(FaultKind.DUPLICATE, where, problem))
+        return False
+    state.sites_by_changed_field[key] = site
+    return True
+
+
+def _merge_zones(
+    state: _Merging, configuration: Configuration, overlay: SiteOverlay
+) -> None:
+    zones = _zones_of(configuration, overlay)
+    for zone_id, change in overlay.availability_zones_by_id.items():
+        path = f'availability_zones_by_id.{zone_id}'
+        if zone_id not in zones or zone_id not in state.zones_by_id:
+            what = f'availability zone {zone_id!r}'
+            state.faults.append(_not_of_site(path, what, overlay.site))
+            continue
+        zone = state.zones_by_id[zone_id]
+        state.zones_by_id[zone_id] = replace(zone, state=change.state)
+
+
+def _merge_hosts(
+    state: _Merging, configuration: Configuration, overlay: SiteOverlay
+) -> None:
+    zones = _zones_of(configuration, overlay)
+    for host_id, change in overlay.hosts_by_id.items():
+        path = f'hosts_by_id.{host_id}'
+        if not _claim(state, 'hosts_by_id', host_id, overlay.site):
+            continue
+        current = state.hosts_by_id.get(host_id)
+        if current is not None and current.availability_zone not in zones:
+            what = f'host {host_id!r}'
+            state.faults.append(_not_of_site(path, what, overlay.site))
+        elif change is None:
+            _remove_host(state, host_id, path)
+        else:
+            _change_host(state, host_id, change, zones, overlay.site)
+
+
+def _remove_host(state: _Merging, host_id: str, path: str) -> None:
+    if host_id in state.hosts_by_id:
+        del state.hosts_by_id[host_id]
+        return
+    problem = 'null removes a host, but the base file has no such host'
+    state.faults.append(_fault(FaultKind.UNKNOWN_REFERENCE, path, problem))
+
+
+def _change_host(
+    state: _Merging, host_id: str, change: HostOverlay, zones: set[str], site: str
+) -> None:
+    path = f'hosts_by_id.{host_id}'
+    stated = _stated_fields(change)
+    zone = stated.get('availability_zone')
+    if zone is not None and zone not in zones:
+        what = f'availability zone {zone!r}'
+        state.faults.append(_not_of_site(f'{path}.availability_zone', what, site))
+        return
+    current = state.hosts_by_id.get(host_id)
+    if current is not None:
+        state.hosts_by_id[host_id] = replace(current, **stated)
+        return
+    missing = [name for name in REQUIRED_HOST_FIELDS if name not in stated]
+    for name in missing:
+        state.faults.append(
+            _fault(FaultKind.MALFORMED, f'{path}.{name}', 'is missing for a new host')
+        )
+    if not missing:
+        state.hosts_by_id[host_id] = Host(**stated)
+
+
+def _stated_fields(change: HostOverlay | PlanOverlay) -> dict:
+    values = {name: getattr(change, name) for name in type(change).__slots__}
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def _merge_teams(
+    state: _Merging, configuration: Configuration, overlay: SiteOverlay
+) -> None:
+    site = configuration.sites_by_id.get(overlay.site)
+    teams = set(site.teams) if site else set()
+    for team_id, change in overlay.teams_by_id.items():
+        path = f'teams_by_id.{team_id}'
+        if team_id not in teams or team_id not in state.teams_by_id:
+            what = f'team {team_id!r}'
+            state.faults.append(_not_of_site(path, what, overlay.site))
+            continue
+        team = state.teams_by_id[team_id]
+        keys_by_id = dict(team.keys_by_id)
+        for key_id, record in change.keys_by_id.items():
+            _change_key(state, keys_by_id, key_id, record, f'{path}.keys_by_id')
+        state.teams_by_id[team_id] = replace(team, keys_by_id=keys_by_id)
+
+
+def _change_key(
+    state: _Merging,
+    keys_by_id: dict[str, KeyRecord],
+    key_id: str,
+    record: KeyRecord | None,
+    path: str,
+) -> None:
+    if record is not None:
+        keys_by_id[key_id] = record
+    elif key_id in keys_by_id:
+        del keys_by_id[key_id]
+    else:
+        problem = 'null removes a key, but the base file has no such key'
+        state.faults.append(
+            _fault(FaultKind.UNKNOWN_REFERENCE, f'{path}.{key_id}', problem)
+        )
+
+
+def _merge_plans(
+    state: _Merging, configuration: Configuration, overlay: SiteOverlay
+) -> None:
+    zones = _zones_of(configuration, overlay)
+    for plan_id, change in overlay.maintenance_plans_by_id.items():
+        path = f'maintenance_plans_by_id.{plan_id}'
+        if not _claim(state, 'maintenance_plans_by_id', plan_id, overlay.site):
+            continue
+        current = state.plans_by_id.get(plan_id)
+        if current is not None and not _hosts_are_in(state, current, zones):
+            what = f'maintenance plan {plan_id!r}'
+            state.faults.append(_not_of_site(path, what, overlay.site))
+        elif change is None:
+            _remove_plan(state, plan_id, path)
+        else:
+            _change_plan(state, plan_id, change, zones, overlay.site)
+
+
+def _hosts_are_in(state: _Merging, plan: MaintenancePlan, zones: set[str]) -> bool:
+    hosts = [state.hosts_by_id.get(host_id) for host_id in plan.hosts]
+    return all(host is None or host.availability_zone in zones for host in hosts)
+
+
+def _remove_plan(state: _Merging, plan_id: str, path: str) -> None:
+    if plan_id in state.plans_by_id:
+        del state.plans_by_id[plan_id]
+        return
+    problem = 'null removes a plan, but the base file has no such plan'
+    state.faults.append(_fault(FaultKind.UNKNOWN_REFERENCE, path, problem))
+
+
+def _change_plan(
+    state: _Merging, plan_id: str, change: PlanOverlay, zones: set[str], site: str
+) -> None:
+    path = f'maintenance_plans_by_id.{plan_id}'
+    stated = _stated_fields(change)
+    current = state.plans_by_id.get(plan_id)
+    if current is None and change.hosts is None:
+        state.faults.append(
+            _fault(FaultKind.MALFORMED, f'{path}.hosts', 'is missing for a new plan')
+        )
+        return
+    plan = replace(current, **stated) if current else MaintenancePlan(**stated)
+    if not _hosts_are_in(state, plan, zones):
+        what = 'a host of the plan'
+        state.faults.append(_not_of_site(f'{path}.hosts', what, site))
+        return
+    state.plans_by_id[plan_id] = plan
--- a/dandelionknot/codec.py
+++ b/dandelionknot/codec.py
@@ -27,6 +27,7 @@
 
     where: str
     problem: str
+    line: int | None = None
 
     def __str__(self) -> str:
         """Formats the error as one line."""
@@ -66,7 +67,88 @@
         mark = getattr(error, 'problem_mark', None)
         place = f'{where}:{mark.line + 1}' if mark else where
         problem = getattr(error, 'problem', None) or str(error)
-        return Err(DecodeError(where=place, problem=problem))
+        return Err(
+            DecodeError(
+                where=place, problem=problem, line=mark.line + 1 if mark else None
+            )
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MarkedYaml:
+    """Plain data with the line of each field by path, such as `a.b[0]`."""
+
+    data: Any
+    lines_by_field: dict[str, int]
+
+
+def _mark_lines(
+    node: yaml.Node | None, field: str, lines: dict[str, int], seen: set[int]
+) -> None:
+    # An aliased node is visited once, so nested aliases cost no more than the text.
+    if node is None or id(node) in seen:
+        return
+    seen.add(id(node))
+    if isinstance(node, yaml.MappingNode):
+        for key_node, value_node in node.value:
+            inner = f'{field}.{key_node.value}' if field else str(key_node.value)
+            lines[inner] = key_node.start_mark.line + 1
+            _mark_lines(value_node, inner, lines, seen)
+    elif isinstance(node, yaml.SequenceNode):
+        for index, item in enumerate(node.value):
+            lines[f'{field}[{index}]'] = item.start_mark.line + 1
+            _mark_lines(item, f'{field}[{index}]', lines, seen)
+
+
+def parse_yaml_with_lines(text: str, where: str) -> Result[MarkedYaml, DecodeError]:
+    """Parses YAML text like `parse_yaml` and keeps the line of each field."""
+    parsed = parse_yaml(text, where)
+    if isinstance(parsed, Err):
+        return parsed
+    lines: dict[str, int] = {}
+    try:
+        _mark_lines(yaml.compose(text, Loader=yaml.SafeLoader), '', lines, set())
+    except RecursionError:
+        return Err(DecodeError(where=where, problem='nested too deeply'))
+    return Ok(MarkedYaml(data=parsed.ok_value, lines_by_field=lines))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FieldProblem:
+    """The path of a field that does not match the schema, and the problem."""
+
+    field: str
+    problem: str
+
+
+def check_fields(data: Any, cls: type) -> Result[None, FieldProblem]:
+    """Checks plain data like `check`; the error names the innermost field."""
+    try:
+        VALIDATORS_BY_NAME[cls.__name__](data, {}, None)
+    except fastjsonschema.JsonSchemaValueException as error:
+        return Err(_field_problem(error))
+    except RecursionError:
+        return Err(FieldProblem(field='', problem='nested too deeply'))
+    return Ok(None)
+
+
+def _field_problem(error: fastjsonschema.JsonSchemaValueException) -> FieldProblem:
+    name = str(error.name)
+    field = name.removeprefix('data').removeprefix('.')
+    problem = error.message.removeprefix(name).strip()
+    if not isinstance(error.value, dict):
+        return FieldProblem(field=field, problem=problem)
+    names = sorted(map(str, error.value))
+    known = error.definition.get('properties', {})
+    if error.rule == 'additionalProperties':
+        name = next(name for name in names if name not in known)
+        problem = 'is not a known field'
+    elif error.rule == 'required':
+        name = next(name for name in error.rule_definition if name not in error.value)
+        problem = 'is missing'
+    else:
+        return FieldProblem(field=field, problem=problem)
+    return FieldProblem(field=f'{field}.{name}' if field else name, problem=problem)
 
 
 def check(data: Any, cls: type, where: str) -> Result[None, DecodeError]:
