Add operators' bodies and edits of the configuration

Cause: operators change keys, zones, drains, plans, moves and limits one at a time and by files, and no code decided what such a change gives.

Change: schema/operators.yaml holds the bodies of the operator API. apply_edit maps a configuration and an edit to the next configuration or a typed error; moves, votes and the budget check of a drain are functions passed in. Applying files keeps what the fleet owns once a configuration is in force (limits, keys, states, pools of hosts, moves, proposals, plans), so older files cannot undo an edit; a later new team has the limit 0 until the vote. An active host cannot be removed or change its address or zone.

Seen to fail on scratch edits: EditMachine fails without keeping keys, zone states or host states, and when a withdrawn key stays; test_only_the_first_configuration_sets_limits fails without keeping limits or the 0 of a new team; test_files_cannot_stop_or_move_active_hosts fails without the host check; test_moves_votes_and_drains_ask_the_decisions fails when a refused drain goes on.

--- /dev/null
+++ b/dandelionknot/_edits.py
@@ -0,0 +1,326 @@
+"""Operators' edits as pure functions from one configuration to the next.
+
+The caller raises the version and records the change id. An edit that finds
+its result already in place returns the configuration unchanged.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from result import Err, Ok, Result
+
+from dandelionknot._edit_errors import EditError, EditErrorKind, refuse
+from dandelionknot._generated_classes import (
+    Configuration,
+    Edit,
+    EditKind,
+    Host,
+    HostState,
+    MaintenancePlan,
+    PlanState,
+    ZoneState,
+)
+from dandelionknot._replacement import replace_configuration
+
+__all__ = ['EditError', 'EditErrorKind', 'OutsideDecisions', 'apply_edit']
+
+MAX_KEYS_PER_TEAM = 100
+
+EditResult = Result[Configuration, EditError]
+DecisionResult = Result[Configuration, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OutsideDecisions:
+    """Decisions that other modules make; their errors are shown as text.
+
+    `may_drain(configuration, host_id)` keeps the availability budget, which
+    depends on the health of hosts and not on the configuration alone.
+    """
+
+    begin_move: Callable[[Configuration, str, str], DecisionResult]
+    cancel_move: Callable[[Configuration, str], DecisionResult]
+    propose_limit: Callable[[Configuration, str, str, int, str], DecisionResult]
+    cast_vote: Callable[[Configuration, str, str], DecisionResult]
+    may_drain: Callable[[Configuration, str], Result[None, Any]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Request:
+    """An edit with everything that its function needs."""
+
+    configuration: Configuration
+    edit: Edit
+    operator_id: str
+    decisions: OutsideDecisions
+
+
+def apply_edit(
+    configuration: Configuration,
+    edit: Edit,
+    operator_id: str,
+    now_ms: int,
+    decisions: OutsideDecisions,
+) -> EditResult:
+    """Returns the configuration after an edit, or why it is refused.
+
+    `now_ms` is not used by the edits of today.
+    """
+    problem = _field_problem(edit)
+    if problem:
+        return refuse(EditErrorKind.MALFORMED, problem)
+    request = _Request(
+        configuration=configuration,
+        edit=edit,
+        operator_id=operator_id,
+        decisions=decisions,
+    )
+    return RULES_BY_KIND[edit.kind].apply(request)
+
+
+def _field_problem(edit: Edit) -> str:
+    """Returns what is wrong with the fields that are set, or an empty string."""
+    needed = set(RULES_BY_KIND[edit.kind].fields)
+    stated = {
+        name
+        for name in Edit.__slots__
+        if name != 'kind' and getattr(edit, name) is not None
+    }
+    missing = ', '.join(sorted(needed - stated))
+    if missing:
+        return f'{edit.kind.value} needs {missing}'
+    unexpected = ', '.join(sorted(stated - needed))
+    if unexpected:
+        return f'{edit.kind.value} has no field {unexpected}'
+    return ''
+
+
+def _apply_configuration(request: _Request) -> EditResult:
+    assert request.edit.configuration is not None
+    return replace_configuration(request.configuration, request.edit.configuration)
+
+
+def _give_key(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.team and edit.key_id and edit.key_record
+    team = request.configuration.teams_by_id.get(edit.team)
+    if team is None:
+        return _not_found('team', edit.team)
+    current = team.keys_by_id.get(edit.key_id)
+    if current == edit.key_record:
+        return Ok(request.configuration)
+    if current is not None:
+        return refuse(
+            EditErrorKind.ALREADY_EXISTS,
+            f'team {edit.team!r} already has a key {edit.key_id!r}',
+        )
+    if len(team.keys_by_id) >= MAX_KEYS_PER_TEAM:
+        return refuse(
+            EditErrorKind.WRONG_STATE,
+            f'team {edit.team!r} already has {MAX_KEYS_PER_TEAM} keys',
+        )
+    keys_by_id = team.keys_by_id | {edit.key_id: edit.key_record}
+    return _with_keys(request.configuration, edit.team, keys_by_id)
+
+
+def _withdraw_key(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.team and edit.key_id
+    team = request.configuration.teams_by_id.get(edit.team)
+    if team is None:
+        return _not_found('team', edit.team)
+    if edit.key_id not in team.keys_by_id:
+        return _not_found(f'key of team {edit.team!r}', edit.key_id)
+    keys_by_id = dict(team.keys_by_id)
+    del keys_by_id[edit.key_id]
+    return _with_keys(request.configuration, edit.team, keys_by_id)
+
+
+def _with_keys(
+    configuration: Configuration, team_id: str, keys_by_id: Mapping[str, Any]
+) -> EditResult:
+    team = replace(configuration.teams_by_id[team_id], keys_by_id=dict(keys_by_id))
+    teams_by_id = configuration.teams_by_id | {team_id: team}
+    return Ok(replace(configuration, teams_by_id=teams_by_id))
+
+
+def _move_host(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.host_id and edit.to_pool
+    begin_move = request.decisions.begin_move
+    return _decided(begin_move(request.configuration, edit.host_id, edit.to_pool))
+
+
+def _cancel_move(request: _Request) -> EditResult:
+    assert request.edit.host_id
+    cancel_move = request.decisions.cancel_move
+    return _decided(cancel_move(request.configuration, request.edit.host_id))
+
+
+def _propose_limit(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.proposal_id and edit.team and edit.new_limit is not None
+    return _decided(
+        request.decisions.propose_limit(
+            request.configuration,
+            edit.proposal_id,
+            edit.team,
+            edit.new_limit,
+            request.operator_id,
+        )
+    )
+
+
+def _vote(request: _Request) -> EditResult:
+    assert request.edit.proposal_id
+    cast_vote = request.decisions.cast_vote
+    return _decided(
+        cast_vote(request.configuration, request.edit.proposal_id, request.operator_id)
+    )
+
+
+def _decided(outcome: Result[Any, Any]) -> Result[Any, EditError]:
+    if isinstance(outcome, Ok):
+        return outcome
+    error = outcome.err_value
+    return refuse(EditErrorKind.NOT_ALLOWED, getattr(error, 'message', str(error)))
+
+
+def _set_zone_state(state: ZoneState) -> Callable[[_Request], EditResult]:
+    def apply(request: _Request) -> EditResult:
+        zone_id = request.edit.availability_zone
+        assert zone_id
+        zones_by_id = request.configuration.availability_zones_by_id
+        if zone_id not in zones_by_id:
+            return _not_found('availability zone', zone_id)
+        zone = replace(zones_by_id[zone_id], state=state)
+        return Ok(
+            replace(
+                request.configuration,
+                availability_zones_by_id=zones_by_id | {zone_id: zone},
+            )
+        )
+
+    return apply
+
+
+def _drain_host(request: _Request) -> EditResult:
+    host_id = request.edit.host_id
+    assert host_id
+    host = request.configuration.hosts_by_id.get(host_id)
+    if host is None:
+        return _not_found('host', host_id)
+    if host.state is not HostState.ACTIVE:
+        return Ok(request.configuration)
+    allowed = _decided(request.decisions.may_drain(request.configuration, host_id))
+    if isinstance(allowed, Err):
+        return allowed
+    return _with_host_state(request.configuration, host_id, host, HostState.DRAINING)
+
+
+def _undrain_host(request: _Request) -> EditResult:
+    host_id = request.edit.host_id
+    assert host_id
+    host = request.configuration.hosts_by_id.get(host_id)
+    if host is None:
+        return _not_found('host', host_id)
+    for plan_id, plan in request.configuration.maintenance_plans_by_id.items():
+        waits = host_id in plan.hosts and host_id not in plan.done
+        if waits and plan.state is PlanState.RUNNING:
+            return refuse(
+                EditErrorKind.WRONG_STATE,
+                f'plan {plan_id!r} maintains host {host_id!r}; pause the plan first',
+            )
+    return _with_host_state(request.configuration, host_id, host, HostState.ACTIVE)
+
+
+def _with_host_state(
+    configuration: Configuration, host_id: str, host: Host, state: HostState
+) -> EditResult:
+    hosts_by_id = configuration.hosts_by_id | {host_id: replace(host, state=state)}
+    return Ok(replace(configuration, hosts_by_id=hosts_by_id))
+
+
+def _plan_create(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.plan_id and edit.hosts
+    plans_by_id = request.configuration.maintenance_plans_by_id
+    plan = MaintenancePlan(hosts=edit.hosts)
+    if edit.plan_id in plans_by_id:
+        if plans_by_id[edit.plan_id] == plan:
+            return Ok(request.configuration)
+        return refuse(
+            EditErrorKind.ALREADY_EXISTS, f'plan {edit.plan_id!r} already exists'
+        )
+    for host_id in edit.hosts:
+        if host_id not in request.configuration.hosts_by_id:
+            return _not_found('host', host_id)
+    if len(set(edit.hosts)) < len(edit.hosts):
+        return refuse(EditErrorKind.MALFORMED, 'the plan lists a host twice')
+    return _with_plan(request.configuration, edit.plan_id, plan)
+
+
+def _set_plan_state(state: PlanState) -> Callable[[_Request], EditResult]:
+    def apply(request: _Request) -> EditResult:
+        plan_id = request.edit.plan_id
+        assert plan_id
+        plan = request.configuration.maintenance_plans_by_id.get(plan_id)
+        if plan is None:
+            return _not_found('plan', plan_id)
+        if plan.state is PlanState.FINISHED:
+            return refuse(
+                EditErrorKind.WRONG_STATE, f'plan {plan_id!r} is already finished'
+            )
+        return _with_plan(request.configuration, plan_id, replace(plan, state=state))
+
+    return apply
+
+
+def _with_plan(
+    configuration: Configuration, plan_id: str, plan: MaintenancePlan
+) -> EditResult:
+    plans_by_id = configuration.maintenance_plans_by_id | {plan_id: plan}
+    return Ok(replace(configuration, maintenance_plans_by_id=plans_by_id))
+
+
+def _member_gone(request: _Request) -> EditResult:
+    return refuse(
+        EditErrorKind.NOT_A_CONFIGURATION_EDIT,
+        f'member {request.edit.member_id!r} is not part of the configuration',
+    )
+
+
+def _not_found(word: str, name: str) -> Err[EditError]:
+    return refuse(EditErrorKind.NOT_FOUND, f'{word} {name!r} does not exist')
+
+
+@dataclass(frozen=True, slots=True)
+class _Rule:
+    """The function of an edit kind and the fields that must be set for it."""
+
+    apply: Callable[[_Request], EditResult]
+    fields: tuple[str, ...]
+
+
+RULES_BY_KIND = {
+    EditKind.APPLY_CONFIGURATION: _Rule(_apply_configuration, ('configuration',)),
+    EditKind.GIVE_KEY: _Rule(_give_key, ('team', 'key_id', 'key_record')),
+    EditKind.WITHDRAW_KEY: _Rule(_withdraw_key, ('team', 'key_id')),
+    EditKind.MOVE_HOST: _Rule(_move_host, ('host_id', 'to_pool')),
+    EditKind.CANCEL_MOVE: _Rule(_cancel_move, ('host_id',)),
+    EditKind.ZONE_OUT: _Rule(
+        _set_zone_state(ZoneState.OUT_OF_SERVICE), ('availability_zone',)
+    ),
+    EditKind.ZONE_BACK: _Rule(
+        _set_zone_state(ZoneState.IN_SERVICE), ('availability_zone',)
+    ),
+    EditKind.DRAIN_HOST: _Rule(_drain_host, ('host_id',)),
+    EditKind.UNDRAIN_HOST: _Rule(_undrain_host, ('host_id',)),
+    EditKind.PROPOSE_LIMIT: _Rule(_propose_limit, ('proposal_id', 'team', 'new_limit')),
+    EditKind.VOTE: _Rule(_vote, ('proposal_id',)),
+    EditKind.PLAN_CREATE: _Rule(_plan_create, ('plan_id', 'hosts')),
+    EditKind.PLAN_PAUSE: _Rule(_set_plan_state(PlanState.PAUSED), ('plan_id',)),
+    EditKind.PLAN_RESUME: _Rule(_set_plan_state(PlanState.RUNNING), ('plan_id',)),
+    EditKind.MEMBER_GONE: _Rule(_member_gone, ('member_id',)),
+}
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -503,6 +503,224 @@
     maintenance_plans_by_id: dict[str, PlanOverlay | None] = field(default_factory=dict)
 
 
+class EditKind(StrEnum):
+    """
+    What an operator changes.
+    """
+
+    APPLY_CONFIGURATION = "apply_configuration"
+    GIVE_KEY = "give_key"
+    WITHDRAW_KEY = "withdraw_key"
+    MOVE_HOST = "move_host"
+    CANCEL_MOVE = "cancel_move"
+    ZONE_OUT = "zone_out"
+    ZONE_BACK = "zone_back"
+    DRAIN_HOST = "drain_host"
+    UNDRAIN_HOST = "undrain_host"
+    PROPOSE_LIMIT = "propose_limit"
+    VOTE = "vote"
+    PLAN_CREATE = "plan_create"
+    PLAN_PAUSE = "plan_pause"
+    PLAN_RESUME = "plan_resume"
+    MEMBER_GONE = "member_gone"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Edit:
+    """
+    One change by an operator; the kind says which other fields are set.
+    """
+
+    kind: EditKind
+    configuration: Configuration | None = None
+    team: str | None = None
+    key_id: str | None = None
+    key_record: KeyRecord | None = None
+    host_id: str | None = None
+    to_pool: str | None = None
+    availability_zone: str | None = None
+    proposal_id: str | None = None
+    new_limit: int | None = None
+    plan_id: str | None = None
+    hosts: list[Host1] | None = None
+    member_id: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeRequest:
+    """
+    A change to the configuration version that the operator saw; a repeated change id is one change.
+    """
+
+    change_id: str
+    expected_version: int
+    edit: Edit
+    dry_run: bool = False
+
+
+class ChangeOutcome(StrEnum):
+    """
+    What became of a change.
+    """
+
+    ACCEPTED = "accepted"
+    PENDING = "pending"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    DRY_RUN = "dry_run"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeReport:
+    """
+    Outcome of a change, the version it made or met, and who has not confirmed it.
+    """
+
+    change_id: str
+    outcome: ChangeOutcome
+    version: int
+    unconfirmed: list[str] = field(default_factory=list)
+    message: str = ""
+    changes: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberStatus:
+    """
+    An entry host as others see it; ages are null if unknown.
+    """
+
+    member_id: str
+    availability_zone: str
+    confirmed_version: int
+    freshness_age_ms: int | None = None
+    alive: bool = True
+
+
+class HostCondition(StrEnum):
+    """
+    Whether a host can start tasks, or why it cannot.
+    """
+
+    AVAILABLE = "available"
+    FAILED = "failed"
+    EJECTED = "ejected"
+    DRAINING = "draining"
+    MAINTENANCE = "maintenance"
+    MOVING = "moving"
+    LEAVING = "leaving"
+    ZONE_OUT = "zone_out"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostStatus:
+    """
+    A worker as the answering entry host sees it.
+    """
+
+    host_id: str
+    availability_zone: str
+    pool: str
+    condition: HostCondition
+    running: int
+    slots: int
+    usage_age_ms: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskStatus:
+    """
+    A task that the answering entry host knows; the team is null on open queues.
+    """
+
+    task_id: str
+    request_id: str
+    service: str
+    phase: RequestPhase
+    run_state: RunState
+    team: str | None = None
+    host_id: str | None = None
+    attempt: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetStatus:
+    """
+    State of the fleet as the answering entry host sees it.
+    """
+
+    version: int
+    members: list[MemberStatus]
+    platform_age_ms: int | None = None
+    hosts: list[HostStatus] = field(default_factory=list)
+    unavailable_by_service: dict[str, int] = field(default_factory=dict)
+    running_by_team: dict[str, int] = field(default_factory=dict)
+    queued_by_service: dict[str, int] = field(default_factory=dict)
+
+
+class WhyKind(StrEnum):
+    """
+    What a question about past decisions is about.
+    """
+
+    TASK = "task"
+    HOST = "host"
+    TEAM = "team"
+    SERVICE = "service"
+    AVAILABILITY_ZONE = "availability_zone"
+    CHANGE = "change"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JournalEntry:
+    """
+    One decision that an entry host made, with the number of its log event.
+    """
+
+    at_unix_ms: int
+    member_id: str
+    event: int
+    text: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WhyReport:
+    """
+    The decisions about one subject, oldest first, and its state if known.
+    """
+
+    kind: WhyKind
+    id: str
+    entries: list[JournalEntry]
+    task: TaskStatus | None = None
+    host: HostStatus | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HistogramSummary:
+    """
+    Quantiles of one latency histogram, in milliseconds.
+    """
+
+    name: str
+    count: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+    team: str | None = None
+    priority: Priority | None = None
+    p90_ms: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HistogramReport:
+    """
+    Histograms of the answering entry host.
+    """
+
+    histograms: list[HistogramSummary]
+
+
 class PeerMessageKind(StrEnum):
     """
     Which message an envelope carries.
--- /dev/null
+++ b/dandelionknot/operators.py
@@ -0,0 +1,49 @@
+"""Operators' messages, edits and the errors of an edit."""
+
+from dandelionknot._edits import (
+    EditError,
+    EditErrorKind,
+    OutsideDecisions,
+    apply_edit,
+)
+from dandelionknot._generated_classes import (
+    ChangeOutcome,
+    ChangeReport,
+    ChangeRequest,
+    Edit,
+    EditKind,
+    FleetStatus,
+    HistogramReport,
+    HistogramSummary,
+    HostCondition,
+    HostStatus,
+    JournalEntry,
+    MemberStatus,
+    TaskStatus,
+    WhyKind,
+    WhyReport,
+)
+from dandelionknot._replacement import kept_by_fleet
+
+__all__ = [
+    'ChangeOutcome',
+    'ChangeReport',
+    'ChangeRequest',
+    'Edit',
+    'EditError',
+    'EditErrorKind',
+    'EditKind',
+    'FleetStatus',
+    'HistogramReport',
+    'HistogramSummary',
+    'HostCondition',
+    'HostStatus',
+    'JournalEntry',
+    'MemberStatus',
+    'OutsideDecisions',
+    'TaskStatus',
+    'WhyKind',
+    'WhyReport',
+    'apply_edit',
+    'kept_by_fleet',
+]
--- /dev/null
+++ b/tests/test_edits.py
@@ -0,0 +1,243 @@
+"""Guards against edits that take too much, too little or back earlier edits."""
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err, Ok
+
+from dandelionknot.configuration import (
+    Configuration,
+    HostState,
+    KeyRecord,
+    PlanState,
+    Team,
+    ZoneState,
+)
+from dandelionknot.operators import (
+    Edit,
+    EditErrorKind,
+    EditKind,
+    OutsideDecisions,
+    apply_edit,
+    kept_by_fleet,
+)
+from tests.test_examples import load_example
+
+RECORD = KeyRecord(salt='0' * 32, digest='a' * 64)
+HOST = 'quotes-north-sofia-1'
+FIRST = replace(load_example('balkanfit'), version=1)
+
+
+def decisions(calls):
+    def note(name):
+        def decide(configuration, *arguments):
+            calls.append((name, arguments))
+            return Ok(configuration)
+
+        return decide
+
+    names = ('begin_move', 'cancel_move', 'propose_limit', 'cast_vote', 'may_drain')
+    return OutsideDecisions(**{name: note(name) for name in names})
+
+
+def edited(current, kind, **fields):
+    edit = Edit(kind=EditKind(kind), **fields)
+    return apply_edit(current, edit, 'ana', 0, decisions([]))
+
+
+class RefusalTest(unittest.TestCase):
+    def test_wrong_edits_are_refused_with_their_kind(self):
+        """Guards against edits of absent entries and edits with wrong fields."""
+        finished = replace(
+            FIRST.maintenance_plans_by_id['sofia-spring'], state=PlanState.FINISHED
+        )
+        ended = replace(FIRST, maintenance_plans_by_id={'sofia-spring': finished})
+        running = edited(FIRST, 'plan_resume', plan_id='sofia-spring').unwrap()
+        key = {'team': 'hotel-group', 'key_id': 'demo'}
+        kinds = EditErrorKind
+        cases = [
+            (FIRST, 'give_key', key, kinds.MALFORMED),
+            (FIRST, 'zone_out', {}, kinds.MALFORMED),
+            (FIRST, 'vote', {'proposal_id': 'p', 'team': 'x'}, kinds.MALFORMED),
+            (FIRST, 'give_key', key | {'key_record': RECORD}, kinds.ALREADY_EXISTS),
+            (FIRST, 'withdraw_key', key | {'key_id': 'other'}, kinds.NOT_FOUND),
+            (FIRST, 'withdraw_key', key | {'team': 'other'}, kinds.NOT_FOUND),
+            (FIRST, 'zone_out', {'availability_zone': 'rome'}, kinds.NOT_FOUND),
+            (FIRST, 'drain_host', {'host_id': 'other'}, kinds.NOT_FOUND),
+            (running, 'undrain_host', {'host_id': HOST}, kinds.WRONG_STATE),
+            (FIRST, 'plan_create', {'plan_id': 'p', 'hosts': ['x']}, kinds.NOT_FOUND),
+            (
+                FIRST,
+                'plan_create',
+                {'plan_id': 'p', 'hosts': [HOST, HOST]},
+                kinds.MALFORMED,
+            ),
+            (
+                FIRST,
+                'plan_create',
+                {'plan_id': 'sofia-spring', 'hosts': [HOST]},
+                kinds.ALREADY_EXISTS,
+            ),
+            (ended, 'plan_resume', {'plan_id': 'sofia-spring'}, kinds.WRONG_STATE),
+            (
+                FIRST,
+                'member_gone',
+                {'member_id': 'entry-1'},
+                kinds.NOT_A_CONFIGURATION_EDIT,
+            ),
+        ]
+        for configuration, kind, fields, expected in cases:
+            with self.subTest(kind=kind, fields=fields):
+                outcome = edited(configuration, kind, **fields)
+                self.assertIsInstance(outcome, Err)
+                self.assertEqual(outcome.err_value.kind, expected)
+
+    def test_moves_votes_and_drains_ask_the_decisions(self):
+        """Guards against moves, votes and drains that pass by their decision."""
+        cases = [
+            ('move_host', {'host_id': HOST, 'to_pool': 'ledger-bridge'}, 'begin_move'),
+            ('cancel_move', {'host_id': HOST}, 'cancel_move'),
+            (
+                'propose_limit',
+                {'proposal_id': 'p', 'team': 'hotel-group', 'new_limit': 9},
+                'propose_limit',
+            ),
+            ('vote', {'proposal_id': 'p'}, 'cast_vote'),
+            ('drain_host', {'host_id': HOST}, 'may_drain'),
+        ]
+        for kind, fields, name in cases:
+            with self.subTest(kind=kind):
+                edit = Edit(kind=EditKind(kind), **fields)
+                calls = []
+                apply_edit(FIRST, edit, 'ana', 0, decisions(calls)).unwrap()
+                self.assertEqual([call[0] for call in calls], [name])
+                operator = ('ana',) if name in ('propose_limit', 'cast_vote') else ()
+                self.assertEqual(calls[0][1], (*fields.values(), *operator))
+                refusing = replace(
+                    decisions([]), **{name: lambda *_: Err('over the budget')}
+                )
+                outcome = apply_edit(FIRST, edit, 'ana', 0, refusing)
+                self.assertEqual(outcome.err_value.message, 'over the budget')
+
+
+class ReplacementTest(unittest.TestCase):
+    def test_files_cannot_stop_or_move_active_hosts(self):
+        """Guards against files that take a host away while it runs tasks."""
+        without = {k: v for k, v in FIRST.hosts_by_id.items() if k != HOST}
+        host = FIRST.hosts_by_id[HOST]
+        moved = replace(host, address='10.9.9.9:7000')
+        drained = edited(FIRST, 'drain_host', host_id=HOST).unwrap()
+        free = replace(drained, maintenance_plans_by_id={})
+        cases = [
+            (FIRST, without, EditErrorKind.WRONG_STATE),
+            (FIRST, FIRST.hosts_by_id | {HOST: moved}, EditErrorKind.WRONG_STATE),
+            (drained, without, EditErrorKind.INCONSISTENT),
+            (free, without, None),
+            (free, FIRST.hosts_by_id | {HOST: moved}, None),
+        ]
+        for current, hosts, expected in cases:
+            offered = replace(current, hosts_by_id=hosts)
+            outcome = edited(current, 'apply_configuration', configuration=offered)
+            found = outcome.err_value.kind if isinstance(outcome, Err) else None
+            self.assertEqual(found, expected)
+
+    def test_only_the_first_configuration_sets_limits(self):
+        """Guards against files that set an upper limit without a vote."""
+        team = Team(upper_limit=50, keys_by_id={'k': RECORD})
+        teams = FIRST.teams_by_id | {'new': team}
+        teams['hotel-group'] = replace(teams['hotel-group'], upper_limit=900, share=9)
+        offered = replace(FIRST, teams_by_id=teams)
+        empty = Configuration(version=0)
+        first = edited(empty, 'apply_configuration', configuration=offered).unwrap()
+        self.assertEqual(first.teams_by_id, teams)
+        later = edited(FIRST, 'apply_configuration', configuration=offered).unwrap()
+        self.assertEqual(later.teams_by_id['new'], replace(team, upper_limit=0))
+        self.assertEqual(later.teams_by_id['hotel-group'].upper_limit, 60)
+        self.assertEqual(later.teams_by_id['hotel-group'].share, 9)
+        self.assertEqual(
+            [str(change) for change in kept_by_fleet(offered, later)],
+            [
+                'team hotel-group: upper_limit 900 -> 60',
+                'team new: upper_limit 50 -> 0',
+            ],
+        )
+
+
+teams = strategies.sampled_from(['hotel-group', 'gym-chain-west'])
+keys = strategies.sampled_from(['demo', 'k1', 'k2'])
+zones = strategies.sampled_from(['sofia', 'varna'])
+hosts = strategies.sampled_from([HOST, 'quotes-south-varna-1'])
+
+
+class EditMachine(RuleBasedStateMachine):
+    """Guards against an edit, or older files, that undo another edit."""
+
+    def __init__(self):
+        super().__init__()
+        self.configuration = FIRST
+        self.history = [FIRST]
+        self.keys = {(team, 'demo') for team in FIRST.teams_by_id}
+        self.zones_out = set()
+        self.draining = set()
+
+    def _edit(self, kind, **fields):
+        outcome = edited(self.configuration, kind, **fields)
+        if isinstance(outcome, Ok):
+            self.configuration = outcome.ok_value
+            self.history.append(self.configuration)
+        return isinstance(outcome, Ok)
+
+    @rule(team=teams, key=keys)
+    def give(self, team, key):
+        given = self._edit('give_key', team=team, key_id=key, key_record=RECORD)
+        record = self.configuration.teams_by_id[team].keys_by_id[key]
+        assert given == (record == RECORD)
+        self.keys.add((team, key))
+
+    @rule(team=teams, key=keys)
+    def withdraw(self, team, key):
+        known = (team, key) in self.keys
+        assert self._edit('withdraw_key', team=team, key_id=key) == known
+        self.keys.discard((team, key))
+
+    @rule(zone=zones, out=strategies.booleans())
+    def zone(self, zone, out):
+        assert self._edit('zone_out' if out else 'zone_back', availability_zone=zone)
+        (self.zones_out.add if out else self.zones_out.discard)(zone)
+
+    @rule(host=hosts, drain=strategies.booleans())
+    def drain(self, host, drain):
+        assert self._edit('drain_host' if drain else 'undrain_host', host_id=host)
+        (self.draining.add if drain else self.draining.discard)(host)
+
+    @rule(choice=strategies.integers(0, 1000))
+    def apply_older_files(self, choice):
+        offered = self.history[choice % len(self.history)]
+        assert self._edit('apply_configuration', configuration=offered)
+
+    @invariant()
+    def matches_the_oracle(self):
+        now = self.configuration
+        found = {(t, k) for t, team in now.teams_by_id.items() for k in team.keys_by_id}
+        assert found == self.keys
+        states = now.availability_zones_by_id.items()
+        out = {zone for zone, z in states if z.state is ZoneState.OUT_OF_SERVICE}
+        assert out == self.zones_out
+        hosts_now = now.hosts_by_id.items()
+        assert {
+            h for h, v in hosts_now if v.state is HostState.DRAINING
+        } == self.draining
+        assert len(hosts_now) == len(FIRST.hosts_by_id)
+        assert now.bounds == FIRST.bounds
+
+
+EditMachineTest = EditMachine.TestCase
+EditMachineTest.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=25,
+)
