Open backend links on use and ask idle servers rarely

Cause: a usage call to each of 660 servers every 2 s would cost an entry host 330 calls a second, and a full host list every 2 s about 10 KB a second, against 2% of a core and 5 KB a second. Change: links are opened on first use; only own-zone servers are polled while idle, every 30 s; a lost server is asked every 2 s; the host list is read with an entity tag; peers are pinged every 4 s while the platform answers and every 2 s otherwise. Ruled out: longer polling alone, which would keep a dead server in use for as long; a failed start now reports it at once. Conclusion: idle cost grows with the own zone, not with the fleet.

--- a/dandelionknot/_backend_link.py
+++ b/dandelionknot/_backend_link.py
@@ -1,6 +1,7 @@
 """One task for each backend server: starts, follows, renews and stops tasks."""
 
 import asyncio
+import contextlib
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -32,6 +33,8 @@
 LEASE_RENEWALS_PER_LEASE = 3
 FIRST_WAIT_MS = 1000
 MAX_STALE_TOKENS = 3
+IDLE_POLL_MS = 30_000
+LOST_POLL_MS = 2000
 
 Random = Callable[[], float]
 
@@ -50,6 +53,24 @@
     running_by_task: dict[str, StartOrder] = field(default_factory=dict)
     stop_requested: set[str] = field(default_factory=set)
     reachable: bool = True
+    last_heard_ms: int = 0
+    last_used_ms: int = 0
+    lost: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def heard(self) -> None:
+        """Notes an answer of the server."""
+        self.last_heard_ms = now_ms()
+        if not self.reachable:
+            self.reachable = True
+            log_event(Event.HOST_REACHED, host_id=self.host_id)
+
+    def not_heard(self) -> None:
+        """Notes a call without an answer and has the server asked again soon."""
+        if self.reachable:
+            self.reachable = False
+            log_event(Event.HOST_UNREACHABLE, host_id=self.host_id)
+        self.dispatcher.send(HostSilent(host_id=self.host_id))
+        self.lost.set()
 
     def keep_token(self, token: str, asked_ms: int) -> None:
         """Keeps a token; its age counts from before the server issued it."""
@@ -68,6 +89,7 @@
     usage = await link.port.usage()
     if isinstance(usage, Err):
         return usage
+    link.heard()
     link.keep_token(usage.ok_value.start_token, asked_ms)
     link.dispatcher.send(HostUsage(host_id=link.host_id, usage=usage.ok_value))
     return Ok(None)
@@ -100,6 +122,7 @@
         return None
     refreshed = await _refresh_token(link)
     if isinstance(refreshed, Err):
+        link.not_heard()
         return refreshed.err_value.message
     check = StartCheck(request_id=order.task.request_id)
     allowed = await link.dispatcher.ask(check)
@@ -123,12 +146,14 @@
         asked_ms = now_ms()
         started = await link.port.start(task)
         if isinstance(started, Ok):
+            link.heard()
             link.keep_token(started.ok_value.start_token, asked_ms)
             if started.ok_value.refusal is StartRefusal.STALE_TOKEN:
                 link.token = ''
                 continue
             return await _follow(link, order, started.ok_value)
         if started.err_value.kind is PortErrorKind.NOT_SENT:
+            link.not_heard()
             message = started.err_value.message
             return _end(order, link, AttemptEnd.NOT_SENT, message=message)
         return await _settle(link, order)
@@ -208,6 +233,7 @@
                 return await _follow(link, order, report)
         await asyncio.sleep(seconds(back_off_ms))
         back_off_ms = min(back_off_ms * 2, MAX_SETTLE_BACK_OFF_MS)
+    link.not_heard()
     log_event(Event.ATTEMPT_OUTCOME_UNKNOWN, task_id=task_id, host_id=link.host_id)
     return _end(order, link, AttemptEnd.NO_ANSWER)
 
@@ -242,22 +268,33 @@
             link.keep_token(renewed.ok_value.start_token, asked_ms)
 
 
-async def _poll_usage(link: _Link, interval_ms: int, random: Random) -> None:
-    """Reads usage at the interval, spread out so that servers are not asked at once."""
-    await asyncio.sleep(seconds(interval_ms * random()))
+async def _poll_usage(link: _Link, always: bool, random: Random) -> None:
+    """Reads usage of a server that gave no answer for a while.
+
+    An idle server of another zone is not asked. A server that was lost is
+    asked often until it answers, over a fresh connection each time.
+    """
+    await asyncio.sleep(seconds(IDLE_POLL_MS * random()))
     while True:
+        now = now_ms()
+        is_used = always or now - link.last_used_ms < IDLE_POLL_MS
+        is_quiet = now - link.last_heard_ms >= IDLE_POLL_MS
+        if not link.reachable or (is_used and is_quiet):
+            await _ask_twice(link)
+        interval_ms = IDLE_POLL_MS if link.reachable else LOST_POLL_MS
+        link.lost.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(link.lost.wait(), seconds(interval_ms))
+            await asyncio.sleep(seconds(LOST_POLL_MS))
+
+
+async def _ask_twice(link: _Link) -> None:
+    """The second call opens a fresh connection, as the first may have been silent."""
+    for _ in range(2):
         polled = await _refresh_token(link)
-        if isinstance(polled, Err):
-            polled = await _refresh_token(link)
-        if isinstance(polled, Err) and link.reachable:
-            link.reachable = False
-            log_event(Event.HOST_UNREACHABLE, host_id=link.host_id)
-        elif isinstance(polled, Ok) and not link.reachable:
-            link.reachable = True
-            log_event(Event.HOST_REACHED, host_id=link.host_id)
-        if not link.reachable:
-            link.dispatcher.send(HostSilent(host_id=link.host_id))
-        await asyncio.sleep(seconds(interval_ms))
+        if isinstance(polled, Ok):
+            return
+    link.not_heard()
 
 
 async def run_backend_link(
@@ -267,7 +304,7 @@
     dispatcher: Mailbox,
     lease_ms: int,
     token_ms: int,
-    usage_interval_ms: int,
+    always_poll: bool,
     random: Random,
 ) -> None:
     """Carries out start and stop orders for one backend server."""
@@ -275,7 +312,7 @@
     async with asyncio.TaskGroup() as group:
         upkeep = [
             group.create_task(_renew_leases(link)),
-            group.create_task(_poll_usage(link, usage_interval_ms, random)),
+            group.create_task(_poll_usage(link, always_poll, random)),
         ]
         attempts: set[asyncio.Task] = set()
         while True:
@@ -283,6 +320,7 @@
             if isinstance(message, StopService):
                 break
             if isinstance(message, StartOrder):
+                link.last_used_ms = now_ms()
                 attempt = group.create_task(_attempt(link, message))
                 attempts.add(attempt)
                 attempt.add_done_callback(attempts.discard)
--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -57,6 +57,11 @@
                 host_id: host.address
                 for host_id, host in configuration.hosts_by_id.items()
             },
+            polled_hosts=[
+                host_id
+                for host_id, host in configuration.hosts_by_id.items()
+                if host.availability_zone == state.own_zone
+            ],
             lease_ms=configuration.bounds.task_lease_ms,
             token_ms=configuration.bounds.start_token_ms,
         )
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -164,6 +164,7 @@
     result_length: int | None = None
     result_digest: str | None = None
     message: str | None = None
+    running: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1030,7 +1031,7 @@
     max_body_bytes: int = 1048576
     max_requests: int = 20000
     member_lease_ms: int = 10000
-    peer_ping_interval_ms: int = 1000
+    peer_ping_interval_ms: int = 2000
     platform_read_interval_ms: int = 2000
     connect_timeout_ms: int = 500
     read_timeout_ms: int = 2000
@@ -1240,12 +1241,13 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpdateLinks:
     """
-    The backend servers to keep links to.
+    The backend servers that may be used, and those whose usage is read while idle.
     """
 
     addresses_by_host: dict[str, str]
     lease_ms: int
     token_ms: int
+    polled_hosts: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1257,6 +1259,98 @@
     reserved: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorChange:
+    """
+    A change that an authenticated operator asked for.
+    """
+
+    operator_id: str
+    change: ChangeRequest
+    wait_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeQuery:
+    """
+    Asks what became of a change.
+    """
+
+    change_id: str
+
+
+class FleetStep(StrEnum):
+    """
+    What the fleet does by itself to carry out a move or a plan.
+    """
+
+    CONFIRM_DRAINED = "confirm_drained"
+    ASSIGN_MOVE = "assign_move"
+    WAVE_DRAIN = "wave_drain"
+    WAVE_MAINTAIN = "wave_maintain"
+    WAVE_RETURN = "wave_return"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetChange:
+    """
+    A change that an entry host makes to carry out a move or a plan.
+    """
+
+    change_id: str
+    expected_version: int
+    step: FleetStep
+    plan_id: str | None = None
+    hosts: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AcceptanceQuery:
+    """
+    Asks whether a version is in force everywhere, waiting until it is or the time is over.
+    """
+
+    version: int
+    wait_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatusQuery:
+    """
+    Asks for the state of the fleet as seen here.
+    """
+
+    reserved: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationQuery:
+    """
+    Asks for the configuration in force here.
+    """
+
+    reserved: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WhyQuery:
+    """
+    Asks for the decisions about a subject.
+    """
+
+    kind: WhyKind
+    subject_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HistogramQuery:
+    """
+    Asks for the histograms of this entry host.
+    """
+
+    reserved: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestBody:
     """
--- a/dandelionknot/_http_client.py
+++ b/dandelionknot/_http_client.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import TypeVar
+from http import HTTPStatus
+from typing import Generic, TypeVar
 
 import pycurl
 from result import Err, Ok, Result
@@ -83,6 +84,21 @@
     return HttpClient(force_instance=True, max_clients=max_connections)
 
 
+@dataclass(slots=True)
+class Known(Generic[T]):
+    """The last answer to a conditional call and its entity tag."""
+
+    entity_tag: str = ''
+    value: T | None = None
+
+
+def _headers(known: Known | None) -> dict[str, str]:
+    headers = {'Content-Type': 'application/json'}
+    if known is not None and known.entity_tag:
+        headers['If-None-Match'] = known.entity_tag
+    return headers
+
+
 def _prepare(target: HttpTarget, fresh: bool) -> Callable[[pycurl.Curl], None]:
     def prepare(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
@@ -106,19 +122,21 @@
     cls: type[T],
     body: object | None = None,
     extra_wait_ms: int = 0,
+    known: Known[T] | None = None,
 ) -> Result[T, PortError]:
     """Makes one call and decodes the answer into a schema class.
 
     `extra_wait_ms` is added to the read timeout for calls in which the server
     waits on purpose. After a call without an answer the next one opens a new
-    connection, since a pooled one may have gone silent.
+    connection, since a pooled one may have gone silent. `known` makes the call
+    conditional: an unchanged resource is not sent again.
     """
     timeout_ms = target.connect_timeout_ms + target.read_timeout_ms + extra_wait_ms
     request = HTTPRequest(
         f'http://{target.address}{path}',
         method=method,
         body=None if body is None else codec.encode_json(body),
-        headers={'Content-Type': 'application/json'},
+        headers=_headers(known),
         allow_nonstandard_methods=True,
         connect_timeout=seconds(target.connect_timeout_ms),
         request_timeout=seconds(timeout_ms),
@@ -135,6 +153,8 @@
         kind = _error_kind(response.error or OSError())
         return Err(PortError(kind=kind, message=f'{path}: {response.error}'))
     target.health.suspect = False
+    if response.code == HTTPStatus.NOT_MODIFIED and known and known.value is not None:
+        return Ok(known.value)
     if response.code >= HTTP_SERVER_ERROR:
         message = f'{path}: HTTP status {response.code}'
         return Err(PortError(kind=PortErrorKind.NO_ANSWER, message=message))
@@ -142,4 +162,7 @@
     if isinstance(decoded, Err):
         problem = str(decoded.err_value)
         return Err(PortError(kind=PortErrorKind.MALFORMED, message=problem))
+    if known is not None:
+        known.entity_tag = response.headers.get('Etag', '')
+        known.value = decoded.ok_value
     return Ok(decoded.ok_value)
--- a/dandelionknot/_links.py
+++ b/dandelionknot/_links.py
@@ -1,7 +1,8 @@
 """Keeps one link task for each backend server and passes orders to it."""
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from result import Err
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -21,7 +22,6 @@
 )
 
 LINK_MAILBOX_CAPACITY = 1000
-USAGE_INTERVAL_MS = 2000
 
 
 @dataclass(slots=True)
@@ -30,56 +30,77 @@
     mailbox: Mailbox
 
 
+@dataclass(slots=True)
+class _Links:
+    """Open links by host, and the addresses from which more can be opened."""
+
+    update: UpdateLinks
+    open_by_host: dict[str, _OpenLink] = field(default_factory=dict)
+
+
 async def run_links(
     context: Context,
     mailbox: Mailbox,
     dispatcher: Mailbox,
     client: CurlAsyncHTTPClient,
 ) -> None:
-    """Opens and closes links as told and passes start and stop orders to them."""
-    links_by_host: dict[str, _OpenLink] = {}
+    """Passes start and stop orders to the link of each host.
+
+    A link is opened when it is first used; links to the hosts that the update
+    says to poll are opened at once.
+    """
+    links = _Links(UpdateLinks(addresses_by_host={}, lease_ms=1, token_ms=1))
     async with asyncio.TaskGroup() as group:
+
+        def open_link(host_id: str, address: str) -> _OpenLink:
+            link = _OpenLink(address, Mailbox(LINK_MAILBOX_CAPACITY))
+            links.open_by_host[host_id] = link
+            group.create_task(
+                run_backend_link(
+                    host_id,
+                    http_backend_port(http_target(context.settings, client, address)),
+                    link.mailbox,
+                    dispatcher,
+                    links.update.lease_ms,
+                    links.update.token_ms,
+                    host_id in links.update.polled_hosts,
+                    context.random,
+                )
+            )
+            return link
+
         while True:
             message = await mailbox.receive()
             if isinstance(message, UpdateLinks):
-                _close_removed(links_by_host, message)
-                for host_id, address in message.addresses_by_host.items():
-                    if host_id in links_by_host:
-                        continue
-                    link: Mailbox = Mailbox(LINK_MAILBOX_CAPACITY)
-                    links_by_host[host_id] = _OpenLink(address, link)
-                    target = http_target(context.settings, client, address)
-                    group.create_task(
-                        run_backend_link(
-                            host_id,
-                            http_backend_port(target),
-                            link,
-                            dispatcher,
-                            message.lease_ms,
-                            message.token_ms,
-                            USAGE_INTERVAL_MS,
-                            context.random,
-                        )
-                    )
+                links.update = message
+                _close_removed(links)
+                for host_id in message.polled_hosts:
+                    if host_id not in links.open_by_host:
+                        open_link(host_id, message.addresses_by_host[host_id])
                 continue
-            await _pass_order(links_by_host, message, dispatcher)
+            await _pass_order(links, message, dispatcher, open_link)
 
 
-def _close_removed(links_by_host: dict[str, _OpenLink], update: UpdateLinks) -> None:
+def _close_removed(links: _Links) -> None:
     """Lets links to removed hosts end once their tasks have ended."""
-    for host_id in list(links_by_host):
-        link = links_by_host[host_id]
-        if update.addresses_by_host.get(host_id) != link.address:
+    for host_id in list(links.open_by_host):
+        link = links.open_by_host[host_id]
+        if links.update.addresses_by_host.get(host_id) != link.address:
             link.mailbox.send(StopService(reason='the host was removed'))
-            del links_by_host[host_id]
+            del links.open_by_host[host_id]
 
 
 async def _pass_order(
-    links_by_host: dict[str, _OpenLink],
+    links: _Links,
     order: StartOrder | StopOrder,
     dispatcher: Mailbox,
+    open_link: Callable[[str, str], _OpenLink],
 ) -> None:
-    link = links_by_host.get(order.host_id)
+    host_id = order.host_id
+    link = links.open_by_host.get(host_id)
+    address = links.update.addresses_by_host.get(host_id)
+    if link is None and address is not None:
+        link = open_link(host_id, address)
     if link is not None and not isinstance(link.mailbox.send(order), Err):
         return
     if isinstance(order, StartOrder):
@@ -87,7 +108,7 @@
             AttemptEnded(
                 request_id=order.task.request_id,
                 attempt=order.task.attempt,
-                host_id=order.host_id,
+                host_id=host_id,
                 end=AttemptEnd.NOT_SENT,
                 message='there is no link to the host',
             )
--- a/dandelionknot/_platform_http.py
+++ b/dandelionknot/_platform_http.py
@@ -4,7 +4,7 @@
 
 from result import Result
 
-from dandelionknot._http_client import HttpTarget, call
+from dandelionknot._http_client import HttpTarget, Known, call
 from dandelionknot.messages import (
     HostList,
     LeaseGrant,
@@ -18,6 +18,7 @@
 
 def http_platform_port(target: HttpTarget) -> PlatformPort:
     """Returns the port to the platform at the target's address."""
+    known_hosts: Known[HostList] = Known()
 
     async def read(key: str) -> Result[StoredValue, PortError]:
         return await call(target, 'GET', f'/v1/values/{quote(key)}', StoredValue)
@@ -49,7 +50,7 @@
         return await call(target, 'POST', path, LeaseGrant, {})
 
     async def list_hosts() -> Result[HostList, PortError]:
-        return await call(target, 'GET', '/v1/hosts', HostList)
+        return await call(target, 'GET', '/v1/hosts', HostList, known=known_hosts)
 
     return PlatformPort(
         read=read,
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -24,7 +24,7 @@
     run_writer,
 )
 from dandelionknot._state import DispatcherState, Outboxes
-from dandelionknot.clock import seconds
+from dandelionknot.clock import now_ms, seconds
 from dandelionknot.context import Context
 from dandelionknot.events import Event, log_event
 from dandelionknot.messages import (
@@ -37,6 +37,9 @@
 
 MAILBOX_CAPACITY = 1000
 PLATFORM_CONNECTIONS = 8
+# Peers matter for freshness only while the platform gives no answer.
+QUIET_PING_FACTOR = 2
+PLATFORM_QUIET_MS = 2500
 
 
 @dataclass(slots=True)
@@ -129,7 +132,12 @@
     caller_server = start_caller_server(settings, dispatcher)
 
     def ping_ms() -> tuple[int, int]:
-        return settings.peer_ping_interval_ms, state.configuration.version
+        read_ms = state.platform_read_sent_ms
+        is_read = read_ms is not None and now_ms() - read_ms <= PLATFORM_QUIET_MS
+        interval_ms = settings.peer_ping_interval_ms
+        if is_read:
+            interval_ms *= QUIET_PING_FACTOR
+        return interval_ms, state.configuration.version
 
     work: list[Awaitable[None]] = [
         run_dispatcher(state, dispatcher),
