--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -19,7 +19,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'$schema': 'http://json-schema.org/draft-07/schema#', 'type': 'object', 'properties': {'RunState': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'RequestMode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'RequestPhase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'ErrorCode': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'RequestBody': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'AnswerBody': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'$ref': '#/$defs/ErrorCode'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, 'Refusal': {'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'$ref': '#/$defs/ErrorCode'}, 'message': {'type': 'string'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, 'TaskState': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'StartRefusal': {'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, 'TaskStart': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'TaskReport': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'LeaseRenewal': {'type': 'object', 'additionalProperties': False, 'required': ['task_ids', 'lease_ms'], 'description': 'Renews the leases of running tasks.', 'properties': {'task_ids': {'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, 'lease_ms': {'type': 'integer', 'minimum': 1}}}, 'LeaseReport': {'type': 'object', 'additionalProperties': False, 'required': ['renewed', 'missing', 'start_token'], 'description': 'Which leases were renewed and which tasks are not running.', 'properties': {'renewed': {'type': 'array', 'items': {'type': 'string'}}, 'missing': {'type': 'array', 'items': {'type': 'string'}}, 'start_token': {'type': 'string'}}}, 'UsageReport': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}, 'ZoneState': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}, 'HostState': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'QueueAccess': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'Priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'MovePhase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'PlanState': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'FleetBounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'AvailabilityZone': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'Host': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Pool': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'Service': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'KeyRecord': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'Team': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'Cooperative': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'LimitProposal': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'HostMove': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'MaintenancePlan': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'Site': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'Configuration': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, 'ZoneOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'HostOverlay': {'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, 'PlanOverlay': {'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, 'TeamOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'SiteOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['site', 'availability_zones'], 'description': 'What one site changes in the base file; null removes a host or a plan.', 'properties': {'site': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zones': {'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/ZoneOverlay'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/HostOverlay'}, {'type': 'null'}]}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/TeamOverlay'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/PlanOverlay'}, {'type': 'null'}]}, 'default': {}}}}, 'EditKind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'Edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'$ref': '#/$defs/EditKind'}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'ChangeRequest': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'$ref': '#/$defs/Edit'}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'ChangeOutcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'ChangeReport': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'outcome', 'version'], 'description': 'Outcome of a change, the version it made or met, and who has not confirmed it.', 'properties': {'change_id': {'type': 'string'}, 'outcome': {'$ref': '#/$defs/ChangeOutcome'}, 'version': {'type': 'integer', 'minimum': 0}, 'unconfirmed': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'message': {'type': 'string', 'default': ''}, 'changes': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'MemberStatus': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}, 'HostCondition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'HostStatus': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'TaskStatus': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'FleetStatus': {'type': 'object', 'additionalProperties': False, 'required': ['version', 'members'], 'description': 'State of the fleet as the answering entry host sees it.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'members': {'type': 'array', 'items': {'$ref': '#/$defs/MemberStatus'}}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'hosts': {'type': 'array', 'items': {'$ref': '#/$defs/HostStatus'}, 'default': []}, 'unavailable_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'running_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'queued_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'WhyKind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'JournalEntry': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}, 'WhyReport': {'type': 'object', 'additionalProperties': False, 'required': ['kind', 'id', 'entries'], 'description': 'The decisions about one subject, oldest first, and its state if known.', 'properties': {'kind': {'$ref': '#/$defs/WhyKind'}, 'id': {'type': 'string'}, 'entries': {'type': 'array', 'items': {'$ref': '#/$defs/JournalEntry'}}, 'task': {'oneOf': [{'$ref': '#/$defs/TaskStatus'}, {'type': 'null'}], 'default': None}, 'host': {'oneOf': [{'$ref': '#/$defs/HostStatus'}, {'type': 'null'}], 'default': None}}}, 'HistogramSummary': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}, 'HistogramReport': {'type': 'object', 'additionalProperties': False, 'required': ['histograms'], 'description': 'Histograms of the answering entry host.', 'properties': {'histograms': {'type': 'array', 'items': {'$ref': '#/$defs/HistogramSummary'}}}}, 'PeerMessageKind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'Envelope': {'type': 'object', 'required': ['protocol', 'kind', 'body'], 'description': 'Outer message; unknown extra fields come from newer versions and are ignored.', 'properties': {'protocol': {'type': 'integer', 'minimum': 1}, 'kind': {'type': 'string', 'maxLength': 64}, 'call_id': {'type': 'integer', 'minimum': 0, 'default': 0}, 'body': {'type': 'object'}}}, 'Hello': {'type': 'object', 'required': ['member_id', 'incarnation', 'availability_zone', 'proof'], 'description': 'First message in each direction; the proof shows knowledge of the peer secret.', 'properties': {'member_id': {'type': 'string', 'maxLength': 64}, 'incarnation': {'type': 'string', 'maxLength': 64}, 'availability_zone': {'type': 'string', 'maxLength': 64}, 'proof': {'type': 'string', 'maxLength': 128}}}, 'Ping': {'type': 'object', 'required': ['configuration_version'], 'description': 'Asks a peer how fresh its knowledge is.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}}}, 'Pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'ConfigurationOffer': {'type': 'object', 'required': ['configuration'], 'description': 'A configuration newer than the one the peer named.', 'properties': {'configuration': {'$ref': '#/$defs/Configuration'}}}, 'ForwardedRequest': {'type': 'object', 'required': ['request', 'arrival_age_ms'], 'description': 'A request for its slice owner; the authenticated team is null on open queues.', 'properties': {'request': {'$ref': '#/$defs/RequestBody'}, 'team': {'type': ['string', 'null'], 'default': None}, 'arrival_age_ms': {'type': 'integer', 'minimum': 0}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, 'FetchAnswer': {'type': 'object', 'required': ['request_id'], 'description': 'Asks for the answer to a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'CancelRequest': {'type': 'object', 'required': ['request_id'], 'description': 'Asks to cancel a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, 'ForwardedAnswer': {'type': 'object', 'description': 'Answer of a slice owner; exactly one of the two fields is set.', 'properties': {'answer': {'oneOf': [{'$ref': '#/$defs/AnswerBody'}, {'type': 'null'}], 'default': None}, 'refusal': {'oneOf': [{'$ref': '#/$defs/Refusal'}, {'type': 'null'}], 'default': None}}}, 'StoredValue': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}, 'StoredList': {'type': 'object', 'additionalProperties': False, 'required': ['revision', 'values'], 'description': 'All values below a prefix at one revision.', 'properties': {'revision': {'type': 'integer', 'minimum': 0}, 'values': {'type': 'array', 'items': {'$ref': '#/$defs/StoredValue'}}, 'deleted_keys': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'WriteOutcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'WriteResult': {'type': 'object', 'additionalProperties': False, 'required': ['outcome', 'revision'], 'description': "Outcome of a compare-and-swap and the key's revision now (0 if absent).", 'properties': {'outcome': {'$ref': '#/$defs/WriteOutcome'}, 'revision': {'type': 'integer', 'minimum': 0}}}, 'WriteRequest': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'LeaseGrant': {'type': 'object', 'additionalProperties': False, 'required': ['lease_id', 'ttl_ms'], 'description': 'A lease of the key-value service.', 'properties': {'lease_id': {'type': 'string'}, 'ttl_ms': {'type': 'integer', 'minimum': 1}}}, 'ListedHostState': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'HostList': {'type': 'object', 'additionalProperties': False, 'required': ['states_by_host'], 'description': "The platform's lagging list of hosts.", 'properties': {'states_by_host': {'type': 'object', 'additionalProperties': {'$ref': '#/$defs/ListedHostState'}}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Member': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'GrantRecord': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'SliceMap': {'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Claim': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}, 'ClaimSegment': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'claims'], 'description': 'A group of claims written at once by a slice owner.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string', 'default': ''}, 'claims': {'type': 'array', 'items': {'$ref': '#/$defs/Claim'}}, 'newest_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'PeerAddress': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'address'], 'description': 'A peer entry host that is known before the platform answers.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}}}, 'TlsSettings': {'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, 'StatsdSettings': {'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, 'LogLevel': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'EntrySettings': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id'], 'description': 'Settings of an entry host process.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'caller_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'operator_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'peer_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'platform_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'advertised_peer_address': {'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, 'peer_secret': {'type': 'string', 'minLength': 16, 'maxLength': 256}, 'operator_tokens_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, 'caller_tls': {'oneOf': [{'$ref': '#/$defs/TlsSettings'}, {'type': 'null'}], 'default': None}, 'statsd': {'oneOf': [{'$ref': '#/$defs/StatsdSettings'}, {'type': 'null'}], 'default': None}, 'log_level': {'$ref': '#/$defs/LogLevel', 'default': 'INFO'}, 'max_body_bytes': {'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, 'max_requests': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, 'member_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, 'peer_ping_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'platform_read_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'connect_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, 'read_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, 'source_ip': {'type': ['string', 'null'], 'default': None}, 'backend_connections': {'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, 'claim_flush_ms': {'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, 'drain_timeout_ms': {'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}}}, 'SubmitRequest': {'type': 'object', 'additionalProperties': False, 'required': ['request'], 'description': 'A request that arrived from a caller or, if forwarded, from a peer.', 'properties': {'request': {'$ref': '#/$defs/RequestBody'}, 'presented_key': {'type': ['string', 'null'], 'default': None}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'forwarded': {'type': 'boolean', 'default': False}}}, 'PlatformView': {'type': 'object', 'additionalProperties': False, 'required': ['question_sent_ms', 'revision'], 'description': 'What the platform held when the question sent at this time was answered.', 'properties': {'question_sent_ms': {'type': 'integer'}, 'revision': {'type': 'integer', 'minimum': 0}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'members_by_id': {'type': 'object', 'additionalProperties': {'$ref': '#/$defs/Member'}, 'default': {}}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'alive_ids': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'slices': {'oneOf': [{'$ref': '#/$defs/SliceMap'}, {'type': 'null'}], 'default': None}, 'slices_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'grants_by_team': {'type': 'object', 'additionalProperties': {'$ref': '#/$defs/GrantRecord'}, 'default': {}}, 'grant_revisions_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, 'listed_states_by_host': {'type': 'object', 'additionalProperties': {'$ref': '#/$defs/ListedHostState'}, 'default': {}}}}, 'PeerAnswered': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'question_sent_ms', 'pong'], 'description': 'A peer answered a ping that was sent at this time.', 'properties': {'member_id': {'type': 'string'}, 'question_sent_ms': {'type': 'integer'}, 'pong': {'$ref': '#/$defs/Pong'}}}, 'StartOrder': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms'], 'description': 'Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.', 'properties': {'host_id': {'type': 'string'}, 'task': {'$ref': '#/$defs/TaskStart'}, 'deadline_at_ms': {'type': 'integer'}, 'checked_at_ms': {'type': 'integer'}, 'settle_until_ms': {'type': 'integer'}}}, 'StopOrder': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task_id'], 'description': 'Order to a backend link to stop a task.', 'properties': {'host_id': {'type': 'string'}, 'task_id': {'type': 'string'}}}, 'StartCheck': {'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'Asks the dispatcher whether a start that waited for a token is still allowed.', 'properties': {'request_id': {'type': 'string'}}}, 'AttemptEnd': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'AttemptEnded': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'attempt', 'host_id', 'end'], 'description': 'The end of one attempt with the last report of the backend server, if any.', 'properties': {'request_id': {'type': 'string'}, 'attempt': {'type': 'integer'}, 'host_id': {'type': 'string'}, 'end': {'$ref': '#/$defs/AttemptEnd'}, 'report': {'oneOf': [{'$ref': '#/$defs/TaskReport'}, {'type': 'null'}], 'default': None}, 'message': {'type': 'string', 'default': ''}}}, 'HostUsage': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'usage'], 'description': 'Usage that a backend server reported.', 'properties': {'host_id': {'type': 'string'}, 'usage': {'$ref': '#/$defs/UsageReport'}}}, 'HostSilent': {'type': 'object', 'additionalProperties': False, 'required': ['host_id'], 'description': 'A backend server did not answer a usage call, also not over a fresh connection.', 'properties': {'host_id': {'type': 'string'}}}, 'Tick': {'type': 'object', 'additionalProperties': False, 'required': ['now_ms'], 'description': 'Periodic message that lets a task look at its deadlines.', 'properties': {'now_ms': {'type': 'integer'}}}, 'StopService': {'type': 'object', 'additionalProperties': False, 'required': ['reason'], 'description': 'Order to stop taking new work and to end once running work has been answered.', 'properties': {'reason': {'type': 'string'}}}, 'RecordMembership': {'type': 'object', 'additionalProperties': False, 'required': ['confirmed_version', 'members_revision'], 'description': "Order to write this member's record with what it has confirmed.", 'properties': {'confirmed_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0}}}, 'MemberJoined': {'type': 'object', 'additionalProperties': False, 'required': ['incarnation', 'joined_revision'], 'description': "This member's record is on the platform since this revision.", 'properties': {'incarnation': {'type': 'string'}, 'joined_revision': {'type': 'integer', 'minimum': 0}}}, 'UpdatePeers': {'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_member'], 'description': 'The peers to keep connections to.', 'properties': {'addresses_by_member': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, 'PeerCall': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'kind', 'body', 'timeout_ms'], 'description': 'Order to ask one peer and return its answer.', 'properties': {'member_id': {'type': 'string'}, 'kind': {'$ref': '#/$defs/PeerMessageKind'}, 'body': {'type': 'object'}, 'timeout_ms': {'type': 'integer', 'minimum': 1}}}, 'CallerGone': {'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'The caller of a request has closed its connection.', 'properties': {'request_id': {'type': 'string'}}}, 'ReadinessCheck': {'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher whether callers should be sent here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'WriteFinished': {'type': 'object', 'additionalProperties': False, 'required': ['request', 'outcome', 'revision'], 'description': 'A platform write that the dispatcher asked for; the outcome is null if it is not known.', 'properties': {'request': {'$ref': '#/$defs/WriteRequest'}, 'outcome': {'oneOf': [{'$ref': '#/$defs/WriteOutcome'}, {'type': 'null'}]}, 'revision': {'type': 'integer', 'minimum': 0}}}, 'UpdateLinks': {'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_host', 'lease_ms', 'token_ms'], 'description': 'The backend servers that may be used, and those whose usage is read while idle.', 'properties': {'addresses_by_host': {'type': 'object', 'additionalProperties': {'type': 'string'}}, 'polled_hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'token_ms': {'type': 'integer', 'minimum': 1}}}, 'WaitUntilIdle': {'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher to reply once every request has an outcome.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'OperatorChange': {'type': 'object', 'additionalProperties': False, 'required': ['operator_id', 'change'], 'description': 'A change that an authenticated operator asked for.', 'properties': {'operator_id': {'type': 'string'}, 'change': {'$ref': '#/$defs/ChangeRequest'}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'ChangeQuery': {'type': 'object', 'additionalProperties': False, 'required': ['change_id'], 'description': 'Asks what became of a change.', 'properties': {'change_id': {'type': 'string'}}}, 'FleetStep': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'FleetChange': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'step'], 'description': 'A change that an entry host makes to carry out a move or a plan.', 'properties': {'change_id': {'type': 'string'}, 'expected_version': {'type': 'integer'}, 'step': {'$ref': '#/$defs/FleetStep'}, 'plan_id': {'type': ['string', 'null'], 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'AcceptanceQuery': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'Asks whether a version is in force everywhere, waiting until it is or the time is over.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'StatusQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the state of the fleet as seen here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'ConfigurationQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the configuration in force here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'WhyQuery': {'type': 'object', 'additionalProperties': False, 'required': ['kind', 'subject_id'], 'description': 'Asks for the decisions about a subject.', 'properties': {'kind': {'$ref': '#/$defs/WhyKind'}, 'subject_id': {'type': 'string'}}}, 'HistogramQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the histograms of this entry host.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}}, '$defs': {'RunState': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'RequestMode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'RequestPhase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'ErrorCode': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'RequestBody': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'AnswerBody': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, 'Refusal': {'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'message': {'type': 'string'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, 'TaskState': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'StartRefusal': {'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, 'TaskStart': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'TaskReport': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'LeaseRenewal': {'type': 'object', 'additionalProperties': False, 'required': ['task_ids', 'lease_ms'], 'description': 'Renews the leases of running tasks.', 'properties': {'task_ids': {'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, 'lease_ms': {'type': 'integer', 'minimum': 1}}}, 'LeaseReport': {'type': 'object', 'additionalProperties': False, 'required': ['renewed', 'missing', 'start_token'], 'description': 'Which leases were renewed and which tasks are not running.', 'properties': {'renewed': {'type': 'array', 'items': {'type': 'string'}}, 'missing': {'type': 'array', 'items': {'type': 'string'}}, 'start_token': {'type': 'string'}}}, 'UsageReport': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}, 'ZoneState': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}, 'HostState': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'QueueAccess': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'Priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'MovePhase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'PlanState': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'FleetBounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'AvailabilityZone': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, 'Host': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Pool': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'Service': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'KeyRecord': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'Team': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}}}, 'Cooperative': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'LimitProposal': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'HostMove': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'MaintenancePlan': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'Site': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'Configuration': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}}}, 'ZoneOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, 'HostOverlay': {'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, 'PlanOverlay': {'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}}}, 'TeamOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}}}, 'SiteOverlay': {'type': 'object', 'additionalProperties': False, 'required': ['site', 'availability_zones'], 'description': 'What one site changes in the base file; null removes a host or a plan.', 'properties': {'site': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zones': {'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}}}, 'EditKind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'Edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'ChangeRequest': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'$ref': '#/$defs/EditKind'}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'ChangeOutcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'ChangeReport': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'outcome', 'version'], 'description': 'Outcome of a change, the version it made or met, and who has not confirmed it.', 'properties': {'change_id': {'type': 'string'}, 'outcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'version': {'type': 'integer', 'minimum': 0}, 'unconfirmed': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'message': {'type': 'string', 'default': ''}, 'changes': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'MemberStatus': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}, 'HostCondition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'HostStatus': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'TaskStatus': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'FleetStatus': {'type': 'object', 'additionalProperties': False, 'required': ['version', 'members'], 'description': 'State of the fleet as the answering entry host sees it.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'members': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'default': []}, 'unavailable_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'running_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'queued_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'WhyKind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'JournalEntry': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}, 'WhyReport': {'type': 'object', 'additionalProperties': False, 'required': ['kind', 'id', 'entries'], 'description': 'The decisions about one subject, oldest first, and its state if known.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'id': {'type': 'string'}, 'entries': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}}, 'task': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'host': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}}}, 'HistogramSummary': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}, 'HistogramReport': {'type': 'object', 'additionalProperties': False, 'required': ['histograms'], 'description': 'Histograms of the answering entry host.', 'properties': {'histograms': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}}}}, 'PeerMessageKind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'Envelope': {'type': 'object', 'required': ['protocol', 'kind', 'body'], 'description': 'Outer message; unknown extra fields come from newer versions and are ignored.', 'properties': {'protocol': {'type': 'integer', 'minimum': 1}, 'kind': {'type': 'string', 'maxLength': 64}, 'call_id': {'type': 'integer', 'minimum': 0, 'default': 0}, 'body': {'type': 'object'}}}, 'Hello': {'type': 'object', 'required': ['member_id', 'incarnation', 'availability_zone', 'proof'], 'description': 'First message in each direction; the proof shows knowledge of the peer secret.', 'properties': {'member_id': {'type': 'string', 'maxLength': 64}, 'incarnation': {'type': 'string', 'maxLength': 64}, 'availability_zone': {'type': 'string', 'maxLength': 64}, 'proof': {'type': 'string', 'maxLength': 128}}}, 'Ping': {'type': 'object', 'required': ['configuration_version'], 'description': 'Asks a peer how fresh its knowledge is.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}}}, 'Pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'ConfigurationOffer': {'type': 'object', 'required': ['configuration'], 'description': 'A configuration newer than the one the peer named.', 'properties': {'configuration': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}}}, 'ForwardedRequest': {'type': 'object', 'required': ['request', 'arrival_age_ms'], 'description': 'A request for its slice owner; the authenticated team is null on open queues.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'team': {'type': ['string', 'null'], 'default': None}, 'arrival_age_ms': {'type': 'integer', 'minimum': 0}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, 'FetchAnswer': {'type': 'object', 'required': ['request_id'], 'description': 'Asks for the answer to a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'CancelRequest': {'type': 'object', 'required': ['request_id'], 'description': 'Asks to cancel a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, 'ForwardedAnswer': {'type': 'object', 'description': 'Answer of a slice owner; exactly one of the two fields is set.', 'properties': {'answer': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'$ref': '#/$defs/ErrorCode'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'refusal': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'$ref': '#/$defs/ErrorCode'}, 'message': {'type': 'string'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}}}, 'StoredValue': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}, 'StoredList': {'type': 'object', 'additionalProperties': False, 'required': ['revision', 'values'], 'description': 'All values below a prefix at one revision.', 'properties': {'revision': {'type': 'integer', 'minimum': 0}, 'values': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}}, 'deleted_keys': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'WriteOutcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'WriteResult': {'type': 'object', 'additionalProperties': False, 'required': ['outcome', 'revision'], 'description': "Outcome of a compare-and-swap and the key's revision now (0 if absent).", 'properties': {'outcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'revision': {'type': 'integer', 'minimum': 0}}}, 'WriteRequest': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'LeaseGrant': {'type': 'object', 'additionalProperties': False, 'required': ['lease_id', 'ttl_ms'], 'description': 'A lease of the key-value service.', 'properties': {'lease_id': {'type': 'string'}, 'ttl_ms': {'type': 'integer', 'minimum': 1}}}, 'ListedHostState': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'HostList': {'type': 'object', 'additionalProperties': False, 'required': ['states_by_host'], 'description': "The platform's lagging list of hosts.", 'properties': {'states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Member': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'GrantRecord': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'SliceMap': {'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'Claim': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}, 'ClaimSegment': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'claims'], 'description': 'A group of claims written at once by a slice owner.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string', 'default': ''}, 'claims': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}}, 'newest_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'PeerAddress': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'address'], 'description': 'A peer entry host that is known before the platform answers.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}}}, 'TlsSettings': {'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, 'StatsdSettings': {'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, 'LogLevel': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'EntrySettings': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id'], 'description': 'Settings of an entry host process.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'caller_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'operator_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'peer_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'platform_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'advertised_peer_address': {'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, 'peer_secret': {'type': 'string', 'minLength': 16, 'maxLength': 256}, 'operator_tokens_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, 'caller_tls': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'statsd': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, {'type': 'null'}], 'default': None}, 'log_level': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'max_body_bytes': {'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, 'max_requests': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, 'member_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, 'peer_ping_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'platform_read_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'connect_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, 'read_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, 'source_ip': {'type': ['string', 'null'], 'default': None}, 'backend_connections': {'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, 'claim_flush_ms': {'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, 'drain_timeout_ms': {'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}}}, 'SubmitRequest': {'type': 'object', 'additionalProperties': False, 'required': ['request'], 'description': 'A request that arrived from a caller or, if forwarded, from a peer.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'presented_key': {'type': ['string', 'null'], 'default': None}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'forwarded': {'type': 'boolean', 'default': False}}}, 'PlatformView': {'type': 'object', 'additionalProperties': False, 'required': ['question_sent_ms', 'revision'], 'description': 'What the platform held when the question sent at this time was answered.', 'properties': {'question_sent_ms': {'type': 'integer'}, 'revision': {'type': 'integer', 'minimum': 0}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'members_by_id': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'alive_ids': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'slices': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'slices_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'grants_by_team': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'default': {}}, 'grant_revisions_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, 'listed_states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'default': {}}}}, 'PeerAnswered': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'question_sent_ms', 'pong'], 'description': 'A peer answered a ping that was sent at this time.', 'properties': {'member_id': {'type': 'string'}, 'question_sent_ms': {'type': 'integer'}, 'pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}}}, 'StartOrder': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms'], 'description': 'Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.', 'properties': {'host_id': {'type': 'string'}, 'task': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'deadline_at_ms': {'type': 'integer'}, 'checked_at_ms': {'type': 'integer'}, 'settle_until_ms': {'type': 'integer'}}}, 'StopOrder': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task_id'], 'description': 'Order to a backend link to stop a task.', 'properties': {'host_id': {'type': 'string'}, 'task_id': {'type': 'string'}}}, 'StartCheck': {'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'Asks the dispatcher whether a start that waited for a token is still allowed.', 'properties': {'request_id': {'type': 'string'}}}, 'AttemptEnd': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'AttemptEnded': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'attempt', 'host_id', 'end'], 'description': 'The end of one attempt with the last report of the backend server, if any.', 'properties': {'request_id': {'type': 'string'}, 'attempt': {'type': 'integer'}, 'host_id': {'type': 'string'}, 'end': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'report': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, 'message': {'type': 'string', 'default': ''}}}, 'HostUsage': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'usage'], 'description': 'Usage that a backend server reported.', 'properties': {'host_id': {'type': 'string'}, 'usage': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}}}, 'HostSilent': {'type': 'object', 'additionalProperties': False, 'required': ['host_id'], 'description': 'A backend server did not answer a usage call, also not over a fresh connection.', 'properties': {'host_id': {'type': 'string'}}}, 'Tick': {'type': 'object', 'additionalProperties': False, 'required': ['now_ms'], 'description': 'Periodic message that lets a task look at its deadlines.', 'properties': {'now_ms': {'type': 'integer'}}}, 'StopService': {'type': 'object', 'additionalProperties': False, 'required': ['reason'], 'description': 'Order to stop taking new work and to end once running work has been answered.', 'properties': {'reason': {'type': 'string'}}}, 'RecordMembership': {'type': 'object', 'additionalProperties': False, 'required': ['confirmed_version', 'members_revision'], 'description': "Order to write this member's record with what it has confirmed.", 'properties': {'confirmed_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0}}}, 'MemberJoined': {'type': 'object', 'additionalProperties': False, 'required': ['incarnation', 'joined_revision'], 'description': "This member's record is on the platform since this revision.", 'properties': {'incarnation': {'type': 'string'}, 'joined_revision': {'type': 'integer', 'minimum': 0}}}, 'UpdatePeers': {'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_member'], 'description': 'The peers to keep connections to.', 'properties': {'addresses_by_member': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, 'PeerCall': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'kind', 'body', 'timeout_ms'], 'description': 'Order to ask one peer and return its answer.', 'properties': {'member_id': {'type': 'string'}, 'kind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'body': {'type': 'object'}, 'timeout_ms': {'type': 'integer', 'minimum': 1}}}, 'CallerGone': {'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'The caller of a request has closed its connection.', 'properties': {'request_id': {'type': 'string'}}}, 'ReadinessCheck': {'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher whether callers should be sent here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'WriteFinished': {'type': 'object', 'additionalProperties': False, 'required': ['request', 'outcome', 'revision'], 'description': 'A platform write that the dispatcher asked for; the outcome is null if it is not known.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'outcome': {'oneOf': [{'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, {'type': 'null'}]}, 'revision': {'type': 'integer', 'minimum': 0}}}, 'UpdateLinks': {'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_host', 'lease_ms', 'token_ms'], 'description': 'The backend servers that may be used, and those whose usage is read while idle.', 'properties': {'addresses_by_host': {'type': 'object', 'additionalProperties': {'type': 'string'}}, 'polled_hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'token_ms': {'type': 'integer', 'minimum': 1}}}, 'WaitUntilIdle': {'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher to reply once every request has an outcome.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'OperatorChange': {'type': 'object', 'additionalProperties': False, 'required': ['operator_id', 'change'], 'description': 'A change that an authenticated operator asked for.', 'properties': {'operator_id': {'type': 'string'}, 'change': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'$ref': '#/$defs/Edit'}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'ChangeQuery': {'type': 'object', 'additionalProperties': False, 'required': ['change_id'], 'description': 'Asks what became of a change.', 'properties': {'change_id': {'type': 'string'}}}, 'FleetStep': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'FleetChange': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'step'], 'description': 'A change that an entry host makes to carry out a move or a plan.', 'properties': {'change_id': {'type': 'string'}, 'expected_version': {'type': 'integer'}, 'step': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'plan_id': {'type': ['string', 'null'], 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, 'AcceptanceQuery': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'Asks whether a version is in force everywhere, waiting until it is or the time is over.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'StatusQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the state of the fleet as seen here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'ConfigurationQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the configuration in force here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, 'WhyQuery': {'type': 'object', 'additionalProperties': False, 'required': ['kind', 'subject_id'], 'description': 'Asks for the decisions about a subject.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'subject_id': {'type': 'string'}}}, 'HistogramQuery': {'type': 'object', 'additionalProperties': False, 'description': 'Asks for the histograms of this entry host.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
