@@ -347,1083 +347,97 @@
             data_keys.remove("EntrySettings")
             data__EntrySettings = data["EntrySettings"]
             validate____defs_entrysettings(data__EntrySettings, custom_formats, (name_prefix or "data") + ".EntrySettings")
-        if "SubmitRequest" in data_keys:
-            data_keys.remove("SubmitRequest")
-            data__SubmitRequest = data["SubmitRequest"]
-            validate____defs_submitrequest(data__SubmitRequest, custom_formats, (name_prefix or "data") + ".SubmitRequest")
-        if "PlatformView" in data_keys:
-            data_keys.remove("PlatformView")
-            data__PlatformView = data["PlatformView"]
-            validate____defs_platformview(data__PlatformView, custom_formats, (name_prefix or "data") + ".PlatformView")
-        if "PeerAnswered" in data_keys:
-            data_keys.remove("PeerAnswered")
-            data__PeerAnswered = data["PeerAnswered"]
-            validate____defs_peeranswered(data__PeerAnswered, custom_formats, (name_prefix or "data") + ".PeerAnswered")
-        if "StartOrder" in data_keys:
-            data_keys.remove("StartOrder")
-            data__StartOrder = data["StartOrder"]
-            validate____defs_startorder(data__StartOrder, custom_formats, (name_prefix or "data") + ".StartOrder")
-        if "StopOrder" in data_keys:
-            data_keys.remove("StopOrder")
-            data__StopOrder = data["StopOrder"]
-            validate____defs_stoporder(data__StopOrder, custom_formats, (name_prefix or "data") + ".StopOrder")
-        if "StartCheck" in data_keys:
-            data_keys.remove("StartCheck")
-            data__StartCheck = data["StartCheck"]
-            validate____defs_startcheck(data__StartCheck, custom_formats, (name_prefix or "data") + ".StartCheck")
-        if "AttemptEnd" in data_keys:
-            data_keys.remove("AttemptEnd")
-            data__AttemptEnd = data["AttemptEnd"]
-            validate____defs_attemptend(data__AttemptEnd, custom_formats, (name_prefix or "data") + ".AttemptEnd")
-        if "AttemptEnded" in data_keys:
-            data_keys.remove("AttemptEnded")
-            data__AttemptEnded = data["AttemptEnded"]
-            validate____defs_attemptended(data__AttemptEnded, custom_formats, (name_prefix or "data") + ".AttemptEnded")
-        if "HostUsage" in data_keys:
-            data_keys.remove("HostUsage")
-            data__HostUsage = data["HostUsage"]
-            validate____defs_hostusage(data__HostUsage, custom_formats, (name_prefix or "data") + ".HostUsage")
-        if "HostSilent" in data_keys:
-            data_keys.remove("HostSilent")
-            data__HostSilent = data["HostSilent"]
-            validate____defs_hostsilent(data__HostSilent, custom_formats, (name_prefix or "data") + ".HostSilent")
-        if "Tick" in data_keys:
-            data_keys.remove("Tick")
-            data__Tick = data["Tick"]
-            validate____defs_tick(data__Tick, custom_formats, (name_prefix or "data") + ".Tick")
-        if "StopService" in data_keys:
-            data_keys.remove("StopService")
-            data__StopService = data["StopService"]
-            validate____defs_stopservice(data__StopService, custom_formats, (name_prefix or "data") + ".StopService")
-        if "RecordMembership" in data_keys:
-            data_keys.remove("RecordMembership")
-            data__RecordMembership = data["RecordMembership"]
-            validate____defs_recordmembership(data__RecordMembership, custom_formats, (name_prefix or "data") + ".RecordMembership")
-        if "MemberJoined" in data_keys:
-            data_keys.remove("MemberJoined")
-            data__MemberJoined = data["MemberJoined"]
-            validate____defs_memberjoined(data__MemberJoined, custom_formats, (name_prefix or "data") + ".MemberJoined")
-        if "UpdatePeers" in data_keys:
-            data_keys.remove("UpdatePeers")
-            data__UpdatePeers = data["UpdatePeers"]
-            validate____defs_updatepeers(data__UpdatePeers, custom_formats, (name_prefix or "data") + ".UpdatePeers")
-        if "PeerCall" in data_keys:
-            data_keys.remove("PeerCall")
-            data__PeerCall = data["PeerCall"]
-            validate____defs_peercall(data__PeerCall, custom_formats, (name_prefix or "data") + ".PeerCall")
-        if "CallerGone" in data_keys:
-            data_keys.remove("CallerGone")
-            data__CallerGone = data["CallerGone"]
-            validate____defs_callergone(data__CallerGone, custom_formats, (name_prefix or "data") + ".CallerGone")
-        if "ReadinessCheck" in data_keys:
-            data_keys.remove("ReadinessCheck")
-            data__ReadinessCheck = data["ReadinessCheck"]
-            validate____defs_readinesscheck(data__ReadinessCheck, custom_formats, (name_prefix or "data") + ".ReadinessCheck")
-        if "WriteFinished" in data_keys:
-            data_keys.remove("WriteFinished")
-            data__WriteFinished = data["WriteFinished"]
-            validate____defs_writefinished(data__WriteFinished, custom_formats, (name_prefix or "data") + ".WriteFinished")
-        if "UpdateLinks" in data_keys:
-            data_keys.remove("UpdateLinks")
-            data__UpdateLinks = data["UpdateLinks"]
-            validate____defs_updatelinks(data__UpdateLinks, custom_formats, (name_prefix or "data") + ".UpdateLinks")
-        if "WaitUntilIdle" in data_keys:
-            data_keys.remove("WaitUntilIdle")
-            data__WaitUntilIdle = data["WaitUntilIdle"]
-            validate____defs_waituntilidle(data__WaitUntilIdle, custom_formats, (name_prefix or "data") + ".WaitUntilIdle")
-        if "OperatorChange" in data_keys:
-            data_keys.remove("OperatorChange")
-            data__OperatorChange = data["OperatorChange"]
-            validate____defs_operatorchange(data__OperatorChange, custom_formats, (name_prefix or "data") + ".OperatorChange")
-        if "ChangeQuery" in data_keys:
-            data_keys.remove("ChangeQuery")
-            data__ChangeQuery = data["ChangeQuery"]
-            validate____defs_changequery(data__ChangeQuery, custom_formats, (name_prefix or "data") + ".ChangeQuery")
-        if "FleetStep" in data_keys:
-            data_keys.remove("FleetStep")
-            data__FleetStep = data["FleetStep"]
-            validate____defs_fleetstep(data__FleetStep, custom_formats, (name_prefix or "data") + ".FleetStep")
-        if "FleetChange" in data_keys:
-            data_keys.remove("FleetChange")
-            data__FleetChange = data["FleetChange"]
-            validate____defs_fleetchange(data__FleetChange, custom_formats, (name_prefix or "data") + ".FleetChange")
-        if "AcceptanceQuery" in data_keys:
-            data_keys.remove("AcceptanceQuery")
-            data__AcceptanceQuery = data["AcceptanceQuery"]
-            validate____defs_acceptancequery(data__AcceptanceQuery, custom_formats, (name_prefix or "data") + ".AcceptanceQuery")
-        if "StatusQuery" in data_keys:
-            data_keys.remove("StatusQuery")
-            data__StatusQuery = data["StatusQuery"]
-            validate____defs_statusquery(data__StatusQuery, custom_formats, (name_prefix or "data") + ".StatusQuery")
-        if "ConfigurationQuery" in data_keys:
-            data_keys.remove("ConfigurationQuery")
-            data__ConfigurationQuery = data["ConfigurationQuery"]
-            validate____defs_configurationquery(data__ConfigurationQuery, custom_formats, (name_prefix or "data") + ".ConfigurationQuery")
-        if "WhyQuery" in data_keys:
-            data_keys.remove("WhyQuery")
-            data__WhyQuery = data["WhyQuery"]
-            validate____defs_whyquery(data__WhyQuery, custom_formats, (name_prefix or "data") + ".WhyQuery")
-        if "HistogramQuery" in data_keys:
-            data_keys.remove("HistogramQuery")
-            data__HistogramQuery = data["HistogramQuery"]
-            validate____defs_histogramquery(data__HistogramQuery, custom_formats, (name_prefix or "data") + ".HistogramQuery")
-    return data
-
-def validate____defs_histogramquery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the histograms of this entry host.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data_keys = set(data.keys())
-        if "reserved" in data_keys:
-            data_keys.remove("reserved")
-            data__reserved = data["reserved"]
-            if not isinstance(data__reserved, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reserved must be boolean", value=data__reserved, name="" + (name_prefix or "data") + ".reserved", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the histograms of this entry host.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_whyquery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'subject_id'], 'description': 'Asks for the decisions about a subject.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'subject_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['kind', 'subject_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'subject_id'], 'description': 'Asks for the decisions about a subject.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'subject_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "kind" in data_keys:
-            data_keys.remove("kind")
-            data__kind = data["kind"]
-            validate____defs_whykind(data__kind, custom_formats, (name_prefix or "data") + ".kind")
-        if "subject_id" in data_keys:
-            data_keys.remove("subject_id")
-            data__subjectid = data["subject_id"]
-            if not isinstance(data__subjectid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".subject_id must be string", value=data__subjectid, name="" + (name_prefix or "data") + ".subject_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'subject_id'], 'description': 'Asks for the decisions about a subject.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'subject_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_configurationquery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the configuration in force here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data_keys = set(data.keys())
-        if "reserved" in data_keys:
-            data_keys.remove("reserved")
-            data__reserved = data["reserved"]
-            if not isinstance(data__reserved, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reserved must be boolean", value=data__reserved, name="" + (name_prefix or "data") + ".reserved", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the configuration in force here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_statusquery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the state of the fleet as seen here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data_keys = set(data.keys())
-        if "reserved" in data_keys:
-            data_keys.remove("reserved")
-            data__reserved = data["reserved"]
-            if not isinstance(data__reserved, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reserved must be boolean", value=data__reserved, name="" + (name_prefix or "data") + ".reserved", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks for the state of the fleet as seen here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_acceptancequery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'Asks whether a version is in force everywhere, waiting until it is or the time is over.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['version']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'Asks whether a version is in force everywhere, waiting until it is or the time is over.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
-        data_keys = set(data.keys())
-        if "version" in data_keys:
-            data_keys.remove("version")
-            data__version = data["version"]
-            if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
-                if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if "wait_ms" in data_keys:
-            data_keys.remove("wait_ms")
-            data__waitms = data["wait_ms"]
-            if not isinstance(data__waitms, (int)) and not (isinstance(data__waitms, float) and data__waitms.is_integer()) or isinstance(data__waitms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
-            if isinstance(data__waitms, (int, float, Decimal)) and not isinstance(data__waitms, bool):
-                if data__waitms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'Asks whether a version is in force everywhere, waiting until it is or the time is over.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_fleetchange(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'step'], 'description': 'A change that an entry host makes to carry out a move or a plan.', 'properties': {'change_id': {'type': 'string'}, 'expected_version': {'type': 'integer'}, 'step': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'plan_id': {'type': ['string', 'null'], 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['change_id', 'expected_version', 'step']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'step'], 'description': 'A change that an entry host makes to carry out a move or a plan.', 'properties': {'change_id': {'type': 'string'}, 'expected_version': {'type': 'integer'}, 'step': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'plan_id': {'type': ['string', 'null'], 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='required')
-        data_keys = set(data.keys())
-        if "change_id" in data_keys:
-            data_keys.remove("change_id")
-            data__changeid = data["change_id"]
-            if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={'type': 'string'}, rule='type')
-        if "expected_version" in data_keys:
-            data_keys.remove("expected_version")
-            data__expectedversion = data["expected_version"]
-            if not isinstance(data__expectedversion, (int)) and not (isinstance(data__expectedversion, float) and data__expectedversion.is_integer()) or isinstance(data__expectedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be integer", value=data__expectedversion, name="" + (name_prefix or "data") + ".expected_version", definition={'type': 'integer'}, rule='type')
-        if "step" in data_keys:
-            data_keys.remove("step")
-            data__step = data["step"]
-            validate____defs_fleetstep(data__step, custom_formats, (name_prefix or "data") + ".step")
-        if "plan_id" in data_keys:
-            data_keys.remove("plan_id")
-            data__planid = data["plan_id"]
-            if not isinstance(data__planid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must be string or null", value=data__planid, name="" + (name_prefix or "data") + ".plan_id", definition={'type': ['string', 'null'], 'default': None}, rule='type')
-        if "hosts" in data_keys:
-            data_keys.remove("hosts")
-            data__hosts = data["hosts"]
-            if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
-            data__hosts_is_list = isinstance(data__hosts, (list, tuple))
-            if data__hosts_is_list:
-                data__hosts_len = len(data__hosts)
-                for data__hosts_x, data__hosts_item in enumerate(data__hosts):
-                    if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'step'], 'description': 'A change that an entry host makes to carry out a move or a plan.', 'properties': {'change_id': {'type': 'string'}, 'expected_version': {'type': 'integer'}, 'step': {'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, 'plan_id': {'type': ['string', 'null'], 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_fleetstep(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, rule='type')
-    if not (isinstance(data, str) and data == 'confirm_drained' or isinstance(data, str) and data == 'assign_move' or isinstance(data, str) and data == 'wave_drain' or isinstance(data, str) and data == 'wave_maintain' or isinstance(data, str) and data == 'wave_return'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['confirm_drained', 'assign_move', 'wave_drain', 'wave_maintain', 'wave_return'], 'description': 'What the fleet does by itself to carry out a move or a plan.'}, rule='enum')
-    return data
-
-def validate____defs_changequery(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id'], 'description': 'Asks what became of a change.', 'properties': {'change_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['change_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id'], 'description': 'Asks what became of a change.', 'properties': {'change_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "change_id" in data_keys:
-            data_keys.remove("change_id")
-            data__changeid = data["change_id"]
-            if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id'], 'description': 'Asks what became of a change.', 'properties': {'change_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_operatorchange(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['operator_id', 'change'], 'description': 'A change that an authenticated operator asked for.', 'properties': {'operator_id': {'type': 'string'}, 'change': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'$ref': '#/$defs/Edit'}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['operator_id', 'change']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['operator_id', 'change'], 'description': 'A change that an authenticated operator asked for.', 'properties': {'operator_id': {'type': 'string'}, 'change': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'$ref': '#/$defs/Edit'}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
-        data_keys = set(data.keys())
-        if "operator_id" in data_keys:
-            data_keys.remove("operator_id")
-            data__operatorid = data["operator_id"]
-            if not isinstance(data__operatorid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_id must be string", value=data__operatorid, name="" + (name_prefix or "data") + ".operator_id", definition={'type': 'string'}, rule='type')
-        if "change" in data_keys:
-            data_keys.remove("change")
-            data__change = data["change"]
-            validate____defs_changerequest(data__change, custom_formats, (name_prefix or "data") + ".change")
-        if "wait_ms" in data_keys:
-            data_keys.remove("wait_ms")
-            data__waitms = data["wait_ms"]
-            if not isinstance(data__waitms, (int)) and not (isinstance(data__waitms, float) and data__waitms.is_integer()) or isinstance(data__waitms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
-            if isinstance(data__waitms, (int, float, Decimal)) and not isinstance(data__waitms, bool):
-                if data__waitms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['operator_id', 'change'], 'description': 'A change that an authenticated operator asked for.', 'properties': {'operator_id': {'type': 'string'}, 'change': {'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'$ref': '#/$defs/Edit'}, 'dry_run': {'type': 'boolean', 'default': False}}}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_waituntilidle(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher to reply once every request has an outcome.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data_keys = set(data.keys())
-        if "reserved" in data_keys:
-            data_keys.remove("reserved")
-            data__reserved = data["reserved"]
-            if not isinstance(data__reserved, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reserved must be boolean", value=data__reserved, name="" + (name_prefix or "data") + ".reserved", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher to reply once every request has an outcome.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_updatelinks(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_host', 'lease_ms', 'token_ms'], 'description': 'The backend servers that may be used, and those whose usage is read while idle.', 'properties': {'addresses_by_host': {'type': 'object', 'additionalProperties': {'type': 'string'}}, 'polled_hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'token_ms': {'type': 'integer', 'minimum': 1}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['addresses_by_host', 'lease_ms', 'token_ms']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_host', 'lease_ms', 'token_ms'], 'description': 'The backend servers that may be used, and those whose usage is read while idle.', 'properties': {'addresses_by_host': {'type': 'object', 'additionalProperties': {'type': 'string'}}, 'polled_hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'token_ms': {'type': 'integer', 'minimum': 1}}}, rule='required')
-        data_keys = set(data.keys())
-        if "addresses_by_host" in data_keys:
-            data_keys.remove("addresses_by_host")
-            data__addressesbyhost = data["addresses_by_host"]
-            if not isinstance(data__addressesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".addresses_by_host must be object", value=data__addressesbyhost, name="" + (name_prefix or "data") + ".addresses_by_host", definition={'type': 'object', 'additionalProperties': {'type': 'string'}}, rule='type')
-            data__addressesbyhost_is_dict = isinstance(data__addressesbyhost, dict)
-            if data__addressesbyhost_is_dict:
-                data__addressesbyhost_keys = set(data__addressesbyhost.keys())
-                for data__addressesbyhost_key in data__addressesbyhost_keys:
-                    if data__addressesbyhost_key not in []:
-                        data__addressesbyhost_value = data__addressesbyhost.get(data__addressesbyhost_key)
-                        if not isinstance(data__addressesbyhost_value, (str)):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".addresses_by_host.{data__addressesbyhost_key}".format(**locals()) + " must be string", value=data__addressesbyhost_value, name="" + (name_prefix or "data") + ".addresses_by_host.{data__addressesbyhost_key}".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-        if "polled_hosts" in data_keys:
-            data_keys.remove("polled_hosts")
-            data__polledhosts = data["polled_hosts"]
-            if not isinstance(data__polledhosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".polled_hosts must be array", value=data__polledhosts, name="" + (name_prefix or "data") + ".polled_hosts", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
-            data__polledhosts_is_list = isinstance(data__polledhosts, (list, tuple))
-            if data__polledhosts_is_list:
-                data__polledhosts_len = len(data__polledhosts)
-                for data__polledhosts_x, data__polledhosts_item in enumerate(data__polledhosts):
-                    if not isinstance(data__polledhosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".polled_hosts[{data__polledhosts_x}]".format(**locals()) + " must be string", value=data__polledhosts_item, name="" + (name_prefix or "data") + ".polled_hosts[{data__polledhosts_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-        if "lease_ms" in data_keys:
-            data_keys.remove("lease_ms")
-            data__leasems = data["lease_ms"]
-            if not isinstance(data__leasems, (int)) and not (isinstance(data__leasems, float) and data__leasems.is_integer()) or isinstance(data__leasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be integer", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
-            if isinstance(data__leasems, (int, float, Decimal)) and not isinstance(data__leasems, bool):
-                if data__leasems < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be bigger than or equal to 1", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
-        if "token_ms" in data_keys:
-            data_keys.remove("token_ms")
-            data__tokenms = data["token_ms"]
-            if not isinstance(data__tokenms, (int)) and not (isinstance(data__tokenms, float) and data__tokenms.is_integer()) or isinstance(data__tokenms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_ms must be integer", value=data__tokenms, name="" + (name_prefix or "data") + ".token_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
-            if isinstance(data__tokenms, (int, float, Decimal)) and not isinstance(data__tokenms, bool):
-                if data__tokenms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_ms must be bigger than or equal to 1", value=data__tokenms, name="" + (name_prefix or "data") + ".token_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_host', 'lease_ms', 'token_ms'], 'description': 'The backend servers that may be used, and those whose usage is read while idle.', 'properties': {'addresses_by_host': {'type': 'object', 'additionalProperties': {'type': 'string'}}, 'polled_hosts': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'token_ms': {'type': 'integer', 'minimum': 1}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_writefinished(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request', 'outcome', 'revision'], 'description': 'A platform write that the dispatcher asked for; the outcome is null if it is not known.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'outcome': {'oneOf': [{'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, {'type': 'null'}]}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['request', 'outcome', 'revision']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request', 'outcome', 'revision'], 'description': 'A platform write that the dispatcher asked for; the outcome is null if it is not known.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'outcome': {'oneOf': [{'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, {'type': 'null'}]}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='required')
-        data_keys = set(data.keys())
-        if "request" in data_keys:
-            data_keys.remove("request")
-            data__request = data["request"]
-            validate____defs_writerequest(data__request, custom_formats, (name_prefix or "data") + ".request")
-        if "outcome" in data_keys:
-            data_keys.remove("outcome")
-            data__outcome = data["outcome"]
-            data__outcome_one_of_count1 = 0
-            if data__outcome_one_of_count1 < 2:
-                try:
-                    validate____defs_writeoutcome(data__outcome, custom_formats, (name_prefix or "data") + ".outcome")
-                    data__outcome_one_of_count1 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__outcome_one_of_count1 < 2:
-                try:
-                    if not isinstance(data__outcome, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".outcome must be null", value=data__outcome, name="" + (name_prefix or "data") + ".outcome", definition={'type': 'null'}, rule='type')
-                    data__outcome_one_of_count1 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__outcome_one_of_count1 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".outcome must be valid exactly by one definition" + (" (" + str(data__outcome_one_of_count1) + " matches found)"), value=data__outcome, name="" + (name_prefix or "data") + ".outcome", definition={'oneOf': [{'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, {'type': 'null'}]}, rule='oneOf')
-        if "revision" in data_keys:
-            data_keys.remove("revision")
-            data__revision = data["revision"]
-            if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
-                if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request', 'outcome', 'revision'], 'description': 'A platform write that the dispatcher asked for; the outcome is null if it is not known.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, 'outcome': {'oneOf': [{'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, {'type': 'null'}]}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_readinesscheck(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher whether callers should be sent here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data_keys = set(data.keys())
-        if "reserved" in data_keys:
-            data_keys.remove("reserved")
-            data__reserved = data["reserved"]
-            if not isinstance(data__reserved, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reserved must be boolean", value=data__reserved, name="" + (name_prefix or "data") + ".reserved", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Asks the dispatcher whether callers should be sent here.', 'properties': {'reserved': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_callergone(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'The caller of a request has closed its connection.', 'properties': {'request_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['request_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'The caller of a request has closed its connection.', 'properties': {'request_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "request_id" in data_keys:
-            data_keys.remove("request_id")
-            data__requestid = data["request_id"]
-            if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'The caller of a request has closed its connection.', 'properties': {'request_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_peercall(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'kind', 'body', 'timeout_ms'], 'description': 'Order to ask one peer and return its answer.', 'properties': {'member_id': {'type': 'string'}, 'kind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'body': {'type': 'object'}, 'timeout_ms': {'type': 'integer', 'minimum': 1}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['member_id', 'kind', 'body', 'timeout_ms']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'kind', 'body', 'timeout_ms'], 'description': 'Order to ask one peer and return its answer.', 'properties': {'member_id': {'type': 'string'}, 'kind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'body': {'type': 'object'}, 'timeout_ms': {'type': 'integer', 'minimum': 1}}}, rule='required')
-        data_keys = set(data.keys())
-        if "member_id" in data_keys:
-            data_keys.remove("member_id")
-            data__memberid = data["member_id"]
-            if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
-        if "kind" in data_keys:
-            data_keys.remove("kind")
-            data__kind = data["kind"]
-            validate____defs_peermessagekind(data__kind, custom_formats, (name_prefix or "data") + ".kind")
-        if "body" in data_keys:
-            data_keys.remove("body")
-            data__body = data["body"]
-            if not isinstance(data__body, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body must be object", value=data__body, name="" + (name_prefix or "data") + ".body", definition={'type': 'object'}, rule='type')
-        if "timeout_ms" in data_keys:
-            data_keys.remove("timeout_ms")
-            data__timeoutms = data["timeout_ms"]
-            if not isinstance(data__timeoutms, (int)) and not (isinstance(data__timeoutms, float) and data__timeoutms.is_integer()) or isinstance(data__timeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".timeout_ms must be integer", value=data__timeoutms, name="" + (name_prefix or "data") + ".timeout_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
-            if isinstance(data__timeoutms, (int, float, Decimal)) and not isinstance(data__timeoutms, bool):
-                if data__timeoutms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".timeout_ms must be bigger than or equal to 1", value=data__timeoutms, name="" + (name_prefix or "data") + ".timeout_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'kind', 'body', 'timeout_ms'], 'description': 'Order to ask one peer and return its answer.', 'properties': {'member_id': {'type': 'string'}, 'kind': {'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, 'body': {'type': 'object'}, 'timeout_ms': {'type': 'integer', 'minimum': 1}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_updatepeers(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_member'], 'description': 'The peers to keep connections to.', 'properties': {'addresses_by_member': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['addresses_by_member']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_member'], 'description': 'The peers to keep connections to.', 'properties': {'addresses_by_member': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, rule='required')
-        data_keys = set(data.keys())
-        if "addresses_by_member" in data_keys:
-            data_keys.remove("addresses_by_member")
-            data__addressesbymember = data["addresses_by_member"]
-            if not isinstance(data__addressesbymember, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".addresses_by_member must be object", value=data__addressesbymember, name="" + (name_prefix or "data") + ".addresses_by_member", definition={'type': 'object', 'additionalProperties': {'type': 'string'}}, rule='type')
-            data__addressesbymember_is_dict = isinstance(data__addressesbymember, dict)
-            if data__addressesbymember_is_dict:
-                data__addressesbymember_keys = set(data__addressesbymember.keys())
-                for data__addressesbymember_key in data__addressesbymember_keys:
-                    if data__addressesbymember_key not in []:
-                        data__addressesbymember_value = data__addressesbymember.get(data__addressesbymember_key)
-                        if not isinstance(data__addressesbymember_value, (str)):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".addresses_by_member.{data__addressesbymember_key}".format(**locals()) + " must be string", value=data__addressesbymember_value, name="" + (name_prefix or "data") + ".addresses_by_member.{data__addressesbymember_key}".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['addresses_by_member'], 'description': 'The peers to keep connections to.', 'properties': {'addresses_by_member': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_memberjoined(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['incarnation', 'joined_revision'], 'description': "This member's record is on the platform since this revision.", 'properties': {'incarnation': {'type': 'string'}, 'joined_revision': {'type': 'integer', 'minimum': 0}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['incarnation', 'joined_revision']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['incarnation', 'joined_revision'], 'description': "This member's record is on the platform since this revision.", 'properties': {'incarnation': {'type': 'string'}, 'joined_revision': {'type': 'integer', 'minimum': 0}}}, rule='required')
-        data_keys = set(data.keys())
-        if "incarnation" in data_keys:
-            data_keys.remove("incarnation")
-            data__incarnation = data["incarnation"]
-            if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={'type': 'string'}, rule='type')
-        if "joined_revision" in data_keys:
-            data_keys.remove("joined_revision")
-            data__joinedrevision = data["joined_revision"]
-            if not isinstance(data__joinedrevision, (int)) and not (isinstance(data__joinedrevision, float) and data__joinedrevision.is_integer()) or isinstance(data__joinedrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be integer", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__joinedrevision, (int, float, Decimal)) and not isinstance(data__joinedrevision, bool):
-                if data__joinedrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be bigger than or equal to 0", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['incarnation', 'joined_revision'], 'description': "This member's record is on the platform since this revision.", 'properties': {'incarnation': {'type': 'string'}, 'joined_revision': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_recordmembership(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['confirmed_version', 'members_revision'], 'description': "Order to write this member's record with what it has confirmed.", 'properties': {'confirmed_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['confirmed_version', 'members_revision']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['confirmed_version', 'members_revision'], 'description': "Order to write this member's record with what it has confirmed.", 'properties': {'confirmed_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0}}}, rule='required')
-        data_keys = set(data.keys())
-        if "confirmed_version" in data_keys:
-            data_keys.remove("confirmed_version")
-            data__confirmedversion = data["confirmed_version"]
-            if not isinstance(data__confirmedversion, (int)) and not (isinstance(data__confirmedversion, float) and data__confirmedversion.is_integer()) or isinstance(data__confirmedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__confirmedversion, (int, float, Decimal)) and not isinstance(data__confirmedversion, bool):
-                if data__confirmedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if "members_revision" in data_keys:
-            data_keys.remove("members_revision")
-            data__membersrevision = data["members_revision"]
-            if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
-                if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['confirmed_version', 'members_revision'], 'description': "Order to write this member's record with what it has confirmed.", 'properties': {'confirmed_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_stopservice(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['reason'], 'description': 'Order to stop taking new work and to end once running work has been answered.', 'properties': {'reason': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['reason']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['reason'], 'description': 'Order to stop taking new work and to end once running work has been answered.', 'properties': {'reason': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "reason" in data_keys:
-            data_keys.remove("reason")
-            data__reason = data["reason"]
-            if not isinstance(data__reason, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reason must be string", value=data__reason, name="" + (name_prefix or "data") + ".reason", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['reason'], 'description': 'Order to stop taking new work and to end once running work has been answered.', 'properties': {'reason': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_tick(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['now_ms'], 'description': 'Periodic message that lets a task look at its deadlines.', 'properties': {'now_ms': {'type': 'integer'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['now_ms']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['now_ms'], 'description': 'Periodic message that lets a task look at its deadlines.', 'properties': {'now_ms': {'type': 'integer'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "now_ms" in data_keys:
-            data_keys.remove("now_ms")
-            data__nowms = data["now_ms"]
-            if not isinstance(data__nowms, (int)) and not (isinstance(data__nowms, float) and data__nowms.is_integer()) or isinstance(data__nowms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".now_ms must be integer", value=data__nowms, name="" + (name_prefix or "data") + ".now_ms", definition={'type': 'integer'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['now_ms'], 'description': 'Periodic message that lets a task look at its deadlines.', 'properties': {'now_ms': {'type': 'integer'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_hostsilent(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id'], 'description': 'A backend server did not answer a usage call, also not over a fresh connection.', 'properties': {'host_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['host_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id'], 'description': 'A backend server did not answer a usage call, also not over a fresh connection.', 'properties': {'host_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "host_id" in data_keys:
-            data_keys.remove("host_id")
-            data__hostid = data["host_id"]
-            if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id'], 'description': 'A backend server did not answer a usage call, also not over a fresh connection.', 'properties': {'host_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_hostusage(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'usage'], 'description': 'Usage that a backend server reported.', 'properties': {'host_id': {'type': 'string'}, 'usage': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['host_id', 'usage']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'usage'], 'description': 'Usage that a backend server reported.', 'properties': {'host_id': {'type': 'string'}, 'usage': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}}}, rule='required')
-        data_keys = set(data.keys())
-        if "host_id" in data_keys:
-            data_keys.remove("host_id")
-            data__hostid = data["host_id"]
-            if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
-        if "usage" in data_keys:
-            data_keys.remove("usage")
-            data__usage = data["usage"]
-            validate____defs_usagereport(data__usage, custom_formats, (name_prefix or "data") + ".usage")
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'usage'], 'description': 'Usage that a backend server reported.', 'properties': {'host_id': {'type': 'string'}, 'usage': {'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_attemptended(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'attempt', 'host_id', 'end'], 'description': 'The end of one attempt with the last report of the backend server, if any.', 'properties': {'request_id': {'type': 'string'}, 'attempt': {'type': 'integer'}, 'host_id': {'type': 'string'}, 'end': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'report': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, 'message': {'type': 'string', 'default': ''}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['request_id', 'attempt', 'host_id', 'end']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'attempt', 'host_id', 'end'], 'description': 'The end of one attempt with the last report of the backend server, if any.', 'properties': {'request_id': {'type': 'string'}, 'attempt': {'type': 'integer'}, 'host_id': {'type': 'string'}, 'end': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'report': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, 'message': {'type': 'string', 'default': ''}}}, rule='required')
-        data_keys = set(data.keys())
-        if "request_id" in data_keys:
-            data_keys.remove("request_id")
-            data__requestid = data["request_id"]
-            if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
-        if "attempt" in data_keys:
-            data_keys.remove("attempt")
-            data__attempt = data["attempt"]
-            if not isinstance(data__attempt, (int)) and not (isinstance(data__attempt, float) and data__attempt.is_integer()) or isinstance(data__attempt, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={'type': 'integer'}, rule='type')
-        if "host_id" in data_keys:
-            data_keys.remove("host_id")
-            data__hostid = data["host_id"]
-            if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
-        if "end" in data_keys:
-            data_keys.remove("end")
-            data__end = data["end"]
-            validate____defs_attemptend(data__end, custom_formats, (name_prefix or "data") + ".end")
-        if "report" in data_keys:
-            data_keys.remove("report")
-            data__report = data["report"]
-            data__report_one_of_count2 = 0
-            if data__report_one_of_count2 < 2:
-                try:
-                    validate____defs_taskreport(data__report, custom_formats, (name_prefix or "data") + ".report")
-                    data__report_one_of_count2 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__report_one_of_count2 < 2:
-                try:
-                    if not isinstance(data__report, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".report must be null", value=data__report, name="" + (name_prefix or "data") + ".report", definition={'type': 'null'}, rule='type')
-                    data__report_one_of_count2 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__report_one_of_count2 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".report must be valid exactly by one definition" + (" (" + str(data__report_one_of_count2) + " matches found)"), value=data__report, name="" + (name_prefix or "data") + ".report", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
-        if "message" in data_keys:
-            data_keys.remove("message")
-            data__message = data["message"]
-            if not isinstance(data__message, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string", value=data__message, name="" + (name_prefix or "data") + ".message", definition={'type': 'string', 'default': ''}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'attempt', 'host_id', 'end'], 'description': 'The end of one attempt with the last report of the backend server, if any.', 'properties': {'request_id': {'type': 'string'}, 'attempt': {'type': 'integer'}, 'host_id': {'type': 'string'}, 'end': {'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, 'report': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'$ref': '#/$defs/TaskState'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'$ref': '#/$defs/StartRefusal'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, 'message': {'type': 'string', 'default': ''}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_attemptend(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, rule='type')
-    if not (isinstance(data, str) and data == 'not_sent' or isinstance(data, str) and data == 'refused' or isinstance(data, str) and data == 'no_answer' or isinstance(data, str) and data == 'answered' or isinstance(data, str) and data == 'stopped' or isinstance(data, str) and data == 'lease_lost' or isinstance(data, str) and data == 'deadline_passed'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['not_sent', 'refused', 'no_answer', 'answered', 'stopped', 'lease_lost', 'deadline_passed'], 'description': 'How an attempt ended.'}, rule='enum')
-    return data
-
-def validate____defs_startcheck(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'Asks the dispatcher whether a start that waited for a token is still allowed.', 'properties': {'request_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['request_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'Asks the dispatcher whether a start that waited for a token is still allowed.', 'properties': {'request_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "request_id" in data_keys:
-            data_keys.remove("request_id")
-            data__requestid = data["request_id"]
-            if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id'], 'description': 'Asks the dispatcher whether a start that waited for a token is still allowed.', 'properties': {'request_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_stoporder(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task_id'], 'description': 'Order to a backend link to stop a task.', 'properties': {'host_id': {'type': 'string'}, 'task_id': {'type': 'string'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['host_id', 'task_id']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task_id'], 'description': 'Order to a backend link to stop a task.', 'properties': {'host_id': {'type': 'string'}, 'task_id': {'type': 'string'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "host_id" in data_keys:
-            data_keys.remove("host_id")
-            data__hostid = data["host_id"]
-            if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
-        if "task_id" in data_keys:
-            data_keys.remove("task_id")
-            data__taskid = data["task_id"]
-            if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task_id'], 'description': 'Order to a backend link to stop a task.', 'properties': {'host_id': {'type': 'string'}, 'task_id': {'type': 'string'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_startorder(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms'], 'description': 'Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.', 'properties': {'host_id': {'type': 'string'}, 'task': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'deadline_at_ms': {'type': 'integer'}, 'checked_at_ms': {'type': 'integer'}, 'settle_until_ms': {'type': 'integer'}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms'], 'description': 'Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.', 'properties': {'host_id': {'type': 'string'}, 'task': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'deadline_at_ms': {'type': 'integer'}, 'checked_at_ms': {'type': 'integer'}, 'settle_until_ms': {'type': 'integer'}}}, rule='required')
-        data_keys = set(data.keys())
-        if "host_id" in data_keys:
-            data_keys.remove("host_id")
-            data__hostid = data["host_id"]
-            if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
-        if "task" in data_keys:
-            data_keys.remove("task")
-            data__task = data["task"]
-            validate____defs_taskstart(data__task, custom_formats, (name_prefix or "data") + ".task")
-        if "deadline_at_ms" in data_keys:
-            data_keys.remove("deadline_at_ms")
-            data__deadlineatms = data["deadline_at_ms"]
-            if not isinstance(data__deadlineatms, (int)) and not (isinstance(data__deadlineatms, float) and data__deadlineatms.is_integer()) or isinstance(data__deadlineatms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_at_ms must be integer", value=data__deadlineatms, name="" + (name_prefix or "data") + ".deadline_at_ms", definition={'type': 'integer'}, rule='type')
-        if "checked_at_ms" in data_keys:
-            data_keys.remove("checked_at_ms")
-            data__checkedatms = data["checked_at_ms"]
-            if not isinstance(data__checkedatms, (int)) and not (isinstance(data__checkedatms, float) and data__checkedatms.is_integer()) or isinstance(data__checkedatms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".checked_at_ms must be integer", value=data__checkedatms, name="" + (name_prefix or "data") + ".checked_at_ms", definition={'type': 'integer'}, rule='type')
-        if "settle_until_ms" in data_keys:
-            data_keys.remove("settle_until_ms")
-            data__settleuntilms = data["settle_until_ms"]
-            if not isinstance(data__settleuntilms, (int)) and not (isinstance(data__settleuntilms, float) and data__settleuntilms.is_integer()) or isinstance(data__settleuntilms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".settle_until_ms must be integer", value=data__settleuntilms, name="" + (name_prefix or "data") + ".settle_until_ms", definition={'type': 'integer'}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'task', 'deadline_at_ms', 'checked_at_ms', 'settle_until_ms'], 'description': 'Order to a backend link to start a task; the check was made at this time. A lost answer is looked for until `settle_until_ms`.', 'properties': {'host_id': {'type': 'string'}, 'task': {'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, 'deadline_at_ms': {'type': 'integer'}, 'checked_at_ms': {'type': 'integer'}, 'settle_until_ms': {'type': 'integer'}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_peeranswered(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'question_sent_ms', 'pong'], 'description': 'A peer answered a ping that was sent at this time.', 'properties': {'member_id': {'type': 'string'}, 'question_sent_ms': {'type': 'integer'}, 'pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['member_id', 'question_sent_ms', 'pong']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'question_sent_ms', 'pong'], 'description': 'A peer answered a ping that was sent at this time.', 'properties': {'member_id': {'type': 'string'}, 'question_sent_ms': {'type': 'integer'}, 'pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}}}, rule='required')
-        data_keys = set(data.keys())
-        if "member_id" in data_keys:
-            data_keys.remove("member_id")
-            data__memberid = data["member_id"]
-            if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
-        if "question_sent_ms" in data_keys:
-            data_keys.remove("question_sent_ms")
-            data__questionsentms = data["question_sent_ms"]
-            if not isinstance(data__questionsentms, (int)) and not (isinstance(data__questionsentms, float) and data__questionsentms.is_integer()) or isinstance(data__questionsentms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".question_sent_ms must be integer", value=data__questionsentms, name="" + (name_prefix or "data") + ".question_sent_ms", definition={'type': 'integer'}, rule='type')
-        if "pong" in data_keys:
-            data_keys.remove("pong")
-            data__pong = data["pong"]
-            validate____defs_pong(data__pong, custom_formats, (name_prefix or "data") + ".pong")
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'question_sent_ms', 'pong'], 'description': 'A peer answered a ping that was sent at this time.', 'properties': {'member_id': {'type': 'string'}, 'question_sent_ms': {'type': 'integer'}, 'pong': {'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_platformview(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['question_sent_ms', 'revision'], 'description': 'What the platform held when the question sent at this time was answered.', 'properties': {'question_sent_ms': {'type': 'integer'}, 'revision': {'type': 'integer', 'minimum': 0}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'members_by_id': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'alive_ids': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'slices': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'slices_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'grants_by_team': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'default': {}}, 'grant_revisions_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, 'listed_states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'default': {}}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['question_sent_ms', 'revision']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['question_sent_ms', 'revision'], 'description': 'What the platform held when the question sent at this time was answered.', 'properties': {'question_sent_ms': {'type': 'integer'}, 'revision': {'type': 'integer', 'minimum': 0}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'members_by_id': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'alive_ids': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'slices': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'slices_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'grants_by_team': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'default': {}}, 'grant_revisions_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, 'listed_states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'default': {}}}}, rule='required')
-        data_keys = set(data.keys())
-        if "question_sent_ms" in data_keys:
-            data_keys.remove("question_sent_ms")
-            data__questionsentms = data["question_sent_ms"]
-            if not isinstance(data__questionsentms, (int)) and not (isinstance(data__questionsentms, float) and data__questionsentms.is_integer()) or isinstance(data__questionsentms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".question_sent_ms must be integer", value=data__questionsentms, name="" + (name_prefix or "data") + ".question_sent_ms", definition={'type': 'integer'}, rule='type')
-        if "revision" in data_keys:
-            data_keys.remove("revision")
-            data__revision = data["revision"]
-            if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
-            if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
-                if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-        if "configuration" in data_keys:
-            data_keys.remove("configuration")
-            data__configuration = data["configuration"]
-            data__configuration_one_of_count3 = 0
-            if data__configuration_one_of_count3 < 2:
-                try:
-                    validate____defs_configuration(data__configuration, custom_formats, (name_prefix or "data") + ".configuration")
-                    data__configuration_one_of_count3 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count3 < 2:
-                try:
-                    if not isinstance(data__configuration, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null", value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={'type': 'null'}, rule='type')
-                    data__configuration_one_of_count3 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count3 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition" + (" (" + str(data__configuration_one_of_count3) + " matches found)"), value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
-        if "members_by_id" in data_keys:
-            data_keys.remove("members_by_id")
-            data__membersbyid = data["members_by_id"]
-            if not isinstance(data__membersbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_by_id must be object", value=data__membersbyid, name="" + (name_prefix or "data") + ".members_by_id", definition={'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'default': {}}, rule='type')
-            data__membersbyid_is_dict = isinstance(data__membersbyid, dict)
-            if data__membersbyid_is_dict:
-                data__membersbyid_keys = set(data__membersbyid.keys())
-                for data__membersbyid_key in data__membersbyid_keys:
-                    if data__membersbyid_key not in []:
-                        data__membersbyid_value = data__membersbyid.get(data__membersbyid_key)
-                        validate____defs_member(data__membersbyid_value, custom_formats, (name_prefix or "data") + ".members_by_id.{data__membersbyid_key}".format(**locals()))
-        if "members_revision" in data_keys:
-            data_keys.remove("members_revision")
-            data__membersrevision = data["members_revision"]
-            if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
-            if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
-                if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
-        if "alive_ids" in data_keys:
-            data_keys.remove("alive_ids")
-            data__aliveids = data["alive_ids"]
-            if not isinstance(data__aliveids, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive_ids must be array", value=data__aliveids, name="" + (name_prefix or "data") + ".alive_ids", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
-            data__aliveids_is_list = isinstance(data__aliveids, (list, tuple))
-            if data__aliveids_is_list:
-                data__aliveids_len = len(data__aliveids)
-                for data__aliveids_x, data__aliveids_item in enumerate(data__aliveids):
-                    if not isinstance(data__aliveids_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive_ids[{data__aliveids_x}]".format(**locals()) + " must be string", value=data__aliveids_item, name="" + (name_prefix or "data") + ".alive_ids[{data__aliveids_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-        if "slices" in data_keys:
-            data_keys.remove("slices")
-            data__slices = data["slices"]
-            data__slices_one_of_count4 = 0
-            if data__slices_one_of_count4 < 2:
-                try:
-                    validate____defs_slicemap(data__slices, custom_formats, (name_prefix or "data") + ".slices")
-                    data__slices_one_of_count4 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__slices_one_of_count4 < 2:
-                try:
-                    if not isinstance(data__slices, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".slices must be null", value=data__slices, name="" + (name_prefix or "data") + ".slices", definition={'type': 'null'}, rule='type')
-                    data__slices_one_of_count4 += 1
-                except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__slices_one_of_count4 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slices must be valid exactly by one definition" + (" (" + str(data__slices_one_of_count4) + " matches found)"), value=data__slices, name="" + (name_prefix or "data") + ".slices", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
-        if "slices_revision" in data_keys:
-            data_keys.remove("slices_revision")
-            data__slicesrevision = data["slices_revision"]
-            if not isinstance(data__slicesrevision, (int)) and not (isinstance(data__slicesrevision, float) and data__slicesrevision.is_integer()) or isinstance(data__slicesrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slices_revision must be integer", value=data__slicesrevision, name="" + (name_prefix or "data") + ".slices_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
-            if isinstance(data__slicesrevision, (int, float, Decimal)) and not isinstance(data__slicesrevision, bool):
-                if data__slicesrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slices_revision must be bigger than or equal to 0", value=data__slicesrevision, name="" + (name_prefix or "data") + ".slices_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
-        if "grants_by_team" in data_keys:
-            data_keys.remove("grants_by_team")
-            data__grantsbyteam = data["grants_by_team"]
-            if not isinstance(data__grantsbyteam, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_team must be object", value=data__grantsbyteam, name="" + (name_prefix or "data") + ".grants_by_team", definition={'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'default': {}}, rule='type')
-            data__grantsbyteam_is_dict = isinstance(data__grantsbyteam, dict)
-            if data__grantsbyteam_is_dict:
-                data__grantsbyteam_keys = set(data__grantsbyteam.keys())
-                for data__grantsbyteam_key in data__grantsbyteam_keys:
-                    if data__grantsbyteam_key not in []:
-                        data__grantsbyteam_value = data__grantsbyteam.get(data__grantsbyteam_key)
-                        validate____defs_grantrecord(data__grantsbyteam_value, custom_formats, (name_prefix or "data") + ".grants_by_team.{data__grantsbyteam_key}".format(**locals()))
-        if "grant_revisions_by_team" in data_keys:
-            data_keys.remove("grant_revisions_by_team")
-            data__grantrevisionsbyteam = data["grant_revisions_by_team"]
-            if not isinstance(data__grantrevisionsbyteam, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grant_revisions_by_team must be object", value=data__grantrevisionsbyteam, name="" + (name_prefix or "data") + ".grant_revisions_by_team", definition={'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, rule='type')
-            data__grantrevisionsbyteam_is_dict = isinstance(data__grantrevisionsbyteam, dict)
-            if data__grantrevisionsbyteam_is_dict:
-                data__grantrevisionsbyteam_keys = set(data__grantrevisionsbyteam.keys())
-                for data__grantrevisionsbyteam_key in data__grantrevisionsbyteam_keys:
-                    if data__grantrevisionsbyteam_key not in []:
-                        data__grantrevisionsbyteam_value = data__grantrevisionsbyteam.get(data__grantrevisionsbyteam_key)
-                        if not isinstance(data__grantrevisionsbyteam_value, (int)) and not (isinstance(data__grantrevisionsbyteam_value, float) and data__grantrevisionsbyteam_value.is_integer()) or isinstance(data__grantrevisionsbyteam_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".grant_revisions_by_team.{data__grantrevisionsbyteam_key}".format(**locals()) + " must be integer", value=data__grantrevisionsbyteam_value, name="" + (name_prefix or "data") + ".grant_revisions_by_team.{data__grantrevisionsbyteam_key}".format(**locals()) + "", definition={'type': 'integer'}, rule='type')
-        if "listed_states_by_host" in data_keys:
-            data_keys.remove("listed_states_by_host")
-            data__listedstatesbyhost = data["listed_states_by_host"]
-            if not isinstance(data__listedstatesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".listed_states_by_host must be object", value=data__listedstatesbyhost, name="" + (name_prefix or "data") + ".listed_states_by_host", definition={'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'default': {}}, rule='type')
-            data__listedstatesbyhost_is_dict = isinstance(data__listedstatesbyhost, dict)
-            if data__listedstatesbyhost_is_dict:
-                data__listedstatesbyhost_keys = set(data__listedstatesbyhost.keys())
-                for data__listedstatesbyhost_key in data__listedstatesbyhost_keys:
-                    if data__listedstatesbyhost_key not in []:
-                        data__listedstatesbyhost_value = data__listedstatesbyhost.get(data__listedstatesbyhost_key)
-                        validate____defs_listedhoststate(data__listedstatesbyhost_value, custom_formats, (name_prefix or "data") + ".listed_states_by_host.{data__listedstatesbyhost_key}".format(**locals()))
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['question_sent_ms', 'revision'], 'description': 'What the platform held when the question sent at this time was answered.', 'properties': {'question_sent_ms': {'type': 'integer'}, 'revision': {'type': 'integer', 'minimum': 0}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'members_by_id': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'alive_ids': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'slices': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'slices_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'grants_by_team': {'type': 'object', 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, 'default': {}}, 'grant_revisions_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer'}, 'default': {}}, 'listed_states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, 'default': {}}}}, rule='additionalProperties')
-    return data
-
-def validate____defs_submitrequest(data, custom_formats={}, name_prefix=None):
-    if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request'], 'description': 'A request that arrived from a caller or, if forwarded, from a peer.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'presented_key': {'type': ['string', 'null'], 'default': None}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'forwarded': {'type': 'boolean', 'default': False}}}, rule='type')
-    data_is_dict = isinstance(data, dict)
-    if data_is_dict:
-        data__missing_keys = set(['request']) - data.keys()
-        if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request'], 'description': 'A request that arrived from a caller or, if forwarded, from a peer.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'presented_key': {'type': ['string', 'null'], 'default': None}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'forwarded': {'type': 'boolean', 'default': False}}}, rule='required')
-        data_keys = set(data.keys())
-        if "request" in data_keys:
-            data_keys.remove("request")
-            data__request = data["request"]
-            validate____defs_requestbody(data__request, custom_formats, (name_prefix or "data") + ".request")
-        if "presented_key" in data_keys:
-            data_keys.remove("presented_key")
-            data__presentedkey = data["presented_key"]
-            if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'default': None}, rule='type')
-        if "age_ms" in data_keys:
-            data_keys.remove("age_ms")
-            data__agems = data["age_ms"]
-            if not isinstance(data__agems, (int)) and not (isinstance(data__agems, float) and data__agems.is_integer()) or isinstance(data__agems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
-            if isinstance(data__agems, (int, float, Decimal)) and not isinstance(data__agems, bool):
-                if data__agems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
-        if "forwarded" in data_keys:
-            data_keys.remove("forwarded")
-            data__forwarded = data["forwarded"]
-            if not isinstance(data__forwarded, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".forwarded must be boolean", value=data__forwarded, name="" + (name_prefix or "data") + ".forwarded", definition={'type': 'boolean', 'default': False}, rule='type')
-        if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request'], 'description': 'A request that arrived from a caller or, if forwarded, from a peer.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'presented_key': {'type': ['string', 'null'], 'default': None}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'forwarded': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
     return data
 
 def validate____defs_entrysettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id'], 'description': 'Settings of an entry host process.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'caller_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'operator_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'peer_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'platform_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'advertised_peer_address': {'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, 'peer_secret': {'type': 'string', 'minLength': 16, 'maxLength': 256}, 'operator_tokens_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, 'caller_tls': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'statsd': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, {'type': 'null'}], 'default': None}, 'log_level': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'max_body_bytes': {'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, 'max_requests': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, 'member_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, 'peer_ping_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'platform_read_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'connect_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, 'read_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, 'source_ip': {'type': ['string', 'null'], 'default': None}, 'backend_connections': {'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, 'claim_flush_ms': {'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, 'drain_timeout_ms': {'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id'], 'description': 'Settings of an entry host process.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'caller_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'operator_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'peer_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'platform_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'advertised_peer_address': {'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, 'peer_secret': {'type': 'string', 'minLength': 16, 'maxLength': 256}, 'operator_tokens_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, 'caller_tls': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'statsd': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, {'type': 'null'}], 'default': None}, 'log_level': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'max_body_bytes': {'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, 'max_requests': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, 'member_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, 'peer_ping_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'platform_read_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'connect_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, 'read_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, 'source_ip': {'type': ['string', 'null'], 'default': None}, 'backend_connections': {'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, 'claim_flush_ms': {'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, 'drain_timeout_ms': {'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "region" in data_keys:
             data_keys.remove("region")
             data__region = data["region"]
             if not isinstance(data__region, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string", value=data__region, name="" + (name_prefix or "data") + ".region", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string")
             if isinstance(data__region, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__region):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__region, name="" + (name_prefix or "data") + ".region", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "caller_address" in data_keys:
             data_keys.remove("caller_address")
             data__calleraddress = data["caller_address"]
             if not isinstance(data__calleraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must be string", value=data__calleraddress, name="" + (name_prefix or "data") + ".caller_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must be string")
             if isinstance(data__calleraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__calleraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__calleraddress, name="" + (name_prefix or "data") + ".caller_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "operator_address" in data_keys:
             data_keys.remove("operator_address")
             data__operatoraddress = data["operator_address"]
             if not isinstance(data__operatoraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must be string", value=data__operatoraddress, name="" + (name_prefix or "data") + ".operator_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must be string")
             if isinstance(data__operatoraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__operatoraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__operatoraddress, name="" + (name_prefix or "data") + ".operator_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "peer_address" in data_keys:
             data_keys.remove("peer_address")
             data__peeraddress = data["peer_address"]
             if not isinstance(data__peeraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string")
             if isinstance(data__peeraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__peeraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "platform_address" in data_keys:
             data_keys.remove("platform_address")
             data__platformaddress = data["platform_address"]
             if not isinstance(data__platformaddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must be string", value=data__platformaddress, name="" + (name_prefix or "data") + ".platform_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must be string")
             if isinstance(data__platformaddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__platformaddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__platformaddress, name="" + (name_prefix or "data") + ".platform_address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "advertised_peer_address" in data_keys:
             data_keys.remove("advertised_peer_address")
             data__advertisedpeeraddress = data["advertised_peer_address"]
             if not isinstance(data__advertisedpeeraddress, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must be string or null", value=data__advertisedpeeraddress, name="" + (name_prefix or "data") + ".advertised_peer_address", definition={'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must be string or null")
             if isinstance(data__advertisedpeeraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__advertisedpeeraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__advertisedpeeraddress, name="" + (name_prefix or "data") + ".advertised_peer_address", definition={'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "peer_secret" in data_keys:
             data_keys.remove("peer_secret")
             data__peersecret = data["peer_secret"]
             if not isinstance(data__peersecret, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be string", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be string")
             if isinstance(data__peersecret, str):
                 data__peersecret_len = len(data__peersecret)
                 if data__peersecret_len < 16:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters")
                 if data__peersecret_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters")
         if "operator_tokens_by_id" in data_keys:
             data_keys.remove("operator_tokens_by_id")
             data__operatortokensbyid = data["operator_tokens_by_id"]
             if not isinstance(data__operatortokensbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be object", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be object")
             data__operatortokensbyid_is_dict = isinstance(data__operatortokensbyid, dict)
             if data__operatortokensbyid_is_dict:
                 data__operatortokensbyid_keys = set(data__operatortokensbyid.keys())
@@ -1431,13 +445,13 @@
                     if data__operatortokensbyid_key not in []:
                         data__operatortokensbyid_value = data__operatortokensbyid.get(data__operatortokensbyid_key)
                         if not isinstance(data__operatortokensbyid_value, (str)):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be string", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be string")
                         if isinstance(data__operatortokensbyid_value, str):
                             data__operatortokensbyid_value_len = len(data__operatortokensbyid_value)
                             if data__operatortokensbyid_value_len < 16:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be longer than or equal to 16 characters", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='minLength')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be longer than or equal to 16 characters")
                             if data__operatortokensbyid_value_len > 256:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be shorter than or equal to 256 characters", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={'type': 'string', 'minLength': 16, 'maxLength': 256}, rule='maxLength')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be shorter than or equal to 256 characters")
                 data__operatortokensbyid_len = len(data__operatortokensbyid)
                 if data__operatortokensbyid_len != 0:
                     data__operatortokensbyid_property_names = True
@@ -1445,45 +459,45 @@
                         try:
                             if isinstance(data__operatortokensbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__operatortokensbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__operatortokensbyid_key, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__operatortokensbyid_property_names = False
                     if not data__operatortokensbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition")
         if "caller_tls" in data_keys:
             data_keys.remove("caller_tls")
             data__callertls = data["caller_tls"]
-            data__callertls_one_of_count5 = 0
-            if data__callertls_one_of_count5 < 2:
+            data__callertls_one_of_count1 = 0
+            if data__callertls_one_of_count1 < 2:
                 try:
                     validate____defs_tlssettings(data__callertls, custom_formats, (name_prefix or "data") + ".caller_tls")
-                    data__callertls_one_of_count5 += 1
+                    data__callertls_one_of_count1 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__callertls_one_of_count5 < 2:
+            if data__callertls_one_of_count1 < 2:
                 try:
                     if not isinstance(data__callertls, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be null", value=data__callertls, name="" + (name_prefix or "data") + ".caller_tls", definition={'type': 'null'}, rule='type')
-                    data__callertls_one_of_count5 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be null")
+                    data__callertls_one_of_count1 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__callertls_one_of_count5 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be valid exactly by one definition" + (" (" + str(data__callertls_one_of_count5) + " matches found)"), value=data__callertls, name="" + (name_prefix or "data") + ".caller_tls", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__callertls_one_of_count1 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be valid exactly by one definition")
         if "statsd" in data_keys:
             data_keys.remove("statsd")
             data__statsd = data["statsd"]
-            data__statsd_one_of_count6 = 0
-            if data__statsd_one_of_count6 < 2:
+            data__statsd_one_of_count2 = 0
+            if data__statsd_one_of_count2 < 2:
                 try:
                     validate____defs_statsdsettings(data__statsd, custom_formats, (name_prefix or "data") + ".statsd")
-                    data__statsd_one_of_count6 += 1
+                    data__statsd_one_of_count2 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__statsd_one_of_count6 < 2:
+            if data__statsd_one_of_count2 < 2:
                 try:
                     if not isinstance(data__statsd, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be null", value=data__statsd, name="" + (name_prefix or "data") + ".statsd", definition={'type': 'null'}, rule='type')
-                    data__statsd_one_of_count6 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be null")
+                    data__statsd_one_of_count2 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__statsd_one_of_count6 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be valid exactly by one definition" + (" (" + str(data__statsd_one_of_count6) + " matches found)"), value=data__statsd, name="" + (name_prefix or "data") + ".statsd", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__statsd_one_of_count2 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be valid exactly by one definition")
         if "log_level" in data_keys:
             data_keys.remove("log_level")
             data__loglevel = data["log_level"]
