@@ -1492,243 +506,243 @@
             data_keys.remove("max_body_bytes")
             data__maxbodybytes = data["max_body_bytes"]
             if not isinstance(data__maxbodybytes, (int)) and not (isinstance(data__maxbodybytes, float) and data__maxbodybytes.is_integer()) or isinstance(data__maxbodybytes, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be integer", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be integer")
             if isinstance(data__maxbodybytes, (int, float, Decimal)) and not isinstance(data__maxbodybytes, bool):
                 if data__maxbodybytes < 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be bigger than or equal to 1024", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be bigger than or equal to 1024")
                 if data__maxbodybytes > 67108864:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be smaller than or equal to 67108864", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be smaller than or equal to 67108864")
         if "max_requests" in data_keys:
             data_keys.remove("max_requests")
             data__maxrequests = data["max_requests"]
             if not isinstance(data__maxrequests, (int)) and not (isinstance(data__maxrequests, float) and data__maxrequests.is_integer()) or isinstance(data__maxrequests, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be integer", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be integer")
             if isinstance(data__maxrequests, (int, float, Decimal)) and not isinstance(data__maxrequests, bool):
                 if data__maxrequests < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be bigger than or equal to 1", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be bigger than or equal to 1")
                 if data__maxrequests > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be smaller than or equal to 1000000", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be smaller than or equal to 1000000")
         if "member_lease_ms" in data_keys:
             data_keys.remove("member_lease_ms")
             data__memberleasems = data["member_lease_ms"]
             if not isinstance(data__memberleasems, (int)) and not (isinstance(data__memberleasems, float) and data__memberleasems.is_integer()) or isinstance(data__memberleasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be integer", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be integer")
             if isinstance(data__memberleasems, (int, float, Decimal)) and not isinstance(data__memberleasems, bool):
                 if data__memberleasems < 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be bigger than or equal to 1000", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be bigger than or equal to 1000")
                 if data__memberleasems > 120000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be smaller than or equal to 120000", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be smaller than or equal to 120000")
         if "peer_ping_interval_ms" in data_keys:
             data_keys.remove("peer_ping_interval_ms")
             data__peerpingintervalms = data["peer_ping_interval_ms"]
             if not isinstance(data__peerpingintervalms, (int)) and not (isinstance(data__peerpingintervalms, float) and data__peerpingintervalms.is_integer()) or isinstance(data__peerpingintervalms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be integer", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be integer")
             if isinstance(data__peerpingintervalms, (int, float, Decimal)) and not isinstance(data__peerpingintervalms, bool):
                 if data__peerpingintervalms < 50:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be bigger than or equal to 50", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be bigger than or equal to 50")
                 if data__peerpingintervalms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be smaller than or equal to 10000", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be smaller than or equal to 10000")
         if "platform_read_interval_ms" in data_keys:
             data_keys.remove("platform_read_interval_ms")
             data__platformreadintervalms = data["platform_read_interval_ms"]
             if not isinstance(data__platformreadintervalms, (int)) and not (isinstance(data__platformreadintervalms, float) and data__platformreadintervalms.is_integer()) or isinstance(data__platformreadintervalms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be integer", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be integer")
             if isinstance(data__platformreadintervalms, (int, float, Decimal)) and not isinstance(data__platformreadintervalms, bool):
                 if data__platformreadintervalms < 50:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be bigger than or equal to 50", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be bigger than or equal to 50")
                 if data__platformreadintervalms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be smaller than or equal to 10000", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be smaller than or equal to 10000")
         if "connect_timeout_ms" in data_keys:
             data_keys.remove("connect_timeout_ms")
             data__connecttimeoutms = data["connect_timeout_ms"]
             if not isinstance(data__connecttimeoutms, (int)) and not (isinstance(data__connecttimeoutms, float) and data__connecttimeoutms.is_integer()) or isinstance(data__connecttimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be integer", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be integer")
             if isinstance(data__connecttimeoutms, (int, float, Decimal)) and not isinstance(data__connecttimeoutms, bool):
                 if data__connecttimeoutms < 10:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be bigger than or equal to 10", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be bigger than or equal to 10")
                 if data__connecttimeoutms > 60000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be smaller than or equal to 60000", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be smaller than or equal to 60000")
         if "read_timeout_ms" in data_keys:
             data_keys.remove("read_timeout_ms")
             data__readtimeoutms = data["read_timeout_ms"]
             if not isinstance(data__readtimeoutms, (int)) and not (isinstance(data__readtimeoutms, float) and data__readtimeoutms.is_integer()) or isinstance(data__readtimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be integer", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be integer")
             if isinstance(data__readtimeoutms, (int, float, Decimal)) and not isinstance(data__readtimeoutms, bool):
                 if data__readtimeoutms < 10:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be bigger than or equal to 10", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be bigger than or equal to 10")
                 if data__readtimeoutms > 60000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be smaller than or equal to 60000", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be smaller than or equal to 60000")
         if "source_ip" in data_keys:
             data_keys.remove("source_ip")
             data__sourceip = data["source_ip"]
             if not isinstance(data__sourceip, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".source_ip must be string or null", value=data__sourceip, name="" + (name_prefix or "data") + ".source_ip", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".source_ip must be string or null")
         if "backend_connections" in data_keys:
             data_keys.remove("backend_connections")
             data__backendconnections = data["backend_connections"]
             if not isinstance(data__backendconnections, (int)) and not (isinstance(data__backendconnections, float) and data__backendconnections.is_integer()) or isinstance(data__backendconnections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be integer", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be integer")
             if isinstance(data__backendconnections, (int, float, Decimal)) and not isinstance(data__backendconnections, bool):
                 if data__backendconnections < 8:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be bigger than or equal to 8", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be bigger than or equal to 8")
                 if data__backendconnections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be smaller than or equal to 4096", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be smaller than or equal to 4096")
         if "claim_flush_ms" in data_keys:
             data_keys.remove("claim_flush_ms")
             data__claimflushms = data["claim_flush_ms"]
             if not isinstance(data__claimflushms, (int)) and not (isinstance(data__claimflushms, float) and data__claimflushms.is_integer()) or isinstance(data__claimflushms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be integer", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be integer")
             if isinstance(data__claimflushms, (int, float, Decimal)) and not isinstance(data__claimflushms, bool):
                 if data__claimflushms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be bigger than or equal to 1", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be bigger than or equal to 1")
                 if data__claimflushms > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be smaller than or equal to 1000", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be smaller than or equal to 1000")
         if "drain_timeout_ms" in data_keys:
             data_keys.remove("drain_timeout_ms")
             data__draintimeoutms = data["drain_timeout_ms"]
             if not isinstance(data__draintimeoutms, (int)) and not (isinstance(data__draintimeoutms, float) and data__draintimeoutms.is_integer()) or isinstance(data__draintimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be integer", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be integer")
             if isinstance(data__draintimeoutms, (int, float, Decimal)) and not isinstance(data__draintimeoutms, bool):
                 if data__draintimeoutms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be bigger than or equal to 0", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be bigger than or equal to 0")
                 if data__draintimeoutms > 600000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id'], 'description': 'Settings of an entry host process.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'caller_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'operator_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'peer_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'platform_address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'advertised_peer_address': {'type': ['string', 'null'], 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$', 'default': None}, 'peer_secret': {'type': 'string', 'minLength': 16, 'maxLength': 256}, 'operator_tokens_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'string', 'minLength': 16, 'maxLength': 256}}, 'caller_tls': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'statsd': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, {'type': 'null'}], 'default': None}, 'log_level': {'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, 'max_body_bytes': {'type': 'integer', 'minimum': 1024, 'maximum': 67108864, 'default': 1048576}, 'max_requests': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 20000}, 'member_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 120000, 'default': 10000}, 'peer_ping_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'platform_read_interval_ms': {'type': 'integer', 'minimum': 50, 'maximum': 10000, 'default': 2000}, 'connect_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 500}, 'read_timeout_ms': {'type': 'integer', 'minimum': 10, 'maximum': 60000, 'default': 2000}, 'source_ip': {'type': ['string', 'null'], 'default': None}, 'backend_connections': {'type': 'integer', 'minimum': 8, 'maximum': 4096, 'default': 256}, 'claim_flush_ms': {'type': 'integer', 'minimum': 1, 'maximum': 1000, 'default': 40}, 'drain_timeout_ms': {'type': 'integer', 'minimum': 0, 'maximum': 600000, 'default': 30000}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_loglevel(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'DEBUG' or isinstance(data, str) and data == 'INFO' or isinstance(data, str) and data == 'WARNING' or isinstance(data, str) and data == 'ERROR'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['DEBUG', 'INFO', 'WARNING', 'ERROR']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR'], 'description': 'Lowest level that is written.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['DEBUG', 'INFO', 'WARNING', 'ERROR']")
     return data
 
 def validate____defs_statsdsettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['host', 'port']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "host" in data_keys:
             data_keys.remove("host")
             data__host = data["host"]
             if not isinstance(data__host, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be string", value=data__host, name="" + (name_prefix or "data") + ".host", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be string")
             if isinstance(data__host, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}$'].search(data__host):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must match pattern ^[0-9.]{7,15}$", value=data__host, name="" + (name_prefix or "data") + ".host", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must match pattern ^[0-9.]{7,15}$")
         if "port" in data_keys:
             data_keys.remove("port")
             data__port = data["port"]
             if not isinstance(data__port, (int)) and not (isinstance(data__port, float) and data__port.is_integer()) or isinstance(data__port, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be integer", value=data__port, name="" + (name_prefix or "data") + ".port", definition={'type': 'integer', 'minimum': 1, 'maximum': 65535}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be integer")
             if isinstance(data__port, (int, float, Decimal)) and not isinstance(data__port, bool):
                 if data__port < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be bigger than or equal to 1", value=data__port, name="" + (name_prefix or "data") + ".port", definition={'type': 'integer', 'minimum': 1, 'maximum': 65535}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be bigger than or equal to 1")
                 if data__port > 65535:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be smaller than or equal to 65535", value=data__port, name="" + (name_prefix or "data") + ".port", definition={'type': 'integer', 'minimum': 1, 'maximum': 65535}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be smaller than or equal to 65535")
         if "prefix" in data_keys:
             data_keys.remove("prefix")
             data__prefix = data["prefix"]
             if not isinstance(data__prefix, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefix must be string", value=data__prefix, name="" + (name_prefix or "data") + ".prefix", definition={'type': 'string', 'default': 'dandelionknot'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefix must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host', 'port'], 'description': 'Where metrics are sent over UDP.', 'properties': {'host': {'type': 'string', 'pattern': '^[0-9.]{7,15}$'}, 'port': {'type': 'integer', 'minimum': 1, 'maximum': 65535}, 'prefix': {'type': 'string', 'default': 'dandelionknot'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_tlssettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['certificate_file', 'key_file']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "certificate_file" in data_keys:
             data_keys.remove("certificate_file")
             data__certificatefile = data["certificate_file"]
             if not isinstance(data__certificatefile, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be string", value=data__certificatefile, name="" + (name_prefix or "data") + ".certificate_file", definition={'type': 'string', 'minLength': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be string")
             if isinstance(data__certificatefile, str):
                 data__certificatefile_len = len(data__certificatefile)
                 if data__certificatefile_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be longer than or equal to 1 characters", value=data__certificatefile, name="" + (name_prefix or "data") + ".certificate_file", definition={'type': 'string', 'minLength': 1}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be longer than or equal to 1 characters")
         if "key_file" in data_keys:
             data_keys.remove("key_file")
             data__keyfile = data["key_file"]
             if not isinstance(data__keyfile, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be string", value=data__keyfile, name="" + (name_prefix or "data") + ".key_file", definition={'type': 'string', 'minLength': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be string")
             if isinstance(data__keyfile, str):
                 data__keyfile_len = len(data__keyfile)
                 if data__keyfile_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be longer than or equal to 1 characters", value=data__keyfile, name="" + (name_prefix or "data") + ".key_file", definition={'type': 'string', 'minLength': 1}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be longer than or equal to 1 characters")
         if "authority_file" in data_keys:
             data_keys.remove("authority_file")
             data__authorityfile = data["authority_file"]
             if not isinstance(data__authorityfile, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".authority_file must be string or null", value=data__authorityfile, name="" + (name_prefix or "data") + ".authority_file", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".authority_file must be string or null")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['certificate_file', 'key_file'], 'description': 'Certificate and key files in PEM format.', 'properties': {'certificate_file': {'type': 'string', 'minLength': 1}, 'key_file': {'type': 'string', 'minLength': 1}, 'authority_file': {'type': ['string', 'null'], 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_peeraddress(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'address'], 'description': 'A peer entry host that is known before the platform answers.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'address']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'address'], 'description': 'A peer entry host that is known before the platform answers.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'address'], 'description': 'A peer entry host that is known before the platform answers.', 'properties': {'member_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_claimsegment(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'claims'], 'description': 'A group of claims written at once by a slice owner.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string', 'default': ''}, 'claims': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}}, 'newest_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'claims']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'claims'], 'description': 'A group of claims written at once by a slice owner.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string', 'default': ''}, 'claims': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}}, 'newest_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={'type': 'string', 'default': ''}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
         if "claims" in data_keys:
             data_keys.remove("claims")
             data__claims = data["claims"]
             if not isinstance(data__claims, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claims must be array", value=data__claims, name="" + (name_prefix or "data") + ".claims", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claims must be array")
             data__claims_is_list = isinstance(data__claims, (list, tuple))
             if data__claims_is_list:
                 data__claims_len = len(data__claims)
@@ -1738,112 +752,112 @@
             data_keys.remove("newest_ms")
             data__newestms = data["newest_ms"]
             if not isinstance(data__newestms, (int)) and not (isinstance(data__newestms, float) and data__newestms.is_integer()) or isinstance(data__newestms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be integer", value=data__newestms, name="" + (name_prefix or "data") + ".newest_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be integer")
             if isinstance(data__newestms, (int, float, Decimal)) and not isinstance(data__newestms, bool):
                 if data__newestms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be bigger than or equal to 0", value=data__newestms, name="" + (name_prefix or "data") + ".newest_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'claims'], 'description': 'A group of claims written at once by a slice owner.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string', 'default': ''}, 'claims': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}}, 'newest_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_claim(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id', 'team', 'body_digest', 'task_id', 'host_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
         if "body_digest" in data_keys:
             data_keys.remove("body_digest")
             data__bodydigest = data["body_digest"]
             if not isinstance(data__bodydigest, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body_digest must be string", value=data__bodydigest, name="" + (name_prefix or "data") + ".body_digest", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body_digest must be string")
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string")
         if "deadline_ms" in data_keys:
             data_keys.remove("deadline_ms")
             data__deadlinems = data["deadline_ms"]
             if not isinstance(data__deadlinems, (int)) and not (isinstance(data__deadlinems, float) and data__deadlinems.is_integer()) or isinstance(data__deadlinems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer", value=data__deadlinems, name="" + (name_prefix or "data") + ".deadline_ms", definition={'type': 'integer', 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id'], 'description': 'A non-idempotent request that may have started on a host.', 'properties': {'request_id': {'type': 'string'}, 'team': {'type': 'string'}, 'body_digest': {'type': 'string'}, 'task_id': {'type': 'string'}, 'host_id': {'type': 'string'}, 'deadline_ms': {'type': 'integer', 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_slicemap(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['owners']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "owners" in data_keys:
             data_keys.remove("owners")
             data__owners = data["owners"]
             if not isinstance(data__owners, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must be array", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must be array")
             data__owners_is_list = isinstance(data__owners, (list, tuple))
             if data__owners_is_list:
                 data__owners_len = len(data__owners)
                 if data__owners_len < 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain at least 64 items", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, rule='minItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain at least 64 items")
                 if data__owners_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain less than or equal to 64 items", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain less than or equal to 64 items")
                 for data__owners_x, data__owners_item in enumerate(data__owners):
                     if not isinstance(data__owners_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + " must be string", value=data__owners_item, name="" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + " must be string")
         if "epoch" in data_keys:
             data_keys.remove("epoch")
             data__epoch = data["epoch"]
             if not isinstance(data__epoch, (int)) and not (isinstance(data__epoch, float) and data__epoch.is_integer()) or isinstance(data__epoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be integer", value=data__epoch, name="" + (name_prefix or "data") + ".epoch", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be integer")
             if isinstance(data__epoch, (int, float, Decimal)) and not isinstance(data__epoch, bool):
                 if data__epoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be bigger than or equal to 0", value=data__epoch, name="" + (name_prefix or "data") + ".epoch", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['owners'], 'description': 'Owner entry host of each slice of the request id space.', 'properties': {'owners': {'type': 'array', 'items': {'type': 'string'}, 'minItems': 64, 'maxItems': 64}, 'epoch': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_grantrecord(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['team']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
         if "grants_by_member" in data_keys:
             data_keys.remove("grants_by_member")
             data__grantsbymember = data["grants_by_member"]
             if not isinstance(data__grantsbymember, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member must be object", value=data__grantsbymember, name="" + (name_prefix or "data") + ".grants_by_member", definition={'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member must be object")
             data__grantsbymember_is_dict = isinstance(data__grantsbymember, dict)
             if data__grantsbymember_is_dict:
                 data__grantsbymember_keys = set(data__grantsbymember.keys())
@@ -1851,15 +865,15 @@
                     if data__grantsbymember_key not in []:
                         data__grantsbymember_value = data__grantsbymember.get(data__grantsbymember_key)
                         if not isinstance(data__grantsbymember_value, (int)) and not (isinstance(data__grantsbymember_value, float) and data__grantsbymember_value.is_integer()) or isinstance(data__grantsbymember_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be integer", value=data__grantsbymember_value, name="" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be integer")
                         if isinstance(data__grantsbymember_value, (int, float, Decimal)) and not isinstance(data__grantsbymember_value, bool):
                             if data__grantsbymember_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__grantsbymember_value, name="" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be bigger than or equal to 0")
         if "requests_by_member" in data_keys:
             data_keys.remove("requests_by_member")
             data__requestsbymember = data["requests_by_member"]
             if not isinstance(data__requestsbymember, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member must be object", value=data__requestsbymember, name="" + (name_prefix or "data") + ".requests_by_member", definition={'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member must be object")
             data__requestsbymember_is_dict = isinstance(data__requestsbymember, dict)
             if data__requestsbymember_is_dict:
                 data__requestsbymember_keys = set(data__requestsbymember.keys())
@@ -1867,90 +881,90 @@
                     if data__requestsbymember_key not in []:
                         data__requestsbymember_value = data__requestsbymember.get(data__requestsbymember_key)
                         if not isinstance(data__requestsbymember_value, (int)) and not (isinstance(data__requestsbymember_value, float) and data__requestsbymember_value.is_integer()) or isinstance(data__requestsbymember_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be integer", value=data__requestsbymember_value, name="" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be integer")
                         if isinstance(data__requestsbymember_value, (int, float, Decimal)) and not isinstance(data__requestsbymember_value, bool):
                             if data__requestsbymember_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__requestsbymember_value, name="" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team'], 'description': "How a team's upper limit is split over entry hosts.", 'properties': {'team': {'type': 'string'}, 'grants_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'requests_by_member': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_member(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
         if "peer_address" in data_keys:
             data_keys.remove("peer_address")
             data__peeraddress = data["peer_address"]
             if not isinstance(data__peeraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string")
         if "confirmed_version" in data_keys:
             data_keys.remove("confirmed_version")
             data__confirmedversion = data["confirmed_version"]
             if not isinstance(data__confirmedversion, (int)) and not (isinstance(data__confirmedversion, float) and data__confirmedversion.is_integer()) or isinstance(data__confirmedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer")
             if isinstance(data__confirmedversion, (int, float, Decimal)) and not isinstance(data__confirmedversion, bool):
                 if data__confirmedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0")
         if "joined_revision" in data_keys:
             data_keys.remove("joined_revision")
             data__joinedrevision = data["joined_revision"]
             if not isinstance(data__joinedrevision, (int)) and not (isinstance(data__joinedrevision, float) and data__joinedrevision.is_integer()) or isinstance(data__joinedrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be integer", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be integer")
             if isinstance(data__joinedrevision, (int, float, Decimal)) and not isinstance(data__joinedrevision, bool):
                 if data__joinedrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be bigger than or equal to 0", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be bigger than or equal to 0")
         if "members_revision" in data_keys:
             data_keys.remove("members_revision")
             data__membersrevision = data["members_revision"]
             if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer")
             if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
                 if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0")
         if "stopping" in data_keys:
             data_keys.remove("stopping")
             data__stopping = data["stopping"]
             if not isinstance(data__stopping, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".stopping must be boolean", value=data__stopping, name="" + (name_prefix or "data") + ".stopping", definition={'type': 'boolean', 'default': False}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".stopping must be boolean")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version'], 'description': 'Record of an entry host, written only by that entry host.', 'properties': {'member_id': {'type': 'string'}, 'incarnation': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'peer_address': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'joined_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'stopping': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_hostlist(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['states_by_host'], 'description': "The platform's lagging list of hosts.", 'properties': {'states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['states_by_host']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['states_by_host'], 'description': "The platform's lagging list of hosts.", 'properties': {'states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "states_by_host" in data_keys:
             data_keys.remove("states_by_host")
             data__statesbyhost = data["states_by_host"]
             if not isinstance(data__statesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".states_by_host must be object", value=data__statesbyhost, name="" + (name_prefix or "data") + ".states_by_host", definition={'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".states_by_host must be object")
             data__statesbyhost_is_dict = isinstance(data__statesbyhost, dict)
             if data__statesbyhost_is_dict:
                 data__statesbyhost_keys = set(data__statesbyhost.keys())
@@ -1962,97 +976,97 @@
             data_keys.remove("age_ms")
             data__agems = data["age_ms"]
             if not isinstance(data__agems, (int)) and not (isinstance(data__agems, float) and data__agems.is_integer()) or isinstance(data__agems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer")
             if isinstance(data__agems, (int, float, Decimal)) and not isinstance(data__agems, bool):
                 if data__agems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['states_by_host'], 'description': "The platform's lagging list of hosts.", 'properties': {'states_by_host': {'type': 'object', 'additionalProperties': {'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_listedhoststate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'live' or isinstance(data, str) and data == 'leaving'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['live', 'leaving']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['live', 'leaving'], 'description': "State of a host in the platform's lagging list."}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['live', 'leaving']")
     return data
 
 def validate____defs_leasegrant(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['lease_id', 'ttl_ms'], 'description': 'A lease of the key-value service.', 'properties': {'lease_id': {'type': 'string'}, 'ttl_ms': {'type': 'integer', 'minimum': 1}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['lease_id', 'ttl_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['lease_id', 'ttl_ms'], 'description': 'A lease of the key-value service.', 'properties': {'lease_id': {'type': 'string'}, 'ttl_ms': {'type': 'integer', 'minimum': 1}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "lease_id" in data_keys:
             data_keys.remove("lease_id")
             data__leaseid = data["lease_id"]
             if not isinstance(data__leaseid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string", value=data__leaseid, name="" + (name_prefix or "data") + ".lease_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string")
         if "ttl_ms" in data_keys:
             data_keys.remove("ttl_ms")
             data__ttlms = data["ttl_ms"]
             if not isinstance(data__ttlms, (int)) and not (isinstance(data__ttlms, float) and data__ttlms.is_integer()) or isinstance(data__ttlms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be integer", value=data__ttlms, name="" + (name_prefix or "data") + ".ttl_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be integer")
             if isinstance(data__ttlms, (int, float, Decimal)) and not isinstance(data__ttlms, bool):
                 if data__ttlms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be bigger than or equal to 1", value=data__ttlms, name="" + (name_prefix or "data") + ".ttl_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be bigger than or equal to 1")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['lease_id', 'ttl_ms'], 'description': 'A lease of the key-value service.', 'properties': {'lease_id': {'type': 'string'}, 'ttl_ms': {'type': 'integer', 'minimum': 1}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_writerequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['key', 'expected_revision', 'value']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "key" in data_keys:
             data_keys.remove("key")
             data__key = data["key"]
             if not isinstance(data__key, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string', 'minLength': 1, 'maxLength': 512}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string")
             if isinstance(data__key, str):
                 data__key_len = len(data__key)
                 if data__key_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be longer than or equal to 1 characters", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string', 'minLength': 1, 'maxLength': 512}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be longer than or equal to 1 characters")
                 if data__key_len > 512:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be shorter than or equal to 512 characters", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string', 'minLength': 1, 'maxLength': 512}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be shorter than or equal to 512 characters")
         if "expected_revision" in data_keys:
             data_keys.remove("expected_revision")
             data__expectedrevision = data["expected_revision"]
             if not isinstance(data__expectedrevision, (int)) and not (isinstance(data__expectedrevision, float) and data__expectedrevision.is_integer()) or isinstance(data__expectedrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be integer", value=data__expectedrevision, name="" + (name_prefix or "data") + ".expected_revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be integer")
             if isinstance(data__expectedrevision, (int, float, Decimal)) and not isinstance(data__expectedrevision, bool):
                 if data__expectedrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be bigger than or equal to 0", value=data__expectedrevision, name="" + (name_prefix or "data") + ".expected_revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be bigger than or equal to 0")
         if "value" in data_keys:
             data_keys.remove("value")
             data__value = data["value"]
             if not isinstance(data__value, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string or null", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': ['string', 'null']}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string or null")
         if "lease_id" in data_keys:
             data_keys.remove("lease_id")
             data__leaseid = data["lease_id"]
             if not isinstance(data__leaseid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string or null", value=data__leaseid, name="" + (name_prefix or "data") + ".lease_id", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string or null")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'expected_revision', 'value'], 'description': 'Writes a value if the key still has the expected revision (0 for absent); null deletes it.', 'properties': {'key': {'type': 'string', 'minLength': 1, 'maxLength': 512}, 'expected_revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': ['string', 'null']}, 'lease_id': {'type': ['string', 'null'], 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_writeresult(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['outcome', 'revision'], 'description': "Outcome of a compare-and-swap and the key's revision now (0 if absent).", 'properties': {'outcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['outcome', 'revision']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['outcome', 'revision'], 'description': "Outcome of a compare-and-swap and the key's revision now (0 if absent).", 'properties': {'outcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "outcome" in data_keys:
             data_keys.remove("outcome")
@@ -2062,43 +1076,43 @@
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['outcome', 'revision'], 'description': "Outcome of a compare-and-swap and the key's revision now (0 if absent).", 'properties': {'outcome': {'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, 'revision': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_writeoutcome(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'written' or isinstance(data, str) and data == 'conflict'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['written', 'conflict']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['written', 'conflict'], 'description': 'Whether a compare-and-swap took effect.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['written', 'conflict']")
     return data
 
 def validate____defs_storedlist(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['revision', 'values'], 'description': 'All values below a prefix at one revision.', 'properties': {'revision': {'type': 'integer', 'minimum': 0}, 'values': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}}, 'deleted_keys': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['revision', 'values']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['revision', 'values'], 'description': 'All values below a prefix at one revision.', 'properties': {'revision': {'type': 'integer', 'minimum': 0}, 'values': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}}, 'deleted_keys': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "revision" in data_keys:
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
         if "values" in data_keys:
             data_keys.remove("values")
             data__values = data["values"]
             if not isinstance(data__values, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".values must be array", value=data__values, name="" + (name_prefix or "data") + ".values", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".values must be array")
             data__values_is_list = isinstance(data__values, (list, tuple))
             if data__values_is_list:
                 data__values_len = len(data__values)
@@ -2108,164 +1122,164 @@
             data_keys.remove("deleted_keys")
             data__deletedkeys = data["deleted_keys"]
             if not isinstance(data__deletedkeys, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys must be array", value=data__deletedkeys, name="" + (name_prefix or "data") + ".deleted_keys", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys must be array")
             data__deletedkeys_is_list = isinstance(data__deletedkeys, (list, tuple))
             if data__deletedkeys_is_list:
                 data__deletedkeys_len = len(data__deletedkeys)
                 for data__deletedkeys_x, data__deletedkeys_item in enumerate(data__deletedkeys):
                     if not isinstance(data__deletedkeys_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + " must be string", value=data__deletedkeys_item, name="" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + " must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['revision', 'values'], 'description': 'All values below a prefix at one revision.', 'properties': {'revision': {'type': 'integer', 'minimum': 0}, 'values': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}}, 'deleted_keys': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_storedvalue(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['key', 'revision', 'value']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "key" in data_keys:
             data_keys.remove("key")
             data__key = data["key"]
             if not isinstance(data__key, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string")
         if "revision" in data_keys:
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
         if "value" in data_keys:
             data_keys.remove("value")
             data__value = data["value"]
             if not isinstance(data__value, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['key', 'revision', 'value'], 'description': 'A stored value; the revision grows with every write to the service.', 'properties': {'key': {'type': 'string'}, 'revision': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_forwardedanswer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'description': 'Answer of a slice owner; exactly one of the two fields is set.', 'properties': {'answer': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'$ref': '#/$defs/ErrorCode'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, 'refusal': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'$ref': '#/$defs/ErrorCode'}, 'message': {'type': 'string'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
         if "answer" in data_keys:
             data_keys.remove("answer")
             data__answer = data["answer"]
-            data__answer_one_of_count7 = 0
-            if data__answer_one_of_count7 < 2:
+            data__answer_one_of_count3 = 0
+            if data__answer_one_of_count3 < 2:
                 try:
                     validate____defs_answerbody(data__answer, custom_formats, (name_prefix or "data") + ".answer")
-                    data__answer_one_of_count7 += 1
+                    data__answer_one_of_count3 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__answer_one_of_count7 < 2:
+            if data__answer_one_of_count3 < 2:
                 try:
                     if not isinstance(data__answer, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be null", value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={'type': 'null'}, rule='type')
-                    data__answer_one_of_count7 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be null")
+                    data__answer_one_of_count3 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__answer_one_of_count7 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition" + (" (" + str(data__answer_one_of_count7) + " matches found)"), value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'$ref': '#/$defs/ErrorCode'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__answer_one_of_count3 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition")
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count8 = 0
-            if data__refusal_one_of_count8 < 2:
+            data__refusal_one_of_count4 = 0
+            if data__refusal_one_of_count4 < 2:
                 try:
                     validate____defs_refusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count8 += 1
+                    data__refusal_one_of_count4 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count8 < 2:
+            if data__refusal_one_of_count4 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={'type': 'null'}, rule='type')
-                    data__refusal_one_of_count8 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null")
+                    data__refusal_one_of_count4 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count8 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count8) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'$ref': '#/$defs/ErrorCode'}, 'message': {'type': 'string'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__refusal_one_of_count4 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition")
     return data
 
 def validate____defs_cancelrequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request_id'], 'description': 'Asks to cancel a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request_id'], 'description': 'Asks to cancel a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
             if isinstance(data__requestid, str):
                 data__requestid_len = len(data__requestid)
                 if data__requestid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters")
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
     return data
 
 def validate____defs_fetchanswer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request_id'], 'description': 'Asks for the answer to a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request_id'], 'description': 'Asks for the answer to a request.', 'properties': {'request_id': {'type': 'string', 'maxLength': 64}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
             if isinstance(data__requestid, str):
                 data__requestid_len = len(data__requestid)
                 if data__requestid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters")
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
         if "wait_ms" in data_keys:
             data_keys.remove("wait_ms")
             data__waitms = data["wait_ms"]
             if not isinstance(data__waitms, (int)) and not (isinstance(data__waitms, float) and data__waitms.is_integer()) or isinstance(data__waitms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer")
             if isinstance(data__waitms, (int, float, Decimal)) and not isinstance(data__waitms, bool):
                 if data__waitms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0")
     return data
 
 def validate____defs_forwardedrequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request', 'arrival_age_ms'], 'description': 'A request for its slice owner; the authenticated team is null on open queues.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'team': {'type': ['string', 'null'], 'default': None}, 'arrival_age_ms': {'type': 'integer', 'minimum': 0}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request', 'arrival_age_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['request', 'arrival_age_ms'], 'description': 'A request for its slice owner; the authenticated team is null on open queues.', 'properties': {'request': {'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'$ref': '#/$defs/RequestMode', 'default': 'wait'}, 'priority': {'$ref': '#/$defs/Priority', 'default': 'urgent'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, 'team': {'type': ['string', 'null'], 'default': None}, 'arrival_age_ms': {'type': 'integer', 'minimum': 0}, 'presented_key': {'type': ['string', 'null'], 'maxLength': 256, 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request" in data_keys:
             data_keys.remove("request")
@@ -2275,34 +1289,34 @@
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
         if "arrival_age_ms" in data_keys:
             data_keys.remove("arrival_age_ms")
             data__arrivalagems = data["arrival_age_ms"]
             if not isinstance(data__arrivalagems, (int)) and not (isinstance(data__arrivalagems, float) and data__arrivalagems.is_integer()) or isinstance(data__arrivalagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be integer", value=data__arrivalagems, name="" + (name_prefix or "data") + ".arrival_age_ms", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be integer")
             if isinstance(data__arrivalagems, (int, float, Decimal)) and not isinstance(data__arrivalagems, bool):
                 if data__arrivalagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be bigger than or equal to 0", value=data__arrivalagems, name="" + (name_prefix or "data") + ".arrival_age_ms", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be bigger than or equal to 0")
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={'type': ['string', 'null'], 'maxLength': 256, 'default': None}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
     return data
 
 def validate____defs_configurationoffer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration'], 'description': 'A configuration newer than the one the peer named.', 'properties': {'configuration': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration'], 'description': 'A configuration newer than the one the peer named.', 'properties': {'configuration': {'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "configuration" in data_keys:
             data_keys.remove("configuration")
@@ -2312,264 +1326,264 @@
 
 def validate____defs_pong(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration_version'], 'description': 'Answer to a ping; the age is since the question of the last answered platform read, null if there was none.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}, 'members_revision': {'type': 'integer', 'minimum': 0, 'default': 0}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "configuration_version" in data_keys:
             data_keys.remove("configuration_version")
             data__configurationversion = data["configuration_version"]
             if not isinstance(data__configurationversion, (int)) and not (isinstance(data__configurationversion, float) and data__configurationversion.is_integer()) or isinstance(data__configurationversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer")
             if isinstance(data__configurationversion, (int, float, Decimal)) and not isinstance(data__configurationversion, bool):
                 if data__configurationversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0")
         if "members_revision" in data_keys:
             data_keys.remove("members_revision")
             data__membersrevision = data["members_revision"]
             if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer")
             if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
                 if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0")
         if "platform_age_ms" in data_keys:
             data_keys.remove("platform_age_ms")
             data__platformagems = data["platform_age_ms"]
             if not isinstance(data__platformagems, (int, NoneType)) and not (isinstance(data__platformagems, float) and data__platformagems.is_integer()) or isinstance(data__platformagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null")
             if isinstance(data__platformagems, (int, float, Decimal)) and not isinstance(data__platformagems, bool):
                 if data__platformagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0")
     return data
 
 def validate____defs_ping(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration_version'], 'description': 'Asks a peer how fresh its knowledge is.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['configuration_version'], 'description': 'Asks a peer how fresh its knowledge is.', 'properties': {'configuration_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "configuration_version" in data_keys:
             data_keys.remove("configuration_version")
             data__configurationversion = data["configuration_version"]
             if not isinstance(data__configurationversion, (int)) and not (isinstance(data__configurationversion, float) and data__configurationversion.is_integer()) or isinstance(data__configurationversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer")
             if isinstance(data__configurationversion, (int, float, Decimal)) and not isinstance(data__configurationversion, bool):
                 if data__configurationversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0")
     return data
 
 def validate____defs_hello(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['member_id', 'incarnation', 'availability_zone', 'proof'], 'description': 'First message in each direction; the proof shows knowledge of the peer secret.', 'properties': {'member_id': {'type': 'string', 'maxLength': 64}, 'incarnation': {'type': 'string', 'maxLength': 64}, 'availability_zone': {'type': 'string', 'maxLength': 64}, 'proof': {'type': 'string', 'maxLength': 128}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'incarnation', 'availability_zone', 'proof']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['member_id', 'incarnation', 'availability_zone', 'proof'], 'description': 'First message in each direction; the proof shows knowledge of the peer secret.', 'properties': {'member_id': {'type': 'string', 'maxLength': 64}, 'incarnation': {'type': 'string', 'maxLength': 64}, 'availability_zone': {'type': 'string', 'maxLength': 64}, 'proof': {'type': 'string', 'maxLength': 128}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
             if isinstance(data__memberid, str):
                 data__memberid_len = len(data__memberid)
                 if data__memberid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be shorter than or equal to 64 characters", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be shorter than or equal to 64 characters")
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
             if isinstance(data__incarnation, str):
                 data__incarnation_len = len(data__incarnation)
                 if data__incarnation_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be shorter than or equal to 64 characters", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be shorter than or equal to 64 characters")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
             if isinstance(data__availabilityzone, str):
                 data__availabilityzone_len = len(data__availabilityzone)
                 if data__availabilityzone_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be shorter than or equal to 64 characters", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be shorter than or equal to 64 characters")
         if "proof" in data_keys:
             data_keys.remove("proof")
             data__proof = data["proof"]
             if not isinstance(data__proof, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be string", value=data__proof, name="" + (name_prefix or "data") + ".proof", definition={'type': 'string', 'maxLength': 128}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be string")
             if isinstance(data__proof, str):
                 data__proof_len = len(data__proof)
                 if data__proof_len > 128:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be shorter than or equal to 128 characters", value=data__proof, name="" + (name_prefix or "data") + ".proof", definition={'type': 'string', 'maxLength': 128}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be shorter than or equal to 128 characters")
     return data
 
 def validate____defs_envelope(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['protocol', 'kind', 'body'], 'description': 'Outer message; unknown extra fields come from newer versions and are ignored.', 'properties': {'protocol': {'type': 'integer', 'minimum': 1}, 'kind': {'type': 'string', 'maxLength': 64}, 'call_id': {'type': 'integer', 'minimum': 0, 'default': 0}, 'body': {'type': 'object'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['protocol', 'kind', 'body']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'required': ['protocol', 'kind', 'body'], 'description': 'Outer message; unknown extra fields come from newer versions and are ignored.', 'properties': {'protocol': {'type': 'integer', 'minimum': 1}, 'kind': {'type': 'string', 'maxLength': 64}, 'call_id': {'type': 'integer', 'minimum': 0, 'default': 0}, 'body': {'type': 'object'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "protocol" in data_keys:
             data_keys.remove("protocol")
             data__protocol = data["protocol"]
             if not isinstance(data__protocol, (int)) and not (isinstance(data__protocol, float) and data__protocol.is_integer()) or isinstance(data__protocol, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be integer", value=data__protocol, name="" + (name_prefix or "data") + ".protocol", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be integer")
             if isinstance(data__protocol, (int, float, Decimal)) and not isinstance(data__protocol, bool):
                 if data__protocol < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be bigger than or equal to 1", value=data__protocol, name="" + (name_prefix or "data") + ".protocol", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be bigger than or equal to 1")
         if "kind" in data_keys:
             data_keys.remove("kind")
             data__kind = data["kind"]
             if not isinstance(data__kind, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be string", value=data__kind, name="" + (name_prefix or "data") + ".kind", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be string")
             if isinstance(data__kind, str):
                 data__kind_len = len(data__kind)
                 if data__kind_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be shorter than or equal to 64 characters", value=data__kind, name="" + (name_prefix or "data") + ".kind", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be shorter than or equal to 64 characters")
         if "call_id" in data_keys:
             data_keys.remove("call_id")
             data__callid = data["call_id"]
             if not isinstance(data__callid, (int)) and not (isinstance(data__callid, float) and data__callid.is_integer()) or isinstance(data__callid, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be integer", value=data__callid, name="" + (name_prefix or "data") + ".call_id", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be integer")
             if isinstance(data__callid, (int, float, Decimal)) and not isinstance(data__callid, bool):
                 if data__callid < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be bigger than or equal to 0", value=data__callid, name="" + (name_prefix or "data") + ".call_id", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be bigger than or equal to 0")
         if "body" in data_keys:
             data_keys.remove("body")
             data__body = data["body"]
             if not isinstance(data__body, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body must be object", value=data__body, name="" + (name_prefix or "data") + ".body", definition={'type': 'object'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body must be object")
     return data
 
 def validate____defs_peermessagekind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'hello' or isinstance(data, str) and data == 'ping' or isinstance(data, str) and data == 'pong' or isinstance(data, str) and data == 'configuration_offer' or isinstance(data, str) and data == 'forwarded_request' or isinstance(data, str) and data == 'fetch_answer' or isinstance(data, str) and data == 'cancel_request' or isinstance(data, str) and data == 'forwarded_answer'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer'], 'description': 'Which message an envelope carries.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer']")
     return data
 
 def validate____defs_histogramreport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['histograms'], 'description': 'Histograms of the answering entry host.', 'properties': {'histograms': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['histograms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['histograms'], 'description': 'Histograms of the answering entry host.', 'properties': {'histograms': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "histograms" in data_keys:
             data_keys.remove("histograms")
             data__histograms = data["histograms"]
             if not isinstance(data__histograms, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".histograms must be array", value=data__histograms, name="" + (name_prefix or "data") + ".histograms", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".histograms must be array")
             data__histograms_is_list = isinstance(data__histograms, (list, tuple))
             if data__histograms_is_list:
                 data__histograms_len = len(data__histograms)
                 for data__histograms_x, data__histograms_item in enumerate(data__histograms):
                     validate____defs_histogramsummary(data__histograms_item, custom_formats, (name_prefix or "data") + ".histograms[{data__histograms_x}]".format(**locals()))
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['histograms'], 'description': 'Histograms of the answering entry host.', 'properties': {'histograms': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'$ref': '#/$defs/Priority'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_histogramsummary(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['name', 'count', 'p50_ms', 'p99_ms', 'max_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "name" in data_keys:
             data_keys.remove("name")
             data__name = data["name"]
             if not isinstance(data__name, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".name must be string", value=data__name, name="" + (name_prefix or "data") + ".name", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".name must be string")
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
         if "priority" in data_keys:
             data_keys.remove("priority")
             data__priority = data["priority"]
-            data__priority_one_of_count9 = 0
-            if data__priority_one_of_count9 < 2:
+            data__priority_one_of_count5 = 0
+            if data__priority_one_of_count5 < 2:
                 try:
                     validate____defs_priority(data__priority, custom_formats, (name_prefix or "data") + ".priority")
-                    data__priority_one_of_count9 += 1
+                    data__priority_one_of_count5 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__priority_one_of_count9 < 2:
+            if data__priority_one_of_count5 < 2:
                 try:
                     if not isinstance(data__priority, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be null", value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={'type': 'null'}, rule='type')
-                    data__priority_one_of_count9 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be null")
+                    data__priority_one_of_count5 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__priority_one_of_count9 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition" + (" (" + str(data__priority_one_of_count9) + " matches found)"), value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={'oneOf': [{'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__priority_one_of_count5 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition")
         if "count" in data_keys:
             data_keys.remove("count")
             data__count = data["count"]
             if not isinstance(data__count, (int)) and not (isinstance(data__count, float) and data__count.is_integer()) or isinstance(data__count, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be integer", value=data__count, name="" + (name_prefix or "data") + ".count", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be integer")
             if isinstance(data__count, (int, float, Decimal)) and not isinstance(data__count, bool):
                 if data__count < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be bigger than or equal to 0", value=data__count, name="" + (name_prefix or "data") + ".count", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be bigger than or equal to 0")
         if "p50_ms" in data_keys:
             data_keys.remove("p50_ms")
             data__p50ms = data["p50_ms"]
             if not isinstance(data__p50ms, (int, float, Decimal)) or isinstance(data__p50ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be number", value=data__p50ms, name="" + (name_prefix or "data") + ".p50_ms", definition={'type': 'number', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be number")
             if isinstance(data__p50ms, (int, float, Decimal)) and not isinstance(data__p50ms, bool):
                 if data__p50ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be bigger than or equal to 0", value=data__p50ms, name="" + (name_prefix or "data") + ".p50_ms", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be bigger than or equal to 0")
         if "p90_ms" in data_keys:
             data_keys.remove("p90_ms")
             data__p90ms = data["p90_ms"]
             if not isinstance(data__p90ms, (int, float, Decimal)) or isinstance(data__p90ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be number", value=data__p90ms, name="" + (name_prefix or "data") + ".p90_ms", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be number")
             if isinstance(data__p90ms, (int, float, Decimal)) and not isinstance(data__p90ms, bool):
                 if data__p90ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be bigger than or equal to 0", value=data__p90ms, name="" + (name_prefix or "data") + ".p90_ms", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be bigger than or equal to 0")
         if "p99_ms" in data_keys:
             data_keys.remove("p99_ms")
             data__p99ms = data["p99_ms"]
             if not isinstance(data__p99ms, (int, float, Decimal)) or isinstance(data__p99ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be number", value=data__p99ms, name="" + (name_prefix or "data") + ".p99_ms", definition={'type': 'number', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be number")
             if isinstance(data__p99ms, (int, float, Decimal)) and not isinstance(data__p99ms, bool):
                 if data__p99ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be bigger than or equal to 0", value=data__p99ms, name="" + (name_prefix or "data") + ".p99_ms", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be bigger than or equal to 0")
         if "max_ms" in data_keys:
             data_keys.remove("max_ms")
             data__maxms = data["max_ms"]
             if not isinstance(data__maxms, (int, float, Decimal)) or isinstance(data__maxms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be number", value=data__maxms, name="" + (name_prefix or "data") + ".max_ms", definition={'type': 'number', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be number")
             if isinstance(data__maxms, (int, float, Decimal)) and not isinstance(data__maxms, bool):
                 if data__maxms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be bigger than or equal to 0", value=data__maxms, name="" + (name_prefix or "data") + ".max_ms", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms'], 'description': 'Quantiles of one latency histogram, in milliseconds.', 'properties': {'name': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'priority': {'oneOf': [{'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, {'type': 'null'}], 'default': None}, 'count': {'type': 'integer', 'minimum': 0}, 'p50_ms': {'type': 'number', 'minimum': 0}, 'p90_ms': {'type': 'number', 'minimum': 0, 'default': 0}, 'p99_ms': {'type': 'number', 'minimum': 0}, 'max_ms': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_whyreport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'id', 'entries'], 'description': 'The decisions about one subject, oldest first, and its state if known.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'id': {'type': 'string'}, 'entries': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}}, 'task': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'host': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind', 'id', 'entries']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'id', 'entries'], 'description': 'The decisions about one subject, oldest first, and its state if known.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'id': {'type': 'string'}, 'entries': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}}, 'task': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'host': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -2579,12 +1593,12 @@
             data_keys.remove("id")
             data__id = data["id"]
             if not isinstance(data__id, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".id must be string", value=data__id, name="" + (name_prefix or "data") + ".id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".id must be string")
         if "entries" in data_keys:
             data_keys.remove("entries")
             data__entries = data["entries"]
             if not isinstance(data__entries, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".entries must be array", value=data__entries, name="" + (name_prefix or "data") + ".entries", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".entries must be array")
             data__entries_is_list = isinstance(data__entries, (list, tuple))
             if data__entries_is_list:
                 data__entries_len = len(data__entries)
