@@ -2593,109 +1607,109 @@
         if "task" in data_keys:
             data_keys.remove("task")
             data__task = data["task"]
-            data__task_one_of_count10 = 0
-            if data__task_one_of_count10 < 2:
+            data__task_one_of_count6 = 0
+            if data__task_one_of_count6 < 2:
                 try:
                     validate____defs_taskstatus(data__task, custom_formats, (name_prefix or "data") + ".task")
-                    data__task_one_of_count10 += 1
+                    data__task_one_of_count6 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__task_one_of_count10 < 2:
+            if data__task_one_of_count6 < 2:
                 try:
                     if not isinstance(data__task, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be null", value=data__task, name="" + (name_prefix or "data") + ".task", definition={'type': 'null'}, rule='type')
-                    data__task_one_of_count10 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be null")
+                    data__task_one_of_count6 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__task_one_of_count10 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition" + (" (" + str(data__task_one_of_count10) + " matches found)"), value=data__task, name="" + (name_prefix or "data") + ".task", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__task_one_of_count6 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition")
         if "host" in data_keys:
             data_keys.remove("host")
             data__host = data["host"]
-            data__host_one_of_count11 = 0
-            if data__host_one_of_count11 < 2:
+            data__host_one_of_count7 = 0
+            if data__host_one_of_count7 < 2:
                 try:
                     validate____defs_hoststatus(data__host, custom_formats, (name_prefix or "data") + ".host")
-                    data__host_one_of_count11 += 1
+                    data__host_one_of_count7 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__host_one_of_count11 < 2:
+            if data__host_one_of_count7 < 2:
                 try:
                     if not isinstance(data__host, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be null", value=data__host, name="" + (name_prefix or "data") + ".host", definition={'type': 'null'}, rule='type')
-                    data__host_one_of_count11 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be null")
+                    data__host_one_of_count7 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__host_one_of_count11 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition" + (" (" + str(data__host_one_of_count11) + " matches found)"), value=data__host, name="" + (name_prefix or "data") + ".host", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__host_one_of_count7 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind', 'id', 'entries'], 'description': 'The decisions about one subject, oldest first, and its state if known.', 'properties': {'kind': {'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, 'id': {'type': 'string'}, 'entries': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}}, 'task': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'$ref': '#/$defs/RequestPhase'}, 'run_state': {'$ref': '#/$defs/RunState'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, {'type': 'null'}], 'default': None}, 'host': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, {'type': 'null'}], 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_journalentry(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['at_unix_ms', 'member_id', 'event', 'text']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "at_unix_ms" in data_keys:
             data_keys.remove("at_unix_ms")
             data__atunixms = data["at_unix_ms"]
             if not isinstance(data__atunixms, (int)) and not (isinstance(data__atunixms, float) and data__atunixms.is_integer()) or isinstance(data__atunixms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be integer", value=data__atunixms, name="" + (name_prefix or "data") + ".at_unix_ms", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be integer")
             if isinstance(data__atunixms, (int, float, Decimal)) and not isinstance(data__atunixms, bool):
                 if data__atunixms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be bigger than or equal to 0", value=data__atunixms, name="" + (name_prefix or "data") + ".at_unix_ms", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be bigger than or equal to 0")
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
         if "event" in data_keys:
             data_keys.remove("event")
             data__event = data["event"]
             if not isinstance(data__event, (int)) and not (isinstance(data__event, float) and data__event.is_integer()) or isinstance(data__event, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be integer", value=data__event, name="" + (name_prefix or "data") + ".event", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be integer")
             if isinstance(data__event, (int, float, Decimal)) and not isinstance(data__event, bool):
                 if data__event < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be bigger than or equal to 0", value=data__event, name="" + (name_prefix or "data") + ".event", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be bigger than or equal to 0")
         if "text" in data_keys:
             data_keys.remove("text")
             data__text = data["text"]
             if not isinstance(data__text, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".text must be string", value=data__text, name="" + (name_prefix or "data") + ".text", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".text must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['at_unix_ms', 'member_id', 'event', 'text'], 'description': 'One decision that an entry host made, with the number of its log event.', 'properties': {'at_unix_ms': {'type': 'integer', 'minimum': 0}, 'member_id': {'type': 'string'}, 'event': {'type': 'integer', 'minimum': 0}, 'text': {'type': 'string'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_whykind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'task' or isinstance(data, str) and data == 'host' or isinstance(data, str) and data == 'team' or isinstance(data, str) and data == 'service' or isinstance(data, str) and data == 'availability_zone' or isinstance(data, str) and data == 'change'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['task', 'host', 'team', 'service', 'availability_zone', 'change']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['task', 'host', 'team', 'service', 'availability_zone', 'change'], 'description': 'What a question about past decisions is about.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['task', 'host', 'team', 'service', 'availability_zone', 'change']")
     return data
 
 def validate____defs_fleetstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version', 'members'], 'description': 'State of the fleet as the answering entry host sees it.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'members': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'default': []}, 'unavailable_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'running_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'queued_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version', 'members']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version', 'members'], 'description': 'State of the fleet as the answering entry host sees it.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'members': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'default': []}, 'unavailable_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'running_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'queued_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
         if "members" in data_keys:
             data_keys.remove("members")
             data__members = data["members"]
             if not isinstance(data__members, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members must be array", value=data__members, name="" + (name_prefix or "data") + ".members", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members must be array")
             data__members_is_list = isinstance(data__members, (list, tuple))
             if data__members_is_list:
                 data__members_len = len(data__members)
@@ -2705,15 +1719,15 @@
             data_keys.remove("platform_age_ms")
             data__platformagems = data["platform_age_ms"]
             if not isinstance(data__platformagems, (int, NoneType)) and not (isinstance(data__platformagems, float) and data__platformagems.is_integer()) or isinstance(data__platformagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null")
             if isinstance(data__platformagems, (int, float, Decimal)) and not isinstance(data__platformagems, bool):
                 if data__platformagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0")
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
@@ -2723,7 +1737,7 @@
             data_keys.remove("unavailable_by_service")
             data__unavailablebyservice = data["unavailable_by_service"]
             if not isinstance(data__unavailablebyservice, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service must be object", value=data__unavailablebyservice, name="" + (name_prefix or "data") + ".unavailable_by_service", definition={'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service must be object")
             data__unavailablebyservice_is_dict = isinstance(data__unavailablebyservice, dict)
             if data__unavailablebyservice_is_dict:
                 data__unavailablebyservice_keys = set(data__unavailablebyservice.keys())
@@ -2731,15 +1745,15 @@
                     if data__unavailablebyservice_key not in []:
                         data__unavailablebyservice_value = data__unavailablebyservice.get(data__unavailablebyservice_key)
                         if not isinstance(data__unavailablebyservice_value, (int)) and not (isinstance(data__unavailablebyservice_value, float) and data__unavailablebyservice_value.is_integer()) or isinstance(data__unavailablebyservice_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be integer", value=data__unavailablebyservice_value, name="" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be integer")
                         if isinstance(data__unavailablebyservice_value, (int, float, Decimal)) and not isinstance(data__unavailablebyservice_value, bool):
                             if data__unavailablebyservice_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__unavailablebyservice_value, name="" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be bigger than or equal to 0")
         if "running_by_team" in data_keys:
             data_keys.remove("running_by_team")
             data__runningbyteam = data["running_by_team"]
             if not isinstance(data__runningbyteam, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team must be object", value=data__runningbyteam, name="" + (name_prefix or "data") + ".running_by_team", definition={'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team must be object")
             data__runningbyteam_is_dict = isinstance(data__runningbyteam, dict)
             if data__runningbyteam_is_dict:
                 data__runningbyteam_keys = set(data__runningbyteam.keys())
@@ -2747,15 +1761,15 @@
                     if data__runningbyteam_key not in []:
                         data__runningbyteam_value = data__runningbyteam.get(data__runningbyteam_key)
                         if not isinstance(data__runningbyteam_value, (int)) and not (isinstance(data__runningbyteam_value, float) and data__runningbyteam_value.is_integer()) or isinstance(data__runningbyteam_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be integer", value=data__runningbyteam_value, name="" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be integer")
                         if isinstance(data__runningbyteam_value, (int, float, Decimal)) and not isinstance(data__runningbyteam_value, bool):
                             if data__runningbyteam_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__runningbyteam_value, name="" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be bigger than or equal to 0")
         if "queued_by_service" in data_keys:
             data_keys.remove("queued_by_service")
             data__queuedbyservice = data["queued_by_service"]
             if not isinstance(data__queuedbyservice, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service must be object", value=data__queuedbyservice, name="" + (name_prefix or "data") + ".queued_by_service", definition={'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service must be object")
             data__queuedbyservice_is_dict = isinstance(data__queuedbyservice, dict)
             if data__queuedbyservice_is_dict:
                 data__queuedbyservice_keys = set(data__queuedbyservice.keys())
@@ -2763,48 +1777,48 @@
                     if data__queuedbyservice_key not in []:
                         data__queuedbyservice_value = data__queuedbyservice.get(data__queuedbyservice_key)
                         if not isinstance(data__queuedbyservice_value, (int)) and not (isinstance(data__queuedbyservice_value, float) and data__queuedbyservice_value.is_integer()) or isinstance(data__queuedbyservice_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be integer", value=data__queuedbyservice_value, name="" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be integer")
                         if isinstance(data__queuedbyservice_value, (int, float, Decimal)) and not isinstance(data__queuedbyservice_value, bool):
                             if data__queuedbyservice_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__queuedbyservice_value, name="" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version', 'members'], 'description': 'State of the fleet as the answering entry host sees it.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'members': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}}, 'platform_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'hosts': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'$ref': '#/$defs/HostCondition'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, 'default': []}, 'unavailable_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'running_by_team': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}, 'queued_by_service': {'type': 'object', 'additionalProperties': {'type': 'integer', 'minimum': 0}, 'default': {}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_taskstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['task_id', 'request_id', 'service', 'phase', 'run_state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
         if "service" in data_keys:
             data_keys.remove("service")
             data__service = data["service"]
             if not isinstance(data__service, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string", value=data__service, name="" + (name_prefix or "data") + ".service", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string")
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null")
         if "phase" in data_keys:
             data_keys.remove("phase")
             data__phase = data["phase"]
@@ -2817,38 +1831,38 @@
             data_keys.remove("attempt")
             data__attempt = data["attempt"]
             if not isinstance(data__attempt, (int)) and not (isinstance(data__attempt, float) and data__attempt.is_integer()) or isinstance(data__attempt, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer")
             if isinstance(data__attempt, (int, float, Decimal)) and not isinstance(data__attempt, bool):
                 if data__attempt < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 0", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state'], 'description': 'A task that the answering entry host knows; the team is null on open queues.', 'properties': {'task_id': {'type': 'string'}, 'request_id': {'type': 'string'}, 'service': {'type': 'string'}, 'team': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'attempt': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_hoststatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
         if "condition" in data_keys:
             data_keys.remove("condition")
             data__condition = data["condition"]
@@ -2857,95 +1871,95 @@
             data_keys.remove("running")
             data__running = data["running"]
             if not isinstance(data__running, (int)) and not (isinstance(data__running, float) and data__running.is_integer()) or isinstance(data__running, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer")
             if isinstance(data__running, (int, float, Decimal)) and not isinstance(data__running, bool):
                 if data__running < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0")
         if "slots" in data_keys:
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
         if "usage_age_ms" in data_keys:
             data_keys.remove("usage_age_ms")
             data__usageagems = data["usage_age_ms"]
             if not isinstance(data__usageagems, (int, NoneType)) and not (isinstance(data__usageagems, float) and data__usageagems.is_integer()) or isinstance(data__usageagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be integer or null", value=data__usageagems, name="" + (name_prefix or "data") + ".usage_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be integer or null")
             if isinstance(data__usageagems, (int, float, Decimal)) and not isinstance(data__usageagems, bool):
                 if data__usageagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be bigger than or equal to 0", value=data__usageagems, name="" + (name_prefix or "data") + ".usage_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots'], 'description': 'A worker as the answering entry host sees it.', 'properties': {'host_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'pool': {'type': 'string'}, 'condition': {'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, 'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'usage_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_hostcondition(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'available' or isinstance(data, str) and data == 'failed' or isinstance(data, str) and data == 'ejected' or isinstance(data, str) and data == 'draining' or isinstance(data, str) and data == 'maintenance' or isinstance(data, str) and data == 'moving' or isinstance(data, str) and data == 'leaving' or isinstance(data, str) and data == 'zone_out'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out'], 'description': 'Whether a host can start tasks, or why it cannot.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out']")
     return data
 
 def validate____defs_memberstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'availability_zone', 'confirmed_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
         if "confirmed_version" in data_keys:
             data_keys.remove("confirmed_version")
             data__confirmedversion = data["confirmed_version"]
             if not isinstance(data__confirmedversion, (int)) and not (isinstance(data__confirmedversion, float) and data__confirmedversion.is_integer()) or isinstance(data__confirmedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer")
             if isinstance(data__confirmedversion, (int, float, Decimal)) and not isinstance(data__confirmedversion, bool):
                 if data__confirmedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0")
         if "freshness_age_ms" in data_keys:
             data_keys.remove("freshness_age_ms")
             data__freshnessagems = data["freshness_age_ms"]
             if not isinstance(data__freshnessagems, (int, NoneType)) and not (isinstance(data__freshnessagems, float) and data__freshnessagems.is_integer()) or isinstance(data__freshnessagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be integer or null", value=data__freshnessagems, name="" + (name_prefix or "data") + ".freshness_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be integer or null")
             if isinstance(data__freshnessagems, (int, float, Decimal)) and not isinstance(data__freshnessagems, bool):
                 if data__freshnessagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be bigger than or equal to 0", value=data__freshnessagems, name="" + (name_prefix or "data") + ".freshness_age_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be bigger than or equal to 0")
         if "alive" in data_keys:
             data_keys.remove("alive")
             data__alive = data["alive"]
             if not isinstance(data__alive, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive must be boolean", value=data__alive, name="" + (name_prefix or "data") + ".alive", definition={'type': 'boolean', 'default': True}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive must be boolean")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['member_id', 'availability_zone', 'confirmed_version'], 'description': 'An entry host as others see it; ages are null if unknown.', 'properties': {'member_id': {'type': 'string'}, 'availability_zone': {'type': 'string'}, 'confirmed_version': {'type': 'integer', 'minimum': 0}, 'freshness_age_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'alive': {'type': 'boolean', 'default': True}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_changereport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'outcome', 'version'], 'description': 'Outcome of a change, the version it made or met, and who has not confirmed it.', 'properties': {'change_id': {'type': 'string'}, 'outcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'version': {'type': 'integer', 'minimum': 0}, 'unconfirmed': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'message': {'type': 'string', 'default': ''}, 'changes': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['change_id', 'outcome', 'version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'outcome', 'version'], 'description': 'Outcome of a change, the version it made or met, and who has not confirmed it.', 'properties': {'change_id': {'type': 'string'}, 'outcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'version': {'type': 'integer', 'minimum': 0}, 'unconfirmed': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'message': {'type': 'string', 'default': ''}, 'changes': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "change_id" in data_keys:
             data_keys.remove("change_id")
             data__changeid = data["change_id"]
             if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string")
         if "outcome" in data_keys:
             data_keys.remove("outcome")
             data__outcome = data["outcome"]
@@ -2954,73 +1968,73 @@
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
         if "unconfirmed" in data_keys:
             data_keys.remove("unconfirmed")
             data__unconfirmed = data["unconfirmed"]
             if not isinstance(data__unconfirmed, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed must be array", value=data__unconfirmed, name="" + (name_prefix or "data") + ".unconfirmed", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed must be array")
             data__unconfirmed_is_list = isinstance(data__unconfirmed, (list, tuple))
             if data__unconfirmed_is_list:
                 data__unconfirmed_len = len(data__unconfirmed)
                 for data__unconfirmed_x, data__unconfirmed_item in enumerate(data__unconfirmed):
                     if not isinstance(data__unconfirmed_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + " must be string", value=data__unconfirmed_item, name="" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + " must be string")
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
             if not isinstance(data__message, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string", value=data__message, name="" + (name_prefix or "data") + ".message", definition={'type': 'string', 'default': ''}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string")
         if "changes" in data_keys:
             data_keys.remove("changes")
             data__changes = data["changes"]
             if not isinstance(data__changes, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes must be array", value=data__changes, name="" + (name_prefix or "data") + ".changes", definition={'type': 'array', 'items': {'type': 'string'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes must be array")
             data__changes_is_list = isinstance(data__changes, (list, tuple))
             if data__changes_is_list:
                 data__changes_len = len(data__changes)
                 for data__changes_x, data__changes_item in enumerate(data__changes):
                     if not isinstance(data__changes_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + " must be string", value=data__changes_item, name="" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + " must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'outcome', 'version'], 'description': 'Outcome of a change, the version it made or met, and who has not confirmed it.', 'properties': {'change_id': {'type': 'string'}, 'outcome': {'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, 'version': {'type': 'integer', 'minimum': 0}, 'unconfirmed': {'type': 'array', 'items': {'type': 'string'}, 'default': []}, 'message': {'type': 'string', 'default': ''}, 'changes': {'type': 'array', 'items': {'type': 'string'}, 'default': []}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_changeoutcome(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'accepted' or isinstance(data, str) and data == 'pending' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'refused' or isinstance(data, str) and data == 'dry_run'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['accepted', 'pending', 'conflict', 'refused', 'dry_run']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['accepted', 'pending', 'conflict', 'refused', 'dry_run'], 'description': 'What became of a change.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['accepted', 'pending', 'conflict', 'refused', 'dry_run']")
     return data
 
 def validate____defs_changerequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'$ref': '#/$defs/EditKind'}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'dry_run': {'type': 'boolean', 'default': False}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['change_id', 'expected_version', 'edit']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'$ref': '#/$defs/EditKind'}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'dry_run': {'type': 'boolean', 'default': False}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "change_id" in data_keys:
             data_keys.remove("change_id")
             data__changeid = data["change_id"]
             if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string")
             if isinstance(data__changeid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__changeid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "expected_version" in data_keys:
             data_keys.remove("expected_version")
             data__expectedversion = data["expected_version"]
             if not isinstance(data__expectedversion, (int)) and not (isinstance(data__expectedversion, float) and data__expectedversion.is_integer()) or isinstance(data__expectedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be integer", value=data__expectedversion, name="" + (name_prefix or "data") + ".expected_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be integer")
             if isinstance(data__expectedversion, (int, float, Decimal)) and not isinstance(data__expectedversion, bool):
                 if data__expectedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be bigger than or equal to 0", value=data__expectedversion, name="" + (name_prefix or "data") + ".expected_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be bigger than or equal to 0")
         if "edit" in data_keys:
             data_keys.remove("edit")
             data__edit = data["edit"]
@@ -3029,19 +2043,19 @@
             data_keys.remove("dry_run")
             data__dryrun = data["dry_run"]
             if not isinstance(data__dryrun, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".dry_run must be boolean", value=data__dryrun, name="" + (name_prefix or "data") + ".dry_run", definition={'type': 'boolean', 'default': False}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".dry_run must be boolean")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['change_id', 'expected_version', 'edit'], 'description': 'A change to the configuration version that the operator saw; a repeated change id is one change.', 'properties': {'change_id': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'expected_version': {'type': 'integer', 'minimum': 0}, 'edit': {'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'$ref': '#/$defs/EditKind'}, 'configuration': {'oneOf': [{'$ref': '#/$defs/Configuration'}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, 'dry_run': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_edit(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -3050,180 +2064,180 @@
         if "configuration" in data_keys:
             data_keys.remove("configuration")
             data__configuration = data["configuration"]
-            data__configuration_one_of_count12 = 0
-            if data__configuration_one_of_count12 < 2:
+            data__configuration_one_of_count8 = 0
+            if data__configuration_one_of_count8 < 2:
                 try:
                     validate____defs_configuration(data__configuration, custom_formats, (name_prefix or "data") + ".configuration")
-                    data__configuration_one_of_count12 += 1
+                    data__configuration_one_of_count8 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count12 < 2:
+            if data__configuration_one_of_count8 < 2:
                 try:
                     if not isinstance(data__configuration, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null", value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={'type': 'null'}, rule='type')
-                    data__configuration_one_of_count12 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null")
+                    data__configuration_one_of_count8 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count12 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition" + (" (" + str(data__configuration_one_of_count12) + " matches found)"), value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__configuration_one_of_count8 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition")
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
             if isinstance(data__team, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__team):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "key_id" in data_keys:
             data_keys.remove("key_id")
             data__keyid = data["key_id"]
             if not isinstance(data__keyid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must be string or null", value=data__keyid, name="" + (name_prefix or "data") + ".key_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must be string or null")
             if isinstance(data__keyid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keyid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keyid, name="" + (name_prefix or "data") + ".key_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "key_record" in data_keys:
             data_keys.remove("key_record")
             data__keyrecord = data["key_record"]
-            data__keyrecord_one_of_count13 = 0
-            if data__keyrecord_one_of_count13 < 2:
+            data__keyrecord_one_of_count9 = 0
+            if data__keyrecord_one_of_count9 < 2:
                 try:
                     validate____defs_keyrecord(data__keyrecord, custom_formats, (name_prefix or "data") + ".key_record")
-                    data__keyrecord_one_of_count13 += 1
+                    data__keyrecord_one_of_count9 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__keyrecord_one_of_count13 < 2:
+            if data__keyrecord_one_of_count9 < 2:
                 try:
                     if not isinstance(data__keyrecord, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be null", value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={'type': 'null'}, rule='type')
-                    data__keyrecord_one_of_count13 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be null")
+                    data__keyrecord_one_of_count9 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__keyrecord_one_of_count13 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition" + (" (" + str(data__keyrecord_one_of_count13) + " matches found)"), value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__keyrecord_one_of_count9 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition")
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null")
             if isinstance(data__hostid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "to_pool" in data_keys:
             data_keys.remove("to_pool")
             data__topool = data["to_pool"]
             if not isinstance(data__topool, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string or null", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string or null")
             if isinstance(data__topool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__topool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string or null", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string or null")
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "proposal_id" in data_keys:
             data_keys.remove("proposal_id")
             data__proposalid = data["proposal_id"]
             if not isinstance(data__proposalid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must be string or null", value=data__proposalid, name="" + (name_prefix or "data") + ".proposal_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must be string or null")
             if isinstance(data__proposalid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposalid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposalid, name="" + (name_prefix or "data") + ".proposal_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "new_limit" in data_keys:
             data_keys.remove("new_limit")
             data__newlimit = data["new_limit"]
             if not isinstance(data__newlimit, (int, NoneType)) and not (isinstance(data__newlimit, float) and data__newlimit.is_integer()) or isinstance(data__newlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer or null", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer or null")
             if isinstance(data__newlimit, (int, float, Decimal)) and not isinstance(data__newlimit, bool):
                 if data__newlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0")
                 if data__newlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000")
         if "plan_id" in data_keys:
             data_keys.remove("plan_id")
             data__planid = data["plan_id"]
             if not isinstance(data__planid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must be string or null", value=data__planid, name="" + (name_prefix or "data") + ".plan_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must be string or null")
             if isinstance(data__planid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__planid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__planid, name="" + (name_prefix or "data") + ".plan_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array or null", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array or null")
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain at least 1 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, rule='minItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain at least 1 items")
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string or null", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string or null")
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['kind'], 'description': 'One change by an operator; the kind says which other fields are set.', 'properties': {'kind': {'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, 'configuration': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'$ref': '#/$defs/FleetBounds', 'default': {}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Site'}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/AvailabilityZone'}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Pool'}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Host'}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Service'}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Team'}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/Cooperative'}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/LimitProposal'}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/HostMove'}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/MaintenancePlan'}, 'default': {}}}}, {'type': 'null'}], 'default': None}, 'team': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'key_record': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}], 'default': None}, 'host_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'to_pool': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'availability_zone': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'proposal_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'new_limit': {'type': ['integer', 'null'], 'minimum': 0, 'maximum': 1000000, 'default': None}, 'plan_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}, 'hosts': {'type': ['array', 'null'], 'minItems': 1, 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': None}, 'member_id': {'type': ['string', 'null'], 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$', 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_editkind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone'], 'description': 'What an operator changes.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']")
     return data
 
 def validate____defs_siteoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['site', 'availability_zones'], 'description': 'What one site changes in the base file; null removes a host or a plan.', 'properties': {'site': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zones': {'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['site', 'availability_zones']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['site', 'availability_zones'], 'description': 'What one site changes in the base file; null removes a host or a plan.', 'properties': {'site': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zones': {'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "site" in data_keys:
             data_keys.remove("site")
             data__site = data["site"]
             if not isinstance(data__site, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must be string", value=data__site, name="" + (name_prefix or "data") + ".site", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must be string")
             if isinstance(data__site, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__site):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__site, name="" + (name_prefix or "data") + ".site", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "availability_zones" in data_keys:
             data_keys.remove("availability_zones")
             data__availabilityzones = data["availability_zones"]
             if not isinstance(data__availabilityzones, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array")
             data__availabilityzones_is_list = isinstance(data__availabilityzones, (list, tuple))
             if data__availabilityzones_is_list:
                 data__availabilityzones_len = len(data__availabilityzones)
                 if data__availabilityzones_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain at least 1 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='minItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain at least 1 items")
                 if data__availabilityzones_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items")
                 for data__availabilityzones_x, data__availabilityzones_item in enumerate(data__availabilityzones):
                     if not isinstance(data__availabilityzones_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string")
                     if isinstance(data__availabilityzones_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzones_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
             if not isinstance(data__availabilityzonesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object")
             data__availabilityzonesbyid_is_dict = isinstance(data__availabilityzonesbyid, dict)
             if data__availabilityzonesbyid_is_dict:
                 data__availabilityzonesbyid_keys = set(data__availabilityzonesbyid.keys())
@@ -3238,36 +2252,36 @@
                         try:
                             if isinstance(data__availabilityzonesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzonesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzonesbyid_key, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition")
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
             if not isinstance(data__hostsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object")
             data__hostsbyid_is_dict = isinstance(data__hostsbyid, dict)
             if data__hostsbyid_is_dict:
                 data__hostsbyid_keys = set(data__hostsbyid.keys())
                 for data__hostsbyid_key in data__hostsbyid_keys:
                     if data__hostsbyid_key not in []:
                         data__hostsbyid_value = data__hostsbyid.get(data__hostsbyid_key)
-                        data__hostsbyid_value_one_of_count14 = 0
-                        if data__hostsbyid_value_one_of_count14 < 2:
+                        data__hostsbyid_value_one_of_count10 = 0
+                        if data__hostsbyid_value_one_of_count10 < 2:
                             try:
                                 validate____defs_hostoverlay(data__hostsbyid_value, custom_formats, (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()))
-                                data__hostsbyid_value_one_of_count14 += 1
+                                data__hostsbyid_value_one_of_count10 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count14 < 2:
+                        if data__hostsbyid_value_one_of_count10 < 2:
                             try:
                                 if not isinstance(data__hostsbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null", value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={'type': 'null'}, rule='type')
-                                data__hostsbyid_value_one_of_count14 += 1
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null")
+                                data__hostsbyid_value_one_of_count10 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count14 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count14) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, rule='oneOf')
+                        if data__hostsbyid_value_one_of_count10 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition")
                 data__hostsbyid_len = len(data__hostsbyid)
                 if data__hostsbyid_len != 0:
                     data__hostsbyid_property_names = True
@@ -3275,16 +2289,16 @@
                         try:
                             if isinstance(data__hostsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostsbyid_key, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition")
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
             if not isinstance(data__teamsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object")
             data__teamsbyid_is_dict = isinstance(data__teamsbyid, dict)
             if data__teamsbyid_is_dict:
                 data__teamsbyid_keys = set(data__teamsbyid.keys())
@@ -3299,36 +2313,36 @@
                         try:
                             if isinstance(data__teamsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teamsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teamsbyid_key, name="" + (name_prefix or "data") + ".teams_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition")
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
             if not isinstance(data__maintenanceplansbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object")
             data__maintenanceplansbyid_is_dict = isinstance(data__maintenanceplansbyid, dict)
             if data__maintenanceplansbyid_is_dict:
                 data__maintenanceplansbyid_keys = set(data__maintenanceplansbyid.keys())
                 for data__maintenanceplansbyid_key in data__maintenanceplansbyid_keys:
                     if data__maintenanceplansbyid_key not in []:
                         data__maintenanceplansbyid_value = data__maintenanceplansbyid.get(data__maintenanceplansbyid_key)
-                        data__maintenanceplansbyid_value_one_of_count15 = 0
-                        if data__maintenanceplansbyid_value_one_of_count15 < 2:
+                        data__maintenanceplansbyid_value_one_of_count11 = 0
+                        if data__maintenanceplansbyid_value_one_of_count11 < 2:
                             try:
                                 validate____defs_planoverlay(data__maintenanceplansbyid_value, custom_formats, (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()))
-                                data__maintenanceplansbyid_value_one_of_count15 += 1
+                                data__maintenanceplansbyid_value_one_of_count11 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count15 < 2:
+                        if data__maintenanceplansbyid_value_one_of_count11 < 2:
                             try:
                                 if not isinstance(data__maintenanceplansbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null", value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={'type': 'null'}, rule='type')
-                                data__maintenanceplansbyid_value_one_of_count15 += 1
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null")
+                                data__maintenanceplansbyid_value_one_of_count11 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count15 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count15) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, rule='oneOf')
+                        if data__maintenanceplansbyid_value_one_of_count11 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition")
                 data__maintenanceplansbyid_len = len(data__maintenanceplansbyid)
                 if data__maintenanceplansbyid_len != 0:
                     data__maintenanceplansbyid_property_names = True
@@ -3336,70 +2350,70 @@
                         try:
                             if isinstance(data__maintenanceplansbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__maintenanceplansbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__maintenanceplansbyid_key, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['site', 'availability_zones'], 'description': 'What one site changes in the base file; null removes a host or a plan.', 'properties': {'site': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'availability_zones': {'type': 'array', 'minItems': 1, 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'$ref': '#/$defs/ZoneState'}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, {'type': 'null'}]}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'$ref': '#/$defs/KeyRecord'}, {'type': 'null'}]}}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState'}}}, {'type': 'null'}]}, 'default': {}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_teamoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['keys_by_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "keys_by_id" in data_keys:
             data_keys.remove("keys_by_id")
             data__keysbyid = data["keys_by_id"]
             if not isinstance(data__keysbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object")
             data__keysbyid_is_dict = isinstance(data__keysbyid, dict)
             if data__keysbyid_is_dict:
                 data__keysbyid_len = len(data__keysbyid)
                 if data__keysbyid_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}, rule='maxProperties')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties")
                 data__keysbyid_keys = set(data__keysbyid.keys())
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
                         data__keysbyid_value = data__keysbyid.get(data__keysbyid_key)
-                        data__keysbyid_value_one_of_count16 = 0
-                        if data__keysbyid_value_one_of_count16 < 2:
+                        data__keysbyid_value_one_of_count12 = 0
+                        if data__keysbyid_value_one_of_count12 < 2:
                             try:
                                 validate____defs_keyrecord(data__keysbyid_value, custom_formats, (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()))
-                                data__keysbyid_value_one_of_count16 += 1
+                                data__keysbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count16 < 2:
+                        if data__keysbyid_value_one_of_count12 < 2:
                             try:
                                 if not isinstance(data__keysbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null", value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={'type': 'null'}, rule='type')
-                                data__keysbyid_value_one_of_count16 += 1
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null")
+                                data__keysbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count16 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count16) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}, rule='oneOf')
+                        if data__keysbyid_value_one_of_count12 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition")
                 if data__keysbyid_len != 0:
                     data__keysbyid_property_names = True
                     for data__keysbyid_key in data__keysbyid:
                         try:
                             if isinstance(data__keysbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keysbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keysbyid_key, name="" + (name_prefix or "data") + ".keys_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['keys_by_id'], 'description': 'Keys of a team of the site; null removes a key.', 'properties': {'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'oneOf': [{'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, {'type': 'null'}]}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_planoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -3407,29 +2421,29 @@
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_planstate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Fields of a maintenance plan that replace those of the base file; the others stay.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_hostoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -3437,34 +2451,34 @@
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "rack" in data_keys:
             data_keys.remove("rack")
             data__rack = data["rack"]
             if not isinstance(data__rack, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string")
             if isinstance(data__rack, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__rack):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
