@@ -3473,103 +2487,103 @@
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
                 if data__slots > 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024")
         if "connections" in data_keys:
             data_keys.remove("connections")
             data__connections = data["connections"]
             if not isinstance(data__connections, (int)) and not (isinstance(data__connections, float) and data__connections.is_integer()) or isinstance(data__connections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer")
             if isinstance(data__connections, (int, float, Decimal)) and not isinstance(data__connections, bool):
                 if data__connections < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1")
                 if data__connections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096")
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
                 if data__cores > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096")
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
         if "accelerators" in data_keys:
             data_keys.remove("accelerators")
             data__accelerators = data["accelerators"]
             if not isinstance(data__accelerators, (int)) and not (isinstance(data__accelerators, float) and data__accelerators.is_integer()) or isinstance(data__accelerators, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer")
             if isinstance(data__accelerators, (int, float, Decimal)) and not isinstance(data__accelerators, bool):
                 if data__accelerators < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Fields of a host that replace those of the base file; the others stay.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096}, 'memory_mb': {'type': 'integer', 'minimum': 1}, 'accelerators': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_zoneoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_zonestate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['state'], 'description': 'State of one availability zone of the site.', 'properties': {'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
         if "change_ids" in data_keys:
             data_keys.remove("change_ids")
             data__changeids = data["change_ids"]
             if not isinstance(data__changeids, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must be array", value=data__changeids, name="" + (name_prefix or "data") + ".change_ids", definition={'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must be array")
             data__changeids_is_list = isinstance(data__changeids, (list, tuple))
             if data__changeids_is_list:
                 data__changeids_len = len(data__changeids)
                 if data__changeids_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must contain less than or equal to 64 items", value=data__changeids, name="" + (name_prefix or "data") + ".change_ids", definition={'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must contain less than or equal to 64 items")
                 for data__changeids_x, data__changeids_item in enumerate(data__changeids):
                     if not isinstance(data__changeids_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be string", value=data__changeids_item, name="" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + "", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be string")
                     if isinstance(data__changeids_item, str):
                         data__changeids_item_len = len(data__changeids_item)
                         if data__changeids_item_len > 64:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be shorter than or equal to 64 characters", value=data__changeids_item, name="" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + "", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be shorter than or equal to 64 characters")
         if "bounds" in data_keys:
             data_keys.remove("bounds")
             data__bounds = data["bounds"]
@@ -3578,7 +2592,7 @@
             data_keys.remove("sites_by_id")
             data__sitesbyid = data["sites_by_id"]
             if not isinstance(data__sitesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be object", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be object")
             data__sitesbyid_is_dict = isinstance(data__sitesbyid, dict)
             if data__sitesbyid_is_dict:
                 data__sitesbyid_keys = set(data__sitesbyid.keys())
@@ -3593,16 +2607,16 @@
                         try:
                             if isinstance(data__sitesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__sitesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__sitesbyid_key, name="" + (name_prefix or "data") + ".sites_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__sitesbyid_property_names = False
                     if not data__sitesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition")
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
             if not isinstance(data__availabilityzonesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object")
             data__availabilityzonesbyid_is_dict = isinstance(data__availabilityzonesbyid, dict)
             if data__availabilityzonesbyid_is_dict:
                 data__availabilityzonesbyid_keys = set(data__availabilityzonesbyid.keys())
@@ -3617,16 +2631,16 @@
                         try:
                             if isinstance(data__availabilityzonesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzonesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzonesbyid_key, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition")
         if "pools_by_id" in data_keys:
             data_keys.remove("pools_by_id")
             data__poolsbyid = data["pools_by_id"]
             if not isinstance(data__poolsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be object", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be object")
             data__poolsbyid_is_dict = isinstance(data__poolsbyid, dict)
             if data__poolsbyid_is_dict:
                 data__poolsbyid_keys = set(data__poolsbyid.keys())
@@ -3641,16 +2655,16 @@
                         try:
                             if isinstance(data__poolsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__poolsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__poolsbyid_key, name="" + (name_prefix or "data") + ".pools_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__poolsbyid_property_names = False
                     if not data__poolsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition")
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
             if not isinstance(data__hostsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object")
             data__hostsbyid_is_dict = isinstance(data__hostsbyid, dict)
             if data__hostsbyid_is_dict:
                 data__hostsbyid_keys = set(data__hostsbyid.keys())
@@ -3665,16 +2679,16 @@
                         try:
                             if isinstance(data__hostsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostsbyid_key, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition")
         if "services_by_id" in data_keys:
             data_keys.remove("services_by_id")
             data__servicesbyid = data["services_by_id"]
             if not isinstance(data__servicesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be object", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be object")
             data__servicesbyid_is_dict = isinstance(data__servicesbyid, dict)
             if data__servicesbyid_is_dict:
                 data__servicesbyid_keys = set(data__servicesbyid.keys())
@@ -3689,16 +2703,16 @@
                         try:
                             if isinstance(data__servicesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__servicesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__servicesbyid_key, name="" + (name_prefix or "data") + ".services_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__servicesbyid_property_names = False
                     if not data__servicesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition")
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
             if not isinstance(data__teamsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object")
             data__teamsbyid_is_dict = isinstance(data__teamsbyid, dict)
             if data__teamsbyid_is_dict:
                 data__teamsbyid_keys = set(data__teamsbyid.keys())
@@ -3713,16 +2727,16 @@
                         try:
                             if isinstance(data__teamsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teamsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teamsbyid_key, name="" + (name_prefix or "data") + ".teams_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition")
         if "cooperatives_by_id" in data_keys:
             data_keys.remove("cooperatives_by_id")
             data__cooperativesbyid = data["cooperatives_by_id"]
             if not isinstance(data__cooperativesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object")
             data__cooperativesbyid_is_dict = isinstance(data__cooperativesbyid, dict)
             if data__cooperativesbyid_is_dict:
                 data__cooperativesbyid_keys = set(data__cooperativesbyid.keys())
@@ -3737,21 +2751,21 @@
                         try:
                             if isinstance(data__cooperativesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__cooperativesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__cooperativesbyid_key, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__cooperativesbyid_property_names = False
                     if not data__cooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition")
         if "limit_proposals_by_id" in data_keys:
             data_keys.remove("limit_proposals_by_id")
             data__limitproposalsbyid = data["limit_proposals_by_id"]
             if not isinstance(data__limitproposalsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be object", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be object")
             data__limitproposalsbyid_is_dict = isinstance(data__limitproposalsbyid, dict)
             if data__limitproposalsbyid_is_dict:
                 data__limitproposalsbyid_len = len(data__limitproposalsbyid)
                 if data__limitproposalsbyid_len > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must contain less than or equal to 1000 properties", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='maxProperties')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must contain less than or equal to 1000 properties")
                 data__limitproposalsbyid_keys = set(data__limitproposalsbyid.keys())
                 for data__limitproposalsbyid_key in data__limitproposalsbyid_keys:
                     if data__limitproposalsbyid_key not in []:
@@ -3763,16 +2777,16 @@
                         try:
                             if isinstance(data__limitproposalsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__limitproposalsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__limitproposalsbyid_key, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__limitproposalsbyid_property_names = False
                     if not data__limitproposalsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition")
         if "moves_by_host" in data_keys:
             data_keys.remove("moves_by_host")
             data__movesbyhost = data["moves_by_host"]
             if not isinstance(data__movesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be object", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be object")
             data__movesbyhost_is_dict = isinstance(data__movesbyhost, dict)
             if data__movesbyhost_is_dict:
                 data__movesbyhost_keys = set(data__movesbyhost.keys())
@@ -3787,16 +2801,16 @@
                         try:
                             if isinstance(data__movesbyhost_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__movesbyhost_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__movesbyhost_key, name="" + (name_prefix or "data") + ".moves_by_host", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__movesbyhost_property_names = False
                     if not data__movesbyhost_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition")
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
             if not isinstance(data__maintenanceplansbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object")
             data__maintenanceplansbyid_is_dict = isinstance(data__maintenanceplansbyid, dict)
             if data__maintenanceplansbyid_is_dict:
                 data__maintenanceplansbyid_keys = set(data__maintenanceplansbyid.keys())
@@ -3811,85 +2825,85 @@
                         try:
                             if isinstance(data__maintenanceplansbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__maintenanceplansbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__maintenanceplansbyid_key, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['version'], 'description': 'All that the operators agreed on, with its version and recent change ids.', 'properties': {'version': {'type': 'integer', 'minimum': 0}, 'change_ids': {'type': 'array', 'maxItems': 64, 'items': {'type': 'string', 'maxLength': 64}, 'default': []}, 'bounds': {'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, 'sites_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'availability_zones_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'$ref': '#/$defs/ZoneState', 'default': 'in_service'}}}, 'default': {}}, 'pools_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, 'default': {}}, 'hosts_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'$ref': '#/$defs/HostState', 'default': 'active'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'services_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'$ref': '#/$defs/QueueAccess', 'default': 'keyed'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, 'default': {}}, 'teams_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'$ref': '#/$defs/KeyRecord'}, 'default': {}}}}, 'default': {}}, 'cooperatives_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, 'default': {}}, 'limit_proposals_by_id': {'type': 'object', 'maxProperties': 1000, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}, 'moves_by_host': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'$ref': '#/$defs/MovePhase'}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, 'default': {}}, 'maintenance_plans_by_id': {'type': 'object', 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'$ref': '#/$defs/PlanState', 'default': 'proposed'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, 'default': {}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['availability_zones']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "availability_zones" in data_keys:
             data_keys.remove("availability_zones")
             data__availabilityzones = data["availability_zones"]
             if not isinstance(data__availabilityzones, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array")
             data__availabilityzones_is_list = isinstance(data__availabilityzones, (list, tuple))
             if data__availabilityzones_is_list:
                 data__availabilityzones_len = len(data__availabilityzones)
                 if data__availabilityzones_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items")
                 for data__availabilityzones_x, data__availabilityzones_item in enumerate(data__availabilityzones):
                     if not isinstance(data__availabilityzones_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string")
                     if isinstance(data__availabilityzones_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzones_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "teams" in data_keys:
             data_keys.remove("teams")
             data__teams = data["teams"]
             if not isinstance(data__teams, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must be array", value=data__teams, name="" + (name_prefix or "data") + ".teams", definition={'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must be array")
             data__teams_is_list = isinstance(data__teams, (list, tuple))
             if data__teams_is_list:
                 data__teams_len = len(data__teams)
                 if data__teams_len > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must contain less than or equal to 1000 items", value=data__teams, name="" + (name_prefix or "data") + ".teams", definition={'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must contain less than or equal to 1000 items")
                 for data__teams_x, data__teams_item in enumerate(data__teams):
                     if not isinstance(data__teams_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must be string", value=data__teams_item, name="" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must be string")
                     if isinstance(data__teams_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teams_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teams_item, name="" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zones'], 'description': 'A site, its availability zones and the teams whose keys its overlay holds.', 'properties': {'availability_zones': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'teams': {'type': 'array', 'maxItems': 1000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_maintenanceplan(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['hosts']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -3898,47 +2912,47 @@
             data_keys.remove("done")
             data__done = data["done"]
             if not isinstance(data__done, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must be array", value=data__done, name="" + (name_prefix or "data") + ".done", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must be array")
             data__done_is_list = isinstance(data__done, (list, tuple))
             if data__done_is_list:
                 data__done_len = len(data__done)
                 if data__done_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must contain less than or equal to 10000 items", value=data__done, name="" + (name_prefix or "data") + ".done", definition={'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must contain less than or equal to 10000 items")
                 for data__done_x, data__done_item in enumerate(data__done):
                     if not isinstance(data__done_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must be string", value=data__done_item, name="" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must be string")
                     if isinstance(data__done_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__done_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__done_item, name="" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['hosts'], 'description': 'Hosts to maintain, in waves that the planner forms.', 'properties': {'hosts': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, 'state': {'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, 'done': {'type': 'array', 'maxItems': 10000, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_hostmove(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['from_pool', 'to_pool', 'phase', 'from_epoch']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "from_pool" in data_keys:
             data_keys.remove("from_pool")
             data__frompool = data["from_pool"]
             if not isinstance(data__frompool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must be string", value=data__frompool, name="" + (name_prefix or "data") + ".from_pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must be string")
             if isinstance(data__frompool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__frompool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__frompool, name="" + (name_prefix or "data") + ".from_pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "to_pool" in data_keys:
             data_keys.remove("to_pool")
             data__topool = data["to_pool"]
             if not isinstance(data__topool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string")
             if isinstance(data__topool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__topool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "phase" in data_keys:
             data_keys.remove("phase")
             data__phase = data["phase"]
@@ -3947,153 +2961,153 @@
             data_keys.remove("from_epoch")
             data__fromepoch = data["from_epoch"]
             if not isinstance(data__fromepoch, (int)) and not (isinstance(data__fromepoch, float) and data__fromepoch.is_integer()) or isinstance(data__fromepoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be integer", value=data__fromepoch, name="" + (name_prefix or "data") + ".from_epoch", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be integer")
             if isinstance(data__fromepoch, (int, float, Decimal)) and not isinstance(data__fromepoch, bool):
                 if data__fromepoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be bigger than or equal to 0", value=data__fromepoch, name="" + (name_prefix or "data") + ".from_epoch", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be bigger than or equal to 0")
         if "drain_version" in data_keys:
             data_keys.remove("drain_version")
             data__drainversion = data["drain_version"]
             if not isinstance(data__drainversion, (int)) and not (isinstance(data__drainversion, float) and data__drainversion.is_integer()) or isinstance(data__drainversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be integer", value=data__drainversion, name="" + (name_prefix or "data") + ".drain_version", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be integer")
             if isinstance(data__drainversion, (int, float, Decimal)) and not isinstance(data__drainversion, bool):
                 if data__drainversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be bigger than or equal to 0", value=data__drainversion, name="" + (name_prefix or "data") + ".drain_version", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch'], 'description': "A host's move between pools that has not finished.", 'properties': {'from_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'to_pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'phase': {'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, 'from_epoch': {'type': 'integer', 'minimum': 0}, 'drain_version': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_limitproposal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['team', 'base_limit', 'new_limit', 'proposer']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
             if isinstance(data__team, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__team):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "base_limit" in data_keys:
             data_keys.remove("base_limit")
             data__baselimit = data["base_limit"]
             if not isinstance(data__baselimit, (int)) and not (isinstance(data__baselimit, float) and data__baselimit.is_integer()) or isinstance(data__baselimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be integer", value=data__baselimit, name="" + (name_prefix or "data") + ".base_limit", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be integer")
             if isinstance(data__baselimit, (int, float, Decimal)) and not isinstance(data__baselimit, bool):
                 if data__baselimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be bigger than or equal to 0", value=data__baselimit, name="" + (name_prefix or "data") + ".base_limit", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be bigger than or equal to 0")
         if "new_limit" in data_keys:
             data_keys.remove("new_limit")
             data__newlimit = data["new_limit"]
             if not isinstance(data__newlimit, (int)) and not (isinstance(data__newlimit, float) and data__newlimit.is_integer()) or isinstance(data__newlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer")
             if isinstance(data__newlimit, (int, float, Decimal)) and not isinstance(data__newlimit, bool):
                 if data__newlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0")
                 if data__newlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000")
         if "proposer" in data_keys:
             data_keys.remove("proposer")
             data__proposer = data["proposer"]
             if not isinstance(data__proposer, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string")
             if isinstance(data__proposer, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposer):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "approvals" in data_keys:
             data_keys.remove("approvals")
             data__approvals = data["approvals"]
             if not isinstance(data__approvals, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array")
             data__approvals_is_list = isinstance(data__approvals, (list, tuple))
             if data__approvals_is_list:
                 data__approvals_len = len(data__approvals)
                 if data__approvals_len > 200:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items")
                 for data__approvals_x, data__approvals_item in enumerate(data__approvals):
                     if not isinstance(data__approvals_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string")
                     if isinstance(data__approvals_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__approvals_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['team', 'base_limit', 'new_limit', 'proposer'], 'description': 'A proposed upper limit and the operators who agreed to it.', 'properties': {'team': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'base_limit': {'type': 'integer', 'minimum': 0}, 'new_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'proposer': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'approvals': {'type': 'array', 'maxItems': 200, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'default': []}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_cooperative(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['voters']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "voters" in data_keys:
             data_keys.remove("voters")
             data__voters = data["voters"]
             if not isinstance(data__voters, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must be array", value=data__voters, name="" + (name_prefix or "data") + ".voters", definition={'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must be array")
             data__voters_is_list = isinstance(data__voters, (list, tuple))
             if data__voters_is_list:
                 data__voters_len = len(data__voters)
                 if data__voters_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must contain less than or equal to 100 items", value=data__voters, name="" + (name_prefix or "data") + ".voters", definition={'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must contain less than or equal to 100 items")
                 for data__voters_x, data__voters_item in enumerate(data__voters):
                     if not isinstance(data__voters_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must be string", value=data__voters_item, name="" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must be string")
                     if isinstance(data__voters_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__voters_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__voters_item, name="" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + "", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['voters'], 'description': 'A co-operative and the operators who vote for it.', 'properties': {'voters': {'type': 'array', 'maxItems': 100, 'items': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_team(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['upper_limit']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "share" in data_keys:
             data_keys.remove("share")
             data__share = data["share"]
             if not isinstance(data__share, (int)) and not (isinstance(data__share, float) and data__share.is_integer()) or isinstance(data__share, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be integer", value=data__share, name="" + (name_prefix or "data") + ".share", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be integer")
             if isinstance(data__share, (int, float, Decimal)) and not isinstance(data__share, bool):
                 if data__share < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be bigger than or equal to 1", value=data__share, name="" + (name_prefix or "data") + ".share", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be bigger than or equal to 1")
                 if data__share > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be smaller than or equal to 1000000", value=data__share, name="" + (name_prefix or "data") + ".share", definition={'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be smaller than or equal to 1000000")
         if "upper_limit" in data_keys:
             data_keys.remove("upper_limit")
             data__upperlimit = data["upper_limit"]
             if not isinstance(data__upperlimit, (int)) and not (isinstance(data__upperlimit, float) and data__upperlimit.is_integer()) or isinstance(data__upperlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be integer", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be integer")
             if isinstance(data__upperlimit, (int, float, Decimal)) and not isinstance(data__upperlimit, bool):
                 if data__upperlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0")
                 if data__upperlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be smaller than or equal to 1000000", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be smaller than or equal to 1000000")
         if "keys_by_id" in data_keys:
             data_keys.remove("keys_by_id")
             data__keysbyid = data["keys_by_id"]
             if not isinstance(data__keysbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object")
             data__keysbyid_is_dict = isinstance(data__keysbyid, dict)
             if data__keysbyid_is_dict:
                 data__keysbyid_len = len(data__keysbyid)
                 if data__keysbyid_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}, rule='maxProperties')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties")
                 data__keysbyid_keys = set(data__keysbyid.keys())
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
@@ -4105,61 +3119,61 @@
                         try:
                             if isinstance(data__keysbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keysbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keysbyid_key, name="" + (name_prefix or "data") + ".keys_by_id", definition={'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['upper_limit'], 'description': 'A customer team with its share, upper limit and keys.', 'properties': {'share': {'type': 'integer', 'minimum': 1, 'maximum': 1000000, 'default': 1}, 'upper_limit': {'type': 'integer', 'minimum': 0, 'maximum': 1000000}, 'keys_by_id': {'type': 'object', 'maxProperties': 100, 'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'additionalProperties': {'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, 'default': {}}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_keyrecord(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['salt', 'digest']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "salt" in data_keys:
             data_keys.remove("salt")
             data__salt = data["salt"]
             if not isinstance(data__salt, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must be string", value=data__salt, name="" + (name_prefix or "data") + ".salt", definition={'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must be string")
             if isinstance(data__salt, str):
                 if not REGEX_PATTERNS['^[0-9a-f]{32}$'].search(data__salt):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must match pattern ^[0-9a-f]{32}$", value=data__salt, name="" + (name_prefix or "data") + ".salt", definition={'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must match pattern ^[0-9a-f]{32}$")
         if "digest" in data_keys:
             data_keys.remove("digest")
             data__digest = data["digest"]
             if not isinstance(data__digest, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must be string", value=data__digest, name="" + (name_prefix or "data") + ".digest", definition={'type': 'string', 'pattern': '^[0-9a-f]{64}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must be string")
             if isinstance(data__digest, str):
                 if not REGEX_PATTERNS['^[0-9a-f]{64}$'].search(data__digest):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must match pattern ^[0-9a-f]{64}$", value=data__digest, name="" + (name_prefix or "data") + ".digest", definition={'type': 'string', 'pattern': '^[0-9a-f]{64}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must match pattern ^[0-9a-f]{64}$")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['salt', 'digest'], 'description': 'Salted SHA-256 of a team key, both in hexadecimal.', 'properties': {'salt': {'type': 'string', 'pattern': '^[0-9a-f]{32}$'}, 'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_service(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['pool']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "access" in data_keys:
             data_keys.remove("access")
             data__access = data["access"]
@@ -4168,29 +3182,29 @@
             data_keys.remove("max_unavailable")
             data__maxunavailable = data["max_unavailable"]
             if not isinstance(data__maxunavailable, (int)) and not (isinstance(data__maxunavailable, float) and data__maxunavailable.is_integer()) or isinstance(data__maxunavailable, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be integer", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be integer")
             if isinstance(data__maxunavailable, (int, float, Decimal)) and not isinstance(data__maxunavailable, bool):
                 if data__maxunavailable < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be bigger than or equal to 0", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be bigger than or equal to 0")
                 if data__maxunavailable > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be smaller than or equal to 1000", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be smaller than or equal to 1000")
         if "queue_limit" in data_keys:
             data_keys.remove("queue_limit")
             data__queuelimit = data["queue_limit"]
             if not isinstance(data__queuelimit, (int)) and not (isinstance(data__queuelimit, float) and data__queuelimit.is_integer()) or isinstance(data__queuelimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be integer", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be integer")
             if isinstance(data__queuelimit, (int, float, Decimal)) and not isinstance(data__queuelimit, bool):
                 if data__queuelimit < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be bigger than or equal to 1", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be bigger than or equal to 1")
                 if data__queuelimit > 100000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be smaller than or equal to 100000", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be smaller than or equal to 100000")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['pool'], 'description': 'A service and the pool that serves it.', 'properties': {'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'access': {'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, 'max_unavailable': {'type': 'integer', 'minimum': 0, 'maximum': 1000, 'default': 1}, 'queue_limit': {'type': 'integer', 'minimum': 1, 'maximum': 100000, 'default': 1000}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_pool(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -4198,60 +3212,60 @@
             data_keys.remove("spare")
             data__spare = data["spare"]
             if not isinstance(data__spare, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".spare must be boolean", value=data__spare, name="" + (name_prefix or "data") + ".spare", definition={'type': 'boolean', 'default': False}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".spare must be boolean")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'A set of hosts; each host names its pool, so a host has exactly one.', 'properties': {'spare': {'type': 'boolean', 'default': False}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_host(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['availability_zone', 'rack', 'pool', 'address']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "rack" in data_keys:
             data_keys.remove("rack")
             data__rack = data["rack"]
             if not isinstance(data__rack, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string")
             if isinstance(data__rack, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__rack):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "pool_epoch" in data_keys:
             data_keys.remove("pool_epoch")
             data__poolepoch = data["pool_epoch"]
             if not isinstance(data__poolepoch, (int)) and not (isinstance(data__poolepoch, float) and data__poolepoch.is_integer()) or isinstance(data__poolepoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer")
             if isinstance(data__poolepoch, (int, float, Decimal)) and not isinstance(data__poolepoch, bool):
                 if data__poolepoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0")
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -4260,80 +3274,80 @@
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
                 if data__slots > 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024")
         if "connections" in data_keys:
             data_keys.remove("connections")
             data__connections = data["connections"]
             if not isinstance(data__connections, (int)) and not (isinstance(data__connections, float) and data__connections.is_integer()) or isinstance(data__connections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer")
             if isinstance(data__connections, (int, float, Decimal)) and not isinstance(data__connections, bool):
                 if data__connections < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1")
                 if data__connections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096")
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
                 if data__cores > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096")
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1024}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1024}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
         if "accelerators" in data_keys:
             data_keys.remove("accelerators")
             data__accelerators = data["accelerators"]
             if not isinstance(data__accelerators, (int)) and not (isinstance(data__accelerators, float) and data__accelerators.is_integer()) or isinstance(data__accelerators, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer")
             if isinstance(data__accelerators, (int, float, Decimal)) and not isinstance(data__accelerators, bool):
                 if data__accelerators < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['availability_zone', 'rack', 'pool', 'address'], 'description': 'A worker host, its place and the pool it belongs to.', 'properties': {'availability_zone': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'rack': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'pool_epoch': {'type': 'integer', 'minimum': 0, 'default': 0}, 'address': {'type': 'string', 'pattern': '^[0-9.]{7,15}:[0-9]{1,5}$'}, 'state': {'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, 'slots': {'type': 'integer', 'minimum': 1, 'maximum': 1024, 'default': 8}, 'connections': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 64}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1024}, 'accelerators': {'type': 'integer', 'minimum': 0, 'default': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_availabilityzone(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['region']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "region" in data_keys:
             data_keys.remove("region")
             data__region = data["region"]
             if not isinstance(data__region, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string", value=data__region, name="" + (name_prefix or "data") + ".region", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string")
             if isinstance(data__region, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__region):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__region, name="" + (name_prefix or "data") + ".region", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_zonestate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['region'], 'description': 'An availability zone of one region.', 'properties': {'region': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'state': {'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_fleetbounds(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
