@@ -4341,269 +3355,269 @@
             data_keys.remove("freshness_bound_ms")
             data__freshnessboundms = data["freshness_bound_ms"]
             if not isinstance(data__freshnessboundms, (int)) and not (isinstance(data__freshnessboundms, float) and data__freshnessboundms.is_integer()) or isinstance(data__freshnessboundms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be integer", value=data__freshnessboundms, name="" + (name_prefix or "data") + ".freshness_bound_ms", definition={'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be integer")
             if isinstance(data__freshnessboundms, (int, float, Decimal)) and not isinstance(data__freshnessboundms, bool):
                 if data__freshnessboundms < 500:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be bigger than or equal to 500", value=data__freshnessboundms, name="" + (name_prefix or "data") + ".freshness_bound_ms", definition={'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be bigger than or equal to 500")
                 if data__freshnessboundms > 60000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be smaller than or equal to 60000", value=data__freshnessboundms, name="" + (name_prefix or "data") + ".freshness_bound_ms", definition={'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_bound_ms must be smaller than or equal to 60000")
         if "isolation_bound_ms" in data_keys:
             data_keys.remove("isolation_bound_ms")
             data__isolationboundms = data["isolation_bound_ms"]
             if not isinstance(data__isolationboundms, (int)) and not (isinstance(data__isolationboundms, float) and data__isolationboundms.is_integer()) or isinstance(data__isolationboundms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be integer", value=data__isolationboundms, name="" + (name_prefix or "data") + ".isolation_bound_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be integer")
             if isinstance(data__isolationboundms, (int, float, Decimal)) and not isinstance(data__isolationboundms, bool):
                 if data__isolationboundms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be bigger than or equal to 0", value=data__isolationboundms, name="" + (name_prefix or "data") + ".isolation_bound_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be bigger than or equal to 0")
                 if data__isolationboundms > 3600000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be smaller than or equal to 3600000", value=data__isolationboundms, name="" + (name_prefix or "data") + ".isolation_bound_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".isolation_bound_ms must be smaller than or equal to 3600000")
         if "start_token_ms" in data_keys:
             data_keys.remove("start_token_ms")
             data__starttokenms = data["start_token_ms"]
             if not isinstance(data__starttokenms, (int)) and not (isinstance(data__starttokenms, float) and data__starttokenms.is_integer()) or isinstance(data__starttokenms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be integer", value=data__starttokenms, name="" + (name_prefix or "data") + ".start_token_ms", definition={'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be integer")
             if isinstance(data__starttokenms, (int, float, Decimal)) and not isinstance(data__starttokenms, bool):
                 if data__starttokenms < 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be bigger than or equal to 100", value=data__starttokenms, name="" + (name_prefix or "data") + ".start_token_ms", definition={'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be bigger than or equal to 100")
                 if data__starttokenms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be smaller than or equal to 10000", value=data__starttokenms, name="" + (name_prefix or "data") + ".start_token_ms", definition={'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token_ms must be smaller than or equal to 10000")
         if "task_lease_ms" in data_keys:
             data_keys.remove("task_lease_ms")
             data__taskleasems = data["task_lease_ms"]
             if not isinstance(data__taskleasems, (int)) and not (isinstance(data__taskleasems, float) and data__taskleasems.is_integer()) or isinstance(data__taskleasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be integer", value=data__taskleasems, name="" + (name_prefix or "data") + ".task_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be integer")
             if isinstance(data__taskleasems, (int, float, Decimal)) and not isinstance(data__taskleasems, bool):
                 if data__taskleasems < 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be bigger than or equal to 1000", value=data__taskleasems, name="" + (name_prefix or "data") + ".task_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be bigger than or equal to 1000")
                 if data__taskleasems > 600000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be smaller than or equal to 600000", value=data__taskleasems, name="" + (name_prefix or "data") + ".task_lease_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_lease_ms must be smaller than or equal to 600000")
         if "drift_margin_ms" in data_keys:
             data_keys.remove("drift_margin_ms")
             data__driftmarginms = data["drift_margin_ms"]
             if not isinstance(data__driftmarginms, (int)) and not (isinstance(data__driftmarginms, float) and data__driftmarginms.is_integer()) or isinstance(data__driftmarginms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be integer", value=data__driftmarginms, name="" + (name_prefix or "data") + ".drift_margin_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be integer")
             if isinstance(data__driftmarginms, (int, float, Decimal)) and not isinstance(data__driftmarginms, bool):
                 if data__driftmarginms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be bigger than or equal to 0", value=data__driftmarginms, name="" + (name_prefix or "data") + ".drift_margin_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be bigger than or equal to 0")
                 if data__driftmarginms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be smaller than or equal to 10000", value=data__driftmarginms, name="" + (name_prefix or "data") + ".drift_margin_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drift_margin_ms must be smaller than or equal to 10000")
         if "request_id_max_age_ms" in data_keys:
             data_keys.remove("request_id_max_age_ms")
             data__requestidmaxagems = data["request_id_max_age_ms"]
             if not isinstance(data__requestidmaxagems, (int)) and not (isinstance(data__requestidmaxagems, float) and data__requestidmaxagems.is_integer()) or isinstance(data__requestidmaxagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be integer", value=data__requestidmaxagems, name="" + (name_prefix or "data") + ".request_id_max_age_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be integer")
             if isinstance(data__requestidmaxagems, (int, float, Decimal)) and not isinstance(data__requestidmaxagems, bool):
                 if data__requestidmaxagems < 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be bigger than or equal to 1000", value=data__requestidmaxagems, name="" + (name_prefix or "data") + ".request_id_max_age_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be bigger than or equal to 1000")
                 if data__requestidmaxagems > 86400000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be smaller than or equal to 86400000", value=data__requestidmaxagems, name="" + (name_prefix or "data") + ".request_id_max_age_ms", definition={'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id_max_age_ms must be smaller than or equal to 86400000")
         if "ramp_ms" in data_keys:
             data_keys.remove("ramp_ms")
             data__rampms = data["ramp_ms"]
             if not isinstance(data__rampms, (int)) and not (isinstance(data__rampms, float) and data__rampms.is_integer()) or isinstance(data__rampms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be integer", value=data__rampms, name="" + (name_prefix or "data") + ".ramp_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be integer")
             if isinstance(data__rampms, (int, float, Decimal)) and not isinstance(data__rampms, bool):
                 if data__rampms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be bigger than or equal to 0", value=data__rampms, name="" + (name_prefix or "data") + ".ramp_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be bigger than or equal to 0")
                 if data__rampms > 3600000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be smaller than or equal to 3600000", value=data__rampms, name="" + (name_prefix or "data") + ".ramp_ms", definition={'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ramp_ms must be smaller than or equal to 3600000")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'description': 'Time bounds that every entry host keeps, in milliseconds.', 'properties': {'freshness_bound_ms': {'type': 'integer', 'minimum': 500, 'maximum': 60000, 'default': 5000}, 'isolation_bound_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 120000}, 'start_token_ms': {'type': 'integer', 'minimum': 100, 'maximum': 10000, 'default': 2000}, 'task_lease_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 600000, 'default': 15000}, 'drift_margin_ms': {'type': 'integer', 'minimum': 0, 'maximum': 10000, 'default': 500}, 'request_id_max_age_ms': {'type': 'integer', 'minimum': 1000, 'maximum': 86400000, 'default': 900000}, 'ramp_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3600000, 'default': 30000}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_planstate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'proposed' or isinstance(data, str) and data == 'running' or isinstance(data, str) and data == 'paused' or isinstance(data, str) and data == 'finished'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['proposed', 'running', 'paused', 'finished']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['proposed', 'running', 'paused', 'finished'], 'description': 'State of a maintenance plan.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['proposed', 'running', 'paused', 'finished']")
     return data
 
 def validate____defs_movephase(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'draining' or isinstance(data, str) and data == 'drained'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['draining', 'drained']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['draining', 'drained'], 'description': "Phase of a host's move to another pool."}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['draining', 'drained']")
     return data
 
 def validate____defs_priority(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'urgent' or isinstance(data, str) and data == 'overnight'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['urgent', 'overnight']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['urgent', 'overnight']")
     return data
 
 def validate____defs_queueaccess(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'keyed' or isinstance(data, str) and data == 'open'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['keyed', 'open']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['keyed', 'open'], 'description': 'Whether a queue needs a team key.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['keyed', 'open']")
     return data
 
 def validate____defs_hoststate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'active' or isinstance(data, str) and data == 'draining' or isinstance(data, str) and data == 'maintenance'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['active', 'draining', 'maintenance']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['active', 'draining', 'maintenance'], 'description': 'Whether operators let tasks start on a host.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['active', 'draining', 'maintenance']")
     return data
 
 def validate____defs_zonestate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'in_service' or isinstance(data, str) and data == 'out_of_service'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['in_service', 'out_of_service']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['in_service', 'out_of_service'], 'description': 'Whether tasks may start in an availability zone.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['in_service', 'out_of_service']")
     return data
 
 def validate____defs_usagereport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['running', 'slots', 'draining']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "running" in data_keys:
             data_keys.remove("running")
             data__running = data["running"]
             if not isinstance(data__running, (int)) and not (isinstance(data__running, float) and data__running.is_integer()) or isinstance(data__running, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer")
             if isinstance(data__running, (int, float, Decimal)) and not isinstance(data__running, bool):
                 if data__running < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0")
         if "slots" in data_keys:
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
         if "draining" in data_keys:
             data_keys.remove("draining")
             data__draining = data["draining"]
             if not isinstance(data__draining, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".draining must be boolean", value=data__draining, name="" + (name_prefix or "data") + ".draining", definition={'type': 'boolean'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".draining must be boolean")
         if "cores_used" in data_keys:
             data_keys.remove("cores_used")
             data__coresused = data["cores_used"]
             if not isinstance(data__coresused, (int, float, Decimal)) or isinstance(data__coresused, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores_used must be number", value=data__coresused, name="" + (name_prefix or "data") + ".cores_used", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores_used must be number")
             if isinstance(data__coresused, (int, float, Decimal)) and not isinstance(data__coresused, bool):
                 if data__coresused < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores_used must be bigger than or equal to 0", value=data__coresused, name="" + (name_prefix or "data") + ".cores_used", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores_used must be bigger than or equal to 0")
         if "memory_used_mb" in data_keys:
             data_keys.remove("memory_used_mb")
             data__memoryusedmb = data["memory_used_mb"]
             if not isinstance(data__memoryusedmb, (int, float, Decimal)) or isinstance(data__memoryusedmb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_used_mb must be number", value=data__memoryusedmb, name="" + (name_prefix or "data") + ".memory_used_mb", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_used_mb must be number")
             if isinstance(data__memoryusedmb, (int, float, Decimal)) and not isinstance(data__memoryusedmb, bool):
                 if data__memoryusedmb < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_used_mb must be bigger than or equal to 0", value=data__memoryusedmb, name="" + (name_prefix or "data") + ".memory_used_mb", definition={'type': 'number', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_used_mb must be bigger than or equal to 0")
         if "age_ms" in data_keys:
             data_keys.remove("age_ms")
             data__agems = data["age_ms"]
             if not isinstance(data__agems, (int)) and not (isinstance(data__agems, float) and data__agems.is_integer()) or isinstance(data__agems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer")
             if isinstance(data__agems, (int, float, Decimal)) and not isinstance(data__agems, bool):
                 if data__agems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0")
         if "start_token" in data_keys:
             data_keys.remove("start_token")
             data__starttoken = data["start_token"]
             if not isinstance(data__starttoken, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string", value=data__starttoken, name="" + (name_prefix or "data") + ".start_token", definition={'type': 'string', 'default': ''}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['running', 'slots', 'draining'], 'description': 'Lagging usage of a backend server.', 'properties': {'running': {'type': 'integer', 'minimum': 0}, 'slots': {'type': 'integer', 'minimum': 1}, 'draining': {'type': 'boolean'}, 'cores_used': {'type': 'number', 'minimum': 0, 'default': 0}, 'memory_used_mb': {'type': 'number', 'minimum': 0, 'default': 0}, 'age_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'start_token': {'type': 'string', 'default': ''}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_leasereport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['renewed', 'missing', 'start_token'], 'description': 'Which leases were renewed and which tasks are not running.', 'properties': {'renewed': {'type': 'array', 'items': {'type': 'string'}}, 'missing': {'type': 'array', 'items': {'type': 'string'}}, 'start_token': {'type': 'string'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['renewed', 'missing', 'start_token']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['renewed', 'missing', 'start_token'], 'description': 'Which leases were renewed and which tasks are not running.', 'properties': {'renewed': {'type': 'array', 'items': {'type': 'string'}}, 'missing': {'type': 'array', 'items': {'type': 'string'}}, 'start_token': {'type': 'string'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "renewed" in data_keys:
             data_keys.remove("renewed")
             data__renewed = data["renewed"]
             if not isinstance(data__renewed, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".renewed must be array", value=data__renewed, name="" + (name_prefix or "data") + ".renewed", definition={'type': 'array', 'items': {'type': 'string'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".renewed must be array")
             data__renewed_is_list = isinstance(data__renewed, (list, tuple))
             if data__renewed_is_list:
                 data__renewed_len = len(data__renewed)
                 for data__renewed_x, data__renewed_item in enumerate(data__renewed):
                     if not isinstance(data__renewed_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".renewed[{data__renewed_x}]".format(**locals()) + " must be string", value=data__renewed_item, name="" + (name_prefix or "data") + ".renewed[{data__renewed_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".renewed[{data__renewed_x}]".format(**locals()) + " must be string")
         if "missing" in data_keys:
             data_keys.remove("missing")
             data__missing = data["missing"]
             if not isinstance(data__missing, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".missing must be array", value=data__missing, name="" + (name_prefix or "data") + ".missing", definition={'type': 'array', 'items': {'type': 'string'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".missing must be array")
             data__missing_is_list = isinstance(data__missing, (list, tuple))
             if data__missing_is_list:
                 data__missing_len = len(data__missing)
                 for data__missing_x, data__missing_item in enumerate(data__missing):
                     if not isinstance(data__missing_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".missing[{data__missing_x}]".format(**locals()) + " must be string", value=data__missing_item, name="" + (name_prefix or "data") + ".missing[{data__missing_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".missing[{data__missing_x}]".format(**locals()) + " must be string")
         if "start_token" in data_keys:
             data_keys.remove("start_token")
             data__starttoken = data["start_token"]
             if not isinstance(data__starttoken, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string", value=data__starttoken, name="" + (name_prefix or "data") + ".start_token", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['renewed', 'missing', 'start_token'], 'description': 'Which leases were renewed and which tasks are not running.', 'properties': {'renewed': {'type': 'array', 'items': {'type': 'string'}}, 'missing': {'type': 'array', 'items': {'type': 'string'}}, 'start_token': {'type': 'string'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_leaserenewal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_ids', 'lease_ms'], 'description': 'Renews the leases of running tasks.', 'properties': {'task_ids': {'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, 'lease_ms': {'type': 'integer', 'minimum': 1}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['task_ids', 'lease_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_ids', 'lease_ms'], 'description': 'Renews the leases of running tasks.', 'properties': {'task_ids': {'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, 'lease_ms': {'type': 'integer', 'minimum': 1}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "task_ids" in data_keys:
             data_keys.remove("task_ids")
             data__taskids = data["task_ids"]
             if not isinstance(data__taskids, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids must be array", value=data__taskids, name="" + (name_prefix or "data") + ".task_ids", definition={'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids must be array")
             data__taskids_is_list = isinstance(data__taskids, (list, tuple))
             if data__taskids_is_list:
                 data__taskids_len = len(data__taskids)
                 if data__taskids_len > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids must contain less than or equal to 4096 items", value=data__taskids, name="" + (name_prefix or "data") + ".task_ids", definition={'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, rule='maxItems')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids must contain less than or equal to 4096 items")
                 for data__taskids_x, data__taskids_item in enumerate(data__taskids):
                     if not isinstance(data__taskids_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids[{data__taskids_x}]".format(**locals()) + " must be string", value=data__taskids_item, name="" + (name_prefix or "data") + ".task_ids[{data__taskids_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_ids[{data__taskids_x}]".format(**locals()) + " must be string")
         if "lease_ms" in data_keys:
             data_keys.remove("lease_ms")
             data__leasems = data["lease_ms"]
             if not isinstance(data__leasems, (int)) and not (isinstance(data__leasems, float) and data__leasems.is_integer()) or isinstance(data__leasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be integer", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be integer")
             if isinstance(data__leasems, (int, float, Decimal)) and not isinstance(data__leasems, bool):
                 if data__leasems < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be bigger than or equal to 1", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be bigger than or equal to 1")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_ids', 'lease_ms'], 'description': 'Renews the leases of running tasks.', 'properties': {'task_ids': {'type': 'array', 'maxItems': 4096, 'items': {'type': 'string'}}, 'lease_ms': {'type': 'integer', 'minimum': 1}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_taskreport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['task_id', 'state', 'start_token']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -4612,188 +3626,188 @@
             data_keys.remove("start_token")
             data__starttoken = data["start_token"]
             if not isinstance(data__starttoken, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string", value=data__starttoken, name="" + (name_prefix or "data") + ".start_token", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string")
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count17 = 0
-            if data__refusal_one_of_count17 < 2:
+            data__refusal_one_of_count13 = 0
+            if data__refusal_one_of_count13 < 2:
                 try:
                     validate____defs_startrefusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count17 += 1
+                    data__refusal_one_of_count13 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count17 < 2:
+            if data__refusal_one_of_count13 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={'type': 'null'}, rule='type')
-                    data__refusal_one_of_count17 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null")
+                    data__refusal_one_of_count13 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count17 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count17) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={'oneOf': [{'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__refusal_one_of_count13 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition")
         if "result" in data_keys:
             data_keys.remove("result")
             data__result = data["result"]
             if not isinstance(data__result, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result must be string or null", value=data__result, name="" + (name_prefix or "data") + ".result", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result must be string or null")
         if "result_length" in data_keys:
             data_keys.remove("result_length")
             data__resultlength = data["result_length"]
             if not isinstance(data__resultlength, (int, NoneType)) and not (isinstance(data__resultlength, float) and data__resultlength.is_integer()) or isinstance(data__resultlength, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_length must be integer or null", value=data__resultlength, name="" + (name_prefix or "data") + ".result_length", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_length must be integer or null")
             if isinstance(data__resultlength, (int, float, Decimal)) and not isinstance(data__resultlength, bool):
                 if data__resultlength < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_length must be bigger than or equal to 0", value=data__resultlength, name="" + (name_prefix or "data") + ".result_length", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_length must be bigger than or equal to 0")
         if "result_digest" in data_keys:
             data_keys.remove("result_digest")
             data__resultdigest = data["result_digest"]
             if not isinstance(data__resultdigest, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_digest must be string or null", value=data__resultdigest, name="" + (name_prefix or "data") + ".result_digest", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result_digest must be string or null")
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
             if not isinstance(data__message, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string or null", value=data__message, name="" + (name_prefix or "data") + ".message", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string or null")
         if "running" in data_keys:
             data_keys.remove("running")
             data__running = data["running"]
             if not isinstance(data__running, (int, NoneType)) and not (isinstance(data__running, float) and data__running.is_integer()) or isinstance(data__running, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer or null", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer or null")
             if isinstance(data__running, (int, float, Decimal)) and not isinstance(data__running, bool):
                 if data__running < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0", value=data__running, name="" + (name_prefix or "data") + ".running", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'state', 'start_token'], 'description': 'State of a task, with its result once finished and a new start token.', 'properties': {'task_id': {'type': 'string'}, 'state': {'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, 'start_token': {'type': 'string'}, 'refusal': {'oneOf': [{'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, {'type': 'null'}], 'default': None}, 'result': {'type': ['string', 'null'], 'default': None}, 'result_length': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'result_digest': {'type': ['string', 'null'], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}, 'running': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_taskstart(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 128}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
             if isinstance(data__taskid, str):
                 data__taskid_len = len(data__taskid)
                 if data__taskid_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be longer than or equal to 1 characters", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 128}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be longer than or equal to 1 characters")
                 if data__taskid_len > 128:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be shorter than or equal to 128 characters", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 128}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be shorter than or equal to 128 characters")
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
             if isinstance(data__requestid, str):
                 data__requestid_len = len(data__requestid)
                 if data__requestid_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be longer than or equal to 1 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 64}, rule='minLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be longer than or equal to 1 characters")
                 if data__requestid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'minLength': 1, 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters")
         if "attempt" in data_keys:
             data_keys.remove("attempt")
             data__attempt = data["attempt"]
             if not isinstance(data__attempt, (int)) and not (isinstance(data__attempt, float) and data__attempt.is_integer()) or isinstance(data__attempt, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer")
             if isinstance(data__attempt, (int, float, Decimal)) and not isinstance(data__attempt, bool):
                 if data__attempt < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 1", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 1")
         if "service" in data_keys:
             data_keys.remove("service")
             data__service = data["service"]
             if not isinstance(data__service, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string", value=data__service, name="" + (name_prefix or "data") + ".service", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string")
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
         if "pool_epoch" in data_keys:
             data_keys.remove("pool_epoch")
             data__poolepoch = data["pool_epoch"]
             if not isinstance(data__poolepoch, (int)) and not (isinstance(data__poolepoch, float) and data__poolepoch.is_integer()) or isinstance(data__poolepoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer")
             if isinstance(data__poolepoch, (int, float, Decimal)) and not isinstance(data__poolepoch, bool):
                 if data__poolepoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0")
         if "start_token" in data_keys:
             data_keys.remove("start_token")
             data__starttoken = data["start_token"]
             if not isinstance(data__starttoken, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string", value=data__starttoken, name="" + (name_prefix or "data") + ".start_token", definition={'type': 'string', 'maxLength': 64}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be string")
             if isinstance(data__starttoken, str):
                 data__starttoken_len = len(data__starttoken)
                 if data__starttoken_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be shorter than or equal to 64 characters", value=data__starttoken, name="" + (name_prefix or "data") + ".start_token", definition={'type': 'string', 'maxLength': 64}, rule='maxLength')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".start_token must be shorter than or equal to 64 characters")
         if "lease_ms" in data_keys:
             data_keys.remove("lease_ms")
             data__leasems = data["lease_ms"]
             if not isinstance(data__leasems, (int)) and not (isinstance(data__leasems, float) and data__leasems.is_integer()) or isinstance(data__leasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be integer", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be integer")
             if isinstance(data__leasems, (int, float, Decimal)) and not isinstance(data__leasems, bool):
                 if data__leasems < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be bigger than or equal to 1", value=data__leasems, name="" + (name_prefix or "data") + ".lease_ms", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_ms must be bigger than or equal to 1")
         if "wait_ms" in data_keys:
             data_keys.remove("wait_ms")
             data__waitms = data["wait_ms"]
             if not isinstance(data__waitms, (int)) and not (isinstance(data__waitms, float) and data__waitms.is_integer()) or isinstance(data__waitms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer")
             if isinstance(data__waitms, (int, float, Decimal)) and not isinstance(data__waitms, bool):
                 if data__waitms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0")
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
         if "payload" in data_keys:
             data_keys.remove("payload")
             data__payload = data["payload"]
             if not isinstance(data__payload, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".payload must be string", value=data__payload, name="" + (name_prefix or "data") + ".payload", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".payload must be string")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['task_id', 'request_id', 'attempt', 'service', 'team', 'pool_epoch', 'start_token', 'lease_ms', 'payload'], 'description': 'Order to start one task under a lease.', 'properties': {'task_id': {'type': 'string', 'minLength': 1, 'maxLength': 128}, 'request_id': {'type': 'string', 'minLength': 1, 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 1}, 'service': {'type': 'string'}, 'team': {'type': 'string'}, 'pool_epoch': {'type': 'integer', 'minimum': 0}, 'start_token': {'type': 'string', 'maxLength': 64}, 'lease_ms': {'type': 'integer', 'minimum': 1}, 'wait_ms': {'type': 'integer', 'minimum': 0, 'default': 0}, 'cores': {'type': 'integer', 'minimum': 1, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}, 'payload': {'type': 'string'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_startrefusal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'busy' or isinstance(data, str) and data == 'stale_token' or isinstance(data, str) and data == 'draining' or isinstance(data, str) and data == 'barred' or isinstance(data, str) and data == 'cannot_fit' or isinstance(data, str) and data == 'malformed'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed'], 'description': 'Why a backend server did not start a task; it has not run.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['busy', 'stale_token', 'draining', 'barred', 'cannot_fit', 'malformed']")
     return data
 
 def validate____defs_taskstate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'running' or isinstance(data, str) and data == 'finished' or isinstance(data, str) and data == 'failed' or isinstance(data, str) and data == 'stopped' or isinstance(data, str) and data == 'expired' or isinstance(data, str) and data == 'never_started'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started'], 'description': 'What a backend server knows about a task.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['running', 'finished', 'failed', 'stopped', 'expired', 'never_started']")
     return data
 
 def validate____defs_refusal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'message': {'type': 'string'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['code', 'message', 'run_state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'message': {'type': 'string'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "code" in data_keys:
             data_keys.remove("code")
@@ -4803,7 +3817,7 @@
             data_keys.remove("message")
             data__message = data["message"]
             if not isinstance(data__message, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string", value=data__message, name="" + (name_prefix or "data") + ".message", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string")
         if "run_state" in data_keys:
             data_keys.remove("run_state")
             data__runstate = data["run_state"]
@@ -4812,33 +3826,33 @@
             data_keys.remove("retry_after_ms")
             data__retryafterms = data["retry_after_ms"]
             if not isinstance(data__retryafterms, (int, NoneType)) and not (isinstance(data__retryafterms, float) and data__retryafterms.is_integer()) or isinstance(data__retryafterms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".retry_after_ms must be integer or null", value=data__retryafterms, name="" + (name_prefix or "data") + ".retry_after_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".retry_after_ms must be integer or null")
             if isinstance(data__retryafterms, (int, float, Decimal)) and not isinstance(data__retryafterms, bool):
                 if data__retryafterms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".retry_after_ms must be bigger than or equal to 0", value=data__retryafterms, name="" + (name_prefix or "data") + ".retry_after_ms", definition={'type': ['integer', 'null'], 'minimum': 0, 'default': None}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".retry_after_ms must be bigger than or equal to 0")
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string or null", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string or null")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['code', 'message', 'run_state'], 'description': 'Typed error that says whether the task was run.', 'properties': {'code': {'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, 'message': {'type': 'string'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'retry_after_ms': {'type': ['integer', 'null'], 'minimum': 0, 'default': None}, 'request_id': {'type': ['string', 'null'], 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_answerbody(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id', 'phase', 'run_state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
         if "phase" in data_keys:
             data_keys.remove("phase")
             data__phase = data["phase"]
@@ -4851,84 +3865,84 @@
             data_keys.remove("result")
             data__result = data["result"]
             if not isinstance(data__result, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result must be string or null", value=data__result, name="" + (name_prefix or "data") + ".result", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".result must be string or null")
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null")
         if "attempts" in data_keys:
             data_keys.remove("attempts")
             data__attempts = data["attempts"]
             if not isinstance(data__attempts, (int)) and not (isinstance(data__attempts, float) and data__attempts.is_integer()) or isinstance(data__attempts, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempts must be integer", value=data__attempts, name="" + (name_prefix or "data") + ".attempts", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempts must be integer")
             if isinstance(data__attempts, (int, float, Decimal)) and not isinstance(data__attempts, bool):
                 if data__attempts < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempts must be bigger than or equal to 0", value=data__attempts, name="" + (name_prefix or "data") + ".attempts", definition={'type': 'integer', 'minimum': 0, 'default': 0}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempts must be bigger than or equal to 0")
         if "error_code" in data_keys:
             data_keys.remove("error_code")
             data__errorcode = data["error_code"]
-            data__errorcode_one_of_count18 = 0
-            if data__errorcode_one_of_count18 < 2:
+            data__errorcode_one_of_count14 = 0
+            if data__errorcode_one_of_count14 < 2:
                 try:
                     validate____defs_errorcode(data__errorcode, custom_formats, (name_prefix or "data") + ".error_code")
-                    data__errorcode_one_of_count18 += 1
+                    data__errorcode_one_of_count14 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count18 < 2:
+            if data__errorcode_one_of_count14 < 2:
                 try:
                     if not isinstance(data__errorcode, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be null", value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={'type': 'null'}, rule='type')
-                    data__errorcode_one_of_count18 += 1
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be null")
+                    data__errorcode_one_of_count14 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count18 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count18) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={'oneOf': [{'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, {'type': 'null'}], 'default': None}, rule='oneOf')
+            if data__errorcode_one_of_count14 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition")
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
             if not isinstance(data__message, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string or null", value=data__message, name="" + (name_prefix or "data") + ".message", definition={'type': ['string', 'null'], 'default': None}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string or null")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'phase', 'run_state'], 'description': 'State of a request and, once finished, its whole answer.', 'properties': {'request_id': {'type': 'string'}, 'phase': {'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, 'run_state': {'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, 'result': {'type': ['string', 'null'], 'default': None}, 'host_id': {'type': ['string', 'null'], 'default': None}, 'attempts': {'type': 'integer', 'minimum': 0, 'default': 0}, 'error_code': {'oneOf': [{'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, {'type': 'null'}], 'default': None}, 'message': {'type': ['string', 'null'], 'default': None}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_requestbody(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id', 'service', 'deadline_ms', 'idempotent']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
             if isinstance(data__requestid, str):
                 if not REGEX_PATTERNS['^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'].search(data__requestid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must match pattern ^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must match pattern ^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$")
         if "service" in data_keys:
             data_keys.remove("service")
             data__service = data["service"]
             if not isinstance(data__service, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string", value=data__service, name="" + (name_prefix or "data") + ".service", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string")
             if isinstance(data__service, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__service):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__service, name="" + (name_prefix or "data") + ".service", definition={'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, rule='pattern')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
         if "deadline_ms" in data_keys:
             data_keys.remove("deadline_ms")
             data__deadlinems = data["deadline_ms"]
             if not isinstance(data__deadlinems, (int)) and not (isinstance(data__deadlinems, float) and data__deadlinems.is_integer()) or isinstance(data__deadlinems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer", value=data__deadlinems, name="" + (name_prefix or "data") + ".deadline_ms", definition={'type': 'integer', 'maximum': 86400000}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer")
             if isinstance(data__deadlinems, (int, float, Decimal)) and not isinstance(data__deadlinems, bool):
                 if data__deadlinems > 86400000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be smaller than or equal to 86400000", value=data__deadlinems, name="" + (name_prefix or "data") + ".deadline_ms", definition={'type': 'integer', 'maximum': 86400000}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be smaller than or equal to 86400000")
         if "idempotent" in data_keys:
             data_keys.remove("idempotent")
             data__idempotent = data["idempotent"]
             if not isinstance(data__idempotent, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".idempotent must be boolean", value=data__idempotent, name="" + (name_prefix or "data") + ".idempotent", definition={'type': 'boolean'}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".idempotent must be boolean")
         if "mode" in data_keys:
             data_keys.remove("mode")
             data__mode = data["mode"]
@@ -4941,74 +3955,68 @@
             data_keys.remove("payload")
             data__payload = data["payload"]
             if not isinstance(data__payload, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".payload must be string", value=data__payload, name="" + (name_prefix or "data") + ".payload", definition={'type': 'string', 'default': ''}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".payload must be string")
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
                 if data__cores > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, rule='maximum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096")
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={'type': 'integer', 'minimum': 1, 'default': 1}, rule='minimum')
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['request_id', 'service', 'deadline_ms', 'idempotent'], 'description': "A caller's request. The deadline counts from arrival.", 'properties': {'request_id': {'type': 'string', 'pattern': '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$'}, 'service': {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}, 'deadline_ms': {'type': 'integer', 'maximum': 86400000}, 'idempotent': {'type': 'boolean'}, 'mode': {'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, 'priority': {'type': 'string', 'enum': ['urgent', 'overnight'], 'description': 'Class of a request inside its team.'}, 'payload': {'type': 'string', 'default': ''}, 'cores': {'type': 'integer', 'minimum': 1, 'maximum': 4096, 'default': 1}, 'memory_mb': {'type': 'integer', 'minimum': 1, 'default': 1}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
     return data
 
 def validate____defs_errorcode(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'internal_error'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error'], 'description': 'Stable code of an error.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error']")
     return data
 
 def validate____defs_requestphase(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'queued' or isinstance(data, str) and data == 'running' or isinstance(data, str) and data == 'finished' or isinstance(data, str) and data == 'failed' or isinstance(data, str) and data == 'refused' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'unknown'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown'], 'description': 'Where a request is on its way to an answer.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['queued', 'running', 'finished', 'failed', 'refused', 'cancelled', 'unknown']")
     return data
 
 def validate____defs_requestmode(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'wait' or isinstance(data, str) and data == 'async'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['wait', 'async']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['wait', 'async'], 'description': 'Whether the caller waits for the answer or fetches it later.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['wait', 'async']")
     return data
 
 def validate____defs_runstate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
     if not (isinstance(data, str) and data == 'not_run' or isinstance(data, str) and data == 'ran' or isinstance(data, str) and data == 'unknown'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['not_run', 'ran', 'unknown']", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'enum': ['not_run', 'ran', 'unknown'], 'description': 'What is known about whether the task was run.'}, rule='enum')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['not_run', 'ran', 'unknown']")
     return data
 
 VALIDATORS_BY_NAME = {
-    'AcceptanceQuery': validate____defs_acceptancequery,
     'AnswerBody': validate____defs_answerbody,
-    'AttemptEnd': validate____defs_attemptend,
-    'AttemptEnded': validate____defs_attemptended,
     'AvailabilityZone': validate____defs_availabilityzone,
-    'CallerGone': validate____defs_callergone,
     'CancelRequest': validate____defs_cancelrequest,
     'ChangeOutcome': validate____defs_changeoutcome,
-    'ChangeQuery': validate____defs_changequery,
     'ChangeReport': validate____defs_changereport,
     'ChangeRequest': validate____defs_changerequest,
     'Claim': validate____defs_claim,
     'ClaimSegment': validate____defs_claimsegment,
     'Configuration': validate____defs_configuration,
     'ConfigurationOffer': validate____defs_configurationoffer,
-    'ConfigurationQuery': validate____defs_configurationquery,
     'Cooperative': validate____defs_cooperative,
     'Edit': validate____defs_edit,
     'EditKind': validate____defs_editkind,
@@ -5017,14 +4025,11 @@
     'ErrorCode': validate____defs_errorcode,
     'FetchAnswer': validate____defs_fetchanswer,
     'FleetBounds': validate____defs_fleetbounds,
-    'FleetChange': validate____defs_fleetchange,
     'FleetStatus': validate____defs_fleetstatus,
-    'FleetStep': validate____defs_fleetstep,
     'ForwardedAnswer': validate____defs_forwardedanswer,
     'ForwardedRequest': validate____defs_forwardedrequest,
     'GrantRecord': validate____defs_grantrecord,
     'Hello': validate____defs_hello,
-    'HistogramQuery': validate____defs_histogramquery,
     'HistogramReport': validate____defs_histogramreport,
     'HistogramSummary': validate____defs_histogramsummary,
     'Host': validate____defs_host,
@@ -5032,10 +4037,8 @@
     'HostList': validate____defs_hostlist,
     'HostMove': validate____defs_hostmove,
     'HostOverlay': validate____defs_hostoverlay,
-    'HostSilent': validate____defs_hostsilent,
     'HostState': validate____defs_hoststate,
     'HostStatus': validate____defs_hoststatus,
-    'HostUsage': validate____defs_hostusage,
     'JournalEntry': validate____defs_journalentry,
     'KeyRecord': validate____defs_keyrecord,
     'LeaseGrant': validate____defs_leasegrant,
@@ -5046,24 +4049,17 @@
     'LogLevel': validate____defs_loglevel,
     'MaintenancePlan': validate____defs_maintenanceplan,
     'Member': validate____defs_member,
-    'MemberJoined': validate____defs_memberjoined,
     'MemberStatus': validate____defs_memberstatus,
     'MovePhase': validate____defs_movephase,
-    'OperatorChange': validate____defs_operatorchange,
     'PeerAddress': validate____defs_peeraddress,
-    'PeerAnswered': validate____defs_peeranswered,
-    'PeerCall': validate____defs_peercall,
     'PeerMessageKind': validate____defs_peermessagekind,
     'Ping': validate____defs_ping,
     'PlanOverlay': validate____defs_planoverlay,
     'PlanState': validate____defs_planstate,
-    'PlatformView': validate____defs_platformview,
     'Pong': validate____defs_pong,
     'Pool': validate____defs_pool,
     'Priority': validate____defs_priority,
     'QueueAccess': validate____defs_queueaccess,
-    'ReadinessCheck': validate____defs_readinesscheck,
-    'RecordMembership': validate____defs_recordmembership,
     'Refusal': validate____defs_refusal,
     'RequestBody': validate____defs_requestbody,
     'RequestMode': validate____defs_requestmode,
@@ -5073,32 +4069,20 @@
     'Site': validate____defs_site,
     'SiteOverlay': validate____defs_siteoverlay,
     'SliceMap': validate____defs_slicemap,
-    'StartCheck': validate____defs_startcheck,
-    'StartOrder': validate____defs_startorder,
     'StartRefusal': validate____defs_startrefusal,
     'StatsdSettings': validate____defs_statsdsettings,
-    'StatusQuery': validate____defs_statusquery,
-    'StopOrder': validate____defs_stoporder,
-    'StopService': validate____defs_stopservice,
     'StoredList': validate____defs_storedlist,
     'StoredValue': validate____defs_storedvalue,
-    'SubmitRequest': validate____defs_submitrequest,
     'TaskReport': validate____defs_taskreport,
     'TaskStart': validate____defs_taskstart,
     'TaskState': validate____defs_taskstate,
     'TaskStatus': validate____defs_taskstatus,
     'Team': validate____defs_team,
     'TeamOverlay': validate____defs_teamoverlay,
-    'Tick': validate____defs_tick,
     'TlsSettings': validate____defs_tlssettings,
-    'UpdateLinks': validate____defs_updatelinks,
-    'UpdatePeers': validate____defs_updatepeers,
     'UsageReport': validate____defs_usagereport,
-    'WaitUntilIdle': validate____defs_waituntilidle,
     'WhyKind': validate____defs_whykind,
-    'WhyQuery': validate____defs_whyquery,
     'WhyReport': validate____defs_whyreport,
-    'WriteFinished': validate____defs_writefinished,
     'WriteOutcome': validate____defs_writeoutcome,
     'WriteRequest': validate____defs_writerequest,
     'WriteResult': validate____defs_writeresult,
--- a/dandelionknot/codec.py
+++ b/dandelionknot/codec.py
@@ -16,7 +16,7 @@
 
 from dandelionknot._generated_validators import VALIDATORS_BY_NAME
 
-MAX_NESTING_BYTES = 16 * 1024 * 1024
+MISSING_FIELD_MESSAGE = ' must contain '
 
 T = TypeVar('T')
 
@@ -156,12 +156,24 @@
     try:
         VALIDATORS_BY_NAME[cls.__name__](data, {}, where)
     except fastjsonschema.JsonSchemaValueException as error:
-        return Err(DecodeError(where=where, problem=error.message))
+        problem = _with_missing_field(error.message, data, cls)
+        return Err(DecodeError(where=where, problem=problem))
     except RecursionError:
         return Err(DecodeError(where=where, problem='nested too deeply'))
     return Ok(None)
 
 
+def _with_missing_field(problem: str, data: Any, cls: type) -> str:
+    """Names the missing field, which validators without details leave out."""
+    if not problem.endswith(MISSING_FIELD_MESSAGE):
+        return problem
+    try:
+        msgspec.convert(data, cls)
+    except msgspec.ValidationError as error:
+        return f'{problem}all required fields: {error}'
+    return problem
+
+
 def from_data(data: Any, cls: type[T], where: str) -> Result[T, DecodeError]:
     """Checks plain data and builds the class from it."""
     checked = check(data, cls, where)
