--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -19,7 +19,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'EntrySettings': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -351,93 +351,93 @@
 
 def validate____defs_entrysettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='pattern')
         if "region" in data_keys:
             data_keys.remove("region")
             data__region = data["region"]
             if not isinstance(data__region, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string", value=data__region, name="" + (name_prefix or "data") + ".region", definition={}, rule='type')
             if isinstance(data__region, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__region):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__region, name="" + (name_prefix or "data") + ".region", definition={}, rule='pattern')
         if "caller_address" in data_keys:
             data_keys.remove("caller_address")
             data__calleraddress = data["caller_address"]
             if not isinstance(data__calleraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must be string", value=data__calleraddress, name="" + (name_prefix or "data") + ".caller_address", definition={}, rule='type')
             if isinstance(data__calleraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__calleraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__calleraddress, name="" + (name_prefix or "data") + ".caller_address", definition={}, rule='pattern')
         if "operator_address" in data_keys:
             data_keys.remove("operator_address")
             data__operatoraddress = data["operator_address"]
             if not isinstance(data__operatoraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must be string", value=data__operatoraddress, name="" + (name_prefix or "data") + ".operator_address", definition={}, rule='type')
             if isinstance(data__operatoraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__operatoraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__operatoraddress, name="" + (name_prefix or "data") + ".operator_address", definition={}, rule='pattern')
         if "peer_address" in data_keys:
             data_keys.remove("peer_address")
             data__peeraddress = data["peer_address"]
             if not isinstance(data__peeraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={}, rule='type')
             if isinstance(data__peeraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__peeraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={}, rule='pattern')
         if "platform_address" in data_keys:
             data_keys.remove("platform_address")
             data__platformaddress = data["platform_address"]
             if not isinstance(data__platformaddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must be string", value=data__platformaddress, name="" + (name_prefix or "data") + ".platform_address", definition={}, rule='type')
             if isinstance(data__platformaddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__platformaddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__platformaddress, name="" + (name_prefix or "data") + ".platform_address", definition={}, rule='pattern')
         if "advertised_peer_address" in data_keys:
             data_keys.remove("advertised_peer_address")
             data__advertisedpeeraddress = data["advertised_peer_address"]
             if not isinstance(data__advertisedpeeraddress, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must be string or null", value=data__advertisedpeeraddress, name="" + (name_prefix or "data") + ".advertised_peer_address", definition={}, rule='type')
             if isinstance(data__advertisedpeeraddress, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__advertisedpeeraddress):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".advertised_peer_address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__advertisedpeeraddress, name="" + (name_prefix or "data") + ".advertised_peer_address", definition={}, rule='pattern')
         if "peer_secret" in data_keys:
             data_keys.remove("peer_secret")
             data__peersecret = data["peer_secret"]
             if not isinstance(data__peersecret, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be string", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='type')
             if isinstance(data__peersecret, str):
                 data__peersecret_len = len(data__peersecret)
                 if data__peersecret_len < 16:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='minLength')
                 if data__peersecret_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='maxLength')
         if "operator_tokens_by_id" in data_keys:
             data_keys.remove("operator_tokens_by_id")
             data__operatortokensbyid = data["operator_tokens_by_id"]
             if not isinstance(data__operatortokensbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be object", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={}, rule='type')
             data__operatortokensbyid_is_dict = isinstance(data__operatortokensbyid, dict)
             if data__operatortokensbyid_is_dict:
                 data__operatortokensbyid_keys = set(data__operatortokensbyid.keys())
@@ -445,13 +445,13 @@
                     if data__operatortokensbyid_key not in []:
                         data__operatortokensbyid_value = data__operatortokensbyid.get(data__operatortokensbyid_key)
                         if not isinstance(data__operatortokensbyid_value, (str)):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be string")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be string", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__operatortokensbyid_value, str):
                             data__operatortokensbyid_value_len = len(data__operatortokensbyid_value)
                             if data__operatortokensbyid_value_len < 16:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be longer than or equal to 16 characters")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be longer than or equal to 16 characters", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={}, rule='minLength')
                             if data__operatortokensbyid_value_len > 256:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be shorter than or equal to 256 characters")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + " must be shorter than or equal to 256 characters", value=data__operatortokensbyid_value, name="" + (name_prefix or "data") + ".operator_tokens_by_id.{data__operatortokensbyid_key}".format(**locals()) + "", definition={}, rule='maxLength')
                 data__operatortokensbyid_len = len(data__operatortokensbyid)
                 if data__operatortokensbyid_len != 0:
                     data__operatortokensbyid_property_names = True
@@ -459,11 +459,11 @@
                         try:
                             if isinstance(data__operatortokensbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__operatortokensbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__operatortokensbyid_key, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__operatortokensbyid_property_names = False
                     if not data__operatortokensbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={}, rule='propertyNames')
         if "caller_tls" in data_keys:
             data_keys.remove("caller_tls")
             data__callertls = data["caller_tls"]
@@ -476,11 +476,11 @@
             if data__callertls_one_of_count1 < 2:
                 try:
                     if not isinstance(data__callertls, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be null", value=data__callertls, name="" + (name_prefix or "data") + ".caller_tls", definition={}, rule='type')
                     data__callertls_one_of_count1 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__callertls_one_of_count1 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller_tls must be valid exactly by one definition" + (" (" + str(data__callertls_one_of_count1) + " matches found)"), value=data__callertls, name="" + (name_prefix or "data") + ".caller_tls", definition={}, rule='oneOf')
         if "statsd" in data_keys:
             data_keys.remove("statsd")
             data__statsd = data["statsd"]
@@ -493,11 +493,11 @@
             if data__statsd_one_of_count2 < 2:
                 try:
                     if not isinstance(data__statsd, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be null", value=data__statsd, name="" + (name_prefix or "data") + ".statsd", definition={}, rule='type')
                     data__statsd_one_of_count2 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__statsd_one_of_count2 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".statsd must be valid exactly by one definition" + (" (" + str(data__statsd_one_of_count2) + " matches found)"), value=data__statsd, name="" + (name_prefix or "data") + ".statsd", definition={}, rule='oneOf')
         if "log_level" in data_keys:
             data_keys.remove("log_level")
             data__loglevel = data["log_level"]
@@ -506,243 +506,243 @@
             data_keys.remove("max_body_bytes")
             data__maxbodybytes = data["max_body_bytes"]
             if not isinstance(data__maxbodybytes, (int)) and not (isinstance(data__maxbodybytes, float) and data__maxbodybytes.is_integer()) or isinstance(data__maxbodybytes, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be integer", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={}, rule='type')
             if isinstance(data__maxbodybytes, (int, float, Decimal)) and not isinstance(data__maxbodybytes, bool):
                 if data__maxbodybytes < 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be bigger than or equal to 1024")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be bigger than or equal to 1024", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={}, rule='minimum')
                 if data__maxbodybytes > 67108864:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be smaller than or equal to 67108864")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_body_bytes must be smaller than or equal to 67108864", value=data__maxbodybytes, name="" + (name_prefix or "data") + ".max_body_bytes", definition={}, rule='maximum')
         if "max_requests" in data_keys:
             data_keys.remove("max_requests")
             data__maxrequests = data["max_requests"]
             if not isinstance(data__maxrequests, (int)) and not (isinstance(data__maxrequests, float) and data__maxrequests.is_integer()) or isinstance(data__maxrequests, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be integer", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={}, rule='type')
             if isinstance(data__maxrequests, (int, float, Decimal)) and not isinstance(data__maxrequests, bool):
                 if data__maxrequests < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be bigger than or equal to 1", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={}, rule='minimum')
                 if data__maxrequests > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be smaller than or equal to 1000000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_requests must be smaller than or equal to 1000000", value=data__maxrequests, name="" + (name_prefix or "data") + ".max_requests", definition={}, rule='maximum')
         if "member_lease_ms" in data_keys:
             data_keys.remove("member_lease_ms")
             data__memberleasems = data["member_lease_ms"]
             if not isinstance(data__memberleasems, (int)) and not (isinstance(data__memberleasems, float) and data__memberleasems.is_integer()) or isinstance(data__memberleasems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be integer", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={}, rule='type')
             if isinstance(data__memberleasems, (int, float, Decimal)) and not isinstance(data__memberleasems, bool):
                 if data__memberleasems < 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be bigger than or equal to 1000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be bigger than or equal to 1000", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={}, rule='minimum')
                 if data__memberleasems > 120000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be smaller than or equal to 120000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_lease_ms must be smaller than or equal to 120000", value=data__memberleasems, name="" + (name_prefix or "data") + ".member_lease_ms", definition={}, rule='maximum')
         if "peer_ping_interval_ms" in data_keys:
             data_keys.remove("peer_ping_interval_ms")
             data__peerpingintervalms = data["peer_ping_interval_ms"]
             if not isinstance(data__peerpingintervalms, (int)) and not (isinstance(data__peerpingintervalms, float) and data__peerpingintervalms.is_integer()) or isinstance(data__peerpingintervalms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be integer", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={}, rule='type')
             if isinstance(data__peerpingintervalms, (int, float, Decimal)) and not isinstance(data__peerpingintervalms, bool):
                 if data__peerpingintervalms < 50:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be bigger than or equal to 50")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be bigger than or equal to 50", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={}, rule='minimum')
                 if data__peerpingintervalms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be smaller than or equal to 10000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_ping_interval_ms must be smaller than or equal to 10000", value=data__peerpingintervalms, name="" + (name_prefix or "data") + ".peer_ping_interval_ms", definition={}, rule='maximum')
         if "platform_read_interval_ms" in data_keys:
             data_keys.remove("platform_read_interval_ms")
             data__platformreadintervalms = data["platform_read_interval_ms"]
             if not isinstance(data__platformreadintervalms, (int)) and not (isinstance(data__platformreadintervalms, float) and data__platformreadintervalms.is_integer()) or isinstance(data__platformreadintervalms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be integer", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={}, rule='type')
             if isinstance(data__platformreadintervalms, (int, float, Decimal)) and not isinstance(data__platformreadintervalms, bool):
                 if data__platformreadintervalms < 50:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be bigger than or equal to 50")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be bigger than or equal to 50", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={}, rule='minimum')
                 if data__platformreadintervalms > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be smaller than or equal to 10000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_read_interval_ms must be smaller than or equal to 10000", value=data__platformreadintervalms, name="" + (name_prefix or "data") + ".platform_read_interval_ms", definition={}, rule='maximum')
         if "connect_timeout_ms" in data_keys:
             data_keys.remove("connect_timeout_ms")
             data__connecttimeoutms = data["connect_timeout_ms"]
             if not isinstance(data__connecttimeoutms, (int)) and not (isinstance(data__connecttimeoutms, float) and data__connecttimeoutms.is_integer()) or isinstance(data__connecttimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be integer", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={}, rule='type')
             if isinstance(data__connecttimeoutms, (int, float, Decimal)) and not isinstance(data__connecttimeoutms, bool):
                 if data__connecttimeoutms < 10:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be bigger than or equal to 10")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be bigger than or equal to 10", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={}, rule='minimum')
                 if data__connecttimeoutms > 60000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be smaller than or equal to 60000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connect_timeout_ms must be smaller than or equal to 60000", value=data__connecttimeoutms, name="" + (name_prefix or "data") + ".connect_timeout_ms", definition={}, rule='maximum')
         if "read_timeout_ms" in data_keys:
             data_keys.remove("read_timeout_ms")
             data__readtimeoutms = data["read_timeout_ms"]
             if not isinstance(data__readtimeoutms, (int)) and not (isinstance(data__readtimeoutms, float) and data__readtimeoutms.is_integer()) or isinstance(data__readtimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be integer", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={}, rule='type')
             if isinstance(data__readtimeoutms, (int, float, Decimal)) and not isinstance(data__readtimeoutms, bool):
                 if data__readtimeoutms < 10:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be bigger than or equal to 10")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be bigger than or equal to 10", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={}, rule='minimum')
                 if data__readtimeoutms > 60000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be smaller than or equal to 60000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".read_timeout_ms must be smaller than or equal to 60000", value=data__readtimeoutms, name="" + (name_prefix or "data") + ".read_timeout_ms", definition={}, rule='maximum')
         if "source_ip" in data_keys:
             data_keys.remove("source_ip")
             data__sourceip = data["source_ip"]
             if not isinstance(data__sourceip, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".source_ip must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".source_ip must be string or null", value=data__sourceip, name="" + (name_prefix or "data") + ".source_ip", definition={}, rule='type')
         if "backend_connections" in data_keys:
             data_keys.remove("backend_connections")
             data__backendconnections = data["backend_connections"]
             if not isinstance(data__backendconnections, (int)) and not (isinstance(data__backendconnections, float) and data__backendconnections.is_integer()) or isinstance(data__backendconnections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be integer", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={}, rule='type')
             if isinstance(data__backendconnections, (int, float, Decimal)) and not isinstance(data__backendconnections, bool):
                 if data__backendconnections < 8:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be bigger than or equal to 8")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be bigger than or equal to 8", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={}, rule='minimum')
                 if data__backendconnections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be smaller than or equal to 4096")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".backend_connections must be smaller than or equal to 4096", value=data__backendconnections, name="" + (name_prefix or "data") + ".backend_connections", definition={}, rule='maximum')
         if "claim_flush_ms" in data_keys:
             data_keys.remove("claim_flush_ms")
             data__claimflushms = data["claim_flush_ms"]
             if not isinstance(data__claimflushms, (int)) and not (isinstance(data__claimflushms, float) and data__claimflushms.is_integer()) or isinstance(data__claimflushms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be integer", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={}, rule='type')
             if isinstance(data__claimflushms, (int, float, Decimal)) and not isinstance(data__claimflushms, bool):
                 if data__claimflushms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be bigger than or equal to 1", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={}, rule='minimum')
                 if data__claimflushms > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be smaller than or equal to 1000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be smaller than or equal to 1000", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={}, rule='maximum')
         if "drain_timeout_ms" in data_keys:
             data_keys.remove("drain_timeout_ms")
             data__draintimeoutms = data["drain_timeout_ms"]
             if not isinstance(data__draintimeoutms, (int)) and not (isinstance(data__draintimeoutms, float) and data__draintimeoutms.is_integer()) or isinstance(data__draintimeoutms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be integer", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='type')
             if isinstance(data__draintimeoutms, (int, float, Decimal)) and not isinstance(data__draintimeoutms, bool):
                 if data__draintimeoutms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be bigger than or equal to 0", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='minimum')
                 if data__draintimeoutms > 600000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='maximum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='additionalProperties')
     return data
 
 def validate____defs_loglevel(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'DEBUG' or isinstance(data, str) and data == 'INFO' or isinstance(data, str) and data == 'WARNING' or isinstance(data, str) and data == 'ERROR'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['DEBUG', 'INFO', 'WARNING', 'ERROR']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['DEBUG', 'INFO', 'WARNING', 'ERROR']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_statsdsettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host': None, 'port': None, 'prefix': None}, 'required': ['host', 'port']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['host', 'port']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host': None, 'port': None, 'prefix': None}, 'required': ['host', 'port']}, rule='required')
         data_keys = set(data.keys())
         if "host" in data_keys:
             data_keys.remove("host")
             data__host = data["host"]
             if not isinstance(data__host, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be string", value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='type')
             if isinstance(data__host, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}$'].search(data__host):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must match pattern ^[0-9.]{7,15}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must match pattern ^[0-9.]{7,15}$", value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='pattern')
         if "port" in data_keys:
             data_keys.remove("port")
             data__port = data["port"]
             if not isinstance(data__port, (int)) and not (isinstance(data__port, float) and data__port.is_integer()) or isinstance(data__port, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be integer", value=data__port, name="" + (name_prefix or "data") + ".port", definition={}, rule='type')
             if isinstance(data__port, (int, float, Decimal)) and not isinstance(data__port, bool):
                 if data__port < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be bigger than or equal to 1", value=data__port, name="" + (name_prefix or "data") + ".port", definition={}, rule='minimum')
                 if data__port > 65535:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be smaller than or equal to 65535")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".port must be smaller than or equal to 65535", value=data__port, name="" + (name_prefix or "data") + ".port", definition={}, rule='maximum')
         if "prefix" in data_keys:
             data_keys.remove("prefix")
             data__prefix = data["prefix"]
             if not isinstance(data__prefix, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefix must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefix must be string", value=data__prefix, name="" + (name_prefix or "data") + ".prefix", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host': None, 'port': None, 'prefix': None}, 'required': ['host', 'port']}, rule='additionalProperties')
     return data
 
 def validate____defs_tlssettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'certificate_file': None, 'key_file': None, 'authority_file': None}, 'required': ['certificate_file', 'key_file']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['certificate_file', 'key_file']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'certificate_file': None, 'key_file': None, 'authority_file': None}, 'required': ['certificate_file', 'key_file']}, rule='required')
         data_keys = set(data.keys())
         if "certificate_file" in data_keys:
             data_keys.remove("certificate_file")
             data__certificatefile = data["certificate_file"]
             if not isinstance(data__certificatefile, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be string", value=data__certificatefile, name="" + (name_prefix or "data") + ".certificate_file", definition={}, rule='type')
             if isinstance(data__certificatefile, str):
                 data__certificatefile_len = len(data__certificatefile)
                 if data__certificatefile_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be longer than or equal to 1 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".certificate_file must be longer than or equal to 1 characters", value=data__certificatefile, name="" + (name_prefix or "data") + ".certificate_file", definition={}, rule='minLength')
         if "key_file" in data_keys:
             data_keys.remove("key_file")
             data__keyfile = data["key_file"]
             if not isinstance(data__keyfile, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be string", value=data__keyfile, name="" + (name_prefix or "data") + ".key_file", definition={}, rule='type')
             if isinstance(data__keyfile, str):
                 data__keyfile_len = len(data__keyfile)
                 if data__keyfile_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be longer than or equal to 1 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_file must be longer than or equal to 1 characters", value=data__keyfile, name="" + (name_prefix or "data") + ".key_file", definition={}, rule='minLength')
         if "authority_file" in data_keys:
             data_keys.remove("authority_file")
             data__authorityfile = data["authority_file"]
             if not isinstance(data__authorityfile, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".authority_file must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".authority_file must be string or null", value=data__authorityfile, name="" + (name_prefix or "data") + ".authority_file", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'certificate_file': None, 'key_file': None, 'authority_file': None}, 'required': ['certificate_file', 'key_file']}, rule='additionalProperties')
     return data
 
 def validate____defs_peeraddress(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'address': None}, 'required': ['member_id', 'address']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'address']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'address': None}, 'required': ['member_id', 'address']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='type')
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'address': None}, 'required': ['member_id', 'address']}, rule='additionalProperties')
     return data
 
 def validate____defs_claimsegment(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'claims': None, 'newest_ms': None}, 'required': ['member_id', 'claims']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'claims']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'claims': None, 'newest_ms': None}, 'required': ['member_id', 'claims']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={}, rule='type')
         if "claims" in data_keys:
             data_keys.remove("claims")
             data__claims = data["claims"]
             if not isinstance(data__claims, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claims must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".claims must be array", value=data__claims, name="" + (name_prefix or "data") + ".claims", definition={}, rule='type')
             data__claims_is_list = isinstance(data__claims, (list, tuple))
             if data__claims_is_list:
                 data__claims_len = len(data__claims)
@@ -752,112 +752,112 @@
             data_keys.remove("newest_ms")
             data__newestms = data["newest_ms"]
             if not isinstance(data__newestms, (int)) and not (isinstance(data__newestms, float) and data__newestms.is_integer()) or isinstance(data__newestms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be integer", value=data__newestms, name="" + (name_prefix or "data") + ".newest_ms", definition={}, rule='type')
             if isinstance(data__newestms, (int, float, Decimal)) and not isinstance(data__newestms, bool):
                 if data__newestms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".newest_ms must be bigger than or equal to 0", value=data__newestms, name="" + (name_prefix or "data") + ".newest_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'claims': None, 'newest_ms': None}, 'required': ['member_id', 'claims']}, rule='additionalProperties')
     return data
 
 def validate____defs_claim(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id', 'team', 'body_digest', 'task_id', 'host_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='required')
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='type')
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
         if "body_digest" in data_keys:
             data_keys.remove("body_digest")
             data__bodydigest = data["body_digest"]
             if not isinstance(data__bodydigest, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body_digest must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body_digest must be string", value=data__bodydigest, name="" + (name_prefix or "data") + ".body_digest", definition={}, rule='type')
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={}, rule='type')
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={}, rule='type')
         if "deadline_ms" in data_keys:
             data_keys.remove("deadline_ms")
             data__deadlinems = data["deadline_ms"]
             if not isinstance(data__deadlinems, (int)) and not (isinstance(data__deadlinems, float) and data__deadlinems.is_integer()) or isinstance(data__deadlinems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer", value=data__deadlinems, name="" + (name_prefix or "data") + ".deadline_ms", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='additionalProperties')
     return data
 
 def validate____defs_slicemap(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['owners']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='required')
         data_keys = set(data.keys())
         if "owners" in data_keys:
             data_keys.remove("owners")
             data__owners = data["owners"]
             if not isinstance(data__owners, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must be array", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={}, rule='type')
             data__owners_is_list = isinstance(data__owners, (list, tuple))
             if data__owners_is_list:
                 data__owners_len = len(data__owners)
                 if data__owners_len < 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain at least 64 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain at least 64 items", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={}, rule='minItems')
                 if data__owners_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain less than or equal to 64 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners must contain less than or equal to 64 items", value=data__owners, name="" + (name_prefix or "data") + ".owners", definition={}, rule='maxItems')
                 for data__owners_x, data__owners_item in enumerate(data__owners):
                     if not isinstance(data__owners_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + " must be string", value=data__owners_item, name="" + (name_prefix or "data") + ".owners[{data__owners_x}]".format(**locals()) + "", definition={}, rule='type')
         if "epoch" in data_keys:
             data_keys.remove("epoch")
             data__epoch = data["epoch"]
             if not isinstance(data__epoch, (int)) and not (isinstance(data__epoch, float) and data__epoch.is_integer()) or isinstance(data__epoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be integer", value=data__epoch, name="" + (name_prefix or "data") + ".epoch", definition={}, rule='type')
             if isinstance(data__epoch, (int, float, Decimal)) and not isinstance(data__epoch, bool):
                 if data__epoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be bigger than or equal to 0", value=data__epoch, name="" + (name_prefix or "data") + ".epoch", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='additionalProperties')
     return data
 
 def validate____defs_grantrecord(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['team']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='required')
         data_keys = set(data.keys())
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
         if "grants_by_member" in data_keys:
             data_keys.remove("grants_by_member")
             data__grantsbymember = data["grants_by_member"]
             if not isinstance(data__grantsbymember, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member must be object", value=data__grantsbymember, name="" + (name_prefix or "data") + ".grants_by_member", definition={}, rule='type')
             data__grantsbymember_is_dict = isinstance(data__grantsbymember, dict)
             if data__grantsbymember_is_dict:
                 data__grantsbymember_keys = set(data__grantsbymember.keys())
@@ -865,15 +865,15 @@
                     if data__grantsbymember_key not in []:
                         data__grantsbymember_value = data__grantsbymember.get(data__grantsbymember_key)
                         if not isinstance(data__grantsbymember_value, (int)) and not (isinstance(data__grantsbymember_value, float) and data__grantsbymember_value.is_integer()) or isinstance(data__grantsbymember_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be integer")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be integer", value=data__grantsbymember_value, name="" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__grantsbymember_value, (int, float, Decimal)) and not isinstance(data__grantsbymember_value, bool):
                             if data__grantsbymember_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be bigger than or equal to 0")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__grantsbymember_value, name="" + (name_prefix or "data") + ".grants_by_member.{data__grantsbymember_key}".format(**locals()) + "", definition={}, rule='minimum')
         if "requests_by_member" in data_keys:
             data_keys.remove("requests_by_member")
             data__requestsbymember = data["requests_by_member"]
             if not isinstance(data__requestsbymember, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member must be object", value=data__requestsbymember, name="" + (name_prefix or "data") + ".requests_by_member", definition={}, rule='type')
             data__requestsbymember_is_dict = isinstance(data__requestsbymember, dict)
             if data__requestsbymember_is_dict:
                 data__requestsbymember_keys = set(data__requestsbymember.keys())
@@ -881,90 +881,90 @@
                     if data__requestsbymember_key not in []:
                         data__requestsbymember_value = data__requestsbymember.get(data__requestsbymember_key)
                         if not isinstance(data__requestsbymember_value, (int)) and not (isinstance(data__requestsbymember_value, float) and data__requestsbymember_value.is_integer()) or isinstance(data__requestsbymember_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be integer")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be integer", value=data__requestsbymember_value, name="" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__requestsbymember_value, (int, float, Decimal)) and not isinstance(data__requestsbymember_value, bool):
                             if data__requestsbymember_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be bigger than or equal to 0")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__requestsbymember_value, name="" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + "", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='additionalProperties')
     return data
 
 def validate____defs_member(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={}, rule='type')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
         if "peer_address" in data_keys:
             data_keys.remove("peer_address")
             data__peeraddress = data["peer_address"]
             if not isinstance(data__peeraddress, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_address must be string", value=data__peeraddress, name="" + (name_prefix or "data") + ".peer_address", definition={}, rule='type')
         if "confirmed_version" in data_keys:
             data_keys.remove("confirmed_version")
             data__confirmedversion = data["confirmed_version"]
             if not isinstance(data__confirmedversion, (int)) and not (isinstance(data__confirmedversion, float) and data__confirmedversion.is_integer()) or isinstance(data__confirmedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={}, rule='type')
             if isinstance(data__confirmedversion, (int, float, Decimal)) and not isinstance(data__confirmedversion, bool):
                 if data__confirmedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={}, rule='minimum')
         if "joined_revision" in data_keys:
             data_keys.remove("joined_revision")
             data__joinedrevision = data["joined_revision"]
             if not isinstance(data__joinedrevision, (int)) and not (isinstance(data__joinedrevision, float) and data__joinedrevision.is_integer()) or isinstance(data__joinedrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be integer", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={}, rule='type')
             if isinstance(data__joinedrevision, (int, float, Decimal)) and not isinstance(data__joinedrevision, bool):
                 if data__joinedrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".joined_revision must be bigger than or equal to 0", value=data__joinedrevision, name="" + (name_prefix or "data") + ".joined_revision", definition={}, rule='minimum')
         if "members_revision" in data_keys:
             data_keys.remove("members_revision")
             data__membersrevision = data["members_revision"]
             if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={}, rule='type')
             if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
                 if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={}, rule='minimum')
         if "stopping" in data_keys:
             data_keys.remove("stopping")
             data__stopping = data["stopping"]
             if not isinstance(data__stopping, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".stopping must be boolean")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".stopping must be boolean", value=data__stopping, name="" + (name_prefix or "data") + ".stopping", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='additionalProperties')
     return data
 
 def validate____defs_hostlist(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'states_by_host': None, 'age_ms': None}, 'required': ['states_by_host']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['states_by_host']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'states_by_host': None, 'age_ms': None}, 'required': ['states_by_host']}, rule='required')
         data_keys = set(data.keys())
         if "states_by_host" in data_keys:
             data_keys.remove("states_by_host")
             data__statesbyhost = data["states_by_host"]
             if not isinstance(data__statesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".states_by_host must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".states_by_host must be object", value=data__statesbyhost, name="" + (name_prefix or "data") + ".states_by_host", definition={}, rule='type')
             data__statesbyhost_is_dict = isinstance(data__statesbyhost, dict)
             if data__statesbyhost_is_dict:
                 data__statesbyhost_keys = set(data__statesbyhost.keys())
@@ -976,97 +976,97 @@
             data_keys.remove("age_ms")
             data__agems = data["age_ms"]
             if not isinstance(data__agems, (int)) and not (isinstance(data__agems, float) and data__agems.is_integer()) or isinstance(data__agems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be integer", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={}, rule='type')
             if isinstance(data__agems, (int, float, Decimal)) and not isinstance(data__agems, bool):
                 if data__agems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".age_ms must be bigger than or equal to 0", value=data__agems, name="" + (name_prefix or "data") + ".age_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'states_by_host': None, 'age_ms': None}, 'required': ['states_by_host']}, rule='additionalProperties')
     return data
 
 def validate____defs_listedhoststate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'live' or isinstance(data, str) and data == 'leaving'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['live', 'leaving']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['live', 'leaving']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_leasegrant(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'lease_id': None, 'ttl_ms': None}, 'required': ['lease_id', 'ttl_ms']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['lease_id', 'ttl_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'lease_id': None, 'ttl_ms': None}, 'required': ['lease_id', 'ttl_ms']}, rule='required')
         data_keys = set(data.keys())
         if "lease_id" in data_keys:
             data_keys.remove("lease_id")
             data__leaseid = data["lease_id"]
             if not isinstance(data__leaseid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string", value=data__leaseid, name="" + (name_prefix or "data") + ".lease_id", definition={}, rule='type')
         if "ttl_ms" in data_keys:
             data_keys.remove("ttl_ms")
             data__ttlms = data["ttl_ms"]
             if not isinstance(data__ttlms, (int)) and not (isinstance(data__ttlms, float) and data__ttlms.is_integer()) or isinstance(data__ttlms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be integer", value=data__ttlms, name="" + (name_prefix or "data") + ".ttl_ms", definition={}, rule='type')
             if isinstance(data__ttlms, (int, float, Decimal)) and not isinstance(data__ttlms, bool):
                 if data__ttlms < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".ttl_ms must be bigger than or equal to 1", value=data__ttlms, name="" + (name_prefix or "data") + ".ttl_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'lease_id': None, 'ttl_ms': None}, 'required': ['lease_id', 'ttl_ms']}, rule='additionalProperties')
     return data
 
 def validate____defs_writerequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'expected_revision': None, 'value': None, 'lease_id': None}, 'required': ['key', 'expected_revision', 'value']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['key', 'expected_revision', 'value']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'expected_revision': None, 'value': None, 'lease_id': None}, 'required': ['key', 'expected_revision', 'value']}, rule='required')
         data_keys = set(data.keys())
         if "key" in data_keys:
             data_keys.remove("key")
             data__key = data["key"]
             if not isinstance(data__key, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string", value=data__key, name="" + (name_prefix or "data") + ".key", definition={}, rule='type')
             if isinstance(data__key, str):
                 data__key_len = len(data__key)
                 if data__key_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be longer than or equal to 1 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be longer than or equal to 1 characters", value=data__key, name="" + (name_prefix or "data") + ".key", definition={}, rule='minLength')
                 if data__key_len > 512:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be shorter than or equal to 512 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be shorter than or equal to 512 characters", value=data__key, name="" + (name_prefix or "data") + ".key", definition={}, rule='maxLength')
         if "expected_revision" in data_keys:
             data_keys.remove("expected_revision")
             data__expectedrevision = data["expected_revision"]
             if not isinstance(data__expectedrevision, (int)) and not (isinstance(data__expectedrevision, float) and data__expectedrevision.is_integer()) or isinstance(data__expectedrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be integer", value=data__expectedrevision, name="" + (name_prefix or "data") + ".expected_revision", definition={}, rule='type')
             if isinstance(data__expectedrevision, (int, float, Decimal)) and not isinstance(data__expectedrevision, bool):
                 if data__expectedrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_revision must be bigger than or equal to 0", value=data__expectedrevision, name="" + (name_prefix or "data") + ".expected_revision", definition={}, rule='minimum')
         if "value" in data_keys:
             data_keys.remove("value")
             data__value = data["value"]
             if not isinstance(data__value, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string or null", value=data__value, name="" + (name_prefix or "data") + ".value", definition={}, rule='type')
         if "lease_id" in data_keys:
             data_keys.remove("lease_id")
             data__leaseid = data["lease_id"]
             if not isinstance(data__leaseid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".lease_id must be string or null", value=data__leaseid, name="" + (name_prefix or "data") + ".lease_id", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'expected_revision': None, 'value': None, 'lease_id': None}, 'required': ['key', 'expected_revision', 'value']}, rule='additionalProperties')
     return data
 
 def validate____defs_writeresult(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'outcome': None, 'revision': None}, 'required': ['outcome', 'revision']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['outcome', 'revision']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'outcome': None, 'revision': None}, 'required': ['outcome', 'revision']}, rule='required')
         data_keys = set(data.keys())
         if "outcome" in data_keys:
             data_keys.remove("outcome")
@@ -1076,43 +1076,43 @@
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='type')
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'outcome': None, 'revision': None}, 'required': ['outcome', 'revision']}, rule='additionalProperties')
     return data
 
 def validate____defs_writeoutcome(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'written' or isinstance(data, str) and data == 'conflict'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['written', 'conflict']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['written', 'conflict']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_storedlist(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'revision': None, 'values': None, 'deleted_keys': None}, 'required': ['revision', 'values']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['revision', 'values']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'revision': None, 'values': None, 'deleted_keys': None}, 'required': ['revision', 'values']}, rule='required')
         data_keys = set(data.keys())
         if "revision" in data_keys:
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='type')
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='minimum')
         if "values" in data_keys:
             data_keys.remove("values")
             data__values = data["values"]
             if not isinstance(data__values, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".values must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".values must be array", value=data__values, name="" + (name_prefix or "data") + ".values", definition={}, rule='type')
             data__values_is_list = isinstance(data__values, (list, tuple))
             if data__values_is_list:
                 data__values_len = len(data__values)
@@ -1122,51 +1122,51 @@
             data_keys.remove("deleted_keys")
             data__deletedkeys = data["deleted_keys"]
             if not isinstance(data__deletedkeys, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys must be array", value=data__deletedkeys, name="" + (name_prefix or "data") + ".deleted_keys", definition={}, rule='type')
             data__deletedkeys_is_list = isinstance(data__deletedkeys, (list, tuple))
             if data__deletedkeys_is_list:
                 data__deletedkeys_len = len(data__deletedkeys)
                 for data__deletedkeys_x, data__deletedkeys_item in enumerate(data__deletedkeys):
                     if not isinstance(data__deletedkeys_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + " must be string", value=data__deletedkeys_item, name="" + (name_prefix or "data") + ".deleted_keys[{data__deletedkeys_x}]".format(**locals()) + "", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'revision': None, 'values': None, 'deleted_keys': None}, 'required': ['revision', 'values']}, rule='additionalProperties')
     return data
 
 def validate____defs_storedvalue(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'revision': None, 'value': None}, 'required': ['key', 'revision', 'value']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['key', 'revision', 'value']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'revision': None, 'value': None}, 'required': ['key', 'revision', 'value']}, rule='required')
         data_keys = set(data.keys())
         if "key" in data_keys:
             data_keys.remove("key")
             data__key = data["key"]
             if not isinstance(data__key, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string", value=data__key, name="" + (name_prefix or "data") + ".key", definition={}, rule='type')
         if "revision" in data_keys:
             data_keys.remove("revision")
             data__revision = data["revision"]
             if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='type')
             if isinstance(data__revision, (int, float, Decimal)) and not isinstance(data__revision, bool):
                 if data__revision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be bigger than or equal to 0", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={}, rule='minimum')
         if "value" in data_keys:
             data_keys.remove("value")
             data__value = data["value"]
             if not isinstance(data__value, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string", value=data__value, name="" + (name_prefix or "data") + ".value", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'key': None, 'revision': None, 'value': None}, 'required': ['key', 'revision', 'value']}, rule='additionalProperties')
     return data
 
 def validate____defs_forwardedanswer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'answer': None, 'refusal': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -1182,11 +1182,11 @@
             if data__answer_one_of_count3 < 2:
                 try:
                     if not isinstance(data__answer, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be null", value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={}, rule='type')
                     data__answer_one_of_count3 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__answer_one_of_count3 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition" + (" (" + str(data__answer_one_of_count3) + " matches found)"), value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={}, rule='oneOf')
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
@@ -1199,87 +1199,87 @@
             if data__refusal_one_of_count4 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='type')
                     data__refusal_one_of_count4 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__refusal_one_of_count4 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count4) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
     return data
 
 def validate____defs_cancelrequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'presented_key': None}, 'required': ['request_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'presented_key': None}, 'required': ['request_id']}, rule='required')
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='type')
             if isinstance(data__requestid, str):
                 data__requestid_len = len(data__requestid)
                 if data__requestid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='maxLength')
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='type')
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='maxLength')
     return data
 
 def validate____defs_fetchanswer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'presented_key': None, 'wait_ms': None}, 'required': ['request_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'presented_key': None, 'wait_ms': None}, 'required': ['request_id']}, rule='required')
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='type')
             if isinstance(data__requestid, str):
                 data__requestid_len = len(data__requestid)
                 if data__requestid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be shorter than or equal to 64 characters", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='maxLength')
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='type')
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='maxLength')
         if "wait_ms" in data_keys:
             data_keys.remove("wait_ms")
             data__waitms = data["wait_ms"]
             if not isinstance(data__waitms, (int)) and not (isinstance(data__waitms, float) and data__waitms.is_integer()) or isinstance(data__waitms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be integer", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={}, rule='type')
             if isinstance(data__waitms, (int, float, Decimal)) and not isinstance(data__waitms, bool):
                 if data__waitms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".wait_ms must be bigger than or equal to 0", value=data__waitms, name="" + (name_prefix or "data") + ".wait_ms", definition={}, rule='minimum')
     return data
 
 def validate____defs_forwardedrequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request': None, 'team': None, 'arrival_age_ms': None, 'presented_key': None}, 'required': ['request', 'arrival_age_ms']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request', 'arrival_age_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request': None, 'team': None, 'arrival_age_ms': None, 'presented_key': None}, 'required': ['request', 'arrival_age_ms']}, rule='required')
         data_keys = set(data.keys())
         if "request" in data_keys:
             data_keys.remove("request")
@@ -1289,34 +1289,34 @@
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
         if "arrival_age_ms" in data_keys:
             data_keys.remove("arrival_age_ms")
             data__arrivalagems = data["arrival_age_ms"]
             if not isinstance(data__arrivalagems, (int)) and not (isinstance(data__arrivalagems, float) and data__arrivalagems.is_integer()) or isinstance(data__arrivalagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be integer", value=data__arrivalagems, name="" + (name_prefix or "data") + ".arrival_age_ms", definition={}, rule='type')
             if isinstance(data__arrivalagems, (int, float, Decimal)) and not isinstance(data__arrivalagems, bool):
                 if data__arrivalagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrival_age_ms must be bigger than or equal to 0", value=data__arrivalagems, name="" + (name_prefix or "data") + ".arrival_age_ms", definition={}, rule='minimum')
         if "presented_key" in data_keys:
             data_keys.remove("presented_key")
             data__presentedkey = data["presented_key"]
             if not isinstance(data__presentedkey, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be string or null", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='type')
             if isinstance(data__presentedkey, str):
                 data__presentedkey_len = len(data__presentedkey)
                 if data__presentedkey_len > 256:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".presented_key must be shorter than or equal to 256 characters", value=data__presentedkey, name="" + (name_prefix or "data") + ".presented_key", definition={}, rule='maxLength')
     return data
 
 def validate____defs_configurationoffer(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration': None}, 'required': ['configuration']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration': None}, 'required': ['configuration']}, rule='required')
         data_keys = set(data.keys())
         if "configuration" in data_keys:
             data_keys.remove("configuration")
@@ -1326,195 +1326,195 @@
 
 def validate____defs_pong(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration_version': None, 'members_revision': None, 'platform_age_ms': None}, 'required': ['configuration_version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration_version': None, 'members_revision': None, 'platform_age_ms': None}, 'required': ['configuration_version']}, rule='required')
         data_keys = set(data.keys())
         if "configuration_version" in data_keys:
             data_keys.remove("configuration_version")
             data__configurationversion = data["configuration_version"]
             if not isinstance(data__configurationversion, (int)) and not (isinstance(data__configurationversion, float) and data__configurationversion.is_integer()) or isinstance(data__configurationversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={}, rule='type')
             if isinstance(data__configurationversion, (int, float, Decimal)) and not isinstance(data__configurationversion, bool):
                 if data__configurationversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={}, rule='minimum')
         if "members_revision" in data_keys:
             data_keys.remove("members_revision")
             data__membersrevision = data["members_revision"]
             if not isinstance(data__membersrevision, (int)) and not (isinstance(data__membersrevision, float) and data__membersrevision.is_integer()) or isinstance(data__membersrevision, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be integer", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={}, rule='type')
             if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
                 if data__membersrevision < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={}, rule='minimum')
         if "platform_age_ms" in data_keys:
             data_keys.remove("platform_age_ms")
             data__platformagems = data["platform_age_ms"]
             if not isinstance(data__platformagems, (int, NoneType)) and not (isinstance(data__platformagems, float) and data__platformagems.is_integer()) or isinstance(data__platformagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={}, rule='type')
             if isinstance(data__platformagems, (int, float, Decimal)) and not isinstance(data__platformagems, bool):
                 if data__platformagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={}, rule='minimum')
     return data
 
 def validate____defs_ping(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration_version': None}, 'required': ['configuration_version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['configuration_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'configuration_version': None}, 'required': ['configuration_version']}, rule='required')
         data_keys = set(data.keys())
         if "configuration_version" in data_keys:
             data_keys.remove("configuration_version")
             data__configurationversion = data["configuration_version"]
             if not isinstance(data__configurationversion, (int)) and not (isinstance(data__configurationversion, float) and data__configurationversion.is_integer()) or isinstance(data__configurationversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be integer", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={}, rule='type')
             if isinstance(data__configurationversion, (int, float, Decimal)) and not isinstance(data__configurationversion, bool):
                 if data__configurationversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration_version must be bigger than or equal to 0", value=data__configurationversion, name="" + (name_prefix or "data") + ".configuration_version", definition={}, rule='minimum')
     return data
 
 def validate____defs_hello(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'proof': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'proof']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'incarnation', 'availability_zone', 'proof']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'proof': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'proof']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
             if isinstance(data__memberid, str):
                 data__memberid_len = len(data__memberid)
                 if data__memberid_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be shorter than or equal to 64 characters", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='maxLength')
         if "incarnation" in data_keys:
             data_keys.remove("incarnation")
             data__incarnation = data["incarnation"]
             if not isinstance(data__incarnation, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be string", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={}, rule='type')
             if isinstance(data__incarnation, str):
                 data__incarnation_len = len(data__incarnation)
                 if data__incarnation_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".incarnation must be shorter than or equal to 64 characters", value=data__incarnation, name="" + (name_prefix or "data") + ".incarnation", definition={}, rule='maxLength')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
             if isinstance(data__availabilityzone, str):
                 data__availabilityzone_len = len(data__availabilityzone)
                 if data__availabilityzone_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be shorter than or equal to 64 characters", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='maxLength')
         if "proof" in data_keys:
             data_keys.remove("proof")
             data__proof = data["proof"]
             if not isinstance(data__proof, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be string", value=data__proof, name="" + (name_prefix or "data") + ".proof", definition={}, rule='type')
             if isinstance(data__proof, str):
                 data__proof_len = len(data__proof)
                 if data__proof_len > 128:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be shorter than or equal to 128 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proof must be shorter than or equal to 128 characters", value=data__proof, name="" + (name_prefix or "data") + ".proof", definition={}, rule='maxLength')
     return data
 
 def validate____defs_envelope(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'protocol': None, 'kind': None, 'call_id': None, 'body': None}, 'required': ['protocol', 'kind', 'body']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['protocol', 'kind', 'body']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'protocol': None, 'kind': None, 'call_id': None, 'body': None}, 'required': ['protocol', 'kind', 'body']}, rule='required')
         data_keys = set(data.keys())
         if "protocol" in data_keys:
             data_keys.remove("protocol")
             data__protocol = data["protocol"]
             if not isinstance(data__protocol, (int)) and not (isinstance(data__protocol, float) and data__protocol.is_integer()) or isinstance(data__protocol, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be integer", value=data__protocol, name="" + (name_prefix or "data") + ".protocol", definition={}, rule='type')
             if isinstance(data__protocol, (int, float, Decimal)) and not isinstance(data__protocol, bool):
                 if data__protocol < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".protocol must be bigger than or equal to 1", value=data__protocol, name="" + (name_prefix or "data") + ".protocol", definition={}, rule='minimum')
         if "kind" in data_keys:
             data_keys.remove("kind")
             data__kind = data["kind"]
             if not isinstance(data__kind, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be string", value=data__kind, name="" + (name_prefix or "data") + ".kind", definition={}, rule='type')
             if isinstance(data__kind, str):
                 data__kind_len = len(data__kind)
                 if data__kind_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be shorter than or equal to 64 characters")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".kind must be shorter than or equal to 64 characters", value=data__kind, name="" + (name_prefix or "data") + ".kind", definition={}, rule='maxLength')
         if "call_id" in data_keys:
             data_keys.remove("call_id")
             data__callid = data["call_id"]
             if not isinstance(data__callid, (int)) and not (isinstance(data__callid, float) and data__callid.is_integer()) or isinstance(data__callid, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be integer", value=data__callid, name="" + (name_prefix or "data") + ".call_id", definition={}, rule='type')
             if isinstance(data__callid, (int, float, Decimal)) and not isinstance(data__callid, bool):
                 if data__callid < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".call_id must be bigger than or equal to 0", value=data__callid, name="" + (name_prefix or "data") + ".call_id", definition={}, rule='minimum')
         if "body" in data_keys:
             data_keys.remove("body")
             data__body = data["body"]
             if not isinstance(data__body, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body must be object", value=data__body, name="" + (name_prefix or "data") + ".body", definition={}, rule='type')
     return data
 
 def validate____defs_peermessagekind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'hello' or isinstance(data, str) and data == 'ping' or isinstance(data, str) and data == 'pong' or isinstance(data, str) and data == 'configuration_offer' or isinstance(data, str) and data == 'forwarded_request' or isinstance(data, str) and data == 'fetch_answer' or isinstance(data, str) and data == 'cancel_request' or isinstance(data, str) and data == 'forwarded_answer'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['hello', 'ping', 'pong', 'configuration_offer', 'forwarded_request', 'fetch_answer', 'cancel_request', 'forwarded_answer']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_histogramreport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'histograms': None}, 'required': ['histograms']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['histograms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'histograms': None}, 'required': ['histograms']}, rule='required')
         data_keys = set(data.keys())
         if "histograms" in data_keys:
             data_keys.remove("histograms")
             data__histograms = data["histograms"]
             if not isinstance(data__histograms, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".histograms must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".histograms must be array", value=data__histograms, name="" + (name_prefix or "data") + ".histograms", definition={}, rule='type')
             data__histograms_is_list = isinstance(data__histograms, (list, tuple))
             if data__histograms_is_list:
                 data__histograms_len = len(data__histograms)
                 for data__histograms_x, data__histograms_item in enumerate(data__histograms):
                     validate____defs_histogramsummary(data__histograms_item, custom_formats, (name_prefix or "data") + ".histograms[{data__histograms_x}]".format(**locals()))
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'histograms': None}, 'required': ['histograms']}, rule='additionalProperties')
     return data
 
 def validate____defs_histogramsummary(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'name': None, 'team': None, 'priority': None, 'count': None, 'p50_ms': None, 'p90_ms': None, 'p99_ms': None, 'max_ms': None}, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['name', 'count', 'p50_ms', 'p99_ms', 'max_ms']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'name': None, 'team': None, 'priority': None, 'count': None, 'p50_ms': None, 'p90_ms': None, 'p99_ms': None, 'max_ms': None}, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms']}, rule='required')
         data_keys = set(data.keys())
         if "name" in data_keys:
             data_keys.remove("name")
             data__name = data["name"]
             if not isinstance(data__name, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".name must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".name must be string", value=data__name, name="" + (name_prefix or "data") + ".name", definition={}, rule='type')
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
         if "priority" in data_keys:
             data_keys.remove("priority")
             data__priority = data["priority"]
@@ -1527,63 +1527,63 @@
             if data__priority_one_of_count5 < 2:
                 try:
                     if not isinstance(data__priority, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be null", value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={}, rule='type')
                     data__priority_one_of_count5 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__priority_one_of_count5 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition" + (" (" + str(data__priority_one_of_count5) + " matches found)"), value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={}, rule='oneOf')
         if "count" in data_keys:
             data_keys.remove("count")
             data__count = data["count"]
             if not isinstance(data__count, (int)) and not (isinstance(data__count, float) and data__count.is_integer()) or isinstance(data__count, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be integer", value=data__count, name="" + (name_prefix or "data") + ".count", definition={}, rule='type')
             if isinstance(data__count, (int, float, Decimal)) and not isinstance(data__count, bool):
                 if data__count < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".count must be bigger than or equal to 0", value=data__count, name="" + (name_prefix or "data") + ".count", definition={}, rule='minimum')
         if "p50_ms" in data_keys:
             data_keys.remove("p50_ms")
             data__p50ms = data["p50_ms"]
             if not isinstance(data__p50ms, (int, float, Decimal)) or isinstance(data__p50ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be number")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be number", value=data__p50ms, name="" + (name_prefix or "data") + ".p50_ms", definition={}, rule='type')
             if isinstance(data__p50ms, (int, float, Decimal)) and not isinstance(data__p50ms, bool):
                 if data__p50ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p50_ms must be bigger than or equal to 0", value=data__p50ms, name="" + (name_prefix or "data") + ".p50_ms", definition={}, rule='minimum')
         if "p90_ms" in data_keys:
             data_keys.remove("p90_ms")
             data__p90ms = data["p90_ms"]
             if not isinstance(data__p90ms, (int, float, Decimal)) or isinstance(data__p90ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be number")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be number", value=data__p90ms, name="" + (name_prefix or "data") + ".p90_ms", definition={}, rule='type')
             if isinstance(data__p90ms, (int, float, Decimal)) and not isinstance(data__p90ms, bool):
                 if data__p90ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p90_ms must be bigger than or equal to 0", value=data__p90ms, name="" + (name_prefix or "data") + ".p90_ms", definition={}, rule='minimum')
         if "p99_ms" in data_keys:
             data_keys.remove("p99_ms")
             data__p99ms = data["p99_ms"]
             if not isinstance(data__p99ms, (int, float, Decimal)) or isinstance(data__p99ms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be number")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be number", value=data__p99ms, name="" + (name_prefix or "data") + ".p99_ms", definition={}, rule='type')
             if isinstance(data__p99ms, (int, float, Decimal)) and not isinstance(data__p99ms, bool):
                 if data__p99ms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".p99_ms must be bigger than or equal to 0", value=data__p99ms, name="" + (name_prefix or "data") + ".p99_ms", definition={}, rule='minimum')
         if "max_ms" in data_keys:
             data_keys.remove("max_ms")
             data__maxms = data["max_ms"]
             if not isinstance(data__maxms, (int, float, Decimal)) or isinstance(data__maxms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be number")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be number", value=data__maxms, name="" + (name_prefix or "data") + ".max_ms", definition={}, rule='type')
             if isinstance(data__maxms, (int, float, Decimal)) and not isinstance(data__maxms, bool):
                 if data__maxms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_ms must be bigger than or equal to 0", value=data__maxms, name="" + (name_prefix or "data") + ".max_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'name': None, 'team': None, 'priority': None, 'count': None, 'p50_ms': None, 'p90_ms': None, 'p99_ms': None, 'max_ms': None}, 'required': ['name', 'count', 'p50_ms', 'p99_ms', 'max_ms']}, rule='additionalProperties')
     return data
 
 def validate____defs_whyreport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'id': None, 'entries': None, 'task': None, 'host': None}, 'required': ['kind', 'id', 'entries']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind', 'id', 'entries']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'id': None, 'entries': None, 'task': None, 'host': None}, 'required': ['kind', 'id', 'entries']}, rule='required')
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -1593,12 +1593,12 @@
             data_keys.remove("id")
             data__id = data["id"]
             if not isinstance(data__id, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".id must be string", value=data__id, name="" + (name_prefix or "data") + ".id", definition={}, rule='type')
         if "entries" in data_keys:
             data_keys.remove("entries")
             data__entries = data["entries"]
             if not isinstance(data__entries, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".entries must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".entries must be array", value=data__entries, name="" + (name_prefix or "data") + ".entries", definition={}, rule='type')
             data__entries_is_list = isinstance(data__entries, (list, tuple))
             if data__entries_is_list:
                 data__entries_len = len(data__entries)
@@ -1616,11 +1616,11 @@
             if data__task_one_of_count6 < 2:
                 try:
                     if not isinstance(data__task, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be null", value=data__task, name="" + (name_prefix or "data") + ".task", definition={}, rule='type')
                     data__task_one_of_count6 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__task_one_of_count6 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition" + (" (" + str(data__task_one_of_count6) + " matches found)"), value=data__task, name="" + (name_prefix or "data") + ".task", definition={}, rule='oneOf')
         if "host" in data_keys:
             data_keys.remove("host")
             data__host = data["host"]
@@ -1633,83 +1633,83 @@
             if data__host_one_of_count7 < 2:
                 try:
                     if not isinstance(data__host, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be null", value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='type')
                     data__host_one_of_count7 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__host_one_of_count7 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition" + (" (" + str(data__host_one_of_count7) + " matches found)"), value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='oneOf')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'id': None, 'entries': None, 'task': None, 'host': None}, 'required': ['kind', 'id', 'entries']}, rule='additionalProperties')
     return data
 
 def validate____defs_journalentry(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'at_unix_ms': None, 'member_id': None, 'event': None, 'text': None}, 'required': ['at_unix_ms', 'member_id', 'event', 'text']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['at_unix_ms', 'member_id', 'event', 'text']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'at_unix_ms': None, 'member_id': None, 'event': None, 'text': None}, 'required': ['at_unix_ms', 'member_id', 'event', 'text']}, rule='required')
         data_keys = set(data.keys())
         if "at_unix_ms" in data_keys:
             data_keys.remove("at_unix_ms")
             data__atunixms = data["at_unix_ms"]
             if not isinstance(data__atunixms, (int)) and not (isinstance(data__atunixms, float) and data__atunixms.is_integer()) or isinstance(data__atunixms, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be integer", value=data__atunixms, name="" + (name_prefix or "data") + ".at_unix_ms", definition={}, rule='type')
             if isinstance(data__atunixms, (int, float, Decimal)) and not isinstance(data__atunixms, bool):
                 if data__atunixms < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".at_unix_ms must be bigger than or equal to 0", value=data__atunixms, name="" + (name_prefix or "data") + ".at_unix_ms", definition={}, rule='minimum')
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
         if "event" in data_keys:
             data_keys.remove("event")
             data__event = data["event"]
             if not isinstance(data__event, (int)) and not (isinstance(data__event, float) and data__event.is_integer()) or isinstance(data__event, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be integer", value=data__event, name="" + (name_prefix or "data") + ".event", definition={}, rule='type')
             if isinstance(data__event, (int, float, Decimal)) and not isinstance(data__event, bool):
                 if data__event < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".event must be bigger than or equal to 0", value=data__event, name="" + (name_prefix or "data") + ".event", definition={}, rule='minimum')
         if "text" in data_keys:
             data_keys.remove("text")
             data__text = data["text"]
             if not isinstance(data__text, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".text must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".text must be string", value=data__text, name="" + (name_prefix or "data") + ".text", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'at_unix_ms': None, 'member_id': None, 'event': None, 'text': None}, 'required': ['at_unix_ms', 'member_id', 'event', 'text']}, rule='additionalProperties')
     return data
 
 def validate____defs_whykind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'task' or isinstance(data, str) and data == 'host' or isinstance(data, str) and data == 'team' or isinstance(data, str) and data == 'service' or isinstance(data, str) and data == 'availability_zone' or isinstance(data, str) and data == 'change'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['task', 'host', 'team', 'service', 'availability_zone', 'change']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['task', 'host', 'team', 'service', 'availability_zone', 'change']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_fleetstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'members': None, 'platform_age_ms': None, 'hosts': None, 'unavailable_by_service': None, 'running_by_team': None, 'queued_by_service': None}, 'required': ['version', 'members']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version', 'members']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'members': None, 'platform_age_ms': None, 'hosts': None, 'unavailable_by_service': None, 'running_by_team': None, 'queued_by_service': None}, 'required': ['version', 'members']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='type')
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='minimum')
         if "members" in data_keys:
             data_keys.remove("members")
             data__members = data["members"]
             if not isinstance(data__members, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".members must be array", value=data__members, name="" + (name_prefix or "data") + ".members", definition={}, rule='type')
             data__members_is_list = isinstance(data__members, (list, tuple))
             if data__members_is_list:
                 data__members_len = len(data__members)
@@ -1719,15 +1719,15 @@
             data_keys.remove("platform_age_ms")
             data__platformagems = data["platform_age_ms"]
             if not isinstance(data__platformagems, (int, NoneType)) and not (isinstance(data__platformagems, float) and data__platformagems.is_integer()) or isinstance(data__platformagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be integer or null", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={}, rule='type')
             if isinstance(data__platformagems, (int, float, Decimal)) and not isinstance(data__platformagems, bool):
                 if data__platformagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".platform_age_ms must be bigger than or equal to 0", value=data__platformagems, name="" + (name_prefix or "data") + ".platform_age_ms", definition={}, rule='minimum')
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='type')
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
@@ -1737,7 +1737,7 @@
             data_keys.remove("unavailable_by_service")
             data__unavailablebyservice = data["unavailable_by_service"]
             if not isinstance(data__unavailablebyservice, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service must be object", value=data__unavailablebyservice, name="" + (name_prefix or "data") + ".unavailable_by_service", definition={}, rule='type')
             data__unavailablebyservice_is_dict = isinstance(data__unavailablebyservice, dict)
             if data__unavailablebyservice_is_dict:
                 data__unavailablebyservice_keys = set(data__unavailablebyservice.keys())
@@ -1745,15 +1745,15 @@
                     if data__unavailablebyservice_key not in []:
                         data__unavailablebyservice_value = data__unavailablebyservice.get(data__unavailablebyservice_key)
                         if not isinstance(data__unavailablebyservice_value, (int)) and not (isinstance(data__unavailablebyservice_value, float) and data__unavailablebyservice_value.is_integer()) or isinstance(data__unavailablebyservice_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be integer")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be integer", value=data__unavailablebyservice_value, name="" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__unavailablebyservice_value, (int, float, Decimal)) and not isinstance(data__unavailablebyservice_value, bool):
                             if data__unavailablebyservice_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be bigger than or equal to 0")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__unavailablebyservice_value, name="" + (name_prefix or "data") + ".unavailable_by_service.{data__unavailablebyservice_key}".format(**locals()) + "", definition={}, rule='minimum')
         if "running_by_team" in data_keys:
             data_keys.remove("running_by_team")
             data__runningbyteam = data["running_by_team"]
             if not isinstance(data__runningbyteam, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team must be object", value=data__runningbyteam, name="" + (name_prefix or "data") + ".running_by_team", definition={}, rule='type')
             data__runningbyteam_is_dict = isinstance(data__runningbyteam, dict)
             if data__runningbyteam_is_dict:
                 data__runningbyteam_keys = set(data__runningbyteam.keys())
@@ -1761,15 +1761,15 @@
                     if data__runningbyteam_key not in []:
                         data__runningbyteam_value = data__runningbyteam.get(data__runningbyteam_key)
                         if not isinstance(data__runningbyteam_value, (int)) and not (isinstance(data__runningbyteam_value, float) and data__runningbyteam_value.is_integer()) or isinstance(data__runningbyteam_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be integer")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be integer", value=data__runningbyteam_value, name="" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__runningbyteam_value, (int, float, Decimal)) and not isinstance(data__runningbyteam_value, bool):
                             if data__runningbyteam_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be bigger than or equal to 0")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__runningbyteam_value, name="" + (name_prefix or "data") + ".running_by_team.{data__runningbyteam_key}".format(**locals()) + "", definition={}, rule='minimum')
         if "queued_by_service" in data_keys:
             data_keys.remove("queued_by_service")
             data__queuedbyservice = data["queued_by_service"]
             if not isinstance(data__queuedbyservice, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service must be object", value=data__queuedbyservice, name="" + (name_prefix or "data") + ".queued_by_service", definition={}, rule='type')
             data__queuedbyservice_is_dict = isinstance(data__queuedbyservice, dict)
             if data__queuedbyservice_is_dict:
                 data__queuedbyservice_keys = set(data__queuedbyservice.keys())
@@ -1777,48 +1777,48 @@
                     if data__queuedbyservice_key not in []:
                         data__queuedbyservice_value = data__queuedbyservice.get(data__queuedbyservice_key)
                         if not isinstance(data__queuedbyservice_value, (int)) and not (isinstance(data__queuedbyservice_value, float) and data__queuedbyservice_value.is_integer()) or isinstance(data__queuedbyservice_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be integer")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be integer", value=data__queuedbyservice_value, name="" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + "", definition={}, rule='type')
                         if isinstance(data__queuedbyservice_value, (int, float, Decimal)) and not isinstance(data__queuedbyservice_value, bool):
                             if data__queuedbyservice_value < 0:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be bigger than or equal to 0")
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__queuedbyservice_value, name="" + (name_prefix or "data") + ".queued_by_service.{data__queuedbyservice_key}".format(**locals()) + "", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'members': None, 'platform_age_ms': None, 'hosts': None, 'unavailable_by_service': None, 'running_by_team': None, 'queued_by_service': None}, 'required': ['version', 'members']}, rule='additionalProperties')
     return data
 
 def validate____defs_taskstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'task_id': None, 'request_id': None, 'service': None, 'team': None, 'host_id': None, 'phase': None, 'run_state': None, 'attempt': None}, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['task_id', 'request_id', 'service', 'phase', 'run_state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'task_id': None, 'request_id': None, 'service': None, 'team': None, 'host_id': None, 'phase': None, 'run_state': None, 'attempt': None}, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state']}, rule='required')
         data_keys = set(data.keys())
         if "task_id" in data_keys:
             data_keys.remove("task_id")
             data__taskid = data["task_id"]
             if not isinstance(data__taskid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task_id must be string", value=data__taskid, name="" + (name_prefix or "data") + ".task_id", definition={}, rule='type')
         if "request_id" in data_keys:
             data_keys.remove("request_id")
             data__requestid = data["request_id"]
             if not isinstance(data__requestid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".request_id must be string", value=data__requestid, name="" + (name_prefix or "data") + ".request_id", definition={}, rule='type')
         if "service" in data_keys:
             data_keys.remove("service")
             data__service = data["service"]
             if not isinstance(data__service, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".service must be string", value=data__service, name="" + (name_prefix or "data") + ".service", definition={}, rule='type')
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={}, rule='type')
         if "phase" in data_keys:
             data_keys.remove("phase")
             data__phase = data["phase"]
@@ -1831,38 +1831,38 @@
             data_keys.remove("attempt")
             data__attempt = data["attempt"]
             if not isinstance(data__attempt, (int)) and not (isinstance(data__attempt, float) and data__attempt.is_integer()) or isinstance(data__attempt, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be integer", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={}, rule='type')
             if isinstance(data__attempt, (int, float, Decimal)) and not isinstance(data__attempt, bool):
                 if data__attempt < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".attempt must be bigger than or equal to 0", value=data__attempt, name="" + (name_prefix or "data") + ".attempt", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'task_id': None, 'request_id': None, 'service': None, 'team': None, 'host_id': None, 'phase': None, 'run_state': None, 'attempt': None}, 'required': ['task_id', 'request_id', 'service', 'phase', 'run_state']}, rule='additionalProperties')
     return data
 
 def validate____defs_hoststatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host_id': None, 'availability_zone': None, 'pool': None, 'condition': None, 'running': None, 'slots': None, 'usage_age_ms': None}, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host_id': None, 'availability_zone': None, 'pool': None, 'condition': None, 'running': None, 'slots': None, 'usage_age_ms': None}, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots']}, rule='required')
         data_keys = set(data.keys())
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={}, rule='type')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='type')
         if "condition" in data_keys:
             data_keys.remove("condition")
             data__condition = data["condition"]
