@@ -1871,95 +1871,95 @@
             data_keys.remove("running")
             data__running = data["running"]
             if not isinstance(data__running, (int)) and not (isinstance(data__running, float) and data__running.is_integer()) or isinstance(data__running, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be integer", value=data__running, name="" + (name_prefix or "data") + ".running", definition={}, rule='type')
             if isinstance(data__running, (int, float, Decimal)) and not isinstance(data__running, bool):
                 if data__running < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".running must be bigger than or equal to 0", value=data__running, name="" + (name_prefix or "data") + ".running", definition={}, rule='minimum')
         if "slots" in data_keys:
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='type')
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='minimum')
         if "usage_age_ms" in data_keys:
             data_keys.remove("usage_age_ms")
             data__usageagems = data["usage_age_ms"]
             if not isinstance(data__usageagems, (int, NoneType)) and not (isinstance(data__usageagems, float) and data__usageagems.is_integer()) or isinstance(data__usageagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be integer or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be integer or null", value=data__usageagems, name="" + (name_prefix or "data") + ".usage_age_ms", definition={}, rule='type')
             if isinstance(data__usageagems, (int, float, Decimal)) and not isinstance(data__usageagems, bool):
                 if data__usageagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".usage_age_ms must be bigger than or equal to 0", value=data__usageagems, name="" + (name_prefix or "data") + ".usage_age_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'host_id': None, 'availability_zone': None, 'pool': None, 'condition': None, 'running': None, 'slots': None, 'usage_age_ms': None}, 'required': ['host_id', 'availability_zone', 'pool', 'condition', 'running', 'slots']}, rule='additionalProperties')
     return data
 
 def validate____defs_hostcondition(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'available' or isinstance(data, str) and data == 'failed' or isinstance(data, str) and data == 'ejected' or isinstance(data, str) and data == 'draining' or isinstance(data, str) and data == 'maintenance' or isinstance(data, str) and data == 'moving' or isinstance(data, str) and data == 'leaving' or isinstance(data, str) and data == 'zone_out'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['available', 'failed', 'ejected', 'draining', 'maintenance', 'moving', 'leaving', 'zone_out']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_memberstatus(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'confirmed_version': None, 'freshness_age_ms': None, 'alive': None}, 'required': ['member_id', 'availability_zone', 'confirmed_version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'availability_zone', 'confirmed_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'confirmed_version': None, 'freshness_age_ms': None, 'alive': None}, 'required': ['member_id', 'availability_zone', 'confirmed_version']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
         if "confirmed_version" in data_keys:
             data_keys.remove("confirmed_version")
             data__confirmedversion = data["confirmed_version"]
             if not isinstance(data__confirmedversion, (int)) and not (isinstance(data__confirmedversion, float) and data__confirmedversion.is_integer()) or isinstance(data__confirmedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be integer", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={}, rule='type')
             if isinstance(data__confirmedversion, (int, float, Decimal)) and not isinstance(data__confirmedversion, bool):
                 if data__confirmedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_version must be bigger than or equal to 0", value=data__confirmedversion, name="" + (name_prefix or "data") + ".confirmed_version", definition={}, rule='minimum')
         if "freshness_age_ms" in data_keys:
             data_keys.remove("freshness_age_ms")
             data__freshnessagems = data["freshness_age_ms"]
             if not isinstance(data__freshnessagems, (int, NoneType)) and not (isinstance(data__freshnessagems, float) and data__freshnessagems.is_integer()) or isinstance(data__freshnessagems, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be integer or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be integer or null", value=data__freshnessagems, name="" + (name_prefix or "data") + ".freshness_age_ms", definition={}, rule='type')
             if isinstance(data__freshnessagems, (int, float, Decimal)) and not isinstance(data__freshnessagems, bool):
                 if data__freshnessagems < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".freshness_age_ms must be bigger than or equal to 0", value=data__freshnessagems, name="" + (name_prefix or "data") + ".freshness_age_ms", definition={}, rule='minimum')
         if "alive" in data_keys:
             data_keys.remove("alive")
             data__alive = data["alive"]
             if not isinstance(data__alive, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive must be boolean")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".alive must be boolean", value=data__alive, name="" + (name_prefix or "data") + ".alive", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'confirmed_version': None, 'freshness_age_ms': None, 'alive': None}, 'required': ['member_id', 'availability_zone', 'confirmed_version']}, rule='additionalProperties')
     return data
 
 def validate____defs_changereport(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'outcome': None, 'version': None, 'unconfirmed': None, 'message': None, 'changes': None}, 'required': ['change_id', 'outcome', 'version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['change_id', 'outcome', 'version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'outcome': None, 'version': None, 'unconfirmed': None, 'message': None, 'changes': None}, 'required': ['change_id', 'outcome', 'version']}, rule='required')
         data_keys = set(data.keys())
         if "change_id" in data_keys:
             data_keys.remove("change_id")
             data__changeid = data["change_id"]
             if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={}, rule='type')
         if "outcome" in data_keys:
             data_keys.remove("outcome")
             data__outcome = data["outcome"]
@@ -1968,73 +1968,73 @@
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='type')
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='minimum')
         if "unconfirmed" in data_keys:
             data_keys.remove("unconfirmed")
             data__unconfirmed = data["unconfirmed"]
             if not isinstance(data__unconfirmed, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed must be array", value=data__unconfirmed, name="" + (name_prefix or "data") + ".unconfirmed", definition={}, rule='type')
             data__unconfirmed_is_list = isinstance(data__unconfirmed, (list, tuple))
             if data__unconfirmed_is_list:
                 data__unconfirmed_len = len(data__unconfirmed)
                 for data__unconfirmed_x, data__unconfirmed_item in enumerate(data__unconfirmed):
                     if not isinstance(data__unconfirmed_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + " must be string", value=data__unconfirmed_item, name="" + (name_prefix or "data") + ".unconfirmed[{data__unconfirmed_x}]".format(**locals()) + "", definition={}, rule='type')
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
             if not isinstance(data__message, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".message must be string", value=data__message, name="" + (name_prefix or "data") + ".message", definition={}, rule='type')
         if "changes" in data_keys:
             data_keys.remove("changes")
             data__changes = data["changes"]
             if not isinstance(data__changes, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes must be array", value=data__changes, name="" + (name_prefix or "data") + ".changes", definition={}, rule='type')
             data__changes_is_list = isinstance(data__changes, (list, tuple))
             if data__changes_is_list:
                 data__changes_len = len(data__changes)
                 for data__changes_x, data__changes_item in enumerate(data__changes):
                     if not isinstance(data__changes_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + " must be string", value=data__changes_item, name="" + (name_prefix or "data") + ".changes[{data__changes_x}]".format(**locals()) + "", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'outcome': None, 'version': None, 'unconfirmed': None, 'message': None, 'changes': None}, 'required': ['change_id', 'outcome', 'version']}, rule='additionalProperties')
     return data
 
 def validate____defs_changeoutcome(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'accepted' or isinstance(data, str) and data == 'pending' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'refused' or isinstance(data, str) and data == 'dry_run'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['accepted', 'pending', 'conflict', 'refused', 'dry_run']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['accepted', 'pending', 'conflict', 'refused', 'dry_run']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_changerequest(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'expected_version': None, 'edit': None, 'dry_run': None}, 'required': ['change_id', 'expected_version', 'edit']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['change_id', 'expected_version', 'edit']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'expected_version': None, 'edit': None, 'dry_run': None}, 'required': ['change_id', 'expected_version', 'edit']}, rule='required')
         data_keys = set(data.keys())
         if "change_id" in data_keys:
             data_keys.remove("change_id")
             data__changeid = data["change_id"]
             if not isinstance(data__changeid, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must be string", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={}, rule='type')
             if isinstance(data__changeid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__changeid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__changeid, name="" + (name_prefix or "data") + ".change_id", definition={}, rule='pattern')
         if "expected_version" in data_keys:
             data_keys.remove("expected_version")
             data__expectedversion = data["expected_version"]
             if not isinstance(data__expectedversion, (int)) and not (isinstance(data__expectedversion, float) and data__expectedversion.is_integer()) or isinstance(data__expectedversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be integer", value=data__expectedversion, name="" + (name_prefix or "data") + ".expected_version", definition={}, rule='type')
             if isinstance(data__expectedversion, (int, float, Decimal)) and not isinstance(data__expectedversion, bool):
                 if data__expectedversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".expected_version must be bigger than or equal to 0", value=data__expectedversion, name="" + (name_prefix or "data") + ".expected_version", definition={}, rule='minimum')
         if "edit" in data_keys:
             data_keys.remove("edit")
             data__edit = data["edit"]
@@ -2043,19 +2043,19 @@
             data_keys.remove("dry_run")
             data__dryrun = data["dry_run"]
             if not isinstance(data__dryrun, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".dry_run must be boolean")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".dry_run must be boolean", value=data__dryrun, name="" + (name_prefix or "data") + ".dry_run", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'change_id': None, 'expected_version': None, 'edit': None, 'dry_run': None}, 'required': ['change_id', 'expected_version', 'edit']}, rule='additionalProperties')
     return data
 
 def validate____defs_edit(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='required')
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -2073,27 +2073,27 @@
             if data__configuration_one_of_count8 < 2:
                 try:
                     if not isinstance(data__configuration, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null", value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={}, rule='type')
                     data__configuration_one_of_count8 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__configuration_one_of_count8 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition" + (" (" + str(data__configuration_one_of_count8) + " matches found)"), value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={}, rule='oneOf')
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
             if isinstance(data__team, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__team):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='pattern')
         if "key_id" in data_keys:
             data_keys.remove("key_id")
             data__keyid = data["key_id"]
             if not isinstance(data__keyid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must be string or null", value=data__keyid, name="" + (name_prefix or "data") + ".key_id", definition={}, rule='type')
             if isinstance(data__keyid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keyid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keyid, name="" + (name_prefix or "data") + ".key_id", definition={}, rule='pattern')
         if "key_record" in data_keys:
             data_keys.remove("key_record")
             data__keyrecord = data["key_record"]
@@ -2106,138 +2106,138 @@
             if data__keyrecord_one_of_count9 < 2:
                 try:
                     if not isinstance(data__keyrecord, (NoneType)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be null")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be null", value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={}, rule='type')
                     data__keyrecord_one_of_count9 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__keyrecord_one_of_count9 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition" + (" (" + str(data__keyrecord_one_of_count9) + " matches found)"), value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={}, rule='oneOf')
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
             if not isinstance(data__hostid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must be string or null", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={}, rule='type')
             if isinstance(data__hostid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".host_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostid, name="" + (name_prefix or "data") + ".host_id", definition={}, rule='pattern')
         if "to_pool" in data_keys:
             data_keys.remove("to_pool")
             data__topool = data["to_pool"]
             if not isinstance(data__topool, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string or null", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={}, rule='type')
             if isinstance(data__topool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__topool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={}, rule='pattern')
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string or null", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='pattern')
         if "proposal_id" in data_keys:
             data_keys.remove("proposal_id")
             data__proposalid = data["proposal_id"]
             if not isinstance(data__proposalid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must be string or null", value=data__proposalid, name="" + (name_prefix or "data") + ".proposal_id", definition={}, rule='type')
             if isinstance(data__proposalid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposalid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposal_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposalid, name="" + (name_prefix or "data") + ".proposal_id", definition={}, rule='pattern')
         if "new_limit" in data_keys:
             data_keys.remove("new_limit")
             data__newlimit = data["new_limit"]
             if not isinstance(data__newlimit, (int, NoneType)) and not (isinstance(data__newlimit, float) and data__newlimit.is_integer()) or isinstance(data__newlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer or null", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='type')
             if isinstance(data__newlimit, (int, float, Decimal)) and not isinstance(data__newlimit, bool):
                 if data__newlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='minimum')
                 if data__newlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='maximum')
         if "plan_id" in data_keys:
             data_keys.remove("plan_id")
             data__planid = data["plan_id"]
             if not isinstance(data__planid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must be string or null", value=data__planid, name="" + (name_prefix or "data") + ".plan_id", definition={}, rule='type')
             if isinstance(data__planid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__planid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__planid, name="" + (name_prefix or "data") + ".plan_id", definition={}, rule='pattern')
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array or null", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='type')
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain at least 1 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain at least 1 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='minItems')
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='maxItems')
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if "member_id" in data_keys:
             data_keys.remove("member_id")
             data__memberid = data["member_id"]
             if not isinstance(data__memberid, (str, NoneType)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string or null")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string or null", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
     return data
 
 def validate____defs_editkind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
     if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_siteoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'site': None, 'availability_zones': None, 'availability_zones_by_id': None, 'hosts_by_id': None, 'teams_by_id': None, 'maintenance_plans_by_id': None}, 'required': ['site', 'availability_zones']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['site', 'availability_zones']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'site': None, 'availability_zones': None, 'availability_zones_by_id': None, 'hosts_by_id': None, 'teams_by_id': None, 'maintenance_plans_by_id': None}, 'required': ['site', 'availability_zones']}, rule='required')
         data_keys = set(data.keys())
         if "site" in data_keys:
             data_keys.remove("site")
             data__site = data["site"]
             if not isinstance(data__site, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must be string", value=data__site, name="" + (name_prefix or "data") + ".site", definition={}, rule='type')
             if isinstance(data__site, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__site):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".site must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__site, name="" + (name_prefix or "data") + ".site", definition={}, rule='pattern')
         if "availability_zones" in data_keys:
             data_keys.remove("availability_zones")
             data__availabilityzones = data["availability_zones"]
             if not isinstance(data__availabilityzones, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={}, rule='type')
             data__availabilityzones_is_list = isinstance(data__availabilityzones, (list, tuple))
             if data__availabilityzones_is_list:
                 data__availabilityzones_len = len(data__availabilityzones)
                 if data__availabilityzones_len < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain at least 1 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain at least 1 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={}, rule='minItems')
                 if data__availabilityzones_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={}, rule='maxItems')
                 for data__availabilityzones_x, data__availabilityzones_item in enumerate(data__availabilityzones):
                     if not isinstance(data__availabilityzones_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__availabilityzones_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzones_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
             if not isinstance(data__availabilityzonesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='type')
             data__availabilityzonesbyid_is_dict = isinstance(data__availabilityzonesbyid, dict)
             if data__availabilityzonesbyid_is_dict:
                 data__availabilityzonesbyid_keys = set(data__availabilityzonesbyid.keys())
@@ -2252,16 +2252,16 @@
                         try:
                             if isinstance(data__availabilityzonesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzonesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzonesbyid_key, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
             if not isinstance(data__hostsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='type')
             data__hostsbyid_is_dict = isinstance(data__hostsbyid, dict)
             if data__hostsbyid_is_dict:
                 data__hostsbyid_keys = set(data__hostsbyid.keys())
@@ -2277,11 +2277,11 @@
                         if data__hostsbyid_value_one_of_count10 < 2:
                             try:
                                 if not isinstance(data__hostsbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null", value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='type')
                                 data__hostsbyid_value_one_of_count10 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
                         if data__hostsbyid_value_one_of_count10 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count10) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__hostsbyid_len = len(data__hostsbyid)
                 if data__hostsbyid_len != 0:
                     data__hostsbyid_property_names = True
@@ -2289,16 +2289,16 @@
                         try:
                             if isinstance(data__hostsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostsbyid_key, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
             if not isinstance(data__teamsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='type')
             data__teamsbyid_is_dict = isinstance(data__teamsbyid, dict)
             if data__teamsbyid_is_dict:
                 data__teamsbyid_keys = set(data__teamsbyid.keys())
@@ -2313,16 +2313,16 @@
                         try:
                             if isinstance(data__teamsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teamsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teamsbyid_key, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
             if not isinstance(data__maintenanceplansbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='type')
             data__maintenanceplansbyid_is_dict = isinstance(data__maintenanceplansbyid, dict)
             if data__maintenanceplansbyid_is_dict:
                 data__maintenanceplansbyid_keys = set(data__maintenanceplansbyid.keys())
@@ -2338,11 +2338,11 @@
                         if data__maintenanceplansbyid_value_one_of_count11 < 2:
                             try:
                                 if not isinstance(data__maintenanceplansbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null", value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='type')
                                 data__maintenanceplansbyid_value_one_of_count11 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
                         if data__maintenanceplansbyid_value_one_of_count11 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count11) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__maintenanceplansbyid_len = len(data__maintenanceplansbyid)
                 if data__maintenanceplansbyid_len != 0:
                     data__maintenanceplansbyid_property_names = True
@@ -2350,34 +2350,34 @@
                         try:
                             if isinstance(data__maintenanceplansbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__maintenanceplansbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__maintenanceplansbyid_key, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'site': None, 'availability_zones': None, 'availability_zones_by_id': None, 'hosts_by_id': None, 'teams_by_id': None, 'maintenance_plans_by_id': None}, 'required': ['site', 'availability_zones']}, rule='additionalProperties')
     return data
 
 def validate____defs_teamoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'keys_by_id': None}, 'required': ['keys_by_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['keys_by_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'keys_by_id': None}, 'required': ['keys_by_id']}, rule='required')
         data_keys = set(data.keys())
         if "keys_by_id" in data_keys:
             data_keys.remove("keys_by_id")
             data__keysbyid = data["keys_by_id"]
             if not isinstance(data__keysbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='type')
             data__keysbyid_is_dict = isinstance(data__keysbyid, dict)
             if data__keysbyid_is_dict:
                 data__keysbyid_len = len(data__keysbyid)
                 if data__keysbyid_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='maxProperties')
                 data__keysbyid_keys = set(data__keysbyid.keys())
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
@@ -2391,29 +2391,29 @@
                         if data__keysbyid_value_one_of_count12 < 2:
                             try:
                                 if not isinstance(data__keysbyid_value, (NoneType)):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null", value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='type')
                                 data__keysbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
                         if data__keysbyid_value_one_of_count12 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count12) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 if data__keysbyid_len != 0:
                     data__keysbyid_property_names = True
                     for data__keysbyid_key in data__keysbyid:
                         try:
                             if isinstance(data__keysbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keysbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keysbyid_key, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'keys_by_id': None}, 'required': ['keys_by_id']}, rule='additionalProperties')
     return data
 
 def validate____defs_planoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -2421,29 +2421,29 @@
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='type')
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='maxItems')
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_planstate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None}}, rule='additionalProperties')
     return data
 
 def validate____defs_hostoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zone': None, 'rack': None, 'pool': None, 'address': None, 'state': None, 'slots': None, 'connections': None, 'cores': None, 'memory_mb': None, 'accelerators': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -2451,34 +2451,34 @@
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='pattern')
         if "rack" in data_keys:
             data_keys.remove("rack")
             data__rack = data["rack"]
             if not isinstance(data__rack, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={}, rule='type')
             if isinstance(data__rack, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__rack):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={}, rule='pattern')
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='type')
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='pattern')
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='type')
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='pattern')
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -2487,103 +2487,103 @@
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='type')
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='minimum')
                 if data__slots > 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='maximum')
         if "connections" in data_keys:
             data_keys.remove("connections")
             data__connections = data["connections"]
             if not isinstance(data__connections, (int)) and not (isinstance(data__connections, float) and data__connections.is_integer()) or isinstance(data__connections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='type')
             if isinstance(data__connections, (int, float, Decimal)) and not isinstance(data__connections, bool):
                 if data__connections < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='minimum')
                 if data__connections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='maximum')
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='type')
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='minimum')
                 if data__cores > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='maximum')
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={}, rule='type')
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={}, rule='minimum')
         if "accelerators" in data_keys:
             data_keys.remove("accelerators")
             data__accelerators = data["accelerators"]
             if not isinstance(data__accelerators, (int)) and not (isinstance(data__accelerators, float) and data__accelerators.is_integer()) or isinstance(data__accelerators, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={}, rule='type')
             if isinstance(data__accelerators, (int, float, Decimal)) and not isinstance(data__accelerators, bool):
                 if data__accelerators < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zone': None, 'rack': None, 'pool': None, 'address': None, 'state': None, 'slots': None, 'connections': None, 'cores': None, 'memory_mb': None, 'accelerators': None}}, rule='additionalProperties')
     return data
 
 def validate____defs_zoneoverlay(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'state': None}, 'required': ['state']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['state']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'state': None}, 'required': ['state']}, rule='required')
         data_keys = set(data.keys())
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_zonestate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'state': None}, 'required': ['state']}, rule='additionalProperties')
     return data
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
             data__version = data["version"]
             if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='type')
             if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
                 if data__version < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={}, rule='minimum')
         if "change_ids" in data_keys:
             data_keys.remove("change_ids")
             data__changeids = data["change_ids"]
             if not isinstance(data__changeids, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must be array", value=data__changeids, name="" + (name_prefix or "data") + ".change_ids", definition={}, rule='type')
             data__changeids_is_list = isinstance(data__changeids, (list, tuple))
             if data__changeids_is_list:
                 data__changeids_len = len(data__changeids)
                 if data__changeids_len > 64:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must contain less than or equal to 64 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids must contain less than or equal to 64 items", value=data__changeids, name="" + (name_prefix or "data") + ".change_ids", definition={}, rule='maxItems')
                 for data__changeids_x, data__changeids_item in enumerate(data__changeids):
                     if not isinstance(data__changeids_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be string", value=data__changeids_item, name="" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__changeids_item, str):
                         data__changeids_item_len = len(data__changeids_item)
                         if data__changeids_item_len > 64:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be shorter than or equal to 64 characters")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + " must be shorter than or equal to 64 characters", value=data__changeids_item, name="" + (name_prefix or "data") + ".change_ids[{data__changeids_x}]".format(**locals()) + "", definition={}, rule='maxLength')
         if "bounds" in data_keys:
             data_keys.remove("bounds")
             data__bounds = data["bounds"]
@@ -2592,7 +2592,7 @@
             data_keys.remove("sites_by_id")
             data__sitesbyid = data["sites_by_id"]
             if not isinstance(data__sitesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be object", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='type')
             data__sitesbyid_is_dict = isinstance(data__sitesbyid, dict)
             if data__sitesbyid_is_dict:
                 data__sitesbyid_keys = set(data__sitesbyid.keys())
@@ -2607,16 +2607,16 @@
                         try:
                             if isinstance(data__sitesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__sitesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__sitesbyid_key, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__sitesbyid_property_names = False
                     if not data__sitesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='propertyNames')
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
             if not isinstance(data__availabilityzonesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be object", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='type')
             data__availabilityzonesbyid_is_dict = isinstance(data__availabilityzonesbyid, dict)
             if data__availabilityzonesbyid_is_dict:
                 data__availabilityzonesbyid_keys = set(data__availabilityzonesbyid.keys())
@@ -2631,16 +2631,16 @@
                         try:
                             if isinstance(data__availabilityzonesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzonesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzonesbyid_key, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
         if "pools_by_id" in data_keys:
             data_keys.remove("pools_by_id")
             data__poolsbyid = data["pools_by_id"]
             if not isinstance(data__poolsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be object", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={}, rule='type')
             data__poolsbyid_is_dict = isinstance(data__poolsbyid, dict)
             if data__poolsbyid_is_dict:
                 data__poolsbyid_keys = set(data__poolsbyid.keys())
@@ -2655,16 +2655,16 @@
                         try:
                             if isinstance(data__poolsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__poolsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__poolsbyid_key, name="" + (name_prefix or "data") + ".pools_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__poolsbyid_property_names = False
                     if not data__poolsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
             if not isinstance(data__hostsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be object", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='type')
             data__hostsbyid_is_dict = isinstance(data__hostsbyid, dict)
             if data__hostsbyid_is_dict:
                 data__hostsbyid_keys = set(data__hostsbyid.keys())
@@ -2679,16 +2679,16 @@
                         try:
                             if isinstance(data__hostsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hostsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hostsbyid_key, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
         if "services_by_id" in data_keys:
             data_keys.remove("services_by_id")
             data__servicesbyid = data["services_by_id"]
             if not isinstance(data__servicesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be object", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={}, rule='type')
             data__servicesbyid_is_dict = isinstance(data__servicesbyid, dict)
             if data__servicesbyid_is_dict:
                 data__servicesbyid_keys = set(data__servicesbyid.keys())
@@ -2703,16 +2703,16 @@
                         try:
                             if isinstance(data__servicesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__servicesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__servicesbyid_key, name="" + (name_prefix or "data") + ".services_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__servicesbyid_property_names = False
                     if not data__servicesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
             if not isinstance(data__teamsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be object", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='type')
             data__teamsbyid_is_dict = isinstance(data__teamsbyid, dict)
             if data__teamsbyid_is_dict:
                 data__teamsbyid_keys = set(data__teamsbyid.keys())
@@ -2727,16 +2727,16 @@
                         try:
                             if isinstance(data__teamsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teamsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teamsbyid_key, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
         if "cooperatives_by_id" in data_keys:
             data_keys.remove("cooperatives_by_id")
             data__cooperativesbyid = data["cooperatives_by_id"]
             if not isinstance(data__cooperativesbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='type')
             data__cooperativesbyid_is_dict = isinstance(data__cooperativesbyid, dict)
             if data__cooperativesbyid_is_dict:
                 data__cooperativesbyid_keys = set(data__cooperativesbyid.keys())
@@ -2751,21 +2751,21 @@
                         try:
                             if isinstance(data__cooperativesbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__cooperativesbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__cooperativesbyid_key, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__cooperativesbyid_property_names = False
                     if not data__cooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='propertyNames')
         if "limit_proposals_by_id" in data_keys:
             data_keys.remove("limit_proposals_by_id")
             data__limitproposalsbyid = data["limit_proposals_by_id"]
             if not isinstance(data__limitproposalsbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be object", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='type')
             data__limitproposalsbyid_is_dict = isinstance(data__limitproposalsbyid, dict)
             if data__limitproposalsbyid_is_dict:
                 data__limitproposalsbyid_len = len(data__limitproposalsbyid)
                 if data__limitproposalsbyid_len > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must contain less than or equal to 1000 properties")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must contain less than or equal to 1000 properties", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='maxProperties')
                 data__limitproposalsbyid_keys = set(data__limitproposalsbyid.keys())
                 for data__limitproposalsbyid_key in data__limitproposalsbyid_keys:
                     if data__limitproposalsbyid_key not in []:
@@ -2777,16 +2777,16 @@
                         try:
                             if isinstance(data__limitproposalsbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__limitproposalsbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__limitproposalsbyid_key, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__limitproposalsbyid_property_names = False
                     if not data__limitproposalsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='propertyNames')
         if "moves_by_host" in data_keys:
             data_keys.remove("moves_by_host")
             data__movesbyhost = data["moves_by_host"]
             if not isinstance(data__movesbyhost, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be object", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={}, rule='type')
             data__movesbyhost_is_dict = isinstance(data__movesbyhost, dict)
             if data__movesbyhost_is_dict:
                 data__movesbyhost_keys = set(data__movesbyhost.keys())
@@ -2801,16 +2801,16 @@
                         try:
                             if isinstance(data__movesbyhost_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__movesbyhost_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__movesbyhost_key, name="" + (name_prefix or "data") + ".moves_by_host", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__movesbyhost_property_names = False
                     if not data__movesbyhost_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
             if not isinstance(data__maintenanceplansbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be object", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='type')
             data__maintenanceplansbyid_is_dict = isinstance(data__maintenanceplansbyid, dict)
             if data__maintenanceplansbyid_is_dict:
                 data__maintenanceplansbyid_keys = set(data__maintenanceplansbyid.keys())
@@ -2825,85 +2825,85 @@
                         try:
                             if isinstance(data__maintenanceplansbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__maintenanceplansbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__maintenanceplansbyid_key, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zones': None, 'teams': None}, 'required': ['availability_zones']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['availability_zones']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zones': None, 'teams': None}, 'required': ['availability_zones']}, rule='required')
         data_keys = set(data.keys())
         if "availability_zones" in data_keys:
             data_keys.remove("availability_zones")
             data__availabilityzones = data["availability_zones"]
             if not isinstance(data__availabilityzones, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must be array", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={}, rule='type')
             data__availabilityzones_is_list = isinstance(data__availabilityzones, (list, tuple))
             if data__availabilityzones_is_list:
                 data__availabilityzones_len = len(data__availabilityzones)
                 if data__availabilityzones_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones must contain less than or equal to 100 items", value=data__availabilityzones, name="" + (name_prefix or "data") + ".availability_zones", definition={}, rule='maxItems')
                 for data__availabilityzones_x, data__availabilityzones_item in enumerate(data__availabilityzones):
                     if not isinstance(data__availabilityzones_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must be string", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__availabilityzones_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzones_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzones_item, name="" + (name_prefix or "data") + ".availability_zones[{data__availabilityzones_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if "teams" in data_keys:
             data_keys.remove("teams")
             data__teams = data["teams"]
             if not isinstance(data__teams, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must be array", value=data__teams, name="" + (name_prefix or "data") + ".teams", definition={}, rule='type')
             data__teams_is_list = isinstance(data__teams, (list, tuple))
             if data__teams_is_list:
                 data__teams_len = len(data__teams)
                 if data__teams_len > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must contain less than or equal to 1000 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams must contain less than or equal to 1000 items", value=data__teams, name="" + (name_prefix or "data") + ".teams", definition={}, rule='maxItems')
                 for data__teams_x, data__teams_item in enumerate(data__teams):
                     if not isinstance(data__teams_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must be string", value=data__teams_item, name="" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__teams_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__teams_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__teams_item, name="" + (name_prefix or "data") + ".teams[{data__teams_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zones': None, 'teams': None}, 'required': ['availability_zones']}, rule='additionalProperties')
     return data
 
 def validate____defs_maintenanceplan(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['hosts']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='required')
         data_keys = set(data.keys())
         if "hosts" in data_keys:
             data_keys.remove("hosts")
             data__hosts = data["hosts"]
             if not isinstance(data__hosts, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must be array", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='type')
             data__hosts_is_list = isinstance(data__hosts, (list, tuple))
             if data__hosts_is_list:
                 data__hosts_len = len(data__hosts)
                 if data__hosts_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts must contain less than or equal to 10000 items", value=data__hosts, name="" + (name_prefix or "data") + ".hosts", definition={}, rule='maxItems')
                 for data__hosts_x, data__hosts_item in enumerate(data__hosts):
                     if not isinstance(data__hosts_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must be string", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__hosts_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__hosts_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__hosts_item, name="" + (name_prefix or "data") + ".hosts[{data__hosts_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -2912,47 +2912,47 @@
             data_keys.remove("done")
             data__done = data["done"]
             if not isinstance(data__done, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must be array", value=data__done, name="" + (name_prefix or "data") + ".done", definition={}, rule='type')
             data__done_is_list = isinstance(data__done, (list, tuple))
             if data__done_is_list:
                 data__done_len = len(data__done)
                 if data__done_len > 10000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must contain less than or equal to 10000 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".done must contain less than or equal to 10000 items", value=data__done, name="" + (name_prefix or "data") + ".done", definition={}, rule='maxItems')
                 for data__done_x, data__done_item in enumerate(data__done):
                     if not isinstance(data__done_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must be string", value=data__done_item, name="" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__done_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__done_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__done_item, name="" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='additionalProperties')
     return data
 
 def validate____defs_hostmove(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'from_pool': None, 'to_pool': None, 'phase': None, 'from_epoch': None, 'drain_version': None}, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['from_pool', 'to_pool', 'phase', 'from_epoch']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'from_pool': None, 'to_pool': None, 'phase': None, 'from_epoch': None, 'drain_version': None}, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch']}, rule='required')
         data_keys = set(data.keys())
         if "from_pool" in data_keys:
             data_keys.remove("from_pool")
             data__frompool = data["from_pool"]
             if not isinstance(data__frompool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must be string", value=data__frompool, name="" + (name_prefix or "data") + ".from_pool", definition={}, rule='type')
             if isinstance(data__frompool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__frompool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__frompool, name="" + (name_prefix or "data") + ".from_pool", definition={}, rule='pattern')
         if "to_pool" in data_keys:
             data_keys.remove("to_pool")
             data__topool = data["to_pool"]
             if not isinstance(data__topool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must be string", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={}, rule='type')
             if isinstance(data__topool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__topool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".to_pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__topool, name="" + (name_prefix or "data") + ".to_pool", definition={}, rule='pattern')
         if "phase" in data_keys:
             data_keys.remove("phase")
             data__phase = data["phase"]
@@ -2961,153 +2961,153 @@
             data_keys.remove("from_epoch")
             data__fromepoch = data["from_epoch"]
             if not isinstance(data__fromepoch, (int)) and not (isinstance(data__fromepoch, float) and data__fromepoch.is_integer()) or isinstance(data__fromepoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be integer", value=data__fromepoch, name="" + (name_prefix or "data") + ".from_epoch", definition={}, rule='type')
             if isinstance(data__fromepoch, (int, float, Decimal)) and not isinstance(data__fromepoch, bool):
                 if data__fromepoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".from_epoch must be bigger than or equal to 0", value=data__fromepoch, name="" + (name_prefix or "data") + ".from_epoch", definition={}, rule='minimum')
         if "drain_version" in data_keys:
             data_keys.remove("drain_version")
             data__drainversion = data["drain_version"]
             if not isinstance(data__drainversion, (int)) and not (isinstance(data__drainversion, float) and data__drainversion.is_integer()) or isinstance(data__drainversion, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be integer", value=data__drainversion, name="" + (name_prefix or "data") + ".drain_version", definition={}, rule='type')
             if isinstance(data__drainversion, (int, float, Decimal)) and not isinstance(data__drainversion, bool):
                 if data__drainversion < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_version must be bigger than or equal to 0", value=data__drainversion, name="" + (name_prefix or "data") + ".drain_version", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'from_pool': None, 'to_pool': None, 'phase': None, 'from_epoch': None, 'drain_version': None}, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch']}, rule='additionalProperties')
     return data
 
 def validate____defs_limitproposal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'base_limit': None, 'new_limit': None, 'proposer': None, 'approvals': None}, 'required': ['team', 'base_limit', 'new_limit', 'proposer']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['team', 'base_limit', 'new_limit', 'proposer']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'base_limit': None, 'new_limit': None, 'proposer': None, 'approvals': None}, 'required': ['team', 'base_limit', 'new_limit', 'proposer']}, rule='required')
         data_keys = set(data.keys())
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
             if not isinstance(data__team, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
             if isinstance(data__team, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__team):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='pattern')
         if "base_limit" in data_keys:
             data_keys.remove("base_limit")
             data__baselimit = data["base_limit"]
             if not isinstance(data__baselimit, (int)) and not (isinstance(data__baselimit, float) and data__baselimit.is_integer()) or isinstance(data__baselimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be integer", value=data__baselimit, name="" + (name_prefix or "data") + ".base_limit", definition={}, rule='type')
             if isinstance(data__baselimit, (int, float, Decimal)) and not isinstance(data__baselimit, bool):
                 if data__baselimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_limit must be bigger than or equal to 0", value=data__baselimit, name="" + (name_prefix or "data") + ".base_limit", definition={}, rule='minimum')
         if "new_limit" in data_keys:
             data_keys.remove("new_limit")
             data__newlimit = data["new_limit"]
             if not isinstance(data__newlimit, (int)) and not (isinstance(data__newlimit, float) and data__newlimit.is_integer()) or isinstance(data__newlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be integer", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='type')
             if isinstance(data__newlimit, (int, float, Decimal)) and not isinstance(data__newlimit, bool):
                 if data__newlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='minimum')
                 if data__newlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='maximum')
         if "proposer" in data_keys:
             data_keys.remove("proposer")
             data__proposer = data["proposer"]
             if not isinstance(data__proposer, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='type')
             if isinstance(data__proposer, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposer):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='pattern')
         if "approvals" in data_keys:
             data_keys.remove("approvals")
             data__approvals = data["approvals"]
             if not isinstance(data__approvals, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='type')
             data__approvals_is_list = isinstance(data__approvals, (list, tuple))
             if data__approvals_is_list:
                 data__approvals_len = len(data__approvals)
                 if data__approvals_len > 200:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='maxItems')
                 for data__approvals_x, data__approvals_item in enumerate(data__approvals):
                     if not isinstance(data__approvals_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__approvals_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__approvals_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'base_limit': None, 'new_limit': None, 'proposer': None, 'approvals': None}, 'required': ['team', 'base_limit', 'new_limit', 'proposer']}, rule='additionalProperties')
     return data
 
 def validate____defs_cooperative(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'voters': None}, 'required': ['voters']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['voters']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'voters': None}, 'required': ['voters']}, rule='required')
         data_keys = set(data.keys())
         if "voters" in data_keys:
             data_keys.remove("voters")
             data__voters = data["voters"]
             if not isinstance(data__voters, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must be array")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must be array", value=data__voters, name="" + (name_prefix or "data") + ".voters", definition={}, rule='type')
             data__voters_is_list = isinstance(data__voters, (list, tuple))
             if data__voters_is_list:
                 data__voters_len = len(data__voters)
                 if data__voters_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must contain less than or equal to 100 items")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters must contain less than or equal to 100 items", value=data__voters, name="" + (name_prefix or "data") + ".voters", definition={}, rule='maxItems')
                 for data__voters_x, data__voters_item in enumerate(data__voters):
                     if not isinstance(data__voters_item, (str)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must be string")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must be string", value=data__voters_item, name="" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + "", definition={}, rule='type')
                     if isinstance(data__voters_item, str):
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__voters_item):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__voters_item, name="" + (name_prefix or "data") + ".voters[{data__voters_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'voters': None}, 'required': ['voters']}, rule='additionalProperties')
     return data
 
 def validate____defs_team(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['upper_limit']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='required')
         data_keys = set(data.keys())
         if "share" in data_keys:
             data_keys.remove("share")
             data__share = data["share"]
             if not isinstance(data__share, (int)) and not (isinstance(data__share, float) and data__share.is_integer()) or isinstance(data__share, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be integer", value=data__share, name="" + (name_prefix or "data") + ".share", definition={}, rule='type')
             if isinstance(data__share, (int, float, Decimal)) and not isinstance(data__share, bool):
                 if data__share < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be bigger than or equal to 1", value=data__share, name="" + (name_prefix or "data") + ".share", definition={}, rule='minimum')
                 if data__share > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be smaller than or equal to 1000000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".share must be smaller than or equal to 1000000", value=data__share, name="" + (name_prefix or "data") + ".share", definition={}, rule='maximum')
         if "upper_limit" in data_keys:
             data_keys.remove("upper_limit")
             data__upperlimit = data["upper_limit"]
             if not isinstance(data__upperlimit, (int)) and not (isinstance(data__upperlimit, float) and data__upperlimit.is_integer()) or isinstance(data__upperlimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be integer", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='type')
             if isinstance(data__upperlimit, (int, float, Decimal)) and not isinstance(data__upperlimit, bool):
                 if data__upperlimit < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='minimum')
                 if data__upperlimit > 1000000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be smaller than or equal to 1000000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be smaller than or equal to 1000000", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='maximum')
         if "keys_by_id" in data_keys:
             data_keys.remove("keys_by_id")
             data__keysbyid = data["keys_by_id"]
             if not isinstance(data__keysbyid, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be object", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='type')
             data__keysbyid_is_dict = isinstance(data__keysbyid, dict)
             if data__keysbyid_is_dict:
                 data__keysbyid_len = len(data__keysbyid)
                 if data__keysbyid_len > 100:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must contain less than or equal to 100 properties", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='maxProperties')
                 data__keysbyid_keys = set(data__keysbyid.keys())
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
@@ -3119,61 +3119,61 @@
                         try:
                             if isinstance(data__keysbyid_key, str):
                                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__keysbyid_key):
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__keysbyid_key, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='pattern')
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition")
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='additionalProperties')
     return data
 
 def validate____defs_keyrecord(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'salt': None, 'digest': None}, 'required': ['salt', 'digest']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['salt', 'digest']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'salt': None, 'digest': None}, 'required': ['salt', 'digest']}, rule='required')
         data_keys = set(data.keys())
         if "salt" in data_keys:
             data_keys.remove("salt")
             data__salt = data["salt"]
             if not isinstance(data__salt, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must be string", value=data__salt, name="" + (name_prefix or "data") + ".salt", definition={}, rule='type')
             if isinstance(data__salt, str):
                 if not REGEX_PATTERNS['^[0-9a-f]{32}$'].search(data__salt):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must match pattern ^[0-9a-f]{32}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".salt must match pattern ^[0-9a-f]{32}$", value=data__salt, name="" + (name_prefix or "data") + ".salt", definition={}, rule='pattern')
         if "digest" in data_keys:
             data_keys.remove("digest")
             data__digest = data["digest"]
             if not isinstance(data__digest, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must be string", value=data__digest, name="" + (name_prefix or "data") + ".digest", definition={}, rule='type')
             if isinstance(data__digest, str):
                 if not REGEX_PATTERNS['^[0-9a-f]{64}$'].search(data__digest):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must match pattern ^[0-9a-f]{64}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".digest must match pattern ^[0-9a-f]{64}$", value=data__digest, name="" + (name_prefix or "data") + ".digest", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'salt': None, 'digest': None}, 'required': ['salt', 'digest']}, rule='additionalProperties')
     return data
 
 def validate____defs_service(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'pool': None, 'access': None, 'max_unavailable': None, 'queue_limit': None}, 'required': ['pool']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['pool']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'pool': None, 'access': None, 'max_unavailable': None, 'queue_limit': None}, 'required': ['pool']}, rule='required')
         data_keys = set(data.keys())
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='type')
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='pattern')
         if "access" in data_keys:
             data_keys.remove("access")
             data__access = data["access"]
@@ -3182,29 +3182,29 @@
             data_keys.remove("max_unavailable")
             data__maxunavailable = data["max_unavailable"]
             if not isinstance(data__maxunavailable, (int)) and not (isinstance(data__maxunavailable, float) and data__maxunavailable.is_integer()) or isinstance(data__maxunavailable, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be integer", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={}, rule='type')
             if isinstance(data__maxunavailable, (int, float, Decimal)) and not isinstance(data__maxunavailable, bool):
                 if data__maxunavailable < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be bigger than or equal to 0", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={}, rule='minimum')
                 if data__maxunavailable > 1000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be smaller than or equal to 1000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_unavailable must be smaller than or equal to 1000", value=data__maxunavailable, name="" + (name_prefix or "data") + ".max_unavailable", definition={}, rule='maximum')
         if "queue_limit" in data_keys:
             data_keys.remove("queue_limit")
             data__queuelimit = data["queue_limit"]
             if not isinstance(data__queuelimit, (int)) and not (isinstance(data__queuelimit, float) and data__queuelimit.is_integer()) or isinstance(data__queuelimit, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be integer", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={}, rule='type')
             if isinstance(data__queuelimit, (int, float, Decimal)) and not isinstance(data__queuelimit, bool):
                 if data__queuelimit < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be bigger than or equal to 1", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={}, rule='minimum')
                 if data__queuelimit > 100000:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be smaller than or equal to 100000")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".queue_limit must be smaller than or equal to 100000", value=data__queuelimit, name="" + (name_prefix or "data") + ".queue_limit", definition={}, rule='maximum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'pool': None, 'access': None, 'max_unavailable': None, 'queue_limit': None}, 'required': ['pool']}, rule='additionalProperties')
     return data
 
 def validate____defs_pool(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'spare': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -3212,60 +3212,60 @@
             data_keys.remove("spare")
             data__spare = data["spare"]
             if not isinstance(data__spare, (bool)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".spare must be boolean")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".spare must be boolean", value=data__spare, name="" + (name_prefix or "data") + ".spare", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'spare': None}}, rule='additionalProperties')
     return data
 
 def validate____defs_host(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zone': None, 'rack': None, 'pool': None, 'pool_epoch': None, 'address': None, 'state': None, 'slots': None, 'connections': None, 'cores': None, 'memory_mb': None, 'accelerators': None}, 'required': ['availability_zone', 'rack', 'pool', 'address']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['availability_zone', 'rack', 'pool', 'address']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zone': None, 'rack': None, 'pool': None, 'pool_epoch': None, 'address': None, 'state': None, 'slots': None, 'connections': None, 'cores': None, 'memory_mb': None, 'accelerators': None}, 'required': ['availability_zone', 'rack', 'pool', 'address']}, rule='required')
         data_keys = set(data.keys())
         if "availability_zone" in data_keys:
             data_keys.remove("availability_zone")
             data__availabilityzone = data["availability_zone"]
             if not isinstance(data__availabilityzone, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must be string", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='type')
             if isinstance(data__availabilityzone, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__availabilityzone):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zone must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__availabilityzone, name="" + (name_prefix or "data") + ".availability_zone", definition={}, rule='pattern')
         if "rack" in data_keys:
             data_keys.remove("rack")
             data__rack = data["rack"]
             if not isinstance(data__rack, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must be string", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={}, rule='type')
             if isinstance(data__rack, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__rack):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".rack must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__rack, name="" + (name_prefix or "data") + ".rack", definition={}, rule='pattern')
         if "pool" in data_keys:
             data_keys.remove("pool")
             data__pool = data["pool"]
             if not isinstance(data__pool, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must be string", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='type')
             if isinstance(data__pool, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__pool):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__pool, name="" + (name_prefix or "data") + ".pool", definition={}, rule='pattern')
         if "pool_epoch" in data_keys:
             data_keys.remove("pool_epoch")
             data__poolepoch = data["pool_epoch"]
             if not isinstance(data__poolepoch, (int)) and not (isinstance(data__poolepoch, float) and data__poolepoch.is_integer()) or isinstance(data__poolepoch, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be integer", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={}, rule='type')
             if isinstance(data__poolepoch, (int, float, Decimal)) and not isinstance(data__poolepoch, bool):
                 if data__poolepoch < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pool_epoch must be bigger than or equal to 0", value=data__poolepoch, name="" + (name_prefix or "data") + ".pool_epoch", definition={}, rule='minimum')
         if "address" in data_keys:
             data_keys.remove("address")
             data__address = data["address"]
             if not isinstance(data__address, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must be string", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='type')
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS['^[0-9.]{7,15}:[0-9]{1,5}$'].search(data__address):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".address must match pattern ^[0-9.]{7,15}:[0-9]{1,5}$", value=data__address, name="" + (name_prefix or "data") + ".address", definition={}, rule='pattern')
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
@@ -3274,80 +3274,80 @@
             data_keys.remove("slots")
             data__slots = data["slots"]
             if not isinstance(data__slots, (int)) and not (isinstance(data__slots, float) and data__slots.is_integer()) or isinstance(data__slots, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be integer", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='type')
             if isinstance(data__slots, (int, float, Decimal)) and not isinstance(data__slots, bool):
                 if data__slots < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be bigger than or equal to 1", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='minimum')
                 if data__slots > 1024:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".slots must be smaller than or equal to 1024", value=data__slots, name="" + (name_prefix or "data") + ".slots", definition={}, rule='maximum')
         if "connections" in data_keys:
             data_keys.remove("connections")
             data__connections = data["connections"]
             if not isinstance(data__connections, (int)) and not (isinstance(data__connections, float) and data__connections.is_integer()) or isinstance(data__connections, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be integer", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='type')
             if isinstance(data__connections, (int, float, Decimal)) and not isinstance(data__connections, bool):
                 if data__connections < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be bigger than or equal to 1", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='minimum')
                 if data__connections > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".connections must be smaller than or equal to 4096", value=data__connections, name="" + (name_prefix or "data") + ".connections", definition={}, rule='maximum')
         if "cores" in data_keys:
             data_keys.remove("cores")
             data__cores = data["cores"]
             if not isinstance(data__cores, (int)) and not (isinstance(data__cores, float) and data__cores.is_integer()) or isinstance(data__cores, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be integer", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='type')
             if isinstance(data__cores, (int, float, Decimal)) and not isinstance(data__cores, bool):
                 if data__cores < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be bigger than or equal to 1", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='minimum')
                 if data__cores > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".cores must be smaller than or equal to 4096", value=data__cores, name="" + (name_prefix or "data") + ".cores", definition={}, rule='maximum')
         if "memory_mb" in data_keys:
             data_keys.remove("memory_mb")
             data__memorymb = data["memory_mb"]
             if not isinstance(data__memorymb, (int)) and not (isinstance(data__memorymb, float) and data__memorymb.is_integer()) or isinstance(data__memorymb, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be integer", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={}, rule='type')
             if isinstance(data__memorymb, (int, float, Decimal)) and not isinstance(data__memorymb, bool):
                 if data__memorymb < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".memory_mb must be bigger than or equal to 1", value=data__memorymb, name="" + (name_prefix or "data") + ".memory_mb", definition={}, rule='minimum')
         if "accelerators" in data_keys:
             data_keys.remove("accelerators")
             data__accelerators = data["accelerators"]
             if not isinstance(data__accelerators, (int)) and not (isinstance(data__accelerators, float) and data__accelerators.is_integer()) or isinstance(data__accelerators, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be integer", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={}, rule='type')
             if isinstance(data__accelerators, (int, float, Decimal)) and not isinstance(data__accelerators, bool):
                 if data__accelerators < 0:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".accelerators must be bigger than or equal to 0", value=data__accelerators, name="" + (name_prefix or "data") + ".accelerators", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'availability_zone': None, 'rack': None, 'pool': None, 'pool_epoch': None, 'address': None, 'state': None, 'slots': None, 'connections': None, 'cores': None, 'memory_mb': None, 'accelerators': None}, 'required': ['availability_zone', 'rack', 'pool', 'address']}, rule='additionalProperties')
     return data
 
 def validate____defs_availabilityzone(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'region': None, 'state': None}, 'required': ['region']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['region']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain ")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'region': None, 'state': None}, 'required': ['region']}, rule='required')
         data_keys = set(data.keys())
         if "region" in data_keys:
             data_keys.remove("region")
             data__region = data["region"]
             if not isinstance(data__region, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string")
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must be string", value=data__region, name="" + (name_prefix or "data") + ".region", definition={}, rule='type')
             if isinstance(data__region, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__region):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$")
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".region must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__region, name="" + (name_prefix or "data") + ".region", definition={}, rule='pattern')
         if "state" in data_keys:
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_zonestate(data__state, custom_formats, (name_prefix or "data") + ".state")
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties")
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'region': None, 'state': None}, 'required': ['region']}, rule='additionalProperties')
     return data
 
 def validate____defs_fleetbounds(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object")
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'freshness_bound_ms': None, 'isolation_bound_ms': None, 'start_token_ms': None, 'task_lease_ms': None, 'drift_margin_ms': None, 'request_id_max_age_ms': None, 'ramp_ms': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
