Add the operators' client and command line

Cause: operators had no way to reach an entry host or to check files.

Change: http_operator_port gives the operator API as a port with connect and request timeouts; the commands parse with fire, which only builds a command that runs afterwards, so a mistake anywhere in the line does nothing and gives one line. A change whose answer is lost exits with UNKNOWN_OUTCOME and names its change id.

Ruled out: letting fire run the functions (a misspelt option after a valid command would be noticed only after the change), and its -- flags, one of which opens a Python shell. An OSError counts as "not sent" only for errors of connecting, since a reset after sending is an OSError too.

--- /dev/null
+++ b/dandelionknot/_commands.py
@@ -0,0 +1,149 @@
+"""The tree of commands, and parsing of a command line with `fire`."""
+
+import contextlib
+import inspect
+import io
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+import fire
+from result import Err, Ok, Result
+
+from dandelionknot import (
+    _commands_changes as changes,
+)
+from dandelionknot import (
+    _commands_files as files,
+)
+from dandelionknot import (
+    _commands_local as local,
+)
+from dandelionknot import (
+    _commands_queries as queries,
+)
+from dandelionknot._command_options import Command
+
+PROGRAM = 'dandelionknot'
+HELP_FLAGS = ('--help', '-h')
+# `fire` takes what follows this as flags of its own, one of which opens a shell.
+FIRE_FLAGS = '--'
+
+UNEXPECTED_TEXT = 'Could not consume arg: '
+MISSING_TEXT = 'The function received no value for the required argument: '
+
+COMMANDS: dict[str, Any] = {
+    'entry': local.entry,
+    'check': files.check,
+    'diff': files.diff_files,
+    'apply': files.apply,
+    'confirmed': queries.confirmed,
+    'key': {'give': changes.key_give, 'withdraw': changes.key_withdraw},
+    'move': changes.move,
+    'cancel-move': changes.cancel_move,
+    'zone': {'out': changes.zone_out, 'back': changes.zone_back},
+    'drain': changes.drain,
+    'undrain': changes.undrain,
+    'limit': {'propose': changes.limit_propose, 'vote': changes.limit_vote},
+    'plan': {
+        'create': changes.plan_create,
+        'show': queries.plan_show,
+        'pause': changes.plan_pause,
+        'resume': changes.plan_resume,
+    },
+    'member': {'gone': changes.member_gone},
+    'status': queries.status,
+    'why': queries.why,
+    'histograms': queries.histograms,
+    'submit': local.submit,
+}
+COMMANDS['completion'] = local.completion_for(COMMANDS)
+
+
+def parse(argv: Sequence[str]) -> Result[Command, str]:
+    """Parses a command line; the error is one line."""
+    if not argv:
+        return Err(f'a command is missing; {PROGRAM} --help lists them')
+    if FIRE_FLAGS in argv:
+        return Err(f'{FIRE_FLAGS} is not an option')
+    problem = _unknown_name(argv)
+    if problem:
+        return Err(problem)
+    # What `fire` prints on a mistake takes many lines.
+    discarded = io.StringIO()
+    try:
+        with (
+            contextlib.redirect_stdout(discarded),
+            contextlib.redirect_stderr(discarded),
+        ):
+            parsed = fire.Fire(COMMANDS, list(argv), PROGRAM, lambda _: None)
+    except fire.core.FireExit as stop:
+        if stop.trace.HasError():
+            return Err(_plain(stop.trace.elements[-1].ErrorAsStr()))
+        return Err(f'{argv[-1]!r} is not an option')
+    if isinstance(parsed, Command):
+        return Ok(parsed)
+    return Err(f'unexpected argument {argv[-1]!r}')
+
+
+def _plain(mistake: str) -> str:
+    """Puts the two usual mistakes that `fire` finds into words for operators."""
+    if mistake.startswith(UNEXPECTED_TEXT):
+        return f'unexpected argument {mistake.removeprefix(UNEXPECTED_TEXT)!r}'
+    if mistake.startswith(MISSING_TEXT):
+        return f'argument {mistake.removeprefix(MISSING_TEXT)} is missing'
+    return mistake
+
+
+def _unknown_name(argv: Sequence[str]) -> str:
+    """Returns why the first words name no command, or an empty string."""
+    node: Any = COMMANDS
+    path: list[str] = []
+    for word in argv:
+        if not isinstance(node, dict):
+            return ''
+        if word not in node:
+            known = ', '.join(node)
+            where = ' '.join(path) + ' ' if path else ''
+            return f'unknown command {where + word!r}; known are: {known}'
+        node = node[word]
+        path.append(word)
+    if isinstance(node, dict):
+        return f'{" ".join(path)} needs one of: {", ".join(node)}'
+    return ''
+
+
+def help_lines(argv: Sequence[str]) -> list[str]:
+    """Returns one line and one explanation for each command that fits the words."""
+    words = ' '.join(word for word in argv if word not in HELP_FLAGS)
+    lines: list[str] = []
+    for name, function in _leaves(COMMANDS, ''):
+        if name == words or name.startswith(f'{words} ') or not words:
+            lines.append(f'{PROGRAM} {name}{_usage(function)}')
+            lines.append(f'    {inspect.getdoc(function)}')
+    return lines
+
+
+def _leaves(tree: Mapping[str, Any], prefix: str) -> Iterator[tuple[str, Any]]:
+    for word, node in tree.items():
+        name = f'{prefix} {word}'.strip()
+        if isinstance(node, dict):
+            yield from _leaves(node, name)
+        else:
+            yield name, node
+
+
+def _usage(function: Any) -> str:
+    text = ''
+    for name, parameter in inspect.signature(function).parameters.items():
+        if parameter.kind is inspect.Parameter.VAR_POSITIONAL:
+            text += f' [{name.upper()}...]'
+        elif parameter.kind is inspect.Parameter.POSITIONAL_OR_KEYWORD:
+            optional = parameter.default is not inspect.Parameter.empty
+            text += f' [{name.upper()}]' if optional else f' {name.upper()}'
+        elif parameter.default == 'False':
+            text += f' [--{name}]'
+        elif parameter.default is inspect.Parameter.empty:
+            text += f' --{name} VALUE'
+        else:
+            text += f' [--{name} VALUE]'
+    return text
--- /dev/null
+++ b/dandelionknot/_commands_files.py
@@ -0,0 +1,136 @@
+"""Commands that read configuration files: check, diff, apply."""
+
+import asyncio
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from dandelionknot._command_options import (
+    CHANGE_OPTIONS,
+    OUTPUT_OPTIONS,
+    REMOTE_OPTIONS,
+    Call,
+    command,
+    endpoint,
+)
+from dandelionknot._command_outcomes import Outcome, failed_call, failure
+from dandelionknot._commands_changes import send_change
+from dandelionknot._operator_client import OperatorError, http_operator_port
+from dandelionknot._replacement import replace_configuration
+from dandelionknot.configuration import (
+    Configuration,
+    ConfigurationChange,
+    ConfigurationFault,
+    OverlayFile,
+    diff,
+    load_base,
+    load_overlay,
+    merge,
+)
+from dandelionknot.exit_status import ExitStatus
+from dandelionknot.operators import Edit, EditKind, kept_by_fleet
+
+BASE_NAME = 'base.yaml'
+OVERLAY_PATTERN = 'overlays/*.yaml'
+
+Loaded = Result[Configuration, list[ConfigurationFault]]
+
+
+@command(OUTPUT_OPTIONS)
+def check(call: Call, base: str, *overlays: str) -> Outcome:
+    """Checks a base file with its overlays, or a directory that holds them."""
+    loaded = load_files(base, overlays)
+    if isinstance(loaded, Err):
+        return _faulty(loaded.err_value)
+    configuration = loaded.ok_value
+    line = (
+        f'valid: {len(configuration.hosts_by_id)} hosts, '
+        f'{len(configuration.services_by_id)} services, '
+        f'{len(configuration.teams_by_id)} teams, '
+        f'{len(configuration.availability_zones_by_id)} availability zones'
+    )
+    return Outcome(lines=[line], data=[])
+
+
+@command(REMOTE_OPTIONS)
+def diff_files(call: Call, base: str, *overlays: str, previous: str = '') -> Outcome:
+    """Shows what files change in the running configuration or in `previous` files."""
+    loaded = load_files(base, overlays)
+    if isinstance(loaded, Err):
+        return _faulty(loaded.err_value)
+    if not previous:
+        return _diff_running(call, loaded.ok_value)
+    old = load_files(previous, ())
+    if isinstance(old, Err):
+        return _faulty(old.err_value)
+    return _differences(diff(old.ok_value, loaded.ok_value), [])
+
+
+@command(CHANGE_OPTIONS)
+def apply(call: Call, base: str, *overlays: str) -> Outcome:
+    """Puts the configuration of files in force on the whole fleet."""
+    loaded = load_files(base, overlays)
+    if isinstance(loaded, Err):
+        return _faulty(loaded.err_value)
+    edit = Edit(kind=EditKind.APPLY_CONFIGURATION, configuration=loaded.ok_value)
+    return send_change(call, edit)
+
+
+def load_files(base: str, overlays: tuple[str, ...]) -> Loaded:
+    """Loads and merges files; a directory stands for the files in it."""
+    base_path = Path(base)
+    paths = [Path(overlay) for overlay in overlays]
+    if base_path.is_dir() and not paths:
+        paths = sorted(base_path.glob(OVERLAY_PATTERN))
+        base_path = base_path / BASE_NAME
+    loaded = load_base(base_path)
+    files: list[OverlayFile] = []
+    faults = loaded.err_value if isinstance(loaded, Err) else []
+    for path in paths:
+        overlay = load_overlay(path)
+        if isinstance(overlay, Ok):
+            files.append(overlay.ok_value)
+        else:
+            faults = [*faults, *overlay.err_value]
+    if isinstance(loaded, Ok) and not faults:
+        return merge(loaded.ok_value, files)
+    return Err(faults)
+
+
+def _faulty(faults: list[ConfigurationFault]) -> Outcome:
+    count = f'{len(faults)} faults' if len(faults) > 1 else '1 fault'
+    return Outcome(
+        status=ExitStatus.INVALID_INPUT,
+        lines=[str(fault) for fault in faults],
+        data=faults,
+        error=f'the configuration has {count}',
+    )
+
+
+def _diff_running(call: Call, offered: Configuration) -> Outcome:
+    target = endpoint(call)
+    if isinstance(target, Err):
+        return failure(ExitStatus.USAGE, target.err_value)
+    port = http_operator_port(target.ok_value)
+
+    async def ask() -> Result[Configuration, OperatorError]:
+        return await port.configuration()
+
+    running = asyncio.run(ask())
+    if isinstance(running, Err):
+        return failed_call(running.err_value)
+    combined = replace_configuration(running.ok_value, offered)
+    if isinstance(combined, Err):
+        return failure(ExitStatus.REFUSED, combined.err_value.message)
+    return _differences(
+        diff(running.ok_value, combined.ok_value),
+        kept_by_fleet(offered, combined.ok_value),
+    )
+
+
+def _differences(
+    changes: list[ConfigurationChange], kept: list[ConfigurationChange]
+) -> Outcome:
+    lines = [str(change) for change in changes] or ['no changes']
+    lines += [f'kept by the fleet, files -> in force: {change}' for change in kept]
+    return Outcome(lines=lines, data=changes)
--- /dev/null
+++ b/dandelionknot/_commands_local.py
@@ -0,0 +1,127 @@
+"""Commands of a machine: entry, submit, completion."""
+
+import asyncio
+from pathlib import Path
+
+import fire
+from result import Err
+
+from dandelionknot import codec
+from dandelionknot._command_options import (
+    OUTPUT_OPTIONS,
+    Call,
+    command,
+    read_secret,
+    whole_number,
+)
+from dandelionknot._command_outcomes import Outcome, failed_change, failure
+from dandelionknot._identifiers import REQUEST_ID_BYTES, new_request_id
+from dandelionknot._operator_client import Endpoint, submit_request
+from dandelionknot.configuration import address_problem
+from dandelionknot.exit_status import ExitStatus
+from dandelionknot.messages import RequestBody, RequestPhase
+from dandelionknot.settings import load_entry_settings
+
+# The answer may take until the deadline, and then comes back over the network.
+ANSWER_MARGIN_MS = 2000
+SHELLS = ('bash', 'fish')
+STATUSES_BY_PHASE = {
+    RequestPhase.QUEUED: ExitStatus.PENDING,
+    RequestPhase.RUNNING: ExitStatus.PENDING,
+    RequestPhase.FINISHED: ExitStatus.SUCCESS,
+    RequestPhase.FAILED: ExitStatus.ERROR,
+    RequestPhase.REFUSED: ExitStatus.REFUSED,
+    RequestPhase.CANCELLED: ExitStatus.REFUSED,
+    RequestPhase.UNKNOWN: ExitStatus.UNKNOWN_OUTCOME,
+}
+
+
+@command(OUTPUT_OPTIONS)
+def entry(call: Call, *, settings: str) -> Outcome:
+    """Runs an entry host until it is told to stop."""
+    loaded = load_entry_settings(Path(settings))
+    if isinstance(loaded, Err):
+        return failure(ExitStatus.INVALID_INPUT, str(loaded.err_value))
+    # Imported here so that the operators' commands start without the servers.
+    from dandelionknot.core import run_entry
+
+    return Outcome(status=ExitStatus(run_entry(loaded.ok_value)))
+
+
+@command(OUTPUT_OPTIONS | {'entry': '', 'dry_run': 'False'})
+def submit(
+    call: Call,
+    service: str,
+    payload: str = '',
+    *,
+    key_file: str = '',
+    deadline_ms: str = '10000',
+    idempotent: str = 'False',
+    request_id: str = '',
+    priority: str = 'urgent',
+    mode: str = 'wait',
+) -> Outcome:
+    """Sends a caller's request with a new request id and shows the answer."""
+    if idempotent not in ('True', 'False'):
+        return failure(ExitStatus.INVALID_INPUT, '--idempotent takes no value')
+    deadline = whole_number('--deadline_ms', deadline_ms)
+    if isinstance(deadline, Err):
+        return failure(ExitStatus.INVALID_INPUT, deadline.err_value)
+    random_bytes = call.environment.random_bytes(REQUEST_ID_BYTES)
+    fields = {
+        'request_id': request_id
+        or new_request_id(call.environment.unix_ms(), random_bytes),
+        'service': service,
+        'deadline_ms': deadline.ok_value,
+        'idempotent': idempotent == 'True',
+        'mode': mode,
+        'priority': priority,
+        'payload': payload,
+    }
+    checked = codec.check_fields(fields, RequestBody)
+    if isinstance(checked, Err):
+        problem = checked.err_value
+        return failure(ExitStatus.INVALID_INPUT, f'{problem.field} {problem.problem}')
+    problem_text = address_problem(call.entry)
+    if problem_text:
+        return failure(ExitStatus.USAGE, f'--entry: {problem_text}')
+    key = ''
+    if key_file:
+        read = read_secret(key_file)
+        if isinstance(read, Err):
+            return failure(ExitStatus.INVALID_INPUT, read.err_value)
+        key = read.ok_value
+    request = codec.from_data(fields, RequestBody, 'request').unwrap()
+    if call.dry_run:
+        return Outcome(lines=[f'valid: request {request.request_id}'], data=request)
+    timeout_ms = deadline.ok_value + ANSWER_MARGIN_MS
+    target = Endpoint(address=call.entry, token=key, timeout_ms=timeout_ms)
+    return _submit(target, request)
+
+
+def _submit(target: Endpoint, request: RequestBody) -> Outcome:
+    answer = asyncio.run(submit_request(target, request))
+    if isinstance(answer, Err):
+        remedy = f'repeat with: --request_id {request.request_id}'
+        return failed_change(answer.err_value, remedy)
+    body = answer.ok_value
+    status = STATUSES_BY_PHASE[body.phase]
+    lines = [f'request id: {body.request_id}', f'phase: {body.phase.value}']
+    lines.append(f'run state: {body.run_state.value}')
+    if body.result is not None:
+        lines.append(f'result: {body.result}')
+    return Outcome(status=status, lines=lines, data=body, error=body.message or '')
+
+
+def completion_for(commands: dict) -> object:
+    """Returns the completion command for a tree of commands."""
+
+    @command(OUTPUT_OPTIONS)
+    def completion(call: Call, shell: str = 'bash') -> Outcome:
+        """Prints the completion script for bash or fish."""
+        if shell not in SHELLS:
+            return failure(ExitStatus.USAGE, f'shells are: {", ".join(SHELLS)}')
+        script = fire.completion.Script('dandelionknot', commands, shell=shell)
+        return Outcome(lines=[script], data=script)
+
+    return completion
--- /dev/null
+++ b/dandelionknot/_commands_queries.py
@@ -0,0 +1,201 @@
+"""Commands that ask an entry host: status, why, confirmed, plan show."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+from result import Err
+
+from dandelionknot._command_options import REMOTE_OPTIONS, Call, command, endpoint
+from dandelionknot._command_outcomes import (
+    Outcome,
+    change_outcome,
+    failed_call,
+    failure,
+)
+from dandelionknot._operator_client import OperatorPort, http_operator_port
+from dandelionknot._tables import (
+    pool_summaries,
+    service_summaries,
+    table,
+    team_summaries,
+    zone_summaries,
+)
+from dandelionknot.configuration import Configuration
+from dandelionknot.exit_status import ExitStatus
+from dandelionknot.operators import FleetStatus, JournalEntry, WhyKind
+
+Summarise = Callable[[FleetStatus, Configuration], Sequence[Any]]
+Ask = Callable[[OperatorPort], Awaitable[Outcome]]
+
+SUMMARIES_BY_SUBJECT: dict[str, Summarise] = {
+    'pool': pool_summaries,
+    'team': team_summaries,
+    'zone': zone_summaries,
+    'host': lambda status, _: status.hosts,
+}
+KEY_FIELDS_BY_SUBJECT = {
+    'pool': 'pool',
+    'team': 'team',
+    'zone': 'availability_zone',
+    'host': 'host_id',
+}
+
+
+def _ask(call: Call, ask: Ask) -> Outcome:
+    target = endpoint(call)
+    if isinstance(target, Err):
+        return failure(ExitStatus.USAGE, target.err_value)
+
+    async def run() -> Outcome:
+        return await ask(http_operator_port(target.ok_value))
+
+    return asyncio.run(run())
+
+
+@command(REMOTE_OPTIONS)
+def status(call: Call, subject: str = 'fleet', name: str = '') -> Outcome:
+    """Shows the fleet, or each pool, team, zone or host, or the one named."""
+    if subject == 'fleet' and not name:
+        return _ask(call, _fleet)
+    if subject == 'task' and name:
+        return _ask(call, lambda port: _task(port, name))
+    if subject in SUMMARIES_BY_SUBJECT:
+        return _ask(call, lambda port: _summaries(port, subject, name))
+    subjects = ', '.join(['fleet', *SUMMARIES_BY_SUBJECT, 'task ID'])
+    return failure(ExitStatus.USAGE, f'status shows one of: {subjects}')
+
+
+async def _fleet(port: OperatorPort) -> Outcome:
+    fleet, running = await asyncio.gather(port.status(), port.configuration())
+    if isinstance(fleet, Err):
+        return failed_call(fleet.err_value)
+    if isinstance(running, Err):
+        return failed_call(running.err_value)
+    shown = fleet.ok_value
+    lines = [
+        f'configuration version: {shown.version}',
+        f'last platform contact: {_age(shown.platform_age_ms)}',
+        '',
+        *table(shown.members),
+        '',
+        *table(service_summaries(shown, running.ok_value)),
+        '',
+        *table(team_summaries(shown, running.ok_value)),
+    ]
+    return Outcome(lines=lines, data=shown)
+
+
+def _age(age_ms: int | None) -> str:
+    return 'unknown' if age_ms is None else f'{age_ms} ms ago'
+
+
+async def _summaries(port: OperatorPort, subject: str, name: str) -> Outcome:
+    fleet, running = await asyncio.gather(port.status(), port.configuration())
+    if isinstance(fleet, Err):
+        return failed_call(fleet.err_value)
+    if isinstance(running, Err):
+        return failed_call(running.err_value)
+    rows = SUMMARIES_BY_SUBJECT[subject](fleet.ok_value, running.ok_value)
+    if name:
+        key = KEY_FIELDS_BY_SUBJECT[subject]
+        rows = [row for row in rows if getattr(row, key) == name]
+        if not rows:
+            message = f'{subject} {name!r} does not exist'
+            return failure(ExitStatus.INVALID_INPUT, message)
+    return Outcome(lines=table(rows), data=rows)
+
+
+async def _task(port: OperatorPort, task_id: str) -> Outcome:
+    report = await port.why(WhyKind.TASK, task_id)
+    if isinstance(report, Err):
+        return failed_call(report.err_value)
+    task = report.ok_value.task
+    if task is None:
+        message = f'the entry host does not know task {task_id!r}'
+        return failure(ExitStatus.INVALID_INPUT, message)
+    return Outcome(lines=table([task]), data=task)
+
+
+@command(REMOTE_OPTIONS)
+def why(call: Call, kind: str, name: str) -> Outcome:
+    """Shows the decisions about a task, host, team, service, zone or change."""
+    wanted = WhyKind.AVAILABILITY_ZONE.value if kind == 'zone' else kind
+    kinds = [known.value for known in WhyKind]
+    if wanted not in kinds:
+        return failure(ExitStatus.USAGE, f'why explains one of: {", ".join(kinds)}')
+
+    async def ask(port: OperatorPort) -> Outcome:
+        report = await port.why(WhyKind(wanted), name)
+        if isinstance(report, Err):
+            return failed_call(report.err_value)
+        entries = report.ok_value.entries
+        lines = [_journal_line(entry) for entry in entries]
+        return Outcome(lines=lines or ['no decisions known'], data=report.ok_value)
+
+    return _ask(call, ask)
+
+
+def _journal_line(entry: JournalEntry) -> str:
+    at = datetime.fromtimestamp(entry.at_unix_ms / 1000, UTC)
+    stamp = at.isoformat(timespec='milliseconds').replace('+00:00', 'Z')
+    return f'{stamp} {entry.member_id} [{entry.event}] {entry.text}'
+
+
+@command(REMOTE_OPTIONS)
+def confirmed(call: Call, change_id: str) -> Outcome:
+    """Asks whether a change is in force everywhere."""
+
+    async def ask(port: OperatorPort) -> Outcome:
+        report = await port.change_report(change_id)
+        if isinstance(report, Err):
+            return failed_call(report.err_value)
+        return change_outcome(report.ok_value)
+
+    return _ask(call, ask)
+
+
+@command(REMOTE_OPTIONS)
+def plan_show(call: Call, plan_id: str = '') -> Outcome:
+    """Shows all maintenance plans, or the hosts of one."""
+
+    async def ask(port: OperatorPort) -> Outcome:
+        running = await port.configuration()
+        if isinstance(running, Err):
+            return failed_call(running.err_value)
+        return _plans(running.ok_value, plan_id)
+
+    return _ask(call, ask)
+
+
+def _plans(configuration: Configuration, plan_id: str) -> Outcome:
+    plans_by_id = configuration.maintenance_plans_by_id
+    if not plan_id:
+        lines = [
+            f'{name}: {plan.state.value}, {len(plan.done)} of {len(plan.hosts)} done'
+            for name, plan in plans_by_id.items()
+        ]
+        return Outcome(lines=lines or ['(none)'], data=plans_by_id)
+    plan = plans_by_id.get(plan_id)
+    if plan is None:
+        message = f'plan {plan_id!r} does not exist'
+        return failure(ExitStatus.INVALID_INPUT, message)
+    lines = [f'state: {plan.state.value}']
+    for host_id in plan.hosts:
+        lines.append(f'{host_id}: {"done" if host_id in plan.done else "waiting"}')
+    return Outcome(lines=lines, data=plan)
+
+
+@command(REMOTE_OPTIONS)
+def histograms(call: Call) -> Outcome:
+    """Shows the latency histograms of the entry host."""
+
+    async def ask(port: OperatorPort) -> Outcome:
+        report = await port.histograms()
+        if isinstance(report, Err):
+            return failed_call(report.err_value)
+        rows = report.ok_value.histograms
+        return Outcome(lines=table(rows), data=rows)
+
+    return _ask(call, ask)
--- /dev/null
+++ b/dandelionknot/_operator_client.py
@@ -0,0 +1,179 @@
+"""HTTP client of the operator API and of a caller's request."""
+
+import errno
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+
+from dandelionknot import codec
+from dandelionknot.configuration import Configuration
+from dandelionknot.messages import AnswerBody, ErrorCode, Refusal, RequestBody
+from dandelionknot.operators import (
+    ChangeReport,
+    ChangeRequest,
+    FleetStatus,
+    HistogramReport,
+    WhyKind,
+    WhyReport,
+)
+from dandelionknot.ports import PortErrorKind
+
+CONNECT_TIMEOUT_MS = 2000
+# A configuration of 660 hosts is below 1 MB; the status of as many is smaller.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+SERVER_ERROR_STATUS = 500
+NOT_CONNECTED_ERRNOS = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
+# tornado reports both time-outs with one class and only the text differs.
+BEFORE_CONNECTED = ('while connecting', 'in request queue')
+
+B = TypeVar('B')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorError:
+    """A call without a usable answer; `code` is set if the entry host refused."""
+
+    kind: PortErrorKind
+    message: str
+    code: ErrorCode | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorPort:
+    """The operator API of one entry host."""
+
+    configuration: Callable[[], Awaitable[Result[Configuration, OperatorError]]]
+    status: Callable[[], Awaitable[Result[FleetStatus, OperatorError]]]
+    change: Callable[[ChangeRequest], Awaitable[Result[ChangeReport, OperatorError]]]
+    change_report: Callable[[str], Awaitable[Result[ChangeReport, OperatorError]]]
+    why: Callable[[WhyKind, str], Awaitable[Result[WhyReport, OperatorError]]]
+    histograms: Callable[[], Awaitable[Result[HistogramReport, OperatorError]]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """An address `IP:PORT`, the bearer token sent to it, and the time for a call."""
+
+    address: str
+    token: str
+    timeout_ms: int
+
+
+def http_operator_port(endpoint: Endpoint) -> OperatorPort:
+    """Returns the operator API over HTTP; each call opens a connection."""
+
+    async def configuration() -> Result[Configuration, OperatorError]:
+        return await _call(endpoint, 'GET', '/v1/configuration', Configuration)
+
+    async def status() -> Result[FleetStatus, OperatorError]:
+        return await _call(endpoint, 'GET', '/v1/status', FleetStatus)
+
+    async def change(request: ChangeRequest) -> Result[ChangeReport, OperatorError]:
+        body = codec.encode_json(request)
+        return await _call(endpoint, 'POST', '/v1/changes', ChangeReport, body)
+
+    async def change_report(change_id: str) -> Result[ChangeReport, OperatorError]:
+        path = f'/v1/changes/{quote(change_id, safe="")}'
+        return await _call(endpoint, 'GET', path, ChangeReport)
+
+    async def why(kind: WhyKind, name: str) -> Result[WhyReport, OperatorError]:
+        path = f'/v1/why/{kind.value}/{quote(name, safe="")}'
+        return await _call(endpoint, 'GET', path, WhyReport)
+
+    async def histograms() -> Result[HistogramReport, OperatorError]:
+        return await _call(endpoint, 'GET', '/v1/histograms', HistogramReport)
+
+    return OperatorPort(
+        configuration=configuration,
+        status=status,
+        change=change,
+        change_report=change_report,
+        why=why,
+        histograms=histograms,
+    )
+
+
+async def submit_request(
+    endpoint: Endpoint, request: RequestBody
+) -> Result[AnswerBody, OperatorError]:
+    """Sends a caller's request; an empty token suits queues open to all."""
+    body = codec.encode_json(request)
+    return await _call(endpoint, 'POST', '/v1/requests', AnswerBody, body)
+
+
+async def _call(
+    endpoint: Endpoint,
+    method: str,
+    path: str,
+    cls: type[B],
+    body: bytes | None = None,
+) -> Result[B, OperatorError]:
+    where = f'entry host {endpoint.address}'
+    headers = {'Content-Type': 'application/json'} if body is not None else {}
+    if endpoint.token:
+        headers['Authorization'] = f'Bearer {endpoint.token}'
+    request = HTTPRequest(
+        f'http://{endpoint.address}{path}',
+        method=method,
+        headers=headers,
+        body=body,
+        connect_timeout=min(CONNECT_TIMEOUT_MS, endpoint.timeout_ms) / 1000,
+        request_timeout=endpoint.timeout_ms / 1000,
+        # The token must not follow a redirect to another host.
+        follow_redirects=False,
+    )
+    client = AsyncHTTPClient(force_instance=True, max_body_size=MAX_ANSWER_BYTES)
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except (OSError, HTTPClientError, ValueError) as error:
+        return Err(_transport_error(where, error))
+    finally:
+        client.close()
+    return _decoded(where, response.code, response.body, cls)
+
+
+def _transport_error(where: str, error: BaseException) -> OperatorError:
+    text = str(error)
+    if isinstance(error, HTTPTimeoutError):
+        sent = not any(words in text for words in BEFORE_CONNECTED)
+        problem = 'did not answer in time' if sent else 'could not be reached in time'
+    elif isinstance(error, HTTPStreamClosedError):
+        sent, problem = True, 'closed the connection without an answer'
+    elif isinstance(error, OSError):
+        # A connection that is reset after the request was sent is an OSError too.
+        sent = error.errno not in NOT_CONNECTED_ERRNOS
+        problem = 'dropped the connection' if sent else 'cannot be reached'
+    else:
+        sent, problem = True, f'gave no usable answer: {text}'
+    kind = PortErrorKind.NO_ANSWER if sent else PortErrorKind.NOT_SENT
+    return OperatorError(kind=kind, message=f'{where} {problem}')
+
+
+def _decoded(
+    where: str, status: int, body: bytes, cls: type[B]
+) -> Result[B, OperatorError]:
+    if 200 <= status < 300:
+        answer = codec.decode_json(body, cls, where)
+        if isinstance(answer, Ok):
+            return answer
+        message = f'answer of {answer.err_value}'
+        return Err(OperatorError(kind=PortErrorKind.MALFORMED, message=message))
+    refusal = codec.decode_json(body, Refusal, where)
+    if isinstance(refusal, Ok):
+        return Err(
+            OperatorError(
+                kind=PortErrorKind.REJECTED,
+                message=refusal.ok_value.message,
+                code=refusal.ok_value.code,
+            )
+        )
+    # A server error without a typed refusal says nothing about what was done.
+    failed = status >= SERVER_ERROR_STATUS
+    kind = PortErrorKind.NO_ANSWER if failed else PortErrorKind.REJECTED
+    message = f'{where} answered with HTTP status {status}'
+    return Err(OperatorError(kind=kind, message=message))
