--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -10,6 +10,7 @@
     '^[a-z0-9][a-z0-9-]{0,62}$': re.compile('^[a-z0-9][a-z0-9-]{0,62}\\Z'),
     '^[0-9.]{7,15}:[0-9]{1,5}$': re.compile('^[0-9.]{7,15}:[0-9]{1,5}\\Z'),
     '^[0-9.]{7,15}$': re.compile('^[0-9.]{7,15}\\Z'),
+    '^[0-9]{1,2}$': re.compile('^[0-9]{1,2}\\Z'),
     '^[0-9a-f]{32}$': re.compile('^[0-9a-f]{32}\\Z'),
     '^[0-9a-f]{64}$': re.compile('^[0-9a-f]{64}\\Z'),
     '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$': re.compile('^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}\\Z')
@@ -805,12 +806,12 @@
 
 def validate____defs_slicemap(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None, 'doubt_until_by_slice': None}, 'required': ['owners']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['owners']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None, 'doubt_until_by_slice': None}, 'required': ['owners']}, rule='required')
         data_keys = set(data.keys())
         if "owners" in data_keys:
             data_keys.remove("owners")
@@ -835,8 +836,38 @@
             if isinstance(data__epoch, (int, float, Decimal)) and not isinstance(data__epoch, bool):
                 if data__epoch < 0:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".epoch must be bigger than or equal to 0", value=data__epoch, name="" + (name_prefix or "data") + ".epoch", definition={}, rule='minimum')
+        if "doubt_until_by_slice" in data_keys:
+            data_keys.remove("doubt_until_by_slice")
+            data__doubtuntilbyslice = data["doubt_until_by_slice"]
+            if not isinstance(data__doubtuntilbyslice, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be object", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='type')
+            data__doubtuntilbyslice_is_dict = isinstance(data__doubtuntilbyslice, dict)
+            if data__doubtuntilbyslice_is_dict:
+                data__doubtuntilbyslice_len = len(data__doubtuntilbyslice)
+                if data__doubtuntilbyslice_len > 64:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must contain less than or equal to 64 properties", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='maxProperties')
+                data__doubtuntilbyslice_keys = set(data__doubtuntilbyslice.keys())
+                for data__doubtuntilbyslice_key in data__doubtuntilbyslice_keys:
+                    if data__doubtuntilbyslice_key not in []:
+                        data__doubtuntilbyslice_value = data__doubtuntilbyslice.get(data__doubtuntilbyslice_key)
+                        if not isinstance(data__doubtuntilbyslice_value, (int)) and not (isinstance(data__doubtuntilbyslice_value, float) and data__doubtuntilbyslice_value.is_integer()) or isinstance(data__doubtuntilbyslice_value, bool):
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice.{data__doubtuntilbyslice_key}".format(**locals()) + " must be integer", value=data__doubtuntilbyslice_value, name="" + (name_prefix or "data") + ".doubt_until_by_slice.{data__doubtuntilbyslice_key}".format(**locals()) + "", definition={}, rule='type')
+                        if isinstance(data__doubtuntilbyslice_value, (int, float, Decimal)) and not isinstance(data__doubtuntilbyslice_value, bool):
+                            if data__doubtuntilbyslice_value < 0:
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice.{data__doubtuntilbyslice_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__doubtuntilbyslice_value, name="" + (name_prefix or "data") + ".doubt_until_by_slice.{data__doubtuntilbyslice_key}".format(**locals()) + "", definition={}, rule='minimum')
+                if data__doubtuntilbyslice_len != 0:
+                    data__doubtuntilbyslice_property_names = True
+                    for data__doubtuntilbyslice_key in data__doubtuntilbyslice:
+                        try:
+                            if isinstance(data__doubtuntilbyslice_key, str):
+                                if not REGEX_PATTERNS['^[0-9]{1,2}$'].search(data__doubtuntilbyslice_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must match pattern ^[0-9]{1,2}$", value=data__doubtuntilbyslice_key, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__doubtuntilbyslice_property_names = False
+                    if not data__doubtuntilbyslice_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be named by propertyName definition", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None}, 'required': ['owners']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None, 'doubt_until_by_slice': None}, 'required': ['owners']}, rule='additionalProperties')
     return data
 
 def validate____defs_grantrecord(data, custom_formats={}, name_prefix=None):
