--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,11 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy dandelionknot standins tools
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python tools/generate_docs.py --check
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/generate_docs.py
 
 format: $(READY)
 	$(BIN)/ruff format .
--- a/dandelionknot/_commands.py
+++ b/dandelionknot/_commands.py
@@ -116,18 +116,19 @@
     """Returns one line and one explanation for each command that fits the words."""
     words = ' '.join(word for word in argv if word not in HELP_FLAGS)
     lines: list[str] = []
-    for name, function in _leaves(COMMANDS, ''):
+    for name, function in leaves(COMMANDS):
         if name == words or name.startswith(f'{words} ') or not words:
             lines.append(f'{PROGRAM} {name}{_usage(function)}')
             lines.append(f'    {inspect.getdoc(function)}')
     return lines
 
 
-def _leaves(tree: Mapping[str, Any], prefix: str) -> Iterator[tuple[str, Any]]:
+def leaves(tree: Mapping[str, Any], prefix: str = '') -> Iterator[tuple[str, Any]]:
+    """Yields the full name and the function of each command."""
     for word, node in tree.items():
         name = f'{prefix} {word}'.strip()
         if isinstance(node, dict):
-            yield from _leaves(node, name)
+            yield from leaves(node, name)
         else:
             yield name, node
 
--- a/dandelionknot/_commands_local.py
+++ b/dandelionknot/_commands_local.py
@@ -82,6 +82,11 @@
     if isinstance(checked, Err):
         problem = checked.err_value
         return failure(ExitStatus.INVALID_INPUT, f'{problem.field} {problem.problem}')
+    request = codec.from_data(fields, RequestBody, 'request').unwrap()
+    if call.dry_run:
+        return Outcome(lines=[f'valid: request {request.request_id}'], data=request)
+    if not call.entry:
+        return failure(ExitStatus.USAGE, '--entry IP:PORT is missing')
     problem_text = address_problem(call.entry)
     if problem_text:
         return failure(ExitStatus.USAGE, f'--entry: {problem_text}')
@@ -91,9 +96,6 @@
         if isinstance(read, Err):
             return failure(ExitStatus.INVALID_INPUT, read.err_value)
         key = read.ok_value
-    request = codec.from_data(fields, RequestBody, 'request').unwrap()
-    if call.dry_run:
-        return Outcome(lines=[f'valid: request {request.request_id}'], data=request)
     timeout_ms = deadline.ok_value + ANSWER_MARGIN_MS
     target = Endpoint(address=call.entry, token=key, timeout_ms=timeout_ms)
     return _submit(target, request)
--- a/dandelionknot/cli.py
+++ b/dandelionknot/cli.py
@@ -9,7 +9,7 @@
 
 from dandelionknot import codec
 from dandelionknot._command_options import Environment, Finished, run
-from dandelionknot._command_outcomes import failure
+from dandelionknot._command_outcomes import Outcome, failure
 from dandelionknot._commands import HELP_FLAGS, PROGRAM, help_lines, parse
 from dandelionknot.exit_status import ExitStatus
 
@@ -29,8 +29,7 @@
     """
     words = list(sys.argv[1:] if argv is None else argv)
     if any(word in HELP_FLAGS for word in words):
-        print('\n'.join(help_lines(words)))
-        return ExitStatus.SUCCESS
+        return _show(Finished(outcome=_help(words), json=False))
     parsed = parse(words)
     if isinstance(parsed, Err):
         outcome = failure(ExitStatus.USAGE, parsed.err_value)
@@ -42,6 +41,14 @@
     return _show(finished)
 
 
+def _help(words: list[str]) -> Outcome:
+    lines = help_lines(words)
+    if lines:
+        return Outcome(lines=lines)
+    name = ' '.join(word for word in words if word not in HELP_FLAGS)
+    return failure(ExitStatus.USAGE, f'no command begins with {name!r}')
+
+
 def _show(finished: Finished) -> ExitStatus:
     outcome = finished.outcome
     if finished.json and outcome.data is not None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -229,6 +229,7 @@
             ('chekc', usage, "unknown command 'chekc'"),
             ('key', usage, 'key needs one of: give, withdraw'),
             ('key lend', usage, "unknown command 'key lend'"),
+            ('chekc --help', usage, "no command begins with 'chekc'"),
             ('check', usage, 'argument base is missing'),
             ('drain a b', usage, "unexpected argument 'b'"),
             ('drain a --force', usage, "unexpected argument '--force'"),
