--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,12 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy dandelionknot standins tools
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python tools/generate_docs.py --check
 	$(BIN)/python -m tools.generate_catalogues --check
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/generate_docs.py
 	$(BIN)/python -m tools.generate_catalogues
 
 format: $(READY)
