--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,236 @@
+"""Guards against answers of other requests, cut answers and a false "not run"."""
+
+import hashlib
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err, Ok
+
+from dandelionknot import _outcomes
+from dandelionknot._outcomes import (
+    AnswerMismatch,
+    Cancelled,
+    ConnectionLost,
+    DeadlinePassed,
+    LeaseLost,
+    ReportMalformed,
+    ReportReceived,
+    RequestState,
+    StartNotSent,
+    StartRefused,
+)
+from dandelionknot.messages import (
+    AnswerBody,
+    ErrorCode,
+    RunState,
+    StartRefusal,
+    TaskReport,
+    TaskState,
+)
+
+REQUEST_ID = '01900000-0000-7000-8000-000000000001'
+TASK = _outcomes.new_task_id(REQUEST_ID, 1, bytes(6))
+OTHER = _outcomes.new_task_id(REQUEST_ID, 2, bytes(6))
+NUMBER = strategies.integers(0, 63)
+
+
+def make_report(task_id=TASK, state=TaskState.FINISHED, result='größe', **changes):
+    data = (result or '').encode()
+    report = TaskReport(task_id=task_id, state=state, start_token='t', result=result)
+    if result is not None:
+        digest = hashlib.sha256(data).hexdigest()
+        report = replace(report, result_length=len(data), result_digest=digest)
+    return replace(report, **changes)
+
+
+def received(task_id=TASK, answers_stop=False, **fields):
+    report = make_report(**fields)
+    return ReportReceived(task_id=task_id, report=report, answers_stop=answers_stop)
+
+
+NEVER = {'state': TaskState.NEVER_STARTED, 'result': None}
+RUNNING = {'state': TaskState.RUNNING, 'result': None}
+BUSY = StartRefused(task_id=TASK, refusal=StartRefusal.BUSY)
+CANNOT_FIT = StartRefused(task_id=TASK, refusal=StartRefusal.CANNOT_FIT)
+NOT_SENT, LOST = StartNotSent(task_id=TASK), ConnectionLost(task_id=TASK)
+LATE = DeadlinePassed(task_id=TASK, start_sent=True)
+STOPPED = received(answers_stop=True, **NEVER)
+
+
+class OutcomeTest(unittest.TestCase):
+    def test_fault_cases(self):
+        """Guards against a refusal whose run state or code is wrong."""
+        no, ran, unknown = RunState.NOT_RUN, RunState.RAN, RunState.UNKNOWN
+        codes = ErrorCode
+        cases = [
+            ([NOT_SENT], no, codes.NO_HOST_AVAILABLE),
+            ([BUSY], no, codes.NO_HOST_AVAILABLE),
+            ([CANNOT_FIT], no, codes.TASK_CANNOT_FIT),
+            ([LOST], unknown, codes.OUTCOME_UNKNOWN),
+            ([], unknown, codes.OUTCOME_UNKNOWN),
+            ([ReportMalformed(task_id=TASK)], unknown, codes.OUTCOME_UNKNOWN),
+            ([LeaseLost(task_id=TASK)], unknown, codes.OUTCOME_UNKNOWN),
+            ([DeadlinePassed(task_id=TASK)], no, codes.DEADLINE_PASSED),
+            ([LATE], unknown, codes.DEADLINE_PASSED),
+            ([BUSY, LATE], no, codes.DEADLINE_PASSED),
+            ([Cancelled(task_id=TASK)], no, codes.CANCELLED),
+            ([Cancelled(task_id=TASK, start_sent=True)], unknown, codes.CANCELLED),
+            ([received(**NEVER)], unknown, codes.OUTCOME_UNKNOWN),
+            ([STOPPED], no, codes.NO_HOST_AVAILABLE),
+            ([LOST, STOPPED], no, codes.NO_HOST_AVAILABLE),
+            ([LOST, BUSY], unknown, codes.OUTCOME_UNKNOWN),
+            ([LOST, NOT_SENT], unknown, codes.OUTCOME_UNKNOWN),
+            ([BUSY, LOST], unknown, codes.OUTCOME_UNKNOWN),
+            ([LOST, received(**RUNNING), STOPPED], ran, codes.OUTCOME_UNKNOWN),
+            ([LOST, received(result_length=9)], ran, codes.OUTCOME_UNKNOWN),
+            ([LOST, received(OTHER)], unknown, codes.OUTCOME_UNKNOWN),
+            (
+                [LOST, received(task_id=OTHER, answers_stop=True, **NEVER)],
+                unknown,
+                None,
+            ),
+        ]
+        for events, run_state, code in cases:
+            with self.subTest(events=events):
+                request = RequestState(
+                    request_id=REQUEST_ID, hosts_by_task={TASK: 'host-1'}
+                )
+                refusal = _outcomes.decide_answer(request, events)
+                self.assertIs(refusal.run_state, run_state)
+                self.assertEqual(refusal.code, code or refusal.code)
+
+    def test_scope_of_a_refusal(self):
+        """Guards against "not run" while another attempt or entry host may run it."""
+        tasks = {TASK: 'host-1', OTHER: 'host-2'}
+        cases = [({}, True, RunState.NOT_RUN), ({}, False, RunState.UNKNOWN)]
+        cases += [(tasks, True, RunState.UNKNOWN)]
+        for hosts_by_task, speaks_for_id, expected in cases:
+            with self.subTest(tasks=len(hosts_by_task), speaks_for_id=speaks_for_id):
+                request = RequestState(
+                    request_id=REQUEST_ID,
+                    speaks_for_id=speaks_for_id,
+                    hosts_by_task=hosts_by_task,
+                )
+                refusal = _outcomes.decide_answer(request, [NOT_SENT])
+                self.assertIs(refusal.run_state, expected)
+
+    def test_answer_of_a_task_of_another_request(self):
+        """Guards against a result that reaches the caller of another request."""
+        request = RequestState(request_id='other', hosts_by_task={OTHER: 'host-1'})
+        refusal = _outcomes.decide_answer(request, [received()])
+        self.assertIs(refusal.run_state, RunState.UNKNOWN)
+
+    def test_whole_answers(self):
+        """Guards against a cut, changed or crossed result that is passed on."""
+        mismatch = AnswerMismatch
+        cases = [
+            ({}, None),
+            ({'result': ''}, None),
+            ({'task_id': OTHER}, mismatch.OTHER_TASK),
+            ({'result': None}, mismatch.RESULT_MISSING),
+            ({'state': TaskState.FAILED, 'result': None}, None),
+            (RUNNING | {'result_length': 5}, mismatch.RESULT_MISSING),
+            ({'result_length': 5}, mismatch.LENGTH),
+            ({'result_length': None}, mismatch.LENGTH),
+            ({'result_digest': None}, mismatch.DIGEST),
+            ({'result_digest': '0' * 64}, mismatch.DIGEST),
+        ]
+        for fields, expected in cases:
+            with self.subTest(fields=fields):
+                outcome = _outcomes.answer_matches(TASK, 1, make_report(**fields))
+                self.assertEqual(outcome, Err(expected) if expected else Ok(None))
+        outcome = _outcomes.answer_matches(TASK, 2, make_report())
+        self.assertEqual(outcome, Err(mismatch.OTHER_ATTEMPT))
+
+
+class AnswerMachine(RuleBasedStateMachine):
+    """Three requests whose starts and reports are late, crossed, cut or doubled.
+
+    The oracle knows which tasks ran and what each of them answered.
+    """
+
+    seen: Counter = Counter()
+
+    def __init__(self):
+        super().__init__()
+        self.requests = [RequestState(request_id=f'request-{n}') for n in range(3)]
+        self.events = {request.request_id: [] for request in self.requests}
+        self.tasks, self.on_the_way, self.ran, self.barred = [], [], set(), set()
+        self.told_not_run = set()
+
+    def note(self, task_id, event):
+        self.events[task_id.split('.')[0]].append(event)
+
+    @rule(
+        number=NUMBER, fate=strategies.sampled_from(['unsent', 'late', 'runs', 'busy'])
+    )
+    def start(self, number, fate):
+        request = self.requests[number % 3]
+        attempt = len(request.hosts_by_task) + 1
+        task_id = _outcomes.new_task_id(request.request_id, attempt, bytes(6))
+        request.hosts_by_task[task_id] = 'host-1'
+        self.tasks.append(task_id)
+        if fate == 'unsent':
+            self.note(task_id, StartNotSent(task_id=task_id))
+        elif fate == 'busy':
+            self.note(task_id, StartRefused(task_id=task_id, refusal=StartRefusal.BUSY))
+        else:
+            self.on_the_way.append(task_id)
+            if fate == 'runs':
+                self.arrive(-1)
+            self.note(task_id, ConnectionLost(task_id=task_id))
+
+    @rule(number=NUMBER)
+    def arrive(self, number):
+        if self.on_the_way:
+            task_id = self.on_the_way.pop(number % len(self.on_the_way))
+            if task_id not in self.barred:
+                self.ran.add(task_id)
+
+    @rule(
+        number=NUMBER,
+        other=NUMBER,
+        fault=strategies.sampled_from(['', '', 'cut', 'crossed', 'twice']),
+        stops=strategies.booleans(),
+    )
+    def ask(self, number, other, fault, stops):
+        if not self.tasks:
+            return
+        task_id = self.tasks[number % len(self.tasks)]
+        source = self.tasks[other % len(self.tasks)] if fault == 'crossed' else task_id
+        report = make_report(source, result=f'result of {source}')
+        if source not in self.ran:
+            report = make_report(source, **NEVER)
+            self.barred |= {source} if stops else set()
+        elif fault == 'cut':
+            report = replace(report, result=report.result[:-1])
+        for _ in range(1 + (fault == 'twice')):
+            event = ReportReceived(task_id=task_id, report=report, answers_stop=stops)
+            self.note(task_id, event)
+
+    @invariant()
+    def answers_are_whole_and_true(self):
+        for request in self.requests:
+            events = self.events[request.request_id]
+            answer = _outcomes.decide_answer(request, events)
+            self.seen[str(answer.run_state)] += 1
+            ran = self.ran & set(request.hosts_by_task)
+            if isinstance(answer, AnswerBody):
+                self.seen['answer'] += 1
+                assert answer.result in {f'result of {one}' for one in ran}, answer
+            elif answer.run_state is RunState.NOT_RUN and request.hosts_by_task:
+                may_run = set(self.on_the_way) & set(request.hosts_by_task)
+                assert not ran and not may_run - self.barred, answer
+            else:
+                assert answer.run_state is not RunState.RAN or ran, answer
+
+
+class AnswerMachineTest(AnswerMachine.TestCase):
+    """Guards against answers that reach the wrong caller or are not whole."""
+
+    settings = settings(
+        derandomize=True, deadline=None, database=None, max_examples=150
+    )
