--- a/dandelionknot/_backend_link.py
+++ b/dandelionknot/_backend_link.py
@@ -14,15 +14,21 @@
 from dandelionknot.messages import (
     AttemptEnd,
     AttemptEnded,
+    DrainOrder,
+    FollowOrder,
+    HostRebooted,
     HostSilent,
     HostUsage,
     LeaseRenewal,
+    RebootOrder,
+    RenewUntil,
     StartCheck,
     StartOrder,
     StartRefusal,
     StopOrder,
     StopService,
     TaskReport,
+    TaskStart,
     TaskState,
 )
 from dandelionknot.ports import BackendPort, PortError, PortErrorKind
@@ -55,6 +61,7 @@
     reachable: bool = True
     last_heard_ms: int = 0
     last_used_ms: int = 0
+    renew_until_ms: int = 0
     lost: asyncio.Event = field(default_factory=asyncio.Event)
 
     def heard(self) -> None:
@@ -91,7 +98,9 @@
         return usage
     link.heard()
     link.keep_token(usage.ok_value.start_token, asked_ms)
-    link.dispatcher.send(HostUsage(host_id=link.host_id, usage=usage.ok_value))
+    link.dispatcher.send(
+        HostUsage(host_id=link.host_id, asked_ms=asked_ms, usage=usage.ok_value)
+    )
     return Ok(None)
 
 
@@ -120,10 +129,11 @@
     """
     if link.token_is_usable() and link.token_received_ms <= order.checked_at_ms:
         return None
-    refreshed = await _refresh_token(link)
-    if isinstance(refreshed, Err):
-        link.not_heard()
-        return refreshed.err_value.message
+    if not link.token_is_usable():
+        refreshed = await _refresh_token(link)
+        if isinstance(refreshed, Err):
+            link.not_heard()
+            return refreshed.err_value.message
     check = StartCheck(request_id=order.task.request_id)
     allowed = await link.dispatcher.ask(check)
     if isinstance(allowed, Err) or not allowed.ok_value:
@@ -150,6 +160,8 @@
             link.keep_token(started.ok_value.start_token, asked_ms)
             if started.ok_value.refusal is StartRefusal.STALE_TOKEN:
                 link.token = ''
+                if order.sent_once:
+                    return _end(order, link, AttemptEnd.REFUSED, started.ok_value)
                 continue
             return await _follow(link, order, started.ok_value)
         if started.err_value.kind is PortErrorKind.NOT_SENT:
@@ -255,11 +267,57 @@
     await link.port.stop(order.task_id)
 
 
+async def _drain(link: _Link, order: DrainOrder) -> None:
+    asked_ms = now_ms()
+    answer = await link.port.drain(order.draining)
+    if isinstance(answer, Err):
+        link.not_heard()
+        return
+    link.heard()
+    report = answer.ok_value
+    link.dispatcher.send(
+        HostUsage(host_id=link.host_id, asked_ms=asked_ms, usage=report)
+    )
+
+
+async def _reboot(link: _Link) -> None:
+    answer = await link.port.reboot()
+    if isinstance(answer, Ok):
+        link.dispatcher.send(HostRebooted(host_id=link.host_id))
+
+
+async def _follow_other(link: _Link, order: FollowOrder) -> None:
+    """Finds out what became of a task that another entry host may have started."""
+    start = StartOrder(
+        host_id=link.host_id,
+        task=TaskStart(
+            task_id=order.task_id,
+            request_id=order.request_id,
+            attempt=order.attempt,
+            service='',
+            team='',
+            pool_epoch=0,
+            start_token='',
+            lease_ms=link.lease_ms,
+            payload='',
+        ),
+        deadline_at_ms=order.until_ms,
+        checked_at_ms=0,
+        settle_until_ms=order.until_ms,
+    )
+    link.running_by_task[order.task_id] = start
+    try:
+        ended = await _settle(link, start)
+    finally:
+        link.running_by_task.pop(order.task_id, None)
+    await link.dispatcher.deliver(ended)
+
+
 async def _renew_leases(link: _Link) -> None:
     while True:
         await asyncio.sleep(seconds(link.lease_ms / LEASE_RENEWALS_PER_LEASE))
         task_ids = sorted(link.running_by_task)
-        if not task_ids:
+        if not task_ids or now_ms() >= link.renew_until_ms:
             continue
         asked_ms = now_ms()
         renewal = LeaseRenewal(task_ids=task_ids, lease_ms=link.lease_ms)
@@ -297,6 +355,22 @@
     link.not_heard()
 
 
+async def _carry_out(link: _Link, order: object) -> None:
+    match order:
+        case StartOrder():
+            await _attempt(link, order)
+        case FollowOrder():
+            await _follow_other(link, order)
+        case StopOrder():
+            await _stop(link, order)
+        case DrainOrder():
+            await _drain(link, order)
+        case RebootOrder():
+            await _reboot(link)
+        case RenewUntil():
+            link.renew_until_ms = order.until_ms
+
+
 async def run_backend_link(
     host_id: str,
     port: BackendPort,
@@ -319,13 +393,11 @@
             message = await mailbox.receive()
             if isinstance(message, StopService):
                 break
-            if isinstance(message, StartOrder):
-                link.last_used_ms = now_ms()
-                attempt = group.create_task(_attempt(link, message))
-                attempts.add(attempt)
-                attempt.add_done_callback(attempts.discard)
-            elif isinstance(message, StopOrder):
-                group.create_task(_stop(link, message))
+            link.last_used_ms = now_ms()
+            task = group.create_task(_carry_out(link, message))
+            if isinstance(message, (StartOrder, FollowOrder)):
+                attempts.add(task)
+                task.add_done_callback(attempts.discard)
         if attempts:
             await asyncio.wait(attempts)
         for task in upkeep:
--- /dev/null
+++ b/dandelionknot/_changes.py
@@ -0,0 +1,287 @@
+"""Task that writes changes of the configuration to the platform."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from dandelionknot import codec, decisions
+from dandelionknot._mailbox import Call, Mailbox
+from dandelionknot._platform_sync import CONFIGURATION_KEY
+from dandelionknot.clock import now_ms, unix_ms
+from dandelionknot.configuration import Configuration, diff
+from dandelionknot.events import Event, log_event
+from dandelionknot.messages import (
+    AcceptanceQuery,
+    ChangeFinished,
+    ChangeQuery,
+    ConfigurationOffer,
+    FleetChange,
+    OperatorChange,
+    WriteOutcome,
+    WriteRequest,
+)
+from dandelionknot.operators import (
+    ChangeOutcome,
+    ChangeReport,
+    OutsideDecisions,
+    apply_edit,
+)
+from dandelionknot.ports import PlatformPort, PortError
+
+READ_BACKS = 3
+
+Edit = Callable[[Configuration], Result[Configuration, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """The configuration on the platform and its revision there."""
+
+    configuration: Configuration
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An edit of one expected version under a change id."""
+
+    change_id: str
+    expected_version: int
+    edit: Edit
+    dry_run: bool = False
+
+
+async def read_configuration(port: PlatformPort) -> Result[Stored, str]:
+    """Reads the stored configuration; version 0 stands for none."""
+    stored = await port.read(CONFIGURATION_KEY)
+    if isinstance(stored, Err):
+        return Err(f'the platform gave no answer: {stored.err_value.message}')
+    value = stored.ok_value
+    if value.revision == 0:
+        return Ok(Stored(Configuration(version=0), 0))
+    decoded = codec.decode_json(value.value, Configuration, CONFIGURATION_KEY)
+    if isinstance(decoded, Err):
+        return Err(str(decoded.err_value))
+    return Ok(Stored(decoded.ok_value, value.revision))
+
+
+def _report(
+    change_id: str, outcome: ChangeOutcome, version: int, message: str = ''
+) -> ChangeReport:
+    return ChangeReport(
+        change_id=change_id, outcome=outcome, version=version, message=message
+    )
+
+
+async def write_change(port: PlatformPort, change: Change) -> ChangeReport:
+    """Applies an edit to the stored configuration by compare-and-swap.
+
+    The report is `pending` once the write has taken effect. After a lost
+    answer the configuration is read back and the change id looked for.
+    """
+    stored = await read_configuration(port)
+    if isinstance(stored, Err):
+        return _report(change.change_id, ChangeOutcome.REFUSED, 0, stored.err_value)
+    current = stored.ok_value.configuration
+    if decisions.versions.already_applied(current, change.change_id):
+        return _report(change.change_id, ChangeOutcome.PENDING, current.version)
+    if current.version != change.expected_version:
+        text = f'version {current.version} is in force, not {change.expected_version}'
+        return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    edited = change.edit(current)
+    if isinstance(edited, Err):
+        text = edited.err_value
+        return _report(change.change_id, ChangeOutcome.REFUSED, current.version, text)
+    following = decisions.versions.next_version(
+        current, change.change_id, lambda _: edited.ok_value
+    )
+    if isinstance(following, Err):
+        text = str(following.err_value)
+        return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    if change.dry_run:
+        return ChangeReport(
+            change_id=change.change_id,
+            outcome=ChangeOutcome.DRY_RUN,
+            version=current.version,
+            changes=[str(line) for line in diff(current, following.ok_value)],
+        )
+    return await _store(port, change, stored.ok_value, following.ok_value)
+
+
+async def _store(
+    port: PlatformPort, change: Change, stored: Stored, following: Configuration
+) -> ChangeReport:
+    request = WriteRequest(
+        key=CONFIGURATION_KEY,
+        expected_revision=stored.revision,
+        value=codec.encode_json(following).decode(),
+    )
+    written = await port.compare_and_swap(request)
+    if isinstance(written, Err):
+        return await _read_back(port, change, following, written.err_value)
+    version = stored.configuration.version
+    if written.ok_value.outcome is WriteOutcome.CONFLICT:
+        text = 'another change was written first'
+        return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
+    lines = [str(line) for line in diff(stored.configuration, following)]
+    log_event(
+        Event.CHANGE_WRITTEN, change_id=change.change_id, version=following.version
+    )
+    return ChangeReport(
+        change_id=change.change_id,
+        outcome=ChangeOutcome.PENDING,
+        version=following.version,
+        changes=lines,
+    )
+
+
+async def _read_back(
+    port: PlatformPort, change: Change, following: Configuration, error: PortError
+) -> ChangeReport:
+    for _ in range(READ_BACKS):
+        stored = await read_configuration(port)
+        if isinstance(stored, Err):
+            continue
+        configuration = stored.ok_value.configuration
+        if decisions.versions.already_applied(configuration, change.change_id):
+            version = configuration.version
+            return _report(change.change_id, ChangeOutcome.PENDING, version)
+        if configuration.version >= following.version:
+            text = 'another change was written first'
+            version = configuration.version
+            return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
+    text = (
+        f'whether the change took effect is not known ({error.message}); '
+        'ask for the change id again or repeat the change under the same id'
+    )
+    return _report(
+        change.change_id, ChangeOutcome.PENDING, change.expected_version, text
+    )
+
+
+def _operator_edit(message: OperatorChange, outside: OutsideDecisions) -> Edit:
+    def edit(configuration: Configuration) -> Result[Configuration, str]:
+        edited = apply_edit(
+            configuration, message.change.edit, message.operator_id, now_ms(), outside
+        )
+        return edited.map_err(str)
+
+    return edit
+
+
+async def _with_acceptance(
+    report: ChangeReport, dispatcher: Mailbox, wait_ms: int
+) -> ChangeReport:
+    """Adds who has not confirmed a written change, or that it is accepted."""
+    if report.outcome is not ChangeOutcome.PENDING or report.message:
+        return report
+    query = AcceptanceQuery(version=report.version, wait_ms=wait_ms)
+    answer = await dispatcher.ask(query)
+    if isinstance(answer, Err):
+        return report
+    unconfirmed = answer.ok_value
+    accepted = unconfirmed == []
+    if accepted:
+        log_event(
+            Event.CHANGE_ACCEPTED, change_id=report.change_id, version=report.version
+        )
+    return ChangeReport(
+        change_id=report.change_id,
+        outcome=ChangeOutcome.ACCEPTED if accepted else ChangeOutcome.PENDING,
+        version=report.version,
+        unconfirmed=unconfirmed or [],
+        message=report.message,
+        changes=report.changes,
+    )
+
+
+async def _query(port: PlatformPort, change_id: str) -> ChangeReport:
+    stored = await read_configuration(port)
+    if isinstance(stored, Err):
+        return _report(change_id, ChangeOutcome.REFUSED, 0, stored.err_value)
+    configuration = stored.ok_value.configuration
+    if decisions.versions.already_applied(configuration, change_id):
+        return _report(change_id, ChangeOutcome.PENDING, configuration.version)
+    text = 'the change is not among the last that were written'
+    return _report(change_id, ChangeOutcome.REFUSED, configuration.version, text)
+
+
+async def _answer(
+    port: PlatformPort,
+    dispatcher: Mailbox,
+    outside: OutsideDecisions,
+    call: Call,
+) -> None:
+    message = call.message
+    if isinstance(message, ChangeQuery):
+        report = await _query(port, message.change_id)
+        call.answer(await _with_acceptance(report, dispatcher, 0))
+        return
+    request = message.change
+    change = Change(
+        request.change_id,
+        request.expected_version,
+        _operator_edit(message, outside),
+        request.dry_run,
+    )
+    report = await write_change(port, change)
+    call.answer(await _with_acceptance(report, dispatcher, message.wait_ms))
+
+
+async def run_changes(
+    port: PlatformPort,
+    mailbox: Mailbox,
+    dispatcher: Mailbox,
+    outside: OutsideDecisions,
+) -> None:
+    """Carries out changes for operators and for the fleet itself."""
+    async with asyncio.TaskGroup() as group:
+        while True:
+            received = await mailbox.receive()
+            if isinstance(received, Call):
+                work = _answer(port, dispatcher, outside, received)
+            elif isinstance(received, FleetChange):
+                work = _write_fleet_change(port, dispatcher, received)
+            else:
+                work = republish(port, dispatcher, received.configuration)
+            group.create_task(work)
+
+
+async def _write_fleet_change(
+    port: PlatformPort, dispatcher: Mailbox, message: FleetChange
+) -> None:
+    """Writes a change that was derived from the version before its own."""
+
+    def edit(current: Configuration) -> Result[Configuration, str]:
+        return Ok(message.configuration)
+
+    expected_version = message.configuration.version
+    report = await write_change(port, Change(message.change_id, expected_version, edit))
+    await dispatcher.deliver(ChangeFinished(step=message, report=report))
+
+
+async def republish(
+    port: PlatformPort, dispatcher: Mailbox, configuration: Configuration
+) -> None:
+    """Writes a newer configuration back over an older stored one."""
+    stored = await read_configuration(port)
+    if isinstance(stored, Err):
+        return
+    held = stored.ok_value
+    if held.configuration.version >= configuration.version:
+        await dispatcher.deliver(ConfigurationOffer(configuration=held.configuration))
+        return
+    request = WriteRequest(
+        key=CONFIGURATION_KEY,
+        expected_revision=held.revision,
+        value=codec.encode_json(configuration).decode(),
+    )
+    written = await port.compare_and_swap(request)
+    if isinstance(written, Ok) and written.ok_value.outcome is WriteOutcome.WRITTEN:
+        log_event(
+            Event.CONFIGURATION_REPUBLISHED,
+            version=configuration.version,
+            unix_ms=unix_ms(),
+        )
--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -514,14 +514,14 @@
     if attempt.is_sent:
         return Err(StartBlock.ALREADY_SENT)
     if not attempt.is_logged:
-        if not _may_decide_in_memory(table, outage, now_ms):
+        if not may_decide_in_memory(table, outage, now_ms):
             return Err(StartBlock.CLAIM_NOT_WRITTEN)
         table.unlogged_ids.add(request_id)
     attempt.is_sent = True
     return Ok(None)
 
 
-def _may_decide_in_memory(
+def may_decide_in_memory(
     table: ClaimTable, outage: OutageView | None, now_ms: int
 ) -> bool:
     """Tells whether no member could trust this host's log afterwards.
@@ -635,7 +635,7 @@
     if not is_owner or _has_lapsed(table, now_ms):
         return False
     if not entry.closing_logged:
-        if not _may_decide_in_memory(table, outage, now_ms):
+        if not may_decide_in_memory(table, outage, now_ms):
             return False
         table.unlogged_ids.add(request_id)
     entry.not_run_is_final = True
@@ -948,3 +948,10 @@
     return [
         key for key, segment in segments_by_key.items() if segment.newest_ms < limit_ms
     ]
+
+
+def is_claim_written(table: ClaimTable, request_id: str, task_id: str) -> bool:
+    """Tells whether the claim of an attempt is on the platform."""
+    entry = table.entries_by_id.get(request_id)
+    attempt = entry.attempts_by_task.get(task_id) if entry else None
+    return attempt is not None and attempt.is_logged
--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -3,48 +3,107 @@
 import asyncio
 from collections.abc import Callable
 
+from dandelionknot import decisions
 from dandelionknot._fleet_view import (
+    answer_acceptance,
     answer_ping,
     config_offered,
     host_silent,
     host_usage,
+    is_fresh,
     is_ready,
     member_joined,
     peer_answered,
     platform_view,
+    query_acceptance,
+    update_membership,
+)
+from dandelionknot._grants import grant_read, grant_written, update_grants
+from dandelionknot._intake import (
+    caller_gone,
+    cancel,
+    cancel_for_peer,
+    fetch,
+    fetch_for_peer,
+    forwarded,
+    submit,
 )
-from dandelionknot._intake import caller_gone, cancel, fetch, submit
 from dandelionknot._mailbox import Call, Mailbox
+from dandelionknot._ownership import (
+    claim_read,
+    claim_written,
+    claims_listed,
+    flush_claims,
+    refresh_ownership,
+    slices_written,
+)
+from dandelionknot._platform_sync import (
+    CLAIMS_PREFIX,
+    GRANTS_PREFIX,
+    SLICES_KEY,
+)
 from dandelionknot._requests import forget_old, unfinished_count
 from dandelionknot._starts import (
+    answer_refused,
     attempt_ended,
     check_start,
     expire_queued,
+    retry_waiting,
+    start_claimed,
     start_queued,
 )
 from dandelionknot._state import DispatcherState
-from dandelionknot.clock import now_ms, seconds
+from dandelionknot._status import (
+    configuration_in_force,
+    fleet_status,
+    histograms,
+    why,
+)
+from dandelionknot._steward import (
+    answer_released,
+    change_finished,
+    do_duties,
+    leave,
+    wait_until_released,
+)
+from dandelionknot.clock import now_ms, seconds, unix_ms
 from dandelionknot.messages import (
+    AcceptanceQuery,
     AttemptEnded,
     CallerGone,
     CancelRequest,
+    ChangeFinished,
     ConfigurationOffer,
+    ConfigurationQuery,
     FetchAnswer,
+    ForwardedRequest,
+    HistogramQuery,
+    HostRebooted,
     HostSilent,
     HostUsage,
+    ListFinished,
     MemberJoined,
     PeerAnswered,
+    PeerCancel,
+    PeerFetch,
     Ping,
     PlatformView,
+    ReadFinished,
     ReadinessCheck,
+    RenewUntil,
     StartCheck,
+    StatusQuery,
     StopService,
     SubmitRequest,
     Tick,
     WaitUntilIdle,
+    WaitUntilReleased,
+    WhyQuery,
+    WriteFinished,
 )
 
-TICK_INTERVAL_MS = 100
+TICK_INTERVAL_MS = 50
+SLOW_TICKS = 20
 KEEP_ENDED = 20_000
 
 Handler = Callable[[DispatcherState, object], None]
@@ -52,17 +111,75 @@
 
 def _tick(state: DispatcherState, message: Tick) -> None:
     now = message.now_ms
+    state.tick_count += 1
     expire_queued(state, now)
-    for service_id in list(state.queues_by_service):
-        start_queued(state, service_id)
+    retry_waiting(state, now)
+    for service_id, queues in state.queues_by_service.items():
+        if queues.requests_by_id:
+            start_queued(state, service_id)
+    if state.tick_count % SLOW_TICKS == 0:
+        _slow_tick(state, now)
+
+
+def _slow_tick(state: DispatcherState, now: int) -> None:
+    """Does once a second what need not be done at once."""
+    fresh = is_fresh(state, now)
+    refresh_ownership(state)
+    answer_acceptance(state)
+    update_grants(state)
+    update_membership(state)
+    if fresh and state.stopping:
+        leave(state)
+    elif fresh:
+        do_duties(state)
+    if fresh:
+        state.renew_until_ms = now + state.configuration.bounds.isolation_bound_ms
+    state.outboxes.links.send(RenewUntil(until_ms=state.renew_until_ms))
     retention_ms = state.configuration.bounds.request_id_max_age_ms
     forget_old(state.requests, now - retention_ms, KEEP_ENDED)
+    decisions.claims.forget_old(state.claims, unix_ms())
+
+
+def _after_message(state: DispatcherState) -> None:
+    """Moves on what any message may have made possible."""
+    flush_claims(state)
+    if state.waiting_for_claim:
+        start_claimed(state)
+    if state.waiting_to_refuse:
+        answer_refused(state)
+    if state.idle_waiters and unfinished_count(state.requests) == 0:
+        for waiter in state.idle_waiters:
+            waiter.answer(True)
+        state.idle_waiters.clear()
+    if state.release_waiters:
+        answer_released(state)
 
 
 def _stop(state: DispatcherState, message: StopService) -> None:
     state.stopping = True
 
 
+def _write_finished(state: DispatcherState, message: WriteFinished) -> None:
+    key = message.request.key
+    if key.startswith(CLAIMS_PREFIX):
+        claim_written(state, message)
+    elif key.startswith(GRANTS_PREFIX):
+        grant_written(state, message)
+    elif key == SLICES_KEY:
+        slices_written(state, message)
+
+
+def _read_finished(state: DispatcherState, message: ReadFinished) -> None:
+    if message.key.startswith(CLAIMS_PREFIX):
+        claim_read(state, message)
+    elif message.key.startswith(GRANTS_PREFIX):
+        grant_read(state, message)
+
+
+def _host_rebooted(state: DispatcherState, message: HostRebooted) -> None:
+    state.rebooted_hosts.add(message.host_id)
+
+
 HANDLER_BY_CLASS: dict[type, Callable] = {
     PlatformView: platform_view,
     PeerAnswered: peer_answered,
@@ -71,20 +188,34 @@
     AttemptEnded: attempt_ended,
     HostUsage: host_usage,
     HostSilent: host_silent,
+    HostRebooted: _host_rebooted,
     CallerGone: caller_gone,
     StopService: _stop,
+    WriteFinished: _write_finished,
+    ReadFinished: _read_finished,
+    ListFinished: claims_listed,
+    ChangeFinished: change_finished,
     Tick: _tick,
 }
 CALL_HANDLER_BY_CLASS: dict[type, Callable] = {
     SubmitRequest: submit,
     FetchAnswer: fetch,
     CancelRequest: cancel,
+    ForwardedRequest: forwarded,
+    PeerFetch: fetch_for_peer,
+    PeerCancel: cancel_for_peer,
+    AcceptanceQuery: query_acceptance,
     WaitUntilIdle: lambda state, call, message: state.idle_waiters.append(call),
+    WaitUntilReleased: wait_until_released,
 }
 REPLY_BY_CLASS: dict[type, Callable] = {
     StartCheck: check_start,
     ReadinessCheck: lambda state, message: is_ready(state),
     Ping: answer_ping,
+    ConfigurationQuery: configuration_in_force,
+    StatusQuery: fleet_status,
+    WhyQuery: why,
+    HistogramQuery: histograms,
 }
 
 
@@ -105,10 +236,7 @@
     """Handles messages in the order in which they arrive."""
     while True:
         handle(state, await mailbox.receive())
-        if state.idle_waiters and unfinished_count(state.requests) == 0:
-            for waiter in state.idle_waiters:
-                waiter.answer(True)
-            state.idle_waiters.clear()
+        _after_message(state)
 
 
 async def run_ticks(dispatcher: Mailbox) -> None:
--- /dev/null
+++ b/dandelionknot/_fleet_steps.py
@@ -0,0 +1,201 @@
+"""Next steps of host moves and maintenance plans, from what is known here."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from result import Err, Ok
+
+from dandelionknot import decisions
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms
+from dandelionknot.configuration import (
+    Configuration,
+    HostState,
+    MovePhase,
+    PlanState,
+)
+from dandelionknot.messages import (
+    DrainOrder,
+    FleetChange,
+    FleetStep,
+    ListedHostState,
+    RebootOrder,
+)
+
+DRAIN_INTERVAL_MS = 1000
+
+
+def fleet_health(state: DispatcherState) -> decisions.budgets.FleetHealth:
+    """Returns the hosts that this entry host knows to be unavailable."""
+    listed = state.view.listed_states_by_host if state.view else {}
+    return decisions.budgets.FleetHealth(
+        failed_hosts=frozenset(state.silent_hosts),
+        ejected_hosts=frozenset(decisions.ejection.ejected_hosts(state.health)),
+        leaving_hosts=frozenset(
+            host_id
+            for host_id, listed_state in listed.items()
+            if listed_state is ListedHostState.LEAVING
+        ),
+    )
+
+
+def drain_evidence(
+    state: DispatcherState, host_id: str, since_version: int
+) -> decisions.pools.DrainEvidence | None:
+    """Returns what is known about a drain that a version began."""
+    usage = state.usage_by_host.get(host_id)
+    accepted_since_ms = state.accepted_since_by_version.get(since_version)
+    if usage is None or accepted_since_ms is None:
+        return None
+    confirmed = state.confirmed_since.get(since_version, {})
+    stopped = len(state.members_by_id.keys() - confirmed.keys())
+    return decisions.pools.DrainEvidence(
+        accepted_version=since_version,
+        accepted_since_ms=accepted_since_ms,
+        report=usage.usage,
+        asked_ms=usage.asked_ms,
+        stopped_members=stopped,
+    )
+
+
+def next_fleet_changes(state: DispatcherState) -> list[FleetChange]:
+    """Returns the changes that would take moves and plans one step on.
+
+    At most one is written at a time, since each starts from the version in
+    force; the others follow once it has been adopted.
+    """
+    for change in _changes(state):
+        return [change]
+    return []
+
+
+def _changes(state: DispatcherState) -> Iterator[FleetChange]:
+    _order_drains(state)
+    yield from _move_changes(state)
+    yield from _plan_changes(state)
+
+
+def _order_drains(state: DispatcherState) -> None:
+    """Has backend servers refuse or take tasks as the configuration says."""
+    now = now_ms()
+    configuration = state.configuration
+    for host_id, host in configuration.hosts_by_id.items():
+        draining = (
+            host.state is HostState.DRAINING or host_id in configuration.moves_by_host
+        )
+        usage = state.usage_by_host.get(host_id)
+        reported = usage is not None and usage.usage.draining
+        if not draining and not (reported and host.state is HostState.ACTIVE):
+            continue
+        if now - state.drain_ordered_ms_by_host.get(host_id, 0) < DRAIN_INTERVAL_MS:
+            continue
+        state.drain_ordered_ms_by_host[host_id] = now
+        state.outboxes.links.send(DrainOrder(host_id=host_id, draining=draining))
+
+
+def _change(
+    state: DispatcherState, step: FleetStep, subject: str, following: Configuration
+) -> FleetChange:
+    change_id = f'v{state.configuration.version + 1}-{step.replace("_", "-")}-{subject}'
+    return FleetChange(
+        change_id=change_id[:63],
+        step=step,
+        subject=subject,
+        configuration=following,
+    )
+
+
+def _move_changes(state: DispatcherState) -> Iterator[FleetChange]:
+    configuration = state.configuration
+    for host_id, move in configuration.moves_by_host.items():
+        if move.phase is MovePhase.DRAINED:
+            allowed = decisions.budgets.may_assign(
+                configuration, fleet_health(state), host_id
+            )
+            assigned = decisions.pools.assign(
+                configuration, host_id, move.drain_version
+            )
+            if isinstance(assigned, Ok) and isinstance(allowed, Ok):
+                yield _change(state, FleetStep.ASSIGN_MOVE, host_id, assigned.ok_value)
+            continue
+        evidence = drain_evidence(state, host_id, move.drain_version)
+        if evidence is None:
+            continue
+        drained = decisions.pools.confirm_drained(configuration, host_id, evidence)
+        if isinstance(drained, Ok):
+            yield _change(state, FleetStep.CONFIRM_DRAINED, host_id, drained.ok_value)
+
+
+def _plan_changes(state: DispatcherState) -> Iterator[FleetChange]:
+    configuration = state.configuration
+    health = fleet_health(state)
+    for plan_id, plan in configuration.maintenance_plans_by_id.items():
+        if plan.state is not PlanState.RUNNING:
+            continue
+        for host_id in plan.hosts:
+            if host_id not in plan.done:
+                yield from _stop_changes(state, health, plan_id, host_id)
+        wave = decisions.budgets.next_wave(plan, configuration, health)
+        if wave.host_ids:
+            following = configuration
+            for host_id in wave.host_ids:
+                following = decisions.budgets.with_host_state(
+                    following, host_id, HostState.DRAINING
+                )
+            yield _change(state, FleetStep.DRAIN, plan_id, following)
+
+
+def _stop_changes(
+    state: DispatcherState,
+    health: decisions.budgets.FleetHealth,
+    plan_id: str,
+    host_id: str,
+) -> Iterator[FleetChange]:
+    """Takes a host that drains or is in maintenance one step on."""
+    configuration = state.configuration
+    host = configuration.hosts_by_id.get(host_id)
+    if host is None or host.state is HostState.ACTIVE:
+        return
+    maintained = host_id in state.rebooted_hosts
+    if host.state is HostState.MAINTENANCE and not maintained:
+        if _is_due(state, f'reboot {host_id}'):
+            state.outboxes.links.send(RebootOrder(host_id=host_id))
+        return
+    advice = decisions.budgets.planned_stop_step(
+        configuration,
+        health,
+        host_id,
+        drain_evidence(state, host_id, configuration.version),
+        maintained,
+    )
+    if isinstance(advice, Err):
+        return
+    step = advice.ok_value.step
+    if step is decisions.budgets.StopStep.STOP:
+        state.rebooted_hosts.discard(host_id)
+        following = decisions.budgets.with_host_state(
+            configuration, host_id, HostState.MAINTENANCE
+        )
+        yield _change(state, FleetStep.MAINTAIN, host_id, following)
+    elif step is decisions.budgets.StopStep.RETURN and maintained:
+        following = decisions.budgets.return_host(configuration, host_id, plan_id)
+        yield _change(state, FleetStep.RETURN_HOST, host_id, following)
+    elif step is decisions.budgets.StopStep.RETURN:
+        following = decisions.budgets.with_host_state(
+            configuration, host_id, HostState.ACTIVE
+        )
+        yield _change(state, FleetStep.RETURN_HOST, host_id, following)
+
+
+def _is_due(state: DispatcherState, duty: str) -> bool:
+    now = now_ms()
+    if now - state.drain_ordered_ms_by_host.get(duty, 0) < DRAIN_INTERVAL_MS:
+        return False
+    state.drain_ordered_ms_by_host[duty] = now
+    return True
+
+
+def excluding(configuration: Configuration, members: list[str]) -> Configuration:
+    """Returns the configuration with more members excluded, the oldest forgotten."""
+    excluded = [*configuration.excluded_members, *members]
+    return replace(configuration, excluded_members=excluded[-256:])
--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -1,69 +1,172 @@
 """What the dispatcher knows of the fleet: configuration, members, hosts."""
 
-from dandelionknot._state import DispatcherState
+from dandelionknot import decisions
+from dandelionknot._grants import adopt_limits, observe_grants
+from dandelionknot._mailbox import Call
+from dandelionknot._ownership import observe_ownership
+from dandelionknot._state import AcceptanceWaiter, DispatcherState, ReadGap
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import Configuration
 from dandelionknot.events import Event, log_event
 from dandelionknot.journal import Subject
 from dandelionknot.messages import (
+    AcceptanceQuery,
     ConfigurationOffer,
     HostSilent,
     HostUsage,
+    ListedHostState,
     MemberJoined,
     PeerAnswered,
     Ping,
     PlatformView,
-    Pong,
     RecordMembership,
     UpdateLinks,
     UpdatePeers,
 )
 
+CONFIRMATIONS_KEPT = 16
+
 
 def platform_view(state: DispatcherState, view: PlatformView) -> None:
-    """Adopts what the platform holds."""
-    state.platform_read_sent_ms = view.question_sent_ms
+    """Takes over what the platform holds."""
+    _note_read(state, view)
     members_changed = (
         state.view is None or state.view.members_revision != view.members_revision
     )
+    version = state.configuration.version
     state.view = view
     state.members_by_id = view.members_by_id
-    version = state.configuration.version
-    if view.configuration is not None and view.configuration.version > version:
-        adopt_configuration(state, view.configuration)
-    state.outboxes.peers.send(
-        UpdatePeers(
-            addresses_by_member={
-                member_id: member.peer_address
-                for member_id, member in view.members_by_id.items()
-                if member_id != state.member_id
-            }
-        )
+    if view.configuration is not None:
+        _offered(state, view.configuration, from_platform=True)
+    stored_version = view.configuration.version if view.configuration else 0
+    decisions.freshness.observe_platform_read(
+        state.freshness,
+        view.question_sent_ms,
+        stored_version,
+        view.members_revision,
+        frozenset(view.members_by_id),
     )
+    own_record = view.members_by_id.get(state.member_id)
+    if own_record is not None:
+        decisions.freshness.observe_confirmation(
+            state.freshness, own_record.confirmed_version
+        )
+    _update_peers(state)
+    _note_listed_hosts(state, view)
+    _note_confirmations(state)
+    observe_grants(state, view)
+    observe_ownership(state, view)
+    answer_acceptance(state)
     if members_changed or state.configuration.version != version:
         record_membership(state)
 
 
+def _note_read(state: DispatcherState, view: PlatformView) -> None:
+    if state.view is not None:
+        gap_ms = view.question_sent_ms - state.view.question_sent_ms
+        state.read_gaps.append(ReadGap(view.question_sent_ms, gap_ms))
+    for member_id in view.alive_ids:
+        state.steward.last_seen_alive_by_member[member_id] = view.question_sent_ms
+        state.steward.missing_since_by_member.pop(member_id, None)
+
+
+def _update_peers(state: DispatcherState) -> None:
+    addresses_by_member = {
+        member_id: member.peer_address
+        for member_id, member in state.members_by_id.items()
+        if member_id != state.member_id
+    }
+    state.outboxes.peers.send(UpdatePeers(addresses_by_member=addresses_by_member))
+
+
+def _note_listed_hosts(state: DispatcherState, view: PlatformView) -> None:
+    if state.routing is None:
+        return
+    for host_id in state.routing.hosts_by_id:
+        listed = view.listed_states_by_host.get(host_id)
+        decisions.routing.set_excluded(
+            state.routing,
+            host_id,
+            decisions.budgets.UnavailableReason.LEAVING,
+            listed is ListedHostState.LEAVING,
+        )
+
+
+def _note_confirmations(state: DispatcherState) -> None:
+    """Keeps when each member was first seen to have confirmed recent versions."""
+    now = now_ms()
+    state.confirmed_since.setdefault(state.configuration.version, {})
+    for version, seen in list(state.confirmed_since.items()):
+        state.confirmed_since[version] = decisions.acceptance.observe_confirmations(
+            seen, version, state.members_by_id, now
+        )
+    for version in sorted(state.confirmed_since)[:-CONFIRMATIONS_KEPT]:
+        del state.confirmed_since[version]
+        state.accepted_since_by_version.pop(version, None)
+    for version in state.confirmed_since:
+        if version not in state.accepted_since_by_version:
+            if unconfirmed_members(state, version) == []:
+                state.accepted_since_by_version[version] = now
+
+
+def _offered(
+    state: DispatcherState, offered: Configuration, *, from_platform: bool
+) -> None:
+    """Adopts a newer configuration; one that went back is written over."""
+    known = state.configuration if state.configuration.version else None
+    decision = decisions.versions.adopt(known, offered)
+    if isinstance(decision, decisions.versions.Adopt):
+        adopt_configuration(state, offered)
+    elif isinstance(decision, decisions.versions.Republish) and from_platform:
+        log_event(
+            Event.CONFIGURATION_REVERSION_REFUSED,
+            known=state.configuration.version,
+            offered=offered.version,
+        )
+        state.outboxes.changes.send(
+            ConfigurationOffer(configuration=state.configuration)
+        )
+
+
 def adopt_configuration(state: DispatcherState, configuration: Configuration) -> None:
-    """Puts a newer configuration in force."""
+    """Puts a newer configuration in force here.
+
+    Limits are adopted first, so that nothing starts under an older limit after
+    the version was confirmed.
+    """
+    now = now_ms()
+    adopt_limits(state, configuration)
     state.configuration = configuration
+    decisions.freshness.observe_adoption(state.freshness, configuration.version)
+    decisions.zones.observe_zones(state.zone_ramp, configuration, now)
+    state.routing = decisions.routing.RoutingTable.from_configuration(
+        configuration, state.own_zone, state.routing, state.zone_ramp
+    )
+    if state.member_id in configuration.excluded_members:
+        state.excluded = True
+        state.stopping = True
+        decisions.claims.renounce(state.claims)
     log_event(Event.CONFIGURATION_ADOPTED, version=configuration.version)
     state.context.explain(
         Subject.CHANGE, str(configuration.version), 'adopted by this entry host'
     )
+    _update_links(state)
+
+
+def _update_links(state: DispatcherState) -> None:
+    hosts = state.configuration.hosts_by_id
     state.outboxes.links.send(
         UpdateLinks(
             addresses_by_host={
-                host_id: host.address
-                for host_id, host in configuration.hosts_by_id.items()
+                host_id: host.address for host_id, host in hosts.items()
             },
             polled_hosts=[
                 host_id
-                for host_id, host in configuration.hosts_by_id.items()
+                for host_id, host in hosts.items()
                 if host.availability_zone == state.own_zone
             ],
-            lease_ms=configuration.bounds.task_lease_ms,
-            token_ms=configuration.bounds.start_token_ms,
+            lease_ms=state.configuration.bounds.task_lease_ms,
+            token_ms=state.configuration.bounds.start_token_ms,
         )
     )
 
@@ -74,50 +177,126 @@
         RecordMembership(
             confirmed_version=state.configuration.version,
             members_revision=state.view.members_revision if state.view else 0,
+            may_renew=state.may_renew,
         )
     )
 
 
+def update_membership(state: DispatcherState) -> None:
+    """Holds renewals of this member's lease while claims are only in memory."""
+    may_renew = decisions.claims.may_renew_membership(state.claims)
+    if may_renew != state.may_renew:
+        state.may_renew = may_renew
+        record_membership(state)
+
+
 def member_joined(state: DispatcherState, message: MemberJoined) -> None:
     """Notes that this member is recorded."""
-    state.joined = True
+    state.joined_ms = now_ms()
+    record_membership(state)
 
 
 def config_offered(state: DispatcherState, message: ConfigurationOffer) -> None:
     """Adopts a newer configuration that a peer sent."""
-    if message.configuration.version > state.configuration.version:
-        adopt_configuration(state, message.configuration)
+    version = state.configuration.version
+    _offered(state, message.configuration, from_platform=False)
+    if state.configuration.version != version:
         record_membership(state)
 
 
 def peer_answered(state: DispatcherState, message: PeerAnswered) -> None:
     """Notes what a peer knows."""
+    decisions.freshness.observe_pong(
+        state.freshness, message.member_id, message.question_sent_ms, message.pong
+    )
 
 
 def answer_ping(state: DispatcherState, message: Ping) -> list[object]:
     """Tells a peer what this member knows, with a newer configuration if it has one."""
-    now = now_ms()
-    sent_ms = state.platform_read_sent_ms
-    pong = Pong(
-        configuration_version=state.configuration.version,
-        members_revision=state.view.members_revision if state.view else 0,
-        platform_age_ms=None if sent_ms is None else now - sent_ms,
-    )
+    pong = decisions.freshness.answer_ping(state.freshness, now_ms())
+    if pong is None:
+        return []
     if message.configuration_version >= state.configuration.version:
         return [pong]
     return [ConfigurationOffer(configuration=state.configuration), pong]
 
 
 def host_usage(state: DispatcherState, message: HostUsage) -> None:
-    """Notes that a backend server answers."""
+    """Takes over a usage report of a backend server."""
+    state.usage_by_host[message.host_id] = message
     state.silent_hosts.discard(message.host_id)
+    if state.routing is None:
+        return
+    host_id = message.host_id
+    reason = decisions.budgets.UnavailableReason.FAILED
+    decisions.routing.set_excluded(state.routing, host_id, reason, False)
+    own = decisions.routing.own_running(state.routing, host_id)
+    decisions.routing.set_usage(state.routing, host_id, message.usage, own)
 
 
 def host_silent(state: DispatcherState, message: HostSilent) -> None:
     """Notes that a backend server does not answer."""
     state.silent_hosts.add(message.host_id)
+    if state.routing is not None:
+        reason = decisions.budgets.UnavailableReason.FAILED
+        decisions.routing.set_excluded(state.routing, message.host_id, reason, True)
+
+
+def is_fresh(state: DispatcherState, now: int) -> bool:
+    """Tells whether keyed work may start, and logs when that changes."""
+    bounds = state.configuration.bounds
+    fresh = not state.excluded and decisions.freshness.is_fresh(
+        state.freshness, bounds, now
+    )
+    if fresh != state.was_fresh:
+        state.was_fresh = fresh
+        log_event(Event.FRESHNESS_REGAINED if fresh else Event.FRESHNESS_LOST)
+    return fresh
 
 
 def is_ready(state: DispatcherState) -> bool:
     """Tells whether callers should be sent to this entry host."""
-    return state.configuration.version > 0 and state.joined and not state.stopping
+    has_joined = state.joined_ms is not None and state.claims.slice_map is not None
+    return state.configuration.version > 0 and has_joined and not state.stopping
+
+
+def unconfirmed_members(state: DispatcherState, version: int) -> list[str] | None:
+    """Returns who may still act on an older version, or None if it is not known."""
+    seen = state.confirmed_since.get(version)
+    if version > state.configuration.version or state.view is None:
+        return None
+    if seen is None:
+        seen = decisions.acceptance.observe_confirmations(
+            {}, version, state.members_by_id, now_ms()
+        )
+        state.confirmed_since[version] = seen
+    outcome = decisions.acceptance.acceptance(
+        version, state.members_by_id, seen, state.configuration.bounds, now_ms()
+    )
+    if isinstance(outcome, decisions.acceptance.Accepted):
+        return []
+    return list(outcome.names)
+
+
+def query_acceptance(
+    state: DispatcherState, call: Call, message: AcceptanceQuery
+) -> None:
+    """Answers who has not confirmed a version, waiting if asked to."""
+    deadline_ms = now_ms() + message.wait_ms
+    state.acceptance_waiters.append(
+        AcceptanceWaiter(call, message.version, deadline_ms)
+    )
+    answer_acceptance(state)
+
+
+def answer_acceptance(state: DispatcherState) -> None:
+    """Answers the commands whose version is accepted or whose time is over."""
+    now = now_ms()
+    waiting = []
+    for waiter in state.acceptance_waiters:
+        names = unconfirmed_members(state, waiter.version)
+        if names == [] or now >= waiter.deadline_ms:
+            waiter.call.answer(names if names is not None else ['not known'])
+        else:
+            waiting.append(waiter)
+    state.acceptance_waiters = waiting
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -343,6 +343,7 @@
 
     upper_limit: int
     share: int = 1
+    limit_lowered_version: int = 0
     keys_by_id: dict[str, KeyRecord] = field(default_factory=dict)
 
 
@@ -423,6 +424,9 @@
 ChangeId: TypeAlias = str
 
 
+ExcludedMember: TypeAlias = str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
     """
@@ -433,6 +437,7 @@
     change_ids: list[ChangeId] = field(default_factory=list)
     bounds: FleetBounds = field(default_factory=lambda: FleetBounds())
     sites_by_id: dict[str, Site] = field(default_factory=dict)
+    excluded_members: list[ExcludedMember] = field(default_factory=list)
     availability_zones_by_id: dict[str, AvailabilityZone] = field(default_factory=dict)
     pools_by_id: dict[str, Pool] = field(default_factory=dict)
     hosts_by_id: dict[str, Host] = field(default_factory=dict)
@@ -928,6 +933,9 @@
     team: str
     grants_by_member: dict[str, int] = field(default_factory=dict)
     requests_by_member: dict[str, int] = field(default_factory=dict)
+    upper_limit: int = 0
+    limit_version: int = 0
+    last_served: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1053,6 +1061,7 @@
     configuration: Configuration | None = None
     members_by_id: dict[str, Member] = field(default_factory=dict)
     members_revision: int = 0
+    member_revisions_by_key: dict[str, int] = field(default_factory=dict)
     alive_ids: list[str] = field(default_factory=list)
     slices: SliceMap | None = None
     slices_revision: int = 0
@@ -1083,6 +1092,7 @@
     deadline_at_ms: int
     checked_at_ms: int
     settle_until_ms: int
+    sent_once: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1135,11 +1145,12 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostUsage:
     """
-    Usage that a backend server reported.
+    Usage that a backend server reported to a question sent at `asked_ms`.
     """
 
     host_id: str
     usage: UsageReport
+    asked_ms: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1172,11 +1183,12 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordMembership:
     """
-    Order to write this member's record with what it has confirmed.
+    Order to write this member's record with what it has confirmed, and whether its lease may be renewed.
     """
 
     confirmed_version: int
     members_revision: int
+    may_renew: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1287,22 +1299,22 @@
 
     CONFIRM_DRAINED = "confirm_drained"
     ASSIGN_MOVE = "assign_move"
-    WAVE_DRAIN = "wave_drain"
-    WAVE_MAINTAIN = "wave_maintain"
-    WAVE_RETURN = "wave_return"
+    DRAIN = "drain"
+    MAINTAIN = "maintain"
+    RETURN_HOST = "return_host"
+    EXCLUDE_MEMBERS = "exclude_members"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetChange:
     """
-    A change that an entry host makes to carry out a move or a plan.
+    A change that an entry host makes by itself; the configuration was derived from the version before it.
     """
 
     change_id: str
-    expected_version: int
     step: FleetStep
-    plan_id: str | None = None
-    hosts: list[str] = field(default_factory=list)
+    configuration: Configuration
+    subject: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1352,6 +1364,132 @@
     reserved: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListRequest:
+    """
+    Order to list the values below a prefix.
+    """
+
+    prefix: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRequest:
+    """
+    Order to read one value.
+    """
+
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListFinished:
+    """
+    A list that the dispatcher asked for; null without an answer.
+    """
+
+    prefix: str
+    question_sent_ms: int
+    found: StoredList | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadFinished:
+    """
+    A value that the dispatcher asked for; null without an answer.
+    """
+
+    key: str
+    found: StoredValue | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FollowOrder:
+    """
+    Order to a backend link to find out what became of a task that another entry host may have started.
+    """
+
+    host_id: str
+    task_id: str
+    request_id: str
+    attempt: int
+    until_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RenewUntil:
+    """
+    Until when the leases of running tasks may be renewed.
+    """
+
+    until_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainOrder:
+    """
+    Order to a backend link to have its server refuse or take new tasks.
+    """
+
+    host_id: str
+    draining: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RebootOrder:
+    """
+    Order to a backend link to have its host rebooted for maintenance.
+    """
+
+    host_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostRebooted:
+    """
+    A host has been rebooted for maintenance.
+    """
+
+    host_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeFinished:
+    """
+    A change that the fleet made by itself, with its report.
+    """
+
+    step: FleetChange
+    report: ChangeReport
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerFetch:
+    """
+    A peer asks for the answer to a request of this owner.
+    """
+
+    fetch: FetchAnswer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerCancel:
+    """
+    A peer passes on the cancellation of a request of this owner.
+    """
+
+    cancel: CancelRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitUntilReleased:
+    """
+    Asks the dispatcher to reply once this member owns no slices and holds no grants.
+    """
+
+    reserved: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestBody:
     """
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -872,12 +872,12 @@
 
 def validate____defs_grantrecord(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None, 'upper_limit': None, 'limit_version': None, 'last_served': None}, 'required': ['team']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['team']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None, 'upper_limit': None, 'limit_version': None, 'last_served': None}, 'required': ['team']}, rule='required')
         data_keys = set(data.keys())
         if "team" in data_keys:
             data_keys.remove("team")
@@ -916,8 +916,29 @@
                         if isinstance(data__requestsbymember_value, (int, float, Decimal)) and not isinstance(data__requestsbymember_value, bool):
                             if data__requestsbymember_value < 0:
                                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + " must be bigger than or equal to 0", value=data__requestsbymember_value, name="" + (name_prefix or "data") + ".requests_by_member.{data__requestsbymember_key}".format(**locals()) + "", definition={}, rule='minimum')
+        if "upper_limit" in data_keys:
+            data_keys.remove("upper_limit")
+            data__upperlimit = data["upper_limit"]
+            if not isinstance(data__upperlimit, (int)) and not (isinstance(data__upperlimit, float) and data__upperlimit.is_integer()) or isinstance(data__upperlimit, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be integer", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='type')
+            if isinstance(data__upperlimit, (int, float, Decimal)) and not isinstance(data__upperlimit, bool):
+                if data__upperlimit < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='minimum')
+        if "limit_version" in data_keys:
+            data_keys.remove("limit_version")
+            data__limitversion = data["limit_version"]
+            if not isinstance(data__limitversion, (int)) and not (isinstance(data__limitversion, float) and data__limitversion.is_integer()) or isinstance(data__limitversion, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_version must be integer", value=data__limitversion, name="" + (name_prefix or "data") + ".limit_version", definition={}, rule='type')
+            if isinstance(data__limitversion, (int, float, Decimal)) and not isinstance(data__limitversion, bool):
+                if data__limitversion < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_version must be bigger than or equal to 0", value=data__limitversion, name="" + (name_prefix or "data") + ".limit_version", definition={}, rule='minimum')
+        if "last_served" in data_keys:
+            data_keys.remove("last_served")
+            data__lastserved = data["last_served"]
+            if not isinstance(data__lastserved, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".last_served must be string", value=data__lastserved, name="" + (name_prefix or "data") + ".last_served", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None}, 'required': ['team']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'grants_by_member': None, 'requests_by_member': None, 'upper_limit': None, 'limit_version': None, 'last_served': None}, 'required': ['team']}, rule='additionalProperties')
     return data
 
 def validate____defs_member(data, custom_formats={}, name_prefix=None):
@@ -2583,12 +2604,12 @@
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
@@ -2643,6 +2664,23 @@
                             data__sitesbyid_property_names = False
                     if not data__sitesbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='propertyNames')
+        if "excluded_members" in data_keys:
+            data_keys.remove("excluded_members")
+            data__excludedmembers = data["excluded_members"]
+            if not isinstance(data__excludedmembers, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".excluded_members must be array", value=data__excludedmembers, name="" + (name_prefix or "data") + ".excluded_members", definition={}, rule='type')
+            data__excludedmembers_is_list = isinstance(data__excludedmembers, (list, tuple))
+            if data__excludedmembers_is_list:
+                data__excludedmembers_len = len(data__excludedmembers)
+                if data__excludedmembers_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".excluded_members must contain less than or equal to 256 items", value=data__excludedmembers, name="" + (name_prefix or "data") + ".excluded_members", definition={}, rule='maxItems')
+                for data__excludedmembers_x, data__excludedmembers_item in enumerate(data__excludedmembers):
+                    if not isinstance(data__excludedmembers_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + " must be string", value=data__excludedmembers_item, name="" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + "", definition={}, rule='type')
+                    if isinstance(data__excludedmembers_item, str):
+                        data__excludedmembers_item_len = len(data__excludedmembers_item)
+                        if data__excludedmembers_item_len > 80:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + " must be shorter than or equal to 80 characters", value=data__excludedmembers_item, name="" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + "", definition={}, rule='maxLength')
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
@@ -2862,7 +2900,7 @@
                     if not data__maintenanceplansbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
@@ -3102,12 +3140,12 @@
 
 def validate____defs_team(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'limit_lowered_version': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['upper_limit']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'limit_lowered_version': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='required')
         data_keys = set(data.keys())
         if "share" in data_keys:
             data_keys.remove("share")
@@ -3129,6 +3167,14 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be bigger than or equal to 0", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='minimum')
                 if data__upperlimit > 1000000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".upper_limit must be smaller than or equal to 1000000", value=data__upperlimit, name="" + (name_prefix or "data") + ".upper_limit", definition={}, rule='maximum')
+        if "limit_lowered_version" in data_keys:
+            data_keys.remove("limit_lowered_version")
+            data__limitloweredversion = data["limit_lowered_version"]
+            if not isinstance(data__limitloweredversion, (int)) and not (isinstance(data__limitloweredversion, float) and data__limitloweredversion.is_integer()) or isinstance(data__limitloweredversion, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_lowered_version must be integer", value=data__limitloweredversion, name="" + (name_prefix or "data") + ".limit_lowered_version", definition={}, rule='type')
+            if isinstance(data__limitloweredversion, (int, float, Decimal)) and not isinstance(data__limitloweredversion, bool):
+                if data__limitloweredversion < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_lowered_version must be bigger than or equal to 0", value=data__limitloweredversion, name="" + (name_prefix or "data") + ".limit_lowered_version", definition={}, rule='minimum')
         if "keys_by_id" in data_keys:
             data_keys.remove("keys_by_id")
             data__keysbyid = data["keys_by_id"]
@@ -3156,7 +3202,7 @@
                     if not data__keysbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'limit_lowered_version': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='additionalProperties')
     return data
 
 def validate____defs_keyrecord(data, custom_formats={}, name_prefix=None):
--- /dev/null
+++ b/dandelionknot/_grants.py
@@ -0,0 +1,131 @@
+"""Grants of this entry host: adopts limits and writes grant records."""
+
+from dandelionknot import codec, decisions
+from dandelionknot._platform_sync import GRANTS_PREFIX
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms
+from dandelionknot.configuration import Configuration
+from dandelionknot.messages import (
+    GrantRecord,
+    PlatformView,
+    ReadFinished,
+    ReadRequest,
+    WriteFinished,
+    WriteOutcome,
+    WriteRequest,
+)
+from dandelionknot.metrics import Counter
+
+
+def adopt_limits(state: DispatcherState, configuration: Configuration) -> None:
+    """Puts the upper limits of a configuration in force for starts made here."""
+    for team_id, team in configuration.teams_by_id.items():
+        decisions.limits.set_limit(
+            state.grants,
+            state.member_id,
+            team_id,
+            team.upper_limit,
+            configuration.version,
+            team.limit_lowered_version,
+        )
+    for team_id in state.grants.teams_by_id.keys() - configuration.teams_by_id.keys():
+        decisions.limits.set_limit(
+            state.grants, state.member_id, team_id, 0, configuration.version
+        )
+
+
+def observe_grants(state: DispatcherState, view: PlatformView) -> None:
+    """Takes over the grant records that the platform holds."""
+    now = now_ms()
+    for team_id, record in view.grants_by_team.items():
+        revision = view.grant_revisions_by_team[team_id]
+        decisions.limits.observe_record(
+            state.grants, state.member_id, record, revision, now
+        )
+
+
+def live_members(state: DispatcherState) -> list[str]:
+    """Returns the members that may be given grants and slices."""
+    if state.view is None:
+        return []
+    excluded = set(state.configuration.excluded_members)
+    alive = set(state.view.alive_ids) & state.members_by_id.keys()
+    return sorted(
+        member_id
+        for member_id in alive - excluded
+        if state.members_by_id[member_id].joined_revision > 0
+    )
+
+
+def update_grants(state: DispatcherState) -> None:
+    """Writes the records of teams whose grant here should change."""
+    now = now_ms()
+    members = live_members(state)
+    if state.member_id not in members:
+        return
+    wanted_by_team = wanted_slots(state)
+    for team_id in state.configuration.teams_by_id:
+        decisions.limits.set_wanted(
+            state.grants, team_id, wanted_by_team.get(team_id, 0)
+        )
+        write = decisions.limits.next_write(
+            state.grants, state.member_id, team_id, now, members
+        )
+        if write is None:
+            continue
+        state.context.metrics.count(Counter.GRANT_WRITES)
+        state.outboxes.writer.send(
+            WriteRequest(
+                key=GRANTS_PREFIX + team_id,
+                expected_revision=write.expected_revision,
+                value=codec.encode_json(write.record).decode(),
+            )
+        )
+
+
+def wanted_slots(state: DispatcherState) -> dict[str, int]:
+    """Returns per team how many slots could be used now, running ones included."""
+    wanted = {
+        team_id: grant.running for team_id, grant in state.grants.teams_by_id.items()
+    }
+    for queues in state.queues_by_service.values():
+        for team_id in queues.teams_by_id:
+            waiting = decisions.queueing.counts(queues, team_id)
+            count = waiting.urgent + waiting.overnight
+            wanted[team_id] = wanted.get(team_id, 0) + count
+    return wanted
+
+
+def grant_written(state: DispatcherState, message: WriteFinished) -> None:
+    """Takes over a record that was written, or reads what was written instead."""
+    team_id = message.request.key.removeprefix(GRANTS_PREFIX)
+    if message.outcome is WriteOutcome.WRITTEN:
+        decoded = codec.decode_json(
+            message.request.value or '', GrantRecord, message.request.key
+        )
+        decisions.limits.observe_record(
+            state.grants,
+            state.member_id,
+            decoded.unwrap(),
+            message.revision,
+            now_ms(),
+        )
+        return
+    if message.outcome is WriteOutcome.CONFLICT:
+        decisions.limits.write_conflicted(state.grants, team_id)
+    state.outboxes.writer.send(ReadRequest(key=message.request.key))
+
+
+def grant_read(state: DispatcherState, message: ReadFinished) -> None:
+    """Takes over a record that was read after a conflict or a lost answer."""
+    if message.found is None or message.found.revision == 0:
+        return
+    decoded = codec.decode_json(message.found.value, GrantRecord, message.key)
+    if decoded.is_ok():
+        decisions.limits.observe_record(
+            state.grants,
+            state.member_id,
+            decoded.unwrap(),
+            message.found.revision,
+            now_ms(),
+        )
--- a/dandelionknot/_intake.py
+++ b/dandelionknot/_intake.py
@@ -1,88 +1,154 @@
 """Requests as they come in: submit, fetch and cancel."""
 
-from result import Err, Result
+import asyncio
 
-from dandelionknot import decisions
+from result import Err, Ok, Result
+
+from dandelionknot import codec, decisions
 from dandelionknot._mailbox import Call
+from dandelionknot._ownership import owner_of
 from dandelionknot._requests import (
     END_PHASES,
     RequestEntry,
     current_answer,
     digest_of,
-    end_request,
     refusal_for,
 )
-from dandelionknot._starts import enqueue, remove_queued, start_queued, stop_running
+from dandelionknot._starts import (
+    end_not_run,
+    enqueue,
+    follow_inherited,
+    remove_queued,
+    start_queued,
+    stop_running,
+)
 from dandelionknot._state import DispatcherState
-from dandelionknot.clock import now_ms
+from dandelionknot.clock import now_ms, unix_ms
 from dandelionknot.journal import Subject
 from dandelionknot.messages import (
+    AnswerBody,
     CallerGone,
     CancelRequest,
     ErrorCode,
     FetchAnswer,
+    ForwardedAnswer,
+    ForwardedRequest,
+    PeerCall,
+    PeerCancel,
+    PeerFetch,
+    PeerMessageKind,
     Refusal,
+    RequestBody,
     RequestMode,
     RequestPhase,
     RunState,
     SubmitRequest,
 )
 from dandelionknot.metrics import Counter
+from dandelionknot.ports import PortErrorKind
+
+FORWARD_GRACE_MS = 3000
+FETCH_TIMEOUT_MS = 2000
+RETRY_AFTER_MS = 1000
+
 
+def refuse_here(request: RequestBody, code: ErrorCode, message: str) -> Refusal:
+    """Returns a refusal made before the slice owner looked at the request.
 
-def _refuse(request_id: str, code: ErrorCode, message: str) -> Refusal:
+    An earlier submission of the same id may have run. That is harmless for an
+    idempotent request; for others only the owner can say "not run".
+    """
+    if request.idempotent:
+        run_state = RunState.NOT_RUN
+    else:
+        run_state = RunState.UNKNOWN
+        message += '; this submission was not run'
     return Refusal(
-        code=code, message=message, run_state=RunState.NOT_RUN, request_id=request_id
+        code=code,
+        message=message,
+        run_state=run_state,
+        request_id=request.request_id,
     )
 
 
+def needs_owner(request: RequestBody) -> bool:
+    """Tells whether a request is handled by the owner of its id alone."""
+    return not request.idempotent or request.mode is RequestMode.ASYNC
+
+
 def submit(state: DispatcherState, call: Call, message: SubmitRequest) -> None:
-    """Takes a request or refuses it; a request that is known is joined."""
+    """Takes a request, passes it to its owner or refuses it."""
     state.context.metrics.count(Counter.REQUESTS)
     checked = _check(state, message)
     if isinstance(checked, Err):
-        state.context.metrics.count(Counter.REFUSALS)
-        refusal = checked.err_value
-        state.context.explain(
-            Subject.REQUEST, message.request.request_id, 'refused', refusal.message
-        )
-        call.answer(refusal)
+        _answer_refusal(state, call, message, checked.err_value)
         return
+    caller = checked.ok_value
     known = state.requests.by_id.get(message.request.request_id)
     if known is not None:
-        _join(call, known, message, checked.ok_value.team_id)
+        _join(call, known, message, caller.team_id)
+        return
+    if not needs_owner(message.request):
+        _take(state, call, message, caller)
+        return
+    owner = owner_of(state, message.request.request_id)
+    if owner != state.member_id and not message.forwarded:
+        _forward(state, call, message, owner)
         return
-    _take(state, call, message, checked.ok_value.team_id)
+    _claim(state, call, message, caller)
+
+
+def _answer_refusal(
+    state: DispatcherState, call: Call, message: SubmitRequest, refusal: Refusal
+) -> None:
+    state.context.metrics.count(Counter.REFUSALS)
+    state.context.explain(
+        Subject.REQUEST, message.request.request_id, 'refused', refusal.message
+    )
+    call.answer(refusal)
 
 
 def _check(
     state: DispatcherState, message: SubmitRequest
-) -> Result[decisions.Caller, Refusal]:
+) -> Result[decisions.keys.Caller, Refusal]:
     request = message.request
     if state.stopping:
         code = ErrorCode.ENTRY_HOST_STOPPING
-        return Err(_refuse(request.request_id, code, 'this entry host is stopping'))
-    caller = decisions.authenticate(
+        return Err(refuse_here(request, code, 'this entry host is stopping'))
+    caller = decisions.keys.authenticate(
         state.configuration, request.service, message.presented_key
     )
     if isinstance(caller, Err):
-        return caller
+        refusal = caller.err_value
+        return Err(refuse_here(request, refusal.code, refusal.message))
     if request.deadline_ms - message.age_ms <= 0:
         code = ErrorCode.DEADLINE_PASSED
-        return Err(_refuse(request.request_id, code, 'the deadline has passed'))
+        return Err(refuse_here(request, code, 'the deadline has passed'))
+    cannot_fit = _cannot_fit(state, request)
+    if cannot_fit is not None:
+        return Err(refuse_here(request, ErrorCode.TASK_CANNOT_FIT, cannot_fit))
+    if len(state.requests.by_id) >= state.context.settings.max_requests:
+        code = ErrorCode.QUEUE_FULL
+        return Err(refuse_here(request, code, 'this entry host is full'))
     return caller
 
 
+def _reused(request_id: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.REQUEST_ID_REUSED,
+        message='the request id was used for another request',
+        run_state=RunState.UNKNOWN,
+        request_id=request_id,
+    )
+
+
 def _join(
     call: Call, known: RequestEntry, message: SubmitRequest, team_id: str | None
 ) -> None:
     """Lets a resend wait for the same answer."""
-    same = known.team_id == team_id
-    if not same or known.body_digest != digest_of(message.request):
-        text = 'the request id was used for another request'
-        call.answer(
-            _refuse(message.request.request_id, ErrorCode.REQUEST_ID_REUSED, text)
-        )
+    same_team = known.team_id == team_id
+    if not same_team or known.body_digest != digest_of(message.request):
+        call.answer(_reused(message.request.request_id))
         return
     if known.outcome is None and message.request.mode is RequestMode.WAIT:
         known.waiters.append(call)
@@ -90,88 +156,328 @@
     call.answer(current_answer(known))
 
 
+def _new_entry(message: SubmitRequest, caller: decisions.keys.Caller) -> RequestEntry:
+    arrived_ms = now_ms() - message.age_ms
+    return RequestEntry(
+        body=message.request,
+        body_digest=digest_of(message.request),
+        team_id=caller.team_id,
+        key_id=caller.key_id,
+        arrived_ms=arrived_ms,
+        deadline_at_ms=arrived_ms + message.request.deadline_ms,
+    )
+
+
 def _take(
-    state: DispatcherState, call: Call, message: SubmitRequest, team_id: str | None
+    state: DispatcherState,
+    call: Call,
+    message: SubmitRequest,
+    caller: decisions.keys.Caller,
 ) -> None:
-    request = message.request
-    now = now_ms()
-    entry = RequestEntry(
-        body=request,
-        body_digest=digest_of(request),
-        team_id=team_id,
-        arrived_ms=now - message.age_ms,
-        deadline_at_ms=now - message.age_ms + request.deadline_ms,
-    )
+    """Queues a request that was not seen before."""
+    entry = _new_entry(message, caller)
+    offered = enqueue(state, entry)
+    if isinstance(offered, Err) and not needs_owner(entry.body):
+        _answer_refusal(state, call, message, offered.err_value)
+        return
     state.requests.by_id[entry.request_id] = entry
-    enqueue(state, entry)
+    _wait_or_answer(call, entry)
+    if isinstance(offered, Err):
+        refusal = offered.err_value
+        end_not_run(state, entry, refusal.code, refusal.message, refusal.retry_after_ms)
+        return
     state.context.explain(Subject.REQUEST, entry.request_id, 'queued')
-    if request.mode is RequestMode.WAIT:
+    start_queued(state, entry.body.service)
+
+
+def _wait_or_answer(call: Call, entry: RequestEntry) -> None:
+    if entry.body.mode is RequestMode.WAIT:
         entry.waiters.append(call)
     else:
         call.answer(current_answer(entry))
-    start_queued(state, request.service)
+
+
+def _cannot_fit(state: DispatcherState, request: RequestBody) -> str | None:
+    """Returns why no host of the pool can ever run a request."""
+    if state.routing is None:
+        return None
+    chosen = decisions.routing.choose(
+        state.routing,
+        request.service,
+        (0.0, 0.0, 0.0),
+        now_ms(),
+        size=decisions.routing.TaskSize(request.cores, request.memory_mb),
+    )
+    if isinstance(chosen, Ok) or chosen.err_value.code is not ErrorCode.TASK_CANNOT_FIT:
+        return None
+    return chosen.err_value.message
+
+
+def _claim(
+    state: DispatcherState,
+    call: Call,
+    message: SubmitRequest,
+    caller: decisions.keys.Caller,
+) -> None:
+    """Decides as the owner of the id whether the request is new."""
+    request = message.request
+    claimed = decisions.claims.claim(
+        state.claims,
+        request,
+        caller.team_id,
+        digest_of(request),
+        now_unix_ms=unix_ms(),
+        now_ms=now_ms(),
+    )
+    if isinstance(claimed, Err):
+        _answer_refusal(state, call, message, claimed.err_value)
+        return
+    match claimed.ok_value:
+        case decisions.claims.NewClaim():
+            _take(state, call, message, caller)
+        case decisions.claims.Repeated(answer=AnswerBody() as answer):
+            call.answer(answer)
+        case decisions.claims.ReusedId():
+            call.answer(_reused(request.request_id))
+        case (
+            decisions.claims.InDoubt(tasks=tasks)
+            | decisions.claims.Repeated(tasks=tasks)
+        ):
+            _settle_doubt(state, call, message, caller, tasks)
+
+
+def _settle_doubt(
+    state: DispatcherState,
+    call: Call,
+    message: SubmitRequest,
+    caller: decisions.keys.Caller,
+    tasks: tuple[decisions.claims.TaskPlace, ...],
+) -> None:
+    """Asks the hosts that a former owner may have started the request on."""
+    entry = _new_entry(message, caller)
+    if not tasks:
+        text = (
+            'a former owner of this id may have run it; '
+            'send the same request again to ask'
+        )
+        refusal = refusal_for(
+            entry, ErrorCode.OUTCOME_UNKNOWN, text, RunState.UNKNOWN, RETRY_AFTER_MS
+        )
+        _answer_refusal(state, call, message, refusal)
+        return
+    state.requests.by_id[entry.request_id] = entry
+    _wait_or_answer(call, entry)
+    follow_inherited(state, entry, tasks[-1])
+
+
+def _forward(
+    state: DispatcherState, call: Call, message: SubmitRequest, owner: str | None
+) -> None:
+    """Passes a request to the owner of its id and its answer back."""
+    request = message.request
+    if owner is None:
+        text = 'no entry host owns the request id now'
+        refusal = refuse_here(request, ErrorCode.OWNER_UNREACHABLE, text)
+        _answer_refusal(state, call, message, refusal)
+        return
+    state.context.metrics.count(Counter.FORWARDED)
+    body = ForwardedRequest(
+        request=request,
+        arrival_age_ms=message.age_ms,
+        presented_key=message.presented_key,
+    )
+    order = PeerCall(
+        member_id=owner,
+        kind=PeerMessageKind.FORWARDED_REQUEST,
+        body=codec.to_data(body),
+        timeout_ms=max(1, request.deadline_ms - message.age_ms + FORWARD_GRACE_MS),
+    )
+
+    def refuse(kind: PortErrorKind) -> Refusal:
+        if kind is PortErrorKind.NOT_SENT:
+            text = f'entry host {owner!r}, which owns the request id, cannot be reached'
+            return refuse_here(request, ErrorCode.OWNER_UNREACHABLE, text)
+        text = (
+            f'entry host {owner!r}, which owns the request id, gave no answer; '
+            'send the same request again to ask'
+        )
+        return Refusal(
+            code=ErrorCode.OUTCOME_UNKNOWN,
+            message=text,
+            run_state=RunState.UNKNOWN,
+            request_id=request.request_id,
+        )
+
+    _ask_peer(state, call, order, refuse)
+
+
+def _ask_peer(state: DispatcherState, call: Call, order: PeerCall, refuse) -> None:
+    """Answers a call with what a peer answers, or with `refuse(kind)`."""
+    reply = asyncio.get_running_loop().create_future()
+
+    def finish(done: asyncio.Future) -> None:
+        if done.cancelled():
+            return
+        result = done.result()
+        if isinstance(result, Err):
+            call.answer(refuse(result.err_value.kind))
+            return
+        answer = result.ok_value
+        if isinstance(answer, ForwardedAnswer) and (answer.answer or answer.refusal):
+            call.answer(answer.answer or answer.refusal)
+            return
+        call.answer(refuse(PortErrorKind.MALFORMED))
+
+    reply.add_done_callback(finish)
+    if isinstance(state.outboxes.peers.send(Call(order, reply)), Err):
+        call.answer(refuse(PortErrorKind.NOT_SENT))
+
+
+def forwarded(state: DispatcherState, call: Call, message: ForwardedRequest) -> None:
+    """Takes a request that a peer passed on."""
+    submit(
+        state,
+        _for_peer(call),
+        SubmitRequest(
+            request=message.request,
+            presented_key=message.presented_key,
+            age_ms=message.arrival_age_ms,
+            forwarded=True,
+        ),
+    )
+
+
+def _for_peer(call: Call) -> Call:
+    """Returns a call whose answer goes to a peer as a `ForwardedAnswer`."""
+    reply = asyncio.get_running_loop().create_future()
+
+    def finish(done: asyncio.Future) -> None:
+        if done.cancelled():
+            return
+        outcome = done.result()
+        if isinstance(outcome, Refusal):
+            call.answer([ForwardedAnswer(refusal=outcome)])
+        else:
+            call.answer([ForwardedAnswer(answer=outcome)])
+
+    reply.add_done_callback(finish)
+    return Call(call.message, reply)
 
 
 def fetch(state: DispatcherState, call: Call, message: FetchAnswer) -> None:
     """Answers with the state of a request, waiting for its end if asked to."""
-    entry = _find(state, call, message.request_id, message.presented_key)
+    entry = state.requests.by_id.get(message.request_id)
     if entry is None:
+        _fetch_from_owner(state, call, message, PeerMessageKind.FETCH_ANSWER)
+        return
+    if not _may_see(state, call, entry, message.presented_key):
         return
     if entry.outcome is None and message.wait_ms > 0:
         entry.waiters.append(call)
+        asyncio.get_running_loop().call_later(
+            message.wait_ms / 1000, lambda: call.answer(current_answer(entry))
+        )
         return
     call.answer(current_answer(entry))
 
 
-def _find(
-    state: DispatcherState, call: Call, request_id: str, presented_key: str | None
-) -> RequestEntry | None:
-    """Returns a request of the caller's own team, or answers that there is none."""
-    entry = state.requests.by_id.get(request_id)
-    if entry is not None:
-        caller = decisions.authenticate(
-            state.configuration, entry.body.service, presented_key
-        )
-        if isinstance(caller, Err):
-            call.answer(caller.err_value)
-            return None
-        if caller.ok_value.team_id == entry.team_id:
-            return entry
-    text = 'this entry host does not know the request'
-    call.answer(
-        Refusal(
-            code=ErrorCode.REQUEST_NOT_FOUND,
-            message=text,
+def fetch_for_peer(state: DispatcherState, call: Call, received: PeerFetch) -> None:
+    """Answers a peer that asks for the answer to a request of this owner."""
+    message = received.fetch
+    peer_call = _for_peer(call)
+    if message.request_id in state.requests.by_id:
+        fetch(state, peer_call, message)
+    else:
+        peer_call.answer(_not_found(message.request_id))
+
+
+def cancel_for_peer(state: DispatcherState, call: Call, received: PeerCancel) -> None:
+    """Cancels a request for a peer."""
+    message = received.cancel
+    peer_call = _for_peer(call)
+    if message.request_id in state.requests.by_id:
+        cancel(state, peer_call, message)
+    else:
+        peer_call.answer(_not_found(message.request_id))
+
+
+def _fetch_from_owner(
+    state: DispatcherState,
+    call: Call,
+    message: FetchAnswer | CancelRequest,
+    kind: PeerMessageKind,
+) -> None:
+    owner = owner_of(state, message.request_id)
+    if owner is None or owner == state.member_id:
+        call.answer(_not_found(message.request_id))
+        return
+    wait_ms = message.wait_ms if isinstance(message, FetchAnswer) else 0
+    order = PeerCall(
+        member_id=owner,
+        kind=kind,
+        body=codec.to_data(message),
+        timeout_ms=FETCH_TIMEOUT_MS + wait_ms,
+    )
+
+    def refuse(kind: PortErrorKind) -> Refusal:
+        return Refusal(
+            code=ErrorCode.OWNER_UNREACHABLE,
+            message=f'entry host {owner!r}, which owns the request id, gave no answer',
             run_state=RunState.UNKNOWN,
-            request_id=request_id,
+            retry_after_ms=RETRY_AFTER_MS,
+            request_id=message.request_id,
         )
+
+    _ask_peer(state, call, order, refuse)
+
+
+def _not_found(request_id: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.REQUEST_NOT_FOUND,
+        message='the owner of the request id does not know the request',
+        run_state=RunState.UNKNOWN,
+        request_id=request_id,
     )
-    return None
+
+
+def _may_see(
+    state: DispatcherState, call: Call, entry: RequestEntry, presented_key: str | None
+) -> bool:
+    """Answers with an error unless the caller belongs to the request's team."""
+    caller = decisions.keys.authenticate(
+        state.configuration, entry.body.service, presented_key
+    )
+    if isinstance(caller, Err):
+        call.answer(caller.err_value)
+        return False
+    if caller.ok_value.team_id != entry.team_id:
+        call.answer(_not_found(entry.request_id))
+        return False
+    return True
 
 
 def cancel(state: DispatcherState, call: Call, message: CancelRequest) -> None:
-    """Cancels a request: queued ones end at once, running ones are stopped."""
-    entry = _find(state, call, message.request_id, message.presented_key)
+    """Cancels a request: queued ones end, running ones are stopped."""
+    entry = state.requests.by_id.get(message.request_id)
     if entry is None:
+        _fetch_from_owner(state, call, message, PeerMessageKind.CANCEL_REQUEST)
+        return
+    if not _may_see(state, call, entry, message.presented_key):
         return
     if entry.phase in END_PHASES:
         call.answer(current_answer(entry))
         return
     entry.cancel_requested = True
+    entry.waiters.append(call)
     if entry.phase is RequestPhase.QUEUED:
         _cancel_queued(state, entry)
-        call.answer(current_answer(entry))
-        return
-    entry.waiters.append(call)
-    stop_running(state, entry)
+    else:
+        stop_running(state, entry)
 
 
 def _cancel_queued(state: DispatcherState, entry: RequestEntry) -> None:
     remove_queued(state, entry)
-    refusal = refusal_for(
-        entry, ErrorCode.CANCELLED, 'the request was cancelled', RunState.NOT_RUN
-    )
-    end_request(state.requests, entry, RequestPhase.CANCELLED, refusal, now_ms())
+    end_not_run(state, entry, ErrorCode.CANCELLED, 'the request was cancelled')
 
 
 def caller_gone(state: DispatcherState, message: CallerGone) -> None:
--- a/dandelionknot/_links.py
+++ b/dandelionknot/_links.py
@@ -15,6 +15,10 @@
 from dandelionknot.messages import (
     AttemptEnd,
     AttemptEnded,
+    DrainOrder,
+    FollowOrder,
+    RebootOrder,
+    RenewUntil,
     StartOrder,
     StopOrder,
     StopService,
@@ -78,6 +82,10 @@
                     if host_id not in links.open_by_host:
                         open_link(host_id, message.addresses_by_host[host_id])
                 continue
+            if isinstance(message, RenewUntil):
+                for link in links.open_by_host.values():
+                    link.mailbox.send(message)
+                continue
             await _pass_order(links, message, dispatcher, open_link)
 
 
@@ -92,7 +100,7 @@
 
 async def _pass_order(
     links: _Links,
-    order: StartOrder | StopOrder,
+    order: StartOrder | StopOrder | FollowOrder | DrainOrder | RebootOrder,
     dispatcher: Mailbox,
     open_link: Callable[[str, str], _OpenLink],
 ) -> None:
@@ -103,6 +111,16 @@
         link = open_link(host_id, address)
     if link is not None and not isinstance(link.mailbox.send(order), Err):
         return
+    if isinstance(order, FollowOrder):
+        await dispatcher.deliver(
+            AttemptEnded(
+                request_id=order.request_id,
+                attempt=order.attempt,
+                host_id=host_id,
+                end=AttemptEnd.NO_ANSWER,
+                message='the host is not in the configuration any more',
+            )
+        )
     if isinstance(order, StartOrder):
         await dispatcher.deliver(
             AttemptEnded(
--- /dev/null
+++ b/dandelionknot/_operator_server.py
@@ -0,0 +1,183 @@
+"""HTTP server for operators."""
+
+import hmac
+from http import HTTPStatus
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+from result import Err
+
+from dandelionknot import codec
+from dandelionknot._caller_server import BEARER, MAX_HEADER_BYTES, server_context
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.messages import (
+    ChangeQuery,
+    ConfigurationQuery,
+    ErrorCode,
+    HistogramQuery,
+    OperatorChange,
+    Refusal,
+    RunState,
+    StatusQuery,
+    WhyQuery,
+)
+from dandelionknot.operators import ChangeOutcome, ChangeRequest, WhyKind
+from dandelionknot.settings import EntrySettings, split_address
+
+ACCEPTANCE_WAIT_MS = 8000
+MAX_CHANGE_BYTES = 4 * 1024 * 1024
+
+STATUS_BY_OUTCOME = {
+    ChangeOutcome.ACCEPTED: HTTPStatus.OK,
+    ChangeOutcome.DRY_RUN: HTTPStatus.OK,
+    ChangeOutcome.PENDING: HTTPStatus.ACCEPTED,
+    ChangeOutcome.CONFLICT: HTTPStatus.CONFLICT,
+    ChangeOutcome.REFUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+
+
+def _refusal(code: ErrorCode, message: str) -> Refusal:
+    return Refusal(code=code, message=message, run_state=RunState.NOT_RUN)
+
+
+class _Handler(tornado.web.RequestHandler):
+    """Answers only to operators whose token is in the settings."""
+
+    dispatcher: Mailbox
+    changes: Mailbox
+    entry_settings: EntrySettings
+    operator_id: str
+
+    def initialize(
+        self, dispatcher: Mailbox, changes: Mailbox, entry_settings: EntrySettings
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.changes = changes
+        self.entry_settings = entry_settings
+
+    def prepare(self) -> None:
+        operator_id = self.authenticated_operator()
+        if operator_id is None:
+            text = 'the operator token is missing or not valid'
+            self.send(_refusal(ErrorCode.NOT_AUTHORIZED, text), HTTPStatus.UNAUTHORIZED)
+            return
+        self.operator_id = operator_id
+
+    def authenticated_operator(self) -> str | None:
+        """Returns the operator of the presented token, comparing with every one."""
+        header = self.request.headers.get('Authorization', '')
+        presented = header.removeprefix(BEARER).strip().encode()
+        found = None
+        for operator_id, token in self.entry_settings.operator_tokens_by_id.items():
+            if hmac.compare_digest(presented, token.encode()):
+                found = operator_id
+        return found if header.startswith(BEARER) else None
+
+    def send(self, value: object, status: HTTPStatus = HTTPStatus.OK) -> None:
+        """Answers in JSON."""
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(codec.encode_json(value))
+
+    async def ask(self, mailbox: Mailbox, message: object) -> object | None:
+        """Returns the reply of a task, or answers that it is overloaded."""
+        reply = await mailbox.ask(message)
+        if isinstance(reply, Err):
+            text = 'the entry host is overloaded'
+            self.send(
+                _refusal(ErrorCode.QUEUE_FULL, text), HTTPStatus.SERVICE_UNAVAILABLE
+            )
+            return None
+        return reply.ok_value
+
+
+class _QueryHandler(_Handler):
+    """Answers with the reply of the dispatcher to one fixed question."""
+
+    question: object
+
+    def initialize(  # type: ignore[override]
+        self, question: object, **arguments: object
+    ) -> None:
+        super().initialize(**arguments)  # type: ignore[arg-type]
+        self.question = question
+
+    async def get(self) -> None:
+        reply = await self.ask(self.dispatcher, self.question)
+        if reply is not None:
+            self.send(reply)
+
+
+class _ChangesHandler(_Handler):
+    async def post(self) -> None:
+        decoded = codec.decode_json(self.request.body, ChangeRequest, 'change')
+        if isinstance(decoded, Err):
+            problem = str(decoded.err_value)
+            refusal = _refusal(ErrorCode.MALFORMED_REQUEST, problem)
+            self.send(refusal, HTTPStatus.BAD_REQUEST)
+            return
+        message = OperatorChange(
+            operator_id=self.operator_id,
+            change=decoded.ok_value,
+            wait_ms=ACCEPTANCE_WAIT_MS,
+        )
+        report = await self.ask(self.changes, message)
+        if report is not None:
+            self.send(report, STATUS_BY_OUTCOME[report.outcome])  # type: ignore
+
+
+class _ChangeHandler(_Handler):
+    async def get(self, change_id: str) -> None:
+        report = await self.ask(self.changes, ChangeQuery(change_id=change_id))
+        if report is not None:
+            self.send(report, STATUS_BY_OUTCOME[report.outcome])  # type: ignore
+
+
+class _WhyHandler(_Handler):
+    async def get(self, kind: str, subject_id: str) -> None:
+        if kind not in set(WhyKind):
+            refusal = _refusal(
+                ErrorCode.MALFORMED_REQUEST, f'there is no subject kind {kind!r}'
+            )
+            self.send(refusal, HTTPStatus.NOT_FOUND)
+            return
+        query = WhyQuery(kind=WhyKind(kind), subject_id=subject_id)
+        reply = await self.ask(self.dispatcher, query)
+        if reply is not None:
+            self.send(reply)
+
+
+def start_operator_server(
+    settings: EntrySettings, dispatcher: Mailbox, changes: Mailbox
+) -> tornado.httpserver.HTTPServer:
+    """Listens for operators on the operator address."""
+    arguments = {
+        'dispatcher': dispatcher,
+        'changes': changes,
+        'entry_settings': settings,
+    }
+
+    def question(value: object) -> dict[str, object]:
+        return {'question': value, **arguments}
+
+    application = tornado.web.Application(
+        [
+            (r'/v1/configuration', _QueryHandler, question(ConfigurationQuery())),
+            (r'/v1/status', _QueryHandler, question(StatusQuery())),
+            (r'/v1/histograms', _QueryHandler, question(HistogramQuery())),
+            (r'/v1/changes', _ChangesHandler, arguments),
+            (r'/v1/changes/([a-z0-9-]{1,64})', _ChangeHandler, arguments),
+            (r'/v1/why/([a-z_]+)/([^/]{1,128})', _WhyHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    host, port = split_address(settings.operator_address)
+    server = tornado.httpserver.HTTPServer(
+        application,
+        ssl_options=server_context(settings),
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_CHANGE_BYTES,
+    )
+    server.add_sockets(tornado.netutil.bind_sockets(port, host))
+    return server
--- /dev/null
+++ b/dandelionknot/_ownership.py
@@ -0,0 +1,237 @@
+"""Slices that this member owns, and the claims that it writes for them."""
+
+from dandelionknot import codec, decisions
+from dandelionknot._platform_sync import CLAIMS_PREFIX, SLICES_KEY
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms, unix_ms
+from dandelionknot.events import Event, log_event
+from dandelionknot.messages import (
+    ClaimSegment,
+    ListFinished,
+    ListRequest,
+    PlatformView,
+    ReadFinished,
+    ReadRequest,
+    SliceMap,
+    WriteFinished,
+    WriteOutcome,
+    WriteRequest,
+)
+from dandelionknot.metrics import Counter
+
+MAX_RELEASES_AT_ONCE = 8
+
+
+def observe_ownership(state: DispatcherState, view: PlatformView) -> None:
+    """Takes over the slices that the platform's map gives to this member."""
+    refresh_ownership(state)
+    _reopen_kept_slices(state, view)
+    if view.slices is None or state.excluded or state.taking_over:
+        return
+    known = state.claims.slice_map
+    lapsed = known is not None and not state.claims.owned_slices
+    mine = _slices_of(view.slices, state.member_id)
+    if known is not None and known.epoch == view.slices.epoch:
+        if not (lapsed and mine):
+            return
+    if mine <= state.claims.owned_slices:
+        _take_over(state, view, [])
+        return
+    state.taking_over = True
+    state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
+
+
+def refresh_ownership(state: DispatcherState) -> None:
+    """Extends the ownership of slices as far as this member is known to be fresh."""
+    as_of_ms = decisions.freshness.fresh_as_of_ms(
+        state.freshness,
+        state.configuration.version,
+        state.view.members_revision if state.view else 0,
+    )
+    if as_of_ms is not None and not state.excluded:
+        decisions.claims.renew_ownership(state.claims, as_of_ms, now_ms())
+
+
+def claims_listed(state: DispatcherState, message: ListFinished) -> None:
+    """Takes slices over with the claims of their former owners."""
+    state.taking_over = False
+    view = state.view
+    if message.found is None or view is None or view.slices is None:
+        return
+    if view.question_sent_ms > message.question_sent_ms:
+        # The map may have changed after the list was made.
+        state.taking_over = True
+        state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
+        return
+    segments = []
+    for stored in message.found.values:
+        decoded = codec.decode_json(stored.value, ClaimSegment, stored.key)
+        if decoded.is_err():
+            log_event(Event.PLATFORM_VALUE_MALFORMED, problem=str(decoded.err()))
+            continue
+        segments.append(decoded.unwrap())
+    _take_over(state, view, segments)
+
+
+def _take_over(
+    state: DispatcherState, view: PlatformView, segments: list[ClaimSegment]
+) -> None:
+    """The writer of the map has marked the slices whose log is not trusted."""
+    assert view.slices is not None
+    before = len(state.claims.owned_slices)
+    decisions.claims.take_over(
+        state.claims,
+        view.slices,
+        segments,
+        trusts_log=True,
+        asked_ms=view.question_sent_ms,
+        now_ms=now_ms(),
+        now_unix_ms=unix_ms(),
+    )
+    after = len(state.claims.owned_slices)
+    if after != before:
+        event = Event.SLICES_TAKEN if after > before else Event.SLICES_RELEASED
+        log_event(event, owned=after)
+
+
+def _slices_of(slice_map: SliceMap, member_id: str) -> set[int]:
+    owners = enumerate(slice_map.owners)
+    return {index for index, owner in owners if owner == member_id}
+
+
+def owner_of(state: DispatcherState, request_id: str) -> str | None:
+    """Returns the member that owns a request id, by the newest map read."""
+    slice_map = state.view.slices if state.view else None
+    slice_map = slice_map or state.claims.slice_map
+    return decisions.slices.owner_of(slice_map, request_id) if slice_map else None
+
+
+def outage_view(state: DispatcherState) -> decisions.claims.OutageView | None:
+    """Returns what the last full round showed about the platform, if there is one."""
+    read = state.freshness.platform_read
+    answers = state.freshness.answers_by_member
+    peer_ids = state.freshness.member_ids - {state.member_id}
+    if read is None or not peer_ids <= answers.keys():
+        return None
+    asked_ms = min(
+        (answers[each].question_sent_ms for each in peer_ids), default=now_ms()
+    )
+    return decisions.claims.OutageView(
+        own_age_ms=now_ms() - read.question_sent_ms,
+        peer_ages_ms=tuple(answers[each].pong.platform_age_ms for each in peer_ids),
+        asked_ms=asked_ms,
+    )
+
+
+def flush_claims(state: DispatcherState) -> None:
+    """Makes the next platform call of the claim log, if one is due."""
+    call = decisions.claims.pending_segment(state.claims, now_ms())
+    if isinstance(call, decisions.claims.SegmentWrite):
+        state.context.metrics.count(Counter.CLAIM_WRITES)
+        state.outboxes.writer.send(
+            WriteRequest(
+                key=call.key,
+                expected_revision=call.expected_revision,
+                value=codec.encode_json(call.segment).decode(),
+            )
+        )
+    elif isinstance(call, decisions.claims.SegmentRead):
+        state.outboxes.writer.send(ReadRequest(key=call.key))
+
+
+def claim_written(state: DispatcherState, message: WriteFinished) -> None:
+    """Notes how the write of a segment ended."""
+    key = message.request.key
+    if message.outcome is WriteOutcome.WRITTEN:
+        decisions.claims.segment_written(state.claims, key, message.revision)
+    elif message.outcome is WriteOutcome.CONFLICT:
+        decisions.claims.segment_conflict(state.claims, key)
+    else:
+        log_event(Event.CLAIMS_NOT_WRITTEN, key=key)
+        decisions.claims.segment_failed(state.claims, key, may_have_taken_effect=True)
+
+
+def claim_read(state: DispatcherState, message: ReadFinished) -> None:
+    """Settles a segment write whose answer was lost."""
+    if message.found is None:
+        decisions.claims.segment_failed(
+            state.claims, message.key, may_have_taken_effect=True
+        )
+        return
+    segment = None
+    if message.found.revision:
+        decoded = codec.decode_json(message.found.value, ClaimSegment, message.key)
+        segment = decoded.unwrap_or(None)
+    decisions.claims.segment_read(
+        state.claims, message.key, segment, message.found.revision
+    )
+
+
+def release_slices(state: DispatcherState, goal: SliceMap, everything: bool) -> None:
+    """Hands slices without open requests to the members that should have them.
+
+    A slice counts as closing until the write of the map is settled by the next
+    view, so that no request of it is accepted meanwhile.
+    """
+    view = state.view
+    if view is None or view.slices is None:
+        return
+    owners = list(view.slices.owners)
+    limit = len(owners) if everything else MAX_RELEASES_AT_ONCE
+    released = 0
+    for index in sorted(state.claims.owned_slices):
+        if goal.owners[index] == state.member_id or released >= limit:
+            continue
+        decisions.claims.begin_release(state.claims, index)
+        if not decisions.claims.may_release_slice(state.claims, index):
+            state.claims.closing_slices.discard(index)
+            continue
+        owners[index] = goal.owners[index]
+        released += 1
+    if released:
+        write_slices(
+            state,
+            SliceMap(
+                owners=owners,
+                epoch=view.slices.epoch + 1,
+                doubt_until_by_slice=view.slices.doubt_until_by_slice,
+            ),
+        )
+
+
+def write_slices(state: DispatcherState, slice_map: SliceMap) -> None:
+    """Writes a slice map over the one that was read last."""
+    revision = state.view.slices_revision if state.view else 0
+    state.outboxes.writer.send(
+        WriteRequest(
+            key=SLICES_KEY,
+            expected_revision=revision,
+            value=codec.encode_json(slice_map).decode(),
+        )
+    )
+
+
+def slices_written(state: DispatcherState, message: WriteFinished) -> None:
+    """Notes how a write of the map ended; see `settle_release` for the rest."""
+    state.steward.in_flight.discard(SLICES_KEY)
+    if message.outcome is None:
+        state.steward.unsettled_map = message.request
+    elif message.outcome is WriteOutcome.CONFLICT:
+        # The conflict may be with this member's own write, whose answer was lost.
+        state.steward.map_settles_at_revision = message.revision
+
+
+def settle_release(state: DispatcherState) -> None:
+    """Repeats a map write without an answer, which may still take effect."""
+    request = state.steward.unsettled_map
+    if request is not None:
+        state.steward.unsettled_map = None
+        state.outboxes.writer.send(request)
+
+
+def _reopen_kept_slices(state: DispatcherState, view: PlatformView) -> None:
+    """Opens slices again that a settled conflict left with this member."""
+    revision = state.steward.map_settles_at_revision
+    if revision is not None and view.slices_revision >= revision:
+        state.steward.map_settles_at_revision = None
+        state.claims.closing_slices.clear()
--- a/dandelionknot/_peers.py
+++ b/dandelionknot/_peers.py
@@ -27,6 +27,8 @@
     Hello,
     PeerAnswered,
     PeerCall,
+    PeerCancel,
+    PeerFetch,
     PeerMessageKind,
     Ping,
     Pong,
@@ -58,6 +60,36 @@
 Count = Callable[[str], None]
 
 
+@dataclass(frozen=True, slots=True)
+class PingPlan:
+    """How long to wait between pings, and the version that they carry."""
+
+    interval_ms: int
+    configuration_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerIdentity:
+    """Who this member is to its peers, and how it reaches them."""
+
+    member_id: str
+    availability_zone: str
+    secret: str
+    source_ip: str | None
+    connect_timeout_ms: int
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings, member_id: str) -> 'PeerIdentity':
+        """Takes what peers need from the settings of the process."""
+        return cls(
+            member_id=member_id,
+            availability_zone=settings.availability_zone,
+            secret=settings.peer_secret,
+            source_ip=settings.source_ip,
+            connect_timeout_ms=settings.connect_timeout_ms,
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A received message and the call that it belongs to (0 for none)."""
@@ -98,11 +130,11 @@
     return hmac.new(secret.encode(), message, hashlib.sha256).hexdigest()
 
 
-def _hello(settings: EntrySettings, nonce: str, proof: str) -> Hello:
+def _hello(identity: PeerIdentity, nonce: str, proof: str) -> Hello:
     return Hello(
-        member_id=settings.member_id,
+        member_id=identity.member_id,
         incarnation=nonce,
-        availability_zone=settings.availability_zone,
+        availability_zone=identity.availability_zone,
         proof=proof,
     )
 
@@ -115,29 +147,29 @@
     return decoded.ok_value.message
 
 
-async def _check_in(connection: ClientConnection, settings: EntrySettings) -> bool:
+async def _check_in(connection: ClientConnection, identity: PeerIdentity) -> bool:
     """Shows the secret to the server and checks that it knows it too."""
     challenge = await _receive_hello(connection)
     nonce = secrets.token_hex(16)
-    proof = _proof(settings.peer_secret, challenge.incarnation, settings.member_id)
-    await connection.send(encode_message(_hello(settings, nonce, proof)))
+    proof = _proof(identity.secret, challenge.incarnation, identity.member_id)
+    await connection.send(encode_message(_hello(identity, nonce, proof)))
     confirmation = await _receive_hello(connection)
-    expected = _proof(settings.peer_secret, nonce, confirmation.member_id)
+    expected = _proof(identity.secret, nonce, confirmation.member_id)
     return hmac.compare_digest(confirmation.proof, expected)
 
 
 async def _check_client(
-    connection: ServerConnection, settings: EntrySettings
+    connection: ServerConnection, identity: PeerIdentity
 ) -> str | None:
     """Returns the member id of a client that showed the secret."""
     nonce = secrets.token_hex(16)
-    await connection.send(encode_message(_hello(settings, nonce, '')))
+    await connection.send(encode_message(_hello(identity, nonce, '')))
     hello = await _receive_hello(connection)
-    expected = _proof(settings.peer_secret, nonce, hello.member_id)
+    expected = _proof(identity.secret, nonce, hello.member_id)
     if not hmac.compare_digest(hello.proof, expected):
         return None
-    proof = _proof(settings.peer_secret, hello.incarnation, settings.member_id)
-    await connection.send(encode_message(_hello(settings, nonce, proof)))
+    proof = _proof(identity.secret, hello.incarnation, identity.member_id)
+    await connection.send(encode_message(_hello(identity, nonce, proof)))
     return hello.member_id
 
 
@@ -173,16 +205,19 @@
 
 
 async def _send_pings(
-    connection: ClientConnection, link: _Link, ping_ms: Callable[[], tuple[int, int]]
+    connection: ClientConnection, link: _Link, ping_ms: Callable[[], PingPlan]
 ) -> None:
     """Pings at the interval and ends the link when the peer falls silent."""
     while True:
-        interval_ms, version = ping_ms()
+        plan = ping_ms()
+        interval_ms = plan.interval_ms
         call_id = link.next_call_id
         link.next_call_id += 1
         link.pings_by_call[call_id] = now_ms()
         await connection.send(
-            encode_message(Ping(configuration_version=version), call_id)
+            encode_message(
+                Ping(configuration_version=plan.configuration_version), call_id
+            )
         )
         await asyncio.sleep(seconds(interval_ms))
         if now_ms() - link.last_heard_ms > 2 * interval_ms:
@@ -216,22 +251,22 @@
 
 async def _run_connection(
     link: _Link,
-    settings: EntrySettings,
+    identity: PeerIdentity,
     dispatcher: Mailbox,
-    ping_ms: Callable[[], tuple[int, int]],
+    ping_ms: Callable[[], PingPlan],
     count: Count,
 ) -> None:
-    local = (settings.source_ip, 0) if settings.source_ip else None
+    local = (identity.source_ip, 0) if identity.source_ip else None
     async with connect(
         f'ws://{link.address}/',
         max_size=MAX_MESSAGE_BYTES,
-        open_timeout=seconds(settings.connect_timeout_ms),
+        open_timeout=seconds(identity.connect_timeout_ms),
         ping_interval=None,
         compression=None,
-        close_timeout=seconds(settings.connect_timeout_ms),
+        close_timeout=seconds(identity.connect_timeout_ms),
         local_addr=local,
     ) as connection:
-        if not await _check_in(connection, settings):
+        if not await _check_in(connection, identity):
             log_event(Event.PEER_REFUSED, address=link.address)
             return
         log_event(Event.PEER_CONNECTED, member_id=link.member_id)
@@ -251,15 +286,15 @@
 
 async def _run_link(
     link: _Link,
-    settings: EntrySettings,
+    identity: PeerIdentity,
     dispatcher: Mailbox,
-    ping_ms: Callable[[], tuple[int, int]],
+    ping_ms: Callable[[], PingPlan],
     count: Count,
 ) -> None:
     """Keeps one link open; pending calls fail when the connection is lost."""
     while True:
         try:
-            await _run_connection(link, settings, dispatcher, ping_ms, count)
+            await _run_connection(link, identity, dispatcher, ping_ms, count)
         except* LINK_ERRORS:
             log_event(Event.PEER_DISCONNECTED, member_id=link.member_id)
         for call in link.pending_by_call.values():
@@ -277,17 +312,13 @@
 
 
 async def run_peer_links(
-    settings: EntrySettings,
+    identity: PeerIdentity,
     mailbox: Mailbox,
     dispatcher: Mailbox,
-    ping_ms: Callable[[], tuple[int, int]],
+    ping_ms: Callable[[], PingPlan],
     count: Count,
 ) -> None:
-    """Opens links to the peers it is told of and passes calls to them.
-
-    `ping_ms` returns the ping interval in milliseconds and the configuration
-    version that pings carry.
-    """
+    """Opens links to the peers it is told of and passes calls to them."""
     links: dict[str, tuple[_Link, asyncio.Task]] = {}
     async with asyncio.TaskGroup() as group:
         while True:
@@ -297,7 +328,7 @@
                     links,
                     message.addresses_by_member,
                     lambda link: group.create_task(
-                        _run_link(link, settings, dispatcher, ping_ms, count)
+                        _run_link(link, identity, dispatcher, ping_ms, count)
                     ),
                 )
                 continue
@@ -330,12 +361,12 @@
 
 async def _serve_connection(
     connection: ServerConnection,
-    settings: EntrySettings,
+    identity: PeerIdentity,
     dispatcher: Mailbox,
     count: Count,
 ) -> None:
     try:
-        member_id = await _check_client(connection, settings)
+        member_id = await _check_client(connection, identity)
     except LINK_ERRORS:
         member_id = None
     if member_id is None:
@@ -368,23 +399,31 @@
     """Lets the dispatcher answer a message and sends its answers back."""
     if isinstance(received.message, (Hello, Pong, ForwardedAnswer)):
         return
-    answer = await dispatcher.ask(received.message)
+    message = received.message
+    if isinstance(message, FetchAnswer):
+        message = PeerFetch(fetch=message)
+    elif isinstance(message, CancelRequest):
+        message = PeerCancel(cancel=message)
+    elif isinstance(message, ConfigurationOffer):
+        await dispatcher.deliver(message)
+        return
+    answer = await dispatcher.ask(message)
     if isinstance(answer, Err):
         return
     with contextlib.suppress(*LINK_ERRORS):
-        for message in answer.ok_value:
-            await connection.send(encode_message(message, received.call_id))
+        for reply in answer.ok_value:
+            await connection.send(encode_message(reply, received.call_id))
 
 
 async def start_peer_server(
-    settings: EntrySettings, dispatcher: Mailbox, count: Count
+    address: str, identity: PeerIdentity, dispatcher: Mailbox, count: Count
 ) -> Server:
     """Listens for links of other entry hosts."""
 
     async def handle(connection: ServerConnection) -> None:
-        await _serve_connection(connection, settings, dispatcher, count)
+        await _serve_connection(connection, identity, dispatcher, count)
 
-    host, port = split_address(settings.peer_address)
+    host, port = split_address(address)
     return await serve(
         handle,
         host,
--- a/dandelionknot/_platform_sync.py
+++ b/dandelionknot/_platform_sync.py
@@ -9,21 +9,26 @@
 from result import Err, Ok, Result
 
 from dandelionknot import codec
-from dandelionknot._mailbox import Call, Mailbox
+from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.configuration import Configuration
 from dandelionknot.events import Event, log_event
 from dandelionknot.messages import (
     GrantRecord,
     ListedHostState,
+    ListFinished,
+    ListRequest,
     Member,
     MemberJoined,
     PlatformView,
+    ReadFinished,
+    ReadRequest,
     RecordMembership,
     SliceMap,
     StopService,
     StoredList,
     StoredValue,
+    WriteFinished,
     WriteOutcome,
     WriteRequest,
     WriteResult,
@@ -121,6 +126,11 @@
         configuration=_single(cache, CONFIGURATION_KEY, Configuration),
         members_by_id=members_by_id,
         members_revision=cache.members_revision,
+        member_revisions_by_key={
+            key: stored.revision
+            for key, stored in cache.values_by_key.items()
+            if key.startswith((MEMBERS_PREFIX, ALIVE_PREFIX))
+        },
         alive_ids=sorted(
             key.removeprefix(ALIVE_PREFIX)
             for key in cache.values_by_key
@@ -179,19 +189,44 @@
         await dispatcher.deliver(_view(cache, question_sent_ms, listed))
 
 
-async def run_writer(port: PlatformPort, mailbox: Mailbox) -> None:
-    """Makes the writes that other tasks ask for and replies with each result."""
+async def run_writer(port: PlatformPort, mailbox: Mailbox, dispatcher: Mailbox) -> None:
+    """Makes the platform calls that the dispatcher orders and reports each one."""
     async with asyncio.TaskGroup() as group:
         while True:
-            call: Call = await mailbox.receive()
-            group.create_task(_answer_write(port, call))
+            order = await mailbox.receive()
+            group.create_task(_carry_out(port, order, dispatcher))
 
 
-async def _answer_write(port: PlatformPort, call: Call) -> None:
-    if isinstance(call.message, WriteRequest):
-        call.answer(await port.compare_and_swap(call.message))
+async def _carry_out(
+    port: PlatformPort,
+    order: WriteRequest | ReadRequest | ListRequest,
+    dispatcher: Mailbox,
+) -> None:
+    if isinstance(order, WriteRequest):
+        written = await port.compare_and_swap(order)
+        result = written.unwrap_or(None)
+        finished = WriteFinished(
+            request=order,
+            outcome=result.outcome if result else None,
+            revision=result.revision if result else 0,
+        )
+        await dispatcher.deliver(finished)
         return
-    call.answer(await port.list(call.message))
+    if isinstance(order, ReadRequest):
+        stored = await port.read(order.key)
+        await dispatcher.deliver(
+            ReadFinished(key=order.key, found=stored.unwrap_or(None))
+        )
+        return
+    question_sent_ms = now_ms()
+    listed = await port.list(order.prefix)
+    await dispatcher.deliver(
+        ListFinished(
+            prefix=order.prefix,
+            question_sent_ms=question_sent_ms,
+            found=listed.unwrap_or(None),
+        )
+    )
 
 
 async def write_settled(
@@ -298,6 +333,8 @@
     )
     log_event(Event.MEMBER_JOINED, member_id=record.member_id, revision=joined_revision)
     unwritten = False
+    may_renew = True
+    renewed_ms = now_ms()
     while True:
         wait_ms = MIN_BACK_OFF_MS if unwritten else interval_ms
         try:
@@ -314,9 +351,11 @@
                 members_revision=message.members_revision,
             )
             unwritten = True
+            may_renew = message.may_renew
         if unwritten:
             unwritten = not await _write_record(port, membership)
-        if message is None:
+        if may_renew and now_ms() - renewed_ms >= interval_ms:
+            renewed_ms = now_ms()
             await _renew_lease(port, membership, lease_ms)
 
 
--- a/dandelionknot/_requests.py
+++ b/dandelionknot/_requests.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from dandelionknot import codec
+from dandelionknot import codec, decisions
 from dandelionknot._mailbox import Call
 from dandelionknot.messages import (
     AnswerBody,
@@ -39,29 +39,38 @@
     body: RequestBody
     body_digest: str
     team_id: str | None
+    key_id: str | None
     arrived_ms: int
     deadline_at_ms: int
     phase: RequestPhase = RequestPhase.QUEUED
     attempt: int = 0
     host_id: str | None = None
     pool_epoch: int = 0
+    task_id: str = ''
+    hosts_by_task: dict[str, str] = field(default_factory=dict)
+    events: list[decisions.outcomes.AttemptEvent] = field(default_factory=list)
     failed_hosts: set[str] = field(default_factory=set)
     holds_grant: bool = False
+    retry_at_ms: int = 0
+    refusal: Refusal | None = None
+    inherited: bool = False
+    history: decisions.retries.AttemptHistory = field(init=False)
     cancel_requested: bool = False
     outcome: AnswerBody | Refusal | None = None
     ended_ms: int = 0
     waiters: list[Call] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Starts the history of attempts."""
+        self.history = decisions.retries.AttemptHistory(
+            idempotent=self.body.idempotent, deadline_ms=self.deadline_at_ms
+        )
+
     @property
     def request_id(self) -> str:
         """Id that the caller gave the request."""
         return self.body.request_id
 
-    @property
-    def task_id(self) -> str:
-        """Id of the current attempt at backend servers."""
-        return f'{self.body.request_id}.{self.attempt}'
-
     @property
     def accounting_team(self) -> str:
         """Team name for queues, shares and metrics."""
--- a/dandelionknot/_state.py
+++ b/dandelionknot/_state.py
@@ -3,11 +3,14 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from dandelionknot import decisions
 from dandelionknot._mailbox import Call, Mailbox
 from dandelionknot._requests import RequestTable
 from dandelionknot.configuration import Configuration
 from dandelionknot.context import Context
-from dandelionknot.messages import Member, PlatformView
+from dandelionknot.messages import HostUsage, Member, PlatformView, WriteRequest
+
+READ_GAPS_KEPT = 1000
 
 
 @dataclass(slots=True)
@@ -18,6 +21,43 @@
     peers: Mailbox
     membership: Mailbox
     links: Mailbox
+    changes: Mailbox
+
+
+@dataclass(frozen=True, slots=True)
+class ReadGap:
+    """Time between the questions of two answered platform reads."""
+
+    end_ms: int
+    length_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptanceWaiter:
+    """An operator's command that waits until a version is in force everywhere."""
+
+    call: Call
+    version: int
+    deadline_ms: int
+
+
+@dataclass(slots=True)
+class StewardState:
+    """What this member has seen of the work that any member may do.
+
+    `due_since_by_duty` has the time at which each duty was first seen undone,
+    `in_flight` those that this member is carrying out.
+    """
+
+    due_since_by_duty: dict[str, int] = field(default_factory=dict)
+    in_flight: set[str] = field(default_factory=set)
+    last_seen_alive_by_member: dict[str, int] = field(default_factory=dict)
+    missing_since_by_member: dict[str, int] = field(default_factory=dict)
+    excluded_in_version: dict[str, int] = field(default_factory=dict)
+    absent_since_by_holder: dict[str, int] = field(default_factory=dict)
+    unsettled_map: WriteRequest | None = None
+    map_settles_at_revision: int | None = None
+    change_count: int = 0
 
 
 @dataclass(slots=True)
@@ -25,26 +65,57 @@
     """All that the dispatcher knows; no other task reads or changes it."""
 
     context: Context
-    incarnation: str
+    member_id: str
     outboxes: Outboxes
+    freshness: decisions.freshness.FreshnessState
+    claims: decisions.claims.ClaimTable
     configuration: Configuration = field(
         default_factory=lambda: Configuration(version=0)
     )
     view: PlatformView | None = None
     members_by_id: dict[str, Member] = field(default_factory=dict)
     requests: RequestTable = field(default_factory=RequestTable)
-    queues_by_service: dict[str, deque[str]] = field(default_factory=dict)
-    running_by_host: dict[str, int] = field(default_factory=dict)
+    queues_by_service: dict[str, decisions.queueing.TeamQueues] = field(
+        default_factory=dict
+    )
+    budgets_by_service: dict[str, decisions.retries.RetryBudget] = field(
+        default_factory=dict
+    )
+    health: decisions.ejection.HealthTable = field(
+        default_factory=decisions.ejection.HealthTable
+    )
+    routing: decisions.routing.RoutingTable | None = None
+    zone_ramp: decisions.zones.ZoneRamp = field(
+        default_factory=decisions.zones.ZoneRamp
+    )
+    grants: decisions.limits.LocalGrants = field(
+        default_factory=decisions.limits.LocalGrants
+    )
     silent_hosts: set[str] = field(default_factory=set)
-    joined: bool = False
+    steward: StewardState = field(default_factory=StewardState)
+    read_gaps: deque[ReadGap] = field(
+        default_factory=lambda: deque(maxlen=READ_GAPS_KEPT)
+    )
+    joined_ms: int | None = None
+    was_fresh: bool = False
+    taking_over: bool = False
+    confirmed_since: dict[int, dict[str, int]] = field(default_factory=dict)
+    acceptance_waiters: list[AcceptanceWaiter] = field(default_factory=list)
+    accepted_since_by_version: dict[int, int] = field(default_factory=dict)
+    usage_by_host: dict[str, HostUsage] = field(default_factory=dict)
+    drain_ordered_ms_by_host: dict[str, int] = field(default_factory=dict)
+    rebooted_hosts: set[str] = field(default_factory=set)
+    waiting_for_claim: set[str] = field(default_factory=set)
+    waiting_to_refuse: dict[str, int] = field(default_factory=dict)
+    tick_count: int = 0
+    open_running: int = 0
+    renew_until_ms: int = 0
+    may_renew: bool = True
+    waiting_to_retry: dict[str, int] = field(default_factory=dict)
     stopping: bool = False
+    excluded: bool = False
     idle_waiters: list[Call] = field(default_factory=list)
-    platform_read_sent_ms: int | None = None
-
-    @property
-    def member_id(self) -> str:
-        """Id of this entry host."""
-        return self.context.settings.member_id
+    release_waiters: list[Call] = field(default_factory=list)
 
     @property
     def own_zone(self) -> str:
--- /dev/null
+++ b/dandelionknot/_steward.py
@@ -0,0 +1,315 @@
+"""Work that any member may do: slices, stopped members, moves and plans.
+
+No member is set aside for it. The member with the lowest id does a duty at
+once; the others do it only if it stays undone, each after a longer time, so
+that they do not all write at once. Every result is written by
+compare-and-swap, so two members that act at the same time do no harm.
+"""
+
+from dandelionknot import codec, decisions
+from dandelionknot._fleet_steps import excluding, next_fleet_changes
+from dandelionknot._grants import live_members, update_grants
+from dandelionknot._mailbox import Call
+from dandelionknot._ownership import (
+    release_slices,
+    settle_release,
+    write_slices,
+)
+from dandelionknot._platform_sync import (
+    ALIVE_PREFIX,
+    GRANTS_PREFIX,
+    MEMBERS_PREFIX,
+)
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms, unix_ms
+from dandelionknot.events import Event, log_event
+from dandelionknot.journal import Subject
+from dandelionknot.messages import (
+    ChangeFinished,
+    FleetChange,
+    FleetStep,
+    Member,
+    SliceMap,
+    WaitUntilReleased,
+    WriteRequest,
+)
+
+TURN_MS = 3000
+DEAD_AFTER_MS = 5000
+RETRY_MS = 5000
+
+
+def do_duties(state: DispatcherState) -> None:
+    """Looks at every duty once; called about once a second while fresh."""
+    members = live_members(state)
+    if state.view is None or state.member_id not in members:
+        return
+    settle_release(state)
+    _note_members(state)
+    rank = members.index(state.member_id)
+    _assign_slices(state, members, rank)
+    _exclude_dead(state, rank)
+    _clear_excluded(state, rank)
+    for change in next_fleet_changes(state):
+        duty = f'{change.step}:{change.subject}:{state.configuration.version}'
+        if _is_my_turn(state, duty, rank):
+            send_change(state, change)
+
+
+def _is_my_turn(state: DispatcherState, duty: str, rank: int) -> bool:
+    """Tells whether to do a duty now; it then rests until it is overdue again."""
+    now = now_ms()
+    since = state.steward.due_since_by_duty.setdefault(duty, now)
+    if now - since < rank * TURN_MS:
+        return False
+    state.steward.due_since_by_duty[duty] = now + RETRY_MS
+    return now >= since
+
+
+def send_change(state: DispatcherState, change: FleetChange) -> None:
+    """Has a change of the fleet's own written."""
+    state.context.explain(
+        Subject.CHANGE, change.change_id, f'{change.step} by {state.member_id}'
+    )
+    state.outboxes.changes.send(change)
+
+
+def new_change_id(state: DispatcherState) -> str:
+    """Returns a change id that no other member or run uses."""
+    state.steward.change_count += 1
+    name = state.member_id.replace('.', '-')
+    return f'{name}-{state.steward.change_count}'[-63:].lstrip('-')
+
+
+def _note_members(state: DispatcherState) -> None:
+    """Notes since when members have been silent, excluded or without a record."""
+    now = now_ms()
+    assert state.view is not None
+    alive = set(state.view.alive_ids)
+    steward = state.steward
+    for member_id in state.members_by_id:
+        if member_id not in alive:
+            steward.missing_since_by_member.setdefault(member_id, now)
+    for member_id in state.configuration.excluded_members:
+        steward.excluded_in_version.setdefault(member_id, state.configuration.version)
+    holders = {
+        holder
+        for record in state.view.grants_by_team.values()
+        for holder in (*record.grants_by_member, *record.requests_by_member)
+    }
+    for holder in holders - state.members_by_id.keys():
+        steward.absent_since_by_holder.setdefault(holder, now)
+
+
+def _exclude_dead(state: DispatcherState, rank: int) -> None:
+    """Excludes members whose liveness key has been gone for a while."""
+    now = now_ms()
+    excluded = set(state.configuration.excluded_members)
+    dead = [
+        member_id
+        for member_id, since in state.steward.missing_since_by_member.items()
+        if member_id in state.members_by_id
+        and member_id not in excluded
+        and now - since >= DEAD_AFTER_MS
+    ]
+    if dead and _is_my_turn(state, f'exclude:{",".join(sorted(dead))}', rank):
+        send_change(
+            state,
+            FleetChange(
+                change_id=new_change_id(state),
+                step=FleetStep.EXCLUDE_MEMBERS,
+                subject=','.join(sorted(dead)),
+                configuration=excluding(state.configuration, sorted(dead)),
+            ),
+        )
+
+
+def stopped_since_ms(state: DispatcherState, member_id: str) -> int | None:
+    """Returns when it was learned that an excluded member stops, or None.
+
+    Either it has confirmed a version that excludes it, or a member that it
+    knows has, after which it cannot stay fresh without seeing that version.
+    """
+    version = state.steward.excluded_in_version.get(member_id)
+    member = state.members_by_id.get(member_id)
+    if version is None or member is None:
+        return None
+    seen = state.confirmed_since.get(version)
+    if seen is None:
+        seen = decisions.acceptance.observe_confirmations(
+            {}, version, state.members_by_id, now_ms()
+        )
+        state.confirmed_since[version] = seen
+    if member_id in seen:
+        return seen[member_id]
+    times = [
+        since
+        for witness_id, since in seen.items()
+        if _is_known_to(state.members_by_id.get(witness_id), member)
+    ]
+    return min(times, default=None)
+
+
+def _is_known_to(witness: Member | None, member: Member) -> bool:
+    return witness is not None and (
+        0 < witness.joined_revision <= member.members_revision
+    )
+
+
+def _has_stopped(state: DispatcherState, member_id: str) -> bool:
+    """Tells whether a slice owner accepts and starts nothing any more."""
+    if member_id not in state.members_by_id:
+        return True
+    since = stopped_since_ms(state, member_id)
+    proof_ms = decisions.slices.stop_proof_ms(state.configuration.bounds)
+    return since is not None and now_ms() - since > proof_ms
+
+
+def _assign_slices(state: DispatcherState, members: list[str], rank: int) -> None:
+    assert state.view is not None
+    current = state.view.slices
+    goal = decisions.slices.assign_slices(members, current)
+    if current is None:
+        if _is_my_turn(state, 'first slices', rank):
+            write_slices(state, goal)
+        return
+    permitted = decisions.slices.permitted_map(
+        current, goal, lambda index, owner: _has_stopped(state, owner)
+    )
+    if permitted.epoch != current.epoch:
+        if _is_my_turn(state, f'slices:{current.epoch}', rank):
+            write_slices(state, _with_doubts(state, current, permitted))
+        return
+    if goal.epoch != current.epoch:
+        release_slices(state, goal, everything=False)
+
+
+def _with_doubts(
+    state: DispatcherState, current: SliceMap, permitted: SliceMap
+) -> SliceMap:
+    doubtful = [
+        index
+        for index, (before, after) in enumerate(
+            zip(current.owners, permitted.owners, strict=True)
+        )
+        if before != after and before and not _trusts_log(state, before)
+    ]
+    return decisions.slices.with_doubts(permitted, doubtful, unix_ms())
+
+
+def _trusts_log(state: DispatcherState, former_owner: str) -> bool:
+    """Tells whether the former owner cannot have decided anything in memory."""
+    seen_ms = state.steward.last_seen_alive_by_member.get(former_owner)
+    if seen_ms is None or state.joined_ms is None:
+        return False
+    renewal_after_ms = seen_ms - state.context.settings.member_lease_ms
+    gaps = [gap.length_ms for gap in state.read_gaps if gap.end_ms > renewal_after_ms]
+    return decisions.slices.trusts_claim_log(
+        member_since_ms=state.joined_ms,
+        renewal_after_ms=renewal_after_ms,
+        longest_gap_ms=max(gaps, default=0),
+        bounds=state.configuration.bounds,
+    )
+
+
+def _clear_excluded(state: DispatcherState, rank: int) -> None:
+    """Reclaims grants of stopped holders, then deletes their records."""
+    assert state.view is not None
+    now = now_ms()
+    bounds = state.configuration.bounds
+    holding: set[str] = set()
+    for team_id, record in state.view.grants_by_team.items():
+        for holder in {*record.grants_by_member, *record.requests_by_member}:
+            since = _holder_stopped_since_ms(state, holder)
+            if since is None:
+                continue
+            holding.add(holder)
+            freed = decisions.limits.reclaim(record, holder, since, bounds, now)
+            if freed is None or not _is_my_turn(
+                state, f'reclaim:{team_id}:{holder}', rank
+            ):
+                continue
+            log_event(Event.GRANT_RECLAIMED, team=team_id, holder=holder)
+            state.outboxes.writer.send(
+                WriteRequest(
+                    key=GRANTS_PREFIX + team_id,
+                    expected_revision=state.view.grant_revisions_by_team[team_id],
+                    value=codec.encode_json(freed).decode(),
+                )
+            )
+    owners = set(state.view.slices.owners) if state.view.slices else set()
+    for member_id in state.configuration.excluded_members:
+        member = state.members_by_id.get(member_id)
+        is_alive = member_id in state.view.alive_ids
+        if member is None or is_alive or member_id in holding | owners:
+            continue
+        if _has_stopped(state, member_id) and _is_my_turn(
+            state, f'delete:{member_id}', rank
+        ):
+            _delete_record(state, member_id)
+
+
+def _holder_stopped_since_ms(state: DispatcherState, holder: str) -> int | None:
+    if holder in state.members_by_id:
+        return stopped_since_ms(state, holder)
+    return state.steward.absent_since_by_holder.get(holder)
+
+
+def _delete_record(state: DispatcherState, member_id: str) -> None:
+    log_event(Event.MEMBER_RECORD_DELETED, member_id=member_id)
+    assert state.view is not None
+    for prefix in (MEMBERS_PREFIX, ALIVE_PREFIX):
+        revision = state.view.member_revisions_by_key.get(prefix + member_id, 0)
+        if revision:
+            state.outboxes.writer.send(
+                WriteRequest(
+                    key=prefix + member_id, expected_revision=revision, value=None
+                )
+            )
+
+
+def change_finished(state: DispatcherState, message: ChangeFinished) -> None:
+    """Explains how a change of the fleet's own ended; undone ones come up again."""
+    state.context.explain(
+        Subject.CHANGE,
+        message.report.change_id,
+        f'{message.step.step} {message.report.outcome}',
+        message.report.message,
+    )
+    state.context.explain(
+        Subject.HOST,
+        message.step.subject,
+        f'{message.step.step} {message.report.outcome}',
+        message.report.message,
+    )
+
+
+def leave(state: DispatcherState) -> None:
+    """Hands all slices to other members while this one stops."""
+    settle_release(state)
+    if state.view is None or state.view.slices is None or not state.claims.owned_slices:
+        return
+    others = [each for each in live_members(state) if each != state.member_id]
+    if others:
+        goal = decisions.slices.assign_slices(others, state.view.slices)
+        release_slices(state, goal, everything=True)
+
+
+def wait_until_released(
+    state: DispatcherState, call: Call, message: WaitUntilReleased
+) -> None:
+    """Gives everything back that other members can use."""
+    state.grants.stopping = True
+    state.release_waiters.append(call)
+    leave(state)
+    update_grants(state)
+
+
+def answer_released(state: DispatcherState) -> None:
+    """Replies once nothing is held here any more."""
+    granted = any(team.granted for team in state.grants.teams_by_id.values())
+    if granted or state.claims.owned_slices:
+        return
+    for waiter in state.release_waiters:
+        waiter.answer(True)
+    state.release_waiters.clear()
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -2,20 +2,29 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
-from result import Err
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from result import Err, Result
 from tornado.httpserver import HTTPServer
 from websockets.asyncio.server import Server
 
+from dandelionknot import decisions
 from dandelionknot._caller_server import start_caller_server
+from dandelionknot._changes import run_changes
 from dandelionknot._dispatcher import run_dispatcher, run_ticks
-from dandelionknot._http_client import http_target, new_http_client
+from dandelionknot._fleet_steps import fleet_health
+from dandelionknot._http_client import HttpClient, http_target, new_http_client
 from dandelionknot._links import run_links
 from dandelionknot._mailbox import Mailbox
-from dandelionknot._peers import run_peer_links, start_peer_server
+from dandelionknot._operator_server import start_operator_server
+from dandelionknot._peers import (
+    PeerIdentity,
+    PingPlan,
+    run_peer_links,
+    start_peer_server,
+)
 from dandelionknot._platform_http import http_platform_port
 from dandelionknot._platform_sync import (
     new_incarnation,
@@ -25,6 +34,7 @@
 )
 from dandelionknot._state import DispatcherState, Outboxes
 from dandelionknot.clock import now_ms, seconds
+from dandelionknot.configuration import Configuration
 from dandelionknot.context import Context
 from dandelionknot.events import Event, log_event
 from dandelionknot.messages import (
@@ -32,10 +42,14 @@
     ReadinessCheck,
     StopService,
     WaitUntilIdle,
+    WaitUntilReleased,
 )
+from dandelionknot.operators import OutsideDecisions
 from dandelionknot.settings import EntrySettings
 
 MAILBOX_CAPACITY = 1000
+INCARNATION_DIGITS = 8
+RELEASE_TIMEOUT_MS = 3000
 PLATFORM_CONNECTIONS = 8
 # Peers matter for freshness only while the platform gives no answer.
 QUIET_PING_FACTOR = 2
@@ -49,11 +63,11 @@
     context: Context
     state: DispatcherState
     mailbox: Mailbox
-    caller_server: HTTPServer
+    servers: list[HTTPServer]
     peer_server: Server
     tasks: list[asyncio.Task]
     membership_task: asyncio.Task
-    clients: list[CurlAsyncHTTPClient]
+    clients: list[HttpClient]
 
     async def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
@@ -77,6 +91,7 @@
             await asyncio.wait_for(
                 idle, seconds(self.context.settings.drain_timeout_ms)
             )
+        await self._leave_ownership()
         await self.state.outboxes.membership.deliver(StopService(reason='stopped'))
         await asyncio.wait(
             [self.membership_task],
@@ -85,21 +100,29 @@
         await self.kill()
         log_event(Event.ENTRY_STOPPED, member_id=self.state.member_id)
 
+    async def _leave_ownership(self) -> None:
+        """Waits a little for other members to take the slices and the grants."""
+        with contextlib.suppress(TimeoutError):
+            reply = self.mailbox.ask(WaitUntilReleased())
+            await asyncio.wait_for(reply, seconds(RELEASE_TIMEOUT_MS))
+
     async def kill(self) -> None:
         """Ends all tasks at once, as a crash would, and closes the sockets."""
-        self.caller_server.stop()
+        for server in self.servers:
+            server.stop()
         self.peer_server.close()
         for task in [*self.tasks, self.membership_task]:
             task.cancel()
         await asyncio.gather(*self.tasks, self.membership_task, return_exceptions=True)
-        await self.caller_server.close_all_connections()
+        for server in self.servers:
+            await server.close_all_connections()
         for client in self.clients:
             client.close()
 
 
-def _member_record(settings: EntrySettings, incarnation: str) -> Member:
+def _member_record(settings: EntrySettings, member_id: str, incarnation: str) -> Member:
     return Member(
-        member_id=settings.member_id,
+        member_id=member_id,
         incarnation=incarnation,
         availability_zone=settings.availability_zone,
         peer_address=settings.advertised_peer_address or settings.peer_address,
@@ -107,68 +130,127 @@
     )
 
 
+def _ping_interval(state: DispatcherState) -> Callable[[], PingPlan]:
+    """Returns a function that tells how often to ping, and with which version."""
+
+    def plan() -> PingPlan:
+        read = state.freshness.platform_read
+        is_quiet = (
+            read is not None and now_ms() - read.question_sent_ms <= PLATFORM_QUIET_MS
+        )
+        interval_ms = state.context.settings.peer_ping_interval_ms
+        return PingPlan(
+            interval_ms * (QUIET_PING_FACTOR if is_quiet else 1),
+            state.configuration.version,
+        )
+
+    return plan
+
+
+def _new_state(context: Context, member_id: str, incarnation: str) -> DispatcherState:
+    settings = context.settings
+    capacity = settings.max_requests
+    outboxes = Outboxes(
+        writer=Mailbox(MAILBOX_CAPACITY),
+        peers=Mailbox(capacity),
+        membership=Mailbox(MAILBOX_CAPACITY),
+        links=Mailbox(capacity * 2),
+        changes=Mailbox(MAILBOX_CAPACITY),
+    )
+    return DispatcherState(
+        context=context,
+        member_id=member_id,
+        outboxes=outboxes,
+        freshness=decisions.freshness.FreshnessState(member_id=member_id),
+        claims=decisions.claims.ClaimTable(
+            member_id=member_id,
+            incarnation=incarnation,
+            bounds=Configuration(version=0).bounds,
+            flush_interval_ms=settings.claim_flush_ms,
+        ),
+    )
+
+
+def _outside_decisions(state: DispatcherState) -> OutsideDecisions:
+    """Returns the decisions that operators' edits need from the fleet's state."""
+
+    def begin_move(
+        configuration: Configuration, host_id: str, to_pool: str
+    ) -> Result[Configuration, Any]:
+        allowed = decisions.budgets.may_stop(
+            configuration, fleet_health(state), host_id
+        )
+        if isinstance(allowed, Err):
+            return allowed
+        return decisions.pools.begin_move(configuration, host_id, to_pool)
+
+    def may_drain(configuration: Configuration, host_id: str) -> Result[None, Any]:
+        return decisions.budgets.may_stop(configuration, fleet_health(state), host_id)
+
+    return OutsideDecisions(
+        begin_move=begin_move,
+        cancel_move=decisions.pools.cancel_move,
+        propose_limit=decisions.votes.propose_limit,
+        cast_vote=decisions.votes.cast_vote,
+        may_drain=may_drain,
+    )
+
+
 async def start_entry(settings: EntrySettings) -> Entry:
     """Starts the tasks of an entry host and returns at once.
 
-    It is ready for callers once it has read the configuration and its own
-    record is on the platform.
+    It is ready for callers once it has read the configuration, its record is
+    on the platform and it knows who owns the request ids. Each run is a member
+    of its own, since what an earlier run held may still be in use.
     """
     context = Context.from_settings(settings)
     dispatcher: Mailbox = Mailbox(settings.max_requests * 2)
-    outboxes = Outboxes(
-        writer=Mailbox(MAILBOX_CAPACITY),
-        peers=Mailbox(settings.max_requests),
-        membership=Mailbox(MAILBOX_CAPACITY),
-        links=Mailbox(settings.max_requests * 2),
-    )
     incarnation = new_incarnation()
-    state = DispatcherState(context, incarnation, outboxes)
+    member_id = f'{settings.member_id}.{incarnation[:INCARNATION_DIGITS]}'
+    state = _new_state(context, member_id, incarnation)
+    outboxes = state.outboxes
     platform_client = new_http_client(PLATFORM_CONNECTIONS)
     backend_client = new_http_client(settings.backend_connections)
     platform = http_platform_port(
         http_target(settings, platform_client, settings.platform_address)
     )
-    peer_server = await start_peer_server(settings, dispatcher, context.metrics.count)
-    caller_server = start_caller_server(settings, dispatcher)
-
-    def ping_ms() -> tuple[int, int]:
-        read_ms = state.platform_read_sent_ms
-        is_read = read_ms is not None and now_ms() - read_ms <= PLATFORM_QUIET_MS
-        interval_ms = settings.peer_ping_interval_ms
-        if is_read:
-            interval_ms *= QUIET_PING_FACTOR
-        return interval_ms, state.configuration.version
-
-    work: list[Awaitable[None]] = [
+    count = context.metrics.count
+    identity = PeerIdentity.from_settings(settings, member_id)
+    peer_server = await start_peer_server(
+        settings.peer_address, identity, dispatcher, count
+    )
+    servers = [
+        start_caller_server(settings, dispatcher),
+        start_operator_server(settings, dispatcher, outboxes.changes),
+    ]
+    work: list[Coroutine[Any, Any, None]] = [
         run_dispatcher(state, dispatcher),
         run_ticks(dispatcher),
         run_reader(
             platform, dispatcher, settings.platform_read_interval_ms, context.random
         ),
-        run_writer(platform, outboxes.writer),
+        run_writer(platform, outboxes.writer, dispatcher),
+        run_changes(platform, outboxes.changes, dispatcher, _outside_decisions(state)),
         run_links(context, outboxes.links, dispatcher, backend_client),
         run_peer_links(
-            settings, outboxes.peers, dispatcher, ping_ms, context.metrics.count
+            identity, outboxes.peers, dispatcher, _ping_interval(state), count
         ),
     ]
-    tasks = [asyncio.ensure_future(each) for each in work]
-    membership_task = asyncio.create_task(
-        run_membership(
-            platform,
-            outboxes.membership,
-            dispatcher,
-            _member_record(settings, incarnation),
-            settings.member_lease_ms,
-        )
+    membership = run_membership(
+        platform,
+        outboxes.membership,
+        dispatcher,
+        _member_record(settings, member_id, incarnation),
+        settings.member_lease_ms,
     )
-    log_event(Event.ENTRY_STARTED, member_id=settings.member_id)
+    log_event(Event.ENTRY_STARTED, member_id=member_id)
     return Entry(
         context=context,
         state=state,
         mailbox=dispatcher,
-        caller_server=caller_server,
+        servers=servers,
         peer_server=peer_server,
-        tasks=tasks,
-        membership_task=membership_task,
+        tasks=[asyncio.create_task(each) for each in work],
+        membership_task=asyncio.create_task(membership),
         clients=[platform_client, backend_client],
     )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -237,7 +237,7 @@
     keys_by_team: dict[str, str] = {}
     teams_by_id: dict[str, Team] = {}
     for team_id, limit in plan.teams.items():
-        issued = decisions.issue_key(team_id, 'key-1', os.urandom(48)).unwrap()
+        issued = decisions.keys.issue_key(team_id, 'key-1', os.urandom(48)).unwrap()
         keys_by_team[team_id] = issued.presented
         teams_by_id[team_id] = Team(
             upper_limit=limit, keys_by_id={'key-1': issued.record}
