Add zone ramps and routing of tasks to hosts

Cause: tasks must reach only hosts that take new work, prefer the own zone, and come back gently to a zone that returns. Change: _zones has may_start_in, ramp_fraction and the ZoneRamp state of an entry host. _routing builds a table once a version; each pool, zone and host size has a list of hosts with a free slot, which a host enters and leaves in constant time. choose draws two of them and takes the one with the lower load relative to its slots. Loads, busy answers and exclusions continue into the next table. A busy answer counts for 1 s, because a lagging usage report may speak of an earlier moment. Ruled out: drawing from all hosts and rejecting unusable ones (the number of draws is unbounded when most hosts are full); a tree of weights (the lists of at most a few sizes in each of six zones need none); clearing a busy answer with the next usage report (the report may be older). Broken on purpose, each seen to fail in RoutingMachine: configured states, exclusions, busy, full hosts, loads and busy ends kept over versions, list positions, a second busy answer, hidden hosts put back, other entry hosts' tasks, own zone only, sizes, the less loaded of two, the second draw, own zone first. In RoutingTest and ZoneTest: the ramp of the own and of another zone, each refusal code, time to retry, reported slots, exits during a ramp, a zone that is out or returns later. Conclusion: the dispatcher owns the table and calls these functions from its own task only.

--- /dev/null
+++ b/dandelionknot/_routing.py
@@ -0,0 +1,445 @@
+"""Choice of a worker host for a task.
+
+A `RoutingTable` is built once for each configuration version and keeps, per
+pool, availability zone and host size, the list of hosts with a free slot. A
+host enters or leaves its list in constant time when its load or its health
+changes, so a choice never looks at a host that it must not use, and its cost
+grows with the number of zones and host sizes but not with that of hosts.
+"""
+
+from collections import deque
+from collections.abc import Collection, Iterator, Sequence
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from dandelionknot._budgets import UnavailableReason
+from dandelionknot._pools import takes_new_work
+from dandelionknot._zones import ZoneRamp, zone_fraction
+from dandelionknot.configuration import Configuration, Host, ZoneState
+from dandelionknot.messages import ErrorCode, Refusal, RunState, UsageReport
+
+RANDOM_NUMBERS_PER_CHOICE = 3
+
+# A busy answer outweighs the last usage report for this long. It is about the
+# interval between usage reports; the next one shows the actual load.
+BUSY_HOLD_MS = 1000
+
+
+# Upper bound of `Host.slots` in the schema; stands for "not reported yet".
+MAX_SLOTS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSize:
+    """Processor cores and memory that a task declares."""
+
+    cores: int = 1
+    memory_mb: int = 1
+
+
+SMALLEST_TASK = TaskSize()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostChoice:
+    """The host to which a task is sent, with what its start message names."""
+
+    host_id: str
+    address: str
+    availability_zone: str
+    pool: str
+    pool_epoch: int
+
+
+@dataclass(slots=True, eq=False)
+class HostGroup:
+    """Hosts of one pool, zone and size that have a free slot, in any order."""
+
+    size: TaskSize
+    free: list['HostLoad'] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class HostLoad:
+    """Load of one host as known here; `position` is -1 outside its free list."""
+
+    choice: HostChoice
+    group: HostGroup
+    slots: int
+    configured_slots: int
+    reported_slots: int
+    takes_new_work: bool
+    own_running: int = 0
+    other_running: int = 0
+    busy_until_ms: int | None = None
+    exclusions: set[UnavailableReason] = field(default_factory=set)
+    position: int = -1
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class PoolRoutes:
+    """Free hosts of one pool by zone, and the sizes of all of its hosts."""
+
+    pool: str
+    groups_by_zone: dict[str, dict[TaskSize, HostGroup]] = field(default_factory=dict)
+    sizes: set[TaskSize] = field(default_factory=set)
+    zones_in_service: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class RoutingTable:
+    """Routes of one configuration version, as seen from one zone.
+
+    `busy_hosts` has the ends of busy answers in the order of time.
+    """
+
+    version: int
+    own_zone_id: str
+    ramp_ms: int
+    zone_ramp: ZoneRamp
+    routes_by_service: dict[str, PoolRoutes]
+    hosts_by_id: dict[str, HostLoad]
+    busy_hosts: deque[tuple[int, str]]
+
+    @classmethod
+    def from_configuration(
+        cls,
+        configuration: Configuration,
+        own_zone_id: str,
+        previous: 'RoutingTable | None' = None,
+        zone_ramp: ZoneRamp | None = None,
+    ) -> 'RoutingTable':
+        """Builds the table; loads and exclusions continue from `previous`."""
+        routes_by_pool = {
+            pool: PoolRoutes(pool=pool) for pool in configuration.pools_by_id
+        }
+        table = cls(
+            version=configuration.version,
+            own_zone_id=own_zone_id,
+            ramp_ms=configuration.bounds.ramp_ms,
+            zone_ramp=zone_ramp or ZoneRamp(),
+            routes_by_service={
+                service_id: routes_by_pool.setdefault(
+                    service.pool, PoolRoutes(pool=service.pool)
+                )
+                for service_id, service in configuration.services_by_id.items()
+            },
+            hosts_by_id={},
+            busy_hosts=deque(previous.busy_hosts if previous else ()),
+        )
+        known = previous.hosts_by_id if previous else {}
+        for host_id, host in configuration.hosts_by_id.items():
+            routes = routes_by_pool.setdefault(host.pool, PoolRoutes(pool=host.pool))
+            load = _new_load(configuration, host_id, host, routes)
+            if host_id in known:
+                _copy_load(known[host_id], load)
+            table.hosts_by_id[host_id] = load
+            _place(load)
+        return table
+
+
+def choose(
+    table: RoutingTable,
+    service_id: str,
+    random_numbers: Sequence[float],
+    now_ms: int,
+    excluded: Collection[str] = (),
+    size: TaskSize = SMALLEST_TASK,
+    own_zone_only: bool = False,
+) -> Result[HostChoice, Refusal]:
+    """Chooses the less loaded of two random hosts that can take a task.
+
+    Hosts of the own zone are used until none of them has a free slot.
+    `random_numbers` has `RANDOM_NUMBERS_PER_CHOICE` numbers from [0, 1).
+    `excluded` names hosts that this task must not use again. The choice
+    changes no load; the caller reports the start with `host_started`.
+
+    >>> choose(table, 'desk', [random() for _ in range(3)], now_ms)
+    Ok(HostChoice(host_id='quotes-1', address='10.0.0.1:8000', ...))
+    """
+    release_busy_hosts(table, now_ms)
+    routes = table.routes_by_service.get(service_id)
+    if routes is None:
+        message = f'service {service_id!r} does not exist'
+        return Err(_refusal(ErrorCode.SERVICE_NOT_FOUND, message))
+    if not any(_fits(size, host_size) for host_size in routes.sizes):
+        return Err(_cannot_fit(routes, size))
+    hidden = [
+        load
+        for host_id in excluded
+        if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
+    ]
+    for load in hidden:
+        _remove(load)
+    chosen = _choose_free(table, routes, random_numbers, now_ms, size, own_zone_only)
+    for load in hidden:
+        _insert(load)
+    if chosen is None:
+        return Err(_no_host(table, routes, now_ms, own_zone_only))
+    return Ok(chosen.choice)
+
+
+def host_started(table: RoutingTable, host_id: str) -> None:
+    """Counts a task of this entry host that is sent to a host."""
+    load = table.hosts_by_id.get(host_id)
+    if load is not None:
+        load.own_running += 1
+        _place(load)
+
+
+def host_finished(table: RoutingTable, host_id: str) -> None:
+    """Ends the count of a task, also if the host refused to start it."""
+    load = table.hosts_by_id.get(host_id)
+    if load is not None:
+        load.own_running = max(0, load.own_running - 1)
+        _place(load)
+
+
+def host_busy(table: RoutingTable, host_id: str, now_ms: int) -> None:
+    """Takes a host that answered `busy` as full until `BUSY_HOLD_MS` from now."""
+    load = table.hosts_by_id.get(host_id)
+    if load is not None:
+        load.busy_until_ms = now_ms + BUSY_HOLD_MS
+        table.busy_hosts.append((load.busy_until_ms, host_id))
+        _place(load)
+
+
+def own_running(table: RoutingTable, host_id: str) -> int:
+    """Returns the number of tasks of this entry host on a host."""
+    load = table.hosts_by_id.get(host_id)
+    return load.own_running if load else 0
+
+
+def set_usage(
+    table: RoutingTable, host_id: str, report: UsageReport, own_when_asked: int
+) -> None:
+    """Takes over a usage report, which is out of date when it arrives.
+
+    `own_when_asked` is `own_running` at the moment when the report was asked
+    for; the rest of the reported tasks belongs to other entry hosts. Tasks
+    that this entry host starts or ends meanwhile are counted exactly. A busy
+    answer stays in force, since the report may speak of an earlier moment.
+    """
+    load = table.hosts_by_id.get(host_id)
+    if load is None:
+        return
+    load.other_running = max(0, report.running - own_when_asked)
+    load.reported_slots = report.slots
+    load.slots = min(load.configured_slots, load.reported_slots)
+    set_excluded(table, host_id, UnavailableReason.DRAINING, report.draining)
+
+
+def set_excluded(
+    table: RoutingTable, host_id: str, reason: UnavailableReason, excluded: bool
+) -> None:
+    """Sets or clears one reason for which a host is not chosen.
+
+    `DRAINING` follows the usage reports of the host and `set_usage` sets it.
+    What the configuration says needs no call: the next table has it.
+    """
+    load = table.hosts_by_id.get(host_id)
+    if load is None:
+        return
+    if excluded:
+        load.exclusions.add(reason)
+    else:
+        load.exclusions.discard(reason)
+    _place(load)
+
+
+def release_busy_hosts(table: RoutingTable, now_ms: int) -> None:
+    """Ends the busy answers whose time has passed."""
+    while table.busy_hosts and table.busy_hosts[0][0] <= now_ms:
+        _, host_id = table.busy_hosts.popleft()
+        load = table.hosts_by_id.get(host_id)
+        if load is None or load.busy_until_ms is None:
+            continue
+        if load.busy_until_ms <= now_ms:
+            load.busy_until_ms = None
+            _place(load)
+
+
+def _new_load(
+    configuration: Configuration, host_id: str, host: Host, routes: PoolRoutes
+) -> HostLoad:
+    zone_id = host.availability_zone
+    size = TaskSize(host.cores, host.memory_mb)
+    routes.sizes.add(size)
+    zone = configuration.availability_zones_by_id.get(zone_id)
+    if zone is not None and zone.state is ZoneState.IN_SERVICE:
+        routes.zones_in_service.add(zone_id)
+    groups = routes.groups_by_zone.setdefault(zone_id, {})
+    return HostLoad(
+        choice=HostChoice(
+            host_id=host_id,
+            address=host.address,
+            availability_zone=zone_id,
+            pool=host.pool,
+            pool_epoch=host.pool_epoch,
+        ),
+        group=groups.setdefault(size, HostGroup(size)),
+        slots=host.slots,
+        configured_slots=host.slots,
+        reported_slots=MAX_SLOTS,
+        takes_new_work=takes_new_work(configuration, host_id),
+    )
+
+
+def _copy_load(source: HostLoad, target: HostLoad) -> None:
+    target.own_running = source.own_running
+    target.other_running = source.other_running
+    target.busy_until_ms = source.busy_until_ms
+    target.exclusions = source.exclusions
+    target.reported_slots = source.reported_slots
+    target.slots = min(target.configured_slots, target.reported_slots)
+
+
+def _place(load: HostLoad) -> None:
+    """Puts a host into its free list or takes it out, as its state demands."""
+    is_free = (
+        load.takes_new_work
+        and not load.exclusions
+        and load.busy_until_ms is None
+        and load.own_running + load.other_running < load.slots
+    )
+    if is_free and load.position < 0:
+        _insert(load)
+    elif not is_free and load.position >= 0:
+        _remove(load)
+
+
+def _insert(load: HostLoad) -> None:
+    load.position = len(load.group.free)
+    load.group.free.append(load)
+
+
+def _remove(load: HostLoad) -> None:
+    last = load.group.free.pop()
+    if last is not load:
+        load.group.free[load.position] = last
+        last.position = load.position
+    load.position = -1
+
+
+def _fits(size: TaskSize, host_size: TaskSize) -> bool:
+    return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
+
+
+def _choose_free(
+    table: RoutingTable,
+    routes: PoolRoutes,
+    random_numbers: Sequence[float],
+    now_ms: int,
+    size: TaskSize,
+    own_zone_only: bool,
+) -> HostLoad | None:
+    own: list[tuple[HostGroup, float]] = []
+    others: list[tuple[HostGroup, float]] = []
+    own_fraction = 1.0
+    for zone_id, groups in routes.groups_by_zone.items():
+        is_own = zone_id == table.own_zone_id
+        if own_zone_only and not is_own:
+            continue
+        free = list(_free_groups(groups, size))
+        if not free:
+            continue
+        fraction = zone_fraction(table.zone_ramp, zone_id, table.ramp_ms, now_ms)
+        if is_own:
+            own_fraction = fraction
+        (own if is_own else others).extend((group, fraction) for group in free)
+    use_own = own and (not others or random_numbers[0] < own_fraction)
+    return _less_loaded(own if use_own else others, random_numbers)
+
+
+def _free_groups(
+    groups: dict[TaskSize, HostGroup], size: TaskSize
+) -> Iterator[HostGroup]:
+    for host_size, group in groups.items():
+        if group.free and _fits(size, host_size):
+            yield group
+
+
+def _less_loaded(
+    weighted_groups: list[tuple[HostGroup, float]], random_numbers: Sequence[float]
+) -> HostLoad | None:
+    first = _draw(weighted_groups, random_numbers[1], None)
+    if first is None:
+        return None
+    second = _draw(weighted_groups, random_numbers[2], first)
+    if second is None:
+        return first
+    first_load = (first.own_running + first.other_running) * second.slots
+    second_load = (second.own_running + second.other_running) * first.slots
+    return first if first_load <= second_load else second
+
+
+def _draw(
+    weighted_groups: list[tuple[HostGroup, float]],
+    random_number: float,
+    taken: HostLoad | None,
+) -> HostLoad | None:
+    """Draws one host other than `taken`, each with the weight of its group."""
+    counts = [
+        len(group.free) - (taken is not None and taken.group is group)
+        for group, _ in weighted_groups
+    ]
+    total = sum(
+        count * weight
+        for count, (_, weight) in zip(counts, weighted_groups, strict=True)
+    )
+    rest = random_number * total
+    drawn = None
+    for count, (group, weight) in zip(counts, weighted_groups, strict=True):
+        if count == 0:
+            continue
+        # Rounding may leave a rest beyond the last host, which is then taken.
+        index = min(int(rest / weight), count - 1)
+        if taken is not None and taken.group is group and index >= taken.position:
+            index += 1
+        drawn = group.free[index]
+        if rest < count * weight:
+            return drawn
+        rest -= count * weight
+    return drawn
+
+
+def _no_host(
+    table: RoutingTable, routes: PoolRoutes, now_ms: int, own_zone_only: bool
+) -> Refusal:
+    zones = set(routes.groups_by_zone)
+    if own_zone_only:
+        zones &= {table.own_zone_id}
+    if zones and not zones & routes.zones_in_service:
+        names = ', '.join(sorted(zones))
+        message = f'pool {routes.pool!r} has hosts only in zones that are out: {names}'
+        return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
+    where = f' in availability zone {table.own_zone_id!r}' if own_zone_only else ''
+    message = f'no host of pool {routes.pool!r}{where} has a free slot for this task'
+    wait_ms = table.busy_hosts[0][0] - now_ms if table.busy_hosts else None
+    return _refusal(ErrorCode.NO_HOST_AVAILABLE, message, wait_ms)
+
+
+def _cannot_fit(routes: PoolRoutes, size: TaskSize) -> Refusal:
+    if not routes.sizes:
+        message = f'pool {routes.pool!r} has no hosts'
+        return _refusal(ErrorCode.NO_HOST_AVAILABLE, message)
+    cores = max(host_size.cores for host_size in routes.sizes)
+    memory_mb = max(host_size.memory_mb for host_size in routes.sizes)
+    message = (
+        f'the task needs {size.cores} cores and {size.memory_mb} MB on one host; '
+        f'the hosts of pool {routes.pool!r} have at most {cores} cores '
+        f'and {memory_mb} MB'
+    )
+    return _refusal(ErrorCode.TASK_CANNOT_FIT, message)
+
+
+def _refusal(
+    code: ErrorCode, message: str, retry_after_ms: int | None = None
+) -> Refusal:
+    return Refusal(
+        code=code,
+        message=message,
+        run_state=RunState.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/dandelionknot/_zones.py
@@ -0,0 +1,83 @@
+"""Availability zones that operators take out of service and bring back."""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from dandelionknot.configuration import Configuration, ZoneState
+from dandelionknot.messages import ErrorCode, Refusal, RunState
+
+# A zone that has just returned gets a few tasks at once, so that a service
+# whose other zones are out does not wait for the ramp.
+MIN_RAMP_FRACTION = 0.05
+
+
+@dataclass(slots=True)
+class ZoneRamp:
+    """What one entry host has seen of zones that left and returned.
+
+    `returned_since_by_zone` has the moment in milliseconds when this entry
+    host saw the zone return, on its own clock.
+    """
+
+    out_zones: set[str] = field(default_factory=set)
+    returned_since_by_zone: dict[str, int] = field(default_factory=dict)
+
+
+def observe_zones(ramp: ZoneRamp, configuration: Configuration, now_ms: int) -> None:
+    """Records which zones left and which returned in a newly adopted version.
+
+    A zone that is in service when an entry host starts has no ramp. A zone
+    that was out when it was removed has one if it is defined again.
+    """
+    for zone_id, zone in configuration.availability_zones_by_id.items():
+        if zone.state is ZoneState.OUT_OF_SERVICE:
+            ramp.out_zones.add(zone_id)
+            ramp.returned_since_by_zone.pop(zone_id, None)
+        elif zone_id in ramp.out_zones:
+            ramp.out_zones.discard(zone_id)
+            ramp.returned_since_by_zone[zone_id] = now_ms
+    known = configuration.availability_zones_by_id.keys()
+    for zone_id in ramp.returned_since_by_zone.keys() - known:
+        del ramp.returned_since_by_zone[zone_id]
+
+
+def zone_fraction(ramp: ZoneRamp, zone_id: str, ramp_ms: int, now_ms: int) -> float:
+    """Returns the part of its full weight that a zone in service has now."""
+    since_ms = ramp.returned_since_by_zone.get(zone_id)
+    return ramp_fraction(since_ms, ramp_ms, now_ms)
+
+
+def ramp_fraction(returned_since_ms: int | None, ramp_ms: int, now_ms: int) -> float:
+    """Grows from `MIN_RAMP_FRACTION` to 1.0 over `ramp_ms` after a return."""
+    if returned_since_ms is None:
+        return 1.0
+    elapsed_ms = now_ms - returned_since_ms
+    if elapsed_ms >= ramp_ms:
+        return 1.0
+    return max(MIN_RAMP_FRACTION, elapsed_ms / ramp_ms)
+
+
+def may_start_in(
+    configuration: Configuration,
+    zone_id: str,
+    returned_since_ms: int | None,
+    now_ms: int,
+) -> Result[None, Refusal]:
+    """Checks whether tasks may start in a zone at this moment."""
+    zone = configuration.availability_zones_by_id.get(zone_id)
+    if zone is None:
+        return Err(_zone_refusal(f'availability zone {zone_id!r} does not exist'))
+    if zone.state is ZoneState.OUT_OF_SERVICE:
+        return Err(_zone_refusal(f'availability zone {zone_id!r} is out of service'))
+    if returned_since_ms is not None and now_ms < returned_since_ms:
+        return Err(_zone_refusal(f'availability zone {zone_id!r} returns later'))
+    return Ok(None)
+
+
+def _zone_refusal(message: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.AVAILABILITY_ZONE_OUT,
+        message=message,
+        run_state=RunState.NOT_RUN,
+    )
