Report whether a refused request ran and never run inside the parser

Cause: submit showed every refusal as "refused", although a refusal can say that the request ran or that nobody knows. And a trial with random words found that fire looks up a word after a complete command as a member of the parsed command and calls it, so `drain a _function x` ran code while parsing and raised AttributeError.

Change: the run state of a refusal decides the exit status, and a failed request always gives one line. A parsed command shows no members to fire.

Ruled out: refusing words with a leading underscore, which file names and payloads may have.

Conclusion: a command line runs only after all of it was understood.

--- a/dandelionknot/_command_options.py
+++ b/dandelionknot/_command_options.py
@@ -57,6 +57,10 @@
         self._arguments = arguments
         self._keywords = keywords
 
+    def __dir__(self) -> list[str]:
+        """Names no member, since `fire` would call one that a further word names."""
+        return []
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Finished:
--- a/dandelionknot/_command_outcomes.py
+++ b/dandelionknot/_command_outcomes.py
@@ -5,7 +5,7 @@
 
 from dandelionknot._operator_client import OperatorError
 from dandelionknot.exit_status import ExitStatus
-from dandelionknot.messages import ErrorCode
+from dandelionknot.messages import ErrorCode, RunState
 from dandelionknot.operators import ChangeOutcome, ChangeReport
 from dandelionknot.ports import PortErrorKind
 
@@ -57,9 +57,12 @@
     Without a usable answer the change may have been made; `remedy` says how
     to find out.
     """
-    if error.kind in (PortErrorKind.NO_ANSWER, PortErrorKind.MALFORMED):
+    lost = error.kind in (PortErrorKind.NO_ANSWER, PortErrorKind.MALFORMED)
+    if lost or error.run_state is RunState.UNKNOWN:
         message = f'{error.message}; the outcome is unknown, {remedy}'
         return failure(ExitStatus.UNKNOWN_OUTCOME, message)
+    if error.run_state is RunState.RAN:
+        return failure(ExitStatus.ERROR, error.message)
     return failed_call(error)
 
 
--- a/dandelionknot/_commands_local.py
+++ b/dandelionknot/_commands_local.py
@@ -112,7 +112,10 @@
     lines.append(f'run state: {body.run_state.value}')
     if body.result is not None:
         lines.append(f'result: {body.result}')
-    return Outcome(status=status, lines=lines, data=body, error=body.message or '')
+    error = ''
+    if status not in (ExitStatus.SUCCESS, ExitStatus.PENDING):
+        error = f'request {body.phase.value}: {body.message or "no reason was given"}'
+    return Outcome(status=status, lines=lines, data=body, error=error)
 
 
 def completion_for(commands: dict) -> object:
--- a/dandelionknot/_operator_client.py
+++ b/dandelionknot/_operator_client.py
@@ -12,7 +12,7 @@
 
 from dandelionknot import codec
 from dandelionknot.configuration import Configuration
-from dandelionknot.messages import AnswerBody, ErrorCode, Refusal, RequestBody
+from dandelionknot.messages import AnswerBody, ErrorCode, Refusal, RequestBody, RunState
 from dandelionknot.operators import (
     ChangeReport,
     ChangeRequest,
@@ -36,11 +36,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OperatorError:
-    """A call without a usable answer; `code` is set if the entry host refused."""
+    """A call without a usable answer.
+
+    `code` and `run_state` are those of a refusal by the entry host.
+    """
 
     kind: PortErrorKind
     message: str
     code: ErrorCode | None = None
+    run_state: RunState | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -170,6 +174,7 @@
                 kind=PortErrorKind.REJECTED,
                 message=refusal.ok_value.message,
                 code=refusal.ok_value.code,
+                run_state=refusal.ok_value.run_state,
             )
         )
     # A server error without a typed refusal says nothing about what was done.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,11 +15,13 @@
 from dataclasses import replace
 from pathlib import Path
 
+from hypothesis import given, settings, strategies
+from result import Err, Ok
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from dandelionknot import cli, codec
+from dandelionknot import _commands, cli, codec
 from dandelionknot.configuration import MaintenancePlan
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.messages import (
@@ -63,6 +65,17 @@
     return Application(routes, log_function=lambda _: None)
 
 
+WORDS = strategies.one_of(
+    strategies.sampled_from(
+        ['key', 'give', 'drain', 'check', 'status', 'plan', 'show']
+    ),
+    strategies.sampled_from(
+        ['--json', '--entry', '-', '-h', '--', '--x=1', '=', '_function']
+    ),
+    strategies.text(max_size=8),
+)
+
+
 class EntryHost:
     """A tiny operator API; `mode` is how it treats a change or request."""
 
@@ -178,14 +191,23 @@
             return self.finish(b'{"version": "?"}')
         if mode == 'broken':
             return self.set_status(502)
+        if mode in set(RunState):
+            refusal = Refusal(
+                code=ErrorCode.TASK_FAILED, message='failed', run_state=RunState(mode)
+            )
+            self.set_status(500)
+            return self.finish(codec.encode_json(refusal))
         if path == '/v1/requests':
+            phase = RequestPhase.FINISHED
+            if mode in set(RequestPhase):
+                phase = RequestPhase(mode)
             request = codec.decode_json(self.request.body, RequestBody, 'r').unwrap()
             self.entry_host.posted.append(request)
             return self.finish(
                 codec.encode_json(
                     AnswerBody(
                         request_id=request.request_id,
-                        phase=RequestPhase.FINISHED,
+                        phase=phase,
                         result=self.request.headers.get('Authorization'),
                         **RUN,
                     )
@@ -233,7 +255,8 @@
             ('check', usage, 'argument base is missing'),
             ('drain a b', usage, "unexpected argument 'b'"),
             ('drain a --force', usage, "unexpected argument '--force'"),
-            ('drain a _function', usage, ''),
+            ('drain a _function b', usage, "unexpected argument '_function'"),
+            ('drain a __class__ b', usage, "unexpected argument '__class__'"),
             ('drain a -- --interactive', usage, '-- is not an option'),
             ('drain a', usage, '--entry IP:PORT is missing'),
             ('drain a --entry localhost:80', usage, "'localhost:80' is not"),
@@ -385,9 +408,35 @@
         self.assertEqual(status, ExitStatus.UNKNOWN_OUTCOME)
         self.assertIn(f'--request_id {request_id}', self.err)
 
+    def test_submit_reports_whether_the_request_ran(self):
+        """Guards against a refusal shown for a request that may have run."""
+        cases = [
+            ('not_run', ExitStatus.REFUSED),
+            ('ran', ExitStatus.ERROR),
+            ('unknown', ExitStatus.UNKNOWN_OUTCOME),
+            ('queued', ExitStatus.PENDING),
+            ('failed', ExitStatus.ERROR),
+            ('cancelled', ExitStatus.REFUSED),
+        ]
+        for mode, expected in cases:
+            with self.subTest(mode=mode):
+                self.host.mode = mode
+                line = f'submit quotes-coast --entry {self.host.address}'
+                self.assertEqual(self.run_line(line, remote=False), expected)
+
+    @settings(derandomize=True, max_examples=300, deadline=None, database=None)
+    @given(strategies.lists(WORDS, max_size=6))
+    def test_arbitrary_words_never_raise(self, words):
+        """Guards against words on which the parser raises or prints."""
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+            parsed = _commands.parse(words)
+        self.assertEqual(out.getvalue(), '')
+        self.assertIsInstance(parsed, Ok | Err)
+
     def test_entry_runs_the_core(self):
         """Guards against an entry command that hides the status of the daemon."""
-        settings = {
+        entry_settings = {
             'member_id': 'entry-1',
             'availability_zone': 'sofia',
             'region': 'balkans',
@@ -395,9 +444,9 @@
             'operator_tokens_by_id': {'ana': TOKEN},
         }
         for name in ('caller', 'operator', 'peer', 'platform'):
-            settings[f'{name}_address'] = '127.0.0.1:8000'
+            entry_settings[f'{name}_address'] = '127.0.0.1:8000'
         path = self.directory / 'settings.yaml'
-        path.write_text(json.dumps(settings))
+        path.write_text(json.dumps(entry_settings))
         seen = []
         core = types.ModuleType('dandelionknot.core')
         core.run_entry = lambda read: seen.append(read) or ExitStatus.SUCCESS
