--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -395,11 +395,7 @@
             continue
         # Rounding may leave a rest beyond the last host, which is then taken.
         index = min(int(rest / weight), count - 1)
-<<<<<<< HEAD
-        if taken is not None and taken.group is group and False:
-=======
         if taken is not None and taken.group is group and index >= taken.position:
->>>>>>> fleet
             index += 1
         drawn = group.free[index]
         if rest < count * weight:
