Limit the hosts that a maintenance plan stops at once

Cause: budgets alone let a plan of 660 hosts in 284 pools stop 299 hosts at once, because each of many small services allows one; that is paid for as buffer capacity. Change: MaintenancePlan has max_stopped (0 sets no limit), which plan_waves and next_wave keep. Pools that need most waves come first, since a limited wave is otherwise filled with hosts of small pools. Ruled out: a limit a zone (the spread over zones already follows from the order of picking). Broken on purpose, each seen to fail in BudgetTest: no limit in a wave, stopping hosts not counted, full waves not passed over, pools in the order of their ids.

--- a/dandelionknot/_budgets.py
+++ b/dandelionknot/_budgets.py
@@ -5,6 +5,7 @@
 for whatever reason they are unavailable, stay within `max_unavailable`.
 """
 
+import sys
 from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
@@ -261,13 +262,17 @@
 
 
 def plan_waves(
-    configuration: Configuration, health: FleetHealth, host_ids: Iterable[str]
+    configuration: Configuration,
+    health: FleetHealth,
+    host_ids: Iterable[str],
+    max_stopped: int = 0,
 ) -> WavePlan:
     """Forms maintenance waves from what is unavailable now.
 
     A wave has at most one host of a rack for each pool, keeps every budget,
-    and takes hosts from as many availability zones as it can. Hosts that are
-    unavailable for a lasting reason come first, since they need no room.
+    and takes hosts from as many availability zones as it can. It has at most
+    `max_stopped` hosts, unless that is 0. Hosts that are unavailable for a
+    lasting reason come first, since they need no room.
     """
     pools, refused = _pools_to_plan(configuration, health, host_ids)
     waves: list[list[str]] = []
@@ -278,16 +283,15 @@
             if number == len(waves):
                 waves.append([])
                 uses_by_zone_by_wave.append(Counter())
-            picked = _pick(pool, uses_by_zone_by_wave[number], frozenset())
-            if not picked:
-                refused.extend(_refusals_of_waiting(pool))
-                break
-            waves[number].extend(picked)
-            pool.reasons_by_host = {
-                host_id: reason
-                for host_id, reason in pool.reasons_by_host.items()
-                if host_id not in picked
-            }
+            room = _room_for_stops(max_stopped, len(waves[number]))
+            if room > 0:
+                zones = uses_by_zone_by_wave[number]
+                picked = _pick(pool, zones, frozenset(), room)
+                if not picked:
+                    refused.extend(_refusals_of_waiting(pool))
+                    break
+                waves[number].extend(picked)
+                _end_stops(pool, picked)
             number += 1
     return WavePlan(
         waves=tuple(Wave(host_ids=tuple(wave)) for wave in waves if wave),
@@ -301,9 +305,10 @@
     """Picks the hosts of a running plan that may begin to drain now.
 
     Hosts that are draining or in maintenance use up the budget and bar their
-    rack. A moving host waits until its move has ended. `held_back` has one
-    refusal for each pool whose hosts all wait for budget. A plan that is not
-    running yields an empty wave.
+    rack, and those of the plan count against its `max_stopped`. A moving host
+    waits until its move has ended. `held_back` has one refusal for each pool
+    whose hosts all wait for budget. A plan that is not running yields an empty
+    wave.
     """
     if plan.state is not PlanState.RUNNING:
         return Wave(host_ids=())
@@ -321,9 +326,11 @@
     }
     uses_by_zone: Counter[str] = Counter()
     picked: list[str] = []
+    stopping = len(stopping_hosts.intersection(plan.hosts))
     for pool in pools:
         barred = frozenset(rack for name, rack in barred_racks if name == pool.pool)
-        picked_here = _pick(pool, uses_by_zone, barred)
+        room = _room_for_stops(plan.max_stopped, stopping + len(picked))
+        picked_here = _pick(pool, uses_by_zone, barred, room)
         if not picked_here and not _has_room(pool):
             refused.append(_budget_refusal(pool, pool.pool))
         picked.extend(picked_here)
@@ -513,7 +520,11 @@
         for rack in plan.waiting_by_rack.values():
             # The next host is taken from the end of the list.
             rack.waiting.sort(key=lambda host_id: _rank(plan, host_id), reverse=True)
-    return list(plans_by_pool.values()), refused
+    # The pool that needs most waves comes first and the small pools fill up the
+    # rest of a wave. By pool id, a roll-out of 660 hosts with 66 stopped at once
+    # took as long as one in whole waves.
+    plans = sorted(plans_by_pool.values(), key=_waves_needed, reverse=True)
+    return plans, refused
 
 
 def _tightest_by_pool(
@@ -549,12 +560,35 @@
     return len(counted) <= plan.tightest.max_unavailable
 
 
+def _room_for_stops(max_stopped: int, stopped: int) -> int:
+    """Returns how many more hosts may stop; 0 as the maximum sets no limit."""
+    return max_stopped - stopped if max_stopped else sys.maxsize
+
+
+def _waves_needed(plan: _PoolToPlan) -> float:
+    racks = plan.waiting_by_rack.values()
+    largest_rack = max(len(rack.waiting) for rack in racks)
+    if plan.tightest is None or plan.tightest.max_unavailable == 0:
+        return largest_rack
+    waiting = sum(len(rack.waiting) for rack in racks)
+    return max(largest_rack, waiting / plan.tightest.max_unavailable)
+
+
+def _end_stops(plan: _PoolToPlan, returned: Collection[str]) -> None:
+    plan.reasons_by_host = {
+        host_id: reason
+        for host_id, reason in plan.reasons_by_host.items()
+        if host_id not in returned
+    }
+
+
 def _pick(
     plan: _PoolToPlan,
     uses_by_zone: Counter[str],
     barred_racks: frozenset[tuple[str, str]],
+    room: int,
 ) -> list[str]:
-    """Takes the hosts of one wave out of those that wait.
+    """Takes at most `room` hosts for one wave out of those that wait.
 
     Racks with the most waiting hosts come first, since one rack gives one
     host a wave and so bounds the number of waves from below.
@@ -577,7 +611,7 @@
             rack,
         )
 
-    while racks:
+    while racks and len(picked) < room:
         rack, entry = min(racks.items(), key=order)
         if not _may_pick(plan, entry.waiting[-1], picked):
             break
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -400,6 +400,7 @@
 
     hosts: list[Host1]
     state: PlanState = PlanState.PROPOSED
+    max_stopped: int = 0
     done: list[DoneItem] = field(default_factory=list)
 
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -283,6 +283,36 @@
                 )
                 self.assertEqual((len(plan.waves), plan.refused), (waves, ()))
 
+    def test_waves_have_at_most_max_stopped_hosts(self):
+        """Guards against a wave that takes more buffer capacity than allowed."""
+        configuration = fleet(24, (9, 9), racks=4)
+        hosts = list(configuration.hosts_by_id)
+        for limit in (1, 3, 5):
+            plan = _budgets.plan_waves(configuration, FleetHealth(), hosts, limit)
+            sizes = [len(wave.host_ids) for wave in plan.waves]
+            self.assertEqual((max(sizes), sum(sizes)), (limit, 24))
+            running = MaintenancePlan(
+                hosts=hosts, state=PlanState.RUNNING, max_stopped=limit
+            )
+            draining = _budgets.with_host_state(
+                configuration, 'h0', HostState.MAINTENANCE
+            )
+            wave = _budgets.next_wave(running, draining, FleetHealth())
+            self.assertEqual(len(wave.host_ids), limit - 1)
+
+    def test_pool_that_needs_most_waves_comes_first(self):
+        """Guards against a large pool that is left over and delays the roll-out."""
+        cases = [
+            ((9, 1), ['h0', 'h16', 'h17', 'h18'], 'p1'),
+            ((1, 9), ['h0', 'h1', 'h2', 'h16'], 'p0'),
+        ]
+        for budgets, hosts, pool in cases:
+            configuration = fleet(24, budgets, 4)
+            plan = MaintenancePlan(hosts=hosts, state=PlanState.RUNNING, max_stopped=1)
+            wave = _budgets.next_wave(plan, configuration, FleetHealth())
+            first = configuration.hosts_by_id[wave.host_ids[0]]
+            self.assertEqual(first.pool, pool)
+
     def test_failed_host_is_maintained_first(self):
         """Guards against a failed host that holds back the rest of its pool."""
         health = FleetHealth(failed_hosts=frozenset({'h9'}))
