--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -2950,12 +2950,12 @@
 
 def validate____defs_maintenanceplan(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'max_stopped': None, 'done': None}, 'required': ['hosts']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['hosts']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'max_stopped': None, 'done': None}, 'required': ['hosts']}, rule='required')
         data_keys = set(data.keys())
         if "hosts" in data_keys:
             data_keys.remove("hosts")
@@ -2977,6 +2977,16 @@
             data_keys.remove("state")
             data__state = data["state"]
             validate____defs_planstate(data__state, custom_formats, (name_prefix or "data") + ".state")
+        if "max_stopped" in data_keys:
+            data_keys.remove("max_stopped")
+            data__maxstopped = data["max_stopped"]
+            if not isinstance(data__maxstopped, (int)) and not (isinstance(data__maxstopped, float) and data__maxstopped.is_integer()) or isinstance(data__maxstopped, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_stopped must be integer", value=data__maxstopped, name="" + (name_prefix or "data") + ".max_stopped", definition={}, rule='type')
+            if isinstance(data__maxstopped, (int, float, Decimal)) and not isinstance(data__maxstopped, bool):
+                if data__maxstopped < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_stopped must be bigger than or equal to 0", value=data__maxstopped, name="" + (name_prefix or "data") + ".max_stopped", definition={}, rule='minimum')
+                if data__maxstopped > 10000:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".max_stopped must be smaller than or equal to 10000", value=data__maxstopped, name="" + (name_prefix or "data") + ".max_stopped", definition={}, rule='maximum')
         if "done" in data_keys:
             data_keys.remove("done")
             data__done = data["done"]
@@ -2994,7 +3004,7 @@
                         if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__done_item):
                             raise JsonSchemaValueException("" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__done_item, name="" + (name_prefix or "data") + ".done[{data__done_x}]".format(**locals()) + "", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'done': None}, 'required': ['hosts']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'hosts': None, 'state': None, 'max_stopped': None, 'done': None}, 'required': ['hosts']}, rule='additionalProperties')
     return data
 
 def validate____defs_hostmove(data, custom_formats={}, name_prefix=None):
