Add upper limits by grants

Schema, additive: `upper_limit`, `limit_version` and `last_served` in GrantRecord, `limit_lowered_version` in Team.

Ruled out: a limit known only from the configuration (a host with an older record view starts above a lowered limit that everybody has confirmed); comparing limit values without versions (a host that skips a raise takes the old value for settled); gifts to the free pool (the asker needs a second write and its own second).

--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -342,6 +342,7 @@
 
     upper_limit: int
     share: int = 1
+    limit_lowered_version: int = 0
     keys_by_id: dict[str, KeyRecord] = field(default_factory=dict)
 
 
@@ -632,6 +633,9 @@
     team: str
     grants_by_member: dict[str, int] = field(default_factory=dict)
     requests_by_member: dict[str, int] = field(default_factory=dict)
+    upper_limit: int = 0
+    limit_version: int = 0
+    last_served: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
