Add the queues of a service with shares between teams

Cause: a service needs a bounded queue that keeps teams near their shares and gets overnight work done by its deadline.

Change: `_queueing` with offer, next_request, cancel, expire, position and counts. Teams are chosen by running slots per share, ties by turns. Overnight work goes first at its latest start, and gets every second start of its team while its backlog would miss the deadline. A team may hold as many places as are free.

Ruled out: a fixed bound per team (idle places or no room, depending on the number of teams); promotion at the latest start alone (a backlog with one deadline comes too late for all but the first).

--- /dev/null
+++ b/dandelionknot/_queueing.py
@@ -0,0 +1,297 @@
+"""Bounded queues of one service: shares between teams, classes within a team.
+
+Between teams, a free slot goes to the team that runs the least for its share
+(weighted max-min). A team without waiting work lends its share; it gets slots back as
+running tasks end. Within a team, urgent work goes before overnight work, with two
+exceptions that let overnight work finish by its deadline:
+
+- An overnight request that has reached its latest start goes first.
+- While the overnight backlog of a team is too long to finish in time, every second
+  start of the team is an overnight request.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok, Result
+
+from dandelionknot.configuration import Priority
+from dandelionknot.messages import ErrorCode, Refusal, RunState
+
+RUN_TIME_FACTOR = 2
+"""Declared run times are often too short; twice the time is set aside."""
+
+START_MARGIN_MS = 1000
+"""Time set aside for the start of a task and for reading its answer."""
+
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 10000
+INTERVAL_WEIGHT = 0.1
+"""Weight of the newest sample in the mean time between starts."""
+
+TOMBSTONES = 64
+"""Cancelled entries that may stay in a structure beyond the number of live ones."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueuedRequest:
+    """A waiting request; times are readings of the local monotonic clock."""
+
+    request_id: str
+    team_id: str
+    priority: Priority
+    arrival_ms: int
+    deadline_ms: int
+    expected_run_ms: int = 0
+
+    @property
+    def latest_start_ms(self) -> int:
+        """Returns when the task must start to end by its deadline."""
+        return self.deadline_ms - RUN_TIME_FACTOR * self.expected_run_ms
+
+
+@dataclass(slots=True)
+class TeamQueue:
+    """Waiting requests of one team; cancelled entries are skipped when met."""
+
+    urgent: deque[QueuedRequest] = field(default_factory=deque)
+    overnight: deque[QueuedRequest] = field(default_factory=deque)
+    overnight_by_start: list[tuple[int, int, QueuedRequest]] = field(
+        default_factory=list
+    )
+    urgent_count: int = 0
+    overnight_count: int = 0
+    overnight_work_ms: int = 0
+    last_was_overnight: bool = False
+    served_number: int = 0
+
+
+@dataclass(slots=True)
+class TeamQueues:
+    """All waiting requests of one service."""
+
+    capacity: int
+    teams_by_id: dict[str, TeamQueue] = field(default_factory=dict)
+    requests_by_id: dict[str, QueuedRequest] = field(default_factory=dict)
+    by_deadline: list[tuple[int, int, QueuedRequest]] = field(default_factory=list)
+    next_number: int = 0
+    served_number: int = 0
+    last_start_ms: int | None = None
+    start_interval_ms: float = MIN_RETRY_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueCounts:
+    """Number of waiting requests of one team, by class."""
+
+    urgent: int
+    overnight: int
+
+
+def offer(queues: TeamQueues, item: QueuedRequest) -> Result[None, Refusal]:
+    """Queues a request, or refuses it with `queue_full`.
+
+    A team may hold as many places as are free. One team alone thus fills half of the
+    queue, two teams a third each, and there is always room for one more team.
+    """
+    if item.request_id in queues.requests_by_id:
+        raise AssertionError(f'request {item.request_id!r} is already queued')
+    total = len(queues.requests_by_id)
+    team = queues.teams_by_id.get(item.team_id)
+    held = team.urgent_count + team.overnight_count if team else 0
+    if total >= queues.capacity or (held and held >= queues.capacity - total):
+        return Err(_queue_full(queues, item))
+    if team is None:
+        team = queues.teams_by_id[item.team_id] = TeamQueue()
+    # A copy tells this offer from entries of an earlier offer of the same object.
+    item = replace(item)
+    queues.requests_by_id[item.request_id] = item
+    queues.next_number += 1
+    heapq.heappush(queues.by_deadline, (item.deadline_ms, queues.next_number, item))
+    if item.priority is Priority.URGENT:
+        team.urgent.append(item)
+        team.urgent_count += 1
+        return Ok(None)
+    entry = (item.latest_start_ms, queues.next_number, item)
+    heapq.heappush(team.overnight_by_start, entry)
+    team.overnight.append(item)
+    team.overnight_count += 1
+    team.overnight_work_ms += item.expected_run_ms
+    return Ok(None)
+
+
+def next_request(
+    queues: TeamQueues,
+    running_by_team: Mapping[str, int],
+    shares_by_team: Mapping[str, int],
+    can_start: Callable[[str], bool],
+    now_ms: int,
+) -> QueuedRequest | None:
+    """Removes and returns the request that should start now, if there is one.
+
+    `can_start` tells whether the team's upper limit leaves room; it must not count the
+    start yet. Teams that run equally little take turns.
+    """
+    best_id = ''
+    best: TeamQueue | None = None
+    best_load = 0.0
+    for team_id, team in queues.teams_by_id.items():
+        if not team.urgent_count and not team.overnight_count:
+            continue
+        load = running_by_team.get(team_id, 0) / shares_by_team.get(team_id, 1)
+        if best is not None and (load, team.served_number) >= (
+            best_load,
+            best.served_number,
+        ):
+            continue
+        if can_start(team_id):
+            best_id, best, best_load = team_id, team, load
+    if best is None:
+        return None
+    item = _next_of_team(queues, best, running_by_team.get(best_id, 0), now_ms)
+    _remove(queues, item)
+    best.last_was_overnight = item.priority is Priority.OVERNIGHT
+    queues.served_number += 1
+    best.served_number = queues.served_number
+    _note_start(queues, now_ms)
+    return item
+
+
+def cancel(queues: TeamQueues, request_id: str) -> QueuedRequest | None:
+    """Removes a waiting request and returns it, or None if it does not wait."""
+    item = queues.requests_by_id.get(request_id)
+    if item is not None:
+        _remove(queues, item)
+    return item
+
+
+def expire(queues: TeamQueues, now_ms: int) -> list[QueuedRequest]:
+    """Removes and returns the requests whose deadline has passed."""
+    expired = []
+    while queues.by_deadline and queues.by_deadline[0][0] <= now_ms:
+        item = heapq.heappop(queues.by_deadline)[2]
+        if queues.requests_by_id.get(item.request_id) is item:
+            _remove(queues, item)
+            expired.append(item)
+    return expired
+
+
+def position(queues: TeamQueues, request_id: str) -> int | None:
+    """Returns how many requests of the same team go first, without promotions."""
+    item = queues.requests_by_id.get(request_id)
+    if item is None:
+        return None
+    team = queues.teams_by_id[item.team_id]
+    is_urgent = item.priority is Priority.URGENT
+    ahead = 0 if is_urgent else team.urgent_count
+    for other in _live(queues, team.urgent if is_urgent else team.overnight):
+        if other is item:
+            return ahead
+        ahead += 1
+    raise AssertionError(f'request {request_id!r} is not in the queue of its team')
+
+
+def counts(queues: TeamQueues, team_id: str) -> QueueCounts:
+    """Returns how many requests of a team wait."""
+    team = queues.teams_by_id.get(team_id, TeamQueue())
+    return QueueCounts(urgent=team.urgent_count, overnight=team.overnight_count)
+
+
+def _next_of_team(
+    queues: TeamQueues, team: TeamQueue, running: int, now_ms: int
+) -> QueuedRequest:
+    if team.overnight_count:
+        tightest = _tightest(queues, team)
+        if tightest.latest_start_ms - START_MARGIN_MS <= now_ms:
+            return tightest
+        is_turn = not team.last_was_overnight and _is_behind(team, running, now_ms)
+        if is_turn or not team.urgent_count:
+            return _head(queues, team.overnight)
+    return _head(queues, team.urgent)
+
+
+def _is_behind(team: TeamQueue, running: int, now_ms: int) -> bool:
+    """Tells whether the backlog would miss the earliest latest start.
+
+    The backlog is assumed to run on the slots that the team has now, and to share one
+    deadline, as the price lists of a night do.
+    """
+    backlog_ms = RUN_TIME_FACTOR * team.overnight_work_ms // max(1, running)
+    return team.overnight_by_start[0][0] - START_MARGIN_MS - backlog_ms <= now_ms
+
+
+def _tightest(queues: TeamQueues, team: TeamQueue) -> QueuedRequest:
+    heap = team.overnight_by_start
+    while not _is_live(queues, heap[0][2]):
+        heapq.heappop(heap)
+    return heap[0][2]
+
+
+def _head(queues: TeamQueues, line: deque[QueuedRequest]) -> QueuedRequest:
+    while not _is_live(queues, line[0]):
+        line.popleft()
+    return line[0]
+
+
+def _is_live(queues: TeamQueues, item: QueuedRequest) -> bool:
+    return queues.requests_by_id.get(item.request_id) is item
+
+
+def _live(queues: TeamQueues, items: Iterable[QueuedRequest]) -> list[QueuedRequest]:
+    return [item for item in items if _is_live(queues, item)]
+
+
+def _remove(queues: TeamQueues, item: QueuedRequest) -> None:
+    """Forgets a request; its entries stay behind until they are met or compacted."""
+    del queues.requests_by_id[item.request_id]
+    team = queues.teams_by_id[item.team_id]
+    if item.priority is Priority.URGENT:
+        team.urgent_count -= 1
+    else:
+        team.overnight_count -= 1
+        team.overnight_work_ms -= item.expected_run_ms
+    _compact(queues, team)
+
+
+def _compact(queues: TeamQueues, team: TeamQueue) -> None:
+    """Rebuilds what holds mostly removed entries, as bursts of cancellations leave."""
+    if len(team.urgent) > 2 * team.urgent_count + TOMBSTONES:
+        team.urgent = deque(_live(queues, team.urgent))
+    if len(team.overnight) > 2 * team.overnight_count + TOMBSTONES:
+        team.overnight = deque(_live(queues, team.overnight))
+    if len(team.overnight_by_start) > 2 * team.overnight_count + TOMBSTONES:
+        team.overnight_by_start = _live_heap(queues, team.overnight_by_start)
+    if len(queues.by_deadline) > 2 * len(queues.requests_by_id) + TOMBSTONES:
+        queues.by_deadline = _live_heap(queues, queues.by_deadline)
+
+
+def _live_heap(
+    queues: TeamQueues, heap: list[tuple[int, int, QueuedRequest]]
+) -> list[tuple[int, int, QueuedRequest]]:
+    entries = [entry for entry in heap if _is_live(queues, entry[2])]
+    heapq.heapify(entries)
+    return entries
+
+
+def _note_start(queues: TeamQueues, now_ms: int) -> None:
+    if queues.last_start_ms is not None:
+        gap_ms = min(MAX_RETRY_MS, now_ms - queues.last_start_ms)
+        queues.start_interval_ms += INTERVAL_WEIGHT * (
+            gap_ms - queues.start_interval_ms
+        )
+    queues.last_start_ms = now_ms
+
+
+def _queue_full(queues: TeamQueues, item: QueuedRequest) -> Refusal:
+    """Advises to retry once about a tenth of the queue has started."""
+    starts = max(1, len(queues.requests_by_id) // 10)
+    retry_ms = int(starts * queues.start_interval_ms)
+    return Refusal(
+        code=ErrorCode.QUEUE_FULL,
+        message=f'the queue has no room for another request of team {item.team_id!r}',
+        run_state=RunState.NOT_RUN,
+        retry_after_ms=max(MIN_RETRY_MS, min(MAX_RETRY_MS, retry_ms)),
+        request_id=item.request_id,
+    )
