Eject failing hosts and probe them in the dispatcher

Cause: the health decisions were not used. Change: attempts count for the host's pool; hosts that fail far more than their pool are ejected within the budget and probed by idempotent requests.

--- a/dandelionknot/_fleet_steps.py
+++ b/dandelionknot/_fleet_steps.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from dandelionknot import decisions
+from dandelionknot._host_health import fleet_health
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import (
@@ -18,27 +19,12 @@
     DrainOrder,
     FleetChange,
     FleetStep,
-    ListedHostState,
     RebootOrder,
 )
 
 DRAIN_INTERVAL_MS = 1000
 
 
-def fleet_health(state: DispatcherState) -> decisions.budgets.FleetHealth:
-    """Returns the hosts that this entry host knows to be unavailable."""
-    listed = state.view.listed_states_by_host if state.view else {}
-    return decisions.budgets.FleetHealth(
-        failed_hosts=frozenset(state.silent_hosts),
-        ejected_hosts=frozenset(decisions.ejection.ejected_hosts(state.health)),
-        leaving_hosts=frozenset(
-            host_id
-            for host_id, listed_state in listed.items()
-            if listed_state is ListedHostState.LEAVING
-        ),
-    )
-
-
 def drain_evidence(
     state: DispatcherState, host_id: str, since_version: int
 ) -> decisions.pools.DrainEvidence | None:
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -6,6 +6,7 @@
 
 from dandelionknot import decisions
 from dandelionknot._fleet_view import is_fresh
+from dandelionknot._host_health import choose_probe, note_attempt
 from dandelionknot._ownership import outage_view
 from dandelionknot._requests import (
     OPEN_QUEUE_TEAM,
@@ -147,6 +148,10 @@
 def _start(state: DispatcherState, entry: RequestEntry, own_zone_only: bool) -> bool:
     """Chooses a host and begins an attempt; an entry that cannot start waits."""
     assert state.routing is not None
+    probed = choose_probe(state, entry)
+    if probed is not None and _count_start(state, entry):
+        _begin_attempt(state, entry, probed)
+        return True
     size = decisions.routing.TaskSize(entry.body.cores, entry.body.memory_mb)
     chosen = decisions.routing.choose(
         state.routing,
@@ -403,6 +408,7 @@
         f'attempt {message.attempt} ended: {message.end}',
         message.message,
     )
+    note_attempt(state, entry, message)
     run_state = decisions.outcomes.classify(event)
     if run_state is RunState.NOT_RUN and is_owned(entry):
         decisions.claims.attempt_not_run(state.claims, entry.request_id, entry.task_id)
--- a/dandelionknot/_state.py
+++ b/dandelionknot/_state.py
@@ -81,8 +81,8 @@
     budgets_by_service: dict[str, decisions.retries.RetryBudget] = field(
         default_factory=dict
     )
-    health: decisions.ejection.HealthTable = field(
-        default_factory=decisions.ejection.HealthTable
+    health_by_pool: dict[str, decisions.ejection.HealthTable] = field(
+        default_factory=dict
     )
     routing: decisions.routing.RoutingTable | None = None
     zone_ramp: decisions.zones.ZoneRamp = field(
--- a/dandelionknot/_status.py
+++ b/dandelionknot/_status.py
@@ -1,7 +1,7 @@
 """Answers to operators' questions about the fleet."""
 
 from dandelionknot import decisions
-from dandelionknot._fleet_steps import fleet_health
+from dandelionknot._host_health import fleet_health
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import Configuration, Host
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -14,7 +14,7 @@
 from dandelionknot._caller_server import start_caller_server
 from dandelionknot._changes import run_changes
 from dandelionknot._dispatcher import run_dispatcher, run_ticks
-from dandelionknot._fleet_steps import fleet_health
+from dandelionknot._host_health import fleet_health
 from dandelionknot._http_client import HttpClient, http_target, new_http_client
 from dandelionknot._links import run_links
 from dandelionknot._mailbox import Mailbox
