--- /dev/null
+++ b/tests/test_votes.py
@@ -0,0 +1,119 @@
+"""Guards limits against changes that the co-operatives did not agree to."""
+
+import unittest
+from dataclasses import replace
+
+from result import Err
+
+from dandelionknot import _versions, _votes
+from dandelionknot.configuration import Configuration, Cooperative, Team
+
+VOTERS = {
+    'balkanfit': Cooperative(voters=['ana', 'boris', 'vera']),
+    'remansito': Cooperative(voters=['lucia', 'mateo']),
+}
+START = Configuration(
+    version=5,
+    cooperatives_by_id=VOTERS,
+    teams_by_id={'desk': Team(upper_limit=10), 'night': Team(upper_limit=4)},
+)
+
+
+def limit_after(votes: list[str], new_limit: int = 3) -> int:
+    """Returns the limit after a proposal by the first and votes of the rest."""
+    current = _votes.propose_limit(START, 'p-1', 'desk', new_limit, votes[0]).unwrap()
+    for voter in votes[1:]:
+        current = _votes.cast_vote(current, 'p-1', voter).unwrap()
+    return current.teams_by_id['desk'].upper_limit
+
+
+class VoteTest(unittest.TestCase):
+    def test_a_limit_needs_a_majority_of_each_cooperative(self):
+        """Guards against a limit that one co-operative changes alone."""
+        cases = [
+            (['ana'], 10),
+            (['ana', 'boris', 'vera'], 10),
+            (['ana', 'boris', 'lucia'], 10),
+            (['ana', 'ana', 'lucia', 'mateo'], 10),
+            (['ana', 'boris', 'lucia', 'mateo'], 3),
+            (['lucia', 'mateo', 'vera', 'ana'], 3),
+        ]
+        for votes, limit in cases:
+            with self.subTest(votes=votes):
+                self.assertEqual(limit_after(votes), limit)
+
+    def test_a_lowered_limit_names_its_version(self):
+        """Guards against holders that miss that a limit went down in between."""
+        current = START
+        current = _votes.propose_limit(current, 'p-1', 'desk', 3, 'ana').unwrap()
+        for voter in ('boris', 'lucia', 'mateo'):
+            current = _votes.cast_vote(current, 'p-1', voter).unwrap()
+        self.assertEqual(current.teams_by_id['desk'].limit_lowered_version, 6)
+        self.assertEqual(current.limit_proposals_by_id, {})
+
+    def test_refusals(self):
+        """Guards against votes by strangers and on a limit that has changed."""
+        proposed = _votes.propose_limit(START, 'p-1', 'desk', 3, 'ana').unwrap()
+        teams = {**proposed.teams_by_id, 'desk': Team(upper_limit=11)}
+        moved = replace(proposed, teams_by_id=teams)
+        cases = [
+            (_votes.propose_limit(START, 'p-2', 'desk', 3, 'eve'), 'not_a_voter'),
+            (_votes.propose_limit(START, 'p-2', 'none', 3, 'ana'), 'team_not_found'),
+            (
+                _votes.propose_limit(proposed, 'p-1', 'desk', 9, 'ana'),
+                'proposal_exists',
+            ),
+            (_votes.cast_vote(proposed, 'p-1', 'eve'), 'not_a_voter'),
+            (_votes.cast_vote(proposed, 'p-9', 'ana'), 'proposal_not_found'),
+            (_votes.cast_vote(moved, 'p-1', 'boris'), 'base_changed'),
+        ]
+        for outcome, kind in cases:
+            with self.subTest(kind):
+                self.assertIsInstance(outcome, Err)
+                self.assertEqual(outcome.err_value.kind, kind)
+
+    def test_an_edit_changes_no_limit(self):
+        """Guards against a base file that sets limits past the vote."""
+        new = replace(
+            START,
+            teams_by_id={
+                'desk': Team(upper_limit=99),
+                'night': Team(upper_limit=4),
+                'guides': Team(upper_limit=1),
+            },
+        )
+        found = _votes.limits_changed_without_vote(START, new)
+        self.assertEqual(found, ['desk', 'guides'])
+        first = Configuration(version=0)
+        self.assertEqual(_votes.limits_changed_without_vote(first, new), [])
+
+
+class VersionTest(unittest.TestCase):
+    def test_a_version_never_goes_back(self):
+        """Guards against a restored platform that brings an old version back."""
+        older = replace(START, version=4)
+        newer = replace(START, version=6)
+        other = replace(START, teams_by_id={})
+        cases = [
+            (None, START, _versions.Adopt(version=5)),
+            (START, newer, _versions.Adopt(version=6)),
+            (START, older, _versions.Republish(version=5)),
+            (START, START, _versions.Keep(version=5)),
+            (START, other, _versions.Keep(version=5, differs=True)),
+        ]
+        for known, offered, expected in cases:
+            with self.subTest(expected):
+                self.assertEqual(_versions.adopt(known, offered), expected)
+
+    def test_a_change_counts_once(self):
+        """Guards against a change made twice after a lost answer."""
+        once = _versions.next_version(START, 'c-1', lambda current: current).unwrap()
+        self.assertEqual((once.version, once.change_ids), (6, ['c-1']))
+        again = _versions.next_version(once, 'c-1', lambda current: current)
+        self.assertIsInstance(again, Err)
+        for number in range(_versions.CHANGE_IDS_KEPT):
+            once = _versions.next_version(
+                once, f'd-{number}', lambda current: current
+            ).unwrap()
+        self.assertFalse(_versions.already_applied(once, 'c-1'))
+        self.assertEqual(len(once.change_ids), _versions.CHANGE_IDS_KEPT)
