Prove at most one run on a running fleet

Cause: claims were proved only against an oracle in memory. Change: fleet tests of resends, lost answers, death of the slice owner, platform outage, final 'not run' and fetching through any entry host.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,7 +3,6 @@
 import json
 import os
 import socket
-import uuid
 from dataclasses import dataclass, field, replace
 
 from tornado.httpclient import HTTPRequest
@@ -14,6 +13,7 @@
 from dandelionknot.configuration import (
     AvailabilityZone,
     Configuration,
+    FleetBounds,
     Host,
     Pool,
     QueueAccess,
@@ -61,6 +61,7 @@
     slots: int = 8
     teams: dict[str, int] = field(default_factory=lambda: {'desk': 20, 'night': 20})
     settings: dict[str, object] = field(default_factory=dict)
+    bounds: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -118,6 +119,11 @@
         self.entries_by_id[member_id] = entry
         return entry
 
+    async def kill_entry(self, member_id: str) -> None:
+        """Ends an entry host at once, as a crash would."""
+        await self.entries_by_id.pop(member_id).kill()
+        await self.relays_by_id.pop(member_id).stop()
+
     async def wait_until_ready(self) -> None:
         """Waits until every entry host takes callers."""
         for entry in list(self.entries_by_id.values()):
@@ -209,10 +215,7 @@
 
 def new_request_id() -> str:
     """Returns a request id of the present moment."""
-    data = bytearray(unix_ms().to_bytes(6, 'big') + os.urandom(10))
-    data[6] = 0x70 | data[6] & 0x0F
-    data[8] = 0x80 | data[8] & 0x3F
-    return str(uuid.UUID(bytes=bytes(data)))
+    return decisions.slices.new_request_id(unix_ms(), os.urandom(10))
 
 
 async def start_fleet(plan: FleetPlan | None = None) -> Fleet:
@@ -244,6 +247,7 @@
         )
     configuration = Configuration(
         version=1,
+        bounds=FleetBounds(**plan.bounds),
         availability_zones_by_id={
             zone: AvailabilityZone(region=REGION) for zone in plan.zones
         },
--- a/tests/test_fleet_once.py
+++ b/tests/test_fleet_once.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from dandelionknot import decisions
+from dandelionknot.clock import now_ms
 from standins.fleet import Fleet, FleetPlan, Response, new_request_id, start_fleet
 from standins.waiting import wait_until
 
