--- /dev/null
+++ b/dandelionknot/_acceptance.py
@@ -0,0 +1,199 @@
+"""Truthful acceptance: a change is in force once nobody acts on an older one."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from dandelionknot.configuration import Configuration, FleetBounds
+from dandelionknot.messages import Member
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted:
+    """The version is in force everywhere."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pending:
+    """Members that may still act on an older version."""
+
+    version: int
+    names: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordNeeded:
+    """Why a membership record may not be deleted yet."""
+
+    member_id: str
+    reason: str
+
+
+def observe_confirmations(
+    first_seen_confirmed_ms_by_member: Mapping[str, int],
+    version: int,
+    members_by_id: Mapping[str, Member],
+    now_ms: int,
+) -> dict[str, int]:
+    """Returns the times at which the observer first saw each confirmation.
+
+    `now_ms` is when the answer with the member records arrived. The result
+    belongs to this version only.
+    """
+    seen = dict(first_seen_confirmed_ms_by_member)
+    for member_id, member in members_by_id.items():
+        if member.confirmed_version >= version:
+            seen.setdefault(member_id, now_ms)
+    return seen
+
+
+def acceptance(
+    version: int,
+    members_by_id: Mapping[str, Member],
+    first_seen_confirmed_ms_by_member: Mapping[str, int],
+    bounds: FleetBounds,
+    now_ms: int,
+    affected_zones: frozenset[str] | None = None,
+) -> Accepted | Pending:
+    """Decides whether a version is in force everywhere.
+
+    `members_by_id` holds every recorded member, from one read. `bounds` are the
+    widest that a recorded member may still keep. A silent member of an affected
+    zone may serve its open queues until the isolation bound; null means that
+    every zone is affected (see `affected_open_queue_zones`).
+    """
+    names = sorted(
+        member.member_id
+        for member in members_by_id.values()
+        if member.confirmed_version < version
+        and not _has_stopped(
+            member,
+            version,
+            members_by_id,
+            first_seen_confirmed_ms_by_member,
+            stop_wait_ms(member, bounds, affected_zones),
+            now_ms,
+        )
+    )
+    if names or not members_by_id:
+        return Pending(version=version, names=tuple(names))
+    return Accepted(version=version)
+
+
+def stop_wait_ms(
+    member: Member, bounds: FleetBounds, affected_zones: frozenset[str] | None
+) -> int:
+    """Returns how long a silent member may act on an older version.
+
+    A start token that was issued just before the bound is used up to
+    `start_token_ms` later; `drift_margin_ms` covers clocks of different rate.
+    """
+    wait_ms = bounds.freshness_bound_ms + bounds.start_token_ms + bounds.drift_margin_ms
+    if affected_zones is None or member.availability_zone in affected_zones:
+        wait_ms += bounds.isolation_bound_ms
+    return wait_ms
+
+
+def may_delete_record(
+    member_id: str,
+    version: int,
+    members_by_id: Mapping[str, Member],
+    first_seen_confirmed_ms_by_member: Mapping[str, int],
+    bounds: FleetBounds,
+    now_ms: int,
+    holds_grants: bool,
+    owns_slices: bool,
+) -> Result[None, RecordNeeded]:
+    """Decides whether another member's record may be deleted.
+
+    The proof needs a version that the member has not confirmed, so an idle
+    fleet first writes a new one. It includes the isolation bound, because later
+    zone exits do not wait for a deleted member. A deleted member that lives on
+    newer versions heard from peers stops within the freshness bound of the next
+    change. The delete must be a compare-and-swap on the record that was judged:
+    it fails if the member wrote the record again.
+    """
+    reason = None
+    member = members_by_id.get(member_id)
+    if member is None:
+        reason = 'it has no record'
+    elif member.confirmed_version >= version:
+        reason = f'it confirmed version {version}'
+    elif not _has_stopped(
+        member,
+        version,
+        members_by_id,
+        first_seen_confirmed_ms_by_member,
+        stop_wait_ms(member, bounds, None),
+        now_ms,
+    ):
+        reason = f'it may still act on a version before {version}'
+    elif holds_grants:
+        reason = 'its grants are not taken over'
+    elif owns_slices:
+        reason = 'its slices are not taken over'
+    if reason is None:
+        return Ok(None)
+    return Err(RecordNeeded(member_id=member_id, reason=reason))
+
+
+def affected_open_queue_zones(old: Configuration, new: Configuration) -> frozenset[str]:
+    """Returns the zones in which a change can concern open-queue starts.
+
+    A change of services, pools or bounds concerns every zone.
+    """
+    for field in ('services_by_id', 'pools_by_id', 'bounds'):
+        if getattr(old, field) != getattr(new, field):
+            return _zones(old) | _zones(new)
+    changed = _changed_names(old.availability_zones_by_id, new.availability_zones_by_id)
+    changed_hosts = _changed_names(old.hosts_by_id, new.hosts_by_id)
+    changed_hosts |= _changed_names(old.moves_by_host, new.moves_by_host)
+    for configuration in (old, new):
+        for host_id in changed_hosts & configuration.hosts_by_id.keys():
+            changed.add(configuration.hosts_by_id[host_id].availability_zone)
+    return frozenset(changed)
+
+
+def widest_bounds(candidates: Iterable[FleetBounds]) -> FleetBounds:
+    """Returns the longest of each bound, for versions that may still be in use."""
+    bounds = list(candidates)
+    names = FleetBounds.__dataclass_fields__
+    return FleetBounds(
+        **{name: max(getattr(b, name) for b in bounds) for name in names}
+    )
+
+
+def _has_stopped(
+    member: Member,
+    version: int,
+    members_by_id: Mapping[str, Member],
+    first_seen_confirmed_ms_by_member: Mapping[str, int],
+    wait_ms: int,
+    now_ms: int,
+) -> bool:
+    """Tells whether a member has provably stopped acting on older versions.
+
+    It cannot have a full round any more once a member of its own list answers
+    it with the newer version. A revision of 0 means that it has read no list.
+    """
+    for witness_id, seen_ms in first_seen_confirmed_ms_by_member.items():
+        witness = members_by_id.get(witness_id)
+        if witness is None or witness.confirmed_version < version:
+            continue
+        is_listed = 0 < witness.joined_revision <= member.members_revision
+        if is_listed and now_ms - seen_ms >= wait_ms:
+            return True
+    return False
+
+
+def _zones(configuration: Configuration) -> frozenset[str]:
+    hosts = configuration.hosts_by_id.values()
+    zones = {host.availability_zone for host in hosts}
+    return frozenset(zones | configuration.availability_zones_by_id.keys())
+
+
+def _changed_names(old: Mapping[str, object], new: Mapping[str, object]) -> set[str]:
+    return {name for name in old.keys() | new.keys() if old.get(name) != new.get(name)}
--- a/dandelionknot/decisions.py
+++ b/dandelionknot/decisions.py
@@ -1,5 +1,29 @@
 """All decisions, as pure functions over configuration, state and time."""
 
+from dandelionknot._acceptance import (
+    Accepted,
+    Pending,
+    RecordNeeded,
+    acceptance,
+    affected_open_queue_zones,
+    may_delete_record,
+    observe_confirmations,
+    stop_wait_ms,
+    widest_bounds,
+)
+from dandelionknot._freshness import (
+    FreshnessState,
+    PeerAnswer,
+    PlatformRead,
+    answer_ping,
+    fresh_as_of_ms,
+    is_fresh,
+    may_start,
+    observe_adoption,
+    observe_confirmation,
+    observe_platform_read,
+    observe_pong,
+)
 from dandelionknot._keys import (
     KEY_RANDOM_BYTES,
     Caller,
@@ -10,8 +34,28 @@
 
 __all__ = [
     'KEY_RANDOM_BYTES',
+    'Accepted',
     'Caller',
+    'FreshnessState',
     'IssuedKey',
+    'PeerAnswer',
+    'Pending',
+    'PlatformRead',
+    'RecordNeeded',
+    'acceptance',
+    'affected_open_queue_zones',
+    'answer_ping',
     'authenticate',
+    'fresh_as_of_ms',
+    'is_fresh',
     'issue_key',
+    'may_delete_record',
+    'may_start',
+    'observe_adoption',
+    'observe_confirmation',
+    'observe_confirmations',
+    'observe_platform_read',
+    'observe_pong',
+    'stop_wait_ms',
+    'widest_bounds',
 ]
