--- a/dandelionknot/_acceptance.py
+++ b/dandelionknot/_acceptance.py
@@ -111,9 +111,10 @@
 
     The proof needs a version that the member has not confirmed, so an idle
     fleet first writes a new one. It includes the isolation bound, because later
-    zone exits do not wait for a deleted member. The delete must be a
-    compare-and-swap on the record that was judged: it fails if the member
-    wrote the record again.
+    zone exits do not wait for a deleted member. A deleted member that lives on
+    newer versions heard from peers stops within the freshness bound of the next
+    change. The delete must be a compare-and-swap on the record that was judged:
+    it fails if the member wrote the record again.
     """
     reason = None
     member = members_by_id.get(member_id)
