Explain to operators which hosts may be chosen

Cause: a refusal with no_host_available does not say what keeps each host from being chosen. Change: host_views lists the hosts of a service with load, busy time and reasons. The table takes the configured reason from _budgets, so one function decides what makes a host unavailable. Ruled out: counts in every refusal (a refusal must cost no more than a choice when a burst fills the pool). BudgetMachine now also compares takes_new_work with the reasons.

--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -13,8 +13,11 @@
 
 from result import Err, Ok, Result
 
-from dandelionknot._budgets import UnavailableReason
-from dandelionknot._pools import takes_new_work
+from dandelionknot._budgets import (
+    FleetHealth,
+    UnavailableReason,
+    unavailable_reason,
+)
 from dandelionknot._zones import ZoneRamp, zone_fraction
 from dandelionknot.configuration import Configuration, Host, ZoneState
 from dandelionknot.messages import ErrorCode, Refusal, RunState, UsageReport
@@ -40,6 +43,10 @@
 
 SMALLEST_TASK = TaskSize()
 
+# Health comes through `set_excluded`, so only the configuration counts when a
+# table is built.
+HEALTHY = FleetHealth()
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostChoice:
@@ -52,6 +59,22 @@
     pool_epoch: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostView:
+    """What an entry host knows of one host, for an explanation to operators.
+
+    `retry_after_ms` is the rest of a busy answer's time, or 0.
+    """
+
+    host_id: str
+    availability_zone: str
+    running: int
+    slots: int
+    reasons: tuple[UnavailableReason, ...]
+    retry_after_ms: int
+    may_be_chosen: bool
+
+
 @dataclass(slots=True, eq=False)
 class HostGroup:
     """Hosts of one pool, zone and size that have a free slot, in any order."""
@@ -69,7 +92,7 @@
     slots: int
     configured_slots: int
     reported_slots: int
-    takes_new_work: bool
+    configured_reason: UnavailableReason | None
     own_running: int = 0
     other_running: int = 0
     busy_until_ms: int | None = None
@@ -260,6 +283,40 @@
             _place(load)
 
 
+def host_views(
+    table: RoutingTable, service_id: str, now_ms: int
+) -> tuple[HostView, ...]:
+    """Explains for each host of a service why it may or may not be chosen.
+
+    This looks at every host of the table, so it answers operators and is not
+    called for each request.
+    """
+    release_busy_hosts(table, now_ms)
+    routes = table.routes_by_service.get(service_id)
+    if routes is None:
+        return ()
+    return tuple(
+        _host_view(load, now_ms)
+        for load in table.hosts_by_id.values()
+        if load.choice.pool == routes.pool
+    )
+
+
+def _host_view(load: HostLoad, now_ms: int) -> HostView:
+    reasons = set(load.exclusions)
+    if load.configured_reason is not None:
+        reasons.add(load.configured_reason)
+    return HostView(
+        host_id=load.choice.host_id,
+        availability_zone=load.choice.availability_zone,
+        running=load.own_running + load.other_running,
+        slots=load.slots,
+        reasons=tuple(sorted(reasons)),
+        retry_after_ms=(load.busy_until_ms or now_ms) - now_ms,
+        may_be_chosen=load.position >= 0,
+    )
+
+
 def _new_load(
     configuration: Configuration, host_id: str, host: Host, routes: PoolRoutes
 ) -> HostLoad:
@@ -282,7 +339,7 @@
         slots=host.slots,
         configured_slots=host.slots,
         reported_slots=MAX_SLOTS,
-        takes_new_work=takes_new_work(configuration, host_id),
+        configured_reason=unavailable_reason(configuration, HEALTHY, host_id, host),
     )
 
 
@@ -298,7 +355,7 @@
 def _place(load: HostLoad) -> None:
     """Puts a host into its free list or takes it out, as its state demands."""
     is_free = (
-        load.takes_new_work
+        load.configured_reason is None
         and not load.exclusions
         and load.busy_until_ms is None
         and load.own_running + load.other_running < load.slots
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -223,6 +223,12 @@
         found = _budgets.unavailable_by_service(self.configuration, self.health)
         expected = counted_by_service(self.configuration, self.health)
         assert {key: set(one.reasons_by_host) for key, one in found.items()} == expected
+        for host_id, host in self.configuration.hosts_by_id.items():
+            reason = _budgets.unavailable_reason(
+                self.configuration, FleetHealth(), host_id, host
+            )
+            takes_work = _pools.takes_new_work(self.configuration, host_id)
+            assert takes_work == (reason is None), f'{host_id}: {reason}'
 
     @invariant()
     def planned_waves_fit(self):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -205,16 +205,15 @@
 
     @invariant()
     def free_lists_match(self):
-        _routing.release_busy_hosts(self.table, self.now_ms)
         for pool, service in (('a', 'desk'), ('b', 'batch')):
-            groups = self.table.routes_by_service[service].groups_by_zone.values()
-            free = [
-                load.choice.host_id
-                for by_size in groups
-                for group in by_size.values()
-                for load in group.free
-            ]
-            assert sorted(free) == sorted(self.usable(pool)), 'free lists differ'
+            views = _routing.host_views(self.table, service, self.now_ms)
+            free = {view.host_id for view in views if view.may_be_chosen}
+            assert free == self.usable(pool), 'free lists differ'
+            for view in views:
+                explained = (
+                    view.reasons or view.retry_after_ms or view.running >= view.slots
+                )
+                assert bool(explained) != view.may_be_chosen, f'not explained: {view}'
 
 
 RoutingMachine.TestCase.settings = settings(
