--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision modules and of the daemons."""
--- /dev/null
+++ b/measure/planning.py
@@ -0,0 +1,136 @@
+"""Time to plan maintenance waves, and how long their roll-out takes."""
+
+import heapq
+import random
+import time
+from dataclasses import asdict, replace
+from statistics import median
+
+from dandelionknot import _budgets
+from dandelionknot._budgets import FleetHealth
+from dandelionknot.configuration import (
+    Configuration,
+    HostState,
+    MaintenancePlan,
+    PlanState,
+)
+from measure.fleets import fleet, linear_fit
+
+# Stopped at once by a plan that limits its buffer capacity.
+MAX_STOPPED = (0, 66, 33, 13)
+SIZES = ((40, 5), (160, 40), (330, 142), (660, 284))
+REPEATS = 15
+PLAN_ID = 'plan'
+
+# Assumed, not measured: drain, reboot and check of one host.
+SHORTEST_STOP_S = 300
+LONGEST_STOP_S = 900
+
+
+def run() -> dict:
+    """Measures processor time in milliseconds and roll-out time in hours.
+
+    The sizes take turns within each repetition, so that a change of the
+    machine's speed meets all of them.
+
+    The three roll-outs stop the same hosts for the same times: one host after
+    the other, whole waves that wait for their slowest host, and `next_wave`
+    asked again whenever a host returns.
+    """
+    fleets = {hosts: fleet(hosts, pools) for hosts, pools in SIZES}
+    samples = [
+        (hosts, _plan_ms(fleets[hosts])) for _ in range(REPEATS) for hosts in fleets
+    ]
+    fit = linear_fit([float(hosts) for hosts, _ in samples], [ms for _, ms in samples])
+    return {
+        'by_hosts': {
+            str(hosts): {
+                'plan_ms': median(ms for size, ms in samples if size == hosts),
+                'largest_plan_ms': max(ms for size, ms in samples if size == hosts),
+                **_measure(fleets[hosts]),
+            }
+            for hosts in fleets
+        },
+        'largest_by_max_stopped': {
+            str(limit): _limited(fleet(*SIZES[-1]), limit) for limit in MAX_STOPPED
+        },
+        'plan_ms_fit': asdict(fit),
+    }
+
+
+def _measure(configuration: Configuration) -> dict:
+    durations = _durations(configuration)
+    plan = _budgets.plan_waves(configuration, FleetHealth(), durations)
+    rolled_out_s, peak, calls, call_ms = _roll_out(configuration, durations)
+    sizes = [len(wave.host_ids) for wave in plan.waves]
+    return {
+        'pools': len(configuration.pools_by_id),
+        'waves': len(plan.waves),
+        'refused': len(plan.refused),
+        'largest_wave': max(sizes),
+        'one_by_one_h': sum(durations.values()) / 3600,
+        'whole_waves_h': _whole_waves_s(plan.waves, durations) / 3600,
+        'next_wave_h': rolled_out_s / 3600,
+        'next_wave_peak_stopped': peak,
+        'next_wave_calls': calls,
+        'next_wave_call_ms': call_ms,
+    }
+
+
+def _limited(configuration: Configuration, max_stopped: int) -> dict:
+    durations = _durations(configuration)
+    plan = _budgets.plan_waves(configuration, FleetHealth(), durations, max_stopped)
+    rolled_out_s, peak, _, _ = _roll_out(configuration, durations, max_stopped)
+    return {
+        'waves': len(plan.waves),
+        'whole_waves_h': _whole_waves_s(plan.waves, durations) / 3600,
+        'next_wave_h': rolled_out_s / 3600,
+        'next_wave_peak_stopped': peak,
+    }
+
+
+def _plan_ms(configuration: Configuration) -> float:
+    started = time.process_time_ns()
+    _budgets.plan_waves(configuration, FleetHealth(), configuration.hosts_by_id)
+    return (time.process_time_ns() - started) / 1e6
+
+
+def _durations(configuration: Configuration) -> dict[str, float]:
+    generator = random.Random(3)
+    return {
+        host_id: generator.uniform(SHORTEST_STOP_S, LONGEST_STOP_S)
+        for host_id in configuration.hosts_by_id
+    }
+
+
+def _whole_waves_s(
+    waves: tuple[_budgets.Wave, ...], durations: dict[str, float]
+) -> float:
+    return sum(max(durations[host_id] for host_id in wave.host_ids) for wave in waves)
+
+
+def _roll_out(
+    configuration: Configuration, durations: dict[str, float], max_stopped: int = 0
+) -> tuple[float, int, int, float]:
+    """Runs a plan to its end and returns time, peak, calls and time per call."""
+    plan = MaintenancePlan(
+        hosts=list(durations), state=PlanState.RUNNING, max_stopped=max_stopped
+    )
+    current = replace(configuration, maintenance_plans_by_id={PLAN_ID: plan})
+    returns: list[tuple[float, str]] = []
+    now_s = 0.0
+    peak = calls = spent_ns = 0
+    while plan.state is PlanState.RUNNING:
+        started = time.process_time_ns()
+        wave = _budgets.next_wave(plan, current, FleetHealth())
+        spent_ns += time.process_time_ns() - started
+        calls += 1
+        for host_id in wave.host_ids:
+            stopped = HostState.MAINTENANCE
+            current = _budgets.with_host_state(current, host_id, stopped)
+            heapq.heappush(returns, (now_s + durations[host_id], host_id))
+        peak = max(peak, len(returns))
+        now_s, host_id = heapq.heappop(returns)
+        current = _budgets.return_host(current, host_id, PLAN_ID)
+        plan = current.maintenance_plans_by_id[PLAN_ID]
+    return now_s, peak, calls, spent_ns / calls / 1e6
