--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -943,12 +943,12 @@
 
 def validate____defs_member(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'confirmed_bounds': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'confirmed_bounds': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
@@ -994,13 +994,30 @@
             if isinstance(data__membersrevision, (int, float, Decimal)) and not isinstance(data__membersrevision, bool):
                 if data__membersrevision < 0:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".members_revision must be bigger than or equal to 0", value=data__membersrevision, name="" + (name_prefix or "data") + ".members_revision", definition={}, rule='minimum')
+        if "confirmed_bounds" in data_keys:
+            data_keys.remove("confirmed_bounds")
+            data__confirmedbounds = data["confirmed_bounds"]
+            data__confirmedbounds_one_of_count3 = 0
+            if data__confirmedbounds_one_of_count3 < 2:
+                try:
+                    validate____defs_fleetbounds(data__confirmedbounds, custom_formats, (name_prefix or "data") + ".confirmed_bounds")
+                    data__confirmedbounds_one_of_count3 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__confirmedbounds_one_of_count3 < 2:
+                try:
+                    if not isinstance(data__confirmedbounds, (NoneType)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_bounds must be null", value=data__confirmedbounds, name="" + (name_prefix or "data") + ".confirmed_bounds", definition={}, rule='type')
+                    data__confirmedbounds_one_of_count3 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__confirmedbounds_one_of_count3 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".confirmed_bounds must be valid exactly by one definition" + (" (" + str(data__confirmedbounds_one_of_count3) + " matches found)"), value=data__confirmedbounds, name="" + (name_prefix or "data") + ".confirmed_bounds", definition={}, rule='oneOf')
         if "stopping" in data_keys:
             data_keys.remove("stopping")
             data__stopping = data["stopping"]
             if not isinstance(data__stopping, (bool)):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".stopping must be boolean", value=data__stopping, name="" + (name_prefix or "data") + ".stopping", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'availability_zone': None, 'peer_address': None, 'confirmed_version': None, 'joined_revision': None, 'members_revision': None, 'confirmed_bounds': None, 'stopping': None}, 'required': ['member_id', 'incarnation', 'availability_zone', 'peer_address', 'confirmed_version']}, rule='additionalProperties')
     return data
 
 def validate____defs_hostlist(data, custom_formats={}, name_prefix=None):
@@ -1225,37 +1242,37 @@
         if "answer" in data_keys:
             data_keys.remove("answer")
             data__answer = data["answer"]
-            data__answer_one_of_count3 = 0
-            if data__answer_one_of_count3 < 2:
+            data__answer_one_of_count4 = 0
+            if data__answer_one_of_count4 < 2:
                 try:
                     validate____defs_answerbody(data__answer, custom_formats, (name_prefix or "data") + ".answer")
-                    data__answer_one_of_count3 += 1
+                    data__answer_one_of_count4 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__answer_one_of_count3 < 2:
+            if data__answer_one_of_count4 < 2:
                 try:
                     if not isinstance(data__answer, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be null", value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={}, rule='type')
-                    data__answer_one_of_count3 += 1
+                    data__answer_one_of_count4 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__answer_one_of_count3 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition" + (" (" + str(data__answer_one_of_count3) + " matches found)"), value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={}, rule='oneOf')
+            if data__answer_one_of_count4 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".answer must be valid exactly by one definition" + (" (" + str(data__answer_one_of_count4) + " matches found)"), value=data__answer, name="" + (name_prefix or "data") + ".answer", definition={}, rule='oneOf')
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count4 = 0
-            if data__refusal_one_of_count4 < 2:
+            data__refusal_one_of_count5 = 0
+            if data__refusal_one_of_count5 < 2:
                 try:
                     validate____defs_refusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count4 += 1
+                    data__refusal_one_of_count5 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count4 < 2:
+            if data__refusal_one_of_count5 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='type')
-                    data__refusal_one_of_count4 += 1
+                    data__refusal_one_of_count5 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count4 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count4) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
+            if data__refusal_one_of_count5 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count5) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
     return data
 
 def validate____defs_cancelrequest(data, custom_formats={}, name_prefix=None):
@@ -1570,20 +1587,20 @@
         if "priority" in data_keys:
             data_keys.remove("priority")
             data__priority = data["priority"]
-            data__priority_one_of_count5 = 0
-            if data__priority_one_of_count5 < 2:
+            data__priority_one_of_count6 = 0
+            if data__priority_one_of_count6 < 2:
                 try:
                     validate____defs_priority(data__priority, custom_formats, (name_prefix or "data") + ".priority")
-                    data__priority_one_of_count5 += 1
+                    data__priority_one_of_count6 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__priority_one_of_count5 < 2:
+            if data__priority_one_of_count6 < 2:
                 try:
                     if not isinstance(data__priority, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be null", value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={}, rule='type')
-                    data__priority_one_of_count5 += 1
+                    data__priority_one_of_count6 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__priority_one_of_count5 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition" + (" (" + str(data__priority_one_of_count5) + " matches found)"), value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={}, rule='oneOf')
+            if data__priority_one_of_count6 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".priority must be valid exactly by one definition" + (" (" + str(data__priority_one_of_count6) + " matches found)"), value=data__priority, name="" + (name_prefix or "data") + ".priority", definition={}, rule='oneOf')
         if "count" in data_keys:
             data_keys.remove("count")
             data__count = data["count"]
@@ -1659,37 +1676,37 @@
         if "task" in data_keys:
             data_keys.remove("task")
             data__task = data["task"]
-            data__task_one_of_count6 = 0
-            if data__task_one_of_count6 < 2:
+            data__task_one_of_count7 = 0
+            if data__task_one_of_count7 < 2:
                 try:
                     validate____defs_taskstatus(data__task, custom_formats, (name_prefix or "data") + ".task")
-                    data__task_one_of_count6 += 1
+                    data__task_one_of_count7 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__task_one_of_count6 < 2:
+            if data__task_one_of_count7 < 2:
                 try:
                     if not isinstance(data__task, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be null", value=data__task, name="" + (name_prefix or "data") + ".task", definition={}, rule='type')
-                    data__task_one_of_count6 += 1
+                    data__task_one_of_count7 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__task_one_of_count6 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition" + (" (" + str(data__task_one_of_count6) + " matches found)"), value=data__task, name="" + (name_prefix or "data") + ".task", definition={}, rule='oneOf')
+            if data__task_one_of_count7 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".task must be valid exactly by one definition" + (" (" + str(data__task_one_of_count7) + " matches found)"), value=data__task, name="" + (name_prefix or "data") + ".task", definition={}, rule='oneOf')
         if "host" in data_keys:
             data_keys.remove("host")
             data__host = data["host"]
-            data__host_one_of_count7 = 0
-            if data__host_one_of_count7 < 2:
+            data__host_one_of_count8 = 0
+            if data__host_one_of_count8 < 2:
                 try:
                     validate____defs_hoststatus(data__host, custom_formats, (name_prefix or "data") + ".host")
-                    data__host_one_of_count7 += 1
+                    data__host_one_of_count8 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__host_one_of_count7 < 2:
+            if data__host_one_of_count8 < 2:
                 try:
                     if not isinstance(data__host, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be null", value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='type')
-                    data__host_one_of_count7 += 1
+                    data__host_one_of_count8 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__host_one_of_count7 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition" + (" (" + str(data__host_one_of_count7) + " matches found)"), value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='oneOf')
+            if data__host_one_of_count8 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".host must be valid exactly by one definition" + (" (" + str(data__host_one_of_count8) + " matches found)"), value=data__host, name="" + (name_prefix or "data") + ".host", definition={}, rule='oneOf')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'id': None, 'entries': None, 'task': None, 'host': None}, 'required': ['kind', 'id', 'entries']}, rule='additionalProperties')
     return data
@@ -2116,20 +2133,20 @@
         if "configuration" in data_keys:
             data_keys.remove("configuration")
             data__configuration = data["configuration"]
-            data__configuration_one_of_count8 = 0
-            if data__configuration_one_of_count8 < 2:
+            data__configuration_one_of_count9 = 0
+            if data__configuration_one_of_count9 < 2:
                 try:
                     validate____defs_configuration(data__configuration, custom_formats, (name_prefix or "data") + ".configuration")
-                    data__configuration_one_of_count8 += 1
+                    data__configuration_one_of_count9 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count8 < 2:
+            if data__configuration_one_of_count9 < 2:
                 try:
                     if not isinstance(data__configuration, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be null", value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={}, rule='type')
-                    data__configuration_one_of_count8 += 1
+                    data__configuration_one_of_count9 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__configuration_one_of_count8 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition" + (" (" + str(data__configuration_one_of_count8) + " matches found)"), value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={}, rule='oneOf')
+            if data__configuration_one_of_count9 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".configuration must be valid exactly by one definition" + (" (" + str(data__configuration_one_of_count9) + " matches found)"), value=data__configuration, name="" + (name_prefix or "data") + ".configuration", definition={}, rule='oneOf')
         if "team" in data_keys:
             data_keys.remove("team")
             data__team = data["team"]
@@ -2149,20 +2166,20 @@
         if "key_record" in data_keys:
             data_keys.remove("key_record")
             data__keyrecord = data["key_record"]
-            data__keyrecord_one_of_count9 = 0
-            if data__keyrecord_one_of_count9 < 2:
+            data__keyrecord_one_of_count10 = 0
+            if data__keyrecord_one_of_count10 < 2:
                 try:
                     validate____defs_keyrecord(data__keyrecord, custom_formats, (name_prefix or "data") + ".key_record")
-                    data__keyrecord_one_of_count9 += 1
+                    data__keyrecord_one_of_count10 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__keyrecord_one_of_count9 < 2:
+            if data__keyrecord_one_of_count10 < 2:
                 try:
                     if not isinstance(data__keyrecord, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be null", value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={}, rule='type')
-                    data__keyrecord_one_of_count9 += 1
+                    data__keyrecord_one_of_count10 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__keyrecord_one_of_count9 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition" + (" (" + str(data__keyrecord_one_of_count9) + " matches found)"), value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={}, rule='oneOf')
+            if data__keyrecord_one_of_count10 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_record must be valid exactly by one definition" + (" (" + str(data__keyrecord_one_of_count10) + " matches found)"), value=data__keyrecord, name="" + (name_prefix or "data") + ".key_record", definition={}, rule='oneOf')
         if "host_id" in data_keys:
             data_keys.remove("host_id")
             data__hostid = data["host_id"]
@@ -2320,20 +2337,20 @@
                 for data__hostsbyid_key in data__hostsbyid_keys:
                     if data__hostsbyid_key not in []:
                         data__hostsbyid_value = data__hostsbyid.get(data__hostsbyid_key)
-                        data__hostsbyid_value_one_of_count10 = 0
-                        if data__hostsbyid_value_one_of_count10 < 2:
+                        data__hostsbyid_value_one_of_count11 = 0
+                        if data__hostsbyid_value_one_of_count11 < 2:
                             try:
                                 validate____defs_hostoverlay(data__hostsbyid_value, custom_formats, (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()))
-                                data__hostsbyid_value_one_of_count10 += 1
+                                data__hostsbyid_value_one_of_count11 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count10 < 2:
+                        if data__hostsbyid_value_one_of_count11 < 2:
                             try:
                                 if not isinstance(data__hostsbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null", value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__hostsbyid_value_one_of_count10 += 1
+                                data__hostsbyid_value_one_of_count11 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count10 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count10) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__hostsbyid_value_one_of_count11 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count11) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__hostsbyid_len = len(data__hostsbyid)
                 if data__hostsbyid_len != 0:
                     data__hostsbyid_property_names = True
@@ -2381,20 +2398,20 @@
                 for data__maintenanceplansbyid_key in data__maintenanceplansbyid_keys:
                     if data__maintenanceplansbyid_key not in []:
                         data__maintenanceplansbyid_value = data__maintenanceplansbyid.get(data__maintenanceplansbyid_key)
-                        data__maintenanceplansbyid_value_one_of_count11 = 0
-                        if data__maintenanceplansbyid_value_one_of_count11 < 2:
+                        data__maintenanceplansbyid_value_one_of_count12 = 0
+                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
                             try:
                                 validate____defs_planoverlay(data__maintenanceplansbyid_value, custom_formats, (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()))
-                                data__maintenanceplansbyid_value_one_of_count11 += 1
+                                data__maintenanceplansbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count11 < 2:
+                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
                             try:
                                 if not isinstance(data__maintenanceplansbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null", value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__maintenanceplansbyid_value_one_of_count11 += 1
+                                data__maintenanceplansbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count11 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count11) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__maintenanceplansbyid_value_one_of_count12 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count12) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__maintenanceplansbyid_len = len(data__maintenanceplansbyid)
                 if data__maintenanceplansbyid_len != 0:
                     data__maintenanceplansbyid_property_names = True
@@ -2434,20 +2451,20 @@
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
                         data__keysbyid_value = data__keysbyid.get(data__keysbyid_key)
-                        data__keysbyid_value_one_of_count12 = 0
-                        if data__keysbyid_value_one_of_count12 < 2:
+                        data__keysbyid_value_one_of_count13 = 0
+                        if data__keysbyid_value_one_of_count13 < 2:
                             try:
                                 validate____defs_keyrecord(data__keysbyid_value, custom_formats, (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()))
-                                data__keysbyid_value_one_of_count12 += 1
+                                data__keysbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count12 < 2:
+                        if data__keysbyid_value_one_of_count13 < 2:
                             try:
                                 if not isinstance(data__keysbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null", value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__keysbyid_value_one_of_count12 += 1
+                                data__keysbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count12 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count12) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__keysbyid_value_one_of_count13 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count13) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 if data__keysbyid_len != 0:
                     data__keysbyid_property_names = True
                     for data__keysbyid_key in data__keysbyid:
@@ -3717,20 +3734,20 @@
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count13 = 0
-            if data__refusal_one_of_count13 < 2:
+            data__refusal_one_of_count14 = 0
+            if data__refusal_one_of_count14 < 2:
                 try:
                     validate____defs_startrefusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count13 += 1
+                    data__refusal_one_of_count14 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count13 < 2:
+            if data__refusal_one_of_count14 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='type')
-                    data__refusal_one_of_count13 += 1
+                    data__refusal_one_of_count14 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count13 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count13) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
+            if data__refusal_one_of_count14 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count14) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
         if "result" in data_keys:
             data_keys.remove("result")
             data__result = data["result"]
@@ -3969,20 +3986,20 @@
         if "error_code" in data_keys:
             data_keys.remove("error_code")
             data__errorcode = data["error_code"]
-            data__errorcode_one_of_count14 = 0
-            if data__errorcode_one_of_count14 < 2:
+            data__errorcode_one_of_count15 = 0
+            if data__errorcode_one_of_count15 < 2:
                 try:
                     validate____defs_errorcode(data__errorcode, custom_formats, (name_prefix or "data") + ".error_code")
-                    data__errorcode_one_of_count14 += 1
+                    data__errorcode_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count14 < 2:
+            if data__errorcode_one_of_count15 < 2:
                 try:
                     if not isinstance(data__errorcode, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be null", value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='type')
-                    data__errorcode_one_of_count14 += 1
+                    data__errorcode_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count14 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count14) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
+            if data__errorcode_one_of_count15 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count15) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
