Fix renewals after memory-only claims and memory in long outages

Cause: review of the claim table found that a write could clear the mark of a memory-only start that it did not contain, if the request had been dropped; that the list of answered ids grew without bound while results were small; and that a platform outage of hours gathered unwritten claims. Change: the table marks the claims themselves and clears exactly those that a write contained; forget_old drops answered ids and claims whose ids every owner refuses; cancel_release takes back begin_release. Ruled out: marking request ids (the fault above). Conclusion: the three faults are fixed and each has a test.

--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -65,6 +65,7 @@
     'attempt_not_run',
     'begin_release',
     'body_digest',
+    'cancel_release',
     'claim',
     'deletable_segments',
     'doubt_until_ms',
@@ -254,8 +255,8 @@
     """The claims of one entry host for the slices that it owns.
 
     `known_as_of_ms` is the monotonic time as of which this host was fresh.
-    `unlogged_ids` holds the requests about which something was decided on the
-    strength of a claim that was only in memory.
+    `unlogged_claims` holds those claims and closings that were acted on while
+    they were only in memory.
     """
 
     member_id: str
@@ -272,7 +273,7 @@
     entries_by_id: dict[str, ClaimEntry] = field(default_factory=dict)
     ids_by_age: list[str] = field(default_factory=list)
     forgotten_until_ms: int = 0
-    unlogged_ids: set[str] = field(default_factory=set)
+    unlogged_claims: set[Claim] = field(default_factory=set)
     answered_ids: deque[str] = field(default_factory=deque)
     result_bytes: int = 0
     log: SegmentLog = field(default_factory=SegmentLog)
@@ -509,14 +510,14 @@
         return Err(StartBlock.OWNERSHIP_LAPSED)
     entry = table.entries_by_id.get(request_id)
     attempt = entry.attempts_by_task.get(task_id) if entry else None
-    if attempt is None:
+    if entry is None or attempt is None:
         return Err(StartBlock.NO_ATTEMPT)
     if attempt.is_sent:
         return Err(StartBlock.ALREADY_SENT)
     if not attempt.is_logged:
         if not _may_decide_in_memory(table, outage, now_ms):
             return Err(StartBlock.CLAIM_NOT_WRITTEN)
-        table.unlogged_ids.add(request_id)
+        table.unlogged_claims.add(_claim_record(entry, task_id, attempt.host_id))
     attempt.is_sent = True
     return Ok(None)
 
@@ -637,7 +638,7 @@
     if not entry.closing_logged:
         if not _may_decide_in_memory(table, outage, now_ms):
             return False
-        table.unlogged_ids.add(request_id)
+        table.unlogged_claims.add(_claim_record(entry, '', ''))
     entry.not_run_is_final = True
     return True
 
@@ -648,7 +649,7 @@
     A renewal tells other members that the log was complete up to then, so
     everything decided in memory must be written first.
     """
-    return not table.unlogged_ids
+    return not table.unlogged_claims
 
 
 def pending_segment(
@@ -719,6 +720,7 @@
     log.phase = WritePhase.IDLE
     written = log.write.segment.claims
     log.write = None
+    table.unlogged_claims.difference_update(written)
     for record in written:
         _note_logged(table, record)
 
@@ -726,17 +728,12 @@
 def _note_logged(table: ClaimTable, record: Claim) -> None:
     entry = table.entries_by_id.get(record.request_id)
     if entry is None:
-        table.unlogged_ids.discard(record.request_id)
         return
     attempt = entry.attempts_by_task.get(record.task_id)
     if attempt is not None:
         attempt.is_logged = True
     if not record.task_id:
         entry.closing_logged = True
-    is_open = any(not one.is_logged for one in entry.attempts_by_task.values())
-    is_closing = _is_closed(entry) and not entry.closing_logged
-    if not is_open and not is_closing:
-        table.unlogged_ids.discard(record.request_id)
 
 
 def segment_failed(table: ClaimTable, key: str, *, may_have_taken_effect: bool) -> None:
@@ -897,12 +894,19 @@
         table.closing_slices.add(index)
 
 
+def cancel_release(table: ClaimTable, index: int) -> None:
+    """Accepts new requests of a slice again that stays with this host."""
+    table.closing_slices.discard(index)
+
+
 def may_release_slice(table: ClaimTable, index: int) -> bool:
     """Tells whether all requests of a closing slice are answered and logged."""
     if index not in table.closing_slices:
         return False
-    return not any(
-        entry.request_id in table.unlogged_ids or not _is_answer_final(entry)
+    if any(slice_of(one.request_id) == index for one in table.unlogged_claims):
+        return False
+    return all(
+        _is_answer_final(entry)
         for entry in table.entries_by_id.values()
         if slice_of(entry.request_id) == index
     )
@@ -930,9 +934,24 @@
         count += 1
     for request_id in kept:
         heapq.heappush(table.ids_by_age, request_id)
+    while table.answered_ids and table.answered_ids[0] not in table.entries_by_id:
+        table.answered_ids.popleft()
+    _drop_expired_claims(table)
     return count
 
 
+def _drop_expired_claims(table: ClaimTable) -> None:
+    """Drops unwritten claims that no owner needs, which a long outage gathers."""
+    unwritten = table.log.unwritten
+    while unwritten and _is_expired(table, unwritten[0]):
+        table.unlogged_claims.discard(unwritten.popleft())
+
+
+def _is_expired(table: ClaimTable, record: Claim) -> bool:
+    limit_ms = table.forgotten_until_ms - MAX_CLOCK_SKEW_MS
+    return request_time_ms(record.request_id) <= limit_ms
+
+
 def _is_forgotten(table: ClaimTable, request_id: str) -> bool:
     return request_time_ms(request_id) <= table.forgotten_until_ms
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,6 +15,7 @@
 
 BOUNDS = FleetBounds()
 BASE_UNIX_MS = 1_800_000_000_000
+OUTAGE = _claims.OutageView(own_age_ms=9000, peer_ages_ms=(), asked_ms=0)
 SETTINGS = settings(derandomize=True, deadline=None, database=None, max_examples=100)
 INDEX = strategies.integers(0, 63)
 ACTIONS = (
@@ -190,6 +191,7 @@
             _claims.segment_written(table, call.key, number + 1)
         self.assertLessEqual(len(written), 5)
         self.assertLessEqual(len(table.entries_by_id), 91)
+        self.assertLessEqual(len(table.answered_ids), 91)
         max_age_ms = BOUNDS.request_id_max_age_ms
         end_ms = BASE_UNIX_MS + now_ms + max_age_ms
         for wait_ms, kept_count in [(10_001, 0), (10_000, 1)]:
@@ -222,6 +224,15 @@
         results = [entry.answer.result for entry in table.entries_by_id.values()]
         self.assertEqual(results, [None, '12345678'])
 
+    def test_a_long_outage_does_not_gather_claims(self):
+        """Guards against memory that grows as long as nothing can be written."""
+        table = make_table()
+        for number in range(400):
+            now_ms = table.known_as_of_ms = number * 10_000
+            record(table, make_request(number, now_ms), now_ms)
+            _claims.forget_old(table, BASE_UNIX_MS + now_ms)
+        self.assertLessEqual(len(table.log.unwritten), 92)
+
     def test_a_start_waits_for_its_claim(self):
         """Guards against a start that the next owner knows nothing of."""
         cases = [
@@ -277,8 +288,8 @@
         _claims.segment_written(self.table, call.key, 1)
         return call.segment
 
-    def may_start(self, now_ms):
-        return _claims.may_send_start(self.table, self.id, 'task-1', None, now_ms)
+    def may_start(self, now_ms, outage=None):
+        return _claims.may_send_start(self.table, self.id, 'task-1', outage, now_ms)
 
     def refuse(self):
         return finish(self.table, self.id, RunState.NOT_RUN)
@@ -318,6 +329,22 @@
         self.assertEqual(self.may_start(7000), Ok(None))
         self.assertEqual(self.may_start(7000), Err(_claims.StartBlock.ALREADY_SENT))
 
+    def test_membership_waits_for_the_claim_itself(self):
+        """Guards against a renewal after a write that lacks a start in memory."""
+        self.record()
+        record(self.table, make_request(2))
+        write = _claims.pending_segment(self.table, 200)
+        _claims.attempt_not_run(self.table, self.id, 'task-1')
+        _claims.record_start(self.table, self.id, 'task-2', 'host-2')
+        sent = _claims.may_send_start(self.table, self.id, 'task-2', OUTAGE, 300)
+        self.assertEqual(sent, Ok(None))
+        adopt(self.table, replace(self.both, owners=['entry-b'] * 64, epoch=4))
+        _claims.attempt_not_run(self.table, self.id, 'task-2')
+        _claims.segment_written(self.table, write.key, 2)
+        self.assertFalse(_claims.may_renew_membership(self.table))
+        self.write(400)
+        self.assertTrue(_claims.may_renew_membership(self.table))
+
     def test_exclusion(self):
         """Guards against an excluded member that is fresh again and starts work."""
         self.record()
@@ -419,9 +446,15 @@
         self.assertFalse(_claims.may_release_slice(self.table, index))
         _claims.begin_release(self.table, index)
         self.assertFalse(_claims.may_release_slice(self.table, index))
-        self.record()
+        record(self.table, self.request)
+        self.assertEqual(self.may_start(300, OUTAGE), Ok(None))
         finish(self.table, self.id, RunState.RAN)
+        self.assertFalse(_claims.may_release_slice(self.table, index))
+        self.write()
         self.assertTrue(_claims.may_release_slice(self.table, index))
+        self.assertIsInstance(claim(self.table, make_request(176)), Err)
+        _claims.cancel_release(self.table, index)
+        self.assertIsInstance(claim(self.table, make_request(176)), Ok)
 
     def test_trust_in_the_log(self):
         """Guards against trust in a log that lacks claims made in memory."""
@@ -444,7 +477,7 @@
         self.name, self.incarnation = name, incarnation
         self.table = make_table(None, member_id=name, incarnation=str(incarnation))
         _claims.renounce(self.table)
-        self.up, self.paused, self.outage = True, False, None
+        self.up, self.paused, self.cut, self.outage = True, False, False, None
         self.version = self.read_ms = self.member_since_ms = 0
         self.gaps, self.peers = [], set()
 
@@ -492,10 +525,17 @@
         self.platform_up = not self.platform_up or other % 3 > 0
 
     def disturb(self, entry, other):
-        if not entry.up and self.platform_up:
-            self.restart(entry)
-        elif entry.up:
-            entry.up, entry.paused = other % 4 > 0, not entry.paused
+        if not entry.up:
+            if self.platform_up:
+                self.restart(entry)
+        elif entry.paused or entry.cut:
+            entry.paused = entry.cut = False
+        else:
+            what = ('up', 'paused', 'cut', 'cut')[other % 4]
+            setattr(entry, what, not getattr(entry, what))
+
+    def reaches_platform(self, entry):
+        return self.platform_up and not entry.cut
 
     def restart(self, entry):
         if self.exclusion and self.exclusion[0] == entry.name:
@@ -512,7 +552,7 @@
         self.slice_map = _claims.with_doubts(changed, lost, BASE_UNIX_MS + self.now_ms)
 
     def contact(self, entry):
-        if not self.platform_up:
+        if not self.reaches_platform(entry):
             self.ask_peers(entry)
             return
         entry.gaps.append((self.now_ms, self.now_ms - entry.read_ms))
@@ -536,7 +576,7 @@
         excluded = self.exclusion and self.exclusion[0] == entry.name
         if excluded and entry.version < self.exclusion[1] <= version:
             _claims.renounce(entry.table)
-            self.confirmed[entry.name] = version if self.platform_up else 0
+            self.confirmed[entry.name] = version * self.reaches_platform(entry)
         entry.version = max(entry.version, version)
 
     def ask_peers(self, entry):
@@ -557,7 +597,7 @@
 
     def take(self, taker, other):
         """Excludes a member, and takes its slices once it provably stopped."""
-        if not self.platform_up:
+        if not self.reaches_platform(taker):
             return
         if self.exclusion is None:
             name = 'abc'[other % 3]
@@ -630,7 +670,7 @@
         call = _claims.pending_segment(entry.table, self.now_ms)
         if call is None:
             return
-        fate = FATES[other % len(FATES)] if self.platform_up else 'gone'
+        fate = FATES[other % len(FATES)] if self.reaches_platform(entry) else 'gone'
         revision, segment = self.store.get(call.key, (0, None))
         if fate == 'gone':
             _claims.segment_failed(entry.table, call.key, may_have_taken_effect=True)
