Fix a false "not run" from a former owner with a late closing

A former owner wrote the closing of a request after the next owner had taken the slice; when it later learned that its own task had not started, it answered "not run" although the next owner had run the request. Change: an inherited closing is shown only by the current owner at the time of the answer (may_answer, also used by claim), and only if the log of the slice is trusted. Ruled out: no closing after a lapse alone, since the closing may already be on its way to the platform.

--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -331,7 +331,7 @@
     request_id = request.request_id
     entry = table.entries_by_id.get(request_id)
     if entry is not None:
-        return Ok(_outcome_of_known(table, entry, team or '', digest))
+        return Ok(_outcome_of_known(table, entry, team or '', digest, now_ms))
     refusal = _refusal_of_new(table, request_id, now_unix_ms, now_ms)
     if refusal is not None:
         return Err(refusal)
@@ -350,14 +350,15 @@
 
 
 def _outcome_of_known(
-    table: ClaimTable, entry: ClaimEntry, team: str, digest: str
+    table: ClaimTable, entry: ClaimEntry, team: str, digest: str, now_ms: int
 ) -> ClaimOutcome:
     if entry.team != team or entry.body_digest != digest:
         return ReusedId(request_id=entry.request_id)
     tasks = _places(entry)
     if entry.is_inherited and entry.answer is None:
         return InDoubt(request_id=entry.request_id, tasks=tasks, in_log=True)
-    answer = entry.answer if _is_answer_final(entry) else None
+    may_show = may_answer(table, entry.request_id, None, now_ms)
+    answer = entry.answer if may_show else None
     return Repeated(request_id=entry.request_id, answer=answer, tasks=tasks)
 
 
@@ -553,14 +554,16 @@
     entry.attempts_by_task.pop(task_id, None)
     if not entry.is_inherited or entry.attempts_by_task or entry.answer is not None:
         return
+    if _is_doubtful(table, request_id):
+        return
     if entry.closing_logged:
         _keep_inherited_closing(entry)
-    elif not _is_doubtful(table, request_id):
+    else:
         _drop_entry(table, entry)
 
 
 def _keep_inherited_closing(entry: ClaimEntry) -> None:
-    entry.not_run_is_final = True
+    """Answers "not run", which `may_answer` holds back from a host that lost the id."""
     entry.answer = AnswerBody(
         request_id=entry.request_id,
         phase=RequestPhase.REFUSED,
@@ -800,12 +803,12 @@
     for record in (one for segment in segments for one in segment.claims):
         if slice_of(record.request_id) in gained:
             _inherit(table, record, now_unix_ms)
-    _settle_inherited_closings(table, gained)
     for name, until_ms in slice_map.doubt_until_by_slice.items():
         _doubt(table, int(name), until_ms)
     if not trusts_log:
         for index in gained:
             _doubt(table, index, doubt_until_ms(now_unix_ms))
+    _settle_inherited_closings(table, gained)
     table.slice_map = slice_map
     table.owned_slices = mine
     table.closing_slices &= mine
@@ -844,7 +847,7 @@
 
 
 def _settle_inherited_closings(table: ClaimTable, gained: set[int]) -> None:
-    """Answers closed ids with "not run" if the log names no task for them.
+    """Answers closed ids with "not run" if a trusted log names no task for them.
 
     A closing that was written late, after another owner had taken the slice,
     proves nothing about the tasks of that owner; their hosts are asked first.
@@ -852,7 +855,8 @@
     for entry in table.entries_by_id.values():
         is_gained = entry.is_inherited and slice_of(entry.request_id) in gained
         is_open = entry.answer is None and not entry.attempts_by_task
-        if is_gained and is_open and entry.closing_logged:
+        doubtful = _is_doubtful(table, entry.request_id)
+        if is_gained and is_open and entry.closing_logged and not doubtful:
             _keep_inherited_closing(entry)
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -384,15 +384,25 @@
         self.assertIs(answer.run_state, RunState.NOT_RUN)
 
     def test_closing_of_a_lost_slice_proves_nothing(self):
-        """Guards against a late closing that hides a run by the next owner."""
+        """Guards against a late closing that hides a run by another owner."""
         started = self.record()
         _claims.attempt_not_run(self.table, self.id, 'task-1')
         self.refuse()
-        heir = self.successor([started, self.write(200)])
-        self.assertIsInstance(claim(heir, self.request).unwrap(), _claims.InDoubt)
-        _claims.attempt_not_run(heir, self.id, 'task-1')
-        answer = claim(heir, self.request).unwrap().answer
-        self.assertIs(answer.run_state, RunState.NOT_RUN)
+        segments = [started, self.write(200)]
+        for fault in ('', 'lost slice', 'doubt'):
+            with self.subTest(fault=fault):
+                heir = self.successor(segments, trusts_log=fault != 'doubt')
+                self.assertIsInstance(
+                    claim(heir, self.request).unwrap(), _claims.InDoubt
+                )
+                if fault == 'lost slice':
+                    _claims.renounce(heir)
+                _claims.attempt_not_run(heir, self.id, 'task-1')
+                may_answer = _claims.may_answer(heir, self.id, None, 300)
+                self.assertIs(may_answer, fault == '')
+        claims = [replace(segments[1], claims=segments[1].claims[-1:])]
+        lone = self.successor(claims, trusts_log=False)
+        self.assertFalse(_claims.may_answer(lone, self.id, None, 300))
 
     def test_closing_needs_the_slice(self):
         """Guards against "not run" from a former owner while the next one runs it."""
