Refuse an old slice map and list claims only for gained slices

Cause: take_over accepted a slice map older than the known one, for instance from a read that was answered late, and would have regained released slices. It also needed the claims of all members at each change of the map. Change: take_over gives false for an older map, and for gained slices without the claim log; gained_slices says whether the log is needed. Ruled out: a caller that decides alone whether to list the log, since a lapse between that decision and the call changes the answer. Conclusion: a late read cannot bring back a slice.

--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -72,6 +72,7 @@
     'finish',
     'flush_interval_ms',
     'forget_old',
+    'gained_slices',
     'is_in_future',
     'is_too_old',
     'may_answer',
@@ -267,6 +268,7 @@
     max_result_bytes: int = MAX_RESULT_BYTES
     known_as_of_ms: int | None = None
     slice_map: SliceMap | None = None
+    map_epoch: int = 0
     owned_slices: set[int] = field(default_factory=set)
     closing_slices: set[int] = field(default_factory=set)
     doubt_until_by_slice: dict[int, int] = field(default_factory=dict)
@@ -774,33 +776,46 @@
     log.phase = WritePhase.MUST_WRITE
 
 
+def gained_slices(table: ClaimTable, slice_map: SliceMap, now_ms: int) -> set[int]:
+    """Returns the slices for which `take_over` needs the claim log.
+
+    After a lapse of ownership an unchanged epoch shows that nobody took the
+    slices; otherwise all of them are new to this host, since a slice may have
+    gone and come back.
+    """
+    return _slices_of(slice_map, table.member_id) - _kept(table, slice_map, now_ms)
+
+
+def _kept(table: ClaimTable, slice_map: SliceMap, now_ms: int) -> set[int]:
+    if table.slice_map is not None and table.slice_map.epoch == slice_map.epoch:
+        return _slices_of(table.slice_map, table.member_id)
+    return set() if _has_lapsed(table, now_ms) else table.owned_slices
+
+
 def take_over(
     table: ClaimTable,
     slice_map: SliceMap,
-    segments: Iterable[ClaimSegment],
+    segments: Iterable[ClaimSegment] | None,
     *,
     trusts_log: bool,
     asked_ms: int,
     now_ms: int,
     now_unix_ms: int,
-) -> None:
+) -> bool:
     """Adopts a slice map and the claims of slices that are new to this host.
 
     `segments` are those of all members, listed after the map was written: a
     slice may have had several owners within the age limit of ids. `asked_ms`
-    is when the read of the map was sent. After a lapse of ownership an
-    unchanged epoch shows that nobody took the slices; otherwise all of them
-    are new to this host, since a slice may have gone and come back.
+    is when the read of the map was sent. Changes nothing and gives false if
+    the map is older than the known one, or if slices are gained and `segments`
+    is None. A member that the newest configuration excludes must not call it.
     """
-    same_map = table.slice_map is not None and table.slice_map.epoch == slice_map.epoch
-    if table.slice_map is not None and same_map:
-        table.owned_slices = _slices_of(table.slice_map, table.member_id)
-    elif _has_lapsed(table, now_ms):
-        table.owned_slices = set()
+    gained = gained_slices(table, slice_map, now_ms)
+    if slice_map.epoch < table.map_epoch or (gained and segments is None):
+        return False
     mine = _slices_of(slice_map, table.member_id)
-    gained = mine - table.owned_slices
     _reset_entries(table, mine - gained)
-    for record in (one for segment in segments for one in segment.claims):
+    for record in (one for segment in segments or () for one in segment.claims):
         if slice_of(record.request_id) in gained:
             _inherit(table, record, now_unix_ms)
     for name, until_ms in slice_map.doubt_until_by_slice.items():
@@ -812,7 +827,9 @@
     table.slice_map = slice_map
     table.owned_slices = mine
     table.closing_slices &= mine
+    table.map_epoch = slice_map.epoch
     table.known_as_of_ms = max(asked_ms, table.known_as_of_ms or 0)
+    return True
 
 
 def _doubt(table: ClaimTable, index: int, until_ms: int) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -58,7 +58,7 @@
 
 
 def adopt(table, slice_map, segments=(), trusts_log=True, now_ms=0):
-    _claims.take_over(
+    return _claims.take_over(
         table,
         slice_map,
         segments,
@@ -315,7 +315,10 @@
         if renews_first:
             self.assertFalse(_claims.renew_ownership(self.table, 6000, 6001))
             self.assertEqual(self.may_start(6001), Err(_claims.StartBlock.NOT_OWNER))
-        adopt(self.table, replace(self.both, epoch=3), now_ms=7000)
+        changed = replace(self.both, epoch=3)
+        self.assertFalse(adopt(self.table, changed, None, now_ms=7000))
+        self.assertTrue(adopt(self.table, changed, now_ms=7000))
+        self.assertFalse(adopt(self.table, self.both, now_ms=7000))
         self.assertEqual(self.may_start(7000), Err(_claims.StartBlock.NO_ATTEMPT))
         self.assertIsInstance(
             claim(self.table, self.request, 7000).unwrap(), _claims.NewClaim
@@ -325,7 +328,7 @@
         """Guards against a pause that needlessly loses what nobody took."""
         self.record()
         _claims.renew_ownership(self.table, 6000, 6001)
-        adopt(self.table, self.both, now_ms=7000)
+        self.assertTrue(adopt(self.table, self.both, None, now_ms=7000))
         self.assertEqual(self.may_start(7000), Ok(None))
         self.assertEqual(self.may_start(7000), Err(_claims.StartBlock.ALREADY_SENT))
 
