--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -65,12 +65,14 @@
     'attempt_not_run',
     'begin_release',
     'body_digest',
+    'cancel_release',
     'claim',
     'deletable_segments',
     'doubt_until_ms',
     'finish',
     'flush_interval_ms',
     'forget_old',
+    'gained_slices',
     'is_in_future',
     'is_too_old',
     'may_answer',
@@ -254,8 +256,8 @@
     """The claims of one entry host for the slices that it owns.
 
     `known_as_of_ms` is the monotonic time as of which this host was fresh.
-    `unlogged_ids` holds the requests about which something was decided on the
-    strength of a claim that was only in memory.
+    `unlogged_claims` holds those claims and closings that were acted on while
+    they were only in memory.
     """
 
     member_id: str
@@ -266,13 +268,14 @@
     max_result_bytes: int = MAX_RESULT_BYTES
     known_as_of_ms: int | None = None
     slice_map: SliceMap | None = None
+    map_epoch: int = 0
     owned_slices: set[int] = field(default_factory=set)
     closing_slices: set[int] = field(default_factory=set)
     doubt_until_by_slice: dict[int, int] = field(default_factory=dict)
     entries_by_id: dict[str, ClaimEntry] = field(default_factory=dict)
     ids_by_age: list[str] = field(default_factory=list)
     forgotten_until_ms: int = 0
-    unlogged_ids: set[str] = field(default_factory=set)
+    unlogged_claims: set[Claim] = field(default_factory=set)
     answered_ids: deque[str] = field(default_factory=deque)
     result_bytes: int = 0
     log: SegmentLog = field(default_factory=SegmentLog)
@@ -330,7 +333,7 @@
     request_id = request.request_id
     entry = table.entries_by_id.get(request_id)
     if entry is not None:
-        return Ok(_outcome_of_known(table, entry, team or '', digest))
+        return Ok(_outcome_of_known(table, entry, team or '', digest, now_ms))
     refusal = _refusal_of_new(table, request_id, now_unix_ms, now_ms)
     if refusal is not None:
         return Err(refusal)
@@ -349,14 +352,15 @@
 
 
 def _outcome_of_known(
-    table: ClaimTable, entry: ClaimEntry, team: str, digest: str
+    table: ClaimTable, entry: ClaimEntry, team: str, digest: str, now_ms: int
 ) -> ClaimOutcome:
     if entry.team != team or entry.body_digest != digest:
         return ReusedId(request_id=entry.request_id)
     tasks = _places(entry)
     if entry.is_inherited and entry.answer is None:
         return InDoubt(request_id=entry.request_id, tasks=tasks, in_log=True)
-    answer = entry.answer if _is_answer_final(entry) else None
+    may_show = may_answer(table, entry.request_id, None, now_ms)
+    answer = entry.answer if may_show else None
     return Repeated(request_id=entry.request_id, answer=answer, tasks=tasks)
 
 
@@ -509,14 +513,14 @@
         return Err(StartBlock.OWNERSHIP_LAPSED)
     entry = table.entries_by_id.get(request_id)
     attempt = entry.attempts_by_task.get(task_id) if entry else None
-    if attempt is None:
+    if entry is None or attempt is None:
         return Err(StartBlock.NO_ATTEMPT)
     if attempt.is_sent:
         return Err(StartBlock.ALREADY_SENT)
     if not attempt.is_logged:
         if not may_decide_in_memory(table, outage, now_ms):
             return Err(StartBlock.CLAIM_NOT_WRITTEN)
-        table.unlogged_ids.add(request_id)
+        table.unlogged_claims.add(_claim_record(entry, task_id, attempt.host_id))
     attempt.is_sent = True
     return Ok(None)
 
@@ -552,14 +556,16 @@
     entry.attempts_by_task.pop(task_id, None)
     if not entry.is_inherited or entry.attempts_by_task or entry.answer is not None:
         return
+    if _is_doubtful(table, request_id):
+        return
     if entry.closing_logged:
         _keep_inherited_closing(entry)
-    elif not _is_doubtful(table, request_id):
+    else:
         _drop_entry(table, entry)
 
 
 def _keep_inherited_closing(entry: ClaimEntry) -> None:
-    entry.not_run_is_final = True
+    """Answers "not run", which `may_answer` holds back from a host that lost the id."""
     entry.answer = AnswerBody(
         request_id=entry.request_id,
         phase=RequestPhase.REFUSED,
@@ -637,7 +643,7 @@
     if not entry.closing_logged:
         if not may_decide_in_memory(table, outage, now_ms):
             return False
-        table.unlogged_ids.add(request_id)
+        table.unlogged_claims.add(_claim_record(entry, '', ''))
     entry.not_run_is_final = True
     return True
 
@@ -648,7 +654,7 @@
     A renewal tells other members that the log was complete up to then, so
     everything decided in memory must be written first.
     """
-    return not table.unlogged_ids
+    return not table.unlogged_claims
 
 
 def pending_segment(
@@ -719,6 +725,7 @@
     log.phase = WritePhase.IDLE
     written = log.write.segment.claims
     log.write = None
+    table.unlogged_claims.difference_update(written)
     for record in written:
         _note_logged(table, record)
 
@@ -726,17 +733,12 @@
 def _note_logged(table: ClaimTable, record: Claim) -> None:
     entry = table.entries_by_id.get(record.request_id)
     if entry is None:
-        table.unlogged_ids.discard(record.request_id)
         return
     attempt = entry.attempts_by_task.get(record.task_id)
     if attempt is not None:
         attempt.is_logged = True
     if not record.task_id:
         entry.closing_logged = True
-    is_open = any(not one.is_logged for one in entry.attempts_by_task.values())
-    is_closing = _is_closed(entry) and not entry.closing_logged
-    if not is_open and not is_closing:
-        table.unlogged_ids.discard(record.request_id)
 
 
 def segment_failed(table: ClaimTable, key: str, *, may_have_taken_effect: bool) -> None:
@@ -774,45 +776,60 @@
     log.phase = WritePhase.MUST_WRITE
 
 
+def gained_slices(table: ClaimTable, slice_map: SliceMap, now_ms: int) -> set[int]:
+    """Returns the slices for which `take_over` needs the claim log.
+
+    After a lapse of ownership an unchanged epoch shows that nobody took the
+    slices; otherwise all of them are new to this host, since a slice may have
+    gone and come back.
+    """
+    return _slices_of(slice_map, table.member_id) - _kept(table, slice_map, now_ms)
+
+
+def _kept(table: ClaimTable, slice_map: SliceMap, now_ms: int) -> set[int]:
+    if table.slice_map is not None and table.slice_map.epoch == slice_map.epoch:
+        return _slices_of(table.slice_map, table.member_id)
+    return set() if _has_lapsed(table, now_ms) else table.owned_slices
+
+
 def take_over(
     table: ClaimTable,
     slice_map: SliceMap,
-    segments: Iterable[ClaimSegment],
+    segments: Iterable[ClaimSegment] | None,
     *,
     trusts_log: bool,
     asked_ms: int,
     now_ms: int,
     now_unix_ms: int,
-) -> None:
+) -> bool:
     """Adopts a slice map and the claims of slices that are new to this host.
 
     `segments` are those of all members, listed after the map was written: a
     slice may have had several owners within the age limit of ids. `asked_ms`
-    is when the read of the map was sent. After a lapse of ownership an
-    unchanged epoch shows that nobody took the slices; otherwise all of them
-    are new to this host, since a slice may have gone and come back.
+    is when the read of the map was sent. Changes nothing and gives false if
+    the map is older than the known one, or if slices are gained and `segments`
+    is None. A member that the newest configuration excludes must not call it.
     """
-    same_map = table.slice_map is not None and table.slice_map.epoch == slice_map.epoch
-    if table.slice_map is not None and same_map:
-        table.owned_slices = _slices_of(table.slice_map, table.member_id)
-    elif _has_lapsed(table, now_ms):
-        table.owned_slices = set()
+    gained = gained_slices(table, slice_map, now_ms)
+    if slice_map.epoch < table.map_epoch or (gained and segments is None):
+        return False
     mine = _slices_of(slice_map, table.member_id)
-    gained = mine - table.owned_slices
     _reset_entries(table, mine - gained)
-    for record in (one for segment in segments for one in segment.claims):
+    for record in (one for segment in segments or () for one in segment.claims):
         if slice_of(record.request_id) in gained:
             _inherit(table, record, now_unix_ms)
-    _settle_inherited_closings(table, gained)
     for name, until_ms in slice_map.doubt_until_by_slice.items():
         _doubt(table, int(name), until_ms)
     if not trusts_log:
         for index in gained:
             _doubt(table, index, doubt_until_ms(now_unix_ms))
+    _settle_inherited_closings(table, gained)
     table.slice_map = slice_map
     table.owned_slices = mine
     table.closing_slices &= mine
+    table.map_epoch = slice_map.epoch
     table.known_as_of_ms = max(asked_ms, table.known_as_of_ms or 0)
+    return True
 
 
 def _doubt(table: ClaimTable, index: int, until_ms: int) -> None:
@@ -847,7 +864,7 @@
 
 
 def _settle_inherited_closings(table: ClaimTable, gained: set[int]) -> None:
-    """Answers closed ids with "not run" if the log names no task for them.
+    """Answers closed ids with "not run" if a trusted log names no task for them.
 
     A closing that was written late, after another owner had taken the slice,
     proves nothing about the tasks of that owner; their hosts are asked first.
@@ -855,7 +872,8 @@
     for entry in table.entries_by_id.values():
         is_gained = entry.is_inherited and slice_of(entry.request_id) in gained
         is_open = entry.answer is None and not entry.attempts_by_task
-        if is_gained and is_open and entry.closing_logged:
+        doubtful = _is_doubtful(table, entry.request_id)
+        if is_gained and is_open and entry.closing_logged and not doubtful:
             _keep_inherited_closing(entry)
 
 
@@ -897,12 +915,19 @@
         table.closing_slices.add(index)
 
 
+def cancel_release(table: ClaimTable, index: int) -> None:
+    """Accepts new requests of a slice again that stays with this host."""
+    table.closing_slices.discard(index)
+
+
 def may_release_slice(table: ClaimTable, index: int) -> bool:
     """Tells whether all requests of a closing slice are answered and logged."""
     if index not in table.closing_slices:
         return False
-    return not any(
-        entry.request_id in table.unlogged_ids or not _is_answer_final(entry)
+    if any(slice_of(one.request_id) == index for one in table.unlogged_claims):
+        return False
+    return all(
+        _is_answer_final(entry)
         for entry in table.entries_by_id.values()
         if slice_of(entry.request_id) == index
     )
@@ -930,9 +955,24 @@
         count += 1
     for request_id in kept:
         heapq.heappush(table.ids_by_age, request_id)
+    while table.answered_ids and table.answered_ids[0] not in table.entries_by_id:
+        table.answered_ids.popleft()
+    _drop_expired_claims(table)
     return count
 
 
+def _drop_expired_claims(table: ClaimTable) -> None:
+    """Drops unwritten claims that no owner needs, which a long outage gathers."""
+    unwritten = table.log.unwritten
+    while unwritten and _is_expired(table, unwritten[0]):
+        table.unlogged_claims.discard(unwritten.popleft())
+
+
+def _is_expired(table: ClaimTable, record: Claim) -> bool:
+    limit_ms = table.forgotten_until_ms - MAX_CLOCK_SKEW_MS
+    return request_time_ms(record.request_id) <= limit_ms
+
+
 def _is_forgotten(table: ClaimTable, request_id: str) -> bool:
     return request_time_ms(request_id) <= table.forgotten_until_ms
 
