Accept repeated ids among the hosts that a choice excludes

Cause: an id that stands twice in `excluded` was taken out of its free list twice, which raised IndexError. Change: choose hides each excluded host once, in sorted order, so that free lists do not depend on the hash seed of the process. Ruled out: a set without an order (later choices then differ between processes with the same random numbers). Broken on purpose: test_refusals with repeated ids failed with IndexError before the change. Conclusion: the dispatcher may pass its list of tried hosts as it is.

--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -188,9 +188,11 @@
         return Err(_refusal(ErrorCode.SERVICE_NOT_FOUND, message))
     if not any(_fits(size, host_size) for host_size in routes.sizes):
         return Err(_cannot_fit(routes, size))
+    # Sorted, so that the order of the free lists and with it later choices do
+    # not depend on the hash seed of the process.
     hidden = [
         load
-        for host_id in excluded
+        for host_id in sorted(set(excluded))
         if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
     ]
     for load in hidden:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -250,7 +250,7 @@
             (
                 BASE,
                 'desk',
-                {'excluded': HOST_IDS},
+                {'excluded': HOST_IDS * 2},
                 ErrorCode.NO_HOST_AVAILABLE,
                 "'a'",
             ),
