Write grants less often when demand changes by a few slots

Cause: with 24 entry hosts nearly every holder wrote once a second, as demand of a few slots changes all the time; a third of the writes were conflicts.

Change: a transfer within a deadband (a quarter of the grant or half of an even part) waits for 3 s. `write_conflicted` takes the time of the next try, so that callers can draw it at random. `next_write` takes an interval, and computes its target once.

--- a/dandelionknot/_limits.py
+++ b/dandelionknot/_limits.py
@@ -31,6 +31,12 @@
 TRANSFER_INTERVAL_MS = 1000
 """Least time between two writes of one holder to one team's record."""
 
+SMALL_TRANSFER_INTERVAL_MS = 3000
+"""Least time before a transfer within the deadband."""
+
+DEADBAND_DIVISOR = 4
+"""Changes up to a quarter of the grant, or half of an even part, are small."""
+
 ROTATION_TURN_MS = 1000
 """How long a holder keeps its last slot while holders without any slot wait."""
 
@@ -55,7 +61,9 @@
     revision: int = 0
     pending: GrantRecord | None = None
     ceiling: int | None = None
+    next_write_ms: int = 0
     last_transfer_ms: int | None = None
+    former_transfer_ms: int | None = None
     gained_ms: int | None = None
 
 
@@ -163,29 +171,38 @@
     team_id: str,
     now_ms: int,
     live_members: Collection[str],
+    interval_ms: int = TRANSFER_INTERVAL_MS,
 ) -> GrantWrite | None:
     """Returns the write to send now, and stops using the grant that it gives up.
 
     Call it after each observed record, each finished task, each change of demand and
     once a second. Send the write at once; pass the answer, or a read after a conflict
-    or a lost answer, to `observe_record`. A write that is not settled after a second
-    is returned again unchanged.
+    or a lost answer, to `observe_record`. A write that is not settled after the
+    interval is returned again unchanged. A longer interval saves writes while the
+    platform is slow.
     """
     team = local.teams_by_id[team_id]
-    if _too_soon(now_ms, team.last_transfer_ms):
+    if now_ms < team.next_write_ms:
         return None
     if team.pending is None:
         team.pending = _plan(local, team, member_id, team_id, now_ms, live_members)
     if team.pending is None:
         return None
+    team.next_write_ms = now_ms + interval_ms
+    team.former_transfer_ms = team.last_transfer_ms
     team.last_transfer_ms = now_ms
     _update_granted(team, member_id)
     return GrantWrite(record=team.pending, expected_revision=team.revision)
 
 
-def write_conflicted(local: LocalGrants, team_id: str) -> None:
-    """Allows the next write at once, since the last one is known to have failed."""
-    local.teams_by_id[team_id].last_transfer_ms = None
+def write_conflicted(local: LocalGrants, team_id: str, retry_at_ms: int) -> None:
+    """Allows the next write at `retry_at_ms`, since the last one did not take effect.
+
+    Draw the time at random within some hundred milliseconds.
+    """
+    team = local.teams_by_id[team_id]
+    team.next_write_ms = retry_at_ms
+    team.last_transfer_ms = team.former_transfer_ms
 
 
 def initial_record(
@@ -226,23 +243,18 @@
     ask, and evens out its grant with theirs. Above the limit it only gives up grant
     that it does not use. Only live members are given grant, if they are known.
     """
-    if _too_soon(now_ms, last_transfer_ms):
+    if last_transfer_ms is not None and (
+        now_ms - last_transfer_ms < TRANSFER_INTERVAL_MS
+    ):
         return None
-    record_now = _with_limit(record, upper_limit, limit_version, lowered_version)
-    held = _held(record_now, member_id)
-    excess = _excess(record_now)
-    if excess > 0:
-        kept = max(min(held, running), held - excess)
-        changed = _with_grant(record_now, member_id, kept, wanted)
-    else:
-        target = fair_target(
-            record_now, member_id, wanted, now_ms, gained_ms, live_members
-        )
-        kept = min(held, max(running, target))
-        changed = _share_out(record_now, member_id, kept, wanted, live_members)
-    if _same_for(member_id, record, changed):
-        return None
-    return changed
+    stated = _with_limit(record, upper_limit, limit_version, lowered_version)
+    band = _deadband(stated, member_id, now_ms, last_transfer_ms, live_members)
+    target = fair_target(
+        stated, member_id, wanted, now_ms, gained_ms, band, live_members
+    )
+    return _transfer(
+        record, stated, member_id, running, wanted, target, band, live_members
+    )
 
 
 def fair_target(
@@ -251,6 +263,7 @@
     wanted: int,
     now_ms: int,
     gained_ms: int | None,
+    band: int,
     live_members: Collection[str] | None,
 ) -> int:
     """Returns the grant to which this holder should come down, at most what it holds.
@@ -274,9 +287,9 @@
     pot = held + _free(record)
     left = _deal(grants | {member_id: 0}, requests | {member_id: wanted}, pot, order)
     target = left.grants_by_member[member_id] + left.free
-    if not rotates and held and wanted:
+    if not rotates and wanted:
         target = max(target, 1)
-    return min(held, target)
+    return held if held - target <= band else target
 
 
 def reclaim(
@@ -364,34 +377,70 @@
         return initial_record(team_id, members, team.upper_limit, team.limit_version)
     if local.stopping:
         return _give_all(team.record, member_id, team.running)
-    _set_ceiling(team, member_id, now_ms, live_members)
-    return plan_transfer(
+    stated = _with_limit(
+        team.record, team.upper_limit, team.limit_version, team.lowered_version
+    )
+    band = _deadband(stated, member_id, now_ms, team.last_transfer_ms, live_members)
+    target = fair_target(
+        stated, member_id, team.wanted, now_ms, team.gained_ms, band, live_members
+    )
+    # A holder that refills each slot at once would never have one to give.
+    team.ceiling = target if target < _held(stated, member_id) else None
+    return _transfer(
         team.record,
+        stated,
         member_id,
         team.running,
         team.wanted,
-        team.upper_limit,
-        now_ms,
-        team.last_transfer_ms,
-        limit_version=team.limit_version,
-        lowered_version=team.lowered_version,
-        gained_ms=team.gained_ms,
-        live_members=live_members,
+        target,
+        band,
+        live_members,
     )
 
 
-def _set_ceiling(
-    team: TeamGrant, member_id: str, now_ms: int, live_members: Collection[str]
-) -> None:
-    """Holds back starts above the fair target.
+def _transfer(
+    record: GrantRecord,
+    stated: GrantRecord,
+    member_id: str,
+    running: int,
+    wanted: int,
+    target: int,
+    band: int,
+    live_members: Collection[str] | None,
+) -> GrantRecord | None:
+    """Returns the changed record, given the record that states the current limit."""
+    held = _held(stated, member_id)
+    excess = _excess(stated)
+    if excess > 0:
+        kept = max(min(held, running), held - excess)
+        changed = _with_grant(stated, member_id, kept, wanted)
+    else:
+        kept = min(held, max(running, target))
+        if held < wanted <= held + band:
+            wanted = held
+        changed = _share_out(stated, member_id, kept, wanted, live_members)
+    return None if _same_for(member_id, record, changed) else changed
 
-    A holder that refills each slot at once would never have one to give.
+
+def _deadband(
+    record: GrantRecord,
+    member_id: str,
+    now_ms: int,
+    last_transfer_ms: int | None,
+    live_members: Collection[str] | None,
+) -> int:
+    """Returns how far the grant may be from its target without a write for now.
+
+    Demand of a few slots changes all the time; without a deadband, nearly every holder
+    writes once a second. The last slot and the first slot have none.
     """
-    assert team.record is not None
-    target = fair_target(
-        team.record, member_id, team.wanted, now_ms, team.gained_ms, live_members
-    )
-    team.ceiling = target if target < _held(team.record, member_id) else None
+    held = _held(record, member_id)
+    if held <= 1 or last_transfer_ms is None:
+        return 0
+    if now_ms - last_transfer_ms >= SMALL_TRANSFER_INTERVAL_MS:
+        return 0
+    holders = len(live_members or record.grants_by_member)
+    return max(held // DEADBAND_DIVISOR, record.upper_limit // (2 * max(1, holders)))
 
 
 def _give_all(record: GrantRecord, member_id: str, running: int) -> GrantRecord | None:
@@ -548,13 +597,6 @@
     return max(0, -_excess(record))
 
 
-def _too_soon(now_ms: int, last_transfer_ms: int | None) -> bool:
-    return (
-        last_transfer_ms is not None
-        and now_ms - last_transfer_ms < TRANSFER_INTERVAL_MS
-    )
-
-
 def _positive(counts_by_member: dict[str, int]) -> dict[str, int]:
     return {member: count for member, count in counts_by_member.items() if count > 0}
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -197,7 +197,7 @@
         if fate == 'answered' and written:
             self.observe(host, (write.record, write.expected_revision + 1))
         elif fate == 'answered':
-            _limits.write_conflicted(host.local, TEAM)
+            _limits.write_conflicted(host.local, TEAM, self.now_ms)
             self.observe(host, self.history[-1])
 
     @rule(which=strategies.integers(0, 20))
