Add the measurement program

Cause: shares, grants and decision costs need figures that can be repeated.

Ruled out: a cluster simulator; the loops hold only the decision code and counters.

--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,15 @@
 check: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy dandelionknot standins tools
+	$(BIN)/mypy dandelionknot standins tools measure
 	$(BIN)/python tools/generate.py --check
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
 
+measure: $(READY)
+	$(BIN)/python -m measure
+
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code on small in-memory loops."""
--- /dev/null
+++ b/measure/grants.py
@@ -0,0 +1,194 @@
+"""Work done and requests refused when demand moves between entry hosts.
+
+Each team has a busy entry host that changes every few seconds. Requests wait at the
+entry host they arrived at and are refused when they have not started in time.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Ok
+
+from dandelionknot import _limits
+from dandelionknot.messages import GrantRecord
+from measure.table import Row
+
+SEED = 11
+STEP_MS = 20
+SECONDS = 20
+MOVE_MS = 5000
+BUSY_PART = 0.6
+LOAD = 0.85
+RUN_MS = 200
+PATIENCE_MS = 1100
+CONFLICT_WAIT_MS = 300
+SLOW_INTERVAL_MS = 3000
+
+
+@dataclass(slots=True)
+class EntryHost:
+    """One entry host's grants, waiting requests and running tasks, by team."""
+
+    holder: str
+    local: _limits.LocalGrants = field(default_factory=_limits.LocalGrants)
+    waiting: dict[str, deque[int]] = field(default_factory=dict)
+    ends: dict[str, deque[int]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Store:
+    """Grant records with revisions, and counts of calls."""
+
+    records: dict[str, tuple[GrantRecord, int]] = field(default_factory=dict)
+    sent: list[tuple[EntryHost, _limits.GrantWrite]] = field(default_factory=list)
+    writes: int = 0
+    conflicts: int = 0
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the requests."""
+
+    offered: int = 0
+    done: int = 0
+    refused: int = 0
+    most_running: int = 0
+
+
+Planner = Callable[[EntryHost, str, int, list[str], Store], None]
+
+
+def by_demand(
+    host: EntryHost, team: str, now_ms: int, live: list[str], store: Store
+) -> None:
+    """Observes the record and sends the write that `next_write` returns."""
+    _follow_demand(host, team, now_ms, live, store, _limits.TRANSFER_INTERVAL_MS)
+
+
+def _follow_demand(
+    host: EntryHost,
+    team: str,
+    now_ms: int,
+    live: list[str],
+    store: Store,
+    interval_ms: int,
+) -> None:
+    if team in store.records:
+        record, revision = store.records[team]
+        _limits.observe_record(host.local, host.holder, record, revision, now_ms)
+    write = _limits.next_write(host.local, host.holder, team, now_ms, live, interval_ms)
+    if write is not None:
+        store.sent.append((host, write))
+
+
+def by_demand_slowly(
+    host: EntryHost, team: str, now_ms: int, live: list[str], store: Store
+) -> None:
+    """Does the same with three times the interval between writes."""
+    _follow_demand(host, team, now_ms, live, store, SLOW_INTERVAL_MS)
+
+
+def by_equal_split(
+    host: EntryHost, team: str, now_ms: int, live: list[str], store: Store
+) -> None:
+    """Keeps the first split, with the remainder on the first hosts."""
+    grant = host.local.teams_by_id[team]
+    each, rest = divmod(grant.upper_limit, len(live))
+    grant.granted = each + (live.index(host.holder) < rest)
+
+
+def take_effect(store: Store, rng: random.Random, now_ms: int) -> None:
+    """Applies the writes that were sent in the last step, one after the other."""
+    for host, write in store.sent:
+        team = write.record.team
+        _, revision = store.records.get(team, (None, 0))
+        store.writes += 1
+        if revision == write.expected_revision:
+            store.records[team] = (write.record, revision + 1)
+        else:
+            store.conflicts += 1
+            retry_at_ms = now_ms + rng.randrange(CONFLICT_WAIT_MS)
+            _limits.write_conflicted(host.local, team, retry_at_ms)
+    store.sent.clear()
+
+
+def run(
+    teams: int, hosts: int, limit: int, planner: Planner, load: float = LOAD
+) -> tuple[Tally, Store]:
+    """Runs all entry hosts in steps of equal length."""
+    rng = random.Random(SEED)
+    team_ids = [f'team-{number}' for number in range(teams)]
+    entry_hosts = [EntryHost(f'entry-{number:02}') for number in range(hosts)]
+    live = [host.holder for host in entry_hosts]
+    for host in entry_hosts:
+        for team in team_ids:
+            _limits.set_limit(host.local, host.holder, team, limit, 1)
+            host.waiting[team] = deque()
+            host.ends[team] = deque()
+    tally, store = Tally(), Store()
+    waits = random.Random(SEED)
+    for now_ms in range(0, SECONDS * 1000, STEP_MS):
+        take_effect(store, waits, now_ms)
+        for number, team in enumerate(team_ids):
+            busy = (now_ms // MOVE_MS * 7 + number) % hosts
+            for index, host in enumerate(entry_hosts):
+                part = BUSY_PART if index == busy else (1 - BUSY_PART) / (hosts - 1)
+                mean = load * limit / RUN_MS * STEP_MS * part
+                _step(host, team, now_ms, _arrivals(rng, mean), tally)
+                planner(host, team, now_ms, live, store)
+            running = sum(h.local.teams_by_id[team].running for h in entry_hosts)
+            tally.most_running = max(tally.most_running, running)
+    return tally, store
+
+
+def _arrivals(rng: random.Random, mean: float) -> int:
+    whole = int(mean)
+    return whole + (rng.random() < mean - whole)
+
+
+def _step(host: EntryHost, team: str, now_ms: int, arrivals: int, tally: Tally) -> None:
+    ends, waiting = host.ends[team], host.waiting[team]
+    while ends and ends[0] <= now_ms:
+        ends.popleft()
+        _limits.finished(host.local, team)
+        tally.done += 1
+    waiting.extend([now_ms] * arrivals)
+    tally.offered += arrivals
+    while waiting and now_ms - waiting[0] > PATIENCE_MS:
+        waiting.popleft()
+        tally.refused += 1
+    while waiting and isinstance(_limits.try_start(host.local, team), Ok):
+        waiting.popleft()
+        ends.append(now_ms + RUN_MS)
+    _limits.set_wanted(host.local, team, len(ends) + len(waiting))
+
+
+def measure() -> list[Row]:
+    """Compares grants that follow demand with an equal split."""
+    rows = []
+    cases = [
+        (6, 8, 48, LOAD),
+        (6, 8, 48, 1.5),
+        (1, 24, 3, LOAD),
+        (33, 24, 160, LOAD),
+    ]
+    for teams, hosts, limit, load in cases:
+        name = f'grants, {teams} teams, {hosts} hosts, limit {limit}, load {load}'
+        for variant, planner in (
+            ('by demand (chosen)', by_demand),
+            ('by demand, 3 s interval', by_demand_slowly),
+            ('equal split', by_equal_split),
+        ):
+            tally, store = run(teams, hosts, limit, planner, load)
+            figures = {
+                'offered': tally.offered,
+                'done': tally.done,
+                'refused': tally.refused,
+                'most running': tally.most_running,
+                'writes/s': round(store.writes / SECONDS, 1),
+                'conflicts/s': round(store.conflicts / SECONDS, 1),
+            }
+            rows.append(Row(name, variant, figures))
+    return rows
