Carry a debt between teams so that few slots follow the shares

Cause: with the 8 slots of one entry host, a choice by running slots alone gives teams with small shares more than twice their part.

Change: `next_request` adds to the running slots of each team the slots that it had lately above its part of what the waiting teams run. Debts are forgotten in a second. QueueMachine restates them and has a rule that serves all teams for a while.

--- a/dandelionknot/_queueing.py
+++ b/dandelionknot/_queueing.py
@@ -2,8 +2,11 @@
 
 Between teams, a free slot goes to the team that runs the least for its share
 (weighted max-min). A team without waiting work lends its share; it gets slots back as
-running tasks end. Within a team, urgent work goes before overnight work, with two
-exceptions that let overnight work finish by its deadline:
+running tasks end. Slots are few compared with the ratios of the shares, so each team
+carries a debt: the slots it had lately above its part, less those below.
+
+Within a team, urgent work goes before overnight work, with two exceptions that let
+overnight work finish by its deadline:
 
 - An overnight request that has reached its latest start goes first.
 - While the overnight backlog of a team is too long to finish in time, every second
@@ -31,6 +34,15 @@
 INTERVAL_WEIGHT = 0.1
 """Weight of the newest sample in the mean time between starts."""
 
+DEBT_DECAY_MS = 1000
+"""Time constant with which debts are forgotten."""
+
+DEBT_UNIT_MS = 100
+"""One slot too much for this long adds one slot of debt."""
+
+DEBT_STEP_MS = 10
+"""Debts are brought up to date at most this often, to keep `next_request` cheap."""
+
 TOMBSTONES = 64
 """Cancelled entries that may stay in a structure beyond the number of live ones."""
 
@@ -66,6 +78,7 @@
     overnight_work_ms: int = 0
     last_was_overnight: bool = False
     served_number: int = 0
+    debt: float = 0.0
 
 
 @dataclass(slots=True)
@@ -80,6 +93,8 @@
     served_number: int = 0
     last_start_ms: int | None = None
     start_interval_ms: float = MIN_RETRY_MS
+    debts_at_ms: int = 0
+    debt_unit_ms: float = DEBT_UNIT_MS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -134,13 +149,16 @@
     `can_start` tells whether the team's upper limit leaves room; it must not count the
     start yet. Teams that run equally little take turns.
     """
+    if now_ms - queues.debts_at_ms >= DEBT_STEP_MS:
+        _update_debts(queues, running_by_team, shares_by_team, now_ms)
     best_id = ''
     best: TeamQueue | None = None
     best_load = 0.0
     for team_id, team in queues.teams_by_id.items():
         if not team.urgent_count and not team.overnight_count:
             continue
-        load = running_by_team.get(team_id, 0) / shares_by_team.get(team_id, 1)
+        slots = running_by_team.get(team_id, 0) + team.debt
+        load = slots / shares_by_team.get(team_id, 1)
         if best is not None and (load, team.served_number) >= (
             best_load,
             best.served_number,
@@ -199,6 +217,33 @@
     return QueueCounts(urgent=team.urgent_count, overnight=team.overnight_count)
 
 
+def _update_debts(
+    queues: TeamQueues,
+    running_by_team: Mapping[str, int],
+    shares_by_team: Mapping[str, int],
+    now_ms: int,
+) -> None:
+    """Compares the slots of each waiting team with its part of the slots of all these.
+
+    Slots lent by teams without waiting work thus make no debt.
+    """
+    elapsed_ms = min(DEBT_DECAY_MS, now_ms - queues.debts_at_ms)
+    queues.debts_at_ms = now_ms
+    waiting = {
+        team_id: team
+        for team_id, team in queues.teams_by_id.items()
+        if team.urgent_count or team.overnight_count
+    }
+    slots = sum(running_by_team.get(team_id, 0) for team_id in waiting)
+    shares = sum(shares_by_team.get(team_id, 1) for team_id in waiting)
+    for team_id, team in queues.teams_by_id.items():
+        team.debt *= 1 - elapsed_ms / DEBT_DECAY_MS
+        if team_id in waiting:
+            part = slots * shares_by_team.get(team_id, 1) / shares
+            excess = running_by_team.get(team_id, 0) - part
+            team.debt += excess * elapsed_ms / queues.debt_unit_ms
+
+
 def _next_of_team(
     queues: TeamQueues, team: TeamQueue, running: int, now_ms: int
 ) -> QueuedRequest:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -38,6 +38,8 @@
         self.running = Counter()
         self.served = Counter()
         self.last_class = {}
+        self.debts = Counter()
+        self.debts_at_ms = 0
         self.now_ms = self.number = self.served_number = 0
 
     def of_team(self, team_id, priority=None):
@@ -76,11 +78,28 @@
             assert outcome.err_value.run_state is RunState.NOT_RUN
             assert 100 <= outcome.err_value.retry_after_ms <= 10000
 
+    def owe(self):
+        """Adds up slots above the part, at most each 10 ms, forgotten in a second."""
+        elapsed_ms = min(1000, self.now_ms - self.debts_at_ms)
+        if elapsed_ms < 10:
+            return
+        self.debts_at_ms = self.now_ms
+        waiting = [team for team in self.known if self.of_team(team)]
+        slots = sum(self.running[team] for team in waiting)
+        shares = sum(SHARES[team] for team in waiting)
+        for team in self.known:
+            self.debts[team] *= 1 - elapsed_ms / 1000
+            if team in waiting:
+                excess = self.running[team] - slots * SHARES[team] / shares
+                self.debts[team] += excess * elapsed_ms / 100
+
     def expected(self, barred):
+        self.owe()
         teams = [t for t in self.known if self.of_team(t) and t not in barred]
         if not teams:
             return None
-        teams.sort(key=lambda t: (self.running[t] / SHARES[t], self.served[t]))
+        loads = {t: (self.running[t] + self.debts[t]) / SHARES[t] for t in TEAMS}
+        teams.sort(key=lambda t: (loads[t], self.served[t]))
         return self.expected_of(teams[0])
 
     def expected_of(self, team_id):
@@ -116,6 +135,15 @@
         for _ in range(count):
             self.start(set())
 
+    @rule(rounds=strategies.integers(1, 20), ms=strategies.sampled_from([5, 20, 300]))
+    def work(self, rounds, ms):
+        """Lets time pass with all teams waiting, while tasks end in turn."""
+        for number in range(rounds):
+            for team_id in TEAMS:
+                self.offer(team_id, ['urgent'], 1, 30000, 10)
+            self.expire(ms, TEAMS[number % 3])
+            self.start_many(2)
+
     @rule(
         team_id=strategies.sampled_from(TEAMS),
         later_ms=strategies.sampled_from([None, 0, 60000]),
@@ -130,10 +158,13 @@
             if later_ms is not None and _queueing.offer(self.queues, item).is_ok():
                 self.waiting.append(item)
 
-    @rule(ms=strategies.sampled_from([1, 50, 2950, 10000]))
-    def expire(self, ms):
+    @rule(
+        ms=strategies.sampled_from([1, 50, 2950, 10000]),
+        ended=strategies.sampled_from(TEAMS),
+    )
+    def expire(self, ms, ended):
         self.now_ms += ms
-        self.running.clear()
+        self.running[ended] //= 2
         gone = _queueing.expire(self.queues, self.now_ms)
         expected = [item for item in self.waiting if item.deadline_ms <= self.now_ms]
         assert sorted(i.request_id for i in gone) == sorted(
