Skip the planning of a write that nobody needs

Cause: next_write is called after each event and plans 78 us at 24 entry hosts.

Change: it returns at once when nobody asks, the own grant suffices and the grants fit.

Ruled out: a cache of the plan, which would need a key over all its inputs.

--- a/dandelionknot/_limits.py
+++ b/dandelionknot/_limits.py
@@ -380,6 +380,9 @@
     stated = _with_limit(
         team.record, team.upper_limit, team.limit_version, team.lowered_version
     )
+    if stated is team.record and _is_satisfied(team, stated, member_id):
+        team.ceiling = None
+        return None
     band = _deadband(stated, member_id, now_ms, team.last_transfer_ms, live_members)
     target = fair_target(
         stated, member_id, team.wanted, now_ms, team.gained_ms, band, live_members
@@ -398,6 +401,15 @@
     )
 
 
+def _is_satisfied(team: TeamGrant, record: GrantRecord, member_id: str) -> bool:
+    """Tells cheaply that nobody asks, this holder needs no more and the grants fit."""
+    return (
+        not record.requests_by_member
+        and team.wanted <= _held(record, member_id)
+        and _excess(record) <= 0
+    )
+
+
 def _transfer(
     record: GrantRecord,
     stated: GrantRecord,
