--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 check: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy dandelionknot standins tools
+	$(BIN)/mypy dandelionknot standins tools measure
 	$(BIN)/python tools/generate.py --check
 	$(BIN)/python tools/generate_docs.py --check
 	$(BIN)/python -m tools.generate_catalogues --check
@@ -24,6 +24,9 @@
 	$(BIN)/python tools/generate_docs.py
 	$(BIN)/python -m tools.generate_catalogues
 
+measure: $(READY)
+	$(BIN)/python -m measure
+
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
