Adapt the dispatcher and tests to the merged decisions

Change: callers follow; a reclaimed grant also waits for the time in which a cut-off holder renews leases.

--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -49,7 +49,9 @@
     own_record = view.members_by_id.get(state.member_id)
     if own_record is not None:
         decisions.freshness.observe_confirmation(
-            state.freshness, own_record.confirmed_version
+            state.freshness,
+            own_record.confirmed_version,
+            own_record.confirmed_bounds or state.configuration.bounds,
         )
     _update_peers(state)
     _note_listed_hosts(state, view)
@@ -176,6 +178,7 @@
     state.outboxes.membership.send(
         RecordMembership(
             confirmed_version=state.configuration.version,
+            confirmed_bounds=state.configuration.bounds,
             members_revision=state.view.members_revision if state.view else 0,
             may_renew=state.may_renew,
         )
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -1189,6 +1189,7 @@
     """
 
     confirmed_version: int
+    confirmed_bounds: FleetBounds
     members_revision: int
     may_renew: bool = True
 
--- a/dandelionknot/_grants.py
+++ b/dandelionknot/_grants.py
@@ -16,6 +16,8 @@
 )
 from dandelionknot.metrics import Counter
 
+CONFLICT_RETRY_MS = 300
+
 
 def adopt_limits(state: DispatcherState, configuration: Configuration) -> None:
     """Puts the upper limits of a configuration in force for starts made here."""
@@ -112,7 +114,8 @@
         )
         return
     if message.outcome is WriteOutcome.CONFLICT:
-        decisions.limits.write_conflicted(state.grants, team_id)
+        retry_at_ms = now_ms() + int(CONFLICT_RETRY_MS * state.context.random())
+        decisions.limits.write_conflicted(state.grants, team_id, retry_at_ms)
     state.outboxes.writer.send(ReadRequest(key=message.request.key))
 
 
--- a/dandelionknot/_host_health.py
+++ b/dandelionknot/_host_health.py
@@ -133,7 +133,7 @@
             host is not None
             and load is not None
             and host.state is HostState.ACTIVE
-            and load.takes_new_work
+            and load.configured_reason is None
             and host_id not in state.silent_hosts
         )
         if usable and decisions.ejection.begin_probe(
--- a/dandelionknot/_limits.py
+++ b/dandelionknot/_limits.py
@@ -303,13 +303,14 @@
 
     `stopped_since_ms` is when this entry host learned that another one had confirmed a
     member list without the holder. From then on the holder cannot be fresh without
-    seeing that it was removed. The wait covers its freshness, its last start token and
-    the lease of its last task. It assumes that a holder which is not fresh renews no
-    leases.
+    seeing that it was removed. The wait covers its freshness, its last start token, the
+    time for which a holder that is not fresh renews leases (`isolation_bound_ms`), and
+    the lease itself.
     """
     wait_ms = (
         bounds.freshness_bound_ms
         + bounds.start_token_ms
+        + bounds.isolation_bound_ms
         + bounds.task_lease_ms
         + bounds.drift_margin_ms
     )
--- a/dandelionknot/_ownership.py
+++ b/dandelionknot/_ownership.py
@@ -28,14 +28,9 @@
     _reopen_kept_slices(state, view)
     if view.slices is None or state.excluded or state.taking_over:
         return
-    known = state.claims.slice_map
-    lapsed = known is not None and not state.claims.owned_slices
-    mine = _slices_of(view.slices, state.member_id)
-    if known is not None and known.epoch == view.slices.epoch:
-        if not (lapsed and mine):
-            return
-    if mine <= state.claims.owned_slices:
-        _take_over(state, view, [])
+    gained = decisions.claims.gained_slices(state.claims, view.slices, now_ms())
+    if not gained:
+        _take_over(state, view, None)
         return
     state.taking_over = True
     state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
@@ -74,7 +69,7 @@
 
 
 def _take_over(
-    state: DispatcherState, view: PlatformView, segments: list[ClaimSegment]
+    state: DispatcherState, view: PlatformView, segments: list[ClaimSegment] | None
 ) -> None:
     """The writer of the map has marked the slices whose log is not trusted."""
     assert view.slices is not None
@@ -94,11 +89,6 @@
         log_event(event, owned=after)
 
 
-def _slices_of(slice_map: SliceMap, member_id: str) -> set[int]:
-    owners = enumerate(slice_map.owners)
-    return {index for index, owner in owners if owner == member_id}
-
-
 def owner_of(state: DispatcherState, request_id: str) -> str | None:
     """Returns the member that owns a request id, by the newest map read."""
     slice_map = state.view.slices if state.view else None
@@ -184,7 +174,7 @@
             continue
         decisions.claims.begin_release(state.claims, index)
         if not decisions.claims.may_release_slice(state.claims, index):
-            state.claims.closing_slices.discard(index)
+            decisions.claims.cancel_release(state.claims, index)
             continue
         owners[index] = goal.owners[index]
         released += 1
@@ -234,4 +224,5 @@
     revision = state.steward.map_settles_at_revision
     if revision is not None and view.slices_revision >= revision:
         state.steward.map_settles_at_revision = None
-        state.claims.closing_slices.clear()
+        for index in list(state.claims.closing_slices):
+            decisions.claims.cancel_release(state.claims, index)
--- a/dandelionknot/_platform_sync.py
+++ b/dandelionknot/_platform_sync.py
@@ -348,6 +348,7 @@
             membership.record = replace(
                 membership.record,
                 confirmed_version=message.confirmed_version,
+                confirmed_bounds=message.confirmed_bounds,
                 members_revision=message.members_revision,
             )
             unwritten = True
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -316,7 +316,7 @@
     if entry is None or entry.cancel_requested or state.routing is None:
         return False
     load = state.routing.hosts_by_id.get(entry.host_id or '')
-    if load is None or not load.takes_new_work:
+    if load is None or load.configured_reason is not None:
         return False
     own_zone = load.choice.availability_zone == state.own_zone
     if not may_start(state, entry.body.service, own_zone):
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -35,7 +35,11 @@
         longer = c.FleetBounds(freshness_bound_ms=5_001)
         slow = by_id(SILENT['a'], replace(SILENT['b'], confirmed_bounds=longer))
         far = by_id(member('a', 6), member('b', 5, zone='zone-2'))
-        none, zone, accepted = frozenset(), frozenset({'zone-1'}), d.Accepted(version=6)
+        none, zone, accepted = (
+            frozenset(),
+            frozenset({'zone-1'}),
+            d.acceptance.Accepted(version=6),
+        )
         cases = [
             ('all confirmed', both, none, 0, accepted),
             ('wait not over', SILENT, none, KEYED_WAIT_MS - 1, ('b',)),
@@ -51,15 +55,19 @@
             ('no record at all', {}, none, 10**9, ()),
         ]
         for name, members, zones, now_ms, expected in cases:
-            outcome = d.acceptance(6, members, {'a': 0}, BOUNDS, now_ms, zones)
+            outcome = d.acceptance.acceptance(
+                6, members, {'a': 0}, BOUNDS, now_ms, zones
+            )
             if expected is not accepted:
-                expected = d.Pending(version=6, names=expected)
+                expected = d.acceptance.Pending(version=6, names=expected)
             self.assertEqual(outcome, expected, name)
 
     def test_time_counts_from_the_first_sight_of_a_confirmation(self):
         """Guards against a wait that starts again with every read."""
-        seen = d.observe_confirmations({}, 6, SILENT, 100)
-        self.assertEqual(d.observe_confirmations(seen, 6, SILENT, 900), {'a': 100})
+        seen = d.acceptance.observe_confirmations({}, 6, SILENT, 100)
+        self.assertEqual(
+            d.acceptance.observe_confirmations(seen, 6, SILENT, 900), {'a': 100}
+        )
 
     def test_record_is_deleted_only_of_a_stopped_member_without_duties(self):
         """Guards against a deleted member that goes on starting work."""
@@ -73,7 +81,7 @@
         ]
         for name, now_ms, *duties, reason in cases:
             evidence = (name, 6, SILENT, {'a': 0}, BOUNDS, now_ms)
-            outcome = d.may_delete_record(*evidence, *duties)
+            outcome = d.acceptance.may_delete_record(*evidence, *duties)
             self.assertEqual(outcome.is_ok(), not reason)
             self.assertIn(reason, str(outcome.err()))
 
@@ -94,11 +102,13 @@
             ({'bounds': c.FleetBounds(ramp_ms=1)}, {'z1', 'z2'}),
         ]
         for change, expected in cases:
-            affected = d.affected_open_queue_zones(old, replace(old, **change))
+            affected = d.acceptance.affected_open_queue_zones(
+                old, replace(old, **change)
+            )
             self.assertEqual(affected, expected, change)
 
     def test_widest_bounds(self):
         """Guards against a short wait for a member that keeps longer bounds."""
         longer = c.FleetBounds(freshness_bound_ms=9_000, isolation_bound_ms=0)
-        widest = d.widest_bounds([BOUNDS, longer])
+        widest = d.acceptance.widest_bounds([BOUNDS, longer])
         self.assertEqual(widest, replace(BOUNDS, freshness_bound_ms=9_000))
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -19,9 +19,9 @@
 
 
 def state_at(version, read_ms=0):
-    state = d.FreshnessState(member_id='a')
-    d.observe_adoption(state, version)
-    d.observe_platform_read(state, read_ms, version, 3, LIST)
+    state = d.freshness.FreshnessState(member_id='a')
+    d.freshness.observe_adoption(state, version)
+    d.freshness.observe_platform_read(state, read_ms, version, 3, LIST)
     return state
 
 
@@ -34,9 +34,11 @@
     def test_age_counts_from_the_question_and_the_bound_is_exclusive(self):
         """Guards against an answer that arrives after a pause and looks new."""
         state = state_at(5, read_ms=10_000)
-        d.observe_platform_read(state, 9_000, 5, 3, LIST)
+        d.freshness.observe_platform_read(state, 9_000, 5, 3, LIST)
         times_ms = [9_999, 10_000, 14_999, 15_000, 900_000]
-        fresh_ms = [time for time in times_ms if d.is_fresh(state, BOUNDS, time)]
+        fresh_ms = [
+            time for time in times_ms if d.freshness.is_fresh(state, BOUNDS, time)
+        ]
         self.assertEqual(fresh_ms, [10_000, 14_999])
 
     def test_peer_answers_and_full_rounds(self):
@@ -58,39 +60,39 @@
             with self.subTest(name):
                 state = state_at(5)
                 for member_id, (sent_ms, answer) in answers.items():
-                    d.observe_pong(state, member_id, sent_ms, answer)
-                    d.observe_pong(state, member_id, sent_ms - 1, pong(7, 9))
-                self.assertEqual(d.fresh_as_of_ms(state, 5, 3), as_of_ms)
+                    d.freshness.observe_pong(state, member_id, sent_ms, answer)
+                    d.freshness.observe_pong(state, member_id, sent_ms - 1, pong(7, 9))
+                self.assertEqual(d.freshness.fresh_as_of_ms(state, 5, 3), as_of_ms)
 
     def test_a_list_without_its_configuration_gives_no_full_round(self):
         """Guards against a list that lacks the member that knows a newer version."""
         state = state_at(5)
-        d.observe_pong(state, 'c', 5_000, pong())
-        d.observe_platform_read(state, 10_000, 6, 4, frozenset({'a', 'b'}))
+        d.freshness.observe_pong(state, 'c', 5_000, pong())
+        d.freshness.observe_platform_read(state, 10_000, 6, 4, frozenset({'a', 'b'}))
         self.assertEqual(state.answers_by_member, {})
-        d.observe_pong(state, 'b', 20_000, pong())
-        self.assertEqual(d.fresh_as_of_ms(state, 5, 4), 20_000 - 60_000)
-        d.observe_adoption(state, 6)
-        self.assertEqual(d.fresh_as_of_ms(state, 6, 4), 20_000)
+        d.freshness.observe_pong(state, 'b', 20_000, pong())
+        self.assertEqual(d.freshness.fresh_as_of_ms(state, 5, 4), 20_000 - 60_000)
+        d.freshness.observe_adoption(state, 6)
+        self.assertEqual(d.freshness.fresh_as_of_ms(state, 6, 4), 20_000)
 
     def test_unlisted_or_empty_states_are_never_fresh(self):
         """Guards against a start by a member that no acceptance waits for."""
         unlisted = replace(state_at(5, 100), member_id='d')
-        d.observe_pong(unlisted, 'b', 100, pong(age=0))
+        d.freshness.observe_pong(unlisted, 'b', 100, pong(age=0))
         alone = replace(state_at(5, -9_000), member_ids=frozenset({'a'}))
-        for state in (unlisted, alone, d.FreshnessState(member_id='a')):
-            self.assertFalse(d.is_fresh(state, BOUNDS, 100))
+        for state in (unlisted, alone, d.freshness.FreshnessState(member_id='a')):
+            self.assertFalse(d.freshness.is_fresh(state, BOUNDS, 100))
 
     def test_pings_are_answered_with_own_knowledge_only(self):
         """Guards against trust in a restored platform or a restarted member."""
         state = state_at(5)
-        d.observe_platform_read(state, 9_000, 4, 3, LIST)
-        self.assertEqual(d.answer_ping(state, 9_100), pong(age=9_100))
-        state = d.FreshnessState(member_id='a')
-        self.assertIsNone(d.answer_ping(state, 0))
-        d.observe_adoption(state, 5)
-        d.observe_adoption(state, 4)
-        self.assertEqual(d.answer_ping(state, 0), pong(5, 0, None))
+        d.freshness.observe_platform_read(state, 9_000, 4, 3, LIST)
+        self.assertEqual(d.freshness.answer_ping(state, 9_100), pong(age=9_100))
+        state = d.freshness.FreshnessState(member_id='a')
+        self.assertIsNone(d.freshness.answer_ping(state, 0))
+        d.freshness.observe_adoption(state, 5)
+        d.freshness.observe_adoption(state, 4)
+        self.assertEqual(d.freshness.answer_ping(state, 0), pong(5, 0, None))
 
     def test_open_queues_of_the_own_zone_continue_to_the_isolation_bound(self):
         """Guards against open work past its bound, elsewhere, or unconfirmed."""
@@ -114,8 +116,8 @@
         for bounds, confirmed, *request, starts in cases:
             state = state_at(5)
             if confirmed is not None:
-                d.observe_confirmation(state, confirmed, BOUNDS)
-            outcome = d.may_start(state, bounds, *request)
+                d.freshness.observe_confirmation(state, confirmed, BOUNDS)
+            outcome = d.freshness.may_start(state, bounds, *request)
             self.assertEqual(outcome.is_ok(), starts, (confirmed, request))
             if not starts:
                 refusal = outcome.unwrap_err()
@@ -153,7 +155,9 @@
         self.zones_by_version = {1: frozenset()}
         self.accepted, self.seen, self.last_start_ms, self.records = {}, {}, {}, {}
         self.side, self.questions = frozenset(), []
-        self.states = {name: d.FreshnessState(member_id=name) for name in NAMES}
+        self.states = {
+            name: d.freshness.FreshnessState(member_id=name) for name in NAMES
+        }
 
     def clock(self, name):
         return 50_000 * NAMES.index(name) + self.now_ms * RATES_PERCENT[name] // 100
@@ -189,7 +193,7 @@
         """
         self.side = side
         if restarted:
-            self.states[restarted] = d.FreshnessState(member_id=restarted)
+            self.states[restarted] = d.freshness.FreshnessState(member_id=restarted)
         if zones is not None:
             self.change(frozenset({zones}))
         self.now_ms += pause_ms
@@ -242,36 +246,40 @@
     def answer(self, target):
         if target == PLATFORM:
             return self.version
-        return d.answer_ping(self.states[target], self.clock(target)) or False
+        return d.freshness.answer_ping(self.states[target], self.clock(target)) or False
 
     def deliver(self, question, state, answer):
         sent_ms, target = question.sent_ms, question.target
         if target == PLATFORM:
-            d.observe_adoption(state, answer)
-            d.observe_platform_read(state, sent_ms, answer, *question.members)
+            d.freshness.observe_adoption(state, answer)
+            d.freshness.observe_platform_read(state, sent_ms, answer, *question.members)
         else:
-            d.observe_pong(state, target, sent_ms, answer)
-            d.observe_adoption(state, answer.configuration_version)
+            d.freshness.observe_pong(state, target, sent_ms, answer)
+            d.freshness.observe_adoption(state, answer.configuration_version)
 
     def confirm(self, name):
         state, joined = self.states[name], self.records[name].joined_revision
         version, listed = state.configuration_version, state.members_revision
         if version is not None:
             self.records[name] = member(name, version, joined, listed, ZONES[name])
-            d.observe_confirmation(state, version, MODEL_BOUNDS)
+            d.freshness.observe_confirmation(state, version, MODEL_BOUNDS)
 
     def judge(self, name):
         """Decides on acceptance of each version and deletes stopped members."""
         now_ms = self.clock(name)
         for version, zones in self.zones_by_version.items():
             seen = self.seen.get((name, version), {})
-            seen = d.observe_confirmations(seen, version, self.records, now_ms)
+            seen = d.acceptance.observe_confirmations(
+                seen, version, self.records, now_ms
+            )
             self.seen[name, version] = seen
             evidence = (version, self.records, seen, MODEL_BOUNDS, now_ms)
-            if isinstance(d.acceptance(*evidence, zones), d.Accepted):
+            if isinstance(
+                d.acceptance.acceptance(*evidence, zones), d.acceptance.Accepted
+            ):
                 self.accept(version)
         for absent in NAMES:
-            if d.may_delete_record(absent, *evidence, False, False).is_ok():
+            if d.acceptance.may_delete_record(absent, *evidence, False, False).is_ok():
                 del self.records[absent]
                 self.list_revision += 1
 
@@ -291,7 +299,9 @@
     def check_starts(self):
         for name, is_open in itertools.product(NAMES, (False, True)):
             state, now_ms = self.states[name], self.clock(name)
-            if d.may_start(state, MODEL_BOUNDS, is_open, True, now_ms).is_err():
+            if d.freshness.may_start(
+                state, MODEL_BOUNDS, is_open, True, now_ms
+            ).is_err():
                 continue
             used = state.configuration_version
             self.last_start_ms[name, used, is_open] = self.now_ms
