--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -117,6 +117,10 @@
         if item is None:
             return
         entry = state.requests.by_id[item.request_id]
+        if not _keeps_key(state, entry):
+            text = 'the key was withdrawn while the request waited'
+            _end_queued(state, entry, ErrorCode.KEY_NOT_VALID, text)
+            continue
         if not _start(state, entry, own_zone_only):
             return
         running[item.team_id] = running.get(item.team_id, 0) + 1
@@ -321,7 +325,7 @@
     own_zone = load.choice.availability_zone == state.own_zone
     if not may_start(state, entry.body.service, own_zone):
         return False
-    if entry.team_id is not None and not _keeps_key(state, entry):
+    if not _keeps_key(state, entry):
         return False
     if not is_owned(entry):
         return True
@@ -333,10 +337,25 @@
 
 def _keeps_key(state: DispatcherState, entry: RequestEntry) -> bool:
     """Tells whether the key that came with a queued request is still given."""
-    team = state.configuration.teams_by_id.get(entry.team_id or '')
+    if entry.team_id is None:
+        return True
+    team = state.configuration.teams_by_id.get(entry.team_id)
     return team is not None and entry.key_id in team.keys_by_id
 
 
+def _end_queued(
+    state: DispatcherState, entry: RequestEntry, code: ErrorCode, message: str
+) -> None:
+    """Refuses a request that waits to start; an earlier attempt may have run."""
+    run_states = {decisions.outcomes.classify(event) for event in entry.events}
+    for run_state in (RunState.RAN, RunState.UNKNOWN):
+        if run_state in run_states:
+            refusal = refusal_for(entry, code, message, run_state)
+            _finish(state, entry, refusal, RequestPhase.UNKNOWN)
+            return
+    end_not_run(state, entry, code, message)
+
+
 def stop_running(state: DispatcherState, entry: RequestEntry) -> None:
     """Asks the backend server to stop the current attempt."""
     if entry.host_id is not None:
@@ -518,7 +537,7 @@
         offered = enqueue(state, entry)
         if isinstance(offered, Err):
             refusal = offered.err_value
-            end_not_run(state, entry, refusal.code, refusal.message)
+            _end_queued(state, entry, refusal.code, refusal.message)
 
 
 def _is_finished(message: AttemptEnded) -> bool:
@@ -634,7 +653,7 @@
     for queues in state.queues_by_service.values():
         for item in decisions.queueing.expire(queues, now):
             entry = state.requests.by_id[item.request_id]
-            end_not_run(
+            _end_queued(
                 state,
                 entry,
                 ErrorCode.DEADLINE_PASSED,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -60,6 +60,16 @@
     done: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(frozen=True, slots=True)
+class StartRecord:
+    """One start that took effect, on the monotonic clock of the process."""
+
+    at_ms: int
+    request_id: str
+    team: str
+    service: str
+
+
 @dataclass(slots=True)
 class BackendState:
     """Tasks, limits, faults and the counts that tests compare with an oracle."""
@@ -75,7 +85,7 @@
     runs_by_request: dict[str, int] = field(default_factory=dict)
     teams_by_task: dict[str, str] = field(default_factory=dict)
     peak_running_by_team: dict[str, int] = field(default_factory=dict)
-    start_times_ms: list[int] = field(default_factory=list)
+    starts: list[StartRecord] = field(default_factory=list)
     faults: BackendFaults = field(default_factory=BackendFaults)
     lagging_running: int = 0
     lagging_since_ms: int = 0
@@ -137,7 +147,7 @@
     state.tasks_by_id[order.task_id] = task
     runs = state.runs_by_request
     runs[order.request_id] = runs.get(order.request_id, 0) + 1
-    state.start_times_ms.append(now)
+    state.starts.append(StartRecord(now, order.request_id, order.team, order.service))
     state.teams_by_task[order.task_id] = order.team
     running = sum(1 for each in state.running() if each.order.team == order.team)
     peak = state.peak_running_by_team.get(order.team, 0)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,19 +1,24 @@
 """A whole small fleet in one process on loopback, for the demo and the tests."""
 
+import contextlib
 import json
 import os
+import random
 import socket
 import uuid
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from tornado.httpclient import HTTPRequest
 
 from dandelionknot import codec, decisions
 from dandelionknot._http_client import HttpClient, new_http_client
+from dandelionknot._operator_client import Endpoint, OperatorPort, http_operator_port
 from dandelionknot.clock import unix_ms
 from dandelionknot.configuration import (
     AvailabilityZone,
     Configuration,
+    FleetBounds,
     Host,
     Pool,
     QueueAccess,
@@ -22,8 +27,14 @@
 )
 from dandelionknot.entry import Entry, start_entry
 from dandelionknot.messages import ListedHostState
+from dandelionknot.operators import ChangeReport, ChangeRequest, Edit, EditKind
 from dandelionknot.settings import EntrySettings
-from standins.backend import BackendStandin, BackendState, start_backend
+from standins.backend import (
+    BackendStandin,
+    BackendState,
+    StartRecord,
+    start_backend,
+)
 from standins.platform import PlatformStandin, start_platform
 from standins.relay import Relay, start_relay
 from standins.waiting import wait_until
@@ -34,13 +45,36 @@
 REGION = 'region-1'
 READY_TIMEOUT_S = 15
 CLIENT_CONNECTIONS = 256
+OPERATOR_TIMEOUT_MS = 20_000
+FIRST_PORT = 10_000
+EPHEMERAL_PORT = 32_768  # first port of Linux's default range
+SHORT_BOUNDS = FleetBounds(
+    freshness_bound_ms=1000,
+    isolation_bound_ms=1500,
+    start_token_ms=300,
+    task_lease_ms=1500,
+    drift_margin_ms=100,
+    ramp_ms=2000,
+)
+SHORT_INTERVALS: dict[str, object] = {
+    'peer_ping_interval_ms': 100,
+    'platform_read_interval_ms': 200,
+    'member_lease_ms': 1000,
+    'read_timeout_ms': 500,
+}
 
 
 def free_port(ip: str = '127.0.0.1') -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Returns a port that was free a moment ago.
+
+    Ports that the kernel gives to outgoing connections are left out, since one
+    of those may be taken before the caller listens.
+    """
+    while True:
+        port = FIRST_PORT + random.randrange(EPHEMERAL_PORT - FIRST_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((ip, port))
+            return port
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +95,12 @@
     slots: int = 8
     teams: dict[str, int] = field(default_factory=lambda: {'desk': 20, 'night': 20})
     settings: dict[str, object] = field(default_factory=dict)
+    bounds: FleetBounds = field(default_factory=FleetBounds)
+
+    @classmethod
+    def with_short_bounds(cls, **fields: Any) -> 'FleetPlan':
+        """Returns a plan whose bounds pass within a few seconds."""
+        return cls(bounds=SHORT_BOUNDS, settings=SHORT_INTERVALS, **fields)
 
 
 @dataclass(slots=True)
@@ -69,6 +109,7 @@
 
     plan: FleetPlan
     platform: PlatformStandin
+    platform_relay: Relay
     backends_by_host: dict[str, BackendStandin]
     configuration: Configuration
     keys_by_team: dict[str, str]
@@ -100,7 +141,7 @@
             'caller_address': f'{ip}:{free_port(ip)}',
             'operator_address': f'{ip}:{free_port(ip)}',
             'peer_address': f'{ip}:{free_port(ip)}',
-            'platform_address': self.platform.address,
+            'platform_address': self.platform_relay.address,
             'peer_secret': PEER_SECRET,
             'operator_tokens_by_id': {'operator-1': OPERATOR_TOKEN},
             'source_ip': ip,
@@ -174,6 +215,53 @@
             for backend in self.backends_by_host.values()
         )
 
+    def starts(self) -> list[StartRecord]:
+        """Returns every start on any backend server, in the order of time."""
+        starts = [
+            start
+            for backend in self.backends_by_host.values()
+            for start in backend.state.starts
+        ]
+        return sorted(starts, key=lambda start: start.at_ms)
+
+    def zone_starts(self, zone: str) -> list[StartRecord]:
+        """Returns the starts on the hosts of a zone."""
+        return [
+            start
+            for host_id in self.zone_hosts(zone)
+            for start in self.backends_by_host[host_id].state.starts
+        ]
+
+    def operator(self, member_id: str) -> OperatorPort:
+        """Returns the operator API of an entry host."""
+        settings = self.entries_by_id[member_id].context.settings
+        return http_operator_port(
+            Endpoint(
+                address=settings.operator_address,
+                token=OPERATOR_TOKEN,
+                timeout_ms=OPERATOR_TIMEOUT_MS,
+            )
+        )
+
+    async def change(
+        self, member_id: str, kind: EditKind, change_id: str = '', **fields: Any
+    ) -> ChangeReport:
+        """Has an operator make one edit of the version in force at an entry host."""
+        version = fields.pop('expected_version', None)
+        if version is None:
+            version = self.entries_by_id[member_id].state.configuration.version
+        request = ChangeRequest(
+            change_id=change_id or f'change-{uuid.uuid4().hex[:12]}',
+            expected_version=version,
+            edit=Edit(kind=kind, **fields),
+        )
+        return (await self.operator(member_id).change(request)).unwrap()
+
+    async def kill(self, member_id: str) -> None:
+        """Ends an entry host as a crash would."""
+        await self.relays_by_id.pop(member_id).stop()
+        await self.entries_by_id.pop(member_id).kill()
+
     def cut_zone(self, zone: str) -> None:
         """Cuts a zone off from the platform, the other zones and their hosts."""
         own_ip = self.source_ip(zone)
@@ -203,6 +291,7 @@
             await relay.stop()
         for backend in self.backends_by_host.values():
             await backend.stop()
+        await self.platform_relay.stop()
         await self.platform.stop()
         self.client.close()
 
@@ -219,12 +308,17 @@
     """Starts a fleet and waits until every entry host takes callers."""
     plan = plan or FleetPlan()
     platform = await start_platform()
+    platform_relay = await start_relay(platform.address)
     backends_by_host: dict[str, BackendStandin] = {}
     hosts_by_id: dict[str, Host] = {}
     for zone in plan.zones:
         for number in range(plan.hosts_per_zone):
             host_id = f'{zone}-host-{number}'
-            backend = await start_backend(state=BackendState(slots=plan.slots))
+            backend = await start_backend(
+                state=BackendState(
+                    slots=plan.slots, start_token_ms=plan.bounds.start_token_ms
+                )
+            )
             backends_by_host[host_id] = backend
             platform.state.listed_states_by_host[host_id] = ListedHostState.LIVE
             hosts_by_id[host_id] = Host(
@@ -244,6 +338,7 @@
         )
     configuration = Configuration(
         version=1,
+        bounds=plan.bounds,
         availability_zones_by_id={
             zone: AvailabilityZone(region=REGION) for zone in plan.zones
         },
@@ -255,7 +350,9 @@
         },
         teams_by_id=teams_by_id,
     )
-    fleet = Fleet(plan, platform, backends_by_host, configuration, keys_by_team)
+    fleet = Fleet(
+        plan, platform, platform_relay, backends_by_host, configuration, keys_by_team
+    )
     fleet.put_configuration(configuration)
     for zone in plan.zones:
         for number in range(plan.entries_per_zone):
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,115 @@
+"""Callers that send requests to entry hosts without pause and keep the answers."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from dandelionknot.clock import now_ms, seconds
+from standins.fleet import Fleet, Response, new_request_id
+from standins.waiting import wait_until
+
+REFUSED_PAUSE_MS = 20
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Exchange:
+    """One request and its answer, on the monotonic clock of the process."""
+
+    member_id: str
+    request_id: str
+    text: str
+    sent_ms: int
+    answered_ms: int
+    response: Response
+
+    @property
+    def is_answered(self) -> bool:
+        """Tells whether the caller got the whole result of its own request."""
+        return self.response.body.get('result') == self.text
+
+
+@dataclass(slots=True)
+class Load:
+    """Callers of some entry hosts; the exchanges are in the order of their ends."""
+
+    fleet: Fleet
+    fields: dict[str, object]
+    run_ms: int
+    exchanges: list[Exchange] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    stopping: bool = False
+    ended_members: set[str] = field(default_factory=set)
+
+    async def run_caller(self, member_id: str, number: int) -> None:
+        """Sends one request after the other to one entry host."""
+        count = 0
+        while not self.stopping and member_id not in self.ended_members:
+            count += 1
+            request_id = new_request_id()
+            text = f'{member_id} {number} {count} ' * 20
+            sent_ms = now_ms()
+            response = await self.fleet.submit(
+                member_id,
+                request_id=request_id,
+                task={'text': text, 'run_ms': self.run_ms},
+                **self.fields,
+            )
+            exchange = Exchange(
+                member_id=member_id,
+                request_id=request_id,
+                text=text,
+                sent_ms=sent_ms,
+                answered_ms=now_ms(),
+                response=response,
+            )
+            self.exchanges.append(exchange)
+            if not exchange.is_answered:
+                await asyncio.sleep(seconds(REFUSED_PAUSE_MS))
+
+    async def wait_for_answers(self, member_id: str, timeout_s: float) -> None:
+        """Waits until an entry host answers a request sent from now on."""
+        since_ms = now_ms()
+        await wait_until(
+            lambda: any(
+                each.is_answered
+                for each in self.exchanges
+                if each.member_id == member_id and each.sent_ms >= since_ms
+            ),
+            timeout_s,
+        )
+
+    async def run_until(self, until_ms: int) -> None:
+        """Lets the callers go on until a moment."""
+        await asyncio.sleep(seconds(max(0, until_ms - now_ms())))
+
+    async def stop(self) -> None:
+        """Ends the callers after the answers to their last requests."""
+        self.stopping = True
+        await asyncio.gather(*self.tasks)
+
+    def sent_between(
+        self, since_ms: int, until_ms: int, member_id: str = ''
+    ) -> list[Exchange]:
+        """Returns the exchanges whose requests were sent within a time."""
+        return [
+            each
+            for each in self.exchanges
+            if since_ms <= each.sent_ms < until_ms
+            and each.member_id.startswith(member_id)
+        ]
+
+
+def start_load(
+    fleet: Fleet,
+    member_ids: list[str] | None = None,
+    callers: int = 2,
+    run_ms: int = 20,
+    **fields: object,
+) -> Load:
+    """Starts callers for some entry hosts, or for all."""
+    load = Load(fleet, {'deadline_ms': 2000} | fields, run_ms)
+    load.tasks = [
+        asyncio.create_task(load.run_caller(member_id, number))
+        for member_id in member_ids or list(fleet.entries_by_id)
+        for number in range(callers)
+    ]
+    return load
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,6 +11,8 @@
 from result import Err
 
 from dandelionknot import codec
+from dandelionknot._http_client import ConnectionHealth, HttpTarget, new_http_client
+from dandelionknot._platform_http import http_platform_port
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.messages import (
     HostList,
@@ -22,11 +24,13 @@
     WriteRequest,
     WriteResult,
 )
+from dandelionknot.ports import PlatformPort
 from standins.faults import FaultsHandler
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_MS = 60_000
 LEASE_SCAN_MS = 50
+CALL_TIMEOUT_MS = 2000
 
 
 @dataclass(slots=True)
@@ -36,6 +40,7 @@
     delay_ms: int = 0
     down: bool = False
     lost_write_answers: int = 0
+    lost_write_prefix: str = ''
     cut_source_ips: set[str] = field(default_factory=set)
     list_lag_ms: int = 0
 
@@ -212,8 +217,10 @@
             self.finish({'message': 'value is larger than 1 MB'})
             return
         outcome = compare_and_swap(self.state, request)
-        if self.state.faults.lost_write_answers > 0:
-            self.state.faults.lost_write_answers -= 1
+        faults = self.state.faults
+        is_concerned = request.key.startswith(faults.lost_write_prefix)
+        if faults.lost_write_answers > 0 and is_concerned:
+            faults.lost_write_answers -= 1
             self.drop()
             return
         self.send(outcome)
@@ -300,3 +307,17 @@
     bound_port = sockets[0].getsockname()[1]
     lease_task = asyncio.create_task(_expire_leases(state))
     return PlatformStandin(state, server, f'{host}:{bound_port}', lease_task)
+
+
+def platform_port(address: str) -> PlatformPort:
+    """Returns a port to a stand-in for use outside an entry host."""
+    return http_platform_port(
+        HttpTarget(
+            client=new_http_client(1),
+            address=address,
+            connect_timeout_ms=CALL_TIMEOUT_MS,
+            read_timeout_ms=CALL_TIMEOUT_MS,
+            source_ip=None,
+            health=ConnectionHealth(),
+        )
+    )
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,7 @@
-"""TCP relay that can cut, freeze and reopen the connections through it."""
+"""TCP relay that can cut, freeze and reopen the connections through it.
+
+The target sees the source address of the client, so its own cuts still apply.
+"""
 
 import asyncio
 import contextlib
@@ -13,11 +16,12 @@
 
     Connections from `cut_source_ips` are closed and new ones refused. Those
     that were open when `freeze_open` was called stay open and carry nothing
-    more, while new ones work.
+    more, while new ones work. While `silent`, no connection carries anything.
     """
 
     cut_source_ips: set[str] = field(default_factory=set)
     down: bool = False
+    silent: bool = False
 
 
 @dataclass(slots=True)
@@ -37,10 +41,11 @@
     server: asyncio.Server | None = None
     connections: list[_Connection] = field(default_factory=list)
 
-    def freeze_open(self) -> None:
-        """Lets every open connection go silent without closing it."""
+    def freeze_open(self, source_ip: str = '') -> None:
+        """Lets open connections, of one address or all, go silent but stay open."""
         for connection in self.connections:
-            connection.frozen = True
+            if connection.source_ip.startswith(source_ip):
+                connection.frozen = True
 
     def cut(self, source_ips: set[str]) -> None:
         """Closes connections from some addresses and refuses new ones."""
@@ -60,12 +65,15 @@
 
 
 async def _pump(
+    relay: Relay,
     connection: _Connection,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
     with contextlib.suppress(OSError):
         while data := await reader.read(CHUNK_BYTES):
+            if relay.faults.silent:
+                connection.frozen = True
             if connection.frozen:
                 continue
             writer.write(data)
@@ -83,7 +91,9 @@
         return
     host, _, port = relay.target.rpartition(':')
     try:
-        target_reader, target_writer = await asyncio.open_connection(host, int(port))
+        target_reader, target_writer = await asyncio.open_connection(
+            host, int(port), local_addr=(source_ip, 0)
+        )
     except OSError:
         writer.close()
         return
@@ -91,8 +101,8 @@
     relay.connections.append(connection)
     try:
         await asyncio.gather(
-            _pump(connection, reader, target_writer),
-            _pump(connection, target_reader, writer),
+            _pump(relay, connection, reader, target_writer),
+            _pump(relay, connection, target_reader, writer),
         )
     finally:
         relay.connections.remove(connection)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -147,3 +147,17 @@
                 )
                 self.assertEqual(response.body.get('result'), 'answer')
                 self.assertEqual(self.fleet.runs_of(request_id), 1)
+
+    async def test_deadline_after_an_attempt_that_may_have_run(self):
+        """Guards against "not run" for a task that ran before its host was lost."""
+        request_id = new_request_id()
+        asked = asyncio.create_task(
+            self.fleet.submit(
+                ENTRY, request_id=request_id, deadline_ms=3000, task={'run_ms': 500}
+            )
+        )
+        await wait_until(lambda: self.fleet.runs_of(request_id) == 1, 5)
+        self.faults.down = True
+        response = await asked
+        self.assertEqual(self.fleet.runs_of(request_id), 1)
+        self.assertNotEqual(response.body['run_state'], 'not_run')
