--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -17,6 +17,7 @@
     ChangeFinished,
     ChangeQuery,
     ConfigurationOffer,
+    ConfigurationQuery,
     FleetChange,
     OperatorChange,
     WriteOutcome,
@@ -45,17 +46,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """An edit of one expected version under a change id."""
+    """An edit of one expected version under a change id.
+
+    `known_version` is the newest version that this entry host has adopted.
+    """
 
     change_id: str
     expected_version: int
     edit: Edit
     dry_run: bool = False
+    known_version: int = 0
 
 
 async def read_configuration(port: PlatformPort) -> Result[Stored, str]:
-    """Reads the stored configuration; version 0 stands for none."""
+    """Reads the stored configuration; version 0 stands for none.
+
+    A read without an answer is made again, over a fresh connection.
+    """
     stored = await port.read(CONFIGURATION_KEY)
+    if isinstance(stored, Err):
+        stored = await port.read(CONFIGURATION_KEY)
     if isinstance(stored, Err):
         return Err(f'the platform gave no answer: {stored.err_value.message}')
     value = stored.ok_value
@@ -87,6 +97,11 @@
     current = stored.ok_value.configuration
     if decisions.versions.already_applied(current, change.change_id):
         return _report(change.change_id, ChangeOutcome.PENDING, current.version)
+    if current.version < change.known_version:
+        # A change of the older value would reuse a version that is in force.
+        text = f'the platform holds version {current.version}, which is written over'
+        version = change.known_version
+        return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
     if current.version != change.expected_version:
         text = f'version {current.version} is in force, not {change.expected_version}'
         return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
@@ -121,10 +136,8 @@
     written = await port.compare_and_swap(request)
     if isinstance(written, Err):
         return await _read_back(port, change, following, written.err_value)
-    version = stored.configuration.version
     if written.ok_value.outcome is WriteOutcome.CONFLICT:
-        text = 'another change was written first'
-        return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
+        return await _written_first(port, change)
     lines = [str(line) for line in diff(stored.configuration, following)]
     log_event(
         Event.CHANGE_WRITTEN, change_id=change.change_id, version=following.version
@@ -137,6 +150,19 @@
     )
 
 
+async def _written_first(port: PlatformPort, change: Change) -> ChangeReport:
+    """Reports the version that was written first; the same change may have made it."""
+    stored = await read_configuration(port)
+    version = change.expected_version
+    if isinstance(stored, Ok):
+        configuration = stored.ok_value.configuration
+        version = configuration.version
+        if decisions.versions.already_applied(configuration, change.change_id):
+            return _report(change.change_id, ChangeOutcome.PENDING, version)
+    text = 'another change was written first'
+    return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
+
+
 async def _read_back(
     port: PlatformPort, change: Change, following: Configuration, error: PortError
 ) -> ChangeReport:
@@ -220,11 +246,13 @@
         call.answer(await _with_acceptance(report, dispatcher, 0))
         return
     request = message.change
+    known = await dispatcher.ask(ConfigurationQuery())
     change = Change(
         request.change_id,
         request.expected_version,
         _operator_edit(message, outside),
         request.dry_run,
+        known_version=known.ok_value.version if isinstance(known, Ok) else 0,
     )
     report = await write_change(port, change)
     call.answer(await _with_acceptance(report, dispatcher, message.wait_ms))
--- a/dandelionknot/_http_client.py
+++ b/dandelionknot/_http_client.py
@@ -105,6 +105,11 @@
         curl.setopt(pycurl.TCP_NODELAY, 1)
         if target.source_ip:
             curl.setopt(pycurl.INTERFACE, target.source_ip)
+        # libcurl sends a request again over a new connection if a reused one
+        # was closed without an answer, although the first may have taken effect.
+        # It gives up instead when the body cannot be sent from its start.
+        curl.setopt(pycurl.IOCTLFUNCTION, lambda command: pycurl.IOE_FAILRESTART)
+        curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
 
     return prepare
 
--- a/dandelionknot/_operator_client.py
+++ b/dandelionknot/_operator_client.py
@@ -3,6 +3,7 @@
 import errno
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -27,6 +28,8 @@
 # A configuration of 660 hosts is below 1 MB; the status of as many is smaller.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 SERVER_ERROR_STATUS = 500
+# A conflict and a refused edit are answered with a report as well.
+REPORT_STATUSES = (HTTPStatus.CONFLICT, HTTPStatus.UNPROCESSABLE_ENTITY)
 NOT_CONNECTED_ERRNOS = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
 # tornado reports both time-outs with one class and only the text differs.
 BEFORE_CONNECTED = ('while connecting', 'in request queue')
@@ -177,6 +180,10 @@
                 run_state=refusal.ok_value.run_state,
             )
         )
+    if status in REPORT_STATUSES:
+        report = codec.decode_json(body, cls, where)
+        if isinstance(report, Ok):
+            return report
     # A server error without a typed refusal says nothing about what was done.
     failed = status >= SERVER_ERROR_STATUS
     kind = PortErrorKind.NO_ANSWER if failed else PortErrorKind.REJECTED
