Prove guarantee 5 on a running fleet

Cause: no test took a zone out while work started in it.

Change: a zone goes out and comes back under keyed and open load; a cut-off zone is taken out. Times are compared with the stated bounds only.

Ruled out: naming only the cut member at the first poll, since a member that was asked at once may not have seen the others' confirmations yet.

--- /dev/null
+++ b/tests/test_fleet_zones.py
@@ -0,0 +1,140 @@
+"""Guards guarantee 5 on a running fleet: no start in a zone that was taken out."""
+
+import asyncio
+import unittest
+
+from dandelionknot.clock import now_ms
+from dandelionknot.operators import ChangeOutcome, EditKind
+from standins.fleet import SHORT_BOUNDS, Fleet, FleetPlan, new_request_id, start_fleet
+from standins.load import start_load
+from standins.waiting import wait_until
+
+ZONE = 'zone-a'
+ENTRY = 'zone-a-entry-0'
+OTHER_ENTRY = 'zone-b-entry-0'
+START_BOUND_MS = SHORT_BOUNDS.freshness_bound_ms + SHORT_BOUNDS.start_token_ms
+ISOLATION_MS = START_BOUND_MS + SHORT_BOUNDS.isolation_bound_ms
+PROOF_MS = ISOLATION_MS + SHORT_BOUNDS.drift_margin_ms
+OBSERVED_MS = 2000
+TIMEOUT_S = 15
+# The services `quotes` (keyed) and `bulletin` (open to all) share the hosts.
+KEYED = {'service': 'quotes'}
+OPEN = {'service': 'bulletin', 'key': ''}
+
+
+class ZoneTest(unittest.IsolatedAsyncioTestCase):
+    fleet: Fleet
+
+    async def asyncSetUp(self):
+        self.fleet = await start_fleet(FleetPlan.with_short_bounds())
+        self.addAsyncCleanup(self.fleet.stop)
+        self.loads = [start_load(self.fleet, **each) for each in (KEYED, OPEN)]
+        for load in self.loads:
+            self.addAsyncCleanup(load.stop)
+        for load in self.loads:
+            for member_id in self.fleet.entries_by_id:
+                await load.wait_for_answers(member_id, TIMEOUT_S)
+
+    def last_start_ms(self, service: str = '') -> int:
+        """Returns when a task last started in the zone."""
+        return max(
+            start.at_ms
+            for start in self.fleet.zone_starts(ZONE)
+            if start.service.startswith(service)
+        )
+
+    async def start_long_task(self) -> asyncio.Task:
+        """Starts a task in the zone that runs for a while."""
+        request_id = new_request_id()
+        asked = asyncio.create_task(
+            self.fleet.submit(
+                ENTRY, request_id=request_id, task={'text': 'kept', 'run_ms': 2000}
+            )
+        )
+        await wait_until(lambda: self.fleet.runs_of(request_id) == 1, TIMEOUT_S)
+        started = [each.request_id for each in self.fleet.zone_starts(ZONE)]
+        self.assertIn(request_id, started)
+        return asked
+
+    async def test_zone_out_and_back(self):
+        """Guards against starts in a zone that is out, and a return at full load."""
+        running = await self.start_long_task()
+        out_ms = now_ms()
+        report = await self.fleet.change(
+            OTHER_ENTRY, EditKind.ZONE_OUT, availability_zone=ZONE
+        )
+        accepted_ms = now_ms()
+        self.assertEqual(report.outcome, ChangeOutcome.ACCEPTED)
+        self.assertLessEqual(accepted_ms, out_ms + START_BOUND_MS)
+        observed_ms = accepted_ms + OBSERVED_MS
+        for load in self.loads:
+            await load.run_until(observed_ms)
+        self.assertLessEqual(self.last_start_ms(), accepted_ms)
+        self.assertEqual((await running).body.get('result'), 'kept')
+        for load in self.loads:
+            for member_id in self.fleet.entries_by_id:
+                sent = load.sent_between(out_ms, observed_ms, member_id)
+                self.assertTrue(sent and all(each.is_answered for each in sent))
+        report = await self.fleet.change(
+            OTHER_ENTRY, EditKind.ZONE_BACK, availability_zone=ZONE
+        )
+        back_ms = now_ms()
+        self.assertEqual(report.outcome, ChangeOutcome.ACCEPTED)
+        third_ms = SHORT_BOUNDS.ramp_ms // 3
+        for load in self.loads:
+            await load.run_until(back_ms + 4 * third_ms)
+        counts = [
+            sum(
+                1
+                for start in self.fleet.zone_starts(ZONE)
+                if since_ms <= start.at_ms < since_ms + third_ms
+            )
+            for since_ms in (back_ms, back_ms + 3 * third_ms)
+        ]
+        self.assertGreater(counts[1], 2 * counts[0])
+
+    async def test_cut_off_zone_out(self):
+        """Guards against starts in a cut-off zone after its bounds have passed.
+
+        The change must stay pending until the open queues there have stopped.
+        """
+        running = await self.start_long_task()
+        self.fleet.cut_zone(ZONE)
+        cut_ms = now_ms()
+        member_id = self.fleet.entries_by_id[ENTRY].state.member_id
+        port = self.fleet.operator('zone-c-entry-0')
+        asking = asyncio.create_task(
+            self.fleet.change(
+                OTHER_ENTRY,
+                EditKind.ZONE_OUT,
+                change_id='out-1',
+                availability_zone=ZONE,
+            )
+        )
+        pending_ms, last_names = cut_ms, ['']
+        while not asking.done():
+            asked_ms = now_ms()
+            found = await port.change_report('out-1')
+            if found.unwrap().outcome is ChangeOutcome.PENDING:
+                self.assertIn(member_id, found.unwrap().unconfirmed)
+                pending_ms = asked_ms
+                last_names = found.unwrap().unconfirmed
+            await asyncio.sleep(0.1)
+        accepted_ms = now_ms()
+        self.assertEqual((await asking).outcome, ChangeOutcome.ACCEPTED)
+        self.assertGreaterEqual(accepted_ms, cut_ms + PROOF_MS)
+        self.assertGreater(pending_ms, cut_ms + START_BOUND_MS)
+        self.assertEqual(last_names, [member_id])
+        for load in self.loads:
+            await load.run_until(max(accepted_ms, cut_ms + ISOLATION_MS) + OBSERVED_MS)
+        self.assertEqual((await running).body.get('result'), 'kept')
+        keyed_ms = self.last_start_ms(KEYED['service'])
+        open_ms = self.last_start_ms(OPEN['service'])
+        self.assertLessEqual(keyed_ms, cut_ms + START_BOUND_MS)
+        self.assertLessEqual(open_ms, cut_ms + ISOLATION_MS)
+        self.assertLessEqual(open_ms, accepted_ms)
+        # Without this the isolation bound would not have been reached at all.
+        self.assertGreater(open_ms, cut_ms + START_BOUND_MS)
+        for load in self.loads:
+            sent = load.sent_between(cut_ms, now_ms(), OTHER_ENTRY)
+            self.assertTrue(sent and all(each.is_answered for each in sent[:-1]))
