--- a/tests/test_fleet_once.py
+++ b/tests/test_fleet_once.py
@@ -5,6 +5,7 @@
 
 from dandelionknot import decisions
 from dandelionknot.clock import now_ms
+from dandelionknot.configuration import FleetBounds
 from standins.fleet import Fleet, FleetPlan, Response, new_request_id, start_fleet
 from standins.waiting import wait_until
 
@@ -15,13 +16,13 @@
     'read_timeout_ms': 500,
     'connect_timeout_ms': 200,
 }
-BOUNDS = {
-    'freshness_bound_ms': 1500,
-    'isolation_bound_ms': 1000,
-    'start_token_ms': 500,
-    'task_lease_ms': 1500,
-    'drift_margin_ms': 100,
-}
+BOUNDS = FleetBounds(
+    freshness_bound_ms=1500,
+    isolation_bound_ms=1000,
+    start_token_ms=500,
+    task_lease_ms=1500,
+    drift_margin_ms=100,
+)
 MEMBERS = ('zone-a-entry-0', 'zone-b-entry-0', 'zone-c-entry-0')
 TAKEOVER_TIMEOUT_S = 30
 
@@ -142,7 +143,7 @@
             self.assertEqual(self.fleet.runs_of(request_id), 1)
 
     async def wait_for_outage_mode(self) -> None:
-        least_ms = BOUNDS['freshness_bound_ms'] + BOUNDS['drift_margin_ms']
+        least_ms = BOUNDS.freshness_bound_ms + BOUNDS.drift_margin_ms
 
         def is_old() -> bool:
             ages = [
