Measure the cost of an entry host at several sizes

Cause: the targets for control overhead (2% of a core, 64 MB, 5 KB/s) had no measurement, so nobody could tell which parts of the design fit them.

The relay counts bytes by source address, the backend stand-in listens on several addresses with one state, and the platform stand-in tells its call counts and takes a host list over HTTP.

The backend stand-in looked at every task it had ever run for each start. Relays now wait for their connections on stop, which ends the tracebacks of cancelled connections.

Ruled out: counting bytes with packet capture (needs privileges) and /proc/PID/schedstat (covers the main thread only).

Each test was seen to fail on a scratch copy: count under another source or one direction only (relay test), skip an address (backend test), keep ended tasks (running tasks test), count the reading (platform test), read children's time (own process test), smallest error, wrong intercept (fit tests), steward in the median (rates test), other pools (configuration test).

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on the running daemons, each with `run() -> dict`."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import hashlib
+import ipaddress
 import json
 from dataclasses import dataclass, field
 
@@ -30,6 +31,7 @@
 
 SCAN_MS = 20
 RETENTION_MS = 600_000
+FORGET_INTERVAL_MS = 1000
 MAX_WAIT_MS = 60_000
 
 
@@ -71,6 +73,8 @@
     boot: int = 1
     draining: bool = False
     tasks_by_id: dict[str, _Task] = field(default_factory=dict)
+    unfinished_by_id: dict[str, _Task] = field(default_factory=dict)
+    forgot_ms: int = 0
     barred_task_ids: set[str] = field(default_factory=set)
     runs_by_request: dict[str, int] = field(default_factory=dict)
     teams_by_task: dict[str, str] = field(default_factory=dict)
@@ -81,12 +85,14 @@
     lagging_since_ms: int = 0
 
     def running(self) -> list[_Task]:
-        """Returns the tasks that run now."""
-        return [
-            task
-            for task in self.tasks_by_id.values()
-            if task.state is TaskState.RUNNING
-        ]
+        """Returns the tasks that run now.
+
+        Finished tasks are kept for a long time, so they are not looked at.
+        """
+        for task_id, task in list(self.unfinished_by_id.items()):
+            if task.state is not TaskState.RUNNING:
+                del self.unfinished_by_id[task_id]
+        return list(self.unfinished_by_id.values())
 
     def token(self) -> str:
         """Returns a start token that is valid for `start_token_ms`."""
@@ -135,6 +141,7 @@
     now = now_ms()
     task = _Task(order, TaskState.RUNNING, now + order.lease_ms, now + run_ms)
     state.tasks_by_id[order.task_id] = task
+    state.unfinished_by_id[order.task_id] = task
     runs = state.runs_by_request
     runs[order.request_id] = runs.get(order.request_id, 0) + 1
     state.start_times_ms.append(now)
@@ -232,6 +239,9 @@
             task.state = TaskState.EXPIRED
             task.changed_ms = now
             task.done.set()
+    if now - state.forgot_ms < FORGET_INTERVAL_MS:
+        return
+    state.forgot_ms = now
     old = [
         task_id
         for task_id, task in state.tasks_by_id.items()
@@ -391,10 +401,22 @@
         scan(state)
 
 
+def following_ips(ip: str, count: int) -> list[str]:
+    """Returns `count` consecutive IPv4 addresses from `ip` on."""
+    first = ipaddress.IPv4Address(ip)
+    return [str(first + offset) for offset in range(count)]
+
+
 async def start_backend(
-    address: str = '127.0.0.1:0', state: BackendState | None = None
+    address: str = '127.0.0.1:0',
+    state: BackendState | None = None,
+    address_count: int = 1,
 ) -> BackendStandin:
-    """Starts the stand-in on `IP:PORT`; port 0 takes a free one."""
+    """Starts the stand-in on `IP:PORT`; port 0 takes a free one.
+
+    With `address_count` it also listens on the IP addresses that follow, at
+    the same port; all addresses share one state.
+    """
     state = state or BackendState()
     arguments = {'state': state}
     application = tornado.web.Application(
@@ -416,5 +438,7 @@
     server = tornado.httpserver.HTTPServer(application)
     server.add_sockets(sockets)
     bound_port = sockets[0].getsockname()[1]
+    for ip in following_ips(host, address_count)[1:]:
+        server.add_sockets(tornado.netutil.bind_sockets(bound_port, ip))
     scan_task = asyncio.create_task(_scan(state))
     return BackendStandin(state, server, f'{host}:{bound_port}', scan_task)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -255,6 +255,20 @@
         )
         self.send(HostList(states_by_host=dict(states), age_ms=0))
 
+    def post(self) -> None:
+        for host_id, state in json.loads(self.request.body).items():
+            self.state.set_listed_state(host_id, ListedHostState(state))
+
+
+class _CallsHandler(tornado.web.RequestHandler):
+    """Returns the call counts; reading them is not counted."""
+
+    def initialize(self, state: PlatformState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.write(self.state.calls_by_kind)
+
 
 @dataclass(slots=True)
 class PlatformStandin:
@@ -289,6 +303,7 @@
             (r'/v1/leases', _LeasesHandler, arguments),
             (r'/v1/leases/([^/]+)/renew', _RenewHandler, arguments),
             (r'/v1/hosts', _HostsHandler, arguments),
+            (r'/v1/calls', _CallsHandler, arguments),
             (r'/v1/faults', FaultsHandler, {'faults': state.faults}),
         ],
         log_function=lambda handler: None,
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from dataclasses import dataclass, field
 
 CHUNK_BYTES = 64 * 1024
+STOP_TIMEOUT_S = 1
 
 
 @dataclass(slots=True)
@@ -29,13 +31,19 @@
 
 @dataclass(slots=True)
 class Relay:
-    """A running relay in front of `target`."""
+    """A running relay in front of `target`.
+
+    `bytes_by_source_ip` counts the payload of both directions by the address
+    that opened the connection.
+    """
 
     target: str
     faults: RelayFaults = field(default_factory=RelayFaults)
     address: str = ''
     server: asyncio.Server | None = None
     connections: list[_Connection] = field(default_factory=list)
+    bytes_by_source_ip: Counter[str] = field(default_factory=Counter)
+    tasks: set[asyncio.Task] = field(default_factory=set)
 
     def freeze_open(self) -> None:
         """Lets every open connection go silent without closing it."""
@@ -57,9 +65,12 @@
         for connection in list(self.connections):
             for writer in connection.writers:
                 writer.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=STOP_TIMEOUT_S)
 
 
 async def _pump(
+    relay: Relay,
     connection: _Connection,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -68,6 +79,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if connection.frozen:
                 continue
+            relay.bytes_by_source_ip[connection.source_ip] += len(data)
             writer.write(data)
             await writer.drain()
     with contextlib.suppress(OSError):
@@ -91,8 +103,8 @@
     relay.connections.append(connection)
     try:
         await asyncio.gather(
-            _pump(connection, reader, target_writer),
-            _pump(connection, target_reader, writer),
+            _pump(relay, connection, reader, target_writer),
+            _pump(relay, connection, target_reader, writer),
         )
     finally:
         relay.connections.remove(connection)
@@ -105,7 +117,13 @@
     async def handle(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await _relay(relay, reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        relay.tasks.add(task)
+        try:
+            await _relay(relay, reader, writer)
+        finally:
+            relay.tasks.discard(task)
 
     host, _, port = address.rpartition(':')
     relay.server = await asyncio.start_server(handle, host, int(port))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,164 @@
+"""Guards against published costs that the measurements do not show."""
+
+import json
+import os
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionknot import configuration
+from dandelionknot._http_client import new_http_client
+from dandelionknot.messages import TaskStart, TaskState
+from measure.control_cost import (
+    ALONE,
+    SCALED,
+    Reading,
+    Size,
+    configuration_of,
+    difference,
+)
+from measure.processes import cpu_seconds, fit_line, proportional_mb, resident_mb
+from standins import backend
+from standins.platform import start_platform
+from standins.relay import start_relay
+
+ADDRESSES = 3
+FIRST_IP = '127.40.0.1'
+
+
+class FitTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(
+        st.integers(-100, 100),
+        st.integers(-100, 100),
+        st.lists(st.integers(0, 1000), min_size=2, max_size=8, unique=True),
+    )
+    def test_line_is_found(self, slope: int, intercept: int, xs: list[int]) -> None:
+        """Guards against published slopes that do not follow from the samples."""
+        line = fit_line([(x, slope * x + intercept) for x in xs])
+        self.assertAlmostEqual(line.slope, slope, places=6)
+        self.assertAlmostEqual(line.intercept, intercept, places=4)
+        self.assertAlmostEqual(line.largest_error, 0, places=4)
+
+    def test_largest_error_is_the_worst_point(self) -> None:
+        """Guards against a fit that hides how far off a size is."""
+        line = fit_line([(0, 0), (1, 3), (2, 0)])
+        self.assertEqual((line.slope, line.intercept), (0, 1))
+        self.assertEqual(line.largest_error, 2)
+
+
+class ReadingTest(unittest.TestCase):
+    def test_rates_are_per_second_and_the_steward_is_apart(self) -> None:
+        """Guards against totals shown as rates and a steward that is averaged in."""
+        before = Reading(
+            at_ms=0,
+            cpu_s_by_member=[0.0, 1.0, 1.0],
+            platform_bytes=100,
+            peer_bytes=0,
+            backend_bytes=0,
+            calls_by_kind={'watch': 4},
+        )
+        after = Reading(
+            at_ms=2000,
+            cpu_s_by_member=[0.5, 1.02, 1.06],
+            platform_bytes=300,
+            peer_bytes=40,
+            backend_bytes=10,
+            calls_by_kind={'watch': 8, 'write': 2},
+        )
+        rates = difference(before, after)
+        self.assertEqual(rates['steward_cpu_percent'], 25)
+        self.assertAlmostEqual(rates['cpu_percent'], 2)
+        self.assertEqual(rates['platform_bytes_per_s'], 100)
+        self.assertEqual(rates['peer_bytes_per_s'], 20)
+        self.assertEqual(rates['backend_bytes_per_s'], 5)
+        self.assertEqual(rates['calls_per_s_by_kind'], {'watch': 2, 'write': 1})
+
+    def test_own_process_is_read(self) -> None:
+        """Guards against reading the wrong field of /proc."""
+        before_s = cpu_seconds(os.getpid())
+        times = os.times()
+        self.assertAlmostEqual(before_s, times.user + times.system, delta=0.05)
+        shared_mb = resident_mb(os.getpid())
+        self.assertTrue(5 < proportional_mb(os.getpid()) <= shared_mb < 2000)
+
+
+class SizeTest(unittest.TestCase):
+    def test_configurations_have_the_size_they_claim(self) -> None:
+        """Guards against slopes over sizes that were not generated."""
+        for size in [SCALED[-1], *ALONE['hosts']]:
+            addresses = [f'127.0.0.1:{number + 1}' for number in range(size.hosts)]
+            made, _ = configuration_of(size, addresses)
+            sizes = Size(
+                hosts=len(made.hosts_by_id),
+                members=size.members,
+                pools=len({host.pool for host in made.hosts_by_id.values()}),
+                teams=len(made.teams_by_id),
+            )
+            self.assertEqual(sizes, size)
+            self.assertEqual(configuration.find_faults(made), [])
+
+
+class StandinTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.client = new_http_client(4)
+        self.addCleanup(self.client.close)
+
+    async def get(self, address: str, path: str) -> bytes:
+        return (await self.client.fetch(f'http://{address}{path}')).body
+
+    async def test_backend_listens_on_all_its_addresses(self) -> None:
+        """Guards against a backend server that most relays cannot reach."""
+        standin = await backend.start_backend(f'{FIRST_IP}:0', address_count=ADDRESSES)
+        self.addAsyncCleanup(standin.stop)
+        port = standin.address.rpartition(':')[2]
+        ips = backend.following_ips(FIRST_IP, ADDRESSES)
+        self.assertEqual(len(set(ips)), ADDRESSES)
+        for ip in ips:
+            usage = json.loads(await self.get(f'{ip}:{port}', '/v1/usage'))
+            self.assertEqual(usage['slots'], standin.state.slots)
+
+    async def test_relay_counts_both_directions_by_source(self) -> None:
+        """Guards against bytes that are lost or counted for another member."""
+        standin = await backend.start_backend()
+        self.addAsyncCleanup(standin.stop)
+        relay = await start_relay(standin.address)
+        self.addAsyncCleanup(relay.stop)
+        for _ in range(2):
+            body = await self.get(relay.address, '/v1/usage')
+        self.assertEqual(set(relay.bytes_by_source_ip), {'127.0.0.1'})
+        self.assertGreater(relay.bytes_by_source_ip.total(), 2 * len(body) + 100)
+        self.assertLess(relay.bytes_by_source_ip.total(), 2 * len(body) + 2000)
+
+    async def test_platform_tells_its_call_counts(self) -> None:
+        """Guards against call counts that include the reading of the counts."""
+        standin = await start_platform()
+        self.addAsyncCleanup(standin.stop)
+        await self.get(standin.address, '/v1/hosts')
+        await self.get(standin.address, '/v1/calls')
+        counts = json.loads(await self.get(standin.address, '/v1/calls'))
+        self.assertEqual(counts, {'list_hosts': 1})
+
+
+class RunningTasksTest(unittest.TestCase):
+    def test_only_unfinished_tasks_run(self) -> None:
+        """Guards against a stand-in that counts tasks which have ended."""
+        state = backend.BackendState(slots=3)
+        for number, run_ms in enumerate([60_000, 0, 60_000]):
+            order = TaskStart(
+                task_id=f'task-{number}',
+                request_id=f'request-{number}',
+                attempt=1,
+                service='quotes',
+                team='desk',
+                pool_epoch=0,
+                start_token=state.token(),
+                lease_ms=60_000,
+                payload=json.dumps({'run_ms': run_ms}),
+            )
+            backend.start_task(state, order)
+        self.assertEqual(len(state.running()), 2)
+        stopped = backend.stop_task(state, 'task-0')
+        self.assertIs(stopped.state, TaskState.STOPPED)
+        self.assertEqual([each.order.task_id for each in state.running()], ['task-2'])
