Keep renewal limits from counting as use of a backend server

Cause: the dispatcher sends every link a renewal limit once a second. The link made a task for each and noted the server as used, so every entry host went on polling each server that it had used once, although the docstring of _poll_usage says that idle servers of other zones are not asked.

Change: a link takes the limit over without a task and without noting a use.

Ruled out: sending the limit only to links with running tasks, since the links' owner does not know which ones have them.

The new test failed on a scratch copy with the former link (last_used_ms was not 0).

--- a/dandelionknot/_backend_link.py
+++ b/dandelionknot/_backend_link.py
@@ -367,8 +367,6 @@
             await _drain(link, order)
         case RebootOrder():
             await _reboot(link)
-        case RenewUntil():
-            link.renew_until_ms = order.until_ms
 
 
 async def run_backend_link(
@@ -393,6 +391,11 @@
             message = await mailbox.receive()
             if isinstance(message, StopService):
                 break
+            if isinstance(message, RenewUntil):
+                # Comes once a second for every link, so it gets no task of its
+                # own and does not count as use of the server.
+                link.renew_until_ms = message.until_ms
+                continue
             link.last_used_ms = now_ms()
             task = group.create_task(_carry_out(link, message))
             if isinstance(message, (StartOrder, FollowOrder)):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,15 +1,19 @@
 """Guards against published costs that the measurements do not show."""
 
+import asyncio
 import json
 import os
 import unittest
+import unittest.mock
+from collections.abc import Coroutine
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dandelionknot import configuration
+from dandelionknot import _backend_link, configuration
 from dandelionknot._http_client import new_http_client
-from dandelionknot.messages import TaskStart, TaskState
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.messages import RenewUntil, StopService, TaskStart, TaskState
 from measure.control_cost import (
     ALONE,
     SCALED,
@@ -162,3 +166,30 @@
         stopped = backend.stop_task(state, 'task-0')
         self.assertIs(stopped.state, TaskState.STOPPED)
         self.assertEqual([each.order.task_id for each in state.running()], ['task-2'])
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_renewal_limits_are_not_use_of_a_server(self) -> None:
+        """Guards against a poll of every linked server by every entry host."""
+        seen: list = []
+
+        def keep(link: object, always: bool, random: object) -> Coroutine:
+            seen.append(link)
+            return asyncio.sleep(0)
+
+        mailbox: Mailbox = Mailbox(10)
+        mailbox.send(RenewUntil(until_ms=1234))
+        mailbox.send(StopService(reason='end of the test'))
+        with unittest.mock.patch.object(_backend_link, '_poll_usage', keep):
+            await _backend_link.run_backend_link(
+                'host-0',
+                unittest.mock.Mock(),
+                mailbox,
+                Mailbox(10),
+                15_000,
+                2000,
+                False,
+                lambda: 0.0,
+            )
+        self.assertEqual(seen[0].renew_until_ms, 1234)
+        self.assertEqual(seen[0].last_used_ms, 0)
