Ping peers rarely while the platform answers

Cause: the interval between pings doubles while the platform answers, which was decided by a question age of at most 2500 ms. A watch without news is answered 2 s after its question, so the age of the newest answered question runs from 2 s to 4 s while nothing has failed, and most pings were sent at the outage interval.

Change: the bound is twice the read interval plus 500 ms. Pings were up to 4 s apart before as well, so a full round stays younger than the freshness bound of 5 s. The measurement also gets the cost of operators' commands.

Ruled out: a factor of 3, since a round could then be 6 s old when the platform fails.

The new test failed on a scratch copy with the former bound (2000 ms instead of 4000 ms at an age of 4030 ms).

--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -51,9 +51,10 @@
 INCARNATION_DIGITS = 8
 RELEASE_TIMEOUT_MS = 3000
 PLATFORM_CONNECTIONS = 8
-# Peers matter for freshness only while the platform gives no answer.
+# Peers matter for freshness only while the platform gives no answer. Even at
+# the longer interval a full round stays younger than the freshness bound.
 QUIET_PING_FACTOR = 2
-PLATFORM_QUIET_MS = 2500
+PLATFORM_ANSWER_MARGIN_MS = 500
 
 
 @dataclass(slots=True)
@@ -132,13 +133,15 @@
 
 def _ping_interval(state: DispatcherState) -> Callable[[], PingPlan]:
     """Returns a function that tells how often to ping, and with which version."""
+    settings = state.context.settings
+    # A watch that waits for the whole interval is answered one interval after
+    # its question, and the next answer comes one interval later.
+    quiet_ms = 2 * settings.platform_read_interval_ms + PLATFORM_ANSWER_MARGIN_MS
 
     def plan() -> PingPlan:
         read = state.freshness.platform_read
-        is_quiet = (
-            read is not None and now_ms() - read.question_sent_ms <= PLATFORM_QUIET_MS
-        )
-        interval_ms = state.context.settings.peer_ping_interval_ms
+        is_quiet = read is not None and now_ms() - read.question_sent_ms <= quiet_ms
+        interval_ms = settings.peer_ping_interval_ms
         return PingPlan(
             interval_ms * (QUIET_PING_FACTOR if is_quiet else 1),
             state.configuration.version,
--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -12,7 +12,7 @@
 import tempfile
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from statistics import median
@@ -63,6 +63,7 @@
 CLAIM_RATES_PER_S = (50, 200)
 CLAIM_S = 5
 MEMORY_LIMIT_MB = 1900
+COMMANDS = (['status', 'pool'], ['status', 'host'], ['zone', 'out', 'zone-0'])
 # Measured processes use cached bytecode, as a deployment does.
 UNCACHED_VARIABLE = 'PYTHONDONTWRITEBYTECODE'
 RUN_ENTRY = """import sys; from pathlib import Path; from dandelionknot import core
@@ -543,8 +544,58 @@
     return [each for each in samples if each['size'] in wanted]
 
 
+def _run_command(bench: Bench, arguments: list[str]) -> dict:
+    process = _start(bench, 'command', ['-m', 'dandelionknot', *arguments])
+    assert process.stdout is not None
+    output = process.stdout.read()
+    _, status, usage = os.wait4(process.pid, 0)
+    process.returncode = os.waitstatus_to_exitcode(status)
+    return {
+        'exit_status': process.returncode,
+        'output_bytes': len(output),
+        'cpu_ms': (usage.ru_utime + usage.ru_stime) * 1000,
+        'peak_resident_mb': usage.ru_maxrss / 1024,
+    }
+
+
+async def measure_commands(size: Size, directory: Path) -> dict:
+    """Returns the cost of operators' commands as processes."""
+    bench = Bench(directory, new_http_client(16))
+    try:
+        await start_bench(size, bench)
+        token = directory / 'token'
+        token.write_text(OPERATOR_TOKEN)
+        token.chmod(0o600)
+        options = ['--entry', bench.operator_addresses[0], '--token_file', str(token)]
+        costs = {
+            ' '.join(command): await asyncio.to_thread(
+                _run_command, bench, [*command, *options]
+            )
+            for command in COMMANDS
+        }
+        return {'size': asdict(size), 'commands': costs}
+    finally:
+        await bench.stop()
+
+
+def run_commands() -> dict:
+    """Measures operators' commands at the sizes of today and of two years.
+
+    Three entry hosts are enough, since a command talks to one.
+    """
+    samples = []
+    with tempfile.TemporaryDirectory() as name:
+        _fill_bytecode_cache(Path(name))
+        for number, size in enumerate((TODAY, IN_TWO_YEARS)):
+            directory = Path(name) / str(number)
+            directory.mkdir()
+            few = replace(size, members=3)
+            samples.append(asyncio.run(measure_commands(few, directory)))
+    return {'samples': samples}
+
+
 def _fill_bytecode_cache(directory: Path) -> None:
-    modules = 'dandelionknot.core, measure.load, standins.backend, standins.platform'
+    modules = 'dandelionknot.core, dandelionknot.cli, measure.load, standins.__main__'
     subprocess.run(
         [sys.executable, '-c', f'import {modules}'],
         env=_environment(directory / 'any'),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,11 +6,12 @@
 import unittest
 import unittest.mock
 from collections.abc import Coroutine
+from types import SimpleNamespace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dandelionknot import _backend_link, configuration
+from dandelionknot import _backend_link, configuration, entry
 from dandelionknot._http_client import new_http_client
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.messages import RenewUntil, StopService, TaskStart, TaskState
@@ -193,3 +194,31 @@
             )
         self.assertEqual(seen[0].renew_until_ms, 1234)
         self.assertEqual(seen[0].last_used_ms, 0)
+
+
+class PingIntervalTest(unittest.TestCase):
+    def test_pings_are_rare_while_the_platform_answers(self) -> None:
+        """Guards against pings at the outage rate while nothing has failed.
+
+        With a read interval of 2 s the newest answered question is 2 to 4 s old.
+        """
+        cases = [(0, 4000), (2000, 4000), (4030, 4000), (4501, 2000), (None, 2000)]
+        for age_ms, interval_ms in cases:
+            read = SimpleNamespace(question_sent_ms=10_000 - (age_ms or 0))
+            state = SimpleNamespace(
+                context=SimpleNamespace(
+                    settings=SimpleNamespace(
+                        platform_read_interval_ms=2000, peer_ping_interval_ms=2000
+                    )
+                ),
+                freshness=SimpleNamespace(
+                    platform_read=None if age_ms is None else read
+                ),
+                configuration=SimpleNamespace(version=1),
+            )
+            with (
+                self.subTest(age_ms=age_ms),
+                unittest.mock.patch.object(entry, 'now_ms', lambda: 10_000),
+            ):
+                plan = entry._ping_interval(state)()  # type: ignore[arg-type]
+                self.assertEqual(plan.interval_ms, interval_ms)
