--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decision code on small in-memory loops."""
+"""Measurements of the decision code and of running entry hosts."""
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -5,9 +5,11 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from dataclasses import dataclass, field
 
 CHUNK_BYTES = 64 * 1024
+STOP_TIMEOUT_S = 1
 
 
 @dataclass(slots=True)
@@ -33,13 +35,19 @@
 
 @dataclass(slots=True)
 class Relay:
-    """A running relay in front of `target`."""
+    """A running relay in front of `target`.
+
+    `bytes_by_source_ip` counts the payload of both directions by the address
+    that opened the connection.
+    """
 
     target: str
     faults: RelayFaults = field(default_factory=RelayFaults)
     address: str = ''
     server: asyncio.Server | None = None
     connections: list[_Connection] = field(default_factory=list)
+    bytes_by_source_ip: Counter[str] = field(default_factory=Counter)
+    tasks: set[asyncio.Task] = field(default_factory=set)
 
     def freeze_open(self, source_ip: str = '') -> None:
         """Lets open connections, of one address or all, go silent but stay open."""
@@ -62,6 +70,8 @@
         for connection in list(self.connections):
             for writer in connection.writers:
                 writer.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=STOP_TIMEOUT_S)
 
 
 async def _pump(
@@ -76,6 +86,7 @@
                 connection.frozen = True
             if connection.frozen:
                 continue
+            relay.bytes_by_source_ip[connection.source_ip] += len(data)
             writer.write(data)
             await writer.drain()
     with contextlib.suppress(OSError):
@@ -115,7 +126,13 @@
     async def handle(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await _relay(relay, reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        relay.tasks.add(task)
+        try:
+            await _relay(relay, reader, writer)
+        finally:
+            relay.tasks.discard(task)
 
     host, _, port = address.rpartition(':')
     relay.server = await asyncio.start_server(handle, host, int(port))
