--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import os
 import random
 import socket
+import uuid
 from dataclasses import dataclass, field, replace
 from typing import Any
 
