--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -604,7 +604,7 @@
 
 
 def run() -> dict:
-    """Measures all sizes; takes about eight minutes.
+    """Measures all sizes; takes about seven minutes.
 
     `fits` has one entry for the sizes scaled together, by the variable that
     drives each quantity, and one for each variable varied alone.
