Measure the ramp of a returning zone by its share of requests

Cause: test_zone_out_and_back compared counts of starts in two short windows. It failed in one of two full runs (9 starts, not more than twice 7), while two other test processes ran.

Change: the part of the zone's own requests that start in the zone is below one half during the first quarter of the ramp and above it after the ramp. The ramp of the test lasts 6 s, so the windows hold more requests.

Ruled out: a wider factor between the counts, which depends on the load of the machine. The new check is stricter: without a ramp the share is 1.0.

Broken on purpose on a scratch copy: no ramp, test_zone_out_and_back failed (1.0 not less than 0.5).

Before: 143 passed, 1 failed.

Conclusion: a returning zone ramps; the earlier failure was the test's.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -100,7 +100,8 @@
     @classmethod
     def with_short_bounds(cls, **fields: Any) -> 'FleetPlan':
         """Returns a plan whose bounds pass within a few seconds."""
-        return cls(bounds=SHORT_BOUNDS, settings=SHORT_INTERVALS, **fields)
+        short: dict[str, Any] = {'bounds': SHORT_BOUNDS, 'settings': SHORT_INTERVALS}
+        return cls(**short | fields)
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from dandelionknot.clock import now_ms
 from dandelionknot.operators import ChangeOutcome, EditKind
@@ -16,6 +17,8 @@
 ISOLATION_MS = START_BOUND_MS + SHORT_BOUNDS.isolation_bound_ms
 PROOF_MS = ISOLATION_MS + SHORT_BOUNDS.drift_margin_ms
 OBSERVED_MS = 2000
+RAMP_MS = 6000
+BOUNDS = replace(SHORT_BOUNDS, ramp_ms=RAMP_MS)
 TIMEOUT_S = 15
 # The services `quotes` (keyed) and `bulletin` (open to all) share the hosts.
 KEYED = {'service': 'quotes'}
@@ -26,7 +29,7 @@
     fleet: Fleet
 
     async def asyncSetUp(self):
-        self.fleet = await start_fleet(FleetPlan.with_short_bounds())
+        self.fleet = await start_fleet(FleetPlan.with_short_bounds(bounds=BOUNDS))
         self.addAsyncCleanup(self.fleet.stop)
         self.loads = [start_load(self.fleet, **each) for each in (KEYED, OPEN)]
         for load in self.loads:
@@ -80,18 +83,24 @@
         )
         back_ms = now_ms()
         self.assertEqual(report.outcome, ChangeOutcome.ACCEPTED)
-        third_ms = SHORT_BOUNDS.ramp_ms // 3
+        # The entry host of the zone prefers its own hosts, but for the ramp.
+        windows = [(back_ms, back_ms + RAMP_MS // 4)]
+        windows.append((back_ms + RAMP_MS, back_ms + RAMP_MS + OBSERVED_MS))
         for load in self.loads:
-            await load.run_until(back_ms + 4 * third_ms)
-        counts = [
-            sum(
-                1
-                for start in self.fleet.zone_starts(ZONE)
-                if since_ms <= start.at_ms < since_ms + third_ms
-            )
-            for since_ms in (back_ms, back_ms + 3 * third_ms)
+            await load.run_until(windows[1][1])
+        first, last = [self.share_in_zone(*window) for window in windows]
+        self.assertLess(first, 0.5)
+        self.assertGreater(last, 0.5)
+
+    def share_in_zone(self, since_ms: int, until_ms: int) -> float:
+        """Returns which part of the zone's own requests started in the zone."""
+        started = {start.request_id for start in self.fleet.zone_starts(ZONE)}
+        sent = [
+            each.request_id in started
+            for load in self.loads
+            for each in load.sent_between(since_ms, until_ms, ENTRY)
         ]
-        self.assertGreater(counts[1], 2 * counts[0])
+        return sent.count(True) / len(sent)
 
     async def test_cut_off_zone_out(self):
         """Guards against starts in a cut-off zone after its bounds have passed.
