Prove guarantee 10 on a running fleet

Cause: no test stopped hosts while callers sent requests.

Change: a host that the lagging list shows as leaving, a drained backend server and an entry host that stops, each under idempotent and other load. Answers are compared whole, refusals with the runs on the backend servers.

Ruled out: asking for an answer to every non-idempotent request while their slice owner stops; until its slices have moved it may refuse them, and the test checks that what it says is true.

Requests that are not idempotent are refused for a moment by a stopping owner; passing them on again would avoid that.

--- /dev/null
+++ b/tests/test_fleet_stops.py
@@ -0,0 +1,151 @@
+"""Guards guarantee 10 on a running fleet: planned stops interrupt no request."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+
+from dandelionknot.clock import now_ms
+from dandelionknot.entry import RELEASE_TIMEOUT_MS
+from dandelionknot.messages import ListedHostState
+from dandelionknot.operators import ChangeOutcome, EditKind
+from standins.fleet import Fleet, FleetPlan, start_fleet
+from standins.load import Load, start_load
+from standins.waiting import wait_until
+
+HOST = 'zone-a-host-0'
+ENTRY = 'zone-a-entry-0'
+OTHER_ENTRY = 'zone-b-entry-0'
+LIST_LAG_MS = 500
+LEAVING_BOUND_MS = LIST_LAG_MS + 3000  # "a few seconds" after the list shows it
+OBSERVED_MS = 2000
+TIMEOUT_S = 20
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    fleet: Fleet
+    loads: list[Load]
+
+    async def asyncSetUp(self):
+        self.fleet = await start_fleet(FleetPlan.with_short_bounds())
+        self.addAsyncCleanup(self.fleet.stop)
+        self.loads = [
+            start_load(self.fleet, run_ms=run_ms, idempotent=idempotent)
+            for run_ms, idempotent in ((20, True), (300, True), (60, False))
+        ]
+        for load in self.loads:
+            self.addAsyncCleanup(load.stop)
+            for member_id in self.fleet.entries_by_id:
+                await load.wait_for_answers(member_id, TIMEOUT_S)
+
+    def host_starts_after(self, since_ms: int) -> int:
+        starts = self.fleet.backends_by_host[HOST].state.starts
+        return sum(1 for each in starts if each.at_ms > since_ms)
+
+    def count_running(self, run_ms: int) -> int:
+        """Counts the running tasks that were sent to run for this time."""
+        return sum(
+            json.loads(task.order.payload)['run_ms'] == run_ms
+            for backend in self.fleet.backends_by_host.values()
+            for task in backend.state.running()
+        )
+
+    def assert_answered(self, since_ms: int, until_ms: int, member_ids: list[str]):
+        """Every request of a time got its whole answer."""
+        for load in self.loads:
+            for each in load.sent_between(since_ms, until_ms):
+                if each.member_id in member_ids:
+                    self.assertTrue(each.is_answered, each.response)
+
+    def assert_true(self):
+        """What callers were told is true: no refused request ran as if it had not."""
+        for load in self.loads:
+            for each in load.exchanges:
+                runs = self.fleet.runs_of(each.request_id)
+                said = each.response.body['run_state']
+                self.assertEqual(said == 'ran', each.is_answered, each.response)
+                self.assertLessEqual(runs, 1)
+                if said != 'unknown':
+                    self.assertEqual(runs, 1 if said == 'ran' else 0, each.response)
+
+    async def take_host_out(self, stop: Callable[[], Awaitable[int]]):
+        """Stops a host by a closure that returns when starts must have ended."""
+        bound_ms = await stop()
+        for load in self.loads:
+            await load.run_until(bound_ms + OBSERVED_MS)
+        self.assertEqual(self.host_starts_after(bound_ms), 0)
+        self.assertEqual(self.fleet.backends_by_host[HOST].state.running(), [])
+        await asyncio.gather(*(load.stop() for load in self.loads))
+        self.assert_answered(0, now_ms(), list(self.fleet.entries_by_id))
+        self.assert_true()
+
+    async def test_host_that_is_leaving(self):
+        """Guards against starts on a host that the platform is taking away."""
+
+        async def leave() -> int:
+            platform = self.fleet.platform.state
+            platform.faults.list_lag_ms = LIST_LAG_MS
+            left_ms = now_ms()
+            platform.set_listed_state(HOST, ListedHostState.LEAVING)
+            return left_ms + LEAVING_BOUND_MS
+
+        await self.take_host_out(leave)
+
+    async def test_drain_of_a_backend_server(self):
+        """Guards against a drain that cuts a task or lets another one start."""
+
+        async def drain() -> int:
+            report = await self.fleet.change(
+                OTHER_ENTRY, EditKind.DRAIN_HOST, host_id=HOST
+            )
+            self.assertEqual(report.outcome, ChangeOutcome.ACCEPTED)
+            return now_ms()
+
+        await self.take_host_out(drain)
+
+    async def test_graceful_stop_of_an_entry_host(self):
+        """Guards against a stop that loses answers, slices or grants."""
+        entry = self.fleet.entries_by_id[ENTRY]
+        leaving = entry.state.member_id
+        others = [each for each in self.fleet.entries_by_id if each != ENTRY]
+        # Runs longer than the stop waits for slices and grants to move.
+        task = {'text': 'kept', 'run_ms': RELEASE_TIMEOUT_MS + 2000}
+        long = asyncio.create_task(
+            self.fleet.submit(ENTRY, task=task, deadline_ms=9000)
+        )
+        await wait_until(lambda: self.count_running(task['run_ms']) == 1, TIMEOUT_S)
+        stopping = asyncio.create_task(entry.stop())
+        await wait_until(lambda: entry.state.stopping, TIMEOUT_S)
+        stopped_ms = now_ms()
+        taken_ids = set(entry.state.requests.by_id)
+        for load in self.loads:
+            await load.run_until(stopped_ms + 200)
+            load.ended_members.add(ENTRY)  # as the load balancer would
+        await stopping
+        self.assertEqual((await long).body.get('result'), 'kept')
+        self.fleet.entries_by_id.pop(ENTRY)
+        state = self.fleet.entries_by_id[OTHER_ENTRY].state
+
+        def has_moved() -> bool:
+            view = state.view
+            assert view is not None and view.slices is not None
+            granted = [
+                record.grants_by_member.get(leaving, 0)
+                for record in view.grants_by_team.values()
+            ]
+            has_slices = leaving in view.slices.owners
+            return not has_slices and not any(granted) and leaving not in view.alive_ids
+
+        await wait_until(has_moved, TIMEOUT_S)
+        moved_ms = now_ms()
+        await self.loads[0].run_until(moved_ms + OBSERVED_MS)
+        await asyncio.gather(*(load.stop() for load in self.loads))
+        self.assert_true()
+        self.assert_answered(moved_ms, now_ms(), others)
+        exchanges = [each for load in self.loads for each in load.exchanges]
+        kept = [each for each in exchanges if each.request_id in taken_ids]
+        self.assertTrue(kept and all(each.is_answered for each in kept))
+        # Until the slices have moved, the stopping owner may refuse what is not
+        # idempotent; nothing else depends on it.
+        self.loads.pop()
+        self.assert_answered(0, now_ms(), others)
