Add the demo and bound the renewal of leases by freshness

Cause: a newcomer had nothing to run; with isolation_bound_ms 0 the leases of running tasks were never renewed, since the limit was the time of the tick itself. Change: standins/demo.py applies an example, sends work, withdraws a key and stops; leases are renewed until the last fresh moment plus the freshness and isolation bounds. Ruled out: renewing without a limit, because the reclaim of a cut-off member's grants must end. Conclusion: the whole system runs from one command.

--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -16,6 +16,7 @@
     peer_answered,
     platform_view,
     query_acceptance,
+    renew_until_ms,
     update_membership,
 )
 from dandelionknot._grants import grant_read, grant_written, update_grants
@@ -132,9 +133,7 @@
         leave(state)
     elif fresh:
         do_duties(state)
-    if fresh:
-        state.renew_until_ms = now + state.configuration.bounds.isolation_bound_ms
-    state.outboxes.links.send(RenewUntil(until_ms=state.renew_until_ms))
+    state.outboxes.links.send(RenewUntil(until_ms=renew_until_ms(state)))
     retention_ms = state.configuration.bounds.request_id_max_age_ms
     forget_old(state.requests, now - retention_ms, KEEP_ENDED)
     decisions.claims.forget_old(state.claims, unix_ms())
--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -257,6 +257,24 @@
     return fresh
 
 
+def renew_until_ms(state: DispatcherState) -> int:
+    """Returns until when the leases of running tasks may be renewed.
+
+    A cut-off member goes on renewing for the isolation bound; the reclaim of
+    its grants waits for as long.
+    """
+    bounds = state.configuration.bounds
+    as_of_ms = decisions.freshness.fresh_as_of_ms(
+        state.freshness,
+        state.configuration.version,
+        state.view.members_revision if state.view else 0,
+    )
+    if as_of_ms is not None and not state.excluded:
+        until_ms = as_of_ms + bounds.freshness_bound_ms + bounds.isolation_bound_ms
+        state.renew_until_ms = max(state.renew_until_ms, until_ms)
+    return state.renew_until_ms
+
+
 def is_ready(state: DispatcherState) -> bool:
     """Tells whether callers should be sent to this entry host."""
     has_joined = state.joined_ms is not None and state.claims.slice_map is not None
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,159 @@
+"""Runs the whole system on loopback for a few seconds and shows what it does."""
+
+import asyncio
+import dataclasses
+import logging
+import os
+from pathlib import Path
+
+from dandelionknot import decisions
+from dandelionknot.clock import now_ms
+from dandelionknot.configuration import (
+    Configuration,
+    load_base,
+    load_overlay,
+    merge,
+)
+from dandelionknot.operators import EditKind
+from standins.backend import BackendState, start_backend
+from standins.fleet import Fleet, FleetPlan, Response
+from standins.platform import start_platform
+from standins.relay import start_relay
+from standins.waiting import wait_until
+
+EXAMPLE = Path(__file__).resolve().parent.parent / 'examples' / 'remansito'
+ZONES = ('dock', 'lagoon')
+WITHDRAWN_WITHIN_S = 10
+
+
+def load_example() -> Configuration:
+    """Merges the base file and the overlays of the example, as operators do."""
+    base = load_base(EXAMPLE / 'base.yaml').unwrap()
+    paths = sorted((EXAMPLE / 'overlays').glob('*.yaml'))
+    overlays = [load_overlay(path).unwrap() for path in paths]
+    return merge(base, overlays).unwrap()
+
+
+async def start_hosts(configuration: Configuration) -> tuple[Configuration, dict]:
+    """Starts a backend server for each host and puts its address in place."""
+    backends = {
+        host_id: await start_backend(state=BackendState(slots=host.slots))
+        for host_id, host in configuration.hosts_by_id.items()
+    }
+    hosts_by_id = {
+        host_id: dataclasses.replace(host, address=backends[host_id].address)
+        for host_id, host in configuration.hosts_by_id.items()
+    }
+    return dataclasses.replace(configuration, hosts_by_id=hosts_by_id), backends
+
+
+def show(title: str, response: Response) -> None:
+    """Prints one answer to a caller."""
+    body = response.body
+    what = body.get('result') or f'{body.get("code")}: {body.get("message")}'
+    print(f'  {title:34} HTTP {response.status}  {body.get("run_state"):8} {what}')
+
+
+async def give_key(fleet: Fleet, member_id: str, team: str) -> str:
+    """Has an operator give a team a new key and returns it."""
+    issued = decisions.keys.issue_key(
+        team, 'demo-2', os.urandom(decisions.keys.KEY_RANDOM_BYTES)
+    ).unwrap()
+    report = await fleet.change(
+        member_id,
+        EditKind.GIVE_KEY,
+        team=team,
+        key_id='demo-2',
+        key_record=issued.record,
+    )
+    print(f'  give key to {team:22} {report.outcome}, version {report.version}')
+    return issued.presented
+
+
+async def ask_all(fleet: Fleet, members: list[str], keys: dict[str, str]) -> None:
+    """Sends keyed work to two services through both entry hosts."""
+    cases = [
+        ('river-guides', 'guided-tours', 'two canoes at ten', False),
+        ('partner-hostels', 'hostel-booking', 'six beds booked', False),
+        ('river-guides', 'guided-tours', 'price list of the week', True),
+    ]
+    for member_id in members:
+        for team, service, text, idempotent in cases:
+            response = await fleet.submit(
+                member_id,
+                key=keys[team],
+                service=service,
+                idempotent=idempotent,
+                task={'text': text, 'run_ms': 20},
+            )
+            show(f'{member_id} {service}', response)
+
+
+async def withdraw_key(fleet: Fleet, members: list[str], key: str) -> None:
+    """Withdraws a key and shows when the other entry host refuses it."""
+    started_ms = now_ms()
+    report = await fleet.change(
+        members[0], EditKind.WITHDRAW_KEY, team='river-guides', key_id='demo-2'
+    )
+    print(f'  withdraw key: {report.outcome} after {now_ms() - started_ms} ms')
+
+    async def is_refused() -> bool:
+        response = await fleet.submit(members[1], key=key, service='guided-tours')
+        return response.status == 401
+
+    await wait_until(is_refused, WITHDRAWN_WITHIN_S)
+    response = await fleet.submit(members[1], key=key, service='guided-tours')
+    show(f'{members[1]} with it', response)
+
+
+def print_table(fleet: Fleet) -> None:
+    """Prints what each entry host did."""
+    print('\n  entry host      requests  forwarded  starts  answers  refusals')
+    for member_id, entry in fleet.entries_by_id.items():
+        counts = entry.context.metrics.counts_by_name
+        numbers = [
+            counts.get(name, 0)
+            for name in ('requests', 'forwarded', 'starts', 'answers', 'refusals')
+        ]
+        print(f'  {member_id:14}' + ''.join(f'{number:10}' for number in numbers))
+    calls = sum(fleet.platform.state.calls_by_kind.values())
+    print(f'\n  platform calls in all: {calls}')
+
+
+async def run() -> None:
+    """Starts everything, sends work, and stops."""
+    platform = await start_platform()
+    configuration, backends = await start_hosts(load_example())
+    plan = FleetPlan(zones=ZONES)
+    relay = await start_relay(platform.address)
+    fleet = Fleet(plan, platform, relay, backends, configuration, keys_by_team={})
+    members = [f'{zone}-entry' for zone in ZONES]
+    try:
+        for member_id, zone in zip(members, ZONES, strict=True):
+            await fleet.start_entry(member_id, zone)
+        print(f'\nStarted 2 entry hosts and {len(backends)} backend servers.\n')
+        print('Operators apply the base file and its overlays:')
+        report = await fleet.change(
+            members[0], EditKind.APPLY_CONFIGURATION, configuration=configuration
+        )
+        print(f'  apply: {report.outcome}, version {report.version}')
+        await fleet.wait_until_ready()
+        keys = {
+            team: await give_key(fleet, members[0], team)
+            for team in ('river-guides', 'partner-hostels')
+        }
+        print('\nCallers send work:')
+        await ask_all(fleet, members, keys)
+        print('\nOperators withdraw a key:')
+        await withdraw_key(fleet, members, keys['river-guides'])
+        print('\nEntry hosts stop gracefully.')
+        print_table(fleet)
+        for entry in list(fleet.entries_by_id.values()):
+            await entry.stop()
+    finally:
+        await fleet.stop()
+
+
+if __name__ == '__main__':
+    logging.disable(logging.WARNING)
+    asyncio.run(run())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -188,7 +188,8 @@
             'deadline_ms': 5000,
             'idempotent': True,
         }
-        key = fields.pop('key', self.keys_by_team[str(fields.pop('team', 'desk'))])
+        team = str(fields.pop('team', 'desk'))
+        key = fields.pop('key', self.keys_by_team.get(team))
         body['payload'] = json.dumps(fields.pop('task', {'text': 'answer'}))
         return await self.call(member_id, 'POST', '/v1/requests', key, body | fields)
 
