--- a/dandelionknot/_fleet_steps.py
+++ b/dandelionknot/_fleet_steps.py
@@ -1,6 +1,6 @@
 """Next steps of host moves and maintenance plans, from what is known here."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 from result import Err, Ok
@@ -24,6 +24,8 @@
 
 DRAIN_INTERVAL_MS = 1000
 
+IsMyTurn = Callable[[str], bool]
+
 
 def drain_evidence(
     state: DispatcherState, host_id: str, since_version: int
@@ -44,21 +46,23 @@
     )
 
 
-def next_fleet_changes(state: DispatcherState) -> list[FleetChange]:
+def next_fleet_changes(
+    state: DispatcherState, is_my_turn: IsMyTurn
+) -> list[FleetChange]:
     """Returns the changes that would take moves and plans one step on.
 
     At most one is written at a time, since each starts from the version in
     force; the others follow once it has been adopted.
     """
-    for change in _changes(state):
+    for change in _changes(state, is_my_turn):
         return [change]
     return []
 
 
-def _changes(state: DispatcherState) -> Iterator[FleetChange]:
+def _changes(state: DispatcherState, is_my_turn: IsMyTurn) -> Iterator[FleetChange]:
     _order_drains(state)
     yield from _move_changes(state)
-    yield from _plan_changes(state)
+    yield from _plan_changes(state, is_my_turn)
 
 
 def _order_drains(state: DispatcherState) -> None:
@@ -112,7 +116,9 @@
             yield _change(state, FleetStep.CONFIRM_DRAINED, host_id, drained.ok_value)
 
 
-def _plan_changes(state: DispatcherState) -> Iterator[FleetChange]:
+def _plan_changes(
+    state: DispatcherState, is_my_turn: IsMyTurn
+) -> Iterator[FleetChange]:
     configuration = state.configuration
     health = fleet_health(state)
     for plan_id, plan in configuration.maintenance_plans_by_id.items():
@@ -120,7 +126,7 @@
             continue
         for host_id in plan.hosts:
             if host_id not in plan.done:
-                yield from _stop_changes(state, health, plan_id, host_id)
+                yield from _stop_changes(state, health, plan_id, host_id, is_my_turn)
         wave = decisions.budgets.next_wave(plan, configuration, health)
         if wave.host_ids:
             following = configuration
@@ -136,6 +142,7 @@
     health: decisions.budgets.FleetHealth,
     plan_id: str,
     host_id: str,
+    is_my_turn: IsMyTurn,
 ) -> Iterator[FleetChange]:
     """Takes a host that drains or is in maintenance one step on."""
     configuration = state.configuration
@@ -144,7 +151,7 @@
         return
     maintained = host_id in state.rebooted_hosts
     if host.state is HostState.MAINTENANCE and not maintained:
-        if _is_due(state, f'reboot {host_id}'):
+        if is_my_turn(f'reboot:{plan_id}:{host_id}'):
             state.outboxes.links.send(RebootOrder(host_id=host_id))
         return
     advice = decisions.budgets.planned_stop_step(
@@ -173,14 +180,6 @@
         yield _change(state, FleetStep.RETURN_HOST, host_id, following)
 
 
-def _is_due(state: DispatcherState, duty: str) -> bool:
-    now = now_ms()
-    if now - state.drain_ordered_ms_by_host.get(duty, 0) < DRAIN_INTERVAL_MS:
-        return False
-    state.drain_ordered_ms_by_host[duty] = now
-    return True
-
-
 def excluding(configuration: Configuration, members: list[str]) -> Configuration:
     """Returns the configuration with more members excluded, the oldest forgotten."""
     excluded = [*configuration.excluded_members, *members]
--- a/dandelionknot/_steward.py
+++ b/dandelionknot/_steward.py
@@ -50,7 +50,11 @@
     _assign_slices(state, members, rank)
     _exclude_dead(state, rank)
     _clear_excluded(state, rank)
-    for change in next_fleet_changes(state):
+
+    def is_my_turn(duty: str) -> bool:
+        return _is_my_turn(state, duty, rank)
+
+    for change in next_fleet_changes(state, is_my_turn):
         duty = f'{change.step}:{change.subject}:{state.configuration.version}'
         if _is_my_turn(state, duty, rank):
             send_change(state, change)
