--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from dandelionknot import codec, decisions
+from dandelionknot._fleet_steps import declaring_gone
 from dandelionknot._mailbox import Call, Mailbox
 from dandelionknot._platform_sync import CONFIGURATION_KEY
 from dandelionknot.clock import now_ms, unix_ms
@@ -26,6 +27,7 @@
 from dandelionknot.operators import (
     ChangeOutcome,
     ChangeReport,
+    EditKind,
     OutsideDecisions,
     apply_edit,
 )
@@ -189,6 +191,9 @@
 
 def _operator_edit(message: OperatorChange, outside: OutsideDecisions) -> Edit:
     def edit(configuration: Configuration) -> Result[Configuration, str]:
+        gone = message.change.edit.member_id
+        if message.change.edit.kind is EditKind.MEMBER_GONE and gone:
+            return Ok(declaring_gone(configuration, gone))
         edited = apply_edit(
             configuration, message.change.edit, message.operator_id, now_ms(), outside
         )
--- a/dandelionknot/_fleet_steps.py
+++ b/dandelionknot/_fleet_steps.py
@@ -180,6 +180,16 @@
         yield _change(state, FleetStep.RETURN_HOST, host_id, following)
 
 
+def declaring_gone(configuration: Configuration, member_id: str) -> Configuration:
+    """Returns the configuration after operators declared a member gone.
+
+    They answer for it that the process has ended; nothing here can prove that.
+    """
+    gone = [*configuration.gone_members, member_id]
+    excluded = excluding(configuration, [member_id])
+    return replace(excluded, gone_members=gone[-256:])
+
+
 def excluding(configuration: Configuration, members: list[str]) -> Configuration:
     """Returns the configuration with more members excluded, the oldest forgotten."""
     excluded = [*configuration.excluded_members, *members]
--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -291,8 +291,14 @@
             {}, version, state.members_by_id, now_ms()
         )
         state.confirmed_since[version] = seen
+    gone = set(state.configuration.gone_members)
+    members_by_id = {
+        member_id: member
+        for member_id, member in state.members_by_id.items()
+        if member_id not in gone
+    }
     outcome = decisions.acceptance.acceptance(
-        version, state.members_by_id, seen, state.configuration.bounds, now_ms()
+        version, members_by_id, seen, state.configuration.bounds, now_ms()
     )
     if isinstance(outcome, decisions.acceptance.Accepted):
         return []
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -428,6 +428,9 @@
 ExcludedMember: TypeAlias = str
 
 
+GoneMember: TypeAlias = str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
     """
@@ -439,6 +442,7 @@
     bounds: FleetBounds = field(default_factory=lambda: FleetBounds())
     sites_by_id: dict[str, Site] = field(default_factory=dict)
     excluded_members: list[ExcludedMember] = field(default_factory=list)
+    gone_members: list[GoneMember] = field(default_factory=list)
     availability_zones_by_id: dict[str, AvailabilityZone] = field(default_factory=dict)
     pools_by_id: dict[str, Pool] = field(default_factory=dict)
     hosts_by_id: dict[str, Host] = field(default_factory=dict)
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -11,6 +11,7 @@
     '^[0-9.]{7,15}:[0-9]{1,5}$': re.compile('^[0-9.]{7,15}:[0-9]{1,5}\\Z'),
     '^[0-9.]{7,15}$': re.compile('^[0-9.]{7,15}\\Z'),
     '^[0-9]{1,2}$': re.compile('^[0-9]{1,2}\\Z'),
+    '^[a-z0-9][a-z0-9.-]{0,79}$': re.compile('^[a-z0-9][a-z0-9.-]{0,79}\\Z'),
     '^[0-9a-f]{32}$': re.compile('^[0-9a-f]{32}\\Z'),
     '^[0-9a-f]{64}$': re.compile('^[0-9a-f]{64}\\Z'),
     '^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$': re.compile('^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}\\Z')
@@ -2254,8 +2255,8 @@
             if not isinstance(data__memberid, (str, NoneType)):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must be string or null", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='type')
             if isinstance(data__memberid, str):
-                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__memberid):
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
+                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9.-]{0,79}$'].search(data__memberid):
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9.-]{0,79}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
     return data
@@ -2621,12 +2622,12 @@
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
@@ -2698,6 +2699,23 @@
                         data__excludedmembers_item_len = len(data__excludedmembers_item)
                         if data__excludedmembers_item_len > 80:
                             raise JsonSchemaValueException("" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + " must be shorter than or equal to 80 characters", value=data__excludedmembers_item, name="" + (name_prefix or "data") + ".excluded_members[{data__excludedmembers_x}]".format(**locals()) + "", definition={}, rule='maxLength')
+        if "gone_members" in data_keys:
+            data_keys.remove("gone_members")
+            data__gonemembers = data["gone_members"]
+            if not isinstance(data__gonemembers, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".gone_members must be array", value=data__gonemembers, name="" + (name_prefix or "data") + ".gone_members", definition={}, rule='type')
+            data__gonemembers_is_list = isinstance(data__gonemembers, (list, tuple))
+            if data__gonemembers_is_list:
+                data__gonemembers_len = len(data__gonemembers)
+                if data__gonemembers_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".gone_members must contain less than or equal to 256 items", value=data__gonemembers, name="" + (name_prefix or "data") + ".gone_members", definition={}, rule='maxItems')
+                for data__gonemembers_x, data__gonemembers_item in enumerate(data__gonemembers):
+                    if not isinstance(data__gonemembers_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".gone_members[{data__gonemembers_x}]".format(**locals()) + " must be string", value=data__gonemembers_item, name="" + (name_prefix or "data") + ".gone_members[{data__gonemembers_x}]".format(**locals()) + "", definition={}, rule='type')
+                    if isinstance(data__gonemembers_item, str):
+                        data__gonemembers_item_len = len(data__gonemembers_item)
+                        if data__gonemembers_item_len > 80:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".gone_members[{data__gonemembers_x}]".format(**locals()) + " must be shorter than or equal to 80 characters", value=data__gonemembers_item, name="" + (name_prefix or "data") + ".gone_members[{data__gonemembers_x}]".format(**locals()) + "", definition={}, rule='maxLength')
         if "availability_zones_by_id" in data_keys:
             data_keys.remove("availability_zones_by_id")
             data__availabilityzonesbyid = data["availability_zones_by_id"]
@@ -2917,7 +2935,7 @@
                     if not data__maintenanceplansbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
--- a/dandelionknot/_replacement.py
+++ b/dandelionknot/_replacement.py
@@ -65,6 +65,8 @@
     plans_by_id = combined.maintenance_plans_by_id | offered.maintenance_plans_by_id
     comparable = replace(
         offered,
+        excluded_members=combined.excluded_members,
+        gone_members=combined.gone_members,
         moves_by_host=combined.moves_by_host,
         limit_proposals_by_id=combined.limit_proposals_by_id,
         maintenance_plans_by_id=plans_by_id,
@@ -91,6 +93,8 @@
 def _keep_owned(current: Configuration, offered: Configuration) -> Configuration:
     return replace(
         offered,
+        excluded_members=current.excluded_members,
+        gone_members=current.gone_members,
         availability_zones_by_id=_kept_zones(
             current.availability_zones_by_id, offered.availability_zones_by_id
         ),
--- a/dandelionknot/_state.py
+++ b/dandelionknot/_state.py
@@ -53,6 +53,7 @@
     in_flight: set[str] = field(default_factory=set)
     last_seen_alive_by_member: dict[str, int] = field(default_factory=dict)
     missing_since_by_member: dict[str, int] = field(default_factory=dict)
+    gone_since_by_member: dict[str, int] = field(default_factory=dict)
     excluded_in_version: dict[str, int] = field(default_factory=dict)
     absent_since_by_holder: dict[str, int] = field(default_factory=dict)
     unsettled_map: WriteRequest | None = None
--- a/dandelionknot/_steward.py
+++ b/dandelionknot/_steward.py
@@ -96,6 +96,8 @@
             steward.missing_since_by_member.setdefault(member_id, now)
     for member_id in state.configuration.excluded_members:
         steward.excluded_in_version.setdefault(member_id, state.configuration.version)
+    for member_id in state.configuration.gone_members:
+        steward.gone_since_by_member.setdefault(member_id, now)
     holders = {
         holder
         for record in state.view.grants_by_team.values()
@@ -134,6 +136,8 @@
     Either it has confirmed a version that excludes it, or a member that it
     knows has, after which it cannot stay fresh without seeing that version.
     """
+    if member_id in state.configuration.gone_members:
+        return state.steward.gone_since_by_member.get(member_id)
     version = state.steward.excluded_in_version.get(member_id)
     member = state.members_by_id.get(member_id)
     if version is None or member is None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -160,11 +160,6 @@
         self.entries_by_id[member_id] = entry
         return entry
 
-    async def kill_entry(self, member_id: str) -> None:
-        """Ends an entry host at once, as a crash would."""
-        await self.entries_by_id.pop(member_id).kill()
-        await self.relays_by_id.pop(member_id).stop()
-
     async def wait_until_ready(self) -> None:
         """Waits until every entry host takes callers."""
         for entry in list(self.entries_by_id.values()):
@@ -251,18 +246,18 @@
         )
 
     async def change(
-        self, member_id: str, kind: EditKind, change_id: str = '', **fields: Any
+        self, through: str, kind: EditKind, change_id: str = '', **fields: Any
     ) -> ChangeReport:
         """Has an operator make one edit of the version in force at an entry host."""
         version = fields.pop('expected_version', None)
         if version is None:
-            version = self.entries_by_id[member_id].state.configuration.version
+            version = self.entries_by_id[through].state.configuration.version
         request = ChangeRequest(
             change_id=change_id or f'change-{uuid.uuid4().hex[:12]}',
             expected_version=version,
             edit=Edit(kind=kind, **fields),
         )
-        return (await self.operator(member_id).change(request)).unwrap()
+        return (await self.operator(through).change(request)).unwrap()
 
     async def kill(self, member_id: str) -> None:
         """Ends an entry host as a crash would."""
--- a/tests/test_fleet_moves.py
+++ b/tests/test_fleet_moves.py
@@ -38,6 +38,7 @@
                 services_by_id={
                     'quotes': quotes,
                     'packs': Service(pool='packs', max_unavailable=9),
+                    'bulletin': services['bulletin'],
                 },
             )
         )
@@ -92,6 +93,10 @@
     async def test_a_move_waits_for_a_cut_off_zone(self):
         """Guards against a cut-off member that starts work for the old pool."""
         host_id = 'zone-c-host-0'
+        member_id = 'zone-c-entry-0'
+        open_load = start_load(self.fleet, [member_id], run_ms=30, service='bulletin')
+        self.addAsyncCleanup(open_load.stop)
+        await open_load.wait_for_answers(member_id, TIMEOUT_S)
         self.fleet.cut_zone('zone-c')
         report = await self.fleet.change(
             ENTRY, EditKind.MOVE_HOST, host_id=host_id, to_pool='packs'
@@ -113,7 +118,7 @@
         late = [
             start
             for start in backend.starts
-            if start.service == 'quotes' and start.at_ms > assigned_ms
+            if start.service != 'packs' and start.at_ms > assigned_ms
         ]
         self.assertEqual(late, [])
         self.assertEqual(self.in_force().hosts_by_id[host_id].pool_epoch, 1)
--- a/tests/test_fleet_once.py
+++ b/tests/test_fleet_once.py
@@ -103,7 +103,7 @@
             )
         )
         await wait_until(lambda: self.fleet.runs_of(request_id) == 1, 5)
-        await self.fleet.kill_entry(owner)
+        await self.fleet.kill(owner)
         first = await asked
         self.assertEqual(state_of(first), 'unknown')
         again = await self.resend_until_settled(third, request_id)
