--- a/standins/backend.py
+++ b/standins/backend.py
@@ -27,7 +27,7 @@
     TaskState,
     UsageReport,
 )
-from standins.faults import FaultsHandler
+from standins.faults import FaultsHandler, FaultyHandler
 
 SCAN_MS = 20
 RETENTION_MS = 600_000
@@ -225,6 +225,23 @@
     return report(state, task_id)
 
 
+def throttle_task(state: BackendState, task_id: str, percent: int) -> TaskReport:
+    """Slows what is left of a running task down to a percentage of its speed."""
+    task = state.tasks_by_id.get(task_id)
+    if task is not None and task.state is TaskState.RUNNING:
+        left_ms = max(0, task.ends_ms - now_ms())
+        task.ends_ms = now_ms() + left_ms * 100 // max(1, min(percent, 100))
+    return report(state, task_id)
+
+
+def checkpoint_task(state: BackendState, task_id: str) -> TaskReport:
+    """Notes how much of a running task is done."""
+    task = state.tasks_by_id.get(task_id)
+    if task is not None and task.state is TaskState.RUNNING:
+        task.message = f'checkpoint with {max(0, task.ends_ms - now_ms())} ms left'
+    return report(state, task_id)
+
+
 def renew(state: BackendState, renewal: LeaseRenewal) -> LeaseReport:
     """Renews the leases of running tasks."""
     renewed = []
@@ -276,35 +293,9 @@
     )
 
 
-class _Handler(tornado.web.RequestHandler):
+class _Handler(FaultyHandler):
     state: BackendState
 
-    def initialize(self, state: BackendState) -> None:
-        self.state = state
-
-    async def prepare(self) -> None:
-        faults = self.state.faults
-        if faults.delay_ms:
-            await asyncio.sleep(seconds(faults.delay_ms))
-        if faults.down or self.request.remote_ip in faults.cut_source_ips:
-            self.drop()
-
-    def drop(self) -> None:
-        """Closes the connection without an answer."""
-        connection = self.request.connection
-        with contextlib.suppress(AttributeError):
-            connection.stream.close()  # type: ignore[union-attr]
-        self._finished = True
-
-    def send(self, value: object) -> None:
-        """Answers in JSON unless a fault began while the call waited."""
-        faults = self.state.faults
-        if faults.down or self.request.remote_ip in faults.cut_source_ips:
-            self.drop()
-            return
-        self.set_header('Content-Type', 'application/json')
-        self.write(codec.encode_json(value))
-
     async def wait_for_end(self, task_id: str, wait_ms: int) -> None:
         """Waits until a task has ended or the time is over."""
         task = self.state.tasks_by_id.get(task_id)
@@ -345,12 +336,15 @@
         self.send(report(self.state, task_id))
 
 
-class _StopHandler(_Handler):
+class _ActionHandler(_Handler):
     def post(self, task_id: str, action: str) -> None:
         if action == 'stop':
             self.send(stop_task(self.state, task_id))
-            return
-        self.send(report(self.state, task_id))
+        elif action == 'throttle':
+            percent = int(self.get_query_argument('percent'))
+            self.send(throttle_task(self.state, task_id, percent))
+        else:
+            self.send(checkpoint_task(self.state, task_id))
 
 
 class _RenewalsHandler(_Handler):
@@ -433,7 +427,11 @@
         [
             (r'/v1/tasks', _StartHandler, arguments),
             (r'/v1/tasks/([^/]+)', _TaskHandler, arguments),
-            (r'/v1/tasks/([^/]+)/(stop|checkpoint|throttle)', _StopHandler, arguments),
+            (
+                r'/v1/tasks/([^/]+)/(stop|checkpoint|throttle)',
+                _ActionHandler,
+                arguments,
+            ),
             (r'/v1/renewals', _RenewalsHandler, arguments),
             (r'/v1/usage', _UsageHandler, arguments),
             (r'/v1/drain', _DrainHandler, arguments),
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,9 +1,60 @@
-"""Lets another process switch the faults of a stand-in over HTTP."""
+"""Faults that both stand-ins have in common, and a way to switch them over HTTP."""
 
+import asyncio
+import contextlib
 import json
+from typing import Any, Protocol
 
 import tornado.web
 
+from dandelionknot import codec
+from dandelionknot.clock import seconds
+
+
+class ConnectionFaults(Protocol):
+    """Fields of a faults object that concern every call."""
+
+    delay_ms: int
+    down: bool
+    cut_source_ips: set[str]
+
+
+class FaultyHandler(tornado.web.RequestHandler):
+    """Applies the connection faults of a stand-in before and after each call."""
+
+    state: Any
+
+    def initialize(self, state: Any) -> None:
+        """Keeps the state of the stand-in, which has the faults."""
+        self.state = state
+
+    def is_cut(self) -> bool:
+        """Tells whether the caller can get no answer now."""
+        faults: ConnectionFaults = self.state.faults
+        return faults.down or self.request.remote_ip in faults.cut_source_ips
+
+    async def prepare(self) -> None:
+        """Delays or drops the call."""
+        if self.state.faults.delay_ms:
+            await asyncio.sleep(seconds(self.state.faults.delay_ms))
+        if self.is_cut():
+            self.drop()
+
+    def drop(self) -> None:
+        """Closes the connection without an answer."""
+        connection = self.request.connection
+        with contextlib.suppress(AttributeError):
+            connection.stream.close()  # type: ignore[union-attr]
+        self._finished = True
+
+    def send(self, value: object) -> None:
+        """Answers in JSON unless a fault began while the call waited."""
+        if self.is_cut():
+            self.drop()
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.write(codec.encode_json(value))
+
 
 class FaultsHandler(tornado.web.RequestHandler):
     """Sets fields of a faults object from a JSON object and returns all of them."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,7 +25,7 @@
     WriteResult,
 )
 from dandelionknot.ports import PlatformPort
-from standins.faults import FaultsHandler
+from standins.faults import FaultsHandler, FaultyHandler
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_MS = 60_000
@@ -144,37 +144,9 @@
     return StoredList(revision=state.revision, values=values, deleted_keys=deleted)
 
 
-class _Handler(tornado.web.RequestHandler):
-    """Applies the faults before and after each call."""
-
+class _Handler(FaultyHandler):
     state: PlatformState
 
-    def initialize(self, state: PlatformState) -> None:
-        self.state = state
-
-    async def prepare(self) -> None:
-        faults = self.state.faults
-        if faults.delay_ms:
-            await asyncio.sleep(seconds(faults.delay_ms))
-        if faults.down or self.request.remote_ip in faults.cut_source_ips:
-            self.drop()
-
-    def drop(self) -> None:
-        """Closes the connection without an answer."""
-        connection = self.request.connection
-        with contextlib.suppress(AttributeError):
-            connection.stream.close()  # type: ignore[union-attr]
-        self._finished = True
-
-    def send(self, value: object) -> None:
-        """Answers unless a fault began while the call waited."""
-        faults = self.state.faults
-        if faults.down or self.request.remote_ip in faults.cut_source_ips:
-            self.drop()
-            return
-        self.set_header('Content-Type', 'application/json')
-        self.write(codec.encode_json(value))
-
 
 class _ValueHandler(_Handler):
     def get(self, key: str) -> None:
