Show what callers were told when a limit test fails

Cause: the burst test failed twice in a clean clone and showed only missing results. Change: the assertion compares the codes and messages of refusals. Measured: nothing yet; the next run in the clone shows the cause. Conclusion: equally strict.

--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -6,7 +6,7 @@
 
 from dandelionknot.configuration import Cooperative
 from dandelionknot.operators import ChangeOutcome, EditKind
-from standins.fleet import Fleet, FleetPlan, start_fleet
+from standins.fleet import Fleet, FleetPlan, Response, start_fleet
 from standins.waiting import wait_until
 
 LIMIT = 4
@@ -16,6 +16,12 @@
 TIMEOUT_S = 30
 
 
+def answer_of(response: Response) -> str:
+    """Returns the result, or what the caller was told instead."""
+    body = response.body
+    return body.get('result') or f'{body.get("code")}: {body.get("message")}'
+
+
 class LimitTest(unittest.IsolatedAsyncioTestCase):
     fleet: Fleet
 
@@ -58,7 +64,7 @@
         """Guards against entry hosts that each count only their own tasks."""
         for idempotent in (True, False):
             responses = await self.burst(60, MEMBERS, idempotent=idempotent)
-            answers = [response.body.get('result') for response in responses]
+            answers = [answer_of(response) for response in responses]
             self.assertEqual(answers, ['answer'] * 60)
         self.assertLessEqual(self.peak, LIMIT)
         self.assertGreater(self.peak, 1)
@@ -81,7 +87,7 @@
         await self.fleet.kill(MEMBERS[0])
         await asyncio.gather(long, return_exceptions=True)
         responses = await self.burst(60, MEMBERS[1:])
-        answers = [response.body.get('result') for response in responses]
+        answers = [answer_of(response) for response in responses]
         self.assertEqual(answers, ['answer'] * 60)
         self.assertLessEqual(self.peak, LIMIT)
         view = self.fleet.entries_by_id[MEMBERS[1]].state
@@ -112,7 +118,7 @@
         await wait_until(lambda: self.running() <= LOWERED_LIMIT, TIMEOUT_S)
         self.peak = 0
         responses = await asked
-        answers = [response.body.get('result') for response in responses]
+        answers = [answer_of(response) for response in responses]
         self.assertEqual(answers, ['answer'] * 120)
         self.assertLessEqual(self.peak, LOWERED_LIMIT)
 
