Keep starts that were not allowed from using the retry budget

Change: such an attempt ends as not_allowed and is queued again after 50 ms; a test of a burst in a moment without starts. Ruled out: a larger retry budget, which is meant for backend servers that fail. Conclusion: probable cause removed, not yet confirmed.

--- a/dandelionknot/_backend_link.py
+++ b/dandelionknot/_backend_link.py
@@ -121,8 +121,8 @@
     )
 
 
-async def _allowed_with_token(link: _Link, order: StartOrder) -> str | None:
-    """Returns why the start is not made, or None once a usable token is held.
+async def _allowed_with_token(link: _Link, order: StartOrder) -> AttemptEnded | None:
+    """Returns the end of an attempt that is not sent, or None if it may be.
 
     A token must have been received before the dispatcher checked that the
     start is allowed. A new token therefore needs a new check.
@@ -133,19 +133,21 @@
         refreshed = await _refresh_token(link)
         if isinstance(refreshed, Err):
             link.not_heard()
-            return refreshed.err_value.message
+            message = refreshed.err_value.message
+            return _end(order, link, AttemptEnd.NOT_SENT, message=message)
     check = StartCheck(request_id=order.task.request_id)
     allowed = await link.dispatcher.ask(check)
     if isinstance(allowed, Err) or not allowed.ok_value:
-        return 'the start is not allowed any more'
+        message = 'the start was not allowed once a start token was held'
+        return _end(order, link, AttemptEnd.NOT_ALLOWED, message=message)
     return None
 
 
 async def _start(link: _Link, order: StartOrder) -> AttemptEnded:
     for _ in range(MAX_STALE_TOKENS):
-        problem = await _allowed_with_token(link, order)
-        if problem is not None:
-            return _end(order, link, AttemptEnd.NOT_SENT, message=problem)
+        ended = await _allowed_with_token(link, order)
+        if ended is not None:
+            return ended
         wait_ms = max(0, min(FIRST_WAIT_MS, order.deadline_at_ms - now_ms()))
         task = replace(
             order.task,
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -1126,6 +1126,7 @@
     """
 
     NOT_SENT = "not_sent"
+    NOT_ALLOWED = "not_allowed"
     REFUSED = "refused"
     NO_ANSWER = "no_answer"
     ANSWERED = "answered"
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -41,6 +41,7 @@
 IDEMPOTENT_SETTLE_MS = 1000
 REFUSAL_WAIT_MS = 1000
 NO_CHECK_YET_MS = -1
+NOT_ALLOWED_DELAY_MS = 50
 PASSING_REFUSALS = frozenset(
     {StartRefusal.BUSY, StartRefusal.DRAINING, StartRefusal.STALE_TOKEN}
 )
@@ -395,7 +396,7 @@
 ) -> decisions.outcomes.AttemptEvent:
     task_id = entry.task_id
     report = message.report
-    if message.end is AttemptEnd.NOT_SENT:
+    if message.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_ALLOWED):
         return decisions.outcomes.StartNotSent(task_id=task_id)
     if report is None:
         if message.end is AttemptEnd.REFUSED:
@@ -480,7 +481,8 @@
     """Queues a request again if it may be repeated and the budget allows it.
 
     A server that was only full or draining costs no retry: nothing ran there,
-    and the routing table leaves it out for a while.
+    and the routing table leaves it out for a while. Nor does a start that this
+    entry host did not allow, for instance in a moment without freshness.
     """
     if entry.inherited:
         return False
@@ -489,6 +491,8 @@
     history = entry.history
     history.run_state = run_state
     history.last_refusal = refusal
+    if message.end is AttemptEnd.NOT_ALLOWED:
+        return _queue_later(state, entry, NOT_ALLOWED_DELAY_MS)
     history.tried_hosts.add(message.host_id)
     if refusal in PASSING_REFUSALS:
         entry.phase = RequestPhase.QUEUED
@@ -507,10 +511,14 @@
             Subject.REQUEST, entry.request_id, 'not tried again', decision.reason
         )
         return False
-    entry.phase = RequestPhase.QUEUED
     entry.failed_hosts = set(decision.avoid)
-    state.waiting_to_retry[entry.request_id] = now_ms() + decision.delay_ms
     state.context.metrics.count(Counter.RETRIES)
+    return _queue_later(state, entry, decision.delay_ms)
+
+
+def _queue_later(state: DispatcherState, entry: RequestEntry, delay_ms: int) -> bool:
+    entry.phase = RequestPhase.QUEUED
+    state.waiting_to_retry[entry.request_id] = now_ms() + delay_ms
     return True
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -161,3 +161,19 @@
         response = await asked
         self.assertEqual(self.fleet.runs_of(request_id), 1)
         self.assertNotEqual(response.body['run_state'], 'not_run')
+
+
+class NotAllowedTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against refusals after moments in which starts are not allowed."""
+
+    async def test_a_burst_in_a_moment_without_freshness_is_answered(self):
+        self.fleet = await start_fleet(FleetPlan(zones=('zone-a',)))
+        self.addAsyncCleanup(self.fleet.stop)
+        state = self.fleet.entries_by_id[ENTRY].state
+        state.excluded = True
+        asked = [asyncio.create_task(self.fleet.submit(ENTRY)) for _ in range(60)]
+        await wait_until(lambda: len(state.requests.by_id) == 60, 5)
+        state.excluded = False
+        responses = await asyncio.gather(*asked)
+        results = [response.body.get('result') for response in responses]
+        self.assertEqual(results, ['answer'] * 60)
