Ask the owner of a request again when its answer is lost

Cause: a caller got "unknown" when the peer link to the owner of its request broke, although the owner had the request and could be asked again. Three faults added up: a link counted silence by the clock, so a busy or paused process dropped healthy links; a silent link waited for the closing handshake (1.2 s instead of 0.3 s until the loss was noticed); and calls of a removed or unconnected link were answered only by their time-out.

Change: the asked entry host submits the request again until its deadline; the owner knows the id, so nothing runs twice. A submission that an owner may have taken is never answered "not run" by another host. Links count unanswered pings, abort the connection of a silent peer, and fail their waiting calls at once. The age of a waiting request is now counted from its arrival; before, each new submission forgot the time of the forward before it.

Ruled out: a longer silence limit (only hides the pause), a second request id.

--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -1197,6 +1197,7 @@
     confirmed_bounds: FleetBounds
     members_revision: int
     may_renew: bool = True
+    stopping: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1537,3 +1538,5 @@
     presented_key: str | None = None
     age_ms: int = 0
     forwarded: bool = False
+    may_be_known: bool = False
+    resubmitted: bool = False
--- a/dandelionknot/_intake.py
+++ b/dandelionknot/_intake.py
@@ -52,22 +52,33 @@
 FETCH_TIMEOUT_MS = 2000
 RETRY_AFTER_MS = 1000
 RESUBMIT_MS = 100
+STOPPING_TEXT = 'this entry host is stopping'
 
+# Refusals of an owner that has not taken the request; another one may.
+WAITING_CODES = frozenset({ErrorCode.OWNER_UNREACHABLE, ErrorCode.ENTRY_HOST_STOPPING})
 
-def refuse_here(request: RequestBody, code: ErrorCode, message: str) -> Refusal:
+
+PeerRefusal = Refusal | PortErrorKind
+
+
+def refuse_here(message: SubmitRequest, code: ErrorCode, text: str) -> Refusal:
     """Returns a refusal made before the slice owner looked at the request.
 
     An earlier submission of the same id may have run. That is harmless for an
-    idempotent request; for others only the owner can say "not run".
+    idempotent request; for others only the owner can say "not run". Nobody can
+    say it of a submission that an owner may have taken already.
     """
-    if request.idempotent:
+    request = message.request
+    if request.idempotent and not message.may_be_known:
         run_state = RunState.NOT_RUN
     else:
         run_state = RunState.UNKNOWN
-        message += '; this submission was not run'
+        text += '; this submission was not run'
+    if message.may_be_known:
+        text = f'{text.partition(";")[0]}; send the same request again to ask'
     return Refusal(
         code=code,
-        message=message,
+        message=text,
         run_state=run_state,
         request_id=request.request_id,
     )
@@ -81,23 +92,30 @@
 def submit(state: DispatcherState, call: Call, message: SubmitRequest) -> None:
     """Takes a request, passes it to its owner or refuses it."""
     state.context.metrics.count(Counter.REQUESTS)
-    checked = _check(state, message)
-    if isinstance(checked, Err):
-        _answer_refusal(state, call, message, checked.err_value)
+    authenticated = _authenticate(state, message)
+    if isinstance(authenticated, Err):
+        _answer_refusal(state, call, message, authenticated.err_value)
         return
-    caller = checked.ok_value
+    caller = authenticated.ok_value
     known = state.requests.by_id.get(message.request.request_id)
     if known is not None:
         _join(call, known, message, caller.team_id)
         return
+    refusal = _refusal_of_new(state, message)
+    if refusal is not None:
+        _answer_refusal(state, call, message, refusal)
+        return
     if not needs_owner(message.request):
         _take(state, call, message, caller)
         return
     owner = owner_of(state, message.request.request_id)
     if owner != state.member_id and not message.forwarded:
         _forward(state, call, message, owner)
-        return
-    _claim(state, call, message, caller)
+    elif state.stopping:
+        refusal = refuse_here(message, ErrorCode.ENTRY_HOST_STOPPING, STOPPING_TEXT)
+        _refuse_or_wait(state, call, message, refusal)
+    else:
+        _claim(state, call, message, caller)
 
 
 def _answer_refusal(
@@ -110,29 +128,37 @@
     call.answer(refusal)
 
 
-def _check(
+def _authenticate(
     state: DispatcherState, message: SubmitRequest
 ) -> Result[decisions.keys.Caller, Refusal]:
-    request = message.request
-    if state.stopping:
-        code = ErrorCode.ENTRY_HOST_STOPPING
-        return Err(refuse_here(request, code, 'this entry host is stopping'))
     caller = decisions.keys.authenticate(
-        state.configuration, request.service, message.presented_key
+        state.configuration, message.request.service, message.presented_key
     )
     if isinstance(caller, Err):
         refusal = caller.err_value
-        return Err(refuse_here(request, refusal.code, refusal.message))
+        return Err(refuse_here(message, refusal.code, refusal.message))
+    return caller
+
+
+def _refusal_of_new(state: DispatcherState, message: SubmitRequest) -> Refusal | None:
+    """Returns why this entry host cannot take a request that it does not know.
+
+    A submission that waits for its owner is not refused because this entry
+    host stops meanwhile.
+    """
+    request = message.request
+    if state.stopping and not message.resubmitted:
+        return refuse_here(message, ErrorCode.ENTRY_HOST_STOPPING, STOPPING_TEXT)
     if request.deadline_ms - message.age_ms <= 0:
-        code = ErrorCode.DEADLINE_PASSED
-        return Err(refuse_here(request, code, 'the deadline has passed'))
+        text = 'the deadline has passed'
+        return refuse_here(message, ErrorCode.DEADLINE_PASSED, text)
     cannot_fit = _cannot_fit(state, request)
     if cannot_fit is not None:
-        return Err(refuse_here(request, ErrorCode.TASK_CANNOT_FIT, cannot_fit))
+        return refuse_here(message, ErrorCode.TASK_CANNOT_FIT, cannot_fit)
     if len(state.requests.by_id) >= state.context.settings.max_requests:
-        code = ErrorCode.QUEUE_FULL
-        return Err(refuse_here(request, code, 'this entry host is full'))
-    return caller
+        text = 'this entry host is full'
+        return refuse_here(message, ErrorCode.QUEUE_FULL, text)
+    return None
 
 
 def _reused(request_id: str) -> Refusal:
@@ -281,7 +307,7 @@
     request = message.request
     if owner is None:
         text = 'no entry host owns the request id now'
-        refusal = refuse_here(request, ErrorCode.OWNER_UNREACHABLE, text)
+        refusal = refuse_here(message, ErrorCode.OWNER_UNREACHABLE, text)
         _refuse_or_wait(state, call, message, refusal)
         return
     state.context.metrics.count(Counter.FORWARDED)
@@ -297,28 +323,59 @@
         timeout_ms=max(1, request.deadline_ms - message.age_ms + FORWARD_GRACE_MS),
     )
 
-    def refuse(kind: PortErrorKind) -> Refusal:
-        if kind is PortErrorKind.NOT_SENT:
-            text = f'entry host {owner!r}, which owns the request id, cannot be reached'
-            return refuse_here(request, ErrorCode.OWNER_UNREACHABLE, text)
-        text = (
-            f'entry host {owner!r}, which owns the request id, gave no answer; '
-            'send the same request again to ask'
-        )
-        return Refusal(
-            code=ErrorCode.OUTCOME_UNKNOWN,
-            message=text,
-            run_state=RunState.UNKNOWN,
-            request_id=request.request_id,
-        )
+    arrived_ms = now_ms() - message.age_ms
 
-    def answer(outcome: AnswerBody | Refusal) -> None:
-        if isinstance(outcome, Refusal):
-            _refuse_or_wait(state, call, message, outcome)
+    def answer(result: Result[AnswerBody, PeerRefusal]) -> None:
+        aged = replace(message, age_ms=now_ms() - arrived_ms)
+        if isinstance(result, Ok):
+            call.answer(result.ok_value)
+        elif isinstance(result.err_value, Refusal):
+            refusal = _told_truly(message, result.err_value)
+            _refuse_or_wait(state, call, aged, refusal)
+        elif result.err_value is PortErrorKind.NOT_SENT:
+            text = f'entry host {owner!r}, which owns the request id, cannot be reached'
+            refusal = refuse_here(message, ErrorCode.OWNER_UNREACHABLE, text)
+            _refuse_or_wait(state, call, aged, refusal)
         else:
-            call.answer(outcome)
+            _ask_again(state, call, replace(aged, may_be_known=True), owner)
+
+    _ask_peer(state, order, answer)
+
+
+def _told_truly(message: SubmitRequest, refusal: Refusal) -> Refusal:
+    """Returns what a caller may be told of an owner's refusal.
+
+    An owner that refuses an idempotent request does not look whether an
+    earlier owner took it.
+    """
+    not_run = refusal.run_state is RunState.NOT_RUN
+    if not_run and message.request.idempotent and message.may_be_known:
+        return replace(refusal, run_state=RunState.UNKNOWN)
+    return refusal
 
-    _ask_peer(state, order, answer, refuse)
+
+def _ask_again(
+    state: DispatcherState, call: Call, message: SubmitRequest, owner: str
+) -> None:
+    """Submits a request again whose owner gave no answer.
+
+    The owner knows the id if it has taken the request, so that it is not run
+    again; the link is opened anew in the meantime.
+    """
+    text = (
+        f'entry host {owner!r}, which owns the request id, gave no answer; '
+        'send the same request again to ask'
+    )
+    refusal = Refusal(
+        code=ErrorCode.OUTCOME_UNKNOWN,
+        message=text,
+        run_state=RunState.UNKNOWN,
+        request_id=message.request.request_id,
+    )
+    if message.request.deadline_ms - message.age_ms <= RESUBMIT_MS:
+        _answer_refusal(state, call, message, refusal)
+        return
+    _submit_later(state, call, message, refusal)
 
 
 def _refuse_or_wait(
@@ -330,17 +387,23 @@
     next answer of the platform. The entry host that the caller asked waits.
     """
     left_ms = message.request.deadline_ms - message.age_ms
-    waits = refusal.code is ErrorCode.OWNER_UNREACHABLE and left_ms > RESUBMIT_MS
+    waits = refusal.code in WAITING_CODES and left_ms > RESUBMIT_MS
     if not waits or message.forwarded or call.reply.done():
         _answer_refusal(state, call, message, refusal)
         return
-    arrived_ms = now_ms() - message.age_ms
+    _submit_later(state, call, message, refusal)
+
 
+def _submit_later(
+    state: DispatcherState, call: Call, message: SubmitRequest, refusal: Refusal
+) -> None:
+    """Submits a request again after a pause, or refuses it if that fails."""
+    arrived_ms = now_ms() - message.age_ms
     state.waiting_calls += 1
 
     def submit_again() -> None:
         state.waiting_calls -= 1
-        again = replace(message, age_ms=now_ms() - arrived_ms)
+        again = replace(message, age_ms=now_ms() - arrived_ms, resubmitted=True)
         sent = state.outboxes.inbox.send(Call(again, call.reply))
         if isinstance(sent, Err):
             call.answer(refusal)
@@ -351,27 +414,16 @@
 def _ask_peer(
     state: DispatcherState,
     order: PeerCall,
-    answer: Callable[[AnswerBody | Refusal], None],
-    refuse: Callable[[PortErrorKind], Refusal],
+    answer: Callable[[Result[AnswerBody, PeerRefusal]], None],
 ) -> None:
-    """Answers with what a peer answers, or with `refuse(kind)`."""
+    """Passes on what a peer answers, or why there was no answer."""
     reply = asyncio.get_running_loop().create_future()
-
     state.waiting_calls += 1
 
     def finish(done: asyncio.Future) -> None:
         state.waiting_calls -= 1
-        if done.cancelled():
-            return
-        result = done.result()
-        if isinstance(result, Err):
-            answer(refuse(result.err_value.kind))
-            return
-        found = result.ok_value
-        outcome = None
-        if isinstance(found, ForwardedAnswer):
-            outcome = found.answer or found.refusal
-        answer(outcome or refuse(PortErrorKind.MALFORMED))
+        if not done.cancelled():
+            answer(_peer_answer(done.result()))
 
     reply.add_done_callback(finish)
     if isinstance(state.outboxes.peers.send(Call(order, reply)), Err):
@@ -379,6 +431,19 @@
         reply.set_result(Err(error))
 
 
+def _peer_answer(
+    result: Result[object, PortError],
+) -> Result[AnswerBody, PeerRefusal]:
+    if isinstance(result, Err):
+        return Err(result.err_value.kind)
+    found = result.ok_value
+    if isinstance(found, ForwardedAnswer) and found.answer is not None:
+        return Ok(found.answer)
+    if isinstance(found, ForwardedAnswer) and found.refusal is not None:
+        return Err(found.refusal)
+    return Err(PortErrorKind.MALFORMED)
+
+
 def forwarded(state: DispatcherState, call: Call, message: ForwardedRequest) -> None:
     """Takes a request that a peer passed on."""
     submit(
@@ -465,16 +530,25 @@
         timeout_ms=FETCH_TIMEOUT_MS + wait_ms,
     )
 
-    def refuse(kind: PortErrorKind) -> Refusal:
-        return Refusal(
-            code=ErrorCode.OWNER_UNREACHABLE,
-            message=f'entry host {owner!r}, which owns the request id, gave no answer',
-            run_state=RunState.UNKNOWN,
-            retry_after_ms=RETRY_AFTER_MS,
-            request_id=message.request_id,
-        )
+    def answer(result: Result[AnswerBody, PeerRefusal]) -> None:
+        if isinstance(result, Ok):
+            call.answer(result.ok_value)
+        elif isinstance(result.err_value, Refusal):
+            call.answer(result.err_value)
+        else:
+            call.answer(_no_answer(message.request_id, owner))
+
+    _ask_peer(state, order, answer)
 
-    _ask_peer(state, order, call.answer, refuse)
+
+def _no_answer(request_id: str, owner: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.OWNER_UNREACHABLE,
+        message=f'entry host {owner!r}, which owns the request id, gave no answer',
+        run_state=RunState.UNKNOWN,
+        retry_after_ms=RETRY_AFTER_MS,
+        request_id=request_id,
+    )
 
 
 def _not_found(request_id: str) -> Refusal:
--- a/dandelionknot/_mailbox.py
+++ b/dandelionknot/_mailbox.py
@@ -61,6 +61,10 @@
         """Waits for the next message."""
         return await self._queue.get()
 
+    def take_all(self) -> list[M]:
+        """Takes the messages that wait, without waiting for more."""
+        return [self._queue.get_nowait() for _ in range(len(self))]
+
     def __len__(self) -> int:
         """Returns the number of messages that wait."""
         return self._queue.qsize()
--- a/dandelionknot/_peers.py
+++ b/dandelionknot/_peers.py
@@ -42,6 +42,7 @@
 LINK_MAILBOX_CAPACITY = 1000
 RECONNECT_MS = 200
 HELLO_TIMEOUT_MS = 2000
+MAX_UNHEARD_PINGS = 2
 
 CLASS_BY_KIND: dict[str, type] = {
     PeerMessageKind.HELLO: Hello,
@@ -183,7 +184,7 @@
     pending_by_call: dict[int, Call] = field(default_factory=dict)
     pings_by_call: dict[int, int] = field(default_factory=dict)
     next_call_id: int = 1
-    last_heard_ms: int = 0
+    unheard_pings: int = 0
 
 
 def _not_reached(member_id: str, kind: PortErrorKind) -> Err[PortError]:
@@ -207,10 +208,14 @@
 async def _send_pings(
     connection: ClientConnection, link: _Link, ping_ms: Callable[[], PingPlan]
 ) -> None:
-    """Pings at the interval and ends the link when the peer falls silent."""
+    """Pings at the interval and ends the link when the peer falls silent.
+
+    Silence is counted in pings, not in time, so that a link outlives a pause
+    of this process.
+    """
+    link.unheard_pings = 0
     while True:
         plan = ping_ms()
-        interval_ms = plan.interval_ms
         call_id = link.next_call_id
         link.next_call_id += 1
         link.pings_by_call[call_id] = now_ms()
@@ -219,8 +224,11 @@
                 Ping(configuration_version=plan.configuration_version), call_id
             )
         )
-        await asyncio.sleep(seconds(interval_ms))
-        if now_ms() - link.last_heard_ms > 2 * interval_ms:
+        link.unheard_pings += 1
+        await asyncio.sleep(seconds(plan.interval_ms))
+        if link.unheard_pings >= MAX_UNHEARD_PINGS:
+            # A closing handshake would wait for the silent peer.
+            connection.transport.abort()
             raise TimeoutError(f'peer {link.member_id} is silent')
 
 
@@ -228,7 +236,7 @@
     connection: ClientConnection, link: _Link, dispatcher: Mailbox, count: Count
 ) -> None:
     async for data in connection:
-        link.last_heard_ms = now_ms()
+        link.unheard_pings = 0
         decoded = decode_message(data)
         if isinstance(decoded, Err):
             count('peer_messages_malformed')
@@ -270,7 +278,6 @@
             log_event(Event.PEER_REFUSED, address=link.address)
             return
         log_event(Event.PEER_CONNECTED, member_id=link.member_id)
-        link.last_heard_ms = now_ms()
         async with asyncio.TaskGroup() as group:
             group.create_task(_receive_then_end(connection, link, dispatcher, count))
             group.create_task(_send_calls(connection, link))
@@ -297,13 +304,21 @@
             await _run_connection(link, identity, dispatcher, ping_ms, count)
         except* LINK_ERRORS:
             log_event(Event.PEER_DISCONNECTED, member_id=link.member_id)
-        for call in link.pending_by_call.values():
-            call.answer(_not_reached(link.member_id, PortErrorKind.NO_ANSWER))
-        link.pending_by_call.clear()
-        link.pings_by_call.clear()
+        finally:
+            _fail_calls(link)
         await asyncio.sleep(seconds(RECONNECT_MS))
 
 
+def _fail_calls(link: _Link) -> None:
+    """Answers the calls of a lost link, so that their senders ask elsewhere."""
+    for call in link.pending_by_call.values():
+        call.answer(_not_reached(link.member_id, PortErrorKind.NO_ANSWER))
+    link.pending_by_call.clear()
+    link.pings_by_call.clear()
+    for call in link.mailbox.take_all():
+        call.answer(_not_reached(link.member_id, PortErrorKind.NOT_SENT))
+
+
 async def _time_out(call: Call, member_id: str, timeout_ms: int) -> None:
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(asyncio.shield(call.reply), seconds(timeout_ms))
