Split the ends of attempts from their starts

The rule for which requests have an owner stood twice.

Change: _ends (answers, refusals, retries), _queues (queues, retry budgets, running counts), _forwarding (calls to the owner of an id) and _fetches (fetch and cancel) are modules of their own; the calls go one way only. needs_owner stands once, with the requests.

--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -4,6 +4,14 @@
 from collections.abc import Callable
 
 from dandelionknot import decisions
+from dandelionknot._ends import answer_refused, expire_queued, retry_waiting
+from dandelionknot._fetches import (
+    caller_gone,
+    cancel,
+    cancel_for_peer,
+    fetch,
+    fetch_for_peer,
+)
 from dandelionknot._fleet_view import (
     answer_acceptance,
     answer_ping,
@@ -21,15 +29,7 @@
     update_membership,
 )
 from dandelionknot._grants import grant_read, grant_written, update_grants
-from dandelionknot._intake import (
-    caller_gone,
-    cancel,
-    cancel_for_peer,
-    fetch,
-    fetch_for_peer,
-    forwarded,
-    submit,
-)
+from dandelionknot._intake import forwarded, submit
 from dandelionknot._mailbox import Call, Mailbox
 from dandelionknot._ownership import (
     claim_read,
@@ -46,11 +46,8 @@
 )
 from dandelionknot._requests import forget_old, unfinished_count
 from dandelionknot._starts import (
-    answer_refused,
     attempt_ended,
     check_start,
-    expire_queued,
-    retry_waiting,
     start_claimed,
     start_queued,
 )
--- /dev/null
+++ b/dandelionknot/_fetches.py
@@ -0,0 +1,171 @@
+"""Answers that are fetched again, and requests that are cancelled."""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from dandelionknot import codec, decisions
+from dandelionknot._ends import end_not_run
+from dandelionknot._forwarding import PeerRefusal, ask_peer, for_peer
+from dandelionknot._mailbox import Call
+from dandelionknot._ownership import owner_of
+from dandelionknot._queues import remove_queued
+from dandelionknot._requests import (
+    END_PHASES,
+    RequestEntry,
+    current_answer,
+)
+from dandelionknot._starts import stop_running
+from dandelionknot._state import DispatcherState
+from dandelionknot.messages import (
+    AnswerBody,
+    CallerGone,
+    CancelRequest,
+    ErrorCode,
+    FetchAnswer,
+    PeerCall,
+    PeerCancel,
+    PeerFetch,
+    PeerMessageKind,
+    Refusal,
+    RequestMode,
+    RequestPhase,
+    RunState,
+)
+
+FETCH_TIMEOUT_MS = 2000
+RETRY_AFTER_MS = 1000
+
+
+def fetch(state: DispatcherState, call: Call, message: FetchAnswer) -> None:
+    """Answers with the state of a request, waiting for its end if asked to."""
+    entry = state.requests.by_id.get(message.request_id)
+    if entry is None:
+        _fetch_from_owner(state, call, message, PeerMessageKind.FETCH_ANSWER)
+        return
+    if not _may_see(state, call, entry, message.presented_key):
+        return
+    if entry.outcome is None and message.wait_ms > 0:
+        entry.waiters.append(call)
+        asyncio.get_running_loop().call_later(
+            message.wait_ms / 1000, lambda: call.answer(current_answer(entry))
+        )
+        return
+    call.answer(current_answer(entry))
+
+
+def fetch_for_peer(state: DispatcherState, call: Call, received: PeerFetch) -> None:
+    """Answers a peer that asks for the answer to a request of this owner."""
+    message = received.fetch
+    peer_call = for_peer(call)
+    if message.request_id in state.requests.by_id:
+        fetch(state, peer_call, message)
+    else:
+        peer_call.answer(_not_found(message.request_id))
+
+
+def cancel_for_peer(state: DispatcherState, call: Call, received: PeerCancel) -> None:
+    """Cancels a request for a peer."""
+    message = received.cancel
+    peer_call = for_peer(call)
+    if message.request_id in state.requests.by_id:
+        cancel(state, peer_call, message)
+    else:
+        peer_call.answer(_not_found(message.request_id))
+
+
+def _fetch_from_owner(
+    state: DispatcherState,
+    call: Call,
+    message: FetchAnswer | CancelRequest,
+    kind: PeerMessageKind,
+) -> None:
+    owner = owner_of(state, message.request_id)
+    if owner is None or owner == state.member_id:
+        call.answer(_not_found(message.request_id))
+        return
+    wait_ms = message.wait_ms if isinstance(message, FetchAnswer) else 0
+    order = PeerCall(
+        member_id=owner,
+        kind=kind,
+        body=codec.to_data(message),
+        timeout_ms=FETCH_TIMEOUT_MS + wait_ms,
+    )
+
+    def answer(result: Result[AnswerBody, PeerRefusal]) -> None:
+        if isinstance(result, Ok):
+            call.answer(result.ok_value)
+        elif isinstance(result.err_value, Refusal):
+            call.answer(result.err_value)
+        else:
+            call.answer(_no_answer(message.request_id, owner))
+
+    ask_peer(state, order, answer)
+
+
+def _no_answer(request_id: str, owner: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.OWNER_UNREACHABLE,
+        message=f'entry host {owner!r}, which owns the request id, gave no answer',
+        run_state=RunState.UNKNOWN,
+        retry_after_ms=RETRY_AFTER_MS,
+        request_id=request_id,
+    )
+
+
+def _not_found(request_id: str) -> Refusal:
+    return Refusal(
+        code=ErrorCode.REQUEST_NOT_FOUND,
+        message='the owner of the request id does not know the request',
+        run_state=RunState.UNKNOWN,
+        request_id=request_id,
+    )
+
+
+def _may_see(
+    state: DispatcherState, call: Call, entry: RequestEntry, presented_key: str | None
+) -> bool:
+    """Answers with an error unless the caller belongs to the request's team."""
+    caller = decisions.keys.authenticate(
+        state.configuration, entry.body.service, presented_key
+    )
+    if isinstance(caller, Err):
+        call.answer(caller.err_value)
+        return False
+    if caller.ok_value.team_id != entry.team_id:
+        call.answer(_not_found(entry.request_id))
+        return False
+    return True
+
+
+def cancel(state: DispatcherState, call: Call, message: CancelRequest) -> None:
+    """Cancels a request: queued ones end, running ones are stopped."""
+    entry = state.requests.by_id.get(message.request_id)
+    if entry is None:
+        _fetch_from_owner(state, call, message, PeerMessageKind.CANCEL_REQUEST)
+        return
+    if not _may_see(state, call, entry, message.presented_key):
+        return
+    if entry.phase in END_PHASES:
+        call.answer(current_answer(entry))
+        return
+    entry.cancel_requested = True
+    entry.waiters.append(call)
+    if entry.phase is RequestPhase.QUEUED:
+        _cancel_queued(state, entry)
+    else:
+        stop_running(state, entry)
+
+
+def _cancel_queued(state: DispatcherState, entry: RequestEntry) -> None:
+    remove_queued(state, entry)
+    end_not_run(state, entry, ErrorCode.CANCELLED, 'the request was cancelled')
+
+
+def caller_gone(state: DispatcherState, message: CallerGone) -> None:
+    """Drops a queued request for whose answer nobody waits any more."""
+    entry = state.requests.by_id.get(message.request_id)
+    if entry is None or entry.phase is not RequestPhase.QUEUED:
+        return
+    if entry.body.mode is RequestMode.WAIT and len(entry.waiters) <= 1:
+        _cancel_queued(state, entry)
--- /dev/null
+++ b/dandelionknot/_queues.py
@@ -0,0 +1,76 @@
+"""Queues of the services, their retry budgets and the running counts."""
+
+from result import Result
+
+from dandelionknot import decisions
+from dandelionknot._requests import (
+    RequestEntry,
+)
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms
+from dandelionknot.messages import (
+    Refusal,
+    RequestPhase,
+)
+from dandelionknot.metrics import HistogramKey, Measure
+
+
+def enqueue(state: DispatcherState, entry: RequestEntry) -> Result[None, Refusal]:
+    """Puts a request into its service's queue, or refuses it if that is full."""
+    service_id = entry.body.service
+    queues = state.queues_by_service.get(service_id)
+    if queues is None:
+        service = state.configuration.services_by_id[service_id]
+        queues = decisions.queueing.TeamQueues(capacity=service.queue_limit)
+        state.queues_by_service[service_id] = queues
+    return decisions.queueing.offer(
+        queues,
+        decisions.queueing.QueuedRequest(
+            request_id=entry.request_id,
+            team_id=entry.accounting_team,
+            priority=entry.body.priority,
+            arrival_ms=entry.arrived_ms,
+            deadline_ms=entry.deadline_at_ms,
+        ),
+    )
+
+
+def remove_queued(state: DispatcherState, entry: RequestEntry) -> None:
+    """Takes a request out of its queue."""
+    queues = state.queues_by_service.get(entry.body.service)
+    if queues is not None:
+        decisions.queueing.cancel(queues, entry.request_id)
+
+
+def retry_budget(
+    state: DispatcherState, service_id: str
+) -> decisions.retries.RetryBudget:
+    """Returns the retry budget of a service."""
+    budget = state.budgets_by_service.get(service_id)
+    if budget is None:
+        budget = decisions.retries.RetryBudget.with_fraction()
+        state.budgets_by_service[service_id] = budget
+    return budget
+
+
+def queue_later(state: DispatcherState, entry: RequestEntry, delay_ms: int) -> bool:
+    entry.phase = RequestPhase.QUEUED
+    state.waiting_to_retry[entry.request_id] = now_ms() + delay_ms
+    return True
+
+
+def observe(
+    state: DispatcherState, entry: RequestEntry, measure: Measure, now: int
+) -> None:
+    key = HistogramKey(measure, entry.accounting_team, entry.body.priority)
+    state.context.metrics.observe(key, now - entry.arrived_ms)
+
+
+def uncount_start(state: DispatcherState, entry: RequestEntry) -> None:
+    if not entry.holds_grant:
+        return
+    entry.holds_grant = False
+    if entry.team_id is None:
+        state.open_running -= 1
+    else:
+        decisions.limits.finished(state.grants, entry.team_id)
--- a/dandelionknot/_requests.py
+++ b/dandelionknot/_requests.py
@@ -10,6 +10,7 @@
     ErrorCode,
     Refusal,
     RequestBody,
+    RequestMode,
     RequestPhase,
     RunState,
 )
@@ -84,6 +85,11 @@
     ended_by_id: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
 
+def needs_owner(request: RequestBody) -> bool:
+    """Tells whether a request is handled by the owner of its id alone."""
+    return not request.idempotent or request.mode is RequestMode.ASYNC
+
+
 def current_answer(entry: RequestEntry) -> AnswerBody | Refusal:
     """Returns the outcome, or the phase while there is none."""
     if entry.outcome is not None:
