--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -23,7 +23,7 @@
     """One entry host as the oracle sees it."""
 
     def __init__(self, index, run, limits):
-        self.holder = _limits.holder_id(f'entry-{index}', str(run))
+        self.holder = f'entry-{index}.{run}'
         self.local = _limits.LocalGrants()
         self.alive = True
         self.cut_off = False
@@ -445,12 +445,14 @@
         ]
         for name, wanted, requests, now_ms, expected in cases:
             with self.subTest(name):
+                local = _limits.LocalGrants()
+                _limits.set_limit(local, 'a', TEAM, 40, 1)
                 shown = record({'a': 20, 'b': 20}, requests)
-                arguments = (shown, 'a', 0, wanted, 40, now_ms, 0)
-                planned = _limits.plan_transfer(
-                    *arguments, limit_version=1, live_members=['a', 'b']
-                )
-                self.assertEqual(planned and planned.requests_by_member, expected)
+                _limits.observe_record(local, 'a', shown, 1, 0)
+                _limits.set_wanted(local, TEAM, wanted)
+                local.teams_by_id[TEAM].last_transfer_ms = 0
+                write = _limits.next_write(local, 'a', TEAM, now_ms, ['a', 'b'])
+                self.assertEqual(write and write.record.requests_by_member, expected)
 
     def test_refusal_is_typed(self):
         """Guards against a refusal that leaves open whether the task ran."""
