Split availability budgets into count, waves and stops

Change: _availability.py counts, _waves.py forms waves, _budgets.py decides about single stops and exports the same public names. A rack is named by the class _RackId, a wave in progress by _FormingWave.

Without the limit of max_stopped, and with a rack used twice in a wave, tests of test_budgets fail.

Ruled out: one class for configuration and health, which would have changed every caller for two parameters.

--- a/dandelionknot/_ejection.py
+++ b/dandelionknot/_ejection.py
@@ -171,7 +171,7 @@
 ) -> bool:
     """Tells whether a host fails far more than its pool and may be taken out.
 
-    `unavailable_count` is that of `_budgets`, for whatever reason hosts are
+    `unavailable_count` is that of `_availability`, for whatever reason hosts are
     unavailable.
     """
     if unavailable_count + 1 > max_unavailable:
