Split routing into the table and the choice

Change: _routing_table.py builds the table and keeps its free lists; _routing.py chooses, takes reports and explains, and exports the same public names. What a choice asks for is the class _Demand, the groups it may draw from are _Candidates.

With hosts of other zones preferred, and with excluded hosts not hidden, test_routing fails.

Ruled out: a new signature of choose, since modules under change call it.

--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -1,62 +1,82 @@
 """Choice of a worker host for a task.
 
-A `RoutingTable` is built once for each configuration version and keeps, per
-pool, availability zone and host size, the list of hosts with a free slot. A
-host enters or leaves its list in constant time when its load or its health
-changes, so a choice never looks at a host that it must not use, and its cost
-grows with the number of zones and host sizes but not with that of hosts.
+A choice looks at the free lists of the `RoutingTable` only, never at a host
+that it must not use, so its cost grows with the number of zones and host sizes
+but not with that of hosts.
 """
 
-from collections import deque
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from dandelionknot._budgets import (
-    FleetHealth,
-    UnavailableReason,
-    unavailable_reason,
+from dandelionknot._availability import UnavailableReason
+from dandelionknot._routing_table import (
+    HEALTHY,
+    MAX_SLOTS,
+    HostChoice,
+    HostGroup,
+    HostLoad,
+    PoolRoutes,
+    RoutingTable,
+    TaskSize,
+    insert,
+    place,
+    remove,
 )
-from dandelionknot._zones import ZoneRamp, zone_fraction
-from dandelionknot.configuration import Configuration, Host, ZoneState
+from dandelionknot._zones import zone_fraction
 from dandelionknot.messages import ErrorCode, Refusal, RunState, UsageReport
 
+__all__ = [
+    'BUSY_HOLD_MS',
+    'HEALTHY',
+    'MAX_SLOTS',
+    'RANDOM_NUMBERS_PER_CHOICE',
+    'SMALLEST_TASK',
+    'HostChoice',
+    'HostGroup',
+    'HostLoad',
+    'HostView',
+    'PoolRoutes',
+    'RoutingTable',
+    'TaskSize',
+    'choose',
+    'host_busy',
+    'host_finished',
+    'host_started',
+    'host_views',
+    'own_running',
+    'release_busy_hosts',
+    'set_excluded',
+    'set_usage',
+]
+
 RANDOM_NUMBERS_PER_CHOICE = 3
 
 # A busy answer outweighs the last usage report for this long. It is about the
 # interval between usage reports; the next one shows the actual load.
 BUSY_HOLD_MS = 1000
 
-
-# Upper bound of `Host.slots` in the schema; stands for "not reported yet".
-MAX_SLOTS = 1024
-
-
-@dataclass(frozen=True, slots=True)
-class TaskSize:
-    """Processor cores and memory that a task declares."""
-
-    cores: int = 1
-    memory_mb: int = 1
+SMALLEST_TASK = TaskSize()
 
 
-SMALLEST_TASK = TaskSize()
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Demand:
+    """What one choice asks for, and the numbers that it draws."""
 
-# Health comes through `set_excluded`, so only the configuration counts when a
-# table is built.
-HEALTHY = FleetHealth()
+    size: TaskSize
+    own_zone_only: bool
+    random_numbers: Sequence[float]
+    now_ms: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HostChoice:
-    """The host to which a task is sent, with what its start message names."""
+@dataclass(slots=True)
+class _Candidates:
+    """Groups with a free host that fits, each with the weight of its zone."""
 
-    host_id: str
-    address: str
-    availability_zone: str
-    pool: str
-    pool_epoch: int
+    own: list[tuple[HostGroup, float]] = field(default_factory=list)
+    others: list[tuple[HostGroup, float]] = field(default_factory=list)
+    own_fraction: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,93 +95,6 @@
     may_be_chosen: bool
 
 
-@dataclass(slots=True, eq=False)
-class HostGroup:
-    """Hosts of one pool, zone and size that have a free slot, in any order."""
-
-    size: TaskSize
-    free: list['HostLoad'] = field(default_factory=list)
-
-
-@dataclass(slots=True, eq=False, kw_only=True)
-class HostLoad:
-    """Load of one host as known here; `position` is -1 outside its free list."""
-
-    choice: HostChoice
-    group: HostGroup
-    slots: int
-    configured_slots: int
-    reported_slots: int
-    configured_reason: UnavailableReason | None
-    own_running: int = 0
-    other_running: int = 0
-    busy_until_ms: int | None = None
-    exclusions: set[UnavailableReason] = field(default_factory=set)
-    position: int = -1
-
-
-@dataclass(slots=True, eq=False, kw_only=True)
-class PoolRoutes:
-    """Free hosts of one pool by zone, and the sizes of all of its hosts."""
-
-    pool: str
-    groups_by_zone: dict[str, dict[TaskSize, HostGroup]] = field(default_factory=dict)
-    sizes: set[TaskSize] = field(default_factory=set)
-    zones_in_service: set[str] = field(default_factory=set)
-
-
-@dataclass(slots=True, eq=False, kw_only=True)
-class RoutingTable:
-    """Routes of one configuration version, as seen from one zone.
-
-    `busy_hosts` has the ends of busy answers in the order of time.
-    """
-
-    version: int
-    own_zone_id: str
-    ramp_ms: int
-    zone_ramp: ZoneRamp
-    routes_by_service: dict[str, PoolRoutes]
-    hosts_by_id: dict[str, HostLoad]
-    busy_hosts: deque[tuple[int, str]]
-
-    @classmethod
-    def from_configuration(
-        cls,
-        configuration: Configuration,
-        own_zone_id: str,
-        previous: 'RoutingTable | None' = None,
-        zone_ramp: ZoneRamp | None = None,
-    ) -> 'RoutingTable':
-        """Builds the table; loads and exclusions continue from `previous`."""
-        routes_by_pool = {
-            pool: PoolRoutes(pool=pool) for pool in configuration.pools_by_id
-        }
-        table = cls(
-            version=configuration.version,
-            own_zone_id=own_zone_id,
-            ramp_ms=configuration.bounds.ramp_ms,
-            zone_ramp=zone_ramp or ZoneRamp(),
-            routes_by_service={
-                service_id: routes_by_pool.setdefault(
-                    service.pool, PoolRoutes(pool=service.pool)
-                )
-                for service_id, service in configuration.services_by_id.items()
-            },
-            hosts_by_id={},
-            busy_hosts=deque(previous.busy_hosts if previous else ()),
-        )
-        known = previous.hosts_by_id if previous else {}
-        for host_id, host in configuration.hosts_by_id.items():
-            routes = routes_by_pool.setdefault(host.pool, PoolRoutes(pool=host.pool))
-            load = _new_load(configuration, host_id, host, routes)
-            if host_id in known:
-                _copy_load(known[host_id], load)
-            table.hosts_by_id[host_id] = load
-            _place(load)
-        return table
-
-
 def choose(
     table: RoutingTable,
     service_id: str,
@@ -188,20 +121,18 @@
         return Err(_refusal(ErrorCode.SERVICE_NOT_FOUND, message))
     if not any(_fits(size, host_size) for host_size in routes.sizes):
         return Err(_cannot_fit(routes, size))
-    # Sorted, so that the order of the free lists and with it later choices do
-    # not depend on the hash seed of the process.
-    hidden = [
-        load
-        for host_id in sorted(set(excluded))
-        if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
-    ]
-    for load in hidden:
-        _remove(load)
-    chosen = _choose_free(table, routes, random_numbers, now_ms, size, own_zone_only)
+    demand = _Demand(
+        size=size,
+        own_zone_only=own_zone_only,
+        random_numbers=random_numbers,
+        now_ms=now_ms,
+    )
+    hidden = _hide(table, excluded)
+    chosen = _choose_free(table, routes, demand)
     for load in hidden:
-        _insert(load)
+        insert(load)
     if chosen is None:
-        return Err(_no_host(table, routes, now_ms, own_zone_only))
+        return Err(_no_host(table, routes, demand))
     return Ok(chosen.choice)
 
 
@@ -210,7 +141,7 @@
     load = table.hosts_by_id.get(host_id)
     if load is not None:
         load.own_running += 1
-        _place(load)
+        place(load)
 
 
 def host_finished(table: RoutingTable, host_id: str) -> None:
@@ -218,7 +149,7 @@
     load = table.hosts_by_id.get(host_id)
     if load is not None:
         load.own_running = max(0, load.own_running - 1)
-        _place(load)
+        place(load)
 
 
 def host_busy(table: RoutingTable, host_id: str, now_ms: int) -> None:
@@ -227,7 +158,7 @@
     if load is not None:
         load.busy_until_ms = now_ms + BUSY_HOLD_MS
         table.busy_hosts.append((load.busy_until_ms, host_id))
-        _place(load)
+        place(load)
 
 
 def own_running(table: RoutingTable, host_id: str) -> int:
@@ -270,7 +201,7 @@
         load.exclusions.add(reason)
     else:
         load.exclusions.discard(reason)
-    _place(load)
+    place(load)
 
 
 def release_busy_hosts(table: RoutingTable, now_ms: int) -> None:
@@ -282,7 +213,7 @@
             continue
         if load.busy_until_ms <= now_ms:
             load.busy_until_ms = None
-            _place(load)
+            place(load)
 
 
 def host_views(
@@ -319,96 +250,53 @@
     )
 
 
-def _new_load(
-    configuration: Configuration, host_id: str, host: Host, routes: PoolRoutes
-) -> HostLoad:
-    zone_id = host.availability_zone
-    size = TaskSize(host.cores, host.memory_mb)
-    routes.sizes.add(size)
-    zone = configuration.availability_zones_by_id.get(zone_id)
-    if zone is not None and zone.state is ZoneState.IN_SERVICE:
-        routes.zones_in_service.add(zone_id)
-    groups = routes.groups_by_zone.setdefault(zone_id, {})
-    return HostLoad(
-        choice=HostChoice(
-            host_id=host_id,
-            address=host.address,
-            availability_zone=zone_id,
-            pool=host.pool,
-            pool_epoch=host.pool_epoch,
-        ),
-        group=groups.setdefault(size, HostGroup(size)),
-        slots=host.slots,
-        configured_slots=host.slots,
-        reported_slots=MAX_SLOTS,
-        configured_reason=unavailable_reason(configuration, HEALTHY, host_id, host),
-    )
-
-
-def _copy_load(source: HostLoad, target: HostLoad) -> None:
-    target.own_running = source.own_running
-    target.other_running = source.other_running
-    target.busy_until_ms = source.busy_until_ms
-    target.exclusions = source.exclusions
-    target.reported_slots = source.reported_slots
-    target.slots = min(target.configured_slots, target.reported_slots)
-
-
-def _place(load: HostLoad) -> None:
-    """Puts a host into its free list or takes it out, as its state demands."""
-    is_free = (
-        load.configured_reason is None
-        and not load.exclusions
-        and load.busy_until_ms is None
-        and load.own_running + load.other_running < load.slots
-    )
-    if is_free and load.position < 0:
-        _insert(load)
-    elif not is_free and load.position >= 0:
-        _remove(load)
-
-
-def _insert(load: HostLoad) -> None:
-    load.position = len(load.group.free)
-    load.group.free.append(load)
-
+def _fits(size: TaskSize, host_size: TaskSize) -> bool:
+    return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
 
-def _remove(load: HostLoad) -> None:
-    last = load.group.free.pop()
-    if last is not load:
-        load.group.free[load.position] = last
-        last.position = load.position
-    load.position = -1
 
+def _hide(table: RoutingTable, excluded: Collection[str]) -> list[HostLoad]:
+    """Takes hosts out of their free lists for one choice and returns them.
 
-def _fits(size: TaskSize, host_size: TaskSize) -> bool:
-    return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
+    They are sorted, so that the order of the free lists and with it later
+    choices do not depend on the hash seed of the process.
+    """
+    hidden = [
+        load
+        for host_id in sorted(set(excluded))
+        if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
+    ]
+    for load in hidden:
+        remove(load)
+    return hidden
 
 
 def _choose_free(
-    table: RoutingTable,
-    routes: PoolRoutes,
-    random_numbers: Sequence[float],
-    now_ms: int,
-    size: TaskSize,
-    own_zone_only: bool,
+    table: RoutingTable, routes: PoolRoutes, demand: _Demand
 ) -> HostLoad | None:
-    own: list[tuple[HostGroup, float]] = []
-    others: list[tuple[HostGroup, float]] = []
-    own_fraction = 1.0
+    found = _candidates(table, routes, demand)
+    own_suffices = not found.others or demand.random_numbers[0] < found.own_fraction
+    groups = found.own if found.own and own_suffices else found.others
+    return _less_loaded(groups, demand.random_numbers)
+
+
+def _candidates(
+    table: RoutingTable, routes: PoolRoutes, demand: _Demand
+) -> _Candidates:
+    found = _Candidates()
     for zone_id, groups in routes.groups_by_zone.items():
         is_own = zone_id == table.own_zone_id
-        if own_zone_only and not is_own:
+        if demand.own_zone_only and not is_own:
             continue
-        free = list(_free_groups(groups, size))
+        free = list(_free_groups(groups, demand.size))
         if not free:
             continue
-        fraction = zone_fraction(table.zone_ramp, zone_id, table.ramp_ms, now_ms)
+        ramp_ms, now_ms = table.ramp_ms, demand.now_ms
+        fraction = zone_fraction(table.zone_ramp, zone_id, ramp_ms, now_ms)
         if is_own:
-            own_fraction = fraction
-        (own if is_own else others).extend((group, fraction) for group in free)
-    use_own = own and (not others or random_numbers[0] < own_fraction)
-    return _less_loaded(own if use_own else others, random_numbers)
+            found.own_fraction = fraction
+        weighted = found.own if is_own else found.others
+        weighted.extend((group, fraction) for group in free)
+    return found
 
 
 def _free_groups(
@@ -463,22 +351,26 @@
     return drawn
 
 
-def _no_host(
-    table: RoutingTable, routes: PoolRoutes, now_ms: int, own_zone_only: bool
-) -> Refusal:
+def _no_host(table: RoutingTable, routes: PoolRoutes, demand: _Demand) -> Refusal:
     zones = set(routes.groups_by_zone)
-    if own_zone_only:
+    if demand.own_zone_only:
         zones &= {table.own_zone_id}
     if zones and not zones & routes.zones_in_service:
-        names = ', '.join(sorted(zones))
-        message = f'pool {routes.pool!r} has hosts only in zones that are out: {names}'
-        return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
-    where = f' in availability zone {table.own_zone_id!r}' if own_zone_only else ''
+        return _zones_out(routes, zones)
+    where = ''
+    if demand.own_zone_only:
+        where = f' in availability zone {table.own_zone_id!r}'
     message = f'no host of pool {routes.pool!r}{where} has a free slot for this task'
-    wait_ms = table.busy_hosts[0][0] - now_ms if table.busy_hosts else None
+    wait_ms = table.busy_hosts[0][0] - demand.now_ms if table.busy_hosts else None
     return _refusal(ErrorCode.NO_HOST_AVAILABLE, message, wait_ms)
 
 
+def _zones_out(routes: PoolRoutes, zones: set[str]) -> Refusal:
+    names = ', '.join(sorted(zones))
+    message = f'pool {routes.pool!r} has hosts only in zones that are out: {names}'
+    return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
+
+
 def _cannot_fit(routes: PoolRoutes, size: TaskSize) -> Refusal:
     if not routes.sizes:
         message = f'pool {routes.pool!r} has no hosts'
