Keep the record of a cut-off member while it serves open queues

Cause: nothing called may_delete_record.

Change: the steward asks may_delete_record. A member that operators declared gone, or that confirmed its exclusion, is deleted after the proof as before. _clear_excluded is three functions with one job each, and the confirmations of a version are looked up in one place (confirmations_of). What travelled together through acceptance, may_delete_record and _has_stopped is the class Observation.

The tests of acceptance and freshness pass the same values as before, as an Observation.

--- a/dandelionknot/_acceptance.py
+++ b/dandelionknot/_acceptance.py
@@ -24,6 +24,22 @@
     names: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Observation:
+    """What one entry host knows of the members with regard to a version.
+
+    `members_by_id` holds every recorded member, from one read. `bounds` are those
+    of the version; a member that keeps older, longer ones names them in its
+    record. `first_seen_confirmed_ms_by_member` comes from `observe_confirmations`.
+    """
+
+    version: int
+    members_by_id: Mapping[str, Member]
+    first_seen_confirmed_ms_by_member: Mapping[str, int]
+    bounds: FleetBounds
+    now_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordNeeded:
     """Why a membership record may not be deleted yet."""
@@ -51,37 +67,23 @@
 
 
 def acceptance(
-    version: int,
-    members_by_id: Mapping[str, Member],
-    first_seen_confirmed_ms_by_member: Mapping[str, int],
-    bounds: FleetBounds,
-    now_ms: int,
-    affected_zones: frozenset[str] | None = None,
+    observed: Observation, affected_zones: frozenset[str] | None = None
 ) -> Accepted | Pending:
     """Decides whether a version is in force everywhere.
 
-    `members_by_id` holds every recorded member, from one read. `bounds` are those
-    of the version; a member that keeps older, longer ones names them in its
-    record. A silent member of an affected zone may serve its open queues until
-    the isolation bound; null means that every zone is affected (see
+    A silent member of an affected zone may serve its open queues until the
+    isolation bound; null means that every zone is affected (see
     `affected_open_queue_zones`).
     """
     names = sorted(
         member.member_id
-        for member in members_by_id.values()
-        if member.confirmed_version < version
-        and not _has_stopped(
-            member,
-            version,
-            members_by_id,
-            first_seen_confirmed_ms_by_member,
-            stop_wait_ms(member, bounds, affected_zones),
-            now_ms,
-        )
+        for member in observed.members_by_id.values()
+        if member.confirmed_version < observed.version
+        and not _has_stopped(observed, member, affected_zones)
     )
-    if names or not members_by_id:
-        return Pending(version=version, names=tuple(names))
-    return Accepted(version=version)
+    if names or not observed.members_by_id:
+        return Pending(version=observed.version, names=tuple(names))
+    return Accepted(version=observed.version)
 
 
 def stop_wait_ms(
@@ -100,14 +102,7 @@
 
 
 def may_delete_record(
-    member_id: str,
-    version: int,
-    members_by_id: Mapping[str, Member],
-    first_seen_confirmed_ms_by_member: Mapping[str, int],
-    bounds: FleetBounds,
-    now_ms: int,
-    holds_grants: bool,
-    owns_slices: bool,
+    observed: Observation, member_id: str, *, holds_grants: bool, owns_slices: bool
 ) -> Result[None, RecordNeeded]:
     """Decides whether another member's record may be deleted.
 
@@ -118,30 +113,26 @@
     change. The delete must be a compare-and-swap on the record that was judged:
     it fails if the member wrote the record again.
     """
-    reason = None
-    member = members_by_id.get(member_id)
-    if member is None:
-        reason = 'it has no record'
-    elif member.confirmed_version >= version:
-        reason = f'it confirmed version {version}'
-    elif not _has_stopped(
-        member,
-        version,
-        members_by_id,
-        first_seen_confirmed_ms_by_member,
-        stop_wait_ms(member, bounds, None),
-        now_ms,
-    ):
-        reason = f'it may still act on a version before {version}'
-    elif holds_grants:
+    reason = _reason_to_keep(observed, observed.members_by_id.get(member_id))
+    if reason is None and holds_grants:
         reason = 'its grants are not taken over'
-    elif owns_slices:
+    if reason is None and owns_slices:
         reason = 'its slices are not taken over'
     if reason is None:
         return Ok(None)
     return Err(RecordNeeded(member_id=member_id, reason=reason))
 
 
+def _reason_to_keep(observed: Observation, member: Member | None) -> str | None:
+    if member is None:
+        return 'it has no record'
+    if member.confirmed_version >= observed.version:
+        return f'it confirmed version {observed.version}'
+    if not _has_stopped(observed, member, None):
+        return f'it may still act on a version before {observed.version}'
+    return None
+
+
 def affected_open_queue_zones(old: Configuration, new: Configuration) -> frozenset[str]:
     """Returns the zones in which a change can concern open-queue starts.
 
@@ -169,24 +160,20 @@
 
 
 def _has_stopped(
-    member: Member,
-    version: int,
-    members_by_id: Mapping[str, Member],
-    first_seen_confirmed_ms_by_member: Mapping[str, int],
-    wait_ms: int,
-    now_ms: int,
+    observed: Observation, member: Member, affected_zones: frozenset[str] | None
 ) -> bool:
     """Tells whether a member has provably stopped acting on older versions.
 
     It cannot have a full round any more once a member of its own list answers
     it with the newer version. A revision of 0 means that it has read no list.
     """
-    for witness_id, seen_ms in first_seen_confirmed_ms_by_member.items():
-        witness = members_by_id.get(witness_id)
-        if witness is None or witness.confirmed_version < version:
+    wait_ms = stop_wait_ms(member, observed.bounds, affected_zones)
+    for witness_id, seen_ms in observed.first_seen_confirmed_ms_by_member.items():
+        witness = observed.members_by_id.get(witness_id)
+        if witness is None or witness.confirmed_version < observed.version:
             continue
         is_listed = 0 < witness.joined_revision <= member.members_revision
-        if is_listed and now_ms - seen_ms >= wait_ms:
+        if is_listed and observed.now_ms - seen_ms >= wait_ms:
             return True
     return False
 
--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -285,25 +285,36 @@
     return state.configuration.version > 0 and has_joined and not state.stopping
 
 
-def unconfirmed_members(state: DispatcherState, version: int) -> list[str] | None:
-    """Returns who may still act on an older version, or None if it is not known."""
+def confirmations_of(state: DispatcherState, version: int) -> dict[str, int]:
+    """Returns when each member was first seen to have confirmed a version."""
     seen = state.confirmed_since.get(version)
-    if version > state.configuration.version or state.view is None:
-        return None
     if seen is None:
         seen = decisions.acceptance.observe_confirmations(
             {}, version, state.members_by_id, now_ms()
         )
         state.confirmed_since[version] = seen
+    return seen
+
+
+def unconfirmed_members(state: DispatcherState, version: int) -> list[str] | None:
+    """Returns who may still act on an older version, or None if it is not known."""
+    if version > state.configuration.version or state.view is None:
+        return None
+    seen = confirmations_of(state, version)
     gone = set(state.configuration.gone_members)
     members_by_id = {
         member_id: member
         for member_id, member in state.members_by_id.items()
         if member_id not in gone
     }
-    outcome = decisions.acceptance.acceptance(
-        version, members_by_id, seen, state.configuration.bounds, now_ms()
+    observed = decisions.acceptance.Observation(
+        version=version,
+        members_by_id=members_by_id,
+        first_seen_confirmed_ms_by_member=seen,
+        bounds=state.configuration.bounds,
+        now_ms=now_ms(),
     )
+    outcome = decisions.acceptance.acceptance(observed)
     if isinstance(outcome, decisions.acceptance.Accepted):
         return []
     return list(outcome.names)
--- a/dandelionknot/_steward.py
+++ b/dandelionknot/_steward.py
@@ -8,6 +8,7 @@
 
 from dandelionknot import codec, decisions
 from dandelionknot._fleet_steps import excluding, next_fleet_changes
+from dandelionknot._fleet_view import confirmations_of
 from dandelionknot._grants import staying_members, update_grants
 from dandelionknot._mailbox import Call
 from dandelionknot._ownership import (
@@ -29,7 +30,9 @@
     ChangeFinished,
     FleetChange,
     FleetStep,
+    GrantRecord,
     Member,
+    PlatformView,
     SliceMap,
     WaitUntilReleased,
     WriteRequest,
@@ -99,12 +102,7 @@
         steward.excluded_in_version.setdefault(member_id, state.configuration.version)
     for member_id in state.configuration.gone_members:
         steward.gone_since_by_member.setdefault(member_id, now)
-    holders = {
-        holder
-        for record in state.view.grants_by_team.values()
-        for holder in (*record.grants_by_member, *record.requests_by_member)
-    }
-    for holder in holders - state.members_by_id.keys():
+    for holder in _grant_holders(state.view) - state.members_by_id.keys():
         steward.absent_since_by_holder.setdefault(holder, now)
 
 
@@ -143,12 +141,7 @@
     member = state.members_by_id.get(member_id)
     if version is None or member is None:
         return None
-    seen = state.confirmed_since.get(version)
-    if seen is None:
-        seen = decisions.acceptance.observe_confirmations(
-            {}, version, state.members_by_id, now_ms()
-        )
-        state.confirmed_since[version] = seen
+    seen = confirmations_of(state, version)
     if member_id in seen:
         return seen[member_id]
     times = [
@@ -224,38 +217,82 @@
 def _clear_excluded(state: DispatcherState, rank: int) -> None:
     """Reclaims grants of stopped holders, then deletes their records."""
     assert state.view is not None
+    _reclaim_grants(state, state.view, rank)
+    for member_id in state.configuration.excluded_members:
+        if member_id in state.view.alive_ids:
+            continue
+        if _may_delete_record(state, state.view, member_id) and _is_my_turn(
+            state, f'delete:{member_id}', rank
+        ):
+            _delete_record(state, member_id)
+
+
+def _grant_holders(view: PlatformView) -> set[str]:
+    """Returns all that a grant record names, with grant or with a request."""
+    return {
+        holder
+        for record in view.grants_by_team.values()
+        for holder in (*record.grants_by_member, *record.requests_by_member)
+    }
+
+
+def _reclaim_grants(state: DispatcherState, view: PlatformView, rank: int) -> None:
     now = now_ms()
     bounds = state.configuration.bounds
-    holding: set[str] = set()
-    for team_id, record in state.view.grants_by_team.items():
+    for team_id, record in view.grants_by_team.items():
         for holder in {*record.grants_by_member, *record.requests_by_member}:
             since = _holder_stopped_since_ms(state, holder)
             if since is None:
                 continue
-            holding.add(holder)
             freed = decisions.limits.reclaim(record, holder, since, bounds, now)
-            if freed is None or not _is_my_turn(
-                state, f'reclaim:{team_id}:{holder}', rank
-            ):
+            if freed is None:
                 continue
-            log_event(Event.GRANT_RECLAIMED, team=team_id, holder=holder)
-            state.outboxes.writer.send(
-                WriteRequest(
-                    key=GRANTS_PREFIX + team_id,
-                    expected_revision=state.view.grant_revisions_by_team[team_id],
-                    value=codec.encode_json(freed).decode(),
-                )
-            )
-    owners = set(state.view.slices.owners) if state.view.slices else set()
-    for member_id in state.configuration.excluded_members:
-        member = state.members_by_id.get(member_id)
-        is_alive = member_id in state.view.alive_ids
-        if member is None or is_alive or member_id in holding | owners:
-            continue
-        if _has_stopped(state, member_id) and _is_my_turn(
-            state, f'delete:{member_id}', rank
-        ):
-            _delete_record(state, member_id)
+            if _is_my_turn(state, f'reclaim:{team_id}:{holder}', rank):
+                log_event(Event.GRANT_RECLAIMED, team=team_id, holder=holder)
+                _write_grants(state, view, freed)
+
+
+def _write_grants(
+    state: DispatcherState, view: PlatformView, record: GrantRecord
+) -> None:
+    state.outboxes.writer.send(
+        WriteRequest(
+            key=GRANTS_PREFIX + record.team,
+            expected_revision=view.grant_revisions_by_team[record.team],
+            value=codec.encode_json(record).decode(),
+        )
+    )
+
+
+def _may_delete_record(
+    state: DispatcherState, view: PlatformView, member_id: str
+) -> bool:
+    """Tells whether an excluded member has stopped and holds nothing any more.
+
+    Operators answer for a member that they declared gone, and one that confirmed
+    its exclusion has ended by itself. For any other, the wait includes the time
+    for which it serves open queues while it is cut off.
+    """
+    member = state.members_by_id.get(member_id)
+    version = state.steward.excluded_in_version.get(member_id)
+    if member is None or version is None:
+        return False
+    holds_grants = member_id in _grant_holders(view)
+    owns_slices = view.slices is not None and member_id in view.slices.owners
+    is_gone = member_id in state.configuration.gone_members
+    if is_gone or member.confirmed_version >= version:
+        is_free = not holds_grants and not owns_slices
+        return is_free and _has_stopped(state, member_id)
+    observed = decisions.acceptance.Observation(
+        version=version,
+        members_by_id=state.members_by_id,
+        first_seen_confirmed_ms_by_member=confirmations_of(state, version),
+        bounds=state.configuration.bounds,
+        now_ms=now_ms(),
+    )
+    return decisions.acceptance.may_delete_record(
+        observed, member_id, holds_grants=holds_grants, owns_slices=owns_slices
+    ).is_ok()
 
 
 def _holder_stopped_since_ms(state: DispatcherState, holder: str) -> int | None:
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -25,6 +25,16 @@
 SILENT = by_id(member('a', 6), member('b', 5))
 
 
+def observation(members, now_ms):
+    return d.acceptance.Observation(
+        version=6,
+        members_by_id=members,
+        first_seen_confirmed_ms_by_member={'a': 0},
+        bounds=BOUNDS,
+        now_ms=now_ms,
+    )
+
+
 class AcceptanceTest(unittest.TestCase):
     def test_members_that_may_act_on_an_older_version_are_named(self):
         """Guards against an early `accepted` and against an endless `pending`."""
@@ -55,9 +65,7 @@
             ('no record at all', {}, none, 10**9, ()),
         ]
         for name, members, zones, now_ms, expected in cases:
-            outcome = d.acceptance.acceptance(
-                6, members, {'a': 0}, BOUNDS, now_ms, zones
-            )
+            outcome = d.acceptance.acceptance(observation(members, now_ms), zones)
             if expected is not accepted:
                 expected = d.acceptance.Pending(version=6, names=expected)
             self.assertEqual(outcome, expected, name)
@@ -79,9 +87,13 @@
             ('a', OPEN_WAIT_MS, False, False, 'confirmed version 6'),
             ('c', OPEN_WAIT_MS, False, False, 'no record'),
         ]
-        for name, now_ms, *duties, reason in cases:
-            evidence = (name, 6, SILENT, {'a': 0}, BOUNDS, now_ms)
-            outcome = d.acceptance.may_delete_record(*evidence, *duties)
+        for name, now_ms, holds_grants, owns_slices, reason in cases:
+            outcome = d.acceptance.may_delete_record(
+                observation(SILENT, now_ms),
+                name,
+                holds_grants=holds_grants,
+                owns_slices=owns_slices,
+            )
             self.assertEqual(outcome.is_ok(), not reason)
             self.assertIn(reason, str(outcome.err()))
 
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -20,6 +20,8 @@
 RAMP_MS = 6000
 BOUNDS = replace(SHORT_BOUNDS, ramp_ms=RAMP_MS)
 TIMEOUT_S = 15
+# Longer than it takes to exclude a silent member and to prove that it stopped.
+LONG_ISOLATION_MS = 15_000
 # The services `quotes` (keyed) and `bulletin` (open to all) share the hosts.
 KEYED = {'service': 'quotes'}
 OPEN = {'service': 'bulletin', 'key': ''}
@@ -147,3 +149,32 @@
         for load in self.loads:
             sent = load.sent_between(cut_ms, now_ms(), OTHER_ENTRY)
             self.assertTrue(sent and all(each.is_answered for each in sent[:-1]))
+
+
+class CutOffOpenQueueTest(unittest.IsolatedAsyncioTestCase):
+    async def test_record_outlives_the_open_queues_of_a_cut_off_member(self):
+        """Guards against a zone exit that does not wait for a forgotten member.
+
+        Without teams the member holds no grant, whose reclaim would take longer.
+        """
+        bounds = replace(SHORT_BOUNDS, isolation_bound_ms=LONG_ISOLATION_MS)
+        plan = FleetPlan.with_short_bounds(bounds=bounds, teams={})
+        fleet = await start_fleet(plan)
+        self.addAsyncCleanup(fleet.stop)
+        load = start_load(fleet, **OPEN)
+        self.addAsyncCleanup(load.stop)
+        for member_id in fleet.entries_by_id:
+            await load.wait_for_answers(member_id, TIMEOUT_S)
+        cut_id = fleet.entries_by_id[ENTRY].state.member_id
+        state = fleet.entries_by_id[OTHER_ENTRY].state
+        fleet.cut_zone(ZONE)
+        await wait_until(
+            lambda: cut_id in state.configuration.excluded_members, TIMEOUT_S
+        )
+        excluded_ms = now_ms()
+        await wait_until(lambda: cut_id not in state.members_by_id, 2 * TIMEOUT_S)
+        deleted_ms = now_ms()
+        await load.run_until(deleted_ms + OBSERVED_MS)
+        last_ms = max(start.at_ms for start in fleet.zone_starts(ZONE))
+        self.assertGreater(last_ms, excluded_ms + START_BOUND_MS)
+        self.assertLess(last_ms, deleted_ms)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -273,13 +273,21 @@
                 seen, version, self.records, now_ms
             )
             self.seen[name, version] = seen
-            evidence = (version, self.records, seen, MODEL_BOUNDS, now_ms)
+            observed = d.acceptance.Observation(
+                version=version,
+                members_by_id=self.records,
+                first_seen_confirmed_ms_by_member=seen,
+                bounds=MODEL_BOUNDS,
+                now_ms=now_ms,
+            )
             if isinstance(
-                d.acceptance.acceptance(*evidence, zones), d.acceptance.Accepted
+                d.acceptance.acceptance(observed, zones), d.acceptance.Accepted
             ):
                 self.accept(version)
         for absent in NAMES:
-            if d.acceptance.may_delete_record(absent, *evidence, False, False).is_ok():
+            if d.acceptance.may_delete_record(
+                observed, absent, holds_grants=False, owns_slices=False
+            ).is_ok():
                 del self.records[absent]
                 self.list_revision += 1
 
