Issue keys in one place

Cause: _identifiers.new_key repeated keys.issue_key, which only tests and stand-ins called, with constants of its own for salt and secret.

Change: key give calls issue_key.

Tests: test_a_new_key_is_only_in_its_file keeps its checks and now also presents the key of the file to authenticate, and gives a key with an id that is not valid. It fails when the file gets another text than the one issued, when the digest is made from other bytes, and when the refusal of issue_key is not looked at.

--- a/dandelionknot/_commands_changes.py
+++ b/dandelionknot/_commands_changes.py
@@ -21,18 +21,13 @@
     failed_change,
     failure,
 )
-from dandelionknot._identifiers import (
-    CHANGE_ID_BYTES,
-    SALT_BYTES,
-    SECRET_BYTES,
-    new_change_id,
-    new_key,
-)
+from dandelionknot._keys import KEY_RANDOM_BYTES, issue_key
 from dandelionknot._operator_client import Endpoint, http_operator_port
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.operators import ChangeRequest, Edit, EditKind
 
 OWNER_ONLY_MODE = 0o600
+CHANGE_ID_BYTES = 10
 
 
 def send_change(call: Call, edit: Edit) -> Outcome:
@@ -56,8 +51,7 @@
     running = await port.configuration()
     if isinstance(running, Err):
         return failed_call(running.err_value)
-    random_bytes = call.environment.random_bytes(CHANGE_ID_BYTES)
-    change_id = call.change_id or new_change_id(random_bytes)
+    change_id = call.change_id or _new_change_id(call)
     request = ChangeRequest(
         change_id=change_id,
         expected_version=running.ok_value.version,
@@ -75,17 +69,24 @@
     return change_outcome(answer.ok_value)
 
 
+def _new_change_id(call: Call) -> str:
+    return f'change-{call.environment.random_bytes(CHANGE_ID_BYTES).hex()}'
+
+
 # A repeated change keeps its first key, so a repetition must not store another.
 @command({k: v for k, v in CHANGE_OPTIONS.items() if k != 'change_id'})
 def key_give(call: Call, team: str, key_id: str, *, key_file: str) -> Outcome:
     """Gives a team a new key, which is written to KEY_FILE only."""
-    size = SALT_BYTES + SECRET_BYTES
-    key = new_key(team, key_id, call.environment.random_bytes(size))
+    random_bytes = call.environment.random_bytes(KEY_RANDOM_BYTES)
+    issued = issue_key(team, key_id, random_bytes)
+    if isinstance(issued, Err):
+        return failure(ExitStatus.INVALID_INPUT, issued.err_value.message)
+    key = issued.ok_value
     edit = Edit(kind=EditKind.GIVE_KEY, team=team, key_id=key_id, key_record=key.record)
     if call.dry_run:
         return send_change(call, edit)
     # Written first: a key that is in force but was never stored is of no use.
-    written = _write_secret(Path(key_file), key.text)
+    written = _write_secret(Path(key_file), key.presented)
     if isinstance(written, Err):
         return failure(ExitStatus.INVALID_INPUT, written.err_value)
     outcome = send_change(call, edit)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,13 @@
 from tornado.web import Application, RequestHandler
 
 from dandelionknot import _commands, cli, codec
-from dandelionknot.configuration import MaintenancePlan
+from dandelionknot._keys import authenticate
+from dandelionknot.configuration import (
+    Configuration,
+    MaintenancePlan,
+    Service,
+    Team,
+)
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.messages import (
     AnswerBody,
@@ -364,6 +370,19 @@
         record = self.host.posted[-1].edit.key_record
         salted = bytes.fromhex(record.salt) + secret.encode()
         self.assertEqual(record.digest, hashlib.sha256(salted).hexdigest())
+        team = Team(upper_limit=1, keys_by_id={'night': record})
+        configuration = Configuration(
+            version=1,
+            services_by_id={'quotes': Service(pool='quotes')},
+            teams_by_id={'hotel-group': team},
+        )
+        presented = path.read_text().strip()
+        caller = authenticate(configuration, 'quotes', presented)
+        self.assertEqual(caller.unwrap().team_id, 'hotel-group')
+        path.unlink()
+        wrong = self.run_line('key give hotel-group Night --key_file', path)
+        self.assertEqual(wrong, ExitStatus.INVALID_INPUT)
+        self.assertFalse(path.exists())
 
     def test_queries_show_text_and_json(self):
         """Guards against queries that show nothing or output that is not JSON."""
