Remove decision functions that the product does not need

Cause: note_silence, note_progress, may_start_in, pool_of and takes_new_work were called by tests only, so tests proved rules that no running code follows.

Removed, and why nothing is lost: - note_silence, note_progress: the link to a backend server asks again over a fresh connection and reports the host as silent only if that fails too (_ask_twice); the dispatcher then takes it as failed. The test now checks unavailable_reason and choose with the same zones. - pool_of: a host has one field for its pool, which everything reads. - takes_new_work: repeated unavailable_reason without the health. The model of host moves now applies unavailable_reason, which is the rule of the product; the model of budgets states the condition itself.

Ruled out: connecting them. Each would be a second place for a rule that has one.

--- a/dandelionknot/_ejection.py
+++ b/dandelionknot/_ejection.py
@@ -21,8 +21,6 @@
 PROBES_TO_RETURN = 3
 # A probe without any result, for instance a cancelled one, is given up then.
 PROBE_TIMEOUT_MS = 60_000
-# A silence after this time is a new one and gets a fresh connection again.
-SILENCE_MEMORY_MS = 30_000
 MAX_FAILED_REQUESTS = 10_000
 
 
@@ -33,13 +31,6 @@
     EJECTED = 'ejected'
 
 
-class SilenceStep(StrEnum):
-    """What to do about a connection that makes no progress."""
-
-    FRESH_CONNECTION = 'fresh_connection'
-    HOST_FAILED = 'host_failed'
-
-
 @dataclass(slots=True, kw_only=True)
 class HostHealth:
     """Recent results of one host; the counts halve every `HALF_LIFE_MS`.
@@ -58,7 +49,6 @@
     probe_started_ms: int = 0
     probe_successes: int = 0
     failed_probe: str | None = None
-    silent_ms: int | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -96,7 +86,6 @@
     """
     health = _health(table, host_id, now_ms)
     health.successes += 1
-    health.silent_ms = None
     table.failures_by_request.pop(request_id, None)
     if health.probe_request == request_id:
         health.probe_request = None
@@ -242,28 +231,6 @@
     return True
 
 
-def note_progress(table: HealthTable, host_id: str) -> None:
-    """Notes that bytes arrived from a host, so its connection is not silent."""
-    health = table.health_by_host.get(host_id)
-    if health is not None:
-        health.silent_ms = None
-
-
-def note_silence(table: HealthTable, host_id: str, now_ms: int) -> SilenceStep:
-    """Decides about a connection without heartbeat or read progress.
-
-    Connections can go silent permanently while new ones work, so the first
-    silence leads to a fresh connection and is not held against the host.
-    """
-    health = _health(table, host_id, now_ms)
-    silent_ms = health.silent_ms
-    health.silent_ms = now_ms
-    if silent_ms is None or now_ms - silent_ms > SILENCE_MEMORY_MS:
-        return SilenceStep.FRESH_CONNECTION
-    health.failures += 1
-    return SilenceStep.HOST_FAILED
-
-
 def keep_hosts(table: HealthTable, host_ids: Collection[str]) -> None:
     """Forgets hosts that left the pool."""
     for host_id in set(table.health_by_host) - set(host_ids):
--- a/dandelionknot/_pools.py
+++ b/dandelionknot/_pools.py
@@ -22,7 +22,6 @@
     HostState,
     MovePhase,
     QueueAccess,
-    ZoneState,
 )
 from dandelionknot.messages import UsageReport
 
@@ -75,29 +74,6 @@
     return Err(MoveError(kind=kind, host_id=host_id, message=message))
 
 
-def pool_of(configuration: Configuration, host_id: str) -> Result[str, MoveError]:
-    """Returns the one pool that a host belongs to, also while it moves."""
-    host = configuration.hosts_by_id.get(host_id)
-    if host is None:
-        return _not_found(host_id)
-    return Ok(host.pool)
-
-
-def takes_new_work(configuration: Configuration, host_id: str) -> bool:
-    """Tells whether the configuration lets tasks start on a host.
-
-    A host does not take new work while it drains, is in maintenance, moves to
-    another pool, or is in an availability zone that is unknown or out.
-    """
-    host = configuration.hosts_by_id.get(host_id)
-    if host is None or host.state is not HostState.ACTIVE:
-        return False
-    if host_id in configuration.moves_by_host:
-        return False
-    zone = configuration.availability_zones_by_id.get(host.availability_zone)
-    return zone is not None and zone.state is ZoneState.IN_SERVICE
-
-
 def begin_move(
     configuration: Configuration, host_id: str, to_pool: str
 ) -> Result[Configuration, MoveError]:
--- a/dandelionknot/_zones.py
+++ b/dandelionknot/_zones.py
@@ -2,10 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
-
 from dandelionknot.configuration import Configuration, ZoneState
-from dandelionknot.messages import ErrorCode, Refusal, RunState
 
 # A zone that has just returned gets a few tasks at once, so that a service
 # whose other zones are out does not wait for the ramp.
@@ -56,28 +53,3 @@
     if elapsed_ms >= ramp_ms:
         return 1.0
     return max(MIN_RAMP_FRACTION, elapsed_ms / ramp_ms)
-
-
-def may_start_in(
-    configuration: Configuration,
-    zone_id: str,
-    returned_since_ms: int | None,
-    now_ms: int,
-) -> Result[None, Refusal]:
-    """Checks whether tasks may start in a zone at this moment."""
-    zone = configuration.availability_zones_by_id.get(zone_id)
-    if zone is None:
-        return Err(_zone_refusal(f'availability zone {zone_id!r} does not exist'))
-    if zone.state is ZoneState.OUT_OF_SERVICE:
-        return Err(_zone_refusal(f'availability zone {zone_id!r} is out of service'))
-    if returned_since_ms is not None and now_ms < returned_since_ms:
-        return Err(_zone_refusal(f'availability zone {zone_id!r} returns later'))
-    return Ok(None)
-
-
-def _zone_refusal(message: str) -> Refusal:
-    return Refusal(
-        code=ErrorCode.AVAILABILITY_ZONE_OUT,
-        message=message,
-        run_state=RunState.NOT_RUN,
-    )
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -227,7 +227,12 @@
             reason = _budgets.unavailable_reason(
                 self.configuration, FleetHealth(), host_id, host
             )
-            takes_work = _pools.takes_new_work(self.configuration, host_id)
+            zone = self.configuration.availability_zones_by_id[host.availability_zone]
+            takes_work = (
+                host.state is HostState.ACTIVE
+                and host_id not in self.configuration.moves_by_host
+                and zone.state is ZoneState.IN_SERVICE
+            )
             assert takes_work == (reason is None), f'{host_id}: {reason}'
 
     @invariant()
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from dandelionknot import _ejection
-from dandelionknot._ejection import HealthTable, SilenceStep
+from dandelionknot._ejection import HealthTable
 
 HOSTS = [f'host-{n}' for n in range(6)]
 NUMBER = strategies.integers(0, 63)
@@ -81,19 +81,6 @@
         self.assertFalse(_ejection.begin_probe(table, 'a', 'p3', 67_000))
         self.assertTrue(_ejection.begin_probe(table, 'a', 'p3', 67_001))
 
-    def test_silence(self):
-        """Guards against ejecting a host for one silent connection."""
-        fresh, failed = SilenceStep.FRESH_CONNECTION, SilenceStep.HOST_FAILED
-        cases = [(0, False, fresh), (100, False, failed), (200, True, fresh)]
-        cases += [(300, False, failed), (30_301, False, fresh)]
-        table = HealthTable()
-        for now_ms, has_progress, expected in cases:
-            if has_progress:
-                _ejection.note_progress(table, 'a')
-            step = _ejection.note_silence(table, 'a', now_ms)
-            self.assertIs(step, expected, now_ms)
-        self.assertGreater(table.health_by_host['a'].failures, 0.9)
-
     def test_memory_is_bounded(self):
         """Guards against failed requests and old hosts that fill the memory."""
         table = make_table([('a', 0, _ejection.MAX_FAILED_REQUESTS + 5), ('b', 1, 0)])
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from result import Err
 
-from dandelionknot import _pools
+from dandelionknot import _budgets, _pools
 from dandelionknot._pools import DrainEvidence, MoveErrorKind
 from dandelionknot.configuration import (
     AvailabilityZone,
@@ -50,6 +50,19 @@
     return replace(configuration, hosts_by_id={'h1': host})
 
 
+def takes_new_work(configuration):
+    """Applies the rule by which the routing table leaves a host out."""
+    host = configuration.hosts_by_id['h1']
+    reason = _budgets.unavailable_reason(
+        configuration, _budgets.FleetHealth(), 'h1', host
+    )
+    return reason is None
+
+
+def pool_of(configuration):
+    return configuration.hosts_by_id['h1'].pool
+
+
 MOVING = next_version(_pools.begin_move(BASE, 'h1', 'b').unwrap())
 DRAINED = next_version(_pools.confirm_drained(MOVING, 'h1', evidence()).unwrap())
 ASSIGNED = next_version(_pools.assign(DRAINED, 'h1').unwrap())
@@ -110,7 +123,7 @@
         for moving in (MOVING, DRAINED):
             cancelled = _pools.cancel_move(moving, 'h1', 2).unwrap()
             self.assertEqual(cancelled.hosts_by_id['h1'], HOST)
-            self.assertTrue(_pools.takes_new_work(cancelled, 'h1'))
+            self.assertTrue(takes_new_work(cancelled))
 
 
 class MoveMachine(RuleBasedStateMachine):
@@ -139,9 +152,7 @@
             return
         if snapshot is not newest:
             return
-        before, after = (
-            _pools.pool_of(value, 'h1').unwrap() for value in (newest, outcome.ok_value)
-        )
+        before, after = (pool_of(value) for value in (newest, outcome.ok_value))
         if before != after:
             assert not self.running, 'assigned while tasks of the old pool run'
         self.history.append(next_version(outcome.ok_value))
@@ -190,8 +201,8 @@
     @rule(member=members, delayed=strategies.booleans())
     def send_start(self, member, delayed):
         view = self.history[self.views[member]]
-        if _pools.takes_new_work(view, 'h1'):
-            self.under_way.append((_pools.pool_of(view, 'h1').unwrap(), self.now_ms))
+        if takes_new_work(view):
+            self.under_way.append((pool_of(view), self.now_ms))
             if not delayed:
                 self.deliver_start()
 
@@ -200,7 +211,7 @@
     def deliver_start(self):
         pool, token_ms = self.under_way.pop()
         if self.now_ms - token_ms <= BASE.bounds.start_token_ms:
-            newest = _pools.pool_of(self.history[-1], 'h1').unwrap()
+            newest = pool_of(self.history[-1])
             assert pool == newest, f'start for {pool} on a host of {newest}'
             self.running.append(pool)
 
@@ -216,13 +227,9 @@
     @invariant()
     def one_pool_in_all_views(self):
         views = [self.history[index] for index in self.views]
-        pools = {
-            _pools.pool_of(view, 'h1')
-            for view in views
-            if _pools.takes_new_work(view, 'h1')
-        }
+        pools = {pool_of(view) for view in views if takes_new_work(view)}
         assert len(pools) <= 1, f'starts for {pools}'
-        assert not pools or pools == {_pools.pool_of(self.history[-1], 'h1')}, (
+        assert not pools or pools == {pool_of(self.history[-1])}, (
             'starts for a pool that the host has left'
         )
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -3,10 +3,14 @@
 import unittest
 from dataclasses import replace
 
-from result import Err, Ok
-
-from dandelionknot import _zones
-from dandelionknot.configuration import AvailabilityZone, Configuration, ZoneState
+from dandelionknot import _budgets, _routing, _zones
+from dandelionknot.configuration import (
+    AvailabilityZone,
+    Configuration,
+    Host,
+    Service,
+    ZoneState,
+)
 from dandelionknot.messages import ErrorCode, RunState
 
 IN_SERVICE = Configuration(
@@ -22,21 +26,25 @@
 
 
 class ZoneTest(unittest.TestCase):
-    def test_may_start_in(self):
-        """Guards against a start in a zone that is out, unknown or not back yet."""
-        cases = [
-            (IN_SERVICE, None, 0, True),
-            (IN_SERVICE, 100, 100, True),
-            (IN_SERVICE, 100, 99, False),
-            (OUT, None, 0, False),
-            (OUT, 0, 100, False),
-            (GONE, None, 0, False),
-        ]
-        for configuration, since_ms, now_ms, allowed in cases:
-            with self.subTest(since_ms=since_ms, now_ms=now_ms, allowed=allowed):
-                outcome = _zones.may_start_in(configuration, 'z0', since_ms, now_ms)
-                self.assertIsInstance(outcome, Ok if allowed else Err)
-                if not allowed:
+    def test_hosts_of_a_zone_that_is_out_are_unavailable(self):
+        """Guards against a start in a zone that is out or unknown."""
+        host = Host(availability_zone='z0', rack='r', pool='p', address='127.0.0.1:1')
+        out = _budgets.UnavailableReason.ZONE_OUT
+        for configuration, reason in ((IN_SERVICE, None), (OUT, out), (GONE, out)):
+            with self.subTest(reason=reason):
+                with_host = replace(
+                    configuration,
+                    hosts_by_id={'h': host},
+                    services_by_id={'s': Service(pool='p')},
+                )
+                found = _budgets.unavailable_reason(
+                    with_host, _budgets.FleetHealth(), 'h', host
+                )
+                self.assertIs(found, reason)
+                table = _routing.RoutingTable.from_configuration(with_host, 'z0')
+                outcome = _routing.choose(table, 's', (0, 0, 0), 0)
+                self.assertEqual(outcome.is_ok(), reason is None)
+                if reason is not None:
                     refusal = outcome.err_value
                     self.assertEqual(refusal.code, ErrorCode.AVAILABILITY_ZONE_OUT)
                     self.assertEqual(refusal.run_state, RunState.NOT_RUN)
