Remove entries of an overlay in one function

Cause: _remove_host, _remove_plan and the end of _change_key were the same steps for three maps.

Change: _remove takes the map and the kind of entry; the texts of the faults are the same as before. With absent entries not looked for, test_merge fails.

Ruled out: one function for _merge_hosts and _merge_plans, which share their outline but differ in each step.

--- a/dandelionknot/_merge.py
+++ b/dandelionknot/_merge.py
@@ -175,16 +175,19 @@
             what = f'host {host_id!r}'
             state.faults.append(_not_of_site(path, what, overlay.site))
         elif change is None:
-            _remove_host(state, host_id, path)
+            _remove(state, state.hosts_by_id, host_id, path, 'host')
         else:
             _change_host(state, host_id, change, zones, overlay.site)
 
 
-def _remove_host(state: _Merging, host_id: str, path: str) -> None:
-    if host_id in state.hosts_by_id:
-        del state.hosts_by_id[host_id]
+def _remove(
+    state: _Merging, entries_by_id: dict, entry_id: str, path: str, kind: str
+) -> None:
+    """Removes an entry that the overlay states as null; an absent one is a fault."""
+    if entry_id in entries_by_id:
+        del entries_by_id[entry_id]
         return
-    problem = 'null removes a host, but the base file has no such host'
+    problem = f'null removes a {kind}, but the base file has no such {kind}'
     state.faults.append(_fault(FaultKind.UNKNOWN_REFERENCE, path, problem))
 
 
@@ -241,15 +244,10 @@
     record: KeyRecord | None,
     path: str,
 ) -> None:
-    if record is not None:
-        keys_by_id[key_id] = record
-    elif key_id in keys_by_id:
-        del keys_by_id[key_id]
+    if record is None:
+        _remove(state, keys_by_id, key_id, f'{path}.{key_id}', 'key')
     else:
-        problem = 'null removes a key, but the base file has no such key'
-        state.faults.append(
-            _fault(FaultKind.UNKNOWN_REFERENCE, f'{path}.{key_id}', problem)
-        )
+        keys_by_id[key_id] = record
 
 
 def _merge_plans(
@@ -265,7 +263,7 @@
             what = f'maintenance plan {plan_id!r}'
             state.faults.append(_not_of_site(path, what, overlay.site))
         elif change is None:
-            _remove_plan(state, plan_id, path)
+            _remove(state, state.plans_by_id, plan_id, path, 'plan')
         else:
             _change_plan(state, plan_id, change, zones, overlay.site)
 
@@ -275,14 +273,6 @@
     return all(host is None or host.availability_zone in zones for host in hosts)
 
 
-def _remove_plan(state: _Merging, plan_id: str, path: str) -> None:
-    if plan_id in state.plans_by_id:
-        del state.plans_by_id[plan_id]
-        return
-    problem = 'null removes a plan, but the base file has no such plan'
-    state.faults.append(_fault(FaultKind.UNKNOWN_REFERENCE, path, problem))
-
-
 def _change_plan(
     state: _Merging, plan_id: str, change: PlanOverlay, zones: set[str], site: str
 ) -> None:
