Start both stand-ins by one function

Cause: start_platform and start_backend repeated the application, the sockets and the scan task, and PlatformStandin and BackendStandin the same fields and the same stop.

Change: standins/server.py has Standin, generic in its state, and start_standin. PlatformStandin and BackendStandin are names of it. Without the call of scan, test_ports fails. test_ports, test_path and test_processes passed.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -11,9 +11,6 @@
 import json
 from dataclasses import dataclass, field
 
-import tornado.httpserver
-import tornado.netutil
-import tornado.web
 from result import Err
 
 from dandelionknot import codec
@@ -28,6 +25,7 @@
     UsageReport,
 )
 from standins.faults import FaultsHandler, FaultyHandler
+from standins.server import Standin, listen, start_standin
 
 SCAN_MS = 20
 RETENTION_MS = 600_000
@@ -383,26 +381,7 @@
         self.write(json.dumps(self.state.runs_by_request))
 
 
-@dataclass(slots=True)
-class BackendStandin:
-    """A running stand-in with its address."""
-
-    state: BackendState
-    server: tornado.httpserver.HTTPServer
-    address: str
-    scan_task: asyncio.Task
-
-    async def stop(self) -> None:
-        """Closes the socket and ends the scan task."""
-        self.scan_task.cancel()
-        self.server.stop()
-        await self.server.close_all_connections()
-
-
-async def _scan(state: BackendState) -> None:
-    while True:
-        await asyncio.sleep(seconds(SCAN_MS))
-        scan(state)
+BackendStandin = Standin[BackendState]
 
 
 def following_ips(ip: str, count: int) -> list[str]:
@@ -423,30 +402,19 @@
     """
     state = state or BackendState()
     arguments = {'state': state}
-    application = tornado.web.Application(
-        [
-            (r'/v1/tasks', _StartHandler, arguments),
-            (r'/v1/tasks/([^/]+)', _TaskHandler, arguments),
-            (
-                r'/v1/tasks/([^/]+)/(stop|checkpoint|throttle)',
-                _ActionHandler,
-                arguments,
-            ),
-            (r'/v1/renewals', _RenewalsHandler, arguments),
-            (r'/v1/usage', _UsageHandler, arguments),
-            (r'/v1/drain', _DrainHandler, arguments),
-            (r'/v1/reboot', _RebootHandler, arguments),
-            (r'/v1/runs', _RunsHandler, arguments),
-            (r'/v1/faults', FaultsHandler, {'faults': state.faults}),
-        ],
-        log_function=lambda handler: None,
-    )
-    host, _, port = address.rpartition(':')
-    sockets = tornado.netutil.bind_sockets(int(port), host)
-    server = tornado.httpserver.HTTPServer(application)
-    server.add_sockets(sockets)
-    bound_port = sockets[0].getsockname()[1]
+    routes: list = [
+        (r'/v1/tasks', _StartHandler, arguments),
+        (r'/v1/tasks/([^/]+)', _TaskHandler, arguments),
+        (r'/v1/tasks/([^/]+)/(stop|checkpoint|throttle)', _ActionHandler, arguments),
+        (r'/v1/renewals', _RenewalsHandler, arguments),
+        (r'/v1/usage', _UsageHandler, arguments),
+        (r'/v1/drain', _DrainHandler, arguments),
+        (r'/v1/reboot', _RebootHandler, arguments),
+        (r'/v1/runs', _RunsHandler, arguments),
+        (r'/v1/faults', FaultsHandler, {'faults': state.faults}),
+    ]
+    standin = start_standin(state, address, routes, scan, SCAN_MS)
+    host, _, port = standin.address.rpartition(':')
     for ip in following_ips(host, address_count)[1:]:
-        server.add_sockets(tornado.netutil.bind_sockets(bound_port, ip))
-    scan_task = asyncio.create_task(_scan(state))
-    return BackendStandin(state, server, f'{host}:{bound_port}', scan_task)
+        listen(standin.server, ip, int(port))
+    return standin
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,8 +5,6 @@
 import json
 from dataclasses import dataclass, field
 
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 from result import Err
 
@@ -26,6 +24,7 @@
 )
 from dandelionknot.ports import PlatformPort
 from standins.faults import FaultsHandler, FaultyHandler
+from standins.server import Standin, start_standin
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_MS = 60_000
@@ -249,51 +248,24 @@
         self.write(self.state.calls_by_kind)
 
 
-@dataclass(slots=True)
-class PlatformStandin:
-    """A running stand-in with its address."""
-
-    state: PlatformState
-    server: tornado.httpserver.HTTPServer
-    address: str
-    lease_task: asyncio.Task
-
-    async def stop(self) -> None:
-        """Closes the socket and ends the lease task."""
-        self.lease_task.cancel()
-        self.server.stop()
-        await self.server.close_all_connections()
-
-
-async def _expire_leases(state: PlatformState) -> None:
-    while True:
-        await asyncio.sleep(seconds(LEASE_SCAN_MS))
-        state.expire_leases()
+PlatformStandin = Standin[PlatformState]
 
 
 async def start_platform(address: str = '127.0.0.1:0') -> PlatformStandin:
     """Starts the stand-in on `IP:PORT`; port 0 takes a free one."""
     state = PlatformState()
     arguments = {'state': state}
-    application = tornado.web.Application(
-        [
-            (r'/v1/values/(.+)', _ValueHandler, arguments),
-            (r'/v1/values', _ValuesHandler, arguments),
-            (r'/v1/leases', _LeasesHandler, arguments),
-            (r'/v1/leases/([^/]+)/renew', _RenewHandler, arguments),
-            (r'/v1/hosts', _HostsHandler, arguments),
-            (r'/v1/calls', _CallsHandler, arguments),
-            (r'/v1/faults', FaultsHandler, {'faults': state.faults}),
-        ],
-        log_function=lambda handler: None,
-    )
-    host, _, port = address.rpartition(':')
-    sockets = tornado.netutil.bind_sockets(int(port), host)
-    server = tornado.httpserver.HTTPServer(application)
-    server.add_sockets(sockets)
-    bound_port = sockets[0].getsockname()[1]
-    lease_task = asyncio.create_task(_expire_leases(state))
-    return PlatformStandin(state, server, f'{host}:{bound_port}', lease_task)
+    routes: list = [
+        (r'/v1/values/(.+)', _ValueHandler, arguments),
+        (r'/v1/values', _ValuesHandler, arguments),
+        (r'/v1/leases', _LeasesHandler, arguments),
+        (r'/v1/leases/([^/]+)/renew', _RenewHandler, arguments),
+        (r'/v1/hosts', _HostsHandler, arguments),
+        (r'/v1/calls', _CallsHandler, arguments),
+        (r'/v1/faults', FaultsHandler, {'faults': state.faults}),
+    ]
+    scan = PlatformState.expire_leases
+    return start_standin(state, address, routes, scan, LEASE_SCAN_MS)
 
 
 def platform_port(address: str) -> PlatformPort:
