Write or check generated files in one function

Change: tools/outputs.py has write_or_check. tools is a package like standins and measure, so that the scripts and python -m find it under one name.

--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Generators of code and pages."""
--- a/tools/generate_catalogues.py
+++ b/tools/generate_catalogues.py
@@ -5,12 +5,11 @@
 
 import logging
 import sys
-from pathlib import Path
 
 from dandelionknot.events import INFO_BY_EVENT, Event
 from dandelionknot.metrics import MEANING_BY_COUNTER, Counter, Measure
+from tools.outputs import ROOT, write_or_check
 
-ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / 'docs'
 
 MEANING_BY_MEASURE = {
@@ -79,18 +78,7 @@
         DOCS / 'events.md': events_page(),
         DOCS / 'metrics.md': metrics_page(),
     }
-    if '--check' not in sys.argv[1:]:
-        for path, text in text_by_path.items():
-            path.write_text(text)
-        return 0
-    stale = [
-        path.name
-        for path, text in text_by_path.items()
-        if not path.exists() or path.read_text() != text
-    ]
-    for name in stale:
-        print(f'docs/{name} is out of date; run tools/generate_catalogues.py')
-    return 1 if stale else 0
+    return write_or_check(text_by_path, 'python -m tools.generate_catalogues')
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tools/outputs.py
@@ -0,0 +1,25 @@
+"""Generated files: written, or compared with what is committed."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def write_or_check(text_by_path: dict[Path, str], command: str) -> int:
+    """Writes the files, or with `--check` names those that differ; returns the status.
+
+    `command` is what brings a file up to date again.
+    """
+    if '--check' not in sys.argv[1:]:
+        for path, text in text_by_path.items():
+            path.write_text(text)
+        return 0
+    stale = [
+        path.relative_to(ROOT)
+        for path, text in text_by_path.items()
+        if not path.exists() or path.read_text() != text
+    ]
+    for path in stale:
+        print(f'{path} is out of date; run {command}')
+    return 1 if stale else 0
