Split long functions of readers, changes and commands into steps

Change: one function for each step. What the reader knows of its contact with the platform is _Contact, the host list _ListedHosts. Behaviour and texts are as before. Tests are unchanged: test_cli, test_fleet_changes, test_fleet_moves and test_fleet_stops passed.

Ruled out: http_backend_port and http_platform_port, which are lists of closures, one for each call of a port.

--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -88,6 +88,19 @@
     )
 
 
+def _conflict(change: Change, current: Configuration) -> ChangeReport | None:
+    """Returns the report if the change was made from another version."""
+    if current.version < change.known_version:
+        # A change of the older value would reuse a version that is in force.
+        text = f'the platform holds version {current.version}, which is written over'
+        version = change.known_version
+        return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
+    if current.version != change.expected_version:
+        text = f'version {current.version} is in force, not {change.expected_version}'
+        return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    return None
+
+
 async def write_change(port: PlatformPort, change: Change) -> ChangeReport:
     """Applies an edit to the stored configuration by compare-and-swap.
 
@@ -100,14 +113,9 @@
     current = stored.ok_value.configuration
     if decisions.versions.already_applied(current, change.change_id):
         return _report(change.change_id, ChangeOutcome.PENDING, current.version)
-    if current.version < change.known_version:
-        # A change of the older value would reuse a version that is in force.
-        text = f'the platform holds version {current.version}, which is written over'
-        version = change.known_version
-        return _report(change.change_id, ChangeOutcome.CONFLICT, version, text)
-    if current.version != change.expected_version:
-        text = f'version {current.version} is in force, not {change.expected_version}'
-        return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    conflict = _conflict(change, current)
+    if conflict is not None:
+        return conflict
     edited = change.edit(current)
     if isinstance(edited, Err):
         text = edited.err_value
--- a/dandelionknot/_commands_local.py
+++ b/dandelionknot/_commands_local.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import fire
-from result import Err
+from result import Err, Ok, Result
 
 from dandelionknot import codec
 from dandelionknot._command_options import (
@@ -67,10 +67,8 @@
     deadline = whole_number('--deadline_ms', deadline_ms)
     if isinstance(deadline, Err):
         return failure(ExitStatus.INVALID_INPUT, deadline.err_value)
-    random_bytes = call.environment.random_bytes(RANDOM_BYTES)
     fields = {
-        'request_id': request_id
-        or new_request_id(call.environment.unix_ms(), random_bytes),
+        'request_id': request_id or _new_request_id(call),
         'service': service,
         'deadline_ms': deadline.ok_value,
         'idempotent': idempotent == 'True',
@@ -85,20 +83,31 @@
     request = codec.from_data(fields, RequestBody, 'request').unwrap()
     if call.dry_run:
         return Outcome(lines=[f'valid: request {request.request_id}'], data=request)
+    target = _caller_endpoint(call, key_file, request)
+    if isinstance(target, Err):
+        return target.err_value
+    return _submit(target.ok_value, request)
+
+
+def _new_request_id(call: Call) -> str:
+    random_bytes = call.environment.random_bytes(RANDOM_BYTES)
+    return new_request_id(call.environment.unix_ms(), random_bytes)
+
+
+def _caller_endpoint(
+    call: Call, key_file: str, request: RequestBody
+) -> Result[Endpoint, Outcome]:
+    """Returns where to send a request, with the team key, or what is wrong."""
     if not call.entry:
-        return failure(ExitStatus.USAGE, '--entry IP:PORT is missing')
-    problem_text = address_problem(call.entry)
-    if problem_text:
-        return failure(ExitStatus.USAGE, f'--entry: {problem_text}')
-    key = ''
-    if key_file:
-        read = read_secret(key_file)
-        if isinstance(read, Err):
-            return failure(ExitStatus.INVALID_INPUT, read.err_value)
-        key = read.ok_value
-    timeout_ms = deadline.ok_value + ANSWER_MARGIN_MS
-    target = Endpoint(address=call.entry, token=key, timeout_ms=timeout_ms)
-    return _submit(target, request)
+        return Err(failure(ExitStatus.USAGE, '--entry IP:PORT is missing'))
+    problem = address_problem(call.entry)
+    if problem:
+        return Err(failure(ExitStatus.USAGE, f'--entry: {problem}'))
+    key: Result[str, str] = read_secret(key_file) if key_file else Ok('')
+    if isinstance(key, Err):
+        return Err(failure(ExitStatus.INVALID_INPUT, key.err_value))
+    timeout_ms = request.deadline_ms + ANSWER_MARGIN_MS
+    return Ok(Endpoint(address=call.entry, token=key.ok_value, timeout_ms=timeout_ms))
 
 
 def _submit(target: Endpoint, request: RequestBody) -> Outcome:
--- a/dandelionknot/_fleet_steps.py
+++ b/dandelionknot/_fleet_steps.py
@@ -166,18 +166,21 @@
     step = advice.ok_value.step
     if step is decisions.budgets.StopStep.STOP:
         state.rebooted_hosts.discard(host_id)
-        following = decisions.budgets.with_host_state(
-            configuration, host_id, HostState.MAINTENANCE
-        )
-        yield _change(state, FleetStep.MAINTAIN, host_id, following)
+        yield _state_change(state, FleetStep.MAINTAIN, host_id, HostState.MAINTENANCE)
     elif step is decisions.budgets.StopStep.RETURN and maintained:
         following = decisions.budgets.return_host(configuration, host_id, plan_id)
         yield _change(state, FleetStep.RETURN_HOST, host_id, following)
     elif step is decisions.budgets.StopStep.RETURN:
-        following = decisions.budgets.with_host_state(
-            configuration, host_id, HostState.ACTIVE
-        )
-        yield _change(state, FleetStep.RETURN_HOST, host_id, following)
+        yield _state_change(state, FleetStep.RETURN_HOST, host_id, HostState.ACTIVE)
+
+
+def _state_change(
+    state: DispatcherState, step: FleetStep, host_id: str, host_state: HostState
+) -> FleetChange:
+    following = decisions.budgets.with_host_state(
+        state.configuration, host_id, host_state
+    )
+    return _change(state, step, host_id, following)
 
 
 def declaring_gone(configuration: Configuration, member_id: str) -> Configuration:
--- a/dandelionknot/_platform_sync.py
+++ b/dandelionknot/_platform_sync.py
@@ -146,6 +146,23 @@
     )
 
 
+@dataclass(slots=True)
+class _Contact:
+    """Whether the platform answers, and how long to wait after a failed call."""
+
+    random: Random
+    reachable: bool = True
+    back_off_ms: int = MIN_BACK_OFF_MS
+
+
+@dataclass(slots=True)
+class _ListedHosts:
+    """The platform's host list as last read."""
+
+    states_by_host: dict[str, ListedHostState] = field(default_factory=dict)
+    read_ms: int = 0
+
+
 async def run_reader(
     port: PlatformPort, dispatcher: Mailbox, wait_ms: int, random: Random
 ) -> None:
@@ -156,37 +173,55 @@
     restored, so everything is read again.
     """
     cache = _Cache()
-    listed: dict[str, ListedHostState] = {}
-    listed_at_ms = 0
-    reachable = True
-    back_off_ms = MIN_BACK_OFF_MS
+    hosts = _ListedHosts()
+    contact = _Contact(random)
     while True:
         question_sent_ms = now_ms()
-        if cache.revision < 0:
-            answer = await port.list(FLEET_PREFIX)
-        else:
-            answer = await port.watch(FLEET_PREFIX, cache.revision, wait_ms)
+        answer = await _ask(port, cache, wait_ms)
         if isinstance(answer, Err):
-            if reachable:
-                reachable = False
-                log_event(Event.PLATFORM_UNREACHABLE, problem=answer.err_value.message)
-            await asyncio.sleep(seconds(back_off_ms * (0.5 + random())))
-            back_off_ms = min(back_off_ms * 2, MAX_BACK_OFF_MS)
+            await _wait_after_failure(contact, answer.err_value)
             continue
-        if not reachable:
-            log_event(Event.PLATFORM_REACHED)
-        reachable = True
-        back_off_ms = MIN_BACK_OFF_MS
+        _note_answer(contact)
         if answer.ok_value.revision < cache.revision:
             cache = _Cache(members_revision=cache.members_revision)
             continue
         _apply(cache, answer.ok_value)
-        if now_ms() - listed_at_ms >= wait_ms:
-            hosts = await port.list_hosts()
-            if isinstance(hosts, Ok):
-                listed = hosts.ok_value.states_by_host
-                listed_at_ms = now_ms()
-        await dispatcher.deliver(_view(cache, question_sent_ms, listed))
+        await _refresh_hosts(port, hosts, wait_ms)
+        await dispatcher.deliver(_view(cache, question_sent_ms, hosts.states_by_host))
+
+
+async def _ask(
+    port: PlatformPort, cache: _Cache, wait_ms: int
+) -> Result[StoredList, PortError]:
+    if cache.revision < 0:
+        return await port.list(FLEET_PREFIX)
+    return await port.watch(FLEET_PREFIX, cache.revision, wait_ms)
+
+
+async def _wait_after_failure(contact: _Contact, error: PortError) -> None:
+    if contact.reachable:
+        contact.reachable = False
+        log_event(Event.PLATFORM_UNREACHABLE, problem=error.message)
+    await asyncio.sleep(seconds(contact.back_off_ms * (0.5 + contact.random())))
+    contact.back_off_ms = min(contact.back_off_ms * 2, MAX_BACK_OFF_MS)
+
+
+def _note_answer(contact: _Contact) -> None:
+    if not contact.reachable:
+        log_event(Event.PLATFORM_REACHED)
+    contact.reachable = True
+    contact.back_off_ms = MIN_BACK_OFF_MS
+
+
+async def _refresh_hosts(
+    port: PlatformPort, hosts: _ListedHosts, interval_ms: int
+) -> None:
+    if now_ms() - hosts.read_ms < interval_ms:
+        return
+    listed = await port.list_hosts()
+    if isinstance(listed, Ok):
+        hosts.states_by_host = listed.ok_value.states_by_host
+        hosts.read_ms = now_ms()
 
 
 async def run_writer(port: PlatformPort, mailbox: Mailbox, dispatcher: Mailbox) -> None:
@@ -327,31 +362,18 @@
     interval_ms = lease_ms // LEASE_RENEWALS_PER_TTL
     await _join_until_written(port, membership)
     await _renew_lease(port, membership, lease_ms)
-    joined_revision = membership.record.joined_revision
-    await dispatcher.deliver(
-        MemberJoined(incarnation=record.incarnation, joined_revision=joined_revision)
-    )
-    log_event(Event.MEMBER_JOINED, member_id=record.member_id, revision=joined_revision)
+    await _tell_joined(dispatcher, membership.record)
     unwritten = False
     may_renew = True
     renewed_ms = now_ms()
     while True:
         wait_ms = MIN_BACK_OFF_MS if unwritten else interval_ms
-        try:
-            message = await asyncio.wait_for(mailbox.receive(), seconds(wait_ms))
-        except TimeoutError:
-            message = None
+        message = await _receive_within(mailbox, wait_ms)
         if isinstance(message, StopService):
             await _leave(port, membership)
             return
         if isinstance(message, RecordMembership):
-            membership.record = replace(
-                membership.record,
-                confirmed_version=message.confirmed_version,
-                confirmed_bounds=message.confirmed_bounds,
-                members_revision=message.members_revision,
-                stopping=message.stopping,
-            )
+            membership.record = _confirmed(membership.record, message)
             unwritten = True
             may_renew = message.may_renew
         if unwritten:
@@ -361,6 +383,32 @@
             await _renew_lease(port, membership, lease_ms)
 
 
+async def _tell_joined(dispatcher: Mailbox, record: Member) -> None:
+    revision = record.joined_revision
+    await dispatcher.deliver(
+        MemberJoined(incarnation=record.incarnation, joined_revision=revision)
+    )
+    log_event(Event.MEMBER_JOINED, member_id=record.member_id, revision=revision)
+
+
+async def _receive_within(mailbox: Mailbox, wait_ms: int) -> object | None:
+    """Waits for a message; None if none came in time."""
+    try:
+        return await asyncio.wait_for(mailbox.receive(), seconds(wait_ms))
+    except TimeoutError:
+        return None
+
+
+def _confirmed(record: Member, message: RecordMembership) -> Member:
+    return replace(
+        record,
+        confirmed_version=message.confirmed_version,
+        confirmed_bounds=message.confirmed_bounds,
+        members_revision=message.members_revision,
+        stopping=message.stopping,
+    )
+
+
 async def _leave(port: PlatformPort, membership: _Membership) -> None:
     """Deletes the record and the liveness key after a graceful stop."""
     member_id = membership.record.member_id
