Split the start of an entry host and the loop of the links

Change: _platform_work and _link_work list the tasks, _update takes over new addresses. Tasks are created in the same order with the same arguments. Tests are unchanged: test_path, test_processes and test_demo passed.

Ruled out: a class for the clients, ports and servers of an entry host, since Entry has them already.

--- a/dandelionknot/_links.py
+++ b/dandelionknot/_links.py
@@ -76,17 +76,22 @@
         while True:
             message = await mailbox.receive()
             if isinstance(message, UpdateLinks):
-                links.update = message
-                _close_removed(links)
-                for host_id in message.polled_hosts:
-                    if host_id not in links.open_by_host:
-                        open_link(host_id, message.addresses_by_host[host_id])
-                continue
-            if isinstance(message, RenewUntil):
+                _update(links, message, open_link)
+            elif isinstance(message, RenewUntil):
                 for link in links.open_by_host.values():
                     link.mailbox.send(message)
-                continue
-            await _pass_order(links, message, dispatcher, open_link)
+            else:
+                await _pass_order(links, message, dispatcher, open_link)
+
+
+def _update(
+    links: _Links, message: UpdateLinks, open_link: Callable[[str, str], _OpenLink]
+) -> None:
+    links.update = message
+    _close_removed(links)
+    for host_id in message.polled_hosts:
+        if host_id not in links.open_by_host:
+            open_link(host_id, message.addresses_by_host[host_id])
 
 
 def _close_removed(links: _Links) -> None:
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -45,6 +45,7 @@
     WaitUntilReleased,
 )
 from dandelionknot.operators import OutsideDecisions
+from dandelionknot.ports import PlatformPort
 from dandelionknot.settings import EntrySettings
 
 MAILBOX_CAPACITY = 1000
@@ -56,6 +57,8 @@
 QUIET_PING_FACTOR = 2
 PLATFORM_ANSWER_MARGIN_MS = 500
 
+Work = Coroutine[Any, Any, None]
+
 
 @dataclass(slots=True)
 class Entry:
@@ -214,39 +217,31 @@
     incarnation = new_incarnation()
     member_id = f'{settings.member_id}.{incarnation[:INCARNATION_DIGITS]}'
     state = _new_state(context, dispatcher, member_id, incarnation)
-    outboxes = state.outboxes
     platform_client = new_http_client(PLATFORM_CONNECTIONS)
     backend_client = new_http_client(settings.backend_connections)
     platform = http_platform_port(
         http_target(settings, platform_client, settings.platform_address)
     )
-    count = context.metrics.count
     identity = PeerIdentity.from_settings(settings, member_id)
     peer_server = await start_peer_server(
-        settings.peer_address, identity, dispatcher, count
+        settings.peer_address, identity, dispatcher, context.metrics.count
     )
     servers = [
         start_caller_server(settings, dispatcher),
-        start_operator_server(settings, dispatcher, outboxes.changes),
+        start_operator_server(settings, dispatcher, state.outboxes.changes),
     ]
-    work: list[Coroutine[Any, Any, None]] = [
+    work = [
         run_dispatcher(state, dispatcher),
         run_ticks(dispatcher),
-        run_reader(
-            platform, dispatcher, settings.platform_read_interval_ms, context.random
-        ),
-        run_writer(platform, outboxes.writer, dispatcher),
-        run_changes(platform, outboxes.changes, dispatcher, _outside_decisions(state)),
-        run_links(context, outboxes.links, dispatcher, backend_client),
-        run_peer_links(
-            identity, outboxes.peers, dispatcher, _ping_interval(state), count
-        ),
+        *_platform_work(state, dispatcher, platform),
+        *_link_work(state, dispatcher, identity, backend_client),
     ]
+    record = _member_record(settings, member_id, incarnation)
     membership = run_membership(
         platform,
-        outboxes.membership,
+        state.outboxes.membership,
         dispatcher,
-        _member_record(settings, member_id, incarnation),
+        record,
         settings.member_lease_ms,
     )
     log_event(Event.ENTRY_STARTED, member_id=member_id)
@@ -260,3 +255,35 @@
         membership_task=asyncio.create_task(membership),
         clients=[platform_client, backend_client],
     )
+
+
+def _platform_work(
+    state: DispatcherState, dispatcher: Mailbox, platform: PlatformPort
+) -> list[Work]:
+    """Returns the tasks that read and write the platform, but for the membership."""
+    context = state.context
+    outboxes = state.outboxes
+    interval_ms = context.settings.platform_read_interval_ms
+    return [
+        run_reader(platform, dispatcher, interval_ms, context.random),
+        run_writer(platform, outboxes.writer, dispatcher),
+        run_changes(platform, outboxes.changes, dispatcher, _outside_decisions(state)),
+    ]
+
+
+def _link_work(
+    state: DispatcherState,
+    dispatcher: Mailbox,
+    identity: PeerIdentity,
+    backend_client: HttpClient,
+) -> list[Work]:
+    """Returns the tasks that keep the links to backend servers and peers."""
+    context = state.context
+    outboxes = state.outboxes
+    count = context.metrics.count
+    return [
+        run_links(context, outboxes.links, dispatcher, backend_client),
+        run_peer_links(
+            identity, outboxes.peers, dispatcher, _ping_interval(state), count
+        ),
+    ]
