Keep the confirmations that prove that a member has stopped

Cause: an entry host kept the confirmations of the newest 16 versions only. The proof that an excluded member has stopped counts from the confirmations of the version that excludes it. With 16 later versions before the proof was over (7.5 s for slices, 142.5 s for grants) they were dropped and noted again at each platform read, with a new time, so the member was never replaced: its slices had no owner and its grants were lost to the team until the entry hosts restarted. A roll-out writes that many versions.

Change: the confirmations of a version that excludes a recorded member stay until its record is deleted.

Tests: the new test_steward writes 38 versions one second apart. Before the change it failed at the 17th: the proof counted from 18000 ms in place of 2000 ms. It also checks that the versions are dropped later. test_fleet_members and test_fleet_limits passed.

Ruled out: a larger number of kept versions, which no number makes safe.

--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -103,7 +103,8 @@
         state.confirmed_since[version] = decisions.acceptance.observe_confirmations(
             seen, version, state.members_by_id, now
         )
-    for version in sorted(state.confirmed_since)[:-CONFIRMATIONS_KEPT]:
+    newest = sorted(state.confirmed_since)[-CONFIRMATIONS_KEPT:]
+    for version in state.confirmed_since.keys() - newest - _excluding_versions(state):
         del state.confirmed_since[version]
         state.accepted_since_by_version.pop(version, None)
     for version in state.confirmed_since:
@@ -112,6 +113,19 @@
                 state.accepted_since_by_version[version] = now
 
 
+def _excluding_versions(state: DispatcherState) -> set[int]:
+    """Returns the versions whose confirmations prove that a member has stopped.
+
+    Without them the proof would start again whenever more versions than are kept
+    were written within it, and the member would never be replaced.
+    """
+    return {
+        version
+        for member_id, version in state.steward.excluded_in_version.items()
+        if member_id in state.members_by_id
+    }
+
+
 def _offered(
     state: DispatcherState, offered: Configuration, *, from_platform: bool
 ) -> None:
