--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -103,7 +103,8 @@
         state.confirmed_since[version] = decisions.acceptance.observe_confirmations(
             seen, version, state.members_by_id, now
         )
-    for version in sorted(state.confirmed_since)[:-CONFIRMATIONS_KEPT]:
+    newest = sorted(state.confirmed_since)[-CONFIRMATIONS_KEPT:]
+    for version in state.confirmed_since.keys() - newest - _excluding_versions(state):
         del state.confirmed_since[version]
         state.accepted_since_by_version.pop(version, None)
     for version in state.confirmed_since:
@@ -112,6 +113,19 @@
                 state.accepted_since_by_version[version] = now
 
 
+def _excluding_versions(state: DispatcherState) -> set[int]:
+    """Returns the versions whose confirmations prove that a member has stopped.
+
+    Without them the proof would start again whenever more versions than are kept
+    were written within it, and the member would never be replaced.
+    """
+    return {
+        version
+        for member_id, version in state.steward.excluded_in_version.items()
+        if member_id in state.members_by_id
+    }
+
+
 def _offered(
     state: DispatcherState, offered: Configuration, *, from_platform: bool
 ) -> None:
@@ -285,25 +299,36 @@
     return state.configuration.version > 0 and has_joined and not state.stopping
 
 
-def unconfirmed_members(state: DispatcherState, version: int) -> list[str] | None:
-    """Returns who may still act on an older version, or None if it is not known."""
+def confirmations_of(state: DispatcherState, version: int) -> dict[str, int]:
+    """Returns when each member was first seen to have confirmed a version."""
     seen = state.confirmed_since.get(version)
-    if version > state.configuration.version or state.view is None:
-        return None
     if seen is None:
         seen = decisions.acceptance.observe_confirmations(
             {}, version, state.members_by_id, now_ms()
         )
         state.confirmed_since[version] = seen
+    return seen
+
+
+def unconfirmed_members(state: DispatcherState, version: int) -> list[str] | None:
+    """Returns who may still act on an older version, or None if it is not known."""
+    if version > state.configuration.version or state.view is None:
+        return None
+    seen = confirmations_of(state, version)
     gone = set(state.configuration.gone_members)
     members_by_id = {
         member_id: member
         for member_id, member in state.members_by_id.items()
         if member_id not in gone
     }
-    outcome = decisions.acceptance.acceptance(
-        version, members_by_id, seen, state.configuration.bounds, now_ms()
+    observed = decisions.acceptance.Observation(
+        version=version,
+        members_by_id=members_by_id,
+        first_seen_confirmed_ms_by_member=seen,
+        bounds=state.configuration.bounds,
+        now_ms=now_ms(),
     )
+    outcome = decisions.acceptance.acceptance(observed)
     if isinstance(outcome, decisions.acceptance.Accepted):
         return []
     return list(outcome.names)
