Give operators roles

Cause: every operator token could do everything, so a person who only watches the fleet or drains hosts held a token that also gives keys, applies base files and votes.

`operators_by_id` in the settings gives each operator a token and one of the roles viewer, maintainer and administrator. The operator server refuses a change outside the role with status 403, the code `role_not_sufficient` and the role that is needed, and logs event 3008; which role an edit needs is decided in `_roles`. A dry run needs the role of its command. `operator_tokens_by_id` is still read, as administrators. An id in both fields, no operator at all and two operators with one token are faults in the settings.

A fault in a settings file now names the file, the line and the field, as one in a configuration file does; before, it named the file and, for YAML errors only, the line.

Ruled out: roles in the configuration, since an operator who may apply files could then raise their own role; the needed role as a field of `Refusal`, which clients of the present schema would refuse to decode.

--- a/dandelionknot/_configuration_files.py
+++ b/dandelionknot/_configuration_files.py
@@ -56,9 +56,9 @@
 
 def load_base(path: Path) -> Result[BaseFile, list[ConfigurationFault]]:
     """Reads the base file: a `Configuration` without the fields of the fleet."""
-    marked = _read(path)
+    marked = read_marked(path)
     if isinstance(marked, Err):
-        return marked
+        return Err([marked.err_value])
     source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
     data = marked.ok_value.data
     faults = [
@@ -75,27 +75,28 @@
 
 def load_overlay(path: Path) -> Result[OverlayFile, list[ConfigurationFault]]:
     """Reads the overlay of a site."""
-    marked = _read(path)
+    marked = read_marked(path)
     if isinstance(marked, Err):
-        return marked
+        return Err([marked.err_value])
     source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
     decoded = _decode(marked.ok_value.data, SiteOverlay, source)
     return decoded.map(lambda value: OverlayFile(source=source, overlay=value))
 
 
-def _read(path: Path) -> Result[codec.MarkedYaml, list[ConfigurationFault]]:
+def read_marked(path: Path) -> Result[codec.MarkedYaml, ConfigurationFault]:
+    """Reads a YAML file and keeps the line of each field."""
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, 'strerror', None) or 'is not UTF-8 text'
         fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=reason)
-        return Err([place(fault, str(path), None)])
+        return Err(place(fault, str(path), None))
     parsed = codec.parse_yaml_with_lines(text, str(path))
     if isinstance(parsed, Ok):
         return parsed
     problem = parsed.err_value
     fault = FieldFault(kind=FaultKind.MALFORMED, field='', problem=problem.problem)
-    return Err([place(fault, str(path), problem.line)])
+    return Err(place(fault, str(path), problem.line))
 
 
 def _decode(
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -72,6 +72,7 @@
     ENTRY_HOST_STOPPING = "entry_host_stopping"
     CONFLICT = "conflict"
     NOT_AUTHORIZED = "not_authorized"
+    ROLE_NOT_SUFFICIENT = "role_not_sufficient"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -1024,6 +1025,26 @@
     ERROR = "ERROR"
 
 
+class OperatorRole(StrEnum):
+    """
+    What an operator may do; each role includes the ones before it.
+    """
+
+    VIEWER = "viewer"
+    MAINTAINER = "maintainer"
+    ADMINISTRATOR = "administrator"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorAccess:
+    """
+    The token of an operator and the role that it gives.
+    """
+
+    token: str
+    role: OperatorRole
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntrySettings:
     """
@@ -1038,8 +1059,9 @@
     peer_address: str
     platform_address: str
     peer_secret: str
-    operator_tokens_by_id: dict[str, str]
     advertised_peer_address: str | None = None
+    operators_by_id: dict[str, OperatorAccess] = field(default_factory=dict)
+    operator_tokens_by_id: dict[str, str] = field(default_factory=dict)
     caller_tls: TlsSettings | None = None
     statsd: StatsdSettings | None = None
     log_level: LogLevel = LogLevel.INFO
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -21,7 +21,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'EntrySettings': None}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'OperatorRole': None, 'OperatorAccess': None, 'EntrySettings': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -345,6 +345,14 @@
             data_keys.remove("LogLevel")
             data__LogLevel = data["LogLevel"]
             validate____defs_loglevel(data__LogLevel, custom_formats, (name_prefix or "data") + ".LogLevel")
+        if "OperatorRole" in data_keys:
+            data_keys.remove("OperatorRole")
+            data__OperatorRole = data["OperatorRole"]
+            validate____defs_operatorrole(data__OperatorRole, custom_formats, (name_prefix or "data") + ".OperatorRole")
+        if "OperatorAccess" in data_keys:
+            data_keys.remove("OperatorAccess")
+            data__OperatorAccess = data["OperatorAccess"]
+            validate____defs_operatoraccess(data__OperatorAccess, custom_formats, (name_prefix or "data") + ".OperatorAccess")
         if "EntrySettings" in data_keys:
             data_keys.remove("EntrySettings")
             data__EntrySettings = data["EntrySettings"]
@@ -353,12 +361,12 @@
 
 def validate____defs_entrysettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']) - data.keys()
+        data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
@@ -435,6 +443,30 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='minLength')
                 if data__peersecret_len > 256:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='maxLength')
+        if "operators_by_id" in data_keys:
+            data_keys.remove("operators_by_id")
+            data__operatorsbyid = data["operators_by_id"]
+            if not isinstance(data__operatorsbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be object", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='type')
+            data__operatorsbyid_is_dict = isinstance(data__operatorsbyid, dict)
+            if data__operatorsbyid_is_dict:
+                data__operatorsbyid_keys = set(data__operatorsbyid.keys())
+                for data__operatorsbyid_key in data__operatorsbyid_keys:
+                    if data__operatorsbyid_key not in []:
+                        data__operatorsbyid_value = data__operatorsbyid.get(data__operatorsbyid_key)
+                        validate____defs_operatoraccess(data__operatorsbyid_value, custom_formats, (name_prefix or "data") + ".operators_by_id.{data__operatorsbyid_key}".format(**locals()))
+                data__operatorsbyid_len = len(data__operatorsbyid)
+                if data__operatorsbyid_len != 0:
+                    data__operatorsbyid_property_names = True
+                    for data__operatorsbyid_key in data__operatorsbyid:
+                        try:
+                            if isinstance(data__operatorsbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__operatorsbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__operatorsbyid_key, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__operatorsbyid_property_names = False
+                    if not data__operatorsbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be named by propertyName definition", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='propertyNames')
         if "operator_tokens_by_id" in data_keys:
             data_keys.remove("operator_tokens_by_id")
             data__operatortokensbyid = data["operator_tokens_by_id"]
@@ -610,7 +642,42 @@
                 if data__draintimeoutms > 600000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='maximum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='additionalProperties')
+    return data
+
+def validate____defs_operatoraccess(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['token', 'role']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='required')
+        data_keys = set(data.keys())
+        if "token" in data_keys:
+            data_keys.remove("token")
+            data__token = data["token"]
+            if not isinstance(data__token, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be string", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='type')
+            if isinstance(data__token, str):
+                data__token_len = len(data__token)
+                if data__token_len < 16:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be longer than or equal to 16 characters", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='minLength')
+                if data__token_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be shorter than or equal to 256 characters", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='maxLength')
+        if "role" in data_keys:
+            data_keys.remove("role")
+            data__role = data["role"]
+            validate____defs_operatorrole(data__role, custom_formats, (name_prefix or "data") + ".role")
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='additionalProperties')
+    return data
+
+def validate____defs_operatorrole(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (str)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
+    if not (isinstance(data, str) and data == 'viewer' or isinstance(data, str) and data == 'maintainer' or isinstance(data, str) and data == 'administrator'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['viewer', 'maintainer', 'administrator']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_loglevel(data, custom_formats={}, name_prefix=None):
@@ -4103,8 +4170,8 @@
 def validate____defs_errorcode(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
-    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'internal_error'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
+    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'role_not_sufficient' or isinstance(data, str) and data == 'internal_error'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'role_not_sufficient', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_requestphase(data, custom_formats={}, name_prefix=None):
@@ -4173,6 +4240,8 @@
     'Member': validate____defs_member,
     'MemberStatus': validate____defs_memberstatus,
     'MovePhase': validate____defs_movephase,
+    'OperatorAccess': validate____defs_operatoraccess,
+    'OperatorRole': validate____defs_operatorrole,
     'PeerAddress': validate____defs_peeraddress,
     'PeerMessageKind': validate____defs_peermessagekind,
     'Ping': validate____defs_ping,
--- a/dandelionknot/_operator_server.py
+++ b/dandelionknot/_operator_server.py
@@ -1,6 +1,7 @@
 """HTTP server for operators."""
 
 import hmac
+from collections.abc import Mapping
 from http import HTTPStatus
 
 import tornado.httpserver
@@ -8,9 +9,10 @@
 import tornado.web
 from result import Err
 
-from dandelionknot import codec
+from dandelionknot import codec, decisions
 from dandelionknot._caller_server import BEARER, MAX_HEADER_BYTES, server_context
 from dandelionknot._mailbox import Mailbox
+from dandelionknot.events import Event, log_event
 from dandelionknot.messages import (
     ChangeQuery,
     ConfigurationQuery,
@@ -23,7 +25,12 @@
     WhyQuery,
 )
 from dandelionknot.operators import ChangeOutcome, ChangeRequest, WhyKind
-from dandelionknot.settings import EntrySettings, split_address
+from dandelionknot.settings import (
+    EntrySettings,
+    OperatorAccess,
+    operators_of,
+    split_address,
+)
 
 ACCEPTANCE_WAIT_MS = 8000
 MAX_CHANGE_BYTES = 4 * 1024 * 1024
@@ -42,19 +49,25 @@
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Answers only to operators whose token is in the settings."""
+    """Answers only to operators whose token is in the settings.
+
+    Each role may ask queries; a change checks the role by its edit.
+    """
 
     dispatcher: Mailbox
     changes: Mailbox
-    entry_settings: EntrySettings
+    operators_by_id: Mapping[str, OperatorAccess]
     operator_id: str
 
     def initialize(
-        self, dispatcher: Mailbox, changes: Mailbox, entry_settings: EntrySettings
+        self,
+        dispatcher: Mailbox,
+        changes: Mailbox,
+        operators_by_id: Mapping[str, OperatorAccess],
     ) -> None:
         self.dispatcher = dispatcher
         self.changes = changes
-        self.entry_settings = entry_settings
+        self.operators_by_id = operators_by_id
 
     def prepare(self) -> None:
         operator_id = self.authenticated_operator()
@@ -69,8 +82,8 @@
         header = self.request.headers.get('Authorization', '')
         presented = header.removeprefix(BEARER).strip().encode()
         found = None
-        for operator_id, token in self.entry_settings.operator_tokens_by_id.items():
-            if hmac.compare_digest(presented, token.encode()):
+        for operator_id, access in self.operators_by_id.items():
+            if hmac.compare_digest(presented, access.token.encode()):
                 found = operator_id
         return found if header.startswith(BEARER) else None
 
@@ -117,15 +130,38 @@
             refusal = _refusal(ErrorCode.MALFORMED_REQUEST, problem)
             self.send(refusal, HTTPStatus.BAD_REQUEST)
             return
+        change = decoded.ok_value
+        if not self.may_send(change):
+            return
         message = OperatorChange(
-            operator_id=self.operator_id,
-            change=decoded.ok_value,
-            wait_ms=ACCEPTANCE_WAIT_MS,
+            operator_id=self.operator_id, change=change, wait_ms=ACCEPTANCE_WAIT_MS
         )
         report = await self.ask(self.changes, message)
         if report is not None:
             self.send(report, STATUS_BY_OUTCOME[report.outcome])  # type: ignore
 
+    def may_send(self, change: ChangeRequest) -> bool:
+        """Tells whether the operator's role allows a change; if not, answers so."""
+        held = self.operators_by_id[self.operator_id].role
+        needed = decisions.roles.role_needed(change.edit)
+        if decisions.roles.is_sufficient(held, needed):
+            return True
+        log_event(
+            Event.OPERATOR_REFUSED,
+            operator_id=self.operator_id,
+            edit=change.edit.kind.value,
+            change_id=change.change_id,
+            role=held.value,
+            needed_role=needed.value,
+        )
+        text = (
+            f'{change.edit.kind.value} needs the role {needed.value}, and operator '
+            f'{self.operator_id!r} has the role {held.value}'
+        )
+        refusal = _refusal(ErrorCode.ROLE_NOT_SUFFICIENT, text)
+        self.send(refusal, HTTPStatus.FORBIDDEN)
+        return False
+
 
 class _ChangeHandler(_Handler):
     async def get(self, change_id: str) -> None:
@@ -155,7 +191,7 @@
     arguments = {
         'dispatcher': dispatcher,
         'changes': changes,
-        'entry_settings': settings,
+        'operators_by_id': operators_of(settings),
     }
 
     def question(value: object) -> dict[str, object]:
--- a/dandelionknot/decisions.py
+++ b/dandelionknot/decisions.py
@@ -11,6 +11,7 @@
 from dandelionknot import _pools as pools
 from dandelionknot import _queueing as queueing
 from dandelionknot import _retries as retries
+from dandelionknot import _roles as roles
 from dandelionknot import _routing as routing
 from dandelionknot import _slices as slices
 from dandelionknot import _versions as versions
@@ -29,6 +30,7 @@
     'pools',
     'queueing',
     'retries',
+    'roles',
     'routing',
     'slices',
     'versions',
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -29,6 +29,7 @@
     CHANGE_ACCEPTED = 3005
     FRESHNESS_LOST = 3006
     FRESHNESS_REGAINED = 3007
+    OPERATOR_REFUSED = 3008
     PEER_CONNECTED = 4001
     PEER_DISCONNECTED = 4002
     PEER_REFUSED = 4003
@@ -117,6 +118,11 @@
     Event.FRESHNESS_REGAINED: EventInfo(
         INFO, 'Keyed work is started again.', NO_ACTION
     ),
+    Event.OPERATOR_REFUSED: EventInfo(
+        WARNING,
+        'An operator sent a command that needs another role; nothing was changed.',
+        'Check who uses the token, or change the role in the settings.',
+    ),
     Event.PEER_CONNECTED: EventInfo(INFO, 'A link to a peer is open.', NO_ACTION),
     Event.PEER_DISCONNECTED: EventInfo(
         WARNING, 'A link to a peer was lost and is opened again.', NO_ACTION
--- a/dandelionknot/settings.py
+++ b/dandelionknot/settings.py
@@ -2,12 +2,22 @@
 
 from pathlib import Path
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from dandelionknot import codec
+from dandelionknot._configuration_files import read_marked
+from dandelionknot._faults import (
+    ConfigurationFault,
+    FaultKind,
+    FieldFault,
+    SourceFile,
+    locate_in,
+)
 from dandelionknot._generated_classes import (
     EntrySettings,
     LogLevel,
+    OperatorAccess,
+    OperatorRole,
     PeerAddress,
     StatsdSettings,
     TlsSettings,
@@ -16,25 +26,87 @@
 __all__ = [
     'EntrySettings',
     'LogLevel',
+    'OperatorAccess',
+    'OperatorRole',
     'PeerAddress',
     'StatsdSettings',
     'TlsSettings',
     'load_entry_settings',
+    'operators_of',
     'split_address',
 ]
 
 
-def load_entry_settings(path: Path) -> Result[EntrySettings, codec.DecodeError]:
+def load_entry_settings(path: Path) -> Result[EntrySettings, ConfigurationFault]:
     """Reads the settings of an entry host.
 
     Unknown fields, duplicate keys, wrong types and values out of range are
-    errors that name the file, the line or the field.
+    faults that name the file, the line and the field.
+    """
+    marked = read_marked(path)
+    if isinstance(marked, Err):
+        return marked
+    data = marked.ok_value.data
+    source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
+    locate = locate_in([source])
+    checked = codec.check_fields(data, EntrySettings)
+    if isinstance(checked, Err):
+        problem = checked.err_value
+        return Err(locate(_malformed(problem.field, problem.problem)))
+    decoded = codec.from_data(data, EntrySettings, str(path))
+    if isinstance(decoded, Err):
+        return Err(locate(_malformed('', decoded.err_value.problem)))
+    fault = _operator_fault(decoded.ok_value)
+    return Err(locate(fault)) if fault else Ok(decoded.ok_value)
+
+
+def _malformed(field: str, problem: str) -> FieldFault:
+    return FieldFault(kind=FaultKind.MALFORMED, field=field, problem=problem)
+
+
+def _operator_fault(settings: EntrySettings) -> FieldFault | None:
+    """Returns what is wrong with the operators, which two fields may state."""
+    fields_by_id = {
+        **{name: f'operators_by_id.{name}' for name in settings.operators_by_id},
+        **{
+            name: f'operator_tokens_by_id.{name}'
+            for name in settings.operator_tokens_by_id
+        },
+    }
+    if not fields_by_id:
+        return _malformed(
+            'operators_by_id',
+            'names no operator, and neither does operator_tokens_by_id',
+        )
+    for name in settings.operator_tokens_by_id:
+        if name in settings.operators_by_id:
+            problem = f'operator {name!r} is in operators_by_id too'
+            return _duplicate(fields_by_id[name], problem)
+    ids_by_token: dict[str, str] = {}
+    for name, access in operators_of(settings).items():
+        other = ids_by_token.setdefault(access.token, name)
+        if other != name:
+            # A vote by either of the two would count as the vote of one of them.
+            problem = f'operator {other!r} has the same token'
+            return _duplicate(fields_by_id[name], problem)
+    return None
+
+
+def _duplicate(field: str, problem: str) -> FieldFault:
+    return FieldFault(kind=FaultKind.DUPLICATE, field=field, problem=problem)
+
+
+def operators_of(settings: EntrySettings) -> dict[str, OperatorAccess]:
+    """Returns the operators of both fields by id.
+
+    Tokens of the earlier field `operator_tokens_by_id` have no role of their
+    own; what they could do, an administrator can.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        return Err(codec.DecodeError(where=str(path), problem=str(error)))
-    return codec.decode_yaml(text, EntrySettings, str(path))
+    administrators = {
+        operator_id: OperatorAccess(token=token, role=OperatorRole.ADMINISTRATOR)
+        for operator_id, token in settings.operator_tokens_by_id.items()
+    }
+    return administrators | settings.operators_by_id
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -41,7 +41,14 @@
 
 CONFIGURATION_KEY = 'fleet/configuration'
 PEER_SECRET = 'loopback-peer-secret'
+OPERATOR_ID = 'operator-1'
 OPERATOR_TOKEN = 'loopback-operator-token'
+OPERATORS_BY_ID = {
+    OPERATOR_ID: {'token': OPERATOR_TOKEN, 'role': 'administrator'},
+    'operator-2': {'token': 'loopback-second-token', 'role': 'administrator'},
+    'maintainer-1': {'token': 'loopback-maintainer-token', 'role': 'maintainer'},
+    'viewer-1': {'token': 'loopback-viewer-token', 'role': 'viewer'},
+}
 REGION = 'region-1'
 READY_TIMEOUT_S = 15
 CLIENT_CONNECTIONS = 256
@@ -151,7 +158,7 @@
             'peer_address': f'{ip}:{free_port(ip)}',
             'platform_address': self.platform_relay.address,
             'peer_secret': PEER_SECRET,
-            'operator_tokens_by_id': {'operator-1': OPERATOR_TOKEN},
+            'operators_by_id': OPERATORS_BY_ID,
             'source_ip': ip,
         }
         decoded = codec.from_data(data | self.plan.settings, EntrySettings, member_id)
@@ -241,13 +248,13 @@
             for start in self.backends_by_host[host_id].state.starts
         ]
 
-    def operator(self, member_id: str) -> OperatorPort:
-        """Returns the operator API of an entry host."""
+    def operator(self, member_id: str, operator_id: str = OPERATOR_ID) -> OperatorPort:
+        """Returns the operator API of an entry host, as one of the operators."""
         settings = self.entries_by_id[member_id].context.settings
         return http_operator_port(
             Endpoint(
                 address=settings.operator_address,
-                token=OPERATOR_TOKEN,
+                token=OPERATORS_BY_ID[operator_id]['token'],
                 timeout_ms=OPERATOR_TIMEOUT_MS,
             )
         )
@@ -255,7 +262,11 @@
     async def change(
         self, through: str, kind: EditKind, change_id: str = '', **fields: Any
     ) -> ChangeReport:
-        """Has an operator make one edit of the version in force at an entry host."""
+        """Has an operator make one edit of the version in force at an entry host.
+
+        `operator_id` names another operator than the administrator `operator-1`.
+        """
+        port = self.operator(through, fields.pop('operator_id', OPERATOR_ID))
         version = fields.pop('expected_version', None)
         if version is None:
             version = self.entries_by_id[through].state.configuration.version
@@ -264,7 +275,7 @@
             expected_version=version,
             edit=Edit(kind=kind, **fields),
         )
-        return (await self.operator(through).change(request)).unwrap()
+        return (await port.change(request)).unwrap()
 
     async def kill(self, member_id: str) -> None:
         """Ends an entry host as a crash would."""
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,220 @@
+"""Guards against operators that do more than their role allows."""
+
+import json
+import tempfile
+import unittest
+import unittest.mock
+from pathlib import Path
+
+from result import Err
+from tornado.httpclient import HTTPRequest
+
+from dandelionknot import _roles
+from dandelionknot.events import Event
+from dandelionknot.messages import ErrorCode, RunState
+from dandelionknot.operators import ChangeRequest, Edit, EditKind
+from dandelionknot.settings import OperatorRole, load_entry_settings, operators_of
+from standins.fleet import OPERATORS_BY_ID, FleetPlan, start_fleet
+
+ENTRY = 'zone-a-entry-0'
+HOST = 'zone-a-host-0'
+KEY = {'team': 'desk', 'key_id': 'key-1'}
+PLAN = {'plan_id': 'spring'}
+PROPOSAL = {'proposal_id': 'p-1'}
+ZONE = {'availability_zone': 'zone-a'}
+# Each kind of edit with the least role of section 5.8 and with valid fields.
+CASES = [
+    ('move_host', 'maintainer', {'host_id': HOST, 'to_pool': 'quotes'}),
+    ('cancel_move', 'maintainer', {'host_id': HOST}),
+    ('zone_out', 'maintainer', ZONE),
+    ('zone_back', 'maintainer', ZONE),
+    ('drain_host', 'maintainer', {'host_id': HOST}),
+    ('undrain_host', 'maintainer', {'host_id': HOST}),
+    ('plan_create', 'maintainer', {**PLAN, 'hosts': [HOST]}),
+    ('plan_pause', 'maintainer', PLAN),
+    ('plan_resume', 'maintainer', PLAN),
+    ('apply_configuration', 'administrator', {'configuration': {'version': 0}}),
+    (
+        'give_key',
+        'administrator',
+        {**KEY, 'key_record': {'salt': '0' * 32, 'digest': 'a' * 64}},
+    ),
+    ('withdraw_key', 'administrator', KEY),
+    ('propose_limit', 'administrator', {**PROPOSAL, 'team': 'desk', 'new_limit': 3}),
+    ('vote', 'administrator', PROPOSAL),
+    ('member_gone', 'administrator', {'member_id': 'entry-9'}),
+]
+ROLES = ['viewer', 'maintainer', 'administrator']
+OPERATORS_BY_ROLE = {
+    'viewer': 'viewer-1',
+    'maintainer': 'maintainer-1',
+    'administrator': 'operator-1',
+}
+QUERIES = ['configuration', 'status', 'histograms', 'why/host/' + HOST, 'changes/c-1']
+
+
+def allowed(role, needed):
+    return ROLES.index(role) >= ROLES.index(needed)
+
+
+class RoleTest(unittest.TestCase):
+    def test_every_kind_against_every_role(self):
+        """Guards against a kind of edit that a lower role may send."""
+        self.assertEqual({kind for kind, *_ in CASES}, {str(kind) for kind in EditKind})
+        for kind, needed, _ in CASES:
+            for role in ROLES:
+                with self.subTest(kind=kind, role=role):
+                    least = _roles.role_needed(Edit(kind=EditKind(kind)))
+                    found = _roles.is_sufficient(OperatorRole(role), least)
+                    self.assertEqual(found, allowed(role, needed))
+
+
+class FleetRoleTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = await start_fleet(FleetPlan.with_short_bounds(zones=('zone-a',)))
+        self.addAsyncCleanup(self.fleet.stop)
+        settings = self.fleet.entries_by_id[ENTRY].context.settings
+        self.url = f'http://{settings.operator_address}/v1/'
+
+    async def call(self, path, token, body=None):
+        """Returns the HTTP status and the decoded answer of one call."""
+        request = HTTPRequest(
+            self.url + path,
+            method='GET' if body is None else 'POST',
+            body=None if body is None else json.dumps(body),
+            headers={'Authorization': f'Bearer {token}'},
+        )
+        response = await self.fleet.client.fetch(request, raise_error=False)
+        return response.code, json.loads(response.body)
+
+    async def test_commands_outside_a_role_are_refused(self):
+        """Guards against an operator API that does not ask for the role."""
+        for kind, needed, fields in CASES:
+            for role, operator_id in OPERATORS_BY_ROLE.items():
+                with self.subTest(kind=kind, role=role):
+                    change = {
+                        'change_id': 'change-1',
+                        'expected_version': 1,
+                        'edit': {'kind': kind, **fields},
+                        'dry_run': True,
+                    }
+                    token = OPERATORS_BY_ID[operator_id]['token']
+                    status, body = await self.call('changes', token, change)
+                    if allowed(role, needed):
+                        self.assertIn('outcome', body)
+                        self.assertNotEqual(status, 403)
+                        continue
+                    self.assertEqual(status, 403)
+                    self.assertEqual(body['code'], ErrorCode.ROLE_NOT_SUFFICIENT)
+                    self.assertEqual(body['run_state'], RunState.NOT_RUN)
+                    self.assertIn(f'needs the role {needed}', body['message'])
+
+    async def test_every_role_may_ask(self):
+        """Guards against queries that a viewer is refused, and against strangers."""
+        for path in QUERIES:
+            for operator_id in OPERATORS_BY_ROLE.values():
+                token = OPERATORS_BY_ID[operator_id]['token']
+                status, body = await self.call(path, token)
+                self.assertNotIn(status, (401, 403), (path, operator_id, body))
+            for token in ('', 'loopback-viewer-toke', 'operator-1'):
+                status, body = await self.call(path, token)
+                self.assertEqual(status, 401, (path, token))
+
+    async def test_token_of_another_operator(self):
+        """Guards against a change that counts for another operator or is not logged."""
+        drain = Edit(kind=EditKind.DRAIN_HOST, host_id=HOST)
+        change = ChangeRequest(change_id='drain-1', expected_version=1, edit=drain)
+        viewer = self.fleet.operator(ENTRY, 'viewer-1')
+        logged = 'dandelionknot._operator_server.log_event'
+        with unittest.mock.patch(logged) as log_event:
+            refused = await viewer.change(change)
+        self.assertIsInstance(refused, Err)
+        self.assertEqual(refused.err_value.code, ErrorCode.ROLE_NOT_SUFFICIENT)
+        log_event.assert_called_once_with(
+            Event.OPERATOR_REFUSED,
+            operator_id='viewer-1',
+            edit='drain_host',
+            change_id='drain-1',
+            role='viewer',
+            needed_role='maintainer',
+        )
+        state = self.fleet.entries_by_id[ENTRY].state
+        self.assertEqual(state.configuration.version, 1)
+        maintainer = self.fleet.operator(ENTRY, 'maintainer-1')
+        report = (await maintainer.change(change)).unwrap()
+        self.assertEqual((report.outcome, report.version), ('accepted', 2))
+
+
+SETTINGS = {
+    'member_id': 'entry-1',
+    'availability_zone': 'sofia',
+    'region': 'balkans',
+    'peer_secret': 'a-secret-of-peers',
+    **{
+        f'{name}_address': '127.0.0.1:8000'
+        for name in ('caller', 'operator', 'peer', 'platform')
+    },
+}
+TOKEN = 'token-of-operator-1'
+OTHER_TOKEN = 'token-of-operator-2'
+
+
+class OperatorSettingsTest(unittest.TestCase):
+    def load(self, fields):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / 'entry.yaml'
+            path.write_text(json.dumps(SETTINGS | fields, indent=1))
+            return load_entry_settings(path)
+
+    def test_both_fields_are_read(self):
+        """Guards against an earlier settings file that locks its operators out."""
+        ana = {'ana': {'token': TOKEN, 'role': 'viewer'}}
+        boris = {'boris': OTHER_TOKEN}
+        cases = [
+            ({'operators_by_id': ana}, {'ana': 'viewer'}),
+            ({'operator_tokens_by_id': boris}, {'boris': 'administrator'}),
+            (
+                {'operators_by_id': ana, 'operator_tokens_by_id': boris},
+                {'ana': 'viewer', 'boris': 'administrator'},
+            ),
+        ]
+        for fields, expected in cases:
+            with self.subTest(expected=expected):
+                operators_by_id = operators_of(self.load(fields).unwrap())
+                found = {name: each.role for name, each in operators_by_id.items()}
+                self.assertEqual(found, expected)
+
+    def test_operators_that_are_not_clear(self):
+        """Guards against a file whose operators have two roles, one token or none."""
+        ana = {'ana': {'token': TOKEN, 'role': 'viewer'}}
+        cases = [
+            ({}, 'operators_by_id: names no operator'),
+            ({'operators_by_id': {}}, 'operators_by_id: names no operator'),
+            ({'operator_tokens_by_id': {}}, 'operators_by_id: names no operator'),
+            (
+                {'operators_by_id': ana, 'operator_tokens_by_id': {'ana': OTHER_TOKEN}},
+                "operator_tokens_by_id.ana: operator 'ana' is in operators_by_id too",
+            ),
+            (
+                {'operators_by_id': ana, 'operator_tokens_by_id': {'boris': TOKEN}},
+                "operators_by_id.ana: operator 'boris' has the same token",
+            ),
+            (
+                {'operators_by_id': {'ana': {'token': TOKEN, 'role': 'owner'}}},
+                'operators_by_id.ana.role: must be one of',
+            ),
+            (
+                {'operators_by_id': {'ana': {'token': TOKEN}}},
+                'operators_by_id.ana.role: is missing',
+            ),
+            (
+                {'operators_by_id': {'ana': {'token': 'short', 'role': 'viewer'}}},
+                'operators_by_id.ana.token: must be longer',
+            ),
+        ]
+        for fields, text in cases:
+            with self.subTest(fields=fields):
+                outcome = self.load(fields)
+                self.assertIsInstance(outcome, Err)
+                self.assertIn(text, str(outcome.err_value))
+                self.assertNotIn(TOKEN, str(outcome.err_value))
