--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -34,7 +34,9 @@
 from dandelionknot.ports import PlatformPort, PortError
 
 READ_BACKS = 3
-VOTING_KINDS = frozenset({EditKind.PROPOSE_LIMIT, EditKind.VOTE})
+VOTING_KINDS = frozenset(
+    {EditKind.PROPOSE_LIMIT, EditKind.PROPOSE_VOTERS, EditKind.VOTE}
+)
 
 Edit = Callable[[Configuration], Result[Configuration, str]]
 
@@ -200,20 +202,23 @@
         )
         if isinstance(edited, Err):
             return Err(str(edited.err_value))
-        return _check_limits(configuration, edited.ok_value, message)
+        return _check_votes(configuration, edited.ok_value, message)
 
     return edit
 
 
-def _check_limits(
+def _check_votes(
     current: Configuration, edited: Configuration, message: OperatorChange
 ) -> Result[Configuration, str]:
-    """Refuses an edit that would change a limit without a vote."""
+    """Refuses an edit that would change a limit or the voters without a vote."""
     if message.change.edit.kind in VOTING_KINDS:
         return Ok(edited)
     teams = decisions.votes.limits_changed_without_vote(current, edited)
     if teams:
         return Err(f'the limits of these teams need a vote: {", ".join(teams)}')
+    fields = decisions.votes.voters_changed_without_vote(current, edited)
+    if fields:
+        return Err(decisions.votes.needs_vote_problem(fields))
     return Ok(edited)
 
 
--- a/dandelionknot/_commands.py
+++ b/dandelionknot/_commands.py
@@ -43,7 +43,12 @@
     'zone': {'out': changes.zone_out, 'back': changes.zone_back},
     'drain': changes.drain,
     'undrain': changes.undrain,
-    'limit': {'propose': changes.limit_propose, 'vote': changes.limit_vote},
+    'limit': {'propose': changes.limit_propose, 'vote': changes.vote},
+    'voters': {
+        'propose': files.voters_propose,
+        'vote': changes.vote,
+        'show': queries.voters_show,
+    },
     'plan': {
         'create': changes.plan_create,
         'show': queries.plan_show,
--- a/dandelionknot/_commands_changes.py
+++ b/dandelionknot/_commands_changes.py
@@ -167,8 +167,8 @@
 
 
 @command(CHANGE_OPTIONS)
-def limit_vote(call: Call, proposal_id: str) -> Outcome:
-    """Agrees to a proposed limit as the operator whose token is used."""
+def vote(call: Call, proposal_id: str) -> Outcome:
+    """Agrees to a proposal as the operator whose token is used."""
     return send_change(call, Edit(kind=EditKind.VOTE, proposal_id=proposal_id))
 
 
--- a/dandelionknot/_commands_files.py
+++ b/dandelionknot/_commands_files.py
@@ -76,6 +76,20 @@
     return send_change(call, edit)
 
 
+@command(CHANGE_OPTIONS)
+def voters_propose(call: Call, proposal_id: str, base: str, *overlays: str) -> Outcome:
+    """Proposes the co-operatives and voters of files to the present voters."""
+    loaded = load_files(base, overlays)
+    if isinstance(loaded, Err):
+        return _faulty(loaded.err_value)
+    edit = Edit(
+        kind=EditKind.PROPOSE_VOTERS,
+        proposal_id=proposal_id,
+        cooperatives_by_id=loaded.ok_value.cooperatives_by_id,
+    )
+    return send_change(call, edit)
+
+
 def load_files(base: str, overlays: tuple[str, ...]) -> Loaded:
     """Loads and merges files; a directory stands for the files in it."""
     base_path = Path(base)
--- a/dandelionknot/_commands_queries.py
+++ b/dandelionknot/_commands_queries.py
@@ -1,7 +1,8 @@
 """Commands that ask an entry host: status, why, confirmed, plan show."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import Any
 
@@ -22,7 +23,12 @@
     team_summaries,
     zone_summaries,
 )
-from dandelionknot.configuration import Configuration
+from dandelionknot.configuration import (
+    Configuration,
+    Cooperative,
+    LimitProposal,
+    VotersProposal,
+)
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.operators import FleetStatus, JournalEntry, WhyKind
 
@@ -43,6 +49,24 @@
 }
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Votes:
+    """Who votes, and what is open to be voted on."""
+
+    cooperatives_by_id: Mapping[str, Cooperative]
+    limit_proposals_by_id: Mapping[str, LimitProposal]
+    voters_proposals_by_id: Mapping[str, VotersProposal]
+
+    @classmethod
+    def from_configuration(cls, configuration: Configuration) -> 'Votes':
+        """Takes the votes out of a configuration."""
+        return cls(
+            cooperatives_by_id=configuration.cooperatives_by_id,
+            limit_proposals_by_id=configuration.limit_proposals_by_id,
+            voters_proposals_by_id=configuration.voters_proposals_by_id,
+        )
+
+
 def _ask(call: Call, ask: Ask) -> Outcome:
     target = endpoint(call)
     if isinstance(target, Err):
@@ -187,6 +211,44 @@
     return Outcome(lines=lines, data=plan)
 
 
+@command(REMOTE_OPTIONS)
+def voters_show(call: Call) -> Outcome:
+    """Shows the voters of each co-operative and the open proposals."""
+
+    async def ask(port: OperatorPort) -> Outcome:
+        running = await port.configuration()
+        if isinstance(running, Err):
+            return failed_call(running.err_value)
+        return _votes(running.ok_value)
+
+    return _ask(call, ask)
+
+
+def _votes(configuration: Configuration) -> Outcome:
+    lines = _voters_lines(configuration.cooperatives_by_id) or ['(no voters)']
+    for name, limit in configuration.limit_proposals_by_id.items():
+        lines.append(
+            f'proposal {name}: limit of team {limit.team} '
+            f'{limit.base_limit} -> {limit.new_limit}; {_approvals(limit)}'
+        )
+    for name, voters in configuration.voters_proposals_by_id.items():
+        lines.append(f'proposal {name}: new voters; {_approvals(voters)}')
+        proposed = _voters_lines(voters.new_cooperatives_by_id)
+        lines += [f'    {line}' for line in proposed]
+    return Outcome(lines=lines, data=Votes.from_configuration(configuration))
+
+
+def _voters_lines(cooperatives_by_id: Mapping[str, Cooperative]) -> list[str]:
+    return [
+        f'{name}: {", ".join(cooperative.voters)}'
+        for name, cooperative in cooperatives_by_id.items()
+    ]
+
+
+def _approvals(proposal: LimitProposal | VotersProposal) -> str:
+    return f'agreed: {", ".join(proposal.approvals)}'
+
+
 @command(REMOTE_OPTIONS)
 def histograms(call: Call) -> Outcome:
     """Shows the latency histograms of the entry host."""
--- a/dandelionknot/_configuration_files.py
+++ b/dandelionknot/_configuration_files.py
@@ -28,7 +28,13 @@
 )
 
 # The fleet writes these fields; a file that states them could undo its work.
-FLEET_FIELDS = ('version', 'change_ids', 'moves_by_host', 'limit_proposals_by_id')
+FLEET_FIELDS = (
+    'version',
+    'change_ids',
+    'moves_by_host',
+    'limit_proposals_by_id',
+    'voters_proposals_by_id',
+)
 BASE_CLASSES_BY_SECTION: dict[str, Any] = {
     'hosts_by_id': Host,
     'teams_by_id': Team,
--- a/dandelionknot/_crosschecks.py
+++ b/dandelionknot/_crosschecks.py
@@ -112,6 +112,19 @@
             cooperatives_by_voter.setdefault(voter, cooperative_id)
 
 
+def _cooperatives_have_voters(configuration: Configuration) -> Iterator[FieldFault]:
+    # Every vote needs a majority of each co-operative, so that one without
+    # voters beside one with voters would stop all votes for good.
+    cooperatives_by_id = configuration.cooperatives_by_id
+    if any(cooperative.voters for cooperative in cooperatives_by_id.values()):
+        for cooperative_id, cooperative in cooperatives_by_id.items():
+            if not cooperative.voters:
+                yield _out_of_range(
+                    f'cooperatives_by_id.{cooperative_id}.voters',
+                    'is empty, and no vote could pass without voters here',
+                )
+
+
 def _plans_list_hosts_once(configuration: Configuration) -> Iterator[FieldFault]:
     for plan_id, plan in configuration.maintenance_plans_by_id.items():
         field = f'maintenance_plans_by_id.{plan_id}'
@@ -176,6 +189,7 @@
     _racks_are_in_one_zone,
     _services_fit_their_pool,
     _voters_are_unique,
+    _cooperatives_have_voters,
     _plans_list_hosts_once,
     _sites_are_disjoint,
     _moves_and_proposals_refer,
--- a/dandelionknot/_diff.py
+++ b/dandelionknot/_diff.py
@@ -17,6 +17,7 @@
     'teams_by_id': 'team',
     'cooperatives_by_id': 'co-operative',
     'limit_proposals_by_id': 'limit proposal',
+    'voters_proposals_by_id': 'voters proposal',
     'moves_by_host': 'move of host',
     'maintenance_plans_by_id': 'maintenance plan',
 }
--- a/dandelionknot/_edit_errors.py
+++ b/dandelionknot/_edit_errors.py
@@ -15,6 +15,7 @@
     WRONG_STATE = 'wrong_state'
     NOT_ALLOWED = 'not_allowed'
     INCONSISTENT = 'inconsistent'
+    NEEDS_VOTE = 'needs_vote'
     NOT_A_CONFIGURATION_EDIT = 'not_a_configuration_edit'
 
 
--- a/dandelionknot/_edits.py
+++ b/dandelionknot/_edits.py
@@ -13,6 +13,7 @@
 from dandelionknot._edit_errors import EditError, EditErrorKind, refuse
 from dandelionknot._generated_classes import (
     Configuration,
+    Cooperative,
     Edit,
     EditKind,
     Host,
@@ -45,6 +46,9 @@
     begin_move: Callable[[Configuration, str, str], DecisionResult]
     cancel_move: Callable[[Configuration, str], DecisionResult]
     propose_limit: Callable[[Configuration, str, str, int, str], DecisionResult]
+    propose_voters: Callable[
+        [Configuration, str, Mapping[str, Cooperative], str], DecisionResult
+    ]
     cast_vote: Callable[[Configuration, str, str], DecisionResult]
     may_drain: Callable[[Configuration, str], Result[None, Any]]
 
@@ -175,6 +179,19 @@
     )
 
 
+def _propose_voters(request: _Request) -> EditResult:
+    edit = request.edit
+    assert edit.proposal_id and edit.cooperatives_by_id is not None
+    return _decided(
+        request.decisions.propose_voters(
+            request.configuration,
+            edit.proposal_id,
+            edit.cooperatives_by_id,
+            request.operator_id,
+        )
+    )
+
+
 def _vote(request: _Request) -> EditResult:
     assert request.edit.proposal_id
     cast_vote = request.decisions.cast_vote
@@ -339,6 +356,9 @@
     EditKind.DRAIN_HOST: _Rule(_drain_host, ('host_id',)),
     EditKind.UNDRAIN_HOST: _Rule(_undrain_host, ('host_id',)),
     EditKind.PROPOSE_LIMIT: _Rule(_propose_limit, ('proposal_id', 'team', 'new_limit')),
+    EditKind.PROPOSE_VOTERS: _Rule(
+        _propose_voters, ('proposal_id', 'cooperatives_by_id')
+    ),
     EditKind.VOTE: _Rule(_vote, ('proposal_id',)),
     EditKind.PLAN_CREATE: _Rule(_plan_create, ('plan_id', 'hosts')),
     EditKind.PLAN_PAUSE: _Rule(_set_plan_state(PlanState.PAUSED), ('plan_id',)),
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -376,6 +376,18 @@
     approvals: list[Approval] = field(default_factory=list)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VotersProposal:
+    """
+    Proposed co-operatives with their voters, and the present voters who agreed to them.
+    """
+
+    base_cooperatives_by_id: dict[str, Cooperative]
+    new_cooperatives_by_id: dict[str, Cooperative]
+    proposer: str
+    approvals: list[Approval] = field(default_factory=list)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostMove:
     """
@@ -451,6 +463,7 @@
     teams_by_id: dict[str, Team] = field(default_factory=dict)
     cooperatives_by_id: dict[str, Cooperative] = field(default_factory=dict)
     limit_proposals_by_id: dict[str, LimitProposal] = field(default_factory=dict)
+    voters_proposals_by_id: dict[str, VotersProposal] = field(default_factory=dict)
     moves_by_host: dict[str, HostMove] = field(default_factory=dict)
     maintenance_plans_by_id: dict[str, MaintenancePlan] = field(default_factory=dict)
 
@@ -530,6 +543,7 @@
     DRAIN_HOST = "drain_host"
     UNDRAIN_HOST = "undrain_host"
     PROPOSE_LIMIT = "propose_limit"
+    PROPOSE_VOTERS = "propose_voters"
     VOTE = "vote"
     PLAN_CREATE = "plan_create"
     PLAN_PAUSE = "plan_pause"
@@ -553,6 +567,7 @@
     availability_zone: str | None = None
     proposal_id: str | None = None
     new_limit: int | None = None
+    cooperatives_by_id: dict[str, Cooperative] | None = None
     plan_id: str | None = None
     hosts: list[Host1] | None = None
     member_id: str | None = None
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -21,7 +21,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'OperatorRole': None, 'OperatorAccess': None, 'EntrySettings': None}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'VotersProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'OperatorRole': None, 'OperatorAccess': None, 'EntrySettings': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -141,6 +141,10 @@
             data_keys.remove("LimitProposal")
             data__LimitProposal = data["LimitProposal"]
             validate____defs_limitproposal(data__LimitProposal, custom_formats, (name_prefix or "data") + ".LimitProposal")
+        if "VotersProposal" in data_keys:
+            data_keys.remove("VotersProposal")
+            data__VotersProposal = data["VotersProposal"]
+            validate____defs_votersproposal(data__VotersProposal, custom_formats, (name_prefix or "data") + ".VotersProposal")
         if "HostMove" in data_keys:
             data_keys.remove("HostMove")
             data__HostMove = data["HostMove"]
@@ -2187,12 +2191,12 @@
 
 def validate____defs_edit(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='required')
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -2290,6 +2294,43 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='minimum')
                 if data__newlimit > 1000000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='maximum')
+        if "cooperatives_by_id" in data_keys:
+            data_keys.remove("cooperatives_by_id")
+            data__cooperativesbyid = data["cooperatives_by_id"]
+            data__cooperativesbyid_one_of_count11 = 0
+            if data__cooperativesbyid_one_of_count11 < 2:
+                try:
+                    if not isinstance(data__cooperativesbyid, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='type')
+                    data__cooperativesbyid_is_dict = isinstance(data__cooperativesbyid, dict)
+                    if data__cooperativesbyid_is_dict:
+                        data__cooperativesbyid_keys = set(data__cooperativesbyid.keys())
+                        for data__cooperativesbyid_key in data__cooperativesbyid_keys:
+                            if data__cooperativesbyid_key not in []:
+                                data__cooperativesbyid_value = data__cooperativesbyid.get(data__cooperativesbyid_key)
+                                validate____defs_cooperative(data__cooperativesbyid_value, custom_formats, (name_prefix or "data") + ".cooperatives_by_id.{data__cooperativesbyid_key}".format(**locals()))
+                        data__cooperativesbyid_len = len(data__cooperativesbyid)
+                        if data__cooperativesbyid_len != 0:
+                            data__cooperativesbyid_property_names = True
+                            for data__cooperativesbyid_key in data__cooperativesbyid:
+                                try:
+                                    if isinstance(data__cooperativesbyid_key, str):
+                                        if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__cooperativesbyid_key):
+                                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__cooperativesbyid_key, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='pattern')
+                                except (JsonSchemaValueException, JsonSchemaValuesException):
+                                    data__cooperativesbyid_property_names = False
+                            if not data__cooperativesbyid_property_names:
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='propertyNames')
+                    data__cooperativesbyid_one_of_count11 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__cooperativesbyid_one_of_count11 < 2:
+                try:
+                    if not isinstance(data__cooperativesbyid, (NoneType)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be null", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='type')
+                    data__cooperativesbyid_one_of_count11 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__cooperativesbyid_one_of_count11 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be valid exactly by one definition" + (" (" + str(data__cooperativesbyid_one_of_count11) + " matches found)"), value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='oneOf')
         if "plan_id" in data_keys:
             data_keys.remove("plan_id")
             data__planid = data["plan_id"]
@@ -2325,14 +2366,14 @@
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9.-]{0,79}$'].search(data__memberid):
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9.-]{0,79}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
     return data
 
 def validate____defs_editkind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
-    if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
+    if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'propose_voters' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'propose_voters', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_siteoverlay(data, custom_formats={}, name_prefix=None):
@@ -2405,20 +2446,20 @@
                 for data__hostsbyid_key in data__hostsbyid_keys:
                     if data__hostsbyid_key not in []:
                         data__hostsbyid_value = data__hostsbyid.get(data__hostsbyid_key)
-                        data__hostsbyid_value_one_of_count11 = 0
-                        if data__hostsbyid_value_one_of_count11 < 2:
+                        data__hostsbyid_value_one_of_count12 = 0
+                        if data__hostsbyid_value_one_of_count12 < 2:
                             try:
                                 validate____defs_hostoverlay(data__hostsbyid_value, custom_formats, (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()))
-                                data__hostsbyid_value_one_of_count11 += 1
+                                data__hostsbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count11 < 2:
+                        if data__hostsbyid_value_one_of_count12 < 2:
                             try:
                                 if not isinstance(data__hostsbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null", value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__hostsbyid_value_one_of_count11 += 1
+                                data__hostsbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count11 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count11) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__hostsbyid_value_one_of_count12 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count12) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__hostsbyid_len = len(data__hostsbyid)
                 if data__hostsbyid_len != 0:
                     data__hostsbyid_property_names = True
@@ -2466,20 +2507,20 @@
                 for data__maintenanceplansbyid_key in data__maintenanceplansbyid_keys:
                     if data__maintenanceplansbyid_key not in []:
                         data__maintenanceplansbyid_value = data__maintenanceplansbyid.get(data__maintenanceplansbyid_key)
-                        data__maintenanceplansbyid_value_one_of_count12 = 0
-                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
+                        data__maintenanceplansbyid_value_one_of_count13 = 0
+                        if data__maintenanceplansbyid_value_one_of_count13 < 2:
                             try:
                                 validate____defs_planoverlay(data__maintenanceplansbyid_value, custom_formats, (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()))
-                                data__maintenanceplansbyid_value_one_of_count12 += 1
+                                data__maintenanceplansbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
+                        if data__maintenanceplansbyid_value_one_of_count13 < 2:
                             try:
                                 if not isinstance(data__maintenanceplansbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null", value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__maintenanceplansbyid_value_one_of_count12 += 1
+                                data__maintenanceplansbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count12 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count12) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__maintenanceplansbyid_value_one_of_count13 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count13) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__maintenanceplansbyid_len = len(data__maintenanceplansbyid)
                 if data__maintenanceplansbyid_len != 0:
                     data__maintenanceplansbyid_property_names = True
@@ -2519,20 +2560,20 @@
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
                         data__keysbyid_value = data__keysbyid.get(data__keysbyid_key)
-                        data__keysbyid_value_one_of_count13 = 0
-                        if data__keysbyid_value_one_of_count13 < 2:
+                        data__keysbyid_value_one_of_count14 = 0
+                        if data__keysbyid_value_one_of_count14 < 2:
                             try:
                                 validate____defs_keyrecord(data__keysbyid_value, custom_formats, (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()))
-                                data__keysbyid_value_one_of_count13 += 1
+                                data__keysbyid_value_one_of_count14 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count13 < 2:
+                        if data__keysbyid_value_one_of_count14 < 2:
                             try:
                                 if not isinstance(data__keysbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null", value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__keysbyid_value_one_of_count13 += 1
+                                data__keysbyid_value_one_of_count14 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count13 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count13) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__keysbyid_value_one_of_count14 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count14) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 if data__keysbyid_len != 0:
                     data__keysbyid_property_names = True
                     for data__keysbyid_key in data__keysbyid:
@@ -2689,12 +2730,12 @@
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
@@ -2953,6 +2994,32 @@
                             data__limitproposalsbyid_property_names = False
                     if not data__limitproposalsbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='propertyNames')
+        if "voters_proposals_by_id" in data_keys:
+            data_keys.remove("voters_proposals_by_id")
+            data__votersproposalsbyid = data["voters_proposals_by_id"]
+            if not isinstance(data__votersproposalsbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be object", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='type')
+            data__votersproposalsbyid_is_dict = isinstance(data__votersproposalsbyid, dict)
+            if data__votersproposalsbyid_is_dict:
+                data__votersproposalsbyid_len = len(data__votersproposalsbyid)
+                if data__votersproposalsbyid_len > 200:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must contain less than or equal to 200 properties", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='maxProperties')
+                data__votersproposalsbyid_keys = set(data__votersproposalsbyid.keys())
+                for data__votersproposalsbyid_key in data__votersproposalsbyid_keys:
+                    if data__votersproposalsbyid_key not in []:
+                        data__votersproposalsbyid_value = data__votersproposalsbyid.get(data__votersproposalsbyid_key)
+                        validate____defs_votersproposal(data__votersproposalsbyid_value, custom_formats, (name_prefix or "data") + ".voters_proposals_by_id.{data__votersproposalsbyid_key}".format(**locals()))
+                if data__votersproposalsbyid_len != 0:
+                    data__votersproposalsbyid_property_names = True
+                    for data__votersproposalsbyid_key in data__votersproposalsbyid:
+                        try:
+                            if isinstance(data__votersproposalsbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__votersproposalsbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__votersproposalsbyid_key, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__votersproposalsbyid_property_names = False
+                    if not data__votersproposalsbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be named by propertyName definition", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='propertyNames')
         if "moves_by_host" in data_keys:
             data_keys.remove("moves_by_host")
             data__movesbyhost = data["moves_by_host"]
@@ -3002,7 +3069,7 @@
                     if not data__maintenanceplansbyid_property_names:
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
@@ -3158,6 +3225,91 @@
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'from_pool': None, 'to_pool': None, 'phase': None, 'from_epoch': None, 'drain_version': None}, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch']}, rule='additionalProperties')
     return data
 
+def validate____defs_votersproposal(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='required')
+        data_keys = set(data.keys())
+        if "base_cooperatives_by_id" in data_keys:
+            data_keys.remove("base_cooperatives_by_id")
+            data__basecooperativesbyid = data["base_cooperatives_by_id"]
+            if not isinstance(data__basecooperativesbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be object", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='type')
+            data__basecooperativesbyid_is_dict = isinstance(data__basecooperativesbyid, dict)
+            if data__basecooperativesbyid_is_dict:
+                data__basecooperativesbyid_keys = set(data__basecooperativesbyid.keys())
+                for data__basecooperativesbyid_key in data__basecooperativesbyid_keys:
+                    if data__basecooperativesbyid_key not in []:
+                        data__basecooperativesbyid_value = data__basecooperativesbyid.get(data__basecooperativesbyid_key)
+                        validate____defs_cooperative(data__basecooperativesbyid_value, custom_formats, (name_prefix or "data") + ".base_cooperatives_by_id.{data__basecooperativesbyid_key}".format(**locals()))
+                data__basecooperativesbyid_len = len(data__basecooperativesbyid)
+                if data__basecooperativesbyid_len != 0:
+                    data__basecooperativesbyid_property_names = True
+                    for data__basecooperativesbyid_key in data__basecooperativesbyid:
+                        try:
+                            if isinstance(data__basecooperativesbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__basecooperativesbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__basecooperativesbyid_key, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__basecooperativesbyid_property_names = False
+                    if not data__basecooperativesbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be named by propertyName definition", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='propertyNames')
+        if "new_cooperatives_by_id" in data_keys:
+            data_keys.remove("new_cooperatives_by_id")
+            data__newcooperativesbyid = data["new_cooperatives_by_id"]
+            if not isinstance(data__newcooperativesbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be object", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='type')
+            data__newcooperativesbyid_is_dict = isinstance(data__newcooperativesbyid, dict)
+            if data__newcooperativesbyid_is_dict:
+                data__newcooperativesbyid_keys = set(data__newcooperativesbyid.keys())
+                for data__newcooperativesbyid_key in data__newcooperativesbyid_keys:
+                    if data__newcooperativesbyid_key not in []:
+                        data__newcooperativesbyid_value = data__newcooperativesbyid.get(data__newcooperativesbyid_key)
+                        validate____defs_cooperative(data__newcooperativesbyid_value, custom_formats, (name_prefix or "data") + ".new_cooperatives_by_id.{data__newcooperativesbyid_key}".format(**locals()))
+                data__newcooperativesbyid_len = len(data__newcooperativesbyid)
+                if data__newcooperativesbyid_len != 0:
+                    data__newcooperativesbyid_property_names = True
+                    for data__newcooperativesbyid_key in data__newcooperativesbyid:
+                        try:
+                            if isinstance(data__newcooperativesbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__newcooperativesbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__newcooperativesbyid_key, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__newcooperativesbyid_property_names = False
+                    if not data__newcooperativesbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be named by propertyName definition", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='propertyNames')
+        if "proposer" in data_keys:
+            data_keys.remove("proposer")
+            data__proposer = data["proposer"]
+            if not isinstance(data__proposer, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='type')
+            if isinstance(data__proposer, str):
+                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposer):
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='pattern')
+        if "approvals" in data_keys:
+            data_keys.remove("approvals")
+            data__approvals = data["approvals"]
+            if not isinstance(data__approvals, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='type')
+            data__approvals_is_list = isinstance(data__approvals, (list, tuple))
+            if data__approvals_is_list:
+                data__approvals_len = len(data__approvals)
+                if data__approvals_len > 200:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='maxItems')
+                for data__approvals_x, data__approvals_item in enumerate(data__approvals):
+                    if not isinstance(data__approvals_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='type')
+                    if isinstance(data__approvals_item, str):
+                        if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__approvals_item):
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='pattern')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='additionalProperties')
+    return data
+
 def validate____defs_limitproposal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'base_limit': None, 'new_limit': None, 'proposer': None, 'approvals': None}, 'required': ['team', 'base_limit', 'new_limit', 'proposer']}, rule='type')
@@ -3819,20 +3971,20 @@
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count14 = 0
-            if data__refusal_one_of_count14 < 2:
+            data__refusal_one_of_count15 = 0
+            if data__refusal_one_of_count15 < 2:
                 try:
                     validate____defs_startrefusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count14 += 1
+                    data__refusal_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count14 < 2:
+            if data__refusal_one_of_count15 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='type')
-                    data__refusal_one_of_count14 += 1
+                    data__refusal_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count14 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count14) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
+            if data__refusal_one_of_count15 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count15) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
         if "result" in data_keys:
             data_keys.remove("result")
             data__result = data["result"]
@@ -4071,20 +4223,20 @@
         if "error_code" in data_keys:
             data_keys.remove("error_code")
             data__errorcode = data["error_code"]
-            data__errorcode_one_of_count15 = 0
-            if data__errorcode_one_of_count15 < 2:
+            data__errorcode_one_of_count16 = 0
+            if data__errorcode_one_of_count16 < 2:
                 try:
                     validate____defs_errorcode(data__errorcode, custom_formats, (name_prefix or "data") + ".error_code")
-                    data__errorcode_one_of_count15 += 1
+                    data__errorcode_one_of_count16 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count15 < 2:
+            if data__errorcode_one_of_count16 < 2:
                 try:
                     if not isinstance(data__errorcode, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be null", value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='type')
-                    data__errorcode_one_of_count15 += 1
+                    data__errorcode_one_of_count16 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count15 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count15) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
+            if data__errorcode_one_of_count16 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count16) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
@@ -4272,6 +4424,7 @@
     'TeamOverlay': validate____defs_teamoverlay,
     'TlsSettings': validate____defs_tlssettings,
     'UsageReport': validate____defs_usagereport,
+    'VotersProposal': validate____defs_votersproposal,
     'WhyKind': validate____defs_whykind,
     'WhyReport': validate____defs_whyreport,
     'WriteOutcome': validate____defs_writeoutcome,
--- a/dandelionknot/_replacement.py
+++ b/dandelionknot/_replacement.py
@@ -4,7 +4,9 @@
 co-operatives, sites and bounds. Once a configuration is in force, the fleet
 owns what operators change while it runs: upper limits, keys, the state of
 zones and hosts, the pool of a host, moves, proposals and maintenance plans.
-Files that are older than such a change therefore cannot undo it.
+Files that are older than such a change therefore cannot undo it. Once there
+are voters, co-operatives change by a vote only; files that state others are
+refused, since who agreed on them is not known.
 """
 
 from collections.abc import Mapping
@@ -24,6 +26,7 @@
     PlanState,
     Team,
 )
+from dandelionknot._votes import needs_vote_problem, voters_changed_without_vote
 
 # Tasks run at the address, and their availability budget depends on the zone.
 PLACE_FIELDS = ('address', 'availability_zone')
@@ -43,12 +46,16 @@
         if problem:
             return refuse(EditErrorKind.WRONG_STATE, problem)
         combined = _keep_owned(current, offered)
+    voters_fields = voters_changed_without_vote(current, offered)
+    if voters_fields:
+        return refuse(EditErrorKind.NEEDS_VOTE, needs_vote_problem(voters_fields))
     combined = replace(
         combined,
         version=current.version,
         change_ids=current.change_ids,
         moves_by_host=current.moves_by_host,
         limit_proposals_by_id=current.limit_proposals_by_id,
+        voters_proposals_by_id=current.voters_proposals_by_id,
     )
     faults = find_faults(combined)
     if faults:
@@ -69,6 +76,7 @@
         gone_members=combined.gone_members,
         moves_by_host=combined.moves_by_host,
         limit_proposals_by_id=combined.limit_proposals_by_id,
+        voters_proposals_by_id=combined.voters_proposals_by_id,
         maintenance_plans_by_id=plans_by_id,
     )
     return diff(comparable, combined)
--- a/dandelionknot/_votes.py
+++ b/dandelionknot/_votes.py
@@ -1,11 +1,22 @@
-"""Votes of the co-operatives on upper limits."""
+"""Votes of the co-operatives on upper limits and on who votes."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from result import Err, Ok, Result
 
-from dandelionknot.configuration import Configuration, LimitProposal
+from dandelionknot._crosschecks import find_faults
+from dandelionknot._generated_classes import (
+    Configuration,
+    Cooperative,
+    LimitProposal,
+    VotersProposal,
+)
+
+COOPERATIVES_FIELD = 'cooperatives_by_id'
+
+Proposal = LimitProposal | VotersProposal
 
 
 class VoteErrorKind(StrEnum):
@@ -16,6 +27,9 @@
     PROPOSAL_EXISTS = 'proposal_exists'
     NOT_A_VOTER = 'not_a_voter'
     BASE_CHANGED = 'base_changed'
+    NO_CHANGE = 'no_change'
+    NO_VOTERS = 'no_voters'
+    COOPERATIVES_NOT_VALID = 'cooperatives_not_valid'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,9 +56,9 @@
     if team is None:
         message = f'team {team_id!r} does not exist'
         return _refuse(VoteErrorKind.TEAM_NOT_FOUND, message)
-    if not _is_voter(configuration, proposer):
-        message = f'{proposer!r} votes for no co-operative'
-        return _refuse(VoteErrorKind.NOT_A_VOTER, message)
+    refused = _proposer_problem(configuration, proposal_id, proposer)
+    if refused:
+        return refused
     proposal = LimitProposal(
         team=team_id,
         base_limit=team.upper_limit,
@@ -52,38 +66,103 @@
         proposer=proposer,
         approvals=[proposer],
     )
-    known = configuration.limit_proposals_by_id.get(proposal_id)
-    if known is not None:
+    return Ok(_with_limit_proposal(configuration, proposal_id, proposal))
+
+
+def propose_voters(
+    configuration: Configuration,
+    proposal_id: str,
+    cooperatives_by_id: Mapping[str, Cooperative],
+    proposer: str,
+) -> Result[Configuration, VoteError]:
+    """Records proposed co-operatives, which counts as the vote of the proposer.
+
+    A voter has one open proposal on the voters; a new one takes its place. This
+    bounds their number without a way to block the proposals of others.
+    """
+    refused = _proposer_problem(configuration, proposal_id, proposer)
+    if refused:
+        return refused
+    proposed = replace(configuration, cooperatives_by_id=dict(cooperatives_by_id))
+    if not has_voters(proposed):
+        message = 'without voters, anyone who may apply files could set new ones'
+        return _refuse(VoteErrorKind.NO_VOTERS, message)
+    faults = [
+        fault
+        for fault in find_faults(proposed)
+        if fault.field.startswith(COOPERATIVES_FIELD)
+    ]
+    if faults:
+        message = f'{faults[0].field}: {faults[0].problem}'
+        return _refuse(VoteErrorKind.COOPERATIVES_NOT_VALID, message)
+    if not voters_changed_without_vote(configuration, proposed):
+        message = 'the co-operatives have these voters already'
+        return _refuse(VoteErrorKind.NO_CHANGE, message)
+    proposal = VotersProposal(
+        base_cooperatives_by_id=configuration.cooperatives_by_id,
+        new_cooperatives_by_id=proposed.cooperatives_by_id,
+        proposer=proposer,
+        approvals=[proposer],
+    )
+    return Ok(_with_voters_proposal(configuration, proposal_id, proposal))
+
+
+def _proposer_problem(
+    configuration: Configuration, proposal_id: str, proposer: str
+) -> Err[VoteError] | None:
+    if not _is_voter(configuration, proposer):
+        message = f'{proposer!r} votes for no co-operative'
+        return _refuse(VoteErrorKind.NOT_A_VOTER, message)
+    if _find_proposal(configuration, proposal_id) is not None:
         message = f'proposal {proposal_id!r} already exists'
         return _refuse(VoteErrorKind.PROPOSAL_EXISTS, message)
-    return Ok(_with_proposal(configuration, proposal_id, proposal))
+    return None
+
+
+def _find_proposal(configuration: Configuration, proposal_id: str) -> Proposal | None:
+    """Returns the proposal of an id, which limits and voters share."""
+    limit = configuration.limit_proposals_by_id.get(proposal_id)
+    return limit or configuration.voters_proposals_by_id.get(proposal_id)
 
 
 def cast_vote(
     configuration: Configuration, proposal_id: str, voter: str
 ) -> Result[Configuration, VoteError]:
-    """Adds a vote; the limit changes with the vote that completes a majority.
+    """Adds a vote; the change is made with the vote that completes a majority.
 
-    A limit that changed after the proposal was made is a conflict: the others
-    voted on another change than the one that would be made.
+    A limit or a list of voters that changed after the proposal was made is a
+    conflict: the others voted on another change than the one that would be made.
     """
-    proposal = configuration.limit_proposals_by_id.get(proposal_id)
+    proposal = _find_proposal(configuration, proposal_id)
     if proposal is None:
         message = f'proposal {proposal_id!r} does not exist'
         return _refuse(VoteErrorKind.PROPOSAL_NOT_FOUND, message)
     if not _is_voter(configuration, voter):
         message = f'{voter!r} votes for no co-operative'
         return _refuse(VoteErrorKind.NOT_A_VOTER, message)
-    team = configuration.teams_by_id.get(proposal.team)
-    if team is None or team.upper_limit != proposal.base_limit:
-        message = (
-            f'the limit of team {proposal.team!r} changed since proposal '
-            f'{proposal_id!r} was made'
-        )
+    problem = _base_problem(configuration, proposal)
+    if problem:
+        message = f'{problem} changed since proposal {proposal_id!r} was made'
         return _refuse(VoteErrorKind.BASE_CHANGED, message)
     approvals = list(dict.fromkeys([*proposal.approvals, voter]))
-    voted = replace(proposal, approvals=approvals)
-    return Ok(_with_proposal(configuration, proposal_id, voted))
+    if isinstance(proposal, LimitProposal):
+        limit = replace(proposal, approvals=approvals)
+        return Ok(_with_limit_proposal(configuration, proposal_id, limit))
+    voters = replace(proposal, approvals=approvals)
+    return Ok(_with_voters_proposal(configuration, proposal_id, voters))
+
+
+def _base_problem(configuration: Configuration, proposal: Proposal) -> str:
+    """Names what is not as it was when a proposal was made, if anything."""
+    if isinstance(proposal, VotersProposal):
+        base = replace(
+            configuration, cooperatives_by_id=proposal.base_cooperatives_by_id
+        )
+        changed = voters_changed_without_vote(base, configuration)
+        return 'the voters' if changed else ''
+    team = configuration.teams_by_id.get(proposal.team)
+    same = team is not None and team.upper_limit == proposal.base_limit
+    return '' if same else f'the limit of team {proposal.team!r}'
 
 
 def _is_voter(configuration: Configuration, operator_id: str) -> bool:
@@ -93,7 +172,13 @@
     )
 
 
-def has_passed(configuration: Configuration, proposal: LimitProposal) -> bool:
+def has_voters(configuration: Configuration) -> bool:
+    """Tells whether any co-operative has a voter."""
+    cooperatives = configuration.cooperatives_by_id.values()
+    return any(cooperative.voters for cooperative in cooperatives)
+
+
+def has_passed(configuration: Configuration, proposal: Proposal) -> bool:
     """Tells whether more than half of the voters of each co-operative agreed.
 
     Approvals of operators who no longer vote do not count.
@@ -106,7 +191,7 @@
     )
 
 
-def _with_proposal(
+def _with_limit_proposal(
     configuration: Configuration, proposal_id: str, proposal: LimitProposal
 ) -> Configuration:
     """Keeps a proposal that is open, and carries out one that has passed."""
@@ -128,6 +213,28 @@
     return replace(configuration, limit_proposals_by_id=proposals, teams_by_id=teams)
 
 
+def _with_voters_proposal(
+    configuration: Configuration, proposal_id: str, proposal: VotersProposal
+) -> Configuration:
+    """Keeps a proposal that is open, and carries out one that has passed.
+
+    The others end with it, because they were made for the former voters.
+    """
+    if has_passed(configuration, proposal):
+        return replace(
+            configuration,
+            cooperatives_by_id=proposal.new_cooperatives_by_id,
+            voters_proposals_by_id={},
+        )
+    proposals = {
+        other_id: other
+        for other_id, other in configuration.voters_proposals_by_id.items()
+        if other.proposer != proposal.proposer
+    }
+    proposals[proposal_id] = proposal
+    return replace(configuration, voters_proposals_by_id=proposals)
+
+
 def limits_changed_without_vote(old: Configuration, new: Configuration) -> list[str]:
     """Returns the teams whose upper limit an edit would change without a vote.
 
@@ -143,3 +250,26 @@
         if team.upper_limit != limit:
             changed.append(team_id)
     return sorted(changed)
+
+
+def voters_changed_without_vote(old: Configuration, new: Configuration) -> list[str]:
+    """Returns the fields of co-operatives that an edit would change without a vote.
+
+    The order of voters does not count. While there are no voters, any may be set.
+    """
+    if not has_voters(old):
+        return []
+    fields = []
+    for name in sorted(old.cooperatives_by_id.keys() | new.cooperatives_by_id.keys()):
+        before = old.cooperatives_by_id.get(name)
+        after = new.cooperatives_by_id.get(name)
+        if before is None or after is None:
+            fields.append(f'{COOPERATIVES_FIELD}.{name}')
+        elif set(before.voters) != set(after.voters):
+            fields.append(f'{COOPERATIVES_FIELD}.{name}.voters')
+    return fields
+
+
+def needs_vote_problem(fields: list[str]) -> str:
+    """Returns why fields of co-operatives cannot change with an edit."""
+    return f'{", ".join(fields)}: changes only with a vote; use voters propose'
--- a/dandelionknot/configuration.py
+++ b/dandelionknot/configuration.py
@@ -26,6 +26,7 @@
     SiteOverlay,
     Team,
     TeamOverlay,
+    VotersProposal,
     ZoneOverlay,
     ZoneState,
 )
@@ -67,6 +68,7 @@
     'SiteOverlay',
     'Team',
     'TeamOverlay',
+    'VotersProposal',
     'ZoneOverlay',
     'ZoneState',
     'address_problem',
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -197,6 +197,7 @@
         begin_move=begin_move,
         cancel_move=decisions.pools.cancel_move,
         propose_limit=decisions.votes.propose_limit,
+        propose_voters=decisions.votes.propose_voters,
         cast_vote=decisions.votes.cast_vote,
         may_drain=may_drain,
     )
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -9,11 +9,13 @@
 
 from dandelionknot.configuration import (
     Configuration,
+    Cooperative,
     HostState,
     KeyRecord,
     MaintenancePlan,
     PlanState,
     Team,
+    VotersProposal,
     ZoneState,
 )
 from dandelionknot.operators import (
@@ -39,7 +41,7 @@
 
         return decide
 
-    names = ('begin_move', 'cancel_move', 'propose_limit', 'cast_vote', 'may_drain')
+    names = OutsideDecisions.__slots__
     return OutsideDecisions(**{name: note(name) for name in names})
 
 
@@ -105,6 +107,11 @@
                 {'proposal_id': 'p', 'team': 'hotel-group', 'new_limit': 9},
                 'propose_limit',
             ),
+            (
+                'propose_voters',
+                {'proposal_id': 'p', 'cooperatives_by_id': {}},
+                'propose_voters',
+            ),
             ('vote', {'proposal_id': 'p'}, 'cast_vote'),
             ('drain_host', {'host_id': HOST}, 'may_drain'),
         ]
@@ -114,7 +121,8 @@
                 calls = []
                 apply_edit(FIRST, edit, 'ana', 0, decisions(calls)).unwrap()
                 self.assertEqual([call[0] for call in calls], [name])
-                operator = ('ana',) if name in ('propose_limit', 'cast_vote') else ()
+                votes = ('propose_limit', 'propose_voters', 'cast_vote')
+                operator = ('ana',) if name in votes else ()
                 self.assertEqual(calls[0][1], (*fields.values(), *operator))
                 refusing = replace(
                     decisions([]), **{name: lambda *_: Err('over the budget')}
@@ -146,6 +154,47 @@
             found = outcome.err_value.kind if isinstance(outcome, Err) else None
             self.assertEqual(found, expected)
 
+    def test_files_cannot_change_the_voters(self):
+        """Guards against a base file that changes who votes, or a vote, unasked.
+
+        Without this, an operator could make themselves the only voter.
+        """
+        voters = FIRST.cooperatives_by_id
+        name = min(voters)
+        first, *others = voters[name].voters
+        mine = Cooperative(voters=['eve'])
+        forged = VotersProposal(
+            base_cooperatives_by_id=voters,
+            new_cooperatives_by_id=voters | {name: mine},
+            proposer=first,
+            approvals=voters[name].voters,
+        )
+        empty = {name: Cooperative(voters=[])}
+        no_voters = replace(FIRST, cooperatives_by_id=empty)
+        field = f'cooperatives_by_id.{name}'
+        cases = [
+            (FIRST, voters | {name: mine}, f'{field}.voters: changes only with a vote'),
+            (FIRST, {}, f'{field}, cooperatives_by_id.'),
+            (FIRST, voters | {'new': mine}, 'cooperatives_by_id.new: changes only'),
+            (FIRST, voters | {name: Cooperative(voters=[*others, first])}, None),
+            (no_voters, {name: mine}, None),
+        ]
+        for current, offered_voters, text in cases:
+            with self.subTest(text=text):
+                offered = replace(
+                    FIRST,
+                    cooperatives_by_id=offered_voters,
+                    voters_proposals_by_id={'p': forged},
+                )
+                outcome = edited(current, 'apply_configuration', configuration=offered)
+                if text is None:
+                    after = outcome.unwrap()
+                    self.assertEqual(after.cooperatives_by_id, offered_voters)
+                    self.assertEqual(after.voters_proposals_by_id, {})
+                    continue
+                self.assertEqual(outcome.err_value.kind, EditErrorKind.NEEDS_VOTE)
+                self.assertIn(text, outcome.err_value.message)
+
     def test_plans_lose_hosts_that_leave_and_end(self):
         """Guards against plans that block a removal or pile up."""
         drained = edited(FIRST, 'drain_host', host_id=HOST).unwrap()
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -41,6 +41,11 @@
     ),
     ('withdraw_key', 'administrator', KEY),
     ('propose_limit', 'administrator', {**PROPOSAL, 'team': 'desk', 'new_limit': 3}),
+    (
+        'propose_voters',
+        'administrator',
+        {**PROPOSAL, 'cooperatives_by_id': {'shared': {'voters': ['operator-1']}}},
+    ),
     ('vote', 'administrator', PROPOSAL),
     ('member_gone', 'administrator', {'member_id': 'entry-9'}),
 ]
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -88,6 +88,85 @@
         self.assertEqual(_votes.limits_changed_without_vote(first, new), [])
 
 
+WITH_EVE = {**VOTERS, 'remansito': Cooperative(voters=['lucia', 'eve'])}
+
+
+def voters_after(votes, proposed=WITH_EVE):
+    """Returns the configuration after a proposal by the first and votes of the rest."""
+    current = _votes.propose_voters(START, 'v-1', proposed, votes[0]).unwrap()
+    for voter in votes[1:]:
+        current = _votes.cast_vote(current, 'v-1', voter).unwrap()
+    return current
+
+
+class VotersTest(unittest.TestCase):
+    def test_voters_need_a_majority_of_the_present_voters(self):
+        """Guards against voters that take over without the votes of the others."""
+        cases = [
+            (['ana', 'boris', 'vera'], False),
+            (['lucia', 'mateo', 'ana'], False),
+            (['mateo', 'lucia', 'ana', 'boris'], True),
+        ]
+        for votes, accepted in cases:
+            with self.subTest(votes=votes):
+                after = voters_after(votes)
+                expected = WITH_EVE if accepted else VOTERS
+                self.assertEqual(after.cooperatives_by_id, expected)
+                self.assertEqual(bool(after.voters_proposals_by_id), not accepted)
+
+    def test_who_votes_afterwards(self):
+        """Guards against votes of former voters and proposals made for them."""
+        current = _votes.propose_limit(START, 'p-1', 'desk', 3, 'mateo').unwrap()
+        current = _votes.propose_voters(current, 'v-2', WITH_EVE, 'vera').unwrap()
+        current = _votes.propose_voters(current, 'v-1', WITH_EVE, 'ana').unwrap()
+        for voter in ('boris', 'lucia', 'mateo'):
+            current = _votes.cast_vote(current, 'v-1', voter).unwrap()
+        self.assertEqual(current.voters_proposals_by_id, {})
+        refused = _votes.cast_vote(current, 'p-1', 'mateo')
+        self.assertEqual(refused.err_value.kind, 'not_a_voter')
+        for voter in ('ana', 'boris', 'lucia'):
+            current = _votes.cast_vote(current, 'p-1', voter).unwrap()
+        # The approval of `mateo`, who proposed it, counts no longer.
+        self.assertEqual(current.teams_by_id['desk'].upper_limit, 10)
+        current = _votes.cast_vote(current, 'p-1', 'eve').unwrap()
+        self.assertEqual(current.teams_by_id['desk'].upper_limit, 3)
+
+    def test_a_voter_has_one_open_proposal(self):
+        """Guards against proposals that pile up in the stored document."""
+        current = voters_after(['ana', 'boris'])
+        again = _votes.propose_voters(current, 'v-2', WITH_EVE, 'ana').unwrap()
+        self.assertEqual(list(again.voters_proposals_by_id), ['v-2'])
+        self.assertEqual(again.voters_proposals_by_id['v-2'].approvals, ['ana'])
+        both = _votes.propose_voters(current, 'v-2', WITH_EVE, 'vera').unwrap()
+        self.assertEqual(list(both.voters_proposals_by_id), ['v-1', 'v-2'])
+
+    def test_voters_that_are_refused(self):
+        """Guards against voter lists after which no vote, or any file, could pass."""
+        limit = _votes.propose_limit(START, 'p-1', 'desk', 3, 'ana').unwrap()
+        moved = replace(voters_after(['ana']), cooperatives_by_id=WITH_EVE)
+        none = {'balkanfit': Cooperative(voters=[])}
+        twice = {**VOTERS, 'remansito': Cooperative(voters=['lucia', 'ana'])}
+        order = {**VOTERS, 'remansito': Cooperative(voters=['mateo', 'lucia'])}
+        cases = [
+            (START, WITH_EVE, 'eve', 'not_a_voter'),
+            (limit, WITH_EVE, 'ana', 'proposal_exists'),
+            (START, {}, 'ana', 'no_voters'),
+            (START, none, 'ana', 'no_voters'),
+            (START, VOTERS | none, 'ana', 'cooperatives_not_valid'),
+            (START, twice, 'ana', 'cooperatives_not_valid'),
+            (START, order, 'ana', 'no_change'),
+        ]
+        for current, proposed, proposer, kind in cases:
+            with self.subTest(kind=kind, proposed=proposed):
+                outcome = _votes.propose_voters(current, 'p-1', proposed, proposer)
+                self.assertIsInstance(outcome, Err)
+                self.assertEqual(outcome.err_value.kind, kind)
+        reordered = replace(voters_after(['ana']), cooperatives_by_id=order)
+        _votes.cast_vote(reordered, 'v-1', 'boris').unwrap()
+        late = _votes.cast_vote(moved, 'v-1', 'boris')
+        self.assertEqual(late.err_value.kind, 'base_changed')
+
+
 class VersionTest(unittest.TestCase):
     def test_a_version_never_goes_back(self):
         """Guards against a restored platform that brings an old version back."""
