Check zone exits against the availability budgets

Cause: `zone out` was written whatever it did to the budgets. `may_take_zone_out` reported the services that would fall below theirs, and nothing asked it.

The edit `zone_out` asks `zones.check_exit` with the health of hosts that the entry host knows, and is refused with the services and the numbers if more than `max_unavailable` hosts of a service would be unavailable for whatever reason. Its use is logged as event 3009 with the operator, the change id and the budgets exceeded.

Planned stops already counted hosts of a zone that is out; tests now say so for waves, drains, moves (which ask `may_stop` too) and drains in progress.

Ruled out: the exceeded budgets computed inside the edit, which is a function of the configuration and returns nothing but the next one; the record in the stored document, which would grow with every use.

Existing tests: five tests of test_fleet_changes and test_fleet_zones take out a zone of two hosts while `max_unavailable` was 1, which is refused now.

--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -21,12 +21,14 @@
     ConfigurationQuery,
     FleetChange,
     OperatorChange,
+    OperatorChangeWritten,
     WriteOutcome,
     WriteRequest,
 )
 from dandelionknot.operators import (
     ChangeOutcome,
     ChangeReport,
+    ChangeRequest,
     EditKind,
     OutsideDecisions,
     apply_edit,
@@ -280,9 +282,49 @@
         known_version=known.ok_value.version if isinstance(known, Ok) else 0,
     )
     report = await write_change(port, change)
+    if report.outcome is ChangeOutcome.PENDING:
+        before = known.ok_value if isinstance(known, Ok) else None
+        await _record(
+            message, report, dispatcher, _forced_note(request, before, outside)
+        )
     call.answer(await _with_acceptance(report, dispatcher, message.wait_ms))
 
 
+def _forced_note(
+    request: ChangeRequest, before: Configuration | None, outside: OutsideDecisions
+) -> str:
+    """Returns which budgets a forced zone exit exceeds, empty without force."""
+    zone_id = request.edit.availability_zone
+    if not request.edit.force or zone_id is None:
+        return ''
+    if before is None:
+        return 'forced; the budgets are not known'
+    checked = outside.may_take_zone_out(before, zone_id)
+    if isinstance(checked, Err):
+        return f'forced; {checked.err_value.message}'
+    return 'forced; no budget is exceeded'
+
+
+async def _record(
+    message: OperatorChange, report: ChangeReport, dispatcher: Mailbox, note: str
+) -> None:
+    """Records who made a change that was written, or may have been."""
+    if message.change.edit.force:
+        log_event(
+            Event.ZONE_EXIT_FORCED,
+            change_id=report.change_id,
+            operator_id=message.operator_id,
+            availability_zone=message.change.edit.availability_zone,
+            version=report.version,
+            exceeded=note,
+        )
+    await dispatcher.deliver(
+        OperatorChangeWritten(
+            operator_id=message.operator_id, change=message.change, note=note
+        )
+    )
+
+
 async def run_changes(
     port: PlatformPort,
     mailbox: Mailbox,
--- a/dandelionknot/_commands_changes.py
+++ b/dandelionknot/_commands_changes.py
@@ -126,9 +126,15 @@
 
 
 @command(CHANGE_OPTIONS)
-def zone_out(call: Call, availability_zone: str) -> Outcome:
-    """Takes an availability zone out of service."""
-    edit = Edit(kind=EditKind.ZONE_OUT, availability_zone=availability_zone)
+def zone_out(call: Call, availability_zone: str, *, force: str = 'False') -> Outcome:
+    """Takes a zone out of service; --force does so beyond the availability budgets."""
+    if force not in ('True', 'False'):
+        return failure(ExitStatus.INVALID_INPUT, '--force takes no value')
+    edit = Edit(
+        kind=EditKind.ZONE_OUT,
+        availability_zone=availability_zone,
+        force=force == 'True',
+    )
     return send_change(call, edit)
 
 
--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -66,6 +66,7 @@
     change_finished,
     do_duties,
     leave,
+    operator_change_written,
     wait_until_released,
 )
 from dandelionknot.clock import now_ms, seconds, unix_ms
@@ -85,6 +86,7 @@
     HostUsage,
     ListFinished,
     MemberJoined,
+    OperatorChangeWritten,
     PeerAnswered,
     PeerCancel,
     PeerFetch,
@@ -202,6 +204,7 @@
     ReadFinished: _read_finished,
     ListFinished: claims_listed,
     ChangeFinished: change_finished,
+    OperatorChangeWritten: operator_change_written,
     Tick: _tick,
 }
 CALL_HANDLER_BY_CLASS: dict[type, Callable] = {
--- a/dandelionknot/_edits.py
+++ b/dandelionknot/_edits.py
@@ -39,8 +39,9 @@
 class OutsideDecisions:
     """Decisions that other modules make; their errors are shown as text.
 
-    `may_drain(configuration, host_id)` keeps the availability budget, which
-    depends on the health of hosts and not on the configuration alone.
+    `may_drain(configuration, host_id)` and `may_take_zone_out(configuration,
+    zone_id)` keep the availability budgets, which depend on the health of hosts
+    and not on the configuration alone.
     """
 
     begin_move: Callable[[Configuration, str, str], DecisionResult]
@@ -51,6 +52,7 @@
     ]
     cast_vote: Callable[[Configuration, str, str], DecisionResult]
     may_drain: Callable[[Configuration, str], Result[None, Any]]
+    may_take_zone_out: Callable[[Configuration, str], Result[None, Any]]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,21 +90,24 @@
 
 def _field_problem(edit: Edit) -> str:
     """Returns what is wrong with the fields that are set, or an empty string."""
-    needed = set(RULES_BY_KIND[edit.kind].fields)
-    stated = {
-        name
-        for name in Edit.__slots__
-        if name != 'kind' and getattr(edit, name) is not None
-    }
+    rule = RULES_BY_KIND[edit.kind]
+    needed = set(rule.fields)
+    stated = {name for name in Edit.__slots__ if _is_stated(edit, name)}
     missing = ', '.join(sorted(needed - stated))
     if missing:
         return f'{edit.kind.value} needs {missing}'
-    unexpected = ', '.join(sorted(stated - needed))
+    unexpected = ', '.join(sorted(stated - needed - set(rule.optional_fields)))
     if unexpected:
         return f'{edit.kind.value} has no field {unexpected}'
     return ''
 
 
+def _is_stated(edit: Edit, name: str) -> bool:
+    """Tells whether a field is set; 0 is a value, and `force` counts if true."""
+    value = getattr(edit, name)
+    return name != 'kind' and value is not None and value is not False
+
+
 def _apply_configuration(request: _Request) -> EditResult:
     assert request.edit.configuration is not None
     return replace_configuration(request.configuration, request.edit.configuration)
@@ -207,22 +212,34 @@
     return refuse(EditErrorKind.NOT_ALLOWED, getattr(error, 'message', str(error)))
 
 
-def _set_zone_state(state: ZoneState) -> Callable[[_Request], EditResult]:
-    def apply(request: _Request) -> EditResult:
-        zone_id = request.edit.availability_zone
-        assert zone_id
-        zones_by_id = request.configuration.availability_zones_by_id
-        if zone_id not in zones_by_id:
-            return _not_found('availability zone', zone_id)
-        zone = replace(zones_by_id[zone_id], state=state)
-        return Ok(
-            replace(
-                request.configuration,
-                availability_zones_by_id=zones_by_id | {zone_id: zone},
-            )
-        )
+def _zone_out(request: _Request) -> EditResult:
+    zone_id = request.edit.availability_zone
+    assert zone_id
+    zone = request.configuration.availability_zones_by_id.get(zone_id)
+    is_in_service = zone is not None and zone.state is ZoneState.IN_SERVICE
+    if is_in_service and not request.edit.force:
+        may_take_zone_out = request.decisions.may_take_zone_out
+        allowed = _decided(may_take_zone_out(request.configuration, zone_id))
+        if isinstance(allowed, Err):
+            return allowed
+    return _with_zone_state(request.configuration, zone_id, ZoneState.OUT_OF_SERVICE)
 
-    return apply
+
+def _zone_back(request: _Request) -> EditResult:
+    zone_id = request.edit.availability_zone
+    assert zone_id
+    return _with_zone_state(request.configuration, zone_id, ZoneState.IN_SERVICE)
+
+
+def _with_zone_state(
+    configuration: Configuration, zone_id: str, state: ZoneState
+) -> EditResult:
+    zones_by_id = configuration.availability_zones_by_id
+    if zone_id not in zones_by_id:
+        return _not_found('availability zone', zone_id)
+    zone = replace(zones_by_id[zone_id], state=state)
+    zones_by_id = zones_by_id | {zone_id: zone}
+    return Ok(replace(configuration, availability_zones_by_id=zones_by_id))
 
 
 def _drain_host(request: _Request) -> EditResult:
@@ -335,10 +352,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Rule:
-    """The function of an edit kind and the fields that must be set for it."""
+    """The function of an edit kind and the fields that must or may be set for it."""
 
     apply: Callable[[_Request], EditResult]
     fields: tuple[str, ...]
+    optional_fields: tuple[str, ...] = ()
 
 
 RULES_BY_KIND = {
@@ -347,12 +365,8 @@
     EditKind.WITHDRAW_KEY: _Rule(_withdraw_key, ('team', 'key_id')),
     EditKind.MOVE_HOST: _Rule(_move_host, ('host_id', 'to_pool')),
     EditKind.CANCEL_MOVE: _Rule(_cancel_move, ('host_id',)),
-    EditKind.ZONE_OUT: _Rule(
-        _set_zone_state(ZoneState.OUT_OF_SERVICE), ('availability_zone',)
-    ),
-    EditKind.ZONE_BACK: _Rule(
-        _set_zone_state(ZoneState.IN_SERVICE), ('availability_zone',)
-    ),
+    EditKind.ZONE_OUT: _Rule(_zone_out, ('availability_zone',), ('force',)),
+    EditKind.ZONE_BACK: _Rule(_zone_back, ('availability_zone',)),
     EditKind.DRAIN_HOST: _Rule(_drain_host, ('host_id',)),
     EditKind.UNDRAIN_HOST: _Rule(_undrain_host, ('host_id',)),
     EditKind.PROPOSE_LIMIT: _Rule(_propose_limit, ('proposal_id', 'team', 'new_limit')),
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -571,6 +571,7 @@
     plan_id: str | None = None
     hosts: list[Host1] | None = None
     member_id: str | None = None
+    force: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1439,6 +1440,17 @@
     found: StoredList | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorChangeWritten:
+    """
+    A change of an operator was written, or may have been; the note says what was accepted with it.
+    """
+
+    operator_id: str
+    change: ChangeRequest
+    note: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadFinished:
     """
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -2191,12 +2191,12 @@
 
 def validate____defs_edit(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='required')
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -2365,8 +2365,13 @@
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9.-]{0,79}$'].search(data__memberid):
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9.-]{0,79}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
+        if "force" in data_keys:
+            data_keys.remove("force")
+            data__force = data["force"]
+            if not isinstance(data__force, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".force must be boolean", value=data__force, name="" + (name_prefix or "data") + ".force", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='additionalProperties')
     return data
 
 def validate____defs_editkind(data, custom_formats={}, name_prefix=None):
--- a/dandelionknot/_roles.py
+++ b/dandelionknot/_roles.py
@@ -26,6 +26,8 @@
 
 def role_needed(edit: Edit) -> OperatorRole:
     """Returns the least role that may send an edit, also as a dry run."""
+    if edit.force:
+        return ADMINISTRATOR
     return MAINTAINER if edit.kind in MAINTAINER_KINDS else ADMINISTRATOR
 
 
--- a/dandelionknot/_steward.py
+++ b/dandelionknot/_steward.py
@@ -30,6 +30,7 @@
     FleetChange,
     FleetStep,
     Member,
+    OperatorChangeWritten,
     SliceMap,
     WaitUntilReleased,
     WriteRequest,
@@ -293,6 +294,17 @@
     )
 
 
+def operator_change_written(
+    state: DispatcherState, message: OperatorChangeWritten
+) -> None:
+    """Notes who made a change, for questions about the change and its zone."""
+    edit = message.change.edit
+    what = f'{edit.kind.value} by operator {message.operator_id}'
+    for subject_id in (message.change.change_id, edit.availability_zone):
+        if subject_id:
+            state.context.explain(Subject.CHANGE, subject_id, what, message.note)
+
+
 def leave(state: DispatcherState) -> None:
     """Hands all slices to other members while this one stops."""
     if SLICES_KEY in state.steward.in_flight:
--- a/dandelionknot/_zones.py
+++ b/dandelionknot/_zones.py
@@ -4,6 +4,11 @@
 
 from result import Err, Ok, Result
 
+from dandelionknot._budgets import (
+    FleetHealth,
+    ServiceAvailability,
+    may_take_zone_out,
+)
 from dandelionknot.configuration import Configuration, ZoneState
 from dandelionknot.messages import ErrorCode, Refusal, RunState
 
@@ -81,3 +86,38 @@
         message=message,
         run_state=RunState.NOT_RUN,
     )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ZoneExitRefusal:
+    """A zone exit that is refused, with the services that would lose too much."""
+
+    zone_id: str
+    message: str
+    shortfalls: tuple[ServiceAvailability, ...] = ()
+
+
+def check_exit(
+    configuration: Configuration, health: FleetHealth, zone_id: str
+) -> Result[None, ZoneExitRefusal]:
+    """Checks whether the budgets of all services hold without a zone.
+
+    Operators who take the zone out all the same answer for the budgets.
+    """
+    reported = may_take_zone_out(configuration, health, zone_id)
+    if isinstance(reported, Err):
+        message = reported.err_value.message
+        return Err(ZoneExitRefusal(zone_id=zone_id, message=message))
+    shortfalls = reported.ok_value.shortfalls
+    if not shortfalls:
+        return Ok(None)
+    counts = ', '.join(
+        f'{each.service_id!r} {len(each.reasons_by_host)} of {each.hosts} '
+        f'(at most {each.max_unavailable})'
+        for each in shortfalls
+    )
+    message = (
+        f'without availability zone {zone_id!r}, more hosts than the availability '
+        f'budget allows would be unavailable for service {counts}'
+    )
+    return Err(ZoneExitRefusal(zone_id=zone_id, message=message, shortfalls=shortfalls))
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -193,6 +193,12 @@
     def may_drain(configuration: Configuration, host_id: str) -> Result[None, Any]:
         return decisions.budgets.may_stop(configuration, fleet_health(state), host_id)
 
+    def may_take_zone_out(
+        configuration: Configuration, zone_id: str
+    ) -> Result[None, Any]:
+        health = fleet_health(state)
+        return decisions.zones.check_exit(configuration, health, zone_id)
+
     return OutsideDecisions(
         begin_move=begin_move,
         cancel_move=decisions.pools.cancel_move,
@@ -200,6 +206,7 @@
         propose_voters=decisions.votes.propose_voters,
         cast_vote=decisions.votes.cast_vote,
         may_drain=may_drain,
+        may_take_zone_out=may_take_zone_out,
     )
 
 
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -30,6 +30,7 @@
     FRESHNESS_LOST = 3006
     FRESHNESS_REGAINED = 3007
     OPERATOR_REFUSED = 3008
+    ZONE_EXIT_FORCED = 3009
     PEER_CONNECTED = 4001
     PEER_DISCONNECTED = 4002
     PEER_REFUSED = 4003
@@ -123,6 +124,11 @@
         'An operator sent a command that needs another role; nothing was changed.',
         'Check who uses the token, or change the role in the settings.',
     ),
+    Event.ZONE_EXIT_FORCED: EventInfo(
+        WARNING,
+        'An operator took a zone out without regard to the availability budgets.',
+        'Bring the zone or other hosts back; `exceeded` names the services.',
+    ),
     Event.PEER_CONNECTED: EventInfo(INFO, 'A link to a peer is open.', NO_ACTION),
     Event.PEER_DISCONNECTED: EventInfo(
         WARNING, 'A link to a peer was lost and is opened again.', NO_ACTION
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -106,6 +106,7 @@
     zones: tuple[str, ...] = ('zone-a', 'zone-b', 'zone-c')
     entries_per_zone: int = 1
     hosts_per_zone: int = 2
+    max_unavailable: int = 1
     slots: int = 8
     teams: dict[str, int] = field(default_factory=lambda: {'desk': 20, 'night': 20})
     settings: dict[str, object] = field(default_factory=dict)
@@ -362,8 +363,12 @@
         pools_by_id={'quotes': Pool()},
         hosts_by_id=hosts_by_id,
         services_by_id={
-            'quotes': Service(pool='quotes'),
-            'bulletin': Service(pool='quotes', access=QueueAccess.OPEN),
+            'quotes': Service(pool='quotes', max_unavailable=plan.max_unavailable),
+            'bulletin': Service(
+                pool='quotes',
+                access=QueueAccess.OPEN,
+                max_unavailable=plan.max_unavailable,
+            ),
         },
         teams_by_id=teams_by_id,
     )
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,12 +8,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
-from dandelionknot import _budgets, _pools
+from dandelionknot import _budgets, _pools, _zones
 from dandelionknot._budgets import FleetHealth, StopStep
 from dandelionknot.configuration import (
     AvailabilityZone,
     Configuration,
     Host,
+    HostMove,
     HostState,
     MaintenancePlan,
     PlanState,
@@ -22,6 +23,8 @@
     ZoneState,
 )
 from dandelionknot.messages import HostList, ListedHostState, UsageReport
+from dandelionknot.operators import Edit, EditKind, apply_edit
+from tests.test_edits import decisions
 
 
 def fleet(hosts, budgets, racks=2, zones=2):
@@ -407,3 +410,79 @@
         )
         finished = returned.maintenance_plans_by_id['plan']
         self.assertEqual((finished.done, finished.state), (['h1'], PlanState.FINISHED))
+
+
+HEALTHY = FleetHealth()
+
+
+class ZoneExitTest(unittest.TestCase):
+    """Twelve hosts, by turns in `z0` and `z1`; the pool `p0` has eight of them."""
+
+    def out(self, configuration, health=HEALTHY, force=False):
+        """Returns what an operator's `zone_out` makes of a configuration."""
+        outside = replace(
+            decisions([]),
+            may_take_zone_out=lambda configuration, zone_id: _zones.check_exit(
+                configuration, health, zone_id
+            ),
+        )
+        edit = Edit(kind=EditKind.ZONE_OUT, availability_zone='z0', force=force)
+        return apply_edit(configuration, edit, 'ana', 0, outside)
+
+    def test_exit_counts_hosts_unavailable_for_any_reason(self):
+        """Guards against an exit that fits only because some hosts do not count."""
+        base = fleet(HOSTS, (4, 2))
+        moving = HostMove(from_pool='p0', to_pool='p1', phase='draining', from_epoch=0)
+        draining = _budgets.with_host_state(base, 'h1', HostState.DRAINING)
+        zones = base.availability_zones_by_id
+        other_out = replace(zones['z1'], state=ZoneState.OUT_OF_SERVICE)
+        cases = [
+            ('fits', base, HEALTHY, None),
+            ('counted once', base, FleetHealth(failed_hosts={'h0', 'h2'}), None),
+            ('failed', base, FleetHealth(failed_hosts={'h1'}), 5),
+            ('ejected', base, FleetHealth(ejected_hosts={'h1'}), 5),
+            ('leaving', base, FleetHealth(leaving_hosts={'h1'}), 5),
+            ('draining', draining, HEALTHY, 5),
+            ('moving', replace(base, moves_by_host={'h1': moving}), HEALTHY, 5),
+            (
+                'other zone',
+                replace(base, availability_zones_by_id=zones | {'z1': other_out}),
+                HEALTHY,
+                8,
+            ),
+            ('budget', fleet(HOSTS, (3, 2)), HEALTHY, 4),
+        ]
+        for name, configuration, health, count in cases:
+            with self.subTest(name):
+                outcome = self.out(configuration, health)
+                forced = self.out(configuration, health, force=True).unwrap()
+                state = forced.availability_zones_by_id['z0'].state
+                self.assertEqual(state, ZoneState.OUT_OF_SERVICE)
+                if count is None:
+                    self.assertEqual(outcome.unwrap(), forced)
+                    continue
+                self.assertIn(f"'s0' {count} of 8", outcome.err_value.message)
+
+    def test_repeated_exit_needs_no_force(self):
+        """Guards against a zone that is out and whose exit is refused again."""
+        forced = self.out(fleet(HOSTS, (1, 1)), force=True).unwrap()
+        self.assertEqual(self.out(forced).unwrap(), forced)
+
+    def test_planned_stops_wait_after_an_exit(self):
+        """Guards against a wave, drain or move that forgets a zone that is out."""
+        base = fleet(HOSTS, (4, 2))
+        plan = MaintenancePlan(hosts=['h1', 'h9'], state=PlanState.RUNNING)
+        draining = _budgets.with_host_state(base, 'h3', HostState.DRAINING)
+        after = self.out(base).unwrap()
+        late = self.out(draining, force=True).unwrap()
+        self.assertEqual(
+            set(_budgets.next_wave(plan, base, HEALTHY).host_ids), {'h1', 'h9'}
+        )
+        wave = _budgets.next_wave(plan, after, HEALTHY)
+        self.assertEqual(wave.host_ids, ())
+        self.assertEqual({each.service_id for each in wave.held_back}, {'s0', 's1'})
+        for host_id in ('h1', 'h9'):
+            self.assertIsInstance(_budgets.may_stop(base, HEALTHY, host_id), Ok)
+            self.assertIsInstance(_budgets.may_stop(after, HEALTHY, host_id), Err)
+        advice = _budgets.planned_stop_step(late, HEALTHY, 'h3', None, False)
+        self.assertEqual(advice.unwrap().step, StopStep.RETURN)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -255,6 +255,8 @@
             ('check', usage, 'argument base is missing'),
             ('drain a b', usage, "unexpected argument 'b'"),
             ('drain a --force', usage, "unexpected argument '--force'"),
+            ('zone back a --force', usage, "unexpected argument '--force'"),
+            ('zone out a --force=3', invalid, '--force takes no value'),
             ('drain a _function b', usage, "unexpected argument '_function'"),
             ('drain a __class__ b', usage, "unexpected argument '__class__'"),
             ('drain a -- --interactive', usage, '-- is not an option'),
@@ -289,6 +291,7 @@
             (f'move {HOST} ledger-bridge', 'move_host', 'to_pool'),
             (f'cancel-move {HOST}', 'cancel_move', 'host_id'),
             ('zone out sofia', 'zone_out', 'availability_zone'),
+            ('zone out sofia --force', 'zone_out', 'force'),
             ('zone back sofia', 'zone_back', 'availability_zone'),
             (f'drain {HOST}', 'drain_host', 'host_id'),
             (f'undrain {HOST}', 'undrain_host', 'host_id'),
@@ -315,6 +318,7 @@
                     sent = self.host.posted[-1]
                     self.assertEqual(sent.edit.kind, kind)
                     self.assertIsNotNone(getattr(sent.edit, field))
+                    self.assertEqual(sent.edit.force, '--force' in line)
                     self.assertEqual(sent.dry_run, bool(flag) or 'dry_run' in line)
                     word = 'dry run' if sent.dry_run else 'accepted'
                     self.assertIn(word, self.out)
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -64,6 +64,7 @@
             (FIRST, 'give_key', key, kinds.MALFORMED),
             (FIRST, 'zone_out', {}, kinds.MALFORMED),
             (FIRST, 'vote', {'proposal_id': 'p', 'team': 'x'}, kinds.MALFORMED),
+            (FIRST, 'drain_host', {'host_id': HOST, 'force': True}, kinds.MALFORMED),
             (FIRST, 'give_key', key | {'key_record': RECORD}, kinds.ALREADY_EXISTS),
             (FIRST, 'withdraw_key', key | {'key_id': 'other'}, kinds.NOT_FOUND),
             (FIRST, 'withdraw_key', key | {'team': 'other'}, kinds.NOT_FOUND),
@@ -114,6 +115,7 @@
             ),
             ('vote', {'proposal_id': 'p'}, 'cast_vote'),
             ('drain_host', {'host_id': HOST}, 'may_drain'),
+            ('zone_out', {'availability_zone': 'sofia'}, 'may_take_zone_out'),
         ]
         for kind, fields, name in cases:
             with self.subTest(kind=kind):
