Name the place of each fault in a settings or configuration file

Cause: a table of bad files showed faults that were accepted or had no usable place. Of `statsd` and `caller_tls` only the group was named, with "must be valid exactly by one definition"; a wrong id in a map was "must be named by propertyName definition"; characters that YAML does not allow gave two lines without the line number; a value such as 2026-13-45, and text that is not UTF-8, had no line. A settings file with the address 127.0.0.1:99999 was accepted and failed at start.

Change: each of these names file, line and field. The addresses in settings are checked as those of hosts are. Validators keep the pattern of the ids of a map.

Ruled out: schemas without nullable groups, which would change what files may state.

Broken on purpose, each with failing cases of test_bad_files: the field inside a group (4), addresses (3), characters (2), values (1), ids (2), the line of text that is not UTF-8 (3), deep nesting (1), duplicate keys (4).

Tests: test_bad_files 3, test_codec 5, test_merge 5, test_cli 9, test_roles.OperatorSettingsTest 2, test_docs 4, all passed.

--- a/dandelionknot/_configuration_files.py
+++ b/dandelionknot/_configuration_files.py
@@ -93,10 +93,11 @@
     """Reads a YAML file and keeps the line of each field."""
     try:
         text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, 'strerror', None) or 'is not UTF-8 text'
-        fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=reason)
-        return Err(place(fault, str(path), None))
+    except OSError as error:
+        return Err(_unreadable(path, error.strerror or str(error), None))
+    except UnicodeDecodeError as error:
+        line = error.object.count(b'\n', 0, error.start) + 1
+        return Err(_unreadable(path, 'is not UTF-8 text', line))
     parsed = codec.parse_yaml_with_lines(text, str(path))
     if isinstance(parsed, Ok):
         return parsed
@@ -105,6 +106,11 @@
     return Err(place(fault, str(path), problem.line))
 
 
+def _unreadable(path: Path, problem: str, line: int | None) -> ConfigurationFault:
+    fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=problem)
+    return place(fault, str(path), line)
+
+
 def _decode(
     data: Any, cls: type[C], source: SourceFile
 ) -> Result[C, list[ConfigurationFault]]:
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -470,7 +470,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__operatorsbyid_property_names = False
                     if not data__operatorsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be named by propertyName definition", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be named by propertyName definition", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "operator_tokens_by_id" in data_keys:
             data_keys.remove("operator_tokens_by_id")
             data__operatortokensbyid = data["operator_tokens_by_id"]
@@ -501,7 +501,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__operatortokensbyid_property_names = False
                     if not data__operatortokensbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "caller_tls" in data_keys:
             data_keys.remove("caller_tls")
             data__callertls = data["caller_tls"]
@@ -937,7 +937,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__doubtuntilbyslice_property_names = False
                     if not data__doubtuntilbyslice_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be named by propertyName definition", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be named by propertyName definition", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={'propertyNames': {'pattern': '^[0-9]{1,2}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None, 'doubt_until_by_slice': None}, 'required': ['owners']}, rule='additionalProperties')
     return data
@@ -2320,7 +2320,7 @@
                                 except (JsonSchemaValueException, JsonSchemaValuesException):
                                     data__cooperativesbyid_property_names = False
                             if not data__cooperativesbyid_property_names:
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='propertyNames')
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
                     data__cooperativesbyid_one_of_count11 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
             if data__cooperativesbyid_one_of_count11 < 2:
@@ -2439,7 +2439,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
@@ -2476,7 +2476,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
@@ -2500,7 +2500,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
@@ -2537,7 +2537,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'site': None, 'availability_zones': None, 'availability_zones_by_id': None, 'hosts_by_id': None, 'teams_by_id': None, 'maintenance_plans_by_id': None}, 'required': ['site', 'availability_zones']}, rule='additionalProperties')
     return data
@@ -2589,7 +2589,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'keys_by_id': None}, 'required': ['keys_by_id']}, rule='additionalProperties')
     return data
@@ -2794,7 +2794,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__sitesbyid_property_names = False
                     if not data__sitesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "excluded_members" in data_keys:
             data_keys.remove("excluded_members")
             data__excludedmembers = data["excluded_members"]
@@ -2852,7 +2852,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "pools_by_id" in data_keys:
             data_keys.remove("pools_by_id")
             data__poolsbyid = data["pools_by_id"]
@@ -2876,7 +2876,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__poolsbyid_property_names = False
                     if not data__poolsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
@@ -2900,7 +2900,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "services_by_id" in data_keys:
             data_keys.remove("services_by_id")
             data__servicesbyid = data["services_by_id"]
@@ -2924,7 +2924,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__servicesbyid_property_names = False
                     if not data__servicesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
@@ -2948,7 +2948,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "cooperatives_by_id" in data_keys:
             data_keys.remove("cooperatives_by_id")
             data__cooperativesbyid = data["cooperatives_by_id"]
@@ -2972,7 +2972,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__cooperativesbyid_property_names = False
                     if not data__cooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "limit_proposals_by_id" in data_keys:
             data_keys.remove("limit_proposals_by_id")
             data__limitproposalsbyid = data["limit_proposals_by_id"]
@@ -2998,7 +2998,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__limitproposalsbyid_property_names = False
                     if not data__limitproposalsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "voters_proposals_by_id" in data_keys:
             data_keys.remove("voters_proposals_by_id")
             data__votersproposalsbyid = data["voters_proposals_by_id"]
@@ -3024,7 +3024,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__votersproposalsbyid_property_names = False
                     if not data__votersproposalsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be named by propertyName definition", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be named by propertyName definition", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "moves_by_host" in data_keys:
             data_keys.remove("moves_by_host")
             data__movesbyhost = data["moves_by_host"]
@@ -3048,7 +3048,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__movesbyhost_property_names = False
                     if not data__movesbyhost_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
@@ -3072,7 +3072,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
@@ -3262,7 +3262,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__basecooperativesbyid_property_names = False
                     if not data__basecooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be named by propertyName definition", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be named by propertyName definition", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "new_cooperatives_by_id" in data_keys:
             data_keys.remove("new_cooperatives_by_id")
             data__newcooperativesbyid = data["new_cooperatives_by_id"]
@@ -3286,7 +3286,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__newcooperativesbyid_property_names = False
                     if not data__newcooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be named by propertyName definition", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be named by propertyName definition", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "proposer" in data_keys:
             data_keys.remove("proposer")
             data__proposer = data["proposer"]
@@ -3469,7 +3469,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'limit_lowered_version': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='additionalProperties')
     return data
--- a/dandelionknot/codec.py
+++ b/dandelionknot/codec.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -35,6 +36,15 @@
 class _UniqueKeyLoader(yaml.SafeLoader):
     """Loads YAML and refuses duplicate keys, which PyYAML silently accepts."""
 
+    def construct_object(self, node: yaml.Node, deep: bool = False) -> Any:
+        """Adds the line to the error of a value that looks like another type."""
+        try:
+            return super().construct_object(node, deep=deep)
+        except ValueError as error:
+            raise yaml.constructor.ConstructorError(
+                None, None, str(error), node.start_mark
+            ) from error
+
 
 def _construct_mapping(loader: _UniqueKeyLoader, node: yaml.MappingNode) -> dict:
     keys: set = set()
@@ -61,7 +71,13 @@
     """Parses YAML text; duplicate keys and keys that are not strings are errors."""
     try:
         return Ok(yaml.load(text, Loader=_UniqueKeyLoader))  # noqa: S506
-    except (yaml.YAMLError, RecursionError, ValueError) as error:
+    except RecursionError:
+        return Err(DecodeError(where=where, problem='nested too deeply'))
+    except yaml.reader.ReaderError as error:
+        line = text.count('\n', 0, error.position) + 1
+        problem = f'character #x{error.character:04x} is not allowed'
+        return Err(DecodeError(where=f'{where}:{line}', problem=problem, line=line))
+    except (yaml.YAMLError, ValueError) as error:
         mark = getattr(error, 'problem_mark', None)
         place = f'{where}:{mark.line + 1}' if mark else where
         problem = getattr(error, 'problem', None) or str(error)
@@ -144,6 +160,10 @@
     elif error.rule == 'required':
         name = next(name for name in error.rule_definition if name not in error.value)
         problem = 'is missing'
+    elif error.rule == 'propertyNames':
+        pattern = error.rule_definition['pattern']
+        name = next(name for name in names if not re.search(pattern, name))
+        problem = f'the name must match pattern {pattern}'
     else:
         return FieldProblem(field=field, problem=problem)
     return FieldProblem(field=f'{field}.{name}' if field else name, problem=problem)
--- a/dandelionknot/settings.py
+++ b/dandelionknot/settings.py
@@ -1,11 +1,13 @@
 """Settings of a process, loaded from a YAML file and checked against the schema."""
 
 from pathlib import Path
+from typing import Any
 
 from result import Err, Ok, Result
 
 from dandelionknot import codec
 from dandelionknot._configuration_files import read_marked
+from dandelionknot._crosschecks import address_problem
 from dandelionknot._faults import (
     ConfigurationFault,
     FaultKind,
@@ -36,6 +38,18 @@
     'split_address',
 ]
 
+ADDRESS_FIELDS = (
+    'caller_address',
+    'operator_address',
+    'peer_address',
+    'platform_address',
+    'advertised_peer_address',
+)
+CLASSES_BY_GROUP: dict[str, type] = {
+    'caller_tls': TlsSettings,
+    'statsd': StatsdSettings,
+}
+
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, ConfigurationFault]:
     """Reads the settings of an entry host.
@@ -51,15 +65,41 @@
     locate = locate_in([source])
     checked = codec.check_fields(data, EntrySettings)
     if isinstance(checked, Err):
-        problem = checked.err_value
+        problem = _inner_problem(data, checked.err_value)
         return Err(locate(_malformed(problem.field, problem.problem)))
     decoded = codec.from_data(data, EntrySettings, str(path))
     if isinstance(decoded, Err):
         return Err(locate(_malformed('', decoded.err_value.problem)))
-    fault = _operator_fault(decoded.ok_value)
+    fault = _operator_fault(decoded.ok_value) or _address_fault(decoded.ok_value)
     return Err(locate(fault)) if fault else Ok(decoded.ok_value)
 
 
+def _inner_problem(data: Any, outer: codec.FieldProblem) -> codec.FieldProblem:
+    """Finds the field inside a group that may also be null.
+
+    For a value that may be null the validator names only the group.
+    """
+    cls = CLASSES_BY_GROUP.get(outer.field)
+    if cls is None:
+        return outer
+    checked = codec.check_fields(data[outer.field], cls)
+    if isinstance(checked, Ok):
+        return outer
+    inner = checked.err_value
+    field = f'{outer.field}.{inner.field}' if inner.field else outer.field
+    return codec.FieldProblem(field=field, problem=inner.problem)
+
+
+def _address_fault(settings: EntrySettings) -> FieldFault | None:
+    """Returns the first address that cannot exist; the schema checks only its form."""
+    for field in ADDRESS_FIELDS:
+        address = getattr(settings, field)
+        problem = address_problem(address) if address is not None else ''
+        if problem:
+            return FieldFault(kind=FaultKind.OUT_OF_RANGE, field=field, problem=problem)
+    return None
+
+
 def _malformed(field: str, problem: str) -> FieldFault:
     return FieldFault(kind=FaultKind.MALFORMED, field=field, problem=problem)
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -88,7 +88,7 @@
 
 
 def shorten_definition(found: re.Match) -> str:
-    """Keeps of a definition in an exception only the names of its fields.
+    """Keeps of a definition in an exception only the names and rules of its fields.
 
     Whole definitions make the module three times as large.
     """
@@ -98,6 +98,8 @@
         names['properties'] = dict.fromkeys(whole['properties'])
     if whole.get('required'):
         names['required'] = whole['required']
+    if found.group(2) == 'propertyNames':
+        names['propertyNames'] = whole['propertyNames']
     return f", definition={names!r}, rule='{found.group(2)}'"
 
 
