Refuse a change that no entry host could read

Cause: the changes task wrote whatever an edit returned. A document beyond a bound of the schema, such as more than 1000 proposals or 100 voters, would have been refused by every reader, and no later change could have been made.

Change: the next version is checked against the schema before it is written, also for dry runs and for the fleet's own changes; the refusal names the field. A note on force is made for zone exits only.

Ruled out: bounds in each decision, which would state them twice.

Broken on purpose: without the check `UnreadableChangeTest` fails.

--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -122,6 +122,11 @@
     if isinstance(following, Err):
         text = str(following.err_value)
         return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    checked = codec.check_fields(codec.to_data(following.ok_value), Configuration)
+    if isinstance(checked, Err):
+        # Once written, no entry host could read the configuration any more.
+        text = f'{checked.err_value.field} {checked.err_value.problem}'
+        return _report(change.change_id, ChangeOutcome.REFUSED, current.version, text)
     if change.dry_run:
         return ChangeReport(
             change_id=change.change_id,
@@ -295,7 +300,8 @@
 ) -> str:
     """Returns which budgets a forced zone exit exceeds, empty without force."""
     zone_id = request.edit.availability_zone
-    if not request.edit.force or zone_id is None:
+    is_zone_exit = request.edit.kind is EditKind.ZONE_OUT
+    if not (is_zone_exit and request.edit.force and zone_id):
         return ''
     if before is None:
         return 'forced; the budgets are not known'
@@ -309,7 +315,7 @@
     message: OperatorChange, report: ChangeReport, dispatcher: Mailbox, note: str
 ) -> None:
     """Records who made a change that was written, or may have been."""
-    if message.change.edit.force:
+    if note:
         log_event(
             Event.ZONE_EXIT_FORCED,
             change_id=report.change_id,
--- a/tests/test_fleet_changes.py
+++ b/tests/test_fleet_changes.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from result import Err, Ok
 
 from dandelionknot import codec
 from dandelionknot._changes import Change, write_change
 from dandelionknot.clock import now_ms
-from dandelionknot.configuration import Configuration
+from dandelionknot.configuration import Configuration, Cooperative
 from dandelionknot.messages import WriteOutcome, WriteRequest
 from dandelionknot.operators import ChangeOutcome, EditKind
 from standins.fleet import (
@@ -194,6 +195,25 @@
                 self.assertEqual((report.outcome, report.version), (outcome, version))
 
 
+class UnreadableChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_change_that_no_entry_host_could_read(self):
+        """Guards against a change that is written and stops every later one."""
+        platform = await start_platform()
+        self.addAsyncCleanup(platform.stop)
+        first = codec.encode_json(Configuration(version=1)).decode()
+        platform.state.put(CONFIGURATION_KEY, first)
+        too_many = {'shared': Cooperative(voters=['ana'] * 101)}
+
+        def edit(now: Configuration) -> Ok[Configuration]:
+            return Ok(replace(now, cooperatives_by_id=too_many))
+
+        port = platform_port(platform.address)
+        report = await write_change(port, Change('change-1', 1, edit))
+        self.assertEqual(report.outcome, ChangeOutcome.REFUSED)
+        self.assertIn('cooperatives_by_id.shared.voters must', report.message)
+        self.assertEqual(platform.state.entries_by_key[CONFIGURATION_KEY].value, first)
+
+
 class KilledMemberTest(unittest.IsolatedAsyncioTestCase):
     async def test_killed_member_delays_acceptance_by_the_proof_time(self):
         """Guards against changes that wait for ever for a host that is gone."""
