--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from dandelionknot.configuration import load_base, load_overlay, merge
+from dandelionknot.settings import load_entry_settings, operators_of
 
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 
@@ -17,6 +18,13 @@
 
 
 class ExamplesTest(unittest.TestCase):
+    def test_voters_can_vote(self):
+        """Guards against example settings in which a voter may not send votes."""
+        settings = load_entry_settings(EXAMPLES / 'entry.yaml').unwrap()
+        voters = load_example('balkanfit').cooperatives_by_id['balkanfit'].voters
+        roles = {operators_of(settings)[voter].role for voter in voters}
+        self.assertEqual(roles, {'administrator'})
+
     def test_sizes_and_keys(self):
         """Guards against examples that differ from section 1.6 of the design."""
         cases = [('balkanfit', 4, 8, 32, 65536), ('remansito', 3, 6, 64, 131072)]
