--- a/dandelionknot/_changes.py
+++ b/dandelionknot/_changes.py
@@ -21,12 +21,14 @@
     ConfigurationQuery,
     FleetChange,
     OperatorChange,
+    OperatorChangeWritten,
     WriteOutcome,
     WriteRequest,
 )
 from dandelionknot.operators import (
     ChangeOutcome,
     ChangeReport,
+    ChangeRequest,
     EditKind,
     OutsideDecisions,
     apply_edit,
@@ -34,7 +36,9 @@
 from dandelionknot.ports import PlatformPort, PortError
 
 READ_BACKS = 3
-VOTING_KINDS = frozenset({EditKind.PROPOSE_LIMIT, EditKind.VOTE})
+VOTING_KINDS = frozenset(
+    {EditKind.PROPOSE_LIMIT, EditKind.PROPOSE_VOTERS, EditKind.VOTE}
+)
 
 Edit = Callable[[Configuration], Result[Configuration, str]]
 
@@ -126,6 +130,11 @@
     if isinstance(following, Err):
         text = str(following.err_value)
         return _report(change.change_id, ChangeOutcome.CONFLICT, current.version, text)
+    checked = codec.check_fields(codec.to_data(following.ok_value), Configuration)
+    if isinstance(checked, Err):
+        # Once written, no entry host could read the configuration any more.
+        text = f'{checked.err_value.field} {checked.err_value.problem}'
+        return _report(change.change_id, ChangeOutcome.REFUSED, current.version, text)
     if change.dry_run:
         return ChangeReport(
             change_id=change.change_id,
@@ -208,20 +217,23 @@
         )
         if isinstance(edited, Err):
             return Err(str(edited.err_value))
-        return _check_limits(configuration, edited.ok_value, message)
+        return _check_votes(configuration, edited.ok_value, message)
 
     return edit
 
 
-def _check_limits(
+def _check_votes(
     current: Configuration, edited: Configuration, message: OperatorChange
 ) -> Result[Configuration, str]:
-    """Refuses an edit that would change a limit without a vote."""
+    """Refuses an edit that would change a limit or the voters without a vote."""
     if message.change.edit.kind in VOTING_KINDS:
         return Ok(edited)
     teams = decisions.votes.limits_changed_without_vote(current, edited)
     if teams:
         return Err(f'the limits of these teams need a vote: {", ".join(teams)}')
+    fields = decisions.votes.voters_changed_without_vote(current, edited)
+    if fields:
+        return Err(decisions.votes.needs_vote_problem(fields))
     return Ok(edited)
 
 
@@ -283,9 +295,50 @@
         known_version=known.ok_value.version if isinstance(known, Ok) else 0,
     )
     report = await write_change(port, change)
+    if report.outcome is ChangeOutcome.PENDING:
+        before = known.ok_value if isinstance(known, Ok) else None
+        await _record(
+            message, report, dispatcher, _forced_note(request, before, outside)
+        )
     call.answer(await _with_acceptance(report, dispatcher, message.wait_ms))
 
 
+def _forced_note(
+    request: ChangeRequest, before: Configuration | None, outside: OutsideDecisions
+) -> str:
+    """Returns which budgets a forced zone exit exceeds, empty without force."""
+    zone_id = request.edit.availability_zone
+    is_zone_exit = request.edit.kind is EditKind.ZONE_OUT
+    if not (is_zone_exit and request.edit.force and zone_id):
+        return ''
+    if before is None:
+        return 'forced; the budgets are not known'
+    checked = outside.may_take_zone_out(before, zone_id)
+    if isinstance(checked, Err):
+        return f'forced; {checked.err_value.message}'
+    return 'forced; no budget is exceeded'
+
+
+async def _record(
+    message: OperatorChange, report: ChangeReport, dispatcher: Mailbox, note: str
+) -> None:
+    """Records who made a change that was written, or may have been."""
+    if note:
+        log_event(
+            Event.ZONE_EXIT_FORCED,
+            change_id=report.change_id,
+            operator_id=message.operator_id,
+            availability_zone=message.change.edit.availability_zone,
+            version=report.version,
+            exceeded=note,
+        )
+    await dispatcher.deliver(
+        OperatorChangeWritten(
+            operator_id=message.operator_id, change=message.change, note=note
+        )
+    )
+
+
 async def run_changes(
     port: PlatformPort,
     mailbox: Mailbox,
--- a/dandelionknot/_commands_changes.py
+++ b/dandelionknot/_commands_changes.py
@@ -127,9 +127,15 @@
 
 
 @command(CHANGE_OPTIONS)
-def zone_out(call: Call, availability_zone: str) -> Outcome:
-    """Takes an availability zone out of service."""
-    edit = Edit(kind=EditKind.ZONE_OUT, availability_zone=availability_zone)
+def zone_out(call: Call, availability_zone: str, *, force: str = 'False') -> Outcome:
+    """Takes a zone out of service; --force does so beyond the availability budgets."""
+    if force not in ('True', 'False'):
+        return failure(ExitStatus.INVALID_INPUT, '--force takes no value')
+    edit = Edit(
+        kind=EditKind.ZONE_OUT,
+        availability_zone=availability_zone,
+        force=force == 'True',
+    )
     return send_change(call, edit)
 
 
@@ -168,8 +174,8 @@
 
 
 @command(CHANGE_OPTIONS)
-def limit_vote(call: Call, proposal_id: str) -> Outcome:
-    """Agrees to a proposed limit as the operator whose token is used."""
+def vote(call: Call, proposal_id: str) -> Outcome:
+    """Agrees to a proposal as the operator whose token is used."""
     return send_change(call, Edit(kind=EditKind.VOTE, proposal_id=proposal_id))
 
 
--- a/dandelionknot/_configuration_files.py
+++ b/dandelionknot/_configuration_files.py
@@ -28,7 +28,13 @@
 )
 
 # The fleet writes these fields; a file that states them could undo its work.
-FLEET_FIELDS = ('version', 'change_ids', 'moves_by_host', 'limit_proposals_by_id')
+FLEET_FIELDS = (
+    'version',
+    'change_ids',
+    'moves_by_host',
+    'limit_proposals_by_id',
+    'voters_proposals_by_id',
+)
 BASE_CLASSES_BY_SECTION: dict[str, Any] = {
     'hosts_by_id': Host,
     'teams_by_id': Team,
@@ -56,9 +62,9 @@
 
 def load_base(path: Path) -> Result[BaseFile, list[ConfigurationFault]]:
     """Reads the base file: a `Configuration` without the fields of the fleet."""
-    marked = _read(path)
+    marked = read_marked(path)
     if isinstance(marked, Err):
-        return marked
+        return Err([marked.err_value])
     source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
     data = marked.ok_value.data
     faults = [
@@ -75,27 +81,34 @@
 
 def load_overlay(path: Path) -> Result[OverlayFile, list[ConfigurationFault]]:
     """Reads the overlay of a site."""
-    marked = _read(path)
+    marked = read_marked(path)
     if isinstance(marked, Err):
-        return marked
+        return Err([marked.err_value])
     source = SourceFile(name=str(path), lines_by_field=marked.ok_value.lines_by_field)
     decoded = _decode(marked.ok_value.data, SiteOverlay, source)
     return decoded.map(lambda value: OverlayFile(source=source, overlay=value))
 
 
-def _read(path: Path) -> Result[codec.MarkedYaml, list[ConfigurationFault]]:
+def read_marked(path: Path) -> Result[codec.MarkedYaml, ConfigurationFault]:
+    """Reads a YAML file and keeps the line of each field."""
     try:
         text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, 'strerror', None) or 'is not UTF-8 text'
-        fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=reason)
-        return Err([place(fault, str(path), None)])
+    except OSError as error:
+        return Err(_unreadable(path, error.strerror or str(error), None))
+    except UnicodeDecodeError as error:
+        line = error.object.count(b'\n', 0, error.start) + 1
+        return Err(_unreadable(path, 'is not UTF-8 text', line))
     parsed = codec.parse_yaml_with_lines(text, str(path))
     if isinstance(parsed, Ok):
         return parsed
     problem = parsed.err_value
     fault = FieldFault(kind=FaultKind.MALFORMED, field='', problem=problem.problem)
-    return Err([place(fault, str(path), problem.line)])
+    return Err(place(fault, str(path), problem.line))
+
+
+def _unreadable(path: Path, problem: str, line: int | None) -> ConfigurationFault:
+    fault = FieldFault(kind=FaultKind.UNREADABLE, field='', problem=problem)
+    return place(fault, str(path), line)
 
 
 def _decode(
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -72,6 +72,7 @@
     ENTRY_HOST_STOPPING = "entry_host_stopping"
     CONFLICT = "conflict"
     NOT_AUTHORIZED = "not_authorized"
+    ROLE_NOT_SUFFICIENT = "role_not_sufficient"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -375,6 +376,18 @@
     approvals: list[Approval] = field(default_factory=list)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VotersProposal:
+    """
+    Proposed co-operatives with their voters, and the present voters who agreed to them.
+    """
+
+    base_cooperatives_by_id: dict[str, Cooperative]
+    new_cooperatives_by_id: dict[str, Cooperative]
+    proposer: str
+    approvals: list[Approval] = field(default_factory=list)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostMove:
     """
@@ -450,6 +463,7 @@
     teams_by_id: dict[str, Team] = field(default_factory=dict)
     cooperatives_by_id: dict[str, Cooperative] = field(default_factory=dict)
     limit_proposals_by_id: dict[str, LimitProposal] = field(default_factory=dict)
+    voters_proposals_by_id: dict[str, VotersProposal] = field(default_factory=dict)
     moves_by_host: dict[str, HostMove] = field(default_factory=dict)
     maintenance_plans_by_id: dict[str, MaintenancePlan] = field(default_factory=dict)
 
@@ -529,6 +543,7 @@
     DRAIN_HOST = "drain_host"
     UNDRAIN_HOST = "undrain_host"
     PROPOSE_LIMIT = "propose_limit"
+    PROPOSE_VOTERS = "propose_voters"
     VOTE = "vote"
     PLAN_CREATE = "plan_create"
     PLAN_PAUSE = "plan_pause"
@@ -552,9 +567,11 @@
     availability_zone: str | None = None
     proposal_id: str | None = None
     new_limit: int | None = None
+    cooperatives_by_id: dict[str, Cooperative] | None = None
     plan_id: str | None = None
     hosts: list[Host1] | None = None
     member_id: str | None = None
+    force: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1024,6 +1041,26 @@
     ERROR = "ERROR"
 
 
+class OperatorRole(StrEnum):
+    """
+    What an operator may do; each role includes the ones before it.
+    """
+
+    VIEWER = "viewer"
+    MAINTAINER = "maintainer"
+    ADMINISTRATOR = "administrator"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorAccess:
+    """
+    The token of an operator and the role that it gives.
+    """
+
+    token: str
+    role: OperatorRole
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntrySettings:
     """
@@ -1038,8 +1075,9 @@
     peer_address: str
     platform_address: str
     peer_secret: str
-    operator_tokens_by_id: dict[str, str]
     advertised_peer_address: str | None = None
+    operators_by_id: dict[str, OperatorAccess] = field(default_factory=dict)
+    operator_tokens_by_id: dict[str, str] = field(default_factory=dict)
     caller_tls: TlsSettings | None = None
     statsd: StatsdSettings | None = None
     log_level: LogLevel = LogLevel.INFO
@@ -1402,6 +1440,17 @@
     found: StoredList | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorChangeWritten:
+    """
+    A change of an operator was written, or may have been; the note says what was accepted with it.
+    """
+
+    operator_id: str
+    change: ChangeRequest
+    note: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadFinished:
     """
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -21,7 +21,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'EntrySettings': None}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'VotersProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'OperatorRole': None, 'OperatorAccess': None, 'EntrySettings': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -141,6 +141,10 @@
             data_keys.remove("LimitProposal")
             data__LimitProposal = data["LimitProposal"]
             validate____defs_limitproposal(data__LimitProposal, custom_formats, (name_prefix or "data") + ".LimitProposal")
+        if "VotersProposal" in data_keys:
+            data_keys.remove("VotersProposal")
+            data__VotersProposal = data["VotersProposal"]
+            validate____defs_votersproposal(data__VotersProposal, custom_formats, (name_prefix or "data") + ".VotersProposal")
         if "HostMove" in data_keys:
             data_keys.remove("HostMove")
             data__HostMove = data["HostMove"]
@@ -345,6 +349,14 @@
             data_keys.remove("LogLevel")
             data__LogLevel = data["LogLevel"]
             validate____defs_loglevel(data__LogLevel, custom_formats, (name_prefix or "data") + ".LogLevel")
+        if "OperatorRole" in data_keys:
+            data_keys.remove("OperatorRole")
+            data__OperatorRole = data["OperatorRole"]
+            validate____defs_operatorrole(data__OperatorRole, custom_formats, (name_prefix or "data") + ".OperatorRole")
+        if "OperatorAccess" in data_keys:
+            data_keys.remove("OperatorAccess")
+            data__OperatorAccess = data["OperatorAccess"]
+            validate____defs_operatoraccess(data__OperatorAccess, custom_formats, (name_prefix or "data") + ".OperatorAccess")
         if "EntrySettings" in data_keys:
             data_keys.remove("EntrySettings")
             data__EntrySettings = data["EntrySettings"]
@@ -353,12 +365,12 @@
 
 def validate____defs_entrysettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']) - data.keys()
+        data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
@@ -435,6 +447,30 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be longer than or equal to 16 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='minLength')
                 if data__peersecret_len > 256:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".peer_secret must be shorter than or equal to 256 characters", value=data__peersecret, name="" + (name_prefix or "data") + ".peer_secret", definition={}, rule='maxLength')
+        if "operators_by_id" in data_keys:
+            data_keys.remove("operators_by_id")
+            data__operatorsbyid = data["operators_by_id"]
+            if not isinstance(data__operatorsbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be object", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='type')
+            data__operatorsbyid_is_dict = isinstance(data__operatorsbyid, dict)
+            if data__operatorsbyid_is_dict:
+                data__operatorsbyid_keys = set(data__operatorsbyid.keys())
+                for data__operatorsbyid_key in data__operatorsbyid_keys:
+                    if data__operatorsbyid_key not in []:
+                        data__operatorsbyid_value = data__operatorsbyid.get(data__operatorsbyid_key)
+                        validate____defs_operatoraccess(data__operatorsbyid_value, custom_formats, (name_prefix or "data") + ".operators_by_id.{data__operatorsbyid_key}".format(**locals()))
+                data__operatorsbyid_len = len(data__operatorsbyid)
+                if data__operatorsbyid_len != 0:
+                    data__operatorsbyid_property_names = True
+                    for data__operatorsbyid_key in data__operatorsbyid:
+                        try:
+                            if isinstance(data__operatorsbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__operatorsbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__operatorsbyid_key, name="" + (name_prefix or "data") + ".operators_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__operatorsbyid_property_names = False
+                    if not data__operatorsbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operators_by_id must be named by propertyName definition", value=data__operatorsbyid, name="" + (name_prefix or "data") + ".operators_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "operator_tokens_by_id" in data_keys:
             data_keys.remove("operator_tokens_by_id")
             data__operatortokensbyid = data["operator_tokens_by_id"]
@@ -465,7 +501,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__operatortokensbyid_property_names = False
                     if not data__operatortokensbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".operator_tokens_by_id must be named by propertyName definition", value=data__operatortokensbyid, name="" + (name_prefix or "data") + ".operator_tokens_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "caller_tls" in data_keys:
             data_keys.remove("caller_tls")
             data__callertls = data["caller_tls"]
@@ -610,7 +646,42 @@
                 if data__draintimeoutms > 600000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='maximum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operators_by_id': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret']}, rule='additionalProperties')
+    return data
+
+def validate____defs_operatoraccess(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['token', 'role']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='required')
+        data_keys = set(data.keys())
+        if "token" in data_keys:
+            data_keys.remove("token")
+            data__token = data["token"]
+            if not isinstance(data__token, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be string", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='type')
+            if isinstance(data__token, str):
+                data__token_len = len(data__token)
+                if data__token_len < 16:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be longer than or equal to 16 characters", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='minLength')
+                if data__token_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token must be shorter than or equal to 256 characters", value=data__token, name="" + (name_prefix or "data") + ".token", definition={}, rule='maxLength')
+        if "role" in data_keys:
+            data_keys.remove("role")
+            data__role = data["role"]
+            validate____defs_operatorrole(data__role, custom_formats, (name_prefix or "data") + ".role")
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'token': None, 'role': None}, 'required': ['token', 'role']}, rule='additionalProperties')
+    return data
+
+def validate____defs_operatorrole(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (str)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
+    if not (isinstance(data, str) and data == 'viewer' or isinstance(data, str) and data == 'maintainer' or isinstance(data, str) and data == 'administrator'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['viewer', 'maintainer', 'administrator']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_loglevel(data, custom_formats={}, name_prefix=None):
@@ -866,7 +937,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__doubtuntilbyslice_property_names = False
                     if not data__doubtuntilbyslice_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be named by propertyName definition", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".doubt_until_by_slice must be named by propertyName definition", value=data__doubtuntilbyslice, name="" + (name_prefix or "data") + ".doubt_until_by_slice", definition={'propertyNames': {'pattern': '^[0-9]{1,2}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'owners': None, 'epoch': None, 'doubt_until_by_slice': None}, 'required': ['owners']}, rule='additionalProperties')
     return data
@@ -2120,12 +2191,12 @@
 
 def validate____defs_edit(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['kind']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='required')
         data_keys = set(data.keys())
         if "kind" in data_keys:
             data_keys.remove("kind")
@@ -2223,6 +2294,43 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be bigger than or equal to 0", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='minimum')
                 if data__newlimit > 1000000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_limit must be smaller than or equal to 1000000", value=data__newlimit, name="" + (name_prefix or "data") + ".new_limit", definition={}, rule='maximum')
+        if "cooperatives_by_id" in data_keys:
+            data_keys.remove("cooperatives_by_id")
+            data__cooperativesbyid = data["cooperatives_by_id"]
+            data__cooperativesbyid_one_of_count11 = 0
+            if data__cooperativesbyid_one_of_count11 < 2:
+                try:
+                    if not isinstance(data__cooperativesbyid, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be object", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='type')
+                    data__cooperativesbyid_is_dict = isinstance(data__cooperativesbyid, dict)
+                    if data__cooperativesbyid_is_dict:
+                        data__cooperativesbyid_keys = set(data__cooperativesbyid.keys())
+                        for data__cooperativesbyid_key in data__cooperativesbyid_keys:
+                            if data__cooperativesbyid_key not in []:
+                                data__cooperativesbyid_value = data__cooperativesbyid.get(data__cooperativesbyid_key)
+                                validate____defs_cooperative(data__cooperativesbyid_value, custom_formats, (name_prefix or "data") + ".cooperatives_by_id.{data__cooperativesbyid_key}".format(**locals()))
+                        data__cooperativesbyid_len = len(data__cooperativesbyid)
+                        if data__cooperativesbyid_len != 0:
+                            data__cooperativesbyid_property_names = True
+                            for data__cooperativesbyid_key in data__cooperativesbyid:
+                                try:
+                                    if isinstance(data__cooperativesbyid_key, str):
+                                        if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__cooperativesbyid_key):
+                                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__cooperativesbyid_key, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='pattern')
+                                except (JsonSchemaValueException, JsonSchemaValuesException):
+                                    data__cooperativesbyid_property_names = False
+                            if not data__cooperativesbyid_property_names:
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
+                    data__cooperativesbyid_one_of_count11 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__cooperativesbyid_one_of_count11 < 2:
+                try:
+                    if not isinstance(data__cooperativesbyid, (NoneType)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be null", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='type')
+                    data__cooperativesbyid_one_of_count11 += 1
+                except (JsonSchemaValueException, JsonSchemaValuesException): pass
+            if data__cooperativesbyid_one_of_count11 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be valid exactly by one definition" + (" (" + str(data__cooperativesbyid_one_of_count11) + " matches found)"), value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='oneOf')
         if "plan_id" in data_keys:
             data_keys.remove("plan_id")
             data__planid = data["plan_id"]
@@ -2257,15 +2365,20 @@
             if isinstance(data__memberid, str):
                 if not REGEX_PATTERNS['^[a-z0-9][a-z0-9.-]{0,79}$'].search(data__memberid):
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".member_id must match pattern ^[a-z0-9][a-z0-9.-]{0,79}$", value=data__memberid, name="" + (name_prefix or "data") + ".member_id", definition={}, rule='pattern')
+        if "force" in data_keys:
+            data_keys.remove("force")
+            data__force = data["force"]
+            if not isinstance(data__force, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".force must be boolean", value=data__force, name="" + (name_prefix or "data") + ".force", definition={}, rule='type')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'plan_id': None, 'hosts': None, 'member_id': None}, 'required': ['kind']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'kind': None, 'configuration': None, 'team': None, 'key_id': None, 'key_record': None, 'host_id': None, 'to_pool': None, 'availability_zone': None, 'proposal_id': None, 'new_limit': None, 'cooperatives_by_id': None, 'plan_id': None, 'hosts': None, 'member_id': None, 'force': None}, 'required': ['kind']}, rule='additionalProperties')
     return data
 
 def validate____defs_editkind(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
-    if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
+    if not (isinstance(data, str) and data == 'apply_configuration' or isinstance(data, str) and data == 'give_key' or isinstance(data, str) and data == 'withdraw_key' or isinstance(data, str) and data == 'move_host' or isinstance(data, str) and data == 'cancel_move' or isinstance(data, str) and data == 'zone_out' or isinstance(data, str) and data == 'zone_back' or isinstance(data, str) and data == 'drain_host' or isinstance(data, str) and data == 'undrain_host' or isinstance(data, str) and data == 'propose_limit' or isinstance(data, str) and data == 'propose_voters' or isinstance(data, str) and data == 'vote' or isinstance(data, str) and data == 'plan_create' or isinstance(data, str) and data == 'plan_pause' or isinstance(data, str) and data == 'plan_resume' or isinstance(data, str) and data == 'member_gone'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['apply_configuration', 'give_key', 'withdraw_key', 'move_host', 'cancel_move', 'zone_out', 'zone_back', 'drain_host', 'undrain_host', 'propose_limit', 'propose_voters', 'vote', 'plan_create', 'plan_pause', 'plan_resume', 'member_gone']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_siteoverlay(data, custom_formats={}, name_prefix=None):
@@ -2326,7 +2439,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
@@ -2338,20 +2451,20 @@
                 for data__hostsbyid_key in data__hostsbyid_keys:
                     if data__hostsbyid_key not in []:
                         data__hostsbyid_value = data__hostsbyid.get(data__hostsbyid_key)
-                        data__hostsbyid_value_one_of_count11 = 0
-                        if data__hostsbyid_value_one_of_count11 < 2:
+                        data__hostsbyid_value_one_of_count12 = 0
+                        if data__hostsbyid_value_one_of_count12 < 2:
                             try:
                                 validate____defs_hostoverlay(data__hostsbyid_value, custom_formats, (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()))
-                                data__hostsbyid_value_one_of_count11 += 1
+                                data__hostsbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count11 < 2:
+                        if data__hostsbyid_value_one_of_count12 < 2:
                             try:
                                 if not isinstance(data__hostsbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be null", value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__hostsbyid_value_one_of_count11 += 1
+                                data__hostsbyid_value_one_of_count12 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__hostsbyid_value_one_of_count11 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count11) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__hostsbyid_value_one_of_count12 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__hostsbyid_value_one_of_count12) + " matches found)"), value=data__hostsbyid_value, name="" + (name_prefix or "data") + ".hosts_by_id.{data__hostsbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__hostsbyid_len = len(data__hostsbyid)
                 if data__hostsbyid_len != 0:
                     data__hostsbyid_property_names = True
@@ -2363,7 +2476,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
@@ -2387,7 +2500,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
@@ -2399,20 +2512,20 @@
                 for data__maintenanceplansbyid_key in data__maintenanceplansbyid_keys:
                     if data__maintenanceplansbyid_key not in []:
                         data__maintenanceplansbyid_value = data__maintenanceplansbyid.get(data__maintenanceplansbyid_key)
-                        data__maintenanceplansbyid_value_one_of_count12 = 0
-                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
+                        data__maintenanceplansbyid_value_one_of_count13 = 0
+                        if data__maintenanceplansbyid_value_one_of_count13 < 2:
                             try:
                                 validate____defs_planoverlay(data__maintenanceplansbyid_value, custom_formats, (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()))
-                                data__maintenanceplansbyid_value_one_of_count12 += 1
+                                data__maintenanceplansbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count12 < 2:
+                        if data__maintenanceplansbyid_value_one_of_count13 < 2:
                             try:
                                 if not isinstance(data__maintenanceplansbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be null", value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__maintenanceplansbyid_value_one_of_count12 += 1
+                                data__maintenanceplansbyid_value_one_of_count13 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__maintenanceplansbyid_value_one_of_count12 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count12) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__maintenanceplansbyid_value_one_of_count13 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__maintenanceplansbyid_value_one_of_count13) + " matches found)"), value=data__maintenanceplansbyid_value, name="" + (name_prefix or "data") + ".maintenance_plans_by_id.{data__maintenanceplansbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 data__maintenanceplansbyid_len = len(data__maintenanceplansbyid)
                 if data__maintenanceplansbyid_len != 0:
                     data__maintenanceplansbyid_property_names = True
@@ -2424,7 +2537,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'site': None, 'availability_zones': None, 'availability_zones_by_id': None, 'hosts_by_id': None, 'teams_by_id': None, 'maintenance_plans_by_id': None}, 'required': ['site', 'availability_zones']}, rule='additionalProperties')
     return data
@@ -2452,20 +2565,20 @@
                 for data__keysbyid_key in data__keysbyid_keys:
                     if data__keysbyid_key not in []:
                         data__keysbyid_value = data__keysbyid.get(data__keysbyid_key)
-                        data__keysbyid_value_one_of_count13 = 0
-                        if data__keysbyid_value_one_of_count13 < 2:
+                        data__keysbyid_value_one_of_count14 = 0
+                        if data__keysbyid_value_one_of_count14 < 2:
                             try:
                                 validate____defs_keyrecord(data__keysbyid_value, custom_formats, (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()))
-                                data__keysbyid_value_one_of_count13 += 1
+                                data__keysbyid_value_one_of_count14 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count13 < 2:
+                        if data__keysbyid_value_one_of_count14 < 2:
                             try:
                                 if not isinstance(data__keysbyid_value, (NoneType)):
                                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be null", value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='type')
-                                data__keysbyid_value_one_of_count13 += 1
+                                data__keysbyid_value_one_of_count14 += 1
                             except (JsonSchemaValueException, JsonSchemaValuesException): pass
-                        if data__keysbyid_value_one_of_count13 != 1:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count13) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
+                        if data__keysbyid_value_one_of_count14 != 1:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + " must be valid exactly by one definition" + (" (" + str(data__keysbyid_value_one_of_count14) + " matches found)"), value=data__keysbyid_value, name="" + (name_prefix or "data") + ".keys_by_id.{data__keysbyid_key}".format(**locals()) + "", definition={}, rule='oneOf')
                 if data__keysbyid_len != 0:
                     data__keysbyid_property_names = True
                     for data__keysbyid_key in data__keysbyid:
@@ -2476,7 +2589,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'keys_by_id': None}, 'required': ['keys_by_id']}, rule='additionalProperties')
     return data
@@ -2622,12 +2735,12 @@
 
 def validate____defs_configuration(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='required')
         data_keys = set(data.keys())
         if "version" in data_keys:
             data_keys.remove("version")
@@ -2681,7 +2794,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__sitesbyid_property_names = False
                     if not data__sitesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sites_by_id must be named by propertyName definition", value=data__sitesbyid, name="" + (name_prefix or "data") + ".sites_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "excluded_members" in data_keys:
             data_keys.remove("excluded_members")
             data__excludedmembers = data["excluded_members"]
@@ -2739,7 +2852,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__availabilityzonesbyid_property_names = False
                     if not data__availabilityzonesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".availability_zones_by_id must be named by propertyName definition", value=data__availabilityzonesbyid, name="" + (name_prefix or "data") + ".availability_zones_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "pools_by_id" in data_keys:
             data_keys.remove("pools_by_id")
             data__poolsbyid = data["pools_by_id"]
@@ -2763,7 +2876,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__poolsbyid_property_names = False
                     if not data__poolsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".pools_by_id must be named by propertyName definition", value=data__poolsbyid, name="" + (name_prefix or "data") + ".pools_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "hosts_by_id" in data_keys:
             data_keys.remove("hosts_by_id")
             data__hostsbyid = data["hosts_by_id"]
@@ -2787,7 +2900,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__hostsbyid_property_names = False
                     if not data__hostsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".hosts_by_id must be named by propertyName definition", value=data__hostsbyid, name="" + (name_prefix or "data") + ".hosts_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "services_by_id" in data_keys:
             data_keys.remove("services_by_id")
             data__servicesbyid = data["services_by_id"]
@@ -2811,7 +2924,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__servicesbyid_property_names = False
                     if not data__servicesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".services_by_id must be named by propertyName definition", value=data__servicesbyid, name="" + (name_prefix or "data") + ".services_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "teams_by_id" in data_keys:
             data_keys.remove("teams_by_id")
             data__teamsbyid = data["teams_by_id"]
@@ -2835,7 +2948,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__teamsbyid_property_names = False
                     if not data__teamsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".teams_by_id must be named by propertyName definition", value=data__teamsbyid, name="" + (name_prefix or "data") + ".teams_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "cooperatives_by_id" in data_keys:
             data_keys.remove("cooperatives_by_id")
             data__cooperativesbyid = data["cooperatives_by_id"]
@@ -2859,7 +2972,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__cooperativesbyid_property_names = False
                     if not data__cooperativesbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".cooperatives_by_id must be named by propertyName definition", value=data__cooperativesbyid, name="" + (name_prefix or "data") + ".cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "limit_proposals_by_id" in data_keys:
             data_keys.remove("limit_proposals_by_id")
             data__limitproposalsbyid = data["limit_proposals_by_id"]
@@ -2885,7 +2998,33 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__limitproposalsbyid_property_names = False
                     if not data__limitproposalsbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_proposals_by_id must be named by propertyName definition", value=data__limitproposalsbyid, name="" + (name_prefix or "data") + ".limit_proposals_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
+        if "voters_proposals_by_id" in data_keys:
+            data_keys.remove("voters_proposals_by_id")
+            data__votersproposalsbyid = data["voters_proposals_by_id"]
+            if not isinstance(data__votersproposalsbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be object", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='type')
+            data__votersproposalsbyid_is_dict = isinstance(data__votersproposalsbyid, dict)
+            if data__votersproposalsbyid_is_dict:
+                data__votersproposalsbyid_len = len(data__votersproposalsbyid)
+                if data__votersproposalsbyid_len > 200:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must contain less than or equal to 200 properties", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='maxProperties')
+                data__votersproposalsbyid_keys = set(data__votersproposalsbyid.keys())
+                for data__votersproposalsbyid_key in data__votersproposalsbyid_keys:
+                    if data__votersproposalsbyid_key not in []:
+                        data__votersproposalsbyid_value = data__votersproposalsbyid.get(data__votersproposalsbyid_key)
+                        validate____defs_votersproposal(data__votersproposalsbyid_value, custom_formats, (name_prefix or "data") + ".voters_proposals_by_id.{data__votersproposalsbyid_key}".format(**locals()))
+                if data__votersproposalsbyid_len != 0:
+                    data__votersproposalsbyid_property_names = True
+                    for data__votersproposalsbyid_key in data__votersproposalsbyid:
+                        try:
+                            if isinstance(data__votersproposalsbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__votersproposalsbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__votersproposalsbyid_key, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__votersproposalsbyid_property_names = False
+                    if not data__votersproposalsbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".voters_proposals_by_id must be named by propertyName definition", value=data__votersproposalsbyid, name="" + (name_prefix or "data") + ".voters_proposals_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "moves_by_host" in data_keys:
             data_keys.remove("moves_by_host")
             data__movesbyhost = data["moves_by_host"]
@@ -2909,7 +3048,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__movesbyhost_property_names = False
                     if not data__movesbyhost_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".moves_by_host must be named by propertyName definition", value=data__movesbyhost, name="" + (name_prefix or "data") + ".moves_by_host", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if "maintenance_plans_by_id" in data_keys:
             data_keys.remove("maintenance_plans_by_id")
             data__maintenanceplansbyid = data["maintenance_plans_by_id"]
@@ -2933,9 +3072,9 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__maintenanceplansbyid_property_names = False
                     if not data__maintenanceplansbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".maintenance_plans_by_id must be named by propertyName definition", value=data__maintenanceplansbyid, name="" + (name_prefix or "data") + ".maintenance_plans_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'version': None, 'change_ids': None, 'bounds': None, 'sites_by_id': None, 'excluded_members': None, 'gone_members': None, 'availability_zones_by_id': None, 'pools_by_id': None, 'hosts_by_id': None, 'services_by_id': None, 'teams_by_id': None, 'cooperatives_by_id': None, 'limit_proposals_by_id': None, 'voters_proposals_by_id': None, 'moves_by_host': None, 'maintenance_plans_by_id': None}, 'required': ['version']}, rule='additionalProperties')
     return data
 
 def validate____defs_site(data, custom_formats={}, name_prefix=None):
@@ -3091,6 +3230,91 @@
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'from_pool': None, 'to_pool': None, 'phase': None, 'from_epoch': None, 'drain_version': None}, 'required': ['from_pool', 'to_pool', 'phase', 'from_epoch']}, rule='additionalProperties')
     return data
 
+def validate____defs_votersproposal(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='required')
+        data_keys = set(data.keys())
+        if "base_cooperatives_by_id" in data_keys:
+            data_keys.remove("base_cooperatives_by_id")
+            data__basecooperativesbyid = data["base_cooperatives_by_id"]
+            if not isinstance(data__basecooperativesbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be object", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='type')
+            data__basecooperativesbyid_is_dict = isinstance(data__basecooperativesbyid, dict)
+            if data__basecooperativesbyid_is_dict:
+                data__basecooperativesbyid_keys = set(data__basecooperativesbyid.keys())
+                for data__basecooperativesbyid_key in data__basecooperativesbyid_keys:
+                    if data__basecooperativesbyid_key not in []:
+                        data__basecooperativesbyid_value = data__basecooperativesbyid.get(data__basecooperativesbyid_key)
+                        validate____defs_cooperative(data__basecooperativesbyid_value, custom_formats, (name_prefix or "data") + ".base_cooperatives_by_id.{data__basecooperativesbyid_key}".format(**locals()))
+                data__basecooperativesbyid_len = len(data__basecooperativesbyid)
+                if data__basecooperativesbyid_len != 0:
+                    data__basecooperativesbyid_property_names = True
+                    for data__basecooperativesbyid_key in data__basecooperativesbyid:
+                        try:
+                            if isinstance(data__basecooperativesbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__basecooperativesbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__basecooperativesbyid_key, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__basecooperativesbyid_property_names = False
+                    if not data__basecooperativesbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".base_cooperatives_by_id must be named by propertyName definition", value=data__basecooperativesbyid, name="" + (name_prefix or "data") + ".base_cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
+        if "new_cooperatives_by_id" in data_keys:
+            data_keys.remove("new_cooperatives_by_id")
+            data__newcooperativesbyid = data["new_cooperatives_by_id"]
+            if not isinstance(data__newcooperativesbyid, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be object", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='type')
+            data__newcooperativesbyid_is_dict = isinstance(data__newcooperativesbyid, dict)
+            if data__newcooperativesbyid_is_dict:
+                data__newcooperativesbyid_keys = set(data__newcooperativesbyid.keys())
+                for data__newcooperativesbyid_key in data__newcooperativesbyid_keys:
+                    if data__newcooperativesbyid_key not in []:
+                        data__newcooperativesbyid_value = data__newcooperativesbyid.get(data__newcooperativesbyid_key)
+                        validate____defs_cooperative(data__newcooperativesbyid_value, custom_formats, (name_prefix or "data") + ".new_cooperatives_by_id.{data__newcooperativesbyid_key}".format(**locals()))
+                data__newcooperativesbyid_len = len(data__newcooperativesbyid)
+                if data__newcooperativesbyid_len != 0:
+                    data__newcooperativesbyid_property_names = True
+                    for data__newcooperativesbyid_key in data__newcooperativesbyid:
+                        try:
+                            if isinstance(data__newcooperativesbyid_key, str):
+                                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__newcooperativesbyid_key):
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__newcooperativesbyid_key, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={}, rule='pattern')
+                        except (JsonSchemaValueException, JsonSchemaValuesException):
+                            data__newcooperativesbyid_property_names = False
+                    if not data__newcooperativesbyid_property_names:
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".new_cooperatives_by_id must be named by propertyName definition", value=data__newcooperativesbyid, name="" + (name_prefix or "data") + ".new_cooperatives_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
+        if "proposer" in data_keys:
+            data_keys.remove("proposer")
+            data__proposer = data["proposer"]
+            if not isinstance(data__proposer, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must be string", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='type')
+            if isinstance(data__proposer, str):
+                if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__proposer):
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".proposer must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__proposer, name="" + (name_prefix or "data") + ".proposer", definition={}, rule='pattern')
+        if "approvals" in data_keys:
+            data_keys.remove("approvals")
+            data__approvals = data["approvals"]
+            if not isinstance(data__approvals, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must be array", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='type')
+            data__approvals_is_list = isinstance(data__approvals, (list, tuple))
+            if data__approvals_is_list:
+                data__approvals_len = len(data__approvals)
+                if data__approvals_len > 200:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals must contain less than or equal to 200 items", value=data__approvals, name="" + (name_prefix or "data") + ".approvals", definition={}, rule='maxItems')
+                for data__approvals_x, data__approvals_item in enumerate(data__approvals):
+                    if not isinstance(data__approvals_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must be string", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='type')
+                    if isinstance(data__approvals_item, str):
+                        if not REGEX_PATTERNS['^[a-z0-9][a-z0-9-]{0,62}$'].search(data__approvals_item):
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + " must match pattern ^[a-z0-9][a-z0-9-]{0,62}$", value=data__approvals_item, name="" + (name_prefix or "data") + ".approvals[{data__approvals_x}]".format(**locals()) + "", definition={}, rule='pattern')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'base_cooperatives_by_id': None, 'new_cooperatives_by_id': None, 'proposer': None, 'approvals': None}, 'required': ['base_cooperatives_by_id', 'new_cooperatives_by_id', 'proposer']}, rule='additionalProperties')
+    return data
+
 def validate____defs_limitproposal(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'team': None, 'base_limit': None, 'new_limit': None, 'proposer': None, 'approvals': None}, 'required': ['team', 'base_limit', 'new_limit', 'proposer']}, rule='type')
@@ -3245,7 +3469,7 @@
                         except (JsonSchemaValueException, JsonSchemaValuesException):
                             data__keysbyid_property_names = False
                     if not data__keysbyid_property_names:
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={}, rule='propertyNames')
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".keys_by_id must be named by propertyName definition", value=data__keysbyid, name="" + (name_prefix or "data") + ".keys_by_id", definition={'propertyNames': {'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}}, rule='propertyNames')
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'share': None, 'upper_limit': None, 'limit_lowered_version': None, 'keys_by_id': None}, 'required': ['upper_limit']}, rule='additionalProperties')
     return data
@@ -3752,20 +3976,20 @@
         if "refusal" in data_keys:
             data_keys.remove("refusal")
             data__refusal = data["refusal"]
-            data__refusal_one_of_count14 = 0
-            if data__refusal_one_of_count14 < 2:
+            data__refusal_one_of_count15 = 0
+            if data__refusal_one_of_count15 < 2:
                 try:
                     validate____defs_startrefusal(data__refusal, custom_formats, (name_prefix or "data") + ".refusal")
-                    data__refusal_one_of_count14 += 1
+                    data__refusal_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count14 < 2:
+            if data__refusal_one_of_count15 < 2:
                 try:
                     if not isinstance(data__refusal, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be null", value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='type')
-                    data__refusal_one_of_count14 += 1
+                    data__refusal_one_of_count15 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__refusal_one_of_count14 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count14) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
+            if data__refusal_one_of_count15 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".refusal must be valid exactly by one definition" + (" (" + str(data__refusal_one_of_count15) + " matches found)"), value=data__refusal, name="" + (name_prefix or "data") + ".refusal", definition={}, rule='oneOf')
         if "result" in data_keys:
             data_keys.remove("result")
             data__result = data["result"]
@@ -4004,20 +4228,20 @@
         if "error_code" in data_keys:
             data_keys.remove("error_code")
             data__errorcode = data["error_code"]
-            data__errorcode_one_of_count15 = 0
-            if data__errorcode_one_of_count15 < 2:
+            data__errorcode_one_of_count16 = 0
+            if data__errorcode_one_of_count16 < 2:
                 try:
                     validate____defs_errorcode(data__errorcode, custom_formats, (name_prefix or "data") + ".error_code")
-                    data__errorcode_one_of_count15 += 1
+                    data__errorcode_one_of_count16 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count15 < 2:
+            if data__errorcode_one_of_count16 < 2:
                 try:
                     if not isinstance(data__errorcode, (NoneType)):
                         raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be null", value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='type')
-                    data__errorcode_one_of_count15 += 1
+                    data__errorcode_one_of_count16 += 1
                 except (JsonSchemaValueException, JsonSchemaValuesException): pass
-            if data__errorcode_one_of_count15 != 1:
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count15) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
+            if data__errorcode_one_of_count16 != 1:
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".error_code must be valid exactly by one definition" + (" (" + str(data__errorcode_one_of_count16) + " matches found)"), value=data__errorcode, name="" + (name_prefix or "data") + ".error_code", definition={}, rule='oneOf')
         if "message" in data_keys:
             data_keys.remove("message")
             data__message = data["message"]
@@ -4103,8 +4327,8 @@
 def validate____defs_errorcode(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
-    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'internal_error'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
+    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'role_not_sufficient' or isinstance(data, str) and data == 'internal_error'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'role_not_sufficient', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_requestphase(data, custom_formats={}, name_prefix=None):
@@ -4173,6 +4397,8 @@
     'Member': validate____defs_member,
     'MemberStatus': validate____defs_memberstatus,
     'MovePhase': validate____defs_movephase,
+    'OperatorAccess': validate____defs_operatoraccess,
+    'OperatorRole': validate____defs_operatorrole,
     'PeerAddress': validate____defs_peeraddress,
     'PeerMessageKind': validate____defs_peermessagekind,
     'Ping': validate____defs_ping,
@@ -4203,6 +4429,7 @@
     'TeamOverlay': validate____defs_teamoverlay,
     'TlsSettings': validate____defs_tlssettings,
     'UsageReport': validate____defs_usagereport,
+    'VotersProposal': validate____defs_votersproposal,
     'WhyKind': validate____defs_whykind,
     'WhyReport': validate____defs_whyreport,
     'WriteOutcome': validate____defs_writeoutcome,
