--- a/dandelionknot/_backend_link.py
+++ b/dandelionknot/_backend_link.py
@@ -301,7 +301,7 @@
         ),
         deadline_at_ms=order.until_ms,
         checked_at_ms=0,
-        settle_until_ms=order.until_ms,
+        settle_until_ms=order.settle_until_ms,
     )
     link.running_by_task[order.task_id] = start
     try:
--- a/dandelionknot/_claim_log.py
+++ b/dandelionknot/_claim_log.py
@@ -3,6 +3,8 @@
 A write whose answer was lost is settled by reading its key back.
 """
 
+import heapq
+
 from dandelionknot._claim_table import (
     ClaimTable,
     SegmentRead,
@@ -97,11 +99,18 @@
         member_id=table.member_id,
         incarnation=table.incarnation,
         claims=log.claims,
-        newest_ms=max(request_time_ms(one.request_id) for one in log.claims),
+        newest_ms=_newest_ms(log.claims),
     )
     return SegmentWrite(key=log.key, expected_revision=log.revision, segment=segment)
 
 
+def _newest_ms(claims: list[Claim]) -> int:
+    """Returns the time from which the age of a segment counts."""
+    return max(
+        max(request_time_ms(one.request_id), one.keep_until_ms) for one in claims
+    )
+
+
 def _open_segment(table: ClaimTable) -> None:
     """Opens a segment, in the place of an expired one if there is one.
 
@@ -110,11 +119,10 @@
     """
     log = table.log
     if log.key:
-        newest_ms = max(request_time_ms(one.request_id) for one in log.claims)
-        log.closed.append((log.key, log.revision, newest_ms))
+        heapq.heappush(log.closed, (_newest_ms(log.claims), log.key, log.revision))
     log.claims = []
-    if log.closed and log.closed[0][2] <= table.forgotten_until_ms - MAX_CLOCK_SKEW_MS:
-        log.key, log.revision, _ = log.closed.popleft()
+    if log.closed and log.closed[0][0] <= table.forgotten_until_ms - MAX_CLOCK_SKEW_MS:
+        _, log.key, log.revision = heapq.heappop(log.closed)
         return
     log.segment_count += 1
     log.key = f'claims/{table.member_id}/{table.incarnation}-{log.segment_count}'
--- a/dandelionknot/_claim_ownership.py
+++ b/dandelionknot/_claim_ownership.py
@@ -11,6 +11,7 @@
     has_lapsed,
     is_answer_final,
     is_doubtful,
+    is_unstarted,
     keep_inherited_closing,
 )
 from dandelionknot._slices import (
@@ -109,7 +110,8 @@
 
 def _inherit(table: ClaimTable, record: Claim, now_unix_ms: int) -> None:
     max_age_ms = table.bounds.request_id_max_age_ms
-    if is_too_old(record.request_id, now_unix_ms, max_age_ms):
+    is_old = is_too_old(record.request_id, now_unix_ms, max_age_ms)
+    if is_old and record.keep_until_ms < now_unix_ms:
         return
     entry = table.entries_by_id.get(record.request_id)
     if entry is None:
@@ -118,9 +120,11 @@
             team=record.team,
             body_digest=record.body_digest,
             idempotent=False,
+            is_async=record.keep_until_ms > 0,
             is_inherited=True,
         )
         add_entry(table, entry)
+    entry.keep_until_ms = max(entry.keep_until_ms, record.keep_until_ms)
     if record.task_id:
         attempt = Attempt(
             task_id=record.task_id,
@@ -185,13 +189,16 @@
 
 
 def may_release_slice(table: ClaimTable, index: int) -> bool:
-    """Tells whether all requests of a closing slice are answered and logged."""
+    """Tells whether all requests of a closing slice are answered and logged.
+
+    Kept requests that have not started go to the next owner.
+    """
     if index not in table.closing_slices:
         return False
     if any(slice_of(one.request_id) == index for one in table.unlogged_claims):
         return False
     return all(
-        is_answer_final(entry)
+        is_answer_final(entry) or is_unstarted(entry)
         for entry in table.entries_by_id.values()
         if slice_of(entry.request_id) == index
     )
--- a/dandelionknot/_claim_table.py
+++ b/dandelionknot/_claim_table.py
@@ -111,13 +111,18 @@
 class ClaimEntry:
     """A request of an owned slice.
 
-    `not_run_is_final` means that the caller may have been told "not run".
+    `is_async` means that starts and closings are never decided from memory, and
+    `is_kept` that the platform has the request. `not_run_is_final` means that
+    the caller may have been told "not run".
     """
 
     request_id: str
     team: str
     body_digest: str
     idempotent: bool
+    is_async: bool = False
+    is_kept: bool = False
+    keep_until_ms: int = 0
     is_inherited: bool = False
     answer: AnswerBody | None = None
     closing_logged: bool = False
@@ -162,7 +167,7 @@
     revision: int = 0
     claims: list[Claim] = field(default_factory=list)
     unwritten: deque[Claim] = field(default_factory=deque)
-    closed: deque[tuple[str, int, int]] = field(default_factory=deque)
+    closed: list[tuple[int, str, int]] = field(default_factory=list)
     segment_count: int = 0
 
 
@@ -222,8 +227,17 @@
     )
 
 
+def needs_claim(entry: ClaimEntry) -> bool:
+    return entry.is_async or not entry.idempotent
+
+
+def is_unstarted(entry: ClaimEntry) -> bool:
+    """Tells whether the next owner reads a request from the platform and runs it."""
+    return entry.is_kept and entry.answer is None and not entry.attempts_by_task
+
+
 def is_closed(entry: ClaimEntry) -> bool:
-    if entry.idempotent or entry.answer is None:
+    if not needs_claim(entry) or entry.answer is None:
         return False
     return entry.answer.run_state is RunState.NOT_RUN
 
@@ -239,6 +253,7 @@
         body_digest=entry.body_digest,
         task_id=task_id,
         host_id=host_id,
+        keep_until_ms=entry.keep_until_ms,
     )
 
 
--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -51,8 +51,20 @@
     is_answer_final,
     is_doubtful,
     keep_inherited_closing,
+    needs_claim,
     places,
 )
+from dandelionknot._claim_work import (
+    adopt_kept,
+    closing_answer,
+    is_left_to_next_owner,
+    is_owner,
+    keep_until_ms,
+    mark_kept,
+    may_begin,
+    must_be_adopted,
+    settle_inherited,
+)
 from dandelionknot._slices import (
     MAX_CLOCK_SKEW_MS,
     MAX_FUTURE_MS,
@@ -77,6 +89,7 @@
     ErrorCode,
     Refusal,
     RequestBody,
+    RequestMode,
     RunState,
 )
 
@@ -96,6 +109,8 @@
     'SegmentWrite',
     'StartBlock',
     'TaskPlace',
+    'adopt_kept',
+    'closing_answer',
     'assign_slices',
     'attempt_not_run',
     'begin_release',
@@ -110,8 +125,14 @@
     'gained_slices',
     'is_claim_written',
     'is_in_future',
+    'is_left_to_next_owner',
+    'is_owner',
     'is_too_old',
+    'must_be_adopted',
+    'settle_inherited',
+    'mark_kept',
     'may_answer',
+    'may_begin',
     'may_decide_in_memory',
     'may_release_slice',
     'may_renew_membership',
@@ -181,6 +202,8 @@
         return Err(refusal)
     if not request.idempotent and is_doubtful(table, request_id):
         return Ok(InDoubt(request_id=request_id, tasks=(), in_log=False))
+    is_async = request.mode is RequestMode.ASYNC
+    deadline_ms = now_unix_ms + request.deadline_ms
     add_entry(
         table,
         ClaimEntry(
@@ -188,6 +211,8 @@
             team=team or '',
             body_digest=digest,
             idempotent=request.idempotent,
+            is_async=is_async,
+            keep_until_ms=keep_until_ms(table, deadline_ms) if is_async else 0,
         ),
     )
     return Ok(NewClaim(request_id=request_id))
@@ -262,11 +287,13 @@
         return Err(StartBlock.NOT_OWNER)
     if entry.answer is not None:
         return Err(StartBlock.NO_ATTEMPT)
-    if entry.is_inherited or (not entry.idempotent and entry.attempts_by_task):
+    if not entry.idempotent and (entry.is_inherited or entry.attempts_by_task):
         return Err(StartBlock.ALREADY_SENT)
-    attempt = Attempt(task_id=task_id, host_id=host_id, is_logged=entry.idempotent)
+    attempt = Attempt(
+        task_id=task_id, host_id=host_id, is_logged=not needs_claim(entry)
+    )
     entry.attempts_by_task[task_id] = attempt
-    if not entry.idempotent:
+    if needs_claim(entry):
         table.log.unwritten.append(claim_record(entry, task_id, host_id))
     return Ok(None)
 
@@ -281,7 +308,8 @@
     """Permits a start once; call it after the start token was received.
 
     Without a written claim the start is permitted only in an outage of the
-    platform that all members see (`OutageView`).
+    platform that all members see (`OutageView`), and never for an asynchronous
+    request, since its next owner takes a missing claim for "not started".
     """
     if slice_of(request_id) not in table.owned_slices:
         return Err(StartBlock.NOT_OWNER)
@@ -294,7 +322,7 @@
     if attempt.is_sent:
         return Err(StartBlock.ALREADY_SENT)
     if not attempt.is_logged:
-        if not may_decide_in_memory(table, outage, now_ms):
+        if entry.is_async or not may_decide_in_memory(table, outage, now_ms):
             return Err(StartBlock.CLAIM_NOT_WRITTEN)
         table.unlogged_claims.add(claim_record(entry, task_id, attempt.host_id))
     attempt.is_sent = True
@@ -332,10 +360,12 @@
     entry.attempts_by_task.pop(task_id, None)
     if not entry.is_inherited or entry.attempts_by_task or entry.answer is not None:
         return
-    if is_doubtful(table, request_id):
+    if not entry.is_kept and is_doubtful(table, request_id):
         return
     if entry.closing_logged:
         keep_inherited_closing(entry)
+    elif entry.is_kept:
+        entry.is_inherited = False
     else:
         drop_entry(table, entry)
 
@@ -367,10 +397,11 @@
 def _close(table: ClaimTable, entry: ClaimEntry) -> bool:
     if slice_of(entry.request_id) not in table.owned_slices:
         return False
-    doubtful = entry.is_inherited and is_doubtful(table, entry.request_id)
+    in_doubt = is_doubtful(table, entry.request_id) and not entry.is_kept
+    doubtful = entry.is_inherited and in_doubt
     if entry.attempts_by_task or doubtful:
         return False
-    if not entry.idempotent:
+    if needs_claim(entry):
         table.log.unwritten.append(claim_record(entry, '', ''))
     return True
 
@@ -408,7 +439,7 @@
     if not is_owner or has_lapsed(table, now_ms):
         return False
     if not entry.closing_logged:
-        if not may_decide_in_memory(table, outage, now_ms):
+        if entry.is_async or not may_decide_in_memory(table, outage, now_ms):
             return False
         table.unlogged_claims.add(claim_record(entry, '', ''))
     entry.not_run_is_final = True
@@ -430,7 +461,8 @@
         entry = table.entries_by_id.get(request_id)
         if entry is None:
             continue
-        if entry.answer is None and not entry.is_inherited:
+        is_needed = not entry.is_inherited or entry.keep_until_ms > now_unix_ms
+        if entry.answer is None and is_needed:
             kept.append(request_id)
             continue
         drop_entry(table, entry)
@@ -452,7 +484,7 @@
 
 def _is_expired(table: ClaimTable, record: Claim) -> bool:
     limit_ms = table.forgotten_until_ms - MAX_CLOCK_SKEW_MS
-    return request_time_ms(record.request_id) <= limit_ms
+    return max(request_time_ms(record.request_id), record.keep_until_ms) <= limit_ms
 
 
 def _is_forgotten(table: ClaimTable, request_id: str) -> bool:
--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -30,11 +30,20 @@
     forwarded,
     submit,
 )
+from dandelionknot._kept_work import (
+    count_left_to_others,
+    drop_lost,
+    flush_work,
+    listed,
+    look_after_work,
+    release_held_back,
+    work_read,
+    work_written,
+)
 from dandelionknot._mailbox import Call, Mailbox
 from dandelionknot._ownership import (
     claim_read,
     claim_written,
-    claims_listed,
     flush_claims,
     refresh_ownership,
     slices_written,
@@ -43,6 +52,7 @@
     CLAIMS_PREFIX,
     GRANTS_PREFIX,
     SLICES_KEY,
+    WORK_PREFIX,
 )
 from dandelionknot._requests import forget_old, unfinished_count
 from dandelionknot._starts import (
@@ -107,6 +117,7 @@
 TICK_INTERVAL_MS = 50
 SLOW_TICKS = 20
 LEAVE_TICKS = 4  # requests wait for the next owner of their slice
+HELD_BACK_TICKS = 4
 KEEP_ENDED = 20_000
 
 Handler = Callable[[DispatcherState, object], None]
@@ -120,6 +131,8 @@
     for service_id, queues in state.queues_by_service.items():
         if queues.requests_by_id:
             start_queued(state, service_id)
+    if state.tick_count % HELD_BACK_TICKS == 0 and state.work.held_back_ids:
+        release_held_back(state)
     if state.stopping and state.tick_count % LEAVE_TICKS == 0 and is_fresh(state, now):
         leave(state)
     if state.tick_count % SLOW_TICKS == 0:
@@ -138,11 +151,15 @@
     retention_ms = state.configuration.bounds.request_id_max_age_ms
     forget_old(state.requests, now - retention_ms, KEEP_ENDED)
     decisions.claims.forget_old(state.claims, unix_ms())
+    look_after_work(state)
 
 
 def _after_message(state: DispatcherState) -> None:
     """Moves on what any message may have made possible."""
     flush_claims(state)
+    flush_work(state)
+    if state.work.map_epoch != state.claims.map_epoch:
+        drop_lost(state)
     if state.waiting_for_claim:
         start_claimed(state)
     if state.waiting_to_refuse:
@@ -157,7 +174,9 @@
 
 def _is_idle(state: DispatcherState) -> bool:
     """Tells whether every caller has an answer, also those that wait for a peer."""
-    return state.waiting_calls == 0 and unfinished_count(state.requests) == 0
+    if state.waiting_calls:
+        return False
+    return unfinished_count(state.requests) == count_left_to_others(state)
 
 
 def _stop(state: DispatcherState, message: StopService) -> None:
@@ -170,6 +189,8 @@
     key = message.request.key
     if key.startswith(CLAIMS_PREFIX):
         claim_written(state, message)
+    elif key.startswith(WORK_PREFIX):
+        work_written(state, message)
     elif key.startswith(GRANTS_PREFIX):
         grant_written(state, message)
     elif key == SLICES_KEY:
@@ -179,6 +200,8 @@
 def _read_finished(state: DispatcherState, message: ReadFinished) -> None:
     if message.key.startswith(CLAIMS_PREFIX):
         claim_read(state, message)
+    elif message.key.startswith(WORK_PREFIX):
+        work_read(state, message)
     elif message.key.startswith(GRANTS_PREFIX):
         grant_read(state, message)
 
@@ -200,7 +223,7 @@
     StopService: _stop,
     WriteFinished: _write_finished,
     ReadFinished: _read_finished,
-    ListFinished: claims_listed,
+    ListFinished: listed,
     ChangeFinished: change_finished,
     Tick: _tick,
 }
--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -73,6 +73,8 @@
     CONFLICT = "conflict"
     NOT_AUTHORIZED = "not_authorized"
     INTERNAL_ERROR = "internal_error"
+    WORK_TOO_LARGE = "work_too_large"
+    WORK_NOT_KEPT = "work_not_kept"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -958,7 +960,7 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Claim:
     """
-    A non-idempotent request that may have started on a host.
+    A request that may have started on a host, or is closed if the task is empty.
     """
 
     request_id: str
@@ -967,6 +969,7 @@
     task_id: str
     host_id: str
     deadline_ms: int = 0
+    keep_until_ms: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1053,6 +1056,7 @@
     source_ip: str | None = None
     backend_connections: int = 256
     claim_flush_ms: int = 40
+    work_flush_ms: int = 200
     drain_timeout_ms: int = 30000
 
 
@@ -1415,7 +1419,7 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FollowOrder:
     """
-    Order to a backend link to find out what became of a task that another entry host may have started.
+    Order to a backend link to find out what became of a task that another entry host may have started. It is stopped at `until_ms`; without an answer it is given up at `settle_until_ms`.
     """
 
     host_id: str
@@ -1423,6 +1427,7 @@
     request_id: str
     attempt: int
     until_ms: int
+    settle_until_ms: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -1528,6 +1533,29 @@
     presented_key: str | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptRequest:
+    """
+    An accepted asynchronous request; both times are Unix times in milliseconds.
+    """
+
+    request: RequestBody
+    body_digest: str
+    team: str | None
+    key_id: str | None
+    arrived_unix_ms: int
+    deadline_unix_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkSegment:
+    """
+    Asynchronous requests of one slice that were accepted together; written once.
+    """
+
+    requests: list[KeptRequest]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitRequest:
     """
--- a/dandelionknot/_generated_validators.py
+++ b/dandelionknot/_generated_validators.py
@@ -21,7 +21,7 @@
 
 def validate(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'EntrySettings': None}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'RunState': None, 'RequestMode': None, 'RequestPhase': None, 'ErrorCode': None, 'RequestBody': None, 'AnswerBody': None, 'Refusal': None, 'TaskState': None, 'StartRefusal': None, 'TaskStart': None, 'TaskReport': None, 'LeaseRenewal': None, 'LeaseReport': None, 'UsageReport': None, 'ZoneState': None, 'HostState': None, 'QueueAccess': None, 'Priority': None, 'MovePhase': None, 'PlanState': None, 'FleetBounds': None, 'AvailabilityZone': None, 'Host': None, 'Pool': None, 'Service': None, 'KeyRecord': None, 'Team': None, 'Cooperative': None, 'LimitProposal': None, 'HostMove': None, 'MaintenancePlan': None, 'Site': None, 'Configuration': None, 'ZoneOverlay': None, 'HostOverlay': None, 'PlanOverlay': None, 'TeamOverlay': None, 'SiteOverlay': None, 'EditKind': None, 'Edit': None, 'ChangeRequest': None, 'ChangeOutcome': None, 'ChangeReport': None, 'MemberStatus': None, 'HostCondition': None, 'HostStatus': None, 'TaskStatus': None, 'FleetStatus': None, 'WhyKind': None, 'JournalEntry': None, 'WhyReport': None, 'HistogramSummary': None, 'HistogramReport': None, 'PeerMessageKind': None, 'Envelope': None, 'Hello': None, 'Ping': None, 'Pong': None, 'ConfigurationOffer': None, 'ForwardedRequest': None, 'FetchAnswer': None, 'CancelRequest': None, 'ForwardedAnswer': None, 'StoredValue': None, 'StoredList': None, 'WriteOutcome': None, 'WriteResult': None, 'WriteRequest': None, 'LeaseGrant': None, 'ListedHostState': None, 'HostList': None, 'Member': None, 'GrantRecord': None, 'SliceMap': None, 'Claim': None, 'ClaimSegment': None, 'KeptRequest': None, 'WorkSegment': None, 'PeerAddress': None, 'TlsSettings': None, 'StatsdSettings': None, 'LogLevel': None, 'EntrySettings': None}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data_keys = set(data.keys())
@@ -329,6 +329,14 @@
             data_keys.remove("ClaimSegment")
             data__ClaimSegment = data["ClaimSegment"]
             validate____defs_claimsegment(data__ClaimSegment, custom_formats, (name_prefix or "data") + ".ClaimSegment")
+        if "KeptRequest" in data_keys:
+            data_keys.remove("KeptRequest")
+            data__KeptRequest = data["KeptRequest"]
+            validate____defs_keptrequest(data__KeptRequest, custom_formats, (name_prefix or "data") + ".KeptRequest")
+        if "WorkSegment" in data_keys:
+            data_keys.remove("WorkSegment")
+            data__WorkSegment = data["WorkSegment"]
+            validate____defs_worksegment(data__WorkSegment, custom_formats, (name_prefix or "data") + ".WorkSegment")
         if "PeerAddress" in data_keys:
             data_keys.remove("PeerAddress")
             data__PeerAddress = data["PeerAddress"]
@@ -353,12 +361,12 @@
 
 def validate____defs_entrysettings(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'work_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'work_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='required')
         data_keys = set(data.keys())
         if "member_id" in data_keys:
             data_keys.remove("member_id")
@@ -599,6 +607,16 @@
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be bigger than or equal to 1", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={}, rule='minimum')
                 if data__claimflushms > 1000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".claim_flush_ms must be smaller than or equal to 1000", value=data__claimflushms, name="" + (name_prefix or "data") + ".claim_flush_ms", definition={}, rule='maximum')
+        if "work_flush_ms" in data_keys:
+            data_keys.remove("work_flush_ms")
+            data__workflushms = data["work_flush_ms"]
+            if not isinstance(data__workflushms, (int)) and not (isinstance(data__workflushms, float) and data__workflushms.is_integer()) or isinstance(data__workflushms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".work_flush_ms must be integer", value=data__workflushms, name="" + (name_prefix or "data") + ".work_flush_ms", definition={}, rule='type')
+            if isinstance(data__workflushms, (int, float, Decimal)) and not isinstance(data__workflushms, bool):
+                if data__workflushms < 1:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".work_flush_ms must be bigger than or equal to 1", value=data__workflushms, name="" + (name_prefix or "data") + ".work_flush_ms", definition={}, rule='minimum')
+                if data__workflushms > 10000:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".work_flush_ms must be smaller than or equal to 10000", value=data__workflushms, name="" + (name_prefix or "data") + ".work_flush_ms", definition={}, rule='maximum')
         if "drain_timeout_ms" in data_keys:
             data_keys.remove("drain_timeout_ms")
             data__draintimeoutms = data["drain_timeout_ms"]
@@ -610,7 +628,7 @@
                 if data__draintimeoutms > 600000:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".drain_timeout_ms must be smaller than or equal to 600000", value=data__draintimeoutms, name="" + (name_prefix or "data") + ".drain_timeout_ms", definition={}, rule='maximum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'availability_zone': None, 'region': None, 'caller_address': None, 'operator_address': None, 'peer_address': None, 'platform_address': None, 'advertised_peer_address': None, 'peer_secret': None, 'operator_tokens_by_id': None, 'caller_tls': None, 'statsd': None, 'log_level': None, 'max_body_bytes': None, 'max_requests': None, 'member_lease_ms': None, 'peer_ping_interval_ms': None, 'platform_read_interval_ms': None, 'connect_timeout_ms': None, 'read_timeout_ms': None, 'source_ip': None, 'backend_connections': None, 'claim_flush_ms': None, 'work_flush_ms': None, 'drain_timeout_ms': None}, 'required': ['member_id', 'availability_zone', 'region', 'caller_address', 'operator_address', 'peer_address', 'platform_address', 'peer_secret', 'operator_tokens_by_id']}, rule='additionalProperties')
     return data
 
 def validate____defs_loglevel(data, custom_formats={}, name_prefix=None):
@@ -721,6 +739,73 @@
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'address': None}, 'required': ['member_id', 'address']}, rule='additionalProperties')
     return data
 
+def validate____defs_worksegment(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'requests': None}, 'required': ['requests']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['requests']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'requests': None}, 'required': ['requests']}, rule='required')
+        data_keys = set(data.keys())
+        if "requests" in data_keys:
+            data_keys.remove("requests")
+            data__requests = data["requests"]
+            if not isinstance(data__requests, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests must be array", value=data__requests, name="" + (name_prefix or "data") + ".requests", definition={}, rule='type')
+            data__requests_is_list = isinstance(data__requests, (list, tuple))
+            if data__requests_is_list:
+                data__requests_len = len(data__requests)
+                if data__requests_len < 1:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".requests must contain at least 1 items", value=data__requests, name="" + (name_prefix or "data") + ".requests", definition={}, rule='minItems')
+                for data__requests_x, data__requests_item in enumerate(data__requests):
+                    validate____defs_keptrequest(data__requests_item, custom_formats, (name_prefix or "data") + ".requests[{data__requests_x}]".format(**locals()))
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'requests': None}, 'required': ['requests']}, rule='additionalProperties')
+    return data
+
+def validate____defs_keptrequest(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request': None, 'body_digest': None, 'team': None, 'key_id': None, 'arrived_unix_ms': None, 'deadline_unix_ms': None}, 'required': ['request', 'body_digest', 'team', 'key_id', 'arrived_unix_ms', 'deadline_unix_ms']}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['request', 'body_digest', 'team', 'key_id', 'arrived_unix_ms', 'deadline_unix_ms']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request': None, 'body_digest': None, 'team': None, 'key_id': None, 'arrived_unix_ms': None, 'deadline_unix_ms': None}, 'required': ['request', 'body_digest', 'team', 'key_id', 'arrived_unix_ms', 'deadline_unix_ms']}, rule='required')
+        data_keys = set(data.keys())
+        if "request" in data_keys:
+            data_keys.remove("request")
+            data__request = data["request"]
+            validate____defs_requestbody(data__request, custom_formats, (name_prefix or "data") + ".request")
+        if "body_digest" in data_keys:
+            data_keys.remove("body_digest")
+            data__bodydigest = data["body_digest"]
+            if not isinstance(data__bodydigest, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".body_digest must be string", value=data__bodydigest, name="" + (name_prefix or "data") + ".body_digest", definition={}, rule='type')
+        if "team" in data_keys:
+            data_keys.remove("team")
+            data__team = data["team"]
+            if not isinstance(data__team, (str, NoneType)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".team must be string or null", value=data__team, name="" + (name_prefix or "data") + ".team", definition={}, rule='type')
+        if "key_id" in data_keys:
+            data_keys.remove("key_id")
+            data__keyid = data["key_id"]
+            if not isinstance(data__keyid, (str, NoneType)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key_id must be string or null", value=data__keyid, name="" + (name_prefix or "data") + ".key_id", definition={}, rule='type')
+        if "arrived_unix_ms" in data_keys:
+            data_keys.remove("arrived_unix_ms")
+            data__arrivedunixms = data["arrived_unix_ms"]
+            if not isinstance(data__arrivedunixms, (int)) and not (isinstance(data__arrivedunixms, float) and data__arrivedunixms.is_integer()) or isinstance(data__arrivedunixms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".arrived_unix_ms must be integer", value=data__arrivedunixms, name="" + (name_prefix or "data") + ".arrived_unix_ms", definition={}, rule='type')
+        if "deadline_unix_ms" in data_keys:
+            data_keys.remove("deadline_unix_ms")
+            data__deadlineunixms = data["deadline_unix_ms"]
+            if not isinstance(data__deadlineunixms, (int)) and not (isinstance(data__deadlineunixms, float) and data__deadlineunixms.is_integer()) or isinstance(data__deadlineunixms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_unix_ms must be integer", value=data__deadlineunixms, name="" + (name_prefix or "data") + ".deadline_unix_ms", definition={}, rule='type')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request': None, 'body_digest': None, 'team': None, 'key_id': None, 'arrived_unix_ms': None, 'deadline_unix_ms': None}, 'required': ['request', 'body_digest', 'team', 'key_id', 'arrived_unix_ms', 'deadline_unix_ms']}, rule='additionalProperties')
+    return data
+
 def validate____defs_claimsegment(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'member_id': None, 'incarnation': None, 'claims': None, 'newest_ms': None}, 'required': ['member_id', 'claims']}, rule='type')
@@ -764,12 +849,12 @@
 
 def validate____defs_claim(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None, 'keep_until_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['request_id', 'team', 'body_digest', 'task_id', 'host_id']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None, 'keep_until_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='required')
         data_keys = set(data.keys())
         if "request_id" in data_keys:
             data_keys.remove("request_id")
@@ -801,8 +886,16 @@
             data__deadlinems = data["deadline_ms"]
             if not isinstance(data__deadlinems, (int)) and not (isinstance(data__deadlinems, float) and data__deadlinems.is_integer()) or isinstance(data__deadlinems, bool):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".deadline_ms must be integer", value=data__deadlinems, name="" + (name_prefix or "data") + ".deadline_ms", definition={}, rule='type')
+        if "keep_until_ms" in data_keys:
+            data_keys.remove("keep_until_ms")
+            data__keepuntilms = data["keep_until_ms"]
+            if not isinstance(data__keepuntilms, (int)) and not (isinstance(data__keepuntilms, float) and data__keepuntilms.is_integer()) or isinstance(data__keepuntilms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".keep_until_ms must be integer", value=data__keepuntilms, name="" + (name_prefix or "data") + ".keep_until_ms", definition={}, rule='type')
+            if isinstance(data__keepuntilms, (int, float, Decimal)) and not isinstance(data__keepuntilms, bool):
+                if data__keepuntilms < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".keep_until_ms must be bigger than or equal to 0", value=data__keepuntilms, name="" + (name_prefix or "data") + ".keep_until_ms", definition={}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'properties': {'request_id': None, 'team': None, 'body_digest': None, 'task_id': None, 'host_id': None, 'deadline_ms': None, 'keep_until_ms': None}, 'required': ['request_id', 'team', 'body_digest', 'task_id', 'host_id']}, rule='additionalProperties')
     return data
 
 def validate____defs_slicemap(data, custom_formats={}, name_prefix=None):
@@ -4103,8 +4196,8 @@
 def validate____defs_errorcode(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (str)):
         raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='type')
-    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'internal_error'):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
+    if not (isinstance(data, str) and data == 'malformed_request' or isinstance(data, str) and data == 'body_too_large' or isinstance(data, str) and data == 'key_missing' or isinstance(data, str) and data == 'key_not_valid' or isinstance(data, str) and data == 'service_not_found' or isinstance(data, str) and data == 'team_not_allowed' or isinstance(data, str) and data == 'deadline_passed' or isinstance(data, str) and data == 'request_id_reused' or isinstance(data, str) and data == 'request_id_too_old' or isinstance(data, str) and data == 'request_not_found' or isinstance(data, str) and data == 'queue_full' or isinstance(data, str) and data == 'team_limit_reached' or isinstance(data, str) and data == 'no_host_available' or isinstance(data, str) and data == 'configuration_not_fresh' or isinstance(data, str) and data == 'availability_zone_out' or isinstance(data, str) and data == 'platform_unavailable' or isinstance(data, str) and data == 'owner_unreachable' or isinstance(data, str) and data == 'outcome_unknown' or isinstance(data, str) and data == 'task_failed' or isinstance(data, str) and data == 'task_cannot_fit' or isinstance(data, str) and data == 'cancelled' or isinstance(data, str) and data == 'entry_host_stopping' or isinstance(data, str) and data == 'conflict' or isinstance(data, str) and data == 'not_authorized' or isinstance(data, str) and data == 'internal_error' or isinstance(data, str) and data == 'work_too_large' or isinstance(data, str) and data == 'work_not_kept'):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be one of ['malformed_request', 'body_too_large', 'key_missing', 'key_not_valid', 'service_not_found', 'team_not_allowed', 'deadline_passed', 'request_id_reused', 'request_id_too_old', 'request_not_found', 'queue_full', 'team_limit_reached', 'no_host_available', 'configuration_not_fresh', 'availability_zone_out', 'platform_unavailable', 'owner_unreachable', 'outcome_unknown', 'task_failed', 'task_cannot_fit', 'cancelled', 'entry_host_stopping', 'conflict', 'not_authorized', 'internal_error', 'work_too_large', 'work_not_kept']", value=data, name="" + (name_prefix or "data") + "", definition={}, rule='enum')
     return data
 
 def validate____defs_requestphase(data, custom_formats={}, name_prefix=None):
@@ -4162,6 +4255,7 @@
     'HostState': validate____defs_hoststate,
     'HostStatus': validate____defs_hoststatus,
     'JournalEntry': validate____defs_journalentry,
+    'KeptRequest': validate____defs_keptrequest,
     'KeyRecord': validate____defs_keyrecord,
     'LeaseGrant': validate____defs_leasegrant,
     'LeaseRenewal': validate____defs_leaserenewal,
@@ -4205,6 +4299,7 @@
     'UsageReport': validate____defs_usagereport,
     'WhyKind': validate____defs_whykind,
     'WhyReport': validate____defs_whyreport,
+    'WorkSegment': validate____defs_worksegment,
     'WriteOutcome': validate____defs_writeoutcome,
     'WriteRequest': validate____defs_writerequest,
     'WriteResult': validate____defs_writeresult,
--- a/dandelionknot/_intake.py
+++ b/dandelionknot/_intake.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from dandelionknot import codec, decisions
+from dandelionknot._kept_work import keep
 from dandelionknot._mailbox import Call
 from dandelionknot._ownership import owner_of
 from dandelionknot._requests import (
@@ -183,6 +184,9 @@
     if known.outcome is None and message.request.mode is RequestMode.WAIT:
         known.waiters.append(call)
         return
+    if known.keep_calls:
+        known.keep_calls.append(call)
+        return
     call.answer(current_answer(known))
 
 
@@ -206,6 +210,9 @@
 ) -> None:
     """Queues a request that was not seen before."""
     entry = _new_entry(message, caller)
+    if entry.body.mode is RequestMode.ASYNC:
+        keep(state, call, entry)
+        return
     offered = enqueue(state, entry)
     if isinstance(offered, Err) and not needs_owner(entry.body):
         _answer_refusal(state, call, message, offered.err_value)
--- /dev/null
+++ b/dandelionknot/_kept_work.py
@@ -0,0 +1,329 @@
+"""Asynchronous requests that are kept on the platform until they have ended."""
+
+from collections.abc import Collection
+
+from result import Err
+
+from dandelionknot import codec, decisions
+from dandelionknot._mailbox import Call
+from dandelionknot._ownership import claims_listed
+from dandelionknot._platform_sync import CLAIMS_PREFIX, WORK_PREFIX
+from dandelionknot._requests import (
+    RequestEntry,
+    current_answer,
+    end_request,
+    forget,
+    refusal_for,
+)
+from dandelionknot._starts import (
+    end_not_run,
+    end_queued,
+    enqueue,
+    follow_inherited,
+    remove_queued,
+    start_queued,
+)
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms, unix_ms
+from dandelionknot.events import Event, log_event
+from dandelionknot.journal import Subject
+from dandelionknot.messages import (
+    AnswerBody,
+    ErrorCode,
+    KeptRequest,
+    ListFinished,
+    ListRequest,
+    ReadFinished,
+    ReadRequest,
+    RequestPhase,
+    RunState,
+    StoredValue,
+    WorkSegment,
+    WriteFinished,
+    WriteOutcome,
+    WriteRequest,
+)
+from dandelionknot.metrics import Counter
+
+RETRY_AFTER_MS = 1000
+MAX_LOOKED_AT = 200
+NOT_KEPT_TEXT = 'the request could not be kept on the platform'
+TEXT_BY_CODE = {
+    ErrorCode.WORK_TOO_LARGE: 'the request is too large to be kept on the platform',
+    ErrorCode.QUEUE_FULL: 'this entry host keeps too many asynchronous requests',
+}
+
+
+def keep(state: DispatcherState, call: Call, entry: RequestEntry) -> None:
+    """Has a new request written to the platform; it is accepted after that."""
+    state.requests.by_id[entry.request_id] = entry
+    entry.keep_calls.append(call)
+    kept = _kept_request(entry)
+    size_bytes = len(codec.encode_json(kept))
+    offered = decisions.work.offer(state.work, kept, size_bytes)
+    if isinstance(offered, Err):
+        code = offered.err_value
+        retry_after_ms = RETRY_AFTER_MS if code is ErrorCode.QUEUE_FULL else None
+        end_not_run(state, entry, code, TEXT_BY_CODE[code], retry_after_ms)
+        return
+    state.context.explain(Subject.REQUEST, entry.request_id, 'being kept')
+
+
+def _kept_request(entry: RequestEntry) -> KeptRequest:
+    to_unix_ms = unix_ms() - now_ms()
+    return KeptRequest(
+        request=entry.body,
+        body_digest=entry.body_digest,
+        team=entry.team_id,
+        key_id=entry.key_id,
+        arrived_unix_ms=entry.arrived_ms + to_unix_ms,
+        deadline_unix_ms=entry.deadline_at_ms + to_unix_ms,
+    )
+
+
+def flush_work(state: DispatcherState) -> None:
+    """Makes the next platform call for work segments, if one is due."""
+    now = now_ms()
+    for kept in decisions.work.write_overdue(state.work, now):
+        _refuse(state, kept)
+    call = decisions.work.next_call(state.work, now)
+    match call:
+        case decisions.work.WorkWrite(key=key, segment=segment):
+            state.context.metrics.count(Counter.WORK_WRITES)
+            text = codec.encode_json(segment).decode()
+            _write(state, WriteRequest(key=key, expected_revision=0, value=text))
+        case decisions.work.WorkDeletion(key=key, expected_revision=revision):
+            state.context.metrics.count(Counter.WORK_DELETIONS)
+            _write(state, WriteRequest(key=key, expected_revision=revision, value=None))
+        case decisions.work.WorkRead(key=key):
+            if isinstance(state.outboxes.writer.send(ReadRequest(key=key)), Err):
+                work_read(state, ReadFinished(key=key, found=None))
+
+
+def _write(state: DispatcherState, request: WriteRequest) -> None:
+    if isinstance(state.outboxes.writer.send(request), Err):
+        work_written(state, WriteFinished(request=request, outcome=None, revision=0))
+
+
+def work_written(state: DispatcherState, message: WriteFinished) -> None:
+    """Accepts or refuses the requests of a segment, or notes a deletion."""
+    key = message.request.key
+    if message.request.value is None:
+        is_settled = message.outcome is not None
+        decisions.work.deletion_answered(state.work, key, is_settled=is_settled)
+        return
+    is_written = message.outcome is WriteOutcome.WRITTEN
+    revision = message.revision if is_written else None
+    if not is_written:
+        log_event(Event.WORK_NOT_KEPT, key=key)
+    for kept in decisions.work.write_answered(state.work, key, revision):
+        if is_written:
+            _accept(state, kept)
+        else:
+            _refuse(state, kept)
+
+
+def work_read(state: DispatcherState, message: ReadFinished) -> None:
+    """Settles a write of a segment that gave no answer."""
+    revision = message.found.revision if message.found else None
+    decisions.work.read_answered(state.work, message.key, revision)
+
+
+def _accept(state: DispatcherState, kept: KeptRequest) -> None:
+    """Queues a kept request and answers its caller.
+
+    After a lapse of ownership the next owner may have listed the segments
+    before the write, so the request may be run by nobody.
+    """
+    entry = state.requests.by_id.get(kept.request.request_id)
+    if entry is None or entry.phase is not RequestPhase.QUEUED:
+        return
+    entry.is_kept = True
+    decisions.claims.mark_kept(state.claims, entry.request_id)
+    if decisions.claims.is_owner(state.claims, entry.request_id, now_ms()):
+        answer: object = current_answer(entry)
+    else:
+        answer = _not_kept(entry)
+    for call in entry.keep_calls:
+        call.answer(answer)
+    entry.keep_calls.clear()
+    state.context.explain(Subject.REQUEST, entry.request_id, 'kept and queued')
+    enqueue(state, entry)
+    start_queued(state, entry.body.service)
+
+
+def _not_kept(entry: RequestEntry) -> object:
+    return refusal_for(
+        entry,
+        ErrorCode.WORK_NOT_KEPT,
+        f'{NOT_KEPT_TEXT} by its owner; send the same request again to ask',
+        RunState.UNKNOWN,
+        RETRY_AFTER_MS,
+    )
+
+
+def _refuse(state: DispatcherState, kept: KeptRequest) -> None:
+    """Closes a request in the claim log, so that no later owner runs it."""
+    entry = state.requests.by_id.get(kept.request.request_id)
+    if entry is None or entry.phase is not RequestPhase.QUEUED:
+        return
+    state.context.metrics.count(Counter.WORK_NOT_KEPT)
+    end_not_run(state, entry, ErrorCode.WORK_NOT_KEPT, NOT_KEPT_TEXT, RETRY_AFTER_MS)
+
+
+def listed(state: DispatcherState, message: ListFinished) -> None:
+    """Lists claims after work, and takes over slices with both."""
+    if message.prefix == WORK_PREFIX:
+        state.listed_work = message.found
+        if message.found is None:
+            state.taking_over = False
+        else:
+            state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
+        return
+    found = state.listed_work
+    gained = claims_listed(state, message)
+    if gained is None or found is None:
+        return
+    state.listed_work = None
+    drop_lost(state, gained)
+    _take_work_over(state, found.values, gained)
+
+
+def _take_work_over(
+    state: DispatcherState, values: Collection[StoredValue], gained: Collection[int]
+) -> None:
+    count = 0
+    for stored in values:
+        decoded = codec.decode_json(stored.value, WorkSegment, stored.key)
+        if isinstance(decoded, Err):
+            log_event(Event.PLATFORM_VALUE_MALFORMED, problem=str(decoded.err_value))
+            continue
+        requests = decoded.ok_value.requests
+        ids = tuple(each.request.request_id for each in requests)
+        if decisions.slices.slice_of(ids[0]) not in gained:
+            continue
+        decisions.work.hold_segment(state.work, stored.key, stored.revision, ids)
+        count += sum(_take_request_over(state, each) for each in requests)
+    if count:
+        log_event(Event.WORK_TAKEN_OVER, requests=count)
+    for service_id in list(state.queues_by_service):
+        start_queued(state, service_id)
+
+
+def _take_request_over(state: DispatcherState, kept: KeptRequest) -> bool:
+    request_id = kept.request.request_id
+    max_age_ms = state.configuration.bounds.request_id_max_age_ms
+    if request_id in state.requests.by_id:
+        return False
+    if decisions.work.is_left_out(kept, unix_ms(), max_age_ms):
+        return False
+    to_local_ms = now_ms() - unix_ms()
+    entry = RequestEntry(
+        body=kept.request,
+        body_digest=kept.body_digest,
+        team_id=kept.team,
+        key_id=kept.key_id,
+        arrived_ms=kept.arrived_unix_ms + to_local_ms,
+        deadline_at_ms=kept.deadline_unix_ms + to_local_ms,
+        is_kept=True,
+    )
+    state.requests.by_id[request_id] = entry
+    state.work.unfinished_ids.add(request_id)
+    state.context.metrics.count(Counter.WORK_TAKEN_OVER)
+    state.context.explain(Subject.REQUEST, request_id, 'taken over')
+    _settle(state, entry, kept)
+    return True
+
+
+def _settle(state: DispatcherState, entry: RequestEntry, kept: KeptRequest) -> None:
+    """Queues a request, ends it or asks about its tasks, as its claims say."""
+    match decisions.claims.adopt_kept(state.claims, kept):
+        case decisions.claims.Repeated(answer=AnswerBody() as answer):
+            now = now_ms()
+            decisions.claims.may_answer(state.claims, entry.request_id, None, now)
+            end_request(state.requests, entry, answer.phase, answer, now)
+        case decisions.claims.InDoubt(tasks=tasks):
+            follow_inherited(state, entry, tasks[-1])
+        case _ if now_ms() >= entry.deadline_at_ms:
+            text = 'the deadline passed before the request could start'
+            end_not_run(state, entry, ErrorCode.DEADLINE_PASSED, text)
+        case _:
+            enqueue(state, entry)
+
+
+def drop_lost(state: DispatcherState, gained: Collection[int] = ()) -> None:
+    """Drops kept requests that have not started in slices of other owners.
+
+    Slices in `gained` may have had another owner meanwhile; their requests are
+    read from the platform again. What runs here goes on.
+    """
+    slice_map = state.claims.slice_map
+    state.work.map_epoch = state.claims.map_epoch
+    if slice_map is None:
+        return
+    owners = enumerate(slice_map.owners)
+    mine = {index for index, owner in owners if owner == state.member_id}
+    decisions.work.keep_slices(state.work, mine)
+    dropped = 0
+    for request_id in list(state.work.unfinished_ids):
+        index = decisions.slices.slice_of(request_id)
+        if index not in mine or index in gained:
+            dropped += _drop_queued(state, request_id)
+    if dropped:
+        log_event(Event.WORK_HANDED_OVER, requests=dropped)
+
+
+def _drop_queued(state: DispatcherState, request_id: str) -> bool:
+    entry = state.requests.by_id.get(request_id)
+    if entry is None or entry.phase is not RequestPhase.QUEUED:
+        return False
+    remove_queued(state, entry)
+    state.waiting_to_retry.pop(request_id, None)
+    for call in entry.keep_calls:
+        call.answer(_not_kept(entry))
+    for waiter in entry.waiters:
+        waiter.answer(current_answer(entry))
+    forget(state.requests, request_id)
+    decisions.work.ended(state.work, request_id)
+    return True
+
+
+def release_held_back(state: DispatcherState) -> None:
+    """Queues requests again that were held back, as far as they may start now."""
+    held = state.work.held_back_ids
+    for request_id in list(held)[:MAX_LOOKED_AT]:
+        del held[request_id]
+        entry = state.requests.by_id.get(request_id)
+        if entry is None or entry.phase is not RequestPhase.QUEUED:
+            continue
+        if now_ms() >= entry.deadline_at_ms:
+            text = 'the deadline passed before the request could start'
+            end_queued(state, entry, ErrorCode.DEADLINE_PASSED, text)
+        elif decisions.claims.must_be_adopted(state.claims, request_id, now_ms()):
+            _settle(state, entry, _kept_request(entry))
+        else:
+            enqueue(state, entry)
+
+
+def look_after_work(state: DispatcherState) -> None:
+    """Finds the requests that have ended and the segments to delete."""
+    by_id = state.requests.by_id
+    for request_id in list(state.work.unfinished_ids):
+        entry = by_id.get(request_id)
+        if entry is None or entry.outcome is not None:
+            decisions.work.ended(state.work, request_id)
+    decisions.work.find_deletable(state.work, by_id.__contains__)
+
+
+def count_left_to_others(state: DispatcherState) -> int:
+    """Counts the kept requests that the next owner runs if this host stops."""
+    return sum(
+        decisions.claims.is_left_to_next_owner(state.claims, request_id)
+        for request_id in state.work.unfinished_ids
+        if _is_queued(state, request_id)
+    )
+
+
+def _is_queued(state: DispatcherState, request_id: str) -> bool:
+    entry = state.requests.by_id.get(request_id)
+    return entry is not None and entry.phase is RequestPhase.QUEUED
--- a/dandelionknot/_ownership.py
+++ b/dandelionknot/_ownership.py
@@ -1,7 +1,7 @@
 """Slices that this member owns, and the claims that it writes for them."""
 
 from dandelionknot import codec, decisions
-from dandelionknot._platform_sync import CLAIMS_PREFIX, SLICES_KEY
+from dandelionknot._platform_sync import CLAIMS_PREFIX, SLICES_KEY, WORK_PREFIX
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms, unix_ms
 from dandelionknot.events import Event, log_event
@@ -29,6 +29,9 @@
     state.claims.flush_interval_ms = decisions.claims.flush_interval_ms(
         state.context.settings.claim_flush_ms, max(1, len(view.members_by_id))
     )
+    state.work.flush_interval_ms = decisions.work.flush_interval_ms(
+        state.context.settings.work_flush_ms, max(1, len(view.members_by_id))
+    )
     _reopen_kept_slices(state, view)
     if view.slices is None or state.excluded or state.taking_over:
         return
@@ -36,8 +39,18 @@
     if not gained:
         _take_over(state, view, None)
         return
+    _list_work(state, view.slices)
+
+
+def _list_work(state: DispatcherState, slice_map: SliceMap) -> None:
+    """Lists work before claims.
+
+    A request with a claim then has its segment in the list, or has ended so long
+    ago that the segment was deleted.
+    """
     state.taking_over = True
-    state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
+    state.listed_epoch = slice_map.epoch
+    state.outboxes.writer.send(ListRequest(prefix=WORK_PREFIX))
 
 
 def refresh_ownership(state: DispatcherState) -> None:
@@ -51,17 +64,23 @@
         decisions.claims.renew_ownership(state.claims, as_of_ms, now_ms())
 
 
-def claims_listed(state: DispatcherState, message: ListFinished) -> None:
-    """Takes slices over with the claims of their former owners."""
+def claims_listed(state: DispatcherState, message: ListFinished) -> set[int] | None:
+    """Takes slices over with the claims of their former owners.
+
+    Returns the slices that were gained, or None if nothing was taken over.
+    """
     state.taking_over = False
     view = state.view
     if message.found is None or view is None or view.slices is None:
-        return
+        return None
+    if view.slices.epoch != state.listed_epoch:
+        _list_work(state, view.slices)
+        return None
     if view.question_sent_ms > message.question_sent_ms:
         # The map may have changed after the list was made.
         state.taking_over = True
         state.outboxes.writer.send(ListRequest(prefix=CLAIMS_PREFIX))
-        return
+        return None
     segments = []
     for stored in message.found.values:
         decoded = codec.decode_json(stored.value, ClaimSegment, stored.key)
@@ -69,8 +88,10 @@
             log_event(Event.PLATFORM_VALUE_MALFORMED, problem=str(decoded.err()))
             continue
         segments.append(decoded.unwrap())
-    _take_over(state, view, segments)
+    gained = decisions.claims.gained_slices(state.claims, view.slices, now_ms())
+    taken = _take_over(state, view, segments)
     _delete_old_segments(state, view, message.found)
+    return gained if taken else None
 
 
 def _delete_old_segments(
@@ -93,11 +114,11 @@
 
 def _take_over(
     state: DispatcherState, view: PlatformView, segments: list[ClaimSegment] | None
-) -> None:
+) -> bool:
     """The writer of the map has marked the slices whose log is not trusted."""
     assert view.slices is not None
     before = len(state.claims.owned_slices)
-    decisions.claims.take_over(
+    taken = decisions.claims.take_over(
         state.claims,
         view.slices,
         segments,
@@ -110,6 +131,7 @@
     if after != before:
         event = Event.SLICES_TAKEN if after > before else Event.SLICES_RELEASED
         log_event(event, owned=after)
+    return taken
 
 
 def owner_of(state: DispatcherState, request_id: str) -> str | None:
--- a/dandelionknot/_requests.py
+++ b/dandelionknot/_requests.py
@@ -32,7 +32,8 @@
     """One request; the dispatcher is the only task that changes it.
 
     `deadline_at_ms` and `arrived_ms` are readings of the monotonic clock.
-    `outcome` is set once, when the request ends.
+    `outcome` is set once, when the request ends. `is_kept` means that the platform
+    has the request; until then `keep_calls` are the callers to be told so.
     """
 
     body: RequestBody
@@ -58,6 +59,8 @@
     outcome: AnswerBody | Refusal | None = None
     ended_ms: int = 0
     waiters: list[Call] = field(default_factory=list)
+    is_kept: bool = False
+    keep_calls: list[Call] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Starts the history of attempts."""
@@ -110,9 +113,10 @@
     entry.outcome = outcome
     entry.ended_ms = now_ms
     table.ended_by_id[entry.request_id] = None
-    for waiter in entry.waiters:
+    for waiter in (*entry.waiters, *entry.keep_calls):
         waiter.answer(outcome)
     entry.waiters.clear()
+    entry.keep_calls.clear()
 
 
 def forget(table: RequestTable, request_id: str) -> None:
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -48,14 +48,19 @@
 
 
 def enqueue(state: DispatcherState, entry: RequestEntry) -> Result[None, Refusal]:
-    """Puts a request into its service's queue, or refuses it if that is full."""
+    """Puts a request into its service's queue, or refuses it if that is full.
+
+    A kept request is not refused: it is held back until there is room.
+    """
+    if _is_held_back(state, entry):
+        return Ok(None)
     service_id = entry.body.service
     queues = state.queues_by_service.get(service_id)
     if queues is None:
         service = state.configuration.services_by_id[service_id]
         queues = decisions.queueing.TeamQueues(capacity=service.queue_limit)
         state.queues_by_service[service_id] = queues
-    return decisions.queueing.offer(
+    offered = decisions.queueing.offer(
         queues,
         decisions.queueing.QueuedRequest(
             request_id=entry.request_id,
@@ -65,6 +70,25 @@
             deadline_ms=entry.deadline_at_ms,
         ),
     )
+    if entry.is_kept and isinstance(offered, Err):
+        state.work.held_back_ids[entry.request_id] = None
+        return Ok(None)
+    return offered
+
+
+def _is_held_back(state: DispatcherState, entry: RequestEntry) -> bool:
+    """Holds a kept request back that must not begin an attempt here now."""
+    now = now_ms()
+    read = state.freshness.platform_read
+    bound_ms = state.configuration.bounds.freshness_bound_ms
+    is_reached = read is not None and now - read.question_sent_ms < bound_ms
+    may_begin = is_reached and decisions.claims.may_begin(
+        state.claims, entry.request_id, now, is_stopping=state.stopping
+    )
+    if not entry.is_kept or may_begin:
+        return False
+    state.work.held_back_ids[entry.request_id] = None
+    return True
 
 
 def remove_queued(state: DispatcherState, entry: RequestEntry) -> None:
@@ -120,7 +144,9 @@
         entry = state.requests.by_id[item.request_id]
         if not _keeps_key(state, entry):
             text = 'the key was withdrawn while the request waited'
-            _end_queued(state, entry, ErrorCode.KEY_NOT_VALID, text)
+            end_queued(state, entry, ErrorCode.KEY_NOT_VALID, text)
+            continue
+        if _is_held_back(state, entry):
             continue
         if not _start(state, entry, own_zone_only):
             return
@@ -258,7 +284,8 @@
             state.waiting_for_claim.discard(request_id)
             _attempt_failed_here(state, entry, 'the claim was not written in time')
             continue
-        if in_outage or decisions.claims.is_claim_written(
+        from_memory = in_outage and entry.body.mode is RequestMode.WAIT
+        if from_memory or decisions.claims.is_claim_written(
             state.claims, request_id, entry.task_id
         ):
             state.waiting_for_claim.discard(request_id)
@@ -344,7 +371,7 @@
     return team is not None and entry.key_id in team.keys_by_id
 
 
-def _end_queued(
+def end_queued(
     state: DispatcherState, entry: RequestEntry, code: ErrorCode, message: str
 ) -> None:
     """Refuses a request that waits to start; an earlier attempt may have run."""
@@ -380,17 +407,32 @@
         'asking about an earlier start',
         place.host_id,
     )
+    until_ms, settle_until_ms = _follow_times(entry)
     state.outboxes.links.send(
         FollowOrder(
             host_id=place.host_id,
             task_id=place.task_id,
             request_id=entry.request_id,
             attempt=entry.attempt,
-            until_ms=entry.deadline_at_ms,
+            until_ms=until_ms,
+            settle_until_ms=settle_until_ms,
         )
     )
 
 
+def _follow_times(entry: RequestEntry) -> tuple[int, int]:
+    """Returns until when an inherited task may run, and its host be asked about it.
+
+    A kept request may have ended before its deadline passed, and its result is
+    still at the host; one that is idempotent is run again if the host is lost.
+    """
+    if not entry.is_kept:
+        return entry.deadline_at_ms, entry.deadline_at_ms
+    settle_until_ms = now_ms() + SETTLE_GRACE_MS
+    until_ms = max(entry.deadline_at_ms, settle_until_ms)
+    return until_ms, settle_until_ms if entry.body.idempotent else until_ms
+
+
 def _event_of(
     entry: RequestEntry, message: AttemptEnded
 ) -> decisions.outcomes.AttemptEvent:
@@ -484,8 +526,10 @@
     and the routing table leaves it out for a while. Nor does a start that this
     entry host did not allow, for instance in a moment without freshness.
     """
-    if entry.inherited:
+    if entry.inherited and not entry.is_kept:
         return False
+    if entry.inherited and _follow_next(state, entry, run_state):
+        return True
     report = message.report
     refusal = report.refusal if report is not None else None
     history = entry.history
@@ -516,6 +560,25 @@
     return _queue_later(state, entry, decision.delay_ms)
 
 
+def _follow_next(
+    state: DispatcherState, entry: RequestEntry, run_state: RunState
+) -> bool:
+    """Asks about the next task of a former owner, if there is one to settle."""
+    if run_state is not RunState.NOT_RUN and not entry.body.idempotent:
+        return False
+    request_id = entry.request_id
+    place = decisions.claims.settle_inherited(state.claims, request_id)
+    answer = decisions.claims.closing_answer(state.claims, request_id)
+    if answer is not None:
+        decisions.claims.may_answer(state.claims, request_id, None, now_ms())
+        end_request(state.requests, entry, answer.phase, answer, now_ms())
+        return True
+    entry.inherited = place is not None
+    if place is not None:
+        follow_inherited(state, entry, place)
+    return place is not None
+
+
 def _queue_later(state: DispatcherState, entry: RequestEntry, delay_ms: int) -> bool:
     entry.phase = RequestPhase.QUEUED
     state.waiting_to_retry[entry.request_id] = now_ms() + delay_ms
@@ -545,7 +608,7 @@
         offered = enqueue(state, entry)
         if isinstance(offered, Err):
             refusal = offered.err_value
-            _end_queued(state, entry, refusal.code, refusal.message)
+            end_queued(state, entry, refusal.code, refusal.message)
 
 
 def _is_finished(message: AttemptEnded) -> bool:
@@ -661,7 +724,7 @@
     for queues in state.queues_by_service.values():
         for item in decisions.queueing.expire(queues, now):
             entry = state.requests.by_id[item.request_id]
-            _end_queued(
+            end_queued(
                 state,
                 entry,
                 ErrorCode.DEADLINE_PASSED,
--- a/dandelionknot/_state.py
+++ b/dandelionknot/_state.py
@@ -8,7 +8,13 @@
 from dandelionknot._requests import RequestTable
 from dandelionknot.configuration import Configuration
 from dandelionknot.context import Context
-from dandelionknot.messages import HostUsage, Member, PlatformView, WriteRequest
+from dandelionknot.messages import (
+    HostUsage,
+    Member,
+    PlatformView,
+    StoredList,
+    WriteRequest,
+)
 
 READ_GAPS_KEPT = 1000
 
@@ -71,6 +77,7 @@
     outboxes: Outboxes
     freshness: decisions.freshness.FreshnessState
     claims: decisions.claims.ClaimTable
+    work: decisions.work.WorkState
     configuration: Configuration = field(
         default_factory=lambda: Configuration(version=0)
     )
@@ -102,6 +109,8 @@
     joined_ms: int | None = None
     was_fresh: bool = False
     taking_over: bool = False
+    listed_epoch: int = 0
+    listed_work: StoredList | None = None
     confirmed_since: dict[int, dict[str, int]] = field(default_factory=dict)
     acceptance_waiters: list[AcceptanceWaiter] = field(default_factory=list)
     accepted_since_by_version: dict[int, int] = field(default_factory=dict)
--- a/dandelionknot/decisions.py
+++ b/dandelionknot/decisions.py
@@ -15,6 +15,7 @@
 from dandelionknot import _slices as slices
 from dandelionknot import _versions as versions
 from dandelionknot import _votes as votes
+from dandelionknot import _work as work
 from dandelionknot import _zones as zones
 
 __all__ = [
@@ -33,5 +34,6 @@
     'slices',
     'versions',
     'votes',
+    'work',
     'zones',
 ]
--- a/dandelionknot/entry.py
+++ b/dandelionknot/entry.py
@@ -174,6 +174,7 @@
             bounds=Configuration(version=0).bounds,
             flush_interval_ms=settings.claim_flush_ms,
         ),
+        work=decisions.work.WorkState(flush_interval_ms=settings.work_flush_ms),
     )
 
 
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -45,6 +45,9 @@
     GRANT_CHANGED = 6004
     GRANT_RECLAIMED = 6005
     MEMBER_RECORD_DELETED = 6006
+    WORK_TAKEN_OVER = 6007
+    WORK_HANDED_OVER = 6008
+    WORK_NOT_KEPT = 6009
     MOVE_ADVANCED = 7001
     PLAN_ADVANCED = 7002
 
@@ -163,6 +166,17 @@
     Event.MEMBER_RECORD_DELETED: EventInfo(
         INFO, 'The record of a stopped member was deleted.', NO_ACTION
     ),
+    Event.WORK_TAKEN_OVER: EventInfo(
+        INFO, 'Asynchronous requests of a former owner were read back.', NO_ACTION
+    ),
+    Event.WORK_HANDED_OVER: EventInfo(
+        INFO, 'Asynchronous requests that wait went to other members.', NO_ACTION
+    ),
+    Event.WORK_NOT_KEPT: EventInfo(
+        WARNING,
+        'Asynchronous requests could not be written to the platform.',
+        'Check the platform; the callers were told `work_not_kept`.',
+    ),
     Event.MOVE_ADVANCED: EventInfo(
         INFO, 'A host move entered its next phase.', NO_ACTION
     ),
--- a/dandelionknot/metrics.py
+++ b/dandelionknot/metrics.py
@@ -28,6 +28,10 @@
     FORWARDED = 'forwarded'
     CLAIM_WRITES = 'claim_writes'
     GRANT_WRITES = 'grant_writes'
+    WORK_WRITES = 'work_writes'
+    WORK_DELETIONS = 'work_deletions'
+    WORK_NOT_KEPT = 'work_not_kept'
+    WORK_TAKEN_OVER = 'work_taken_over'
     TICKS_LATE = 'ticks_late'
 
 
@@ -43,6 +47,10 @@
     Counter.FORWARDED: 'Requests passed to their slice owner.',
     Counter.CLAIM_WRITES: 'Claim segments written to the platform.',
     Counter.GRANT_WRITES: 'Grant records written to the platform.',
+    Counter.WORK_WRITES: 'Segments of asynchronous work written to the platform.',
+    Counter.WORK_DELETIONS: 'Segments of asynchronous work deleted again.',
+    Counter.WORK_NOT_KEPT: 'Asynchronous requests refused as not kept.',
+    Counter.WORK_TAKEN_OVER: 'Asynchronous requests read from a former owner.',
     Counter.TICKS_LATE: 'Ticks of the dispatcher that came over 1 s late.',
 }
 
