--- a/dandelionknot/_claim_work.py
+++ b/dandelionknot/_claim_work.py
@@ -106,20 +106,26 @@
 
 
 def settle_inherited(table: ClaimTable, request_id: str) -> TaskPlace | None:
-    """Returns the next task to ask about after one that has ended without an answer.
+    """Returns the next task to ask about after one that certainly did not run.
 
-    Without one the request may begin another attempt, if it is idempotent or
-    none of its tasks ran.
+    Without one the request may begin another attempt, unless it is closed. An
+    idempotent request may do so whatever became of its earlier tasks.
     """
     entry = table.entries_by_id.get(request_id)
     if entry is None or entry.answer is not None:
         return None
-    if entry.attempts_by_task and not entry.idempotent:
+    if entry.attempts_by_task and (entry.closing_logged or not entry.idempotent):
         return _latest_last(entry)[-1]
     entry.is_inherited = False
     return None
 
 
+def is_closed_in_log(table: ClaimTable, request_id: str) -> bool:
+    """Tells whether a former owner may have said "not run" of a request."""
+    entry = table.entries_by_id.get(request_id)
+    return entry is not None and entry.closing_logged
+
+
 def is_left_to_next_owner(table: ClaimTable, request_id: str) -> bool:
     """Tells whether a kept request has not started and can be handed over."""
     entry = table.entries_by_id.get(request_id)
--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -57,6 +57,7 @@
 from dandelionknot._claim_work import (
     adopt_kept,
     closing_answer,
+    is_closed_in_log,
     is_left_to_next_owner,
     is_owner,
     keep_until_ms,
@@ -125,6 +126,7 @@
     'gained_slices',
     'is_claim_written',
     'is_in_future',
+    'is_closed_in_log',
     'is_left_to_next_owner',
     'is_owner',
     'is_too_old',
--- /dev/null
+++ b/dandelionknot/_inherited.py
@@ -0,0 +1,77 @@
+"""Tasks that a former owner of a request may have started."""
+
+from dandelionknot import decisions
+from dandelionknot._requests import RequestEntry, end_request
+from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms
+from dandelionknot.journal import Subject
+from dandelionknot.messages import FollowOrder, RequestPhase, RunState
+
+SETTLE_GRACE_MS = 2000
+
+
+def follow_inherited(
+    state: DispatcherState, entry: RequestEntry, place: decisions.claims.TaskPlace
+) -> None:
+    """Asks a host about a task that a former owner may have started."""
+    entry.phase = RequestPhase.RUNNING
+    entry.attempt = decisions.outcomes.attempt_of(place.task_id) or 1
+    entry.task_id = place.task_id
+    entry.host_id = place.host_id
+    entry.hosts_by_task[place.task_id] = place.host_id
+    entry.inherited = True
+    state.context.explain(
+        Subject.REQUEST,
+        entry.request_id,
+        'asking about an earlier start',
+        place.host_id,
+    )
+    until_ms, settle_until_ms = _follow_times(entry)
+    state.outboxes.links.send(
+        FollowOrder(
+            host_id=place.host_id,
+            task_id=place.task_id,
+            request_id=entry.request_id,
+            attempt=entry.attempt,
+            until_ms=until_ms,
+            settle_until_ms=settle_until_ms,
+        )
+    )
+
+
+def _follow_times(entry: RequestEntry) -> tuple[int, int]:
+    """Returns until when an inherited task may run, and its host be asked about it.
+
+    A kept request may have ended before its deadline passed, and its result is
+    still at the host; one that is idempotent is run again if the host is lost.
+    """
+    if not entry.is_kept:
+        return entry.deadline_at_ms, entry.deadline_at_ms
+    settle_until_ms = now_ms() + SETTLE_GRACE_MS
+    until_ms = max(entry.deadline_at_ms, settle_until_ms)
+    return until_ms, settle_until_ms if entry.body.idempotent else until_ms
+
+
+def follow_next(
+    state: DispatcherState, entry: RequestEntry, run_state: RunState
+) -> bool:
+    """Goes on with a kept request after one of its inherited tasks has ended.
+
+    Gives true if another task is asked about, or if a former owner closed the
+    request; otherwise it may begin an attempt of its own.
+    """
+    request_id = entry.request_id
+    is_closed = decisions.claims.is_closed_in_log(state.claims, request_id)
+    may_repeat = entry.body.idempotent and not is_closed
+    if run_state is not RunState.NOT_RUN and not may_repeat:
+        return False
+    place = decisions.claims.settle_inherited(state.claims, request_id)
+    answer = decisions.claims.closing_answer(state.claims, request_id)
+    if answer is not None:
+        decisions.claims.may_answer(state.claims, request_id, None, now_ms())
+        end_request(state.requests, entry, answer.phase, answer, now_ms())
+        return True
+    entry.inherited = place is not None
+    if place is not None:
+        follow_inherited(state, entry, place)
+    return place is not None
--- a/dandelionknot/_kept_work.py
+++ b/dandelionknot/_kept_work.py
@@ -5,9 +5,12 @@
 from result import Err
 
 from dandelionknot import codec, decisions
+from dandelionknot._ends import end_not_run, end_queued
+from dandelionknot._inherited import follow_inherited
 from dandelionknot._mailbox import Call
 from dandelionknot._ownership import claims_listed
 from dandelionknot._platform_sync import CLAIMS_PREFIX, WORK_PREFIX
+from dandelionknot._queues import enqueue, remove_queued
 from dandelionknot._requests import (
     RequestEntry,
     current_answer,
@@ -15,14 +18,7 @@
     forget,
     refusal_for,
 )
-from dandelionknot._starts import (
-    end_not_run,
-    end_queued,
-    enqueue,
-    follow_inherited,
-    remove_queued,
-    start_queued,
-)
+from dandelionknot._starts import start_queued
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms, unix_ms
 from dandelionknot.events import Event, log_event
