--- a/dandelionknot/_claims.py
+++ b/dandelionknot/_claims.py
@@ -13,6 +13,7 @@
 from dandelionknot._claim_log import (
     deletable_segments,
     flush_interval_ms,
+    is_claim_void,
     is_claim_written,
     may_renew_membership,
     pending_segment,
@@ -124,6 +125,7 @@
     'flush_interval_ms',
     'forget_old',
     'gained_slices',
+    'is_claim_void',
     'is_claim_written',
     'is_in_future',
     'is_closed_in_log',
@@ -366,9 +368,7 @@
         return
     if entry.closing_logged:
         keep_inherited_closing(entry)
-    elif entry.is_kept:
-        entry.is_inherited = False
-    else:
+    elif not entry.is_kept:
         drop_entry(table, entry)
 
 
@@ -399,8 +399,7 @@
 def _close(table: ClaimTable, entry: ClaimEntry) -> bool:
     if slice_of(entry.request_id) not in table.owned_slices:
         return False
-    in_doubt = is_doubtful(table, entry.request_id) and not entry.is_kept
-    doubtful = entry.is_inherited and in_doubt
+    doubtful = entry.is_inherited and is_doubtful(table, entry.request_id)
     if entry.attempts_by_task or doubtful:
         return False
     if needs_claim(entry):
--- a/dandelionknot/_kept_work.py
+++ b/dandelionknot/_kept_work.py
@@ -284,6 +284,13 @@
     return True
 
 
+def _is_lost(state: DispatcherState, request_id: str) -> bool:
+    slice_map = state.claims.slice_map
+    if slice_map is None:
+        return False
+    return decisions.slices.owner_of(slice_map, request_id) != state.member_id
+
+
 def release_held_back(state: DispatcherState) -> None:
     """Queues requests again that were held back, as far as they may start now."""
     held = state.work.held_back_ids
@@ -292,7 +299,9 @@
         entry = state.requests.by_id.get(request_id)
         if entry is None or entry.phase is not RequestPhase.QUEUED:
             continue
-        if now_ms() >= entry.deadline_at_ms:
+        if _is_lost(state, request_id):
+            _drop_queued(state, request_id)
+        elif now_ms() >= entry.deadline_at_ms:
             text = 'the deadline passed before the request could start'
             end_queued(state, entry, ErrorCode.DEADLINE_PASSED, text)
         elif decisions.claims.must_be_adopted(state.claims, request_id, now_ms()):
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -208,6 +208,12 @@
             state.waiting_for_claim.discard(request_id)
             _attempt_failed_here(state, entry, 'the claim was not written in time')
             continue
+        if entry.is_kept and decisions.claims.is_claim_void(
+            state.claims, request_id, entry.task_id
+        ):
+            state.waiting_for_claim.discard(request_id)
+            _attempt_failed_here(state, entry, 'the request id changed its owner')
+            continue
         from_memory = in_outage and entry.body.mode is RequestMode.WAIT
         if from_memory or decisions.claims.is_claim_written(
             state.claims, request_id, entry.task_id
