--- a/dandelionknot/_ends.py
+++ b/dandelionknot/_ends.py
@@ -4,6 +4,7 @@
 
 from dandelionknot import decisions
 from dandelionknot._host_health import note_attempt
+from dandelionknot._inherited import follow_next
 from dandelionknot._ownership import outage_view
 from dandelionknot._queues import (
     enqueue,
@@ -103,6 +104,9 @@
     answered = message.end is AttemptEnd.ANSWERED
     finished = answered and _is_finished(message)
     ended = entry.cancel_requested or now >= entry.deadline_at_ms
+    must_follow = entry.inherited and entry.is_kept and not finished
+    if must_follow and follow_next(state, entry, run_state):
+        return
     if not finished and not ended and _retry(state, entry, message, run_state):
         return
     if ended and not answered:
--- a/dandelionknot/_fetches.py
+++ b/dandelionknot/_fetches.py
@@ -17,6 +17,7 @@
 )
 from dandelionknot._starts import stop_running
 from dandelionknot._state import DispatcherState
+from dandelionknot.clock import now_ms
 from dandelionknot.messages import (
     AnswerBody,
     CallerGone,
@@ -45,6 +46,9 @@
         return
     if not _may_see(state, call, entry, message.presented_key):
         return
+    if entry.keep_calls:
+        entry.keep_calls.append(call)
+        return
     if entry.outcome is None and message.wait_ms > 0:
         entry.waiters.append(call)
         asyncio.get_running_loop().call_later(
@@ -61,7 +65,7 @@
     if message.request_id in state.requests.by_id:
         fetch(state, peer_call, message)
     else:
-        peer_call.answer(_not_found(message.request_id))
+        peer_call.answer(_not_known_here(state, message.request_id))
 
 
 def cancel_for_peer(state: DispatcherState, call: Call, received: PeerCancel) -> None:
@@ -71,7 +75,7 @@
     if message.request_id in state.requests.by_id:
         cancel(state, peer_call, message)
     else:
-        peer_call.answer(_not_found(message.request_id))
+        peer_call.answer(_not_known_here(state, message.request_id))
 
 
 def _fetch_from_owner(
@@ -82,7 +86,7 @@
 ) -> None:
     owner = owner_of(state, message.request_id)
     if owner is None or owner == state.member_id:
-        call.answer(_not_found(message.request_id))
+        call.answer(_not_known_here(state, message.request_id))
         return
     wait_ms = message.wait_ms if isinstance(message, FetchAnswer) else 0
     order = PeerCall(
@@ -103,6 +107,19 @@
     ask_peer(state, order, answer)
 
 
+def _not_known_here(state: DispatcherState, request_id: str) -> Refusal:
+    """Refuses with "not found" only if this host has read what was accepted."""
+    if decisions.claims.is_owner(state.claims, request_id, now_ms()):
+        return _not_found(request_id)
+    return Refusal(
+        code=ErrorCode.OWNER_UNREACHABLE,
+        message='the request id changes its owner',
+        run_state=RunState.UNKNOWN,
+        retry_after_ms=RETRY_AFTER_MS,
+        request_id=request_id,
+    )
+
+
 def _no_answer(request_id: str, owner: str) -> Refusal:
     return Refusal(
         code=ErrorCode.OWNER_UNREACHABLE,
--- a/dandelionknot/_intake.py
+++ b/dandelionknot/_intake.py
@@ -11,6 +11,8 @@
     refuse_here,
     refuse_or_wait,
 )
+from dandelionknot._inherited import follow_inherited
+from dandelionknot._kept_work import keep
 from dandelionknot._mailbox import Call
 from dandelionknot._ownership import owner_of
 from dandelionknot._queues import enqueue
@@ -20,7 +22,7 @@
     needs_owner,
     refusal_for,
 )
-from dandelionknot._starts import follow_inherited, start_queued
+from dandelionknot._starts import start_queued
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms, unix_ms
 from dandelionknot.journal import Subject
@@ -127,6 +129,9 @@
     if known.outcome is None and message.request.mode is RequestMode.WAIT:
         known.waiters.append(call)
         return
+    if known.keep_calls:
+        known.keep_calls.append(call)
+        return
     call.answer(current_answer(known))
 
 
@@ -150,6 +155,9 @@
 ) -> None:
     """Queues a request that was not seen before."""
     entry = _new_entry(message, caller)
+    if entry.body.mode is RequestMode.ASYNC:
+        keep(state, call, entry)
+        return
     offered = enqueue(state, entry)
     if isinstance(offered, Err) and not needs_owner(entry.body):
         answer_refusal(state, call, message, offered.err_value)
--- a/dandelionknot/_queues.py
+++ b/dandelionknot/_queues.py
@@ -1,6 +1,6 @@
 """Queues of the services, their retry budgets and the running counts."""
 
-from result import Result
+from result import Err, Ok, Result
 
 from dandelionknot import decisions
 from dandelionknot._requests import (
@@ -16,7 +16,12 @@
 
 
 def enqueue(state: DispatcherState, entry: RequestEntry) -> Result[None, Refusal]:
-    """Puts a request into its service's queue, or refuses it if that is full."""
+    """Puts a request into its service's queue, or refuses it if that is full.
+
+    A kept request is not refused: it is held back until there is room.
+    """
+    if is_held_back(state, entry):
+        return Ok(None)
     service_id = entry.body.service
     state.grants_due = True
     queues = state.queues_by_service.get(service_id)
@@ -24,7 +29,7 @@
         service = state.configuration.services_by_id[service_id]
         queues = decisions.queueing.TeamQueues(capacity=service.queue_limit)
         state.queues_by_service[service_id] = queues
-    return decisions.queueing.offer(
+    offered = decisions.queueing.offer(
         queues,
         decisions.queueing.QueuedRequest(
             request_id=entry.request_id,
@@ -34,6 +39,30 @@
             deadline_ms=entry.deadline_at_ms,
         ),
     )
+    if entry.is_kept and isinstance(offered, Err):
+        state.work.held_back_ids[entry.request_id] = None
+        return Ok(None)
+    return offered
+
+
+def is_held_back(state: DispatcherState, entry: RequestEntry) -> bool:
+    """Holds a kept request back that must not begin an attempt here now.
+
+    In an outage of the platform its claim could not be written, and it would
+    keep a slot from other requests.
+    """
+    if not entry.is_kept:
+        return False
+    now = now_ms()
+    read = state.freshness.platform_read
+    bound_ms = state.configuration.bounds.freshness_bound_ms
+    is_reached = read is not None and now - read.question_sent_ms < bound_ms
+    if is_reached and decisions.claims.may_begin(
+        state.claims, entry.request_id, now, is_stopping=state.stopping
+    ):
+        return False
+    state.work.held_back_ids[entry.request_id] = None
+    return True
 
 
 def remove_queued(state: DispatcherState, entry: RequestEntry) -> None:
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -8,8 +8,9 @@
 from dandelionknot._ends import end_attempt, end_queued
 from dandelionknot._fleet_view import is_fresh
 from dandelionknot._host_health import choose_probe
+from dandelionknot._inherited import SETTLE_GRACE_MS
 from dandelionknot._ownership import outage_view
-from dandelionknot._queues import enqueue, observe, retry_budget
+from dandelionknot._queues import enqueue, is_held_back, observe, retry_budget
 from dandelionknot._requests import (
     OPEN_QUEUE_TEAM,
     RequestEntry,
@@ -23,7 +24,7 @@
     AttemptEnd,
     AttemptEnded,
     ErrorCode,
-    FollowOrder,
+    RequestMode,
     RequestPhase,
     StartCheck,
     StartOrder,
@@ -32,7 +33,6 @@
 )
 from dandelionknot.metrics import Counter, Measure
 
-SETTLE_GRACE_MS = 2000
 IDEMPOTENT_SETTLE_MS = 1000
 NO_CHECK_YET_MS = -1
 
@@ -85,6 +85,8 @@
             text = 'the key was withdrawn while the request waited'
             end_queued(state, entry, ErrorCode.KEY_NOT_VALID, text)
             continue
+        if is_held_back(state, entry):
+            continue
         if not _start(state, entry, own_zone_only):
             return
         running[item.team_id] = running.get(item.team_id, 0) + 1
@@ -206,7 +208,14 @@
             state.waiting_for_claim.discard(request_id)
             _attempt_failed_here(state, entry, 'the claim was not written in time')
             continue
-        if in_outage or decisions.claims.is_claim_written(
+        if entry.is_kept and decisions.claims.is_claim_void(
+            state.claims, request_id, entry.task_id
+        ):
+            state.waiting_for_claim.discard(request_id)
+            _attempt_failed_here(state, entry, 'the request id changed its owner')
+            continue
+        from_memory = in_outage and entry.body.mode is RequestMode.WAIT
+        if from_memory or decisions.claims.is_claim_written(
             state.claims, request_id, entry.task_id
         ):
             state.waiting_for_claim.discard(request_id)
@@ -292,33 +301,6 @@
         state.outboxes.links.send(order)
 
 
-def follow_inherited(
-    state: DispatcherState, entry: RequestEntry, place: decisions.claims.TaskPlace
-) -> None:
-    """Asks a host about a task that a former owner may have started."""
-    entry.phase = RequestPhase.RUNNING
-    entry.attempt = decisions.outcomes.attempt_of(place.task_id) or 1
-    entry.task_id = place.task_id
-    entry.host_id = place.host_id
-    entry.hosts_by_task[place.task_id] = place.host_id
-    entry.inherited = True
-    state.context.explain(
-        Subject.REQUEST,
-        entry.request_id,
-        'asking about an earlier start',
-        place.host_id,
-    )
-    state.outboxes.links.send(
-        FollowOrder(
-            host_id=place.host_id,
-            task_id=place.task_id,
-            request_id=entry.request_id,
-            attempt=entry.attempt,
-            until_ms=entry.deadline_at_ms,
-        )
-    )
-
-
 def attempt_ended(state: DispatcherState, message: AttemptEnded) -> None:
     """Ends an attempt and starts what waits for its slot."""
     entry = state.requests.by_id.get(message.request_id)
