Count a waiting request until its next submission is handled

Cause: a request that waits for its owner was no longer counted between the end of its pause and the handling of its next submission.

Change: the count goes down when the submission is handled. Found by reading; the window is one pass of the event loop and was not reproduced here on demand.

--- a/dandelionknot/_forwarding.py
+++ b/dandelionknot/_forwarding.py
@@ -169,10 +169,10 @@
     state.waiting_calls += 1
 
     def submit_again() -> None:
-        state.waiting_calls -= 1
         again = replace(message, age_ms=now_ms() - arrived_ms, resubmitted=True)
         sent = state.outboxes.inbox.send(Call(again, call.reply))
         if isinstance(sent, Err):
+            state.waiting_calls -= 1
             call.answer(refusal)
 
     asyncio.get_running_loop().call_later(seconds(RESUBMIT_MS), submit_again)
--- a/dandelionknot/_intake.py
+++ b/dandelionknot/_intake.py
@@ -44,6 +44,8 @@
 
 def submit(state: DispatcherState, call: Call, message: SubmitRequest) -> None:
     """Takes a request, passes it to its owner or refuses it."""
+    if message.resubmitted:
+        state.waiting_calls -= 1
     state.context.metrics.count(Counter.REQUESTS)
     authenticated = _authenticate(state, message)
     if isinstance(authenticated, Err):
