Follow the free slots of hosts by every answer

Cause: an entry host learned what other entry hosts run on a host only from usage reports, which it asks for when a start token is missing. Under load tokens come with the answers, so the last report stayed in force for as long as the load lasted, and slots that others had left stayed idle. A busy answer kept a host out for 1 s, three times as long as the tasks ran.

Change: each report on a task updates the count of the host's tasks; a free slot ends a busy answer; a busy answer, and a report by which other entry hosts fill a host, count for 200 ms, after which one task is tried. The load of one host moves from _routing to _host_load. The backend stand-in now reports its tasks in answers with the same lag as in usage reports; before, it repeated the count of the last usage call.

Ruled out: polling usage while hosts are full, which costs calls for every host and entry host where the answers are there already.

Broken on purpose: without the end of a full report, and without the end of a busy answer by a free slot, test_routing fails.

--- a/dandelionknot/_fleet_view.py
+++ b/dandelionknot/_fleet_view.py
@@ -239,6 +239,9 @@
     decisions.routing.set_excluded(state.routing, host_id, reason, False)
     own = decisions.routing.own_running(state.routing, host_id)
     decisions.routing.set_usage(state.routing, host_id, message.usage, own)
+    decisions.routing.host_reported(
+        state.routing, host_id, message.usage.running, now_ms()
+    )
 
 
 def host_silent(state: DispatcherState, message: HostSilent) -> None:
--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -18,47 +18,34 @@
     UnavailableReason,
     unavailable_reason,
 )
+from dandelionknot._host_load import (
+    MAX_SLOTS,
+    SMALLEST_TASK,
+    HostChoice,
+    HostGroup,
+    HostLoad,
+    TaskSize,
+    copy_load,
+    insert,
+    place,
+    remove,
+)
 from dandelionknot._zones import ZoneRamp, zone_fraction
 from dandelionknot.configuration import Configuration, Host, ZoneState
 from dandelionknot.messages import ErrorCode, Refusal, RunState, UsageReport
 
 RANDOM_NUMBERS_PER_CHOICE = 3
 
-# A busy answer outweighs the last usage report for this long. It is about the
-# interval between usage reports; the next one shows the actual load.
-BUSY_HOLD_MS = 1000
-
-
-# Upper bound of `Host.slots` in the schema; stands for "not reported yet".
-MAX_SLOTS = 1024
-
-
-@dataclass(frozen=True, slots=True)
-class TaskSize:
-    """Processor cores and memory that a task declares."""
-
-    cores: int = 1
-    memory_mb: int = 1
+# A host that answered `busy`, or that the tasks of other entry hosts fill, is tried
+# again after this time. Longer times leave slots idle that others have freed.
+BUSY_HOLD_MS = 200
 
 
-SMALLEST_TASK = TaskSize()
-
 # Health comes through `set_excluded`, so only the configuration counts when a
 # table is built.
 HEALTHY = FleetHealth()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HostChoice:
-    """The host to which a task is sent, with what its start message names."""
-
-    host_id: str
-    address: str
-    availability_zone: str
-    pool: str
-    pool_epoch: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostView:
     """What an entry host knows of one host, for an explanation to operators.
@@ -75,31 +62,6 @@
     may_be_chosen: bool
 
 
-@dataclass(slots=True, eq=False)
-class HostGroup:
-    """Hosts of one pool, zone and size that have a free slot, in any order."""
-
-    size: TaskSize
-    free: list['HostLoad'] = field(default_factory=list)
-
-
-@dataclass(slots=True, eq=False, kw_only=True)
-class HostLoad:
-    """Load of one host as known here; `position` is -1 outside its free list."""
-
-    choice: HostChoice
-    group: HostGroup
-    slots: int
-    configured_slots: int
-    reported_slots: int
-    configured_reason: UnavailableReason | None
-    own_running: int = 0
-    other_running: int = 0
-    busy_until_ms: int | None = None
-    exclusions: set[UnavailableReason] = field(default_factory=set)
-    position: int = -1
-
-
 @dataclass(slots=True, eq=False, kw_only=True)
 class PoolRoutes:
     """Free hosts of one pool by zone, and the sizes of all of its hosts."""
@@ -114,7 +76,8 @@
 class RoutingTable:
     """Routes of one configuration version, as seen from one zone.
 
-    `busy_hosts` has the ends of busy answers in the order of time.
+    `busy_hosts` has the ends of busy answers in the order of time, `full_hosts` the
+    moments until which reports of full hosts count.
     """
 
     version: int
@@ -124,6 +87,7 @@
     routes_by_service: dict[str, PoolRoutes]
     hosts_by_id: dict[str, HostLoad]
     busy_hosts: deque[tuple[int, str]]
+    full_hosts: deque[tuple[int, str]] = field(default_factory=deque)
 
     @classmethod
     def from_configuration(
@@ -150,15 +114,16 @@
             },
             hosts_by_id={},
             busy_hosts=deque(previous.busy_hosts if previous else ()),
+            full_hosts=deque(previous.full_hosts if previous else ()),
         )
         known = previous.hosts_by_id if previous else {}
         for host_id, host in configuration.hosts_by_id.items():
             routes = routes_by_pool.setdefault(host.pool, PoolRoutes(pool=host.pool))
             load = _new_load(configuration, host_id, host, routes)
             if host_id in known:
-                _copy_load(known[host_id], load)
+                copy_load(known[host_id], load)
             table.hosts_by_id[host_id] = load
-            _place(load)
+            place(load)
         return table
 
 
@@ -196,10 +161,10 @@
         if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
     ]
     for load in hidden:
-        _remove(load)
+        remove(load)
     chosen = _choose_free(table, routes, random_numbers, now_ms, size, own_zone_only)
     for load in hidden:
-        _insert(load)
+        insert(load)
     if chosen is None:
         return Err(_no_host(table, routes, now_ms, own_zone_only))
     return Ok(chosen.choice)
@@ -210,7 +175,7 @@
     load = table.hosts_by_id.get(host_id)
     if load is not None:
         load.own_running += 1
-        _place(load)
+        place(load)
 
 
 def host_finished(table: RoutingTable, host_id: str) -> None:
@@ -218,7 +183,7 @@
     load = table.hosts_by_id.get(host_id)
     if load is not None:
         load.own_running = max(0, load.own_running - 1)
-        _place(load)
+        place(load)
 
 
 def host_busy(table: RoutingTable, host_id: str, now_ms: int) -> None:
@@ -227,7 +192,7 @@
     if load is not None:
         load.busy_until_ms = now_ms + BUSY_HOLD_MS
         table.busy_hosts.append((load.busy_until_ms, host_id))
-        _place(load)
+        place(load)
 
 
 def own_running(table: RoutingTable, host_id: str) -> int:
@@ -255,6 +220,30 @@
     set_excluded(table, host_id, UnavailableReason.DRAINING, report.draining)
 
 
+def host_reported(table: RoutingTable, host_id: str, running: int, now_ms: int) -> None:
+    """Takes over how many tasks a host runs, as its answers on tasks tell.
+
+    A free slot ends a busy answer. A host that others fill is asked for no task, so no
+    answer would tell that they have left; its report counts for `BUSY_HOLD_MS`.
+    """
+    load = table.hosts_by_id.get(host_id)
+    if load is None:
+        return
+    load.other_running = max(0, running - load.own_running)
+    if running < load.slots:
+        load.busy_until_ms = None
+    _expire_if_full(table, load, now_ms)
+    place(load)
+
+
+def _expire_if_full(table: RoutingTable, load: HostLoad, now_ms: int) -> None:
+    if not load.other_running or load.own_running + load.other_running < load.slots:
+        load.full_until_ms = None
+        return
+    load.full_until_ms = now_ms + BUSY_HOLD_MS
+    table.full_hosts.append((load.full_until_ms, load.choice.host_id))
+
+
 def set_excluded(
     table: RoutingTable, host_id: str, reason: UnavailableReason, excluded: bool
 ) -> None:
@@ -270,11 +259,12 @@
         load.exclusions.add(reason)
     else:
         load.exclusions.discard(reason)
-    _place(load)
+    place(load)
 
 
 def release_busy_hosts(table: RoutingTable, now_ms: int) -> None:
     """Ends the busy answers whose time has passed."""
+    _release_full_hosts(table, now_ms)
     while table.busy_hosts and table.busy_hosts[0][0] <= now_ms:
         _, host_id = table.busy_hosts.popleft()
         load = table.hosts_by_id.get(host_id)
@@ -282,7 +272,21 @@
             continue
         if load.busy_until_ms <= now_ms:
             load.busy_until_ms = None
-            _place(load)
+            place(load)
+
+
+def _release_full_hosts(table: RoutingTable, now_ms: int) -> None:
+    """Lets one task be tried on each host whose full report is old."""
+    while table.full_hosts and table.full_hosts[0][0] <= now_ms:
+        _, host_id = table.full_hosts.popleft()
+        load = table.hosts_by_id.get(host_id)
+        if load is None or load.full_until_ms is None:
+            continue
+        if load.full_until_ms <= now_ms:
+            load.full_until_ms = None
+            left = max(0, load.slots - load.own_running - 1)
+            load.other_running = min(load.other_running, left)
+            place(load)
 
 
 def host_views(
@@ -345,42 +349,6 @@
     )
 
 
-def _copy_load(source: HostLoad, target: HostLoad) -> None:
-    target.own_running = source.own_running
-    target.other_running = source.other_running
-    target.busy_until_ms = source.busy_until_ms
-    target.exclusions = source.exclusions
-    target.reported_slots = source.reported_slots
-    target.slots = min(target.configured_slots, target.reported_slots)
-
-
-def _place(load: HostLoad) -> None:
-    """Puts a host into its free list or takes it out, as its state demands."""
-    is_free = (
-        load.configured_reason is None
-        and not load.exclusions
-        and load.busy_until_ms is None
-        and load.own_running + load.other_running < load.slots
-    )
-    if is_free and load.position < 0:
-        _insert(load)
-    elif not is_free and load.position >= 0:
-        _remove(load)
-
-
-def _insert(load: HostLoad) -> None:
-    load.position = len(load.group.free)
-    load.group.free.append(load)
-
-
-def _remove(load: HostLoad) -> None:
-    last = load.group.free.pop()
-    if last is not load:
-        load.group.free[load.position] = last
-        last.position = load.position
-    load.position = -1
-
-
 def _fits(size: TaskSize, host_size: TaskSize) -> bool:
     return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
 
@@ -475,7 +443,8 @@
         return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
     where = f' in availability zone {table.own_zone_id!r}' if own_zone_only else ''
     message = f'no host of pool {routes.pool!r}{where} has a free slot for this task'
-    wait_ms = table.busy_hosts[0][0] - now_ms if table.busy_hosts else None
+    ends = [line[0][0] for line in (table.busy_hosts, table.full_hosts) if line]
+    wait_ms = min(ends) - now_ms if ends else None
     return _refusal(ErrorCode.NO_HOST_AVAILABLE, message, wait_ms)
 
 
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -417,7 +417,7 @@
         return
     if state.routing is not None and not entry.inherited:
         decisions.routing.host_finished(state.routing, message.host_id)
-        _note_refusal(state, message)
+        _note_report(state, message)
     _uncount_start(state, entry)
     state.waiting_for_claim.discard(entry.request_id)
     event = _event_of(entry, message)
@@ -436,10 +436,17 @@
     start_queued(state, entry.body.service)
 
 
-def _note_refusal(state: DispatcherState, message: AttemptEnded) -> None:
+def _note_report(state: DispatcherState, message: AttemptEnded) -> None:
+    """Tells the routing table how full a host is."""
     report = message.report
-    if report is not None and report.refusal is StartRefusal.BUSY:
-        assert state.routing is not None
+    assert state.routing is not None
+    if report is None:
+        return
+    if report.running is not None:
+        decisions.routing.host_reported(
+            state.routing, message.host_id, report.running, now_ms()
+        )
+    if report.refusal is StartRefusal.BUSY:
         decisions.routing.host_busy(state.routing, message.host_id, now_ms())
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -209,7 +209,7 @@
         result_length=length,
         result_digest=digest,
         message=task.message,
-        running=state.lagging_running,
+        running=usage(state).running,
     )
 
 
