Refuse requests that cannot end by their deadline any more

Cause: in an overload, requests were started shortly before their deadline and stopped there. Each used a slot for a result that nobody got.

Change: a queued request is refused (not run) once less time is left than the shortest learned mean run time of any team and class. A request that finds a free slot when it arrives is still tried.

Broken on purpose: with the plain deadline, and with the longest mean, the new test fails.

--- a/dandelionknot/_queueing.py
+++ b/dandelionknot/_queueing.py
@@ -200,9 +200,15 @@
 
 
 def expire(queues: TeamQueues, now_ms: int) -> list[QueuedRequest]:
-    """Removes and returns the requests whose deadline has passed."""
+    """Removes and returns the requests that cannot end by their deadline any more.
+
+    A start would use a slot for a task that is stopped before its result is whole. The
+    shortest mean run time of any team and class is assumed, so that a class of long
+    tasks does not shorten the time that short ones may wait.
+    """
     expired = []
-    while queues.by_deadline and queues.by_deadline[0][0] <= now_ms:
+    latest_ms = now_ms + _shortest_run_ms(queues)
+    while queues.by_deadline and queues.by_deadline[0][0] <= latest_ms:
         item = heapq.heappop(queues.by_deadline)[2]
         if queues.requests_by_id.get(item.request_id) is item:
             _remove(queues, item)
@@ -210,6 +216,15 @@
     return expired
 
 
+def _shortest_run_ms(queues: TeamQueues) -> float:
+    means = [
+        mean_ms
+        for team in queues.teams_by_id.values()
+        for mean_ms in team.run_ms_by_priority.values()
+    ]
+    return min(means, default=0.0)
+
+
 def position(queues: TeamQueues, request_id: str) -> int | None:
     """Returns how many requests of the same team go first, without promotions."""
     item = queues.requests_by_id.get(request_id)
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -653,7 +653,7 @@
 
 
 def expire_queued(state: DispatcherState, now: int) -> None:
-    """Refuses queued requests whose deadline has passed."""
+    """Refuses queued requests that cannot end by their deadline any more."""
     for queues in state.queues_by_service.values():
         for item in decisions.queueing.expire(queues, now):
             entry = state.requests.by_id[item.request_id]
@@ -661,5 +661,5 @@
                 state,
                 entry,
                 ErrorCode.DEADLINE_PASSED,
-                'the deadline passed before the request could start',
+                'the request could not start in time to end by its deadline',
             )
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -276,6 +276,19 @@
         self.assertEqual(_queueing.expire(queues, 100), [])
         self.assertEqual(len(_queueing.expire(queues, 200)), 1)
 
+    def test_hopeless_requests_give_way(self):
+        """Guards against starts of tasks that are stopped at their deadline.
+
+        The mean of long tasks must not end short ones that still have time.
+        """
+        queues = _queueing.TeamQueues(10)
+        _queueing.note_run_time(queues, 'a', Priority.URGENT, 300)
+        _queueing.note_run_time(queues, 'a', Priority.OVERNIGHT, 60000)
+        for number, deadline_ms in enumerate((300, 301)):
+            _queueing.offer(queues, request(number, 'a', 'urgent', deadline_ms))
+        expired = [item.request_id for item in _queueing.expire(queues, 0)]
+        self.assertEqual(expired, ['r0'])
+
     def test_one_team_leaves_room(self):
         """Guards against one team that fills the queue for all others."""
         queues = _queueing.TeamQueues(100)
