--- a/dandelionknot/_ends.py
+++ b/dandelionknot/_ends.py
@@ -3,6 +3,7 @@
 from result import Err
 
 from dandelionknot import decisions
+from dandelionknot._attempt_notes import note_report, note_run_time
 from dandelionknot._host_health import note_attempt
 from dandelionknot._inherited import follow_next
 from dandelionknot._ownership import outage_view
@@ -50,7 +51,7 @@
         return
     if state.routing is not None and not entry.inherited:
         decisions.routing.host_finished(state.routing, message.host_id)
-        _note_refusal(state, message)
+        note_report(state, message)
     uncount_start(state, entry)
     state.waiting_for_claim.discard(entry.request_id)
     event = _event_of(entry, message)
@@ -87,13 +88,6 @@
     )
 
 
-def _note_refusal(state: DispatcherState, message: AttemptEnded) -> None:
-    report = message.report
-    if report is not None and report.refusal is StartRefusal.BUSY:
-        assert state.routing is not None
-        decisions.routing.host_busy(state.routing, message.host_id, now_ms())
-
-
 def _decide(
     state: DispatcherState,
     entry: RequestEntry,
@@ -118,6 +112,7 @@
     if isinstance(outcome, AnswerBody):
         _finish(state, entry, outcome, outcome.phase)
         state.context.metrics.count(Counter.ANSWERS)
+        note_run_time(state, entry, now)
         observe(state, entry, Measure.ANSWER_TIME, now)
     elif outcome.run_state is RunState.NOT_RUN:
         end_not_run(state, entry, outcome.code, outcome.message)
@@ -292,7 +287,7 @@
 
 
 def expire_queued(state: DispatcherState, now: int) -> None:
-    """Refuses queued requests whose deadline has passed."""
+    """Refuses queued requests that cannot end by their deadline any more."""
     for queues in state.queues_by_service.values():
         for item in decisions.queueing.expire(queues, now):
             entry = state.requests.by_id[item.request_id]
@@ -300,7 +295,7 @@
                 state,
                 entry,
                 ErrorCode.DEADLINE_PASSED,
-                'the deadline passed before the request could start',
+                'the request could not start in time to end by its deadline',
             )
 
 
--- a/dandelionknot/_routing.py
+++ b/dandelionknot/_routing.py
@@ -1,82 +1,49 @@
 """Choice of a worker host for a task.
 
-A choice looks at the free lists of the `RoutingTable` only, never at a host
-that it must not use, so its cost grows with the number of zones and host sizes
-but not with that of hosts.
+A `RoutingTable` is built once for each configuration version and keeps, per
+pool, availability zone and host size, the list of hosts with a free slot. A
+host enters or leaves its list in constant time when its load or its health
+changes, so a choice never looks at a host that it must not use, and its cost
+grows with the number of zones and host sizes but not with that of hosts.
 """
 
+from collections import deque
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from dandelionknot._availability import UnavailableReason
-from dandelionknot._routing_table import (
-    HEALTHY,
+from dandelionknot._budgets import (
+    FleetHealth,
+    UnavailableReason,
+    unavailable_reason,
+)
+from dandelionknot._host_load import (
     MAX_SLOTS,
+    SMALLEST_TASK,
     HostChoice,
     HostGroup,
     HostLoad,
-    PoolRoutes,
-    RoutingTable,
     TaskSize,
+    copy_load,
     insert,
     place,
     remove,
 )
-from dandelionknot._zones import zone_fraction
+from dandelionknot._zones import ZoneRamp, zone_fraction
+from dandelionknot.configuration import Configuration, Host, ZoneState
 from dandelionknot.messages import ErrorCode, Refusal, RunState, UsageReport
 
-__all__ = [
-    'BUSY_HOLD_MS',
-    'HEALTHY',
-    'MAX_SLOTS',
-    'RANDOM_NUMBERS_PER_CHOICE',
-    'SMALLEST_TASK',
-    'HostChoice',
-    'HostGroup',
-    'HostLoad',
-    'HostView',
-    'PoolRoutes',
-    'RoutingTable',
-    'TaskSize',
-    'choose',
-    'host_busy',
-    'host_finished',
-    'host_started',
-    'host_views',
-    'own_running',
-    'release_busy_hosts',
-    'set_excluded',
-    'set_usage',
-]
-
 RANDOM_NUMBERS_PER_CHOICE = 3
 
-# A busy answer outweighs the last usage report for this long. It is about the
-# interval between usage reports; the next one shows the actual load.
-BUSY_HOLD_MS = 1000
-
-SMALLEST_TASK = TaskSize()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Demand:
-    """What one choice asks for, and the numbers that it draws."""
-
-    size: TaskSize
-    own_zone_only: bool
-    random_numbers: Sequence[float]
-    now_ms: int
-
+# A host that answered `busy`, or that the tasks of other entry hosts fill, is tried
+# again after this time. Longer times leave slots idle that others have freed.
+BUSY_HOLD_MS = 200
 
-@dataclass(slots=True)
-class _Candidates:
-    """Groups with a free host that fits, each with the weight of its zone."""
 
-    own: list[tuple[HostGroup, float]] = field(default_factory=list)
-    others: list[tuple[HostGroup, float]] = field(default_factory=list)
-    own_fraction: float = 1.0
+# Health comes through `set_excluded`, so only the configuration counts when a
+# table is built.
+HEALTHY = FleetHealth()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +62,71 @@
     may_be_chosen: bool
 
 
+@dataclass(slots=True, eq=False, kw_only=True)
+class PoolRoutes:
+    """Free hosts of one pool by zone, and the sizes of all of its hosts."""
+
+    pool: str
+    groups_by_zone: dict[str, dict[TaskSize, HostGroup]] = field(default_factory=dict)
+    sizes: set[TaskSize] = field(default_factory=set)
+    zones_in_service: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class RoutingTable:
+    """Routes of one configuration version, as seen from one zone.
+
+    `busy_hosts` has the ends of busy answers in the order of time, `full_hosts` the
+    moments until which reports of full hosts count.
+    """
+
+    version: int
+    own_zone_id: str
+    ramp_ms: int
+    zone_ramp: ZoneRamp
+    routes_by_service: dict[str, PoolRoutes]
+    hosts_by_id: dict[str, HostLoad]
+    busy_hosts: deque[tuple[int, str]]
+    full_hosts: deque[tuple[int, str]] = field(default_factory=deque)
+
+    @classmethod
+    def from_configuration(
+        cls,
+        configuration: Configuration,
+        own_zone_id: str,
+        previous: 'RoutingTable | None' = None,
+        zone_ramp: ZoneRamp | None = None,
+    ) -> 'RoutingTable':
+        """Builds the table; loads and exclusions continue from `previous`."""
+        routes_by_pool = {
+            pool: PoolRoutes(pool=pool) for pool in configuration.pools_by_id
+        }
+        table = cls(
+            version=configuration.version,
+            own_zone_id=own_zone_id,
+            ramp_ms=configuration.bounds.ramp_ms,
+            zone_ramp=zone_ramp or ZoneRamp(),
+            routes_by_service={
+                service_id: routes_by_pool.setdefault(
+                    service.pool, PoolRoutes(pool=service.pool)
+                )
+                for service_id, service in configuration.services_by_id.items()
+            },
+            hosts_by_id={},
+            busy_hosts=deque(previous.busy_hosts if previous else ()),
+            full_hosts=deque(previous.full_hosts if previous else ()),
+        )
+        known = previous.hosts_by_id if previous else {}
+        for host_id, host in configuration.hosts_by_id.items():
+            routes = routes_by_pool.setdefault(host.pool, PoolRoutes(pool=host.pool))
+            load = _new_load(configuration, host_id, host, routes)
+            if host_id in known:
+                copy_load(known[host_id], load)
+            table.hosts_by_id[host_id] = load
+            place(load)
+        return table
+
+
 def choose(
     table: RoutingTable,
     service_id: str,
@@ -121,18 +153,20 @@
         return Err(_refusal(ErrorCode.SERVICE_NOT_FOUND, message))
     if not any(_fits(size, host_size) for host_size in routes.sizes):
         return Err(_cannot_fit(routes, size))
-    demand = _Demand(
-        size=size,
-        own_zone_only=own_zone_only,
-        random_numbers=random_numbers,
-        now_ms=now_ms,
-    )
-    hidden = _hide(table, excluded)
-    chosen = _choose_free(table, routes, demand)
+    # Sorted, so that the order of the free lists and with it later choices do
+    # not depend on the hash seed of the process.
+    hidden = [
+        load
+        for host_id in sorted(set(excluded))
+        if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
+    ]
+    for load in hidden:
+        remove(load)
+    chosen = _choose_free(table, routes, random_numbers, now_ms, size, own_zone_only)
     for load in hidden:
         insert(load)
     if chosen is None:
-        return Err(_no_host(table, routes, demand))
+        return Err(_no_host(table, routes, now_ms, own_zone_only))
     return Ok(chosen.choice)
 
 
@@ -186,6 +220,30 @@
     set_excluded(table, host_id, UnavailableReason.DRAINING, report.draining)
 
 
+def host_reported(table: RoutingTable, host_id: str, running: int, now_ms: int) -> None:
+    """Takes over how many tasks a host runs, as its answers on tasks tell.
+
+    A free slot ends a busy answer. A host that others fill is asked for no task, so no
+    answer would tell that they have left; its report counts for `BUSY_HOLD_MS`.
+    """
+    load = table.hosts_by_id.get(host_id)
+    if load is None:
+        return
+    load.other_running = max(0, running - load.own_running)
+    if running < load.slots:
+        load.busy_until_ms = None
+    _expire_if_full(table, load, now_ms)
+    place(load)
+
+
+def _expire_if_full(table: RoutingTable, load: HostLoad, now_ms: int) -> None:
+    if not load.other_running or load.own_running + load.other_running < load.slots:
+        load.full_until_ms = None
+        return
+    load.full_until_ms = now_ms + BUSY_HOLD_MS
+    table.full_hosts.append((load.full_until_ms, load.choice.host_id))
+
+
 def set_excluded(
     table: RoutingTable, host_id: str, reason: UnavailableReason, excluded: bool
 ) -> None:
@@ -206,6 +264,7 @@
 
 def release_busy_hosts(table: RoutingTable, now_ms: int) -> None:
     """Ends the busy answers whose time has passed."""
+    _release_full_hosts(table, now_ms)
     while table.busy_hosts and table.busy_hosts[0][0] <= now_ms:
         _, host_id = table.busy_hosts.popleft()
         load = table.hosts_by_id.get(host_id)
@@ -216,6 +275,20 @@
             place(load)
 
 
+def _release_full_hosts(table: RoutingTable, now_ms: int) -> None:
+    """Lets one task be tried on each host whose full report is old."""
+    while table.full_hosts and table.full_hosts[0][0] <= now_ms:
+        _, host_id = table.full_hosts.popleft()
+        load = table.hosts_by_id.get(host_id)
+        if load is None or load.full_until_ms is None:
+            continue
+        if load.full_until_ms <= now_ms:
+            load.full_until_ms = None
+            left = max(0, load.slots - load.own_running - 1)
+            load.other_running = min(load.other_running, left)
+            place(load)
+
+
 def host_views(
     table: RoutingTable, service_id: str, now_ms: int
 ) -> tuple[HostView, ...]:
@@ -250,53 +323,60 @@
     )
 
 
-def _fits(size: TaskSize, host_size: TaskSize) -> bool:
-    return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
-
+def _new_load(
+    configuration: Configuration, host_id: str, host: Host, routes: PoolRoutes
+) -> HostLoad:
+    zone_id = host.availability_zone
+    size = TaskSize(host.cores, host.memory_mb)
+    routes.sizes.add(size)
+    zone = configuration.availability_zones_by_id.get(zone_id)
+    if zone is not None and zone.state is ZoneState.IN_SERVICE:
+        routes.zones_in_service.add(zone_id)
+    groups = routes.groups_by_zone.setdefault(zone_id, {})
+    return HostLoad(
+        choice=HostChoice(
+            host_id=host_id,
+            address=host.address,
+            availability_zone=zone_id,
+            pool=host.pool,
+            pool_epoch=host.pool_epoch,
+        ),
+        group=groups.setdefault(size, HostGroup(size)),
+        slots=host.slots,
+        configured_slots=host.slots,
+        reported_slots=MAX_SLOTS,
+        configured_reason=unavailable_reason(configuration, HEALTHY, host_id, host),
+    )
 
-def _hide(table: RoutingTable, excluded: Collection[str]) -> list[HostLoad]:
-    """Takes hosts out of their free lists for one choice and returns them.
 
-    They are sorted, so that the order of the free lists and with it later
-    choices do not depend on the hash seed of the process.
-    """
-    hidden = [
-        load
-        for host_id in sorted(set(excluded))
-        if (load := table.hosts_by_id.get(host_id)) and load.position >= 0
-    ]
-    for load in hidden:
-        remove(load)
-    return hidden
+def _fits(size: TaskSize, host_size: TaskSize) -> bool:
+    return size.cores <= host_size.cores and size.memory_mb <= host_size.memory_mb
 
 
 def _choose_free(
-    table: RoutingTable, routes: PoolRoutes, demand: _Demand
+    table: RoutingTable,
+    routes: PoolRoutes,
+    random_numbers: Sequence[float],
+    now_ms: int,
+    size: TaskSize,
+    own_zone_only: bool,
 ) -> HostLoad | None:
-    found = _candidates(table, routes, demand)
-    own_suffices = not found.others or demand.random_numbers[0] < found.own_fraction
-    groups = found.own if found.own and own_suffices else found.others
-    return _less_loaded(groups, demand.random_numbers)
-
-
-def _candidates(
-    table: RoutingTable, routes: PoolRoutes, demand: _Demand
-) -> _Candidates:
-    found = _Candidates()
+    own: list[tuple[HostGroup, float]] = []
+    others: list[tuple[HostGroup, float]] = []
+    own_fraction = 1.0
     for zone_id, groups in routes.groups_by_zone.items():
         is_own = zone_id == table.own_zone_id
-        if demand.own_zone_only and not is_own:
+        if own_zone_only and not is_own:
             continue
-        free = list(_free_groups(groups, demand.size))
+        free = list(_free_groups(groups, size))
         if not free:
             continue
-        ramp_ms, now_ms = table.ramp_ms, demand.now_ms
-        fraction = zone_fraction(table.zone_ramp, zone_id, ramp_ms, now_ms)
+        fraction = zone_fraction(table.zone_ramp, zone_id, table.ramp_ms, now_ms)
         if is_own:
-            found.own_fraction = fraction
-        weighted = found.own if is_own else found.others
-        weighted.extend((group, fraction) for group in free)
-    return found
+            own_fraction = fraction
+        (own if is_own else others).extend((group, fraction) for group in free)
+    use_own = own and (not others or random_numbers[0] < own_fraction)
+    return _less_loaded(own if use_own else others, random_numbers)
 
 
 def _free_groups(
@@ -351,26 +431,23 @@
     return drawn
 
 
-def _no_host(table: RoutingTable, routes: PoolRoutes, demand: _Demand) -> Refusal:
+def _no_host(
+    table: RoutingTable, routes: PoolRoutes, now_ms: int, own_zone_only: bool
+) -> Refusal:
     zones = set(routes.groups_by_zone)
-    if demand.own_zone_only:
+    if own_zone_only:
         zones &= {table.own_zone_id}
     if zones and not zones & routes.zones_in_service:
-        return _zones_out(routes, zones)
-    where = ''
-    if demand.own_zone_only:
-        where = f' in availability zone {table.own_zone_id!r}'
+        names = ', '.join(sorted(zones))
+        message = f'pool {routes.pool!r} has hosts only in zones that are out: {names}'
+        return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
+    where = f' in availability zone {table.own_zone_id!r}' if own_zone_only else ''
     message = f'no host of pool {routes.pool!r}{where} has a free slot for this task'
-    wait_ms = table.busy_hosts[0][0] - demand.now_ms if table.busy_hosts else None
+    ends = [line[0][0] for line in (table.busy_hosts, table.full_hosts) if line]
+    wait_ms = min(ends) - now_ms if ends else None
     return _refusal(ErrorCode.NO_HOST_AVAILABLE, message, wait_ms)
 
 
-def _zones_out(routes: PoolRoutes, zones: set[str]) -> Refusal:
-    names = ', '.join(sorted(zones))
-    message = f'pool {routes.pool!r} has hosts only in zones that are out: {names}'
-    return _refusal(ErrorCode.AVAILABILITY_ZONE_OUT, message)
-
-
 def _cannot_fit(routes: PoolRoutes, size: TaskSize) -> Refusal:
     if not routes.sizes:
         message = f'pool {routes.pool!r} has no hosts'
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -231,6 +231,7 @@
 def _order_start(state: DispatcherState, entry: RequestEntry) -> None:
     now = now_ms()
     assert entry.host_id is not None
+    entry.start_sent_ms = now
     owned = needs_owner(entry.body)
     settle_until_ms = entry.deadline_at_ms + SETTLE_GRACE_MS
     if entry.body.idempotent:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -212,6 +212,7 @@
             active.remove((end_ms, item))
             running[item.team_id] -= 1
             ends[item] = end_ms
+            _queueing.note_run_time(queues, item.team_id, item.priority, run_ms)
         _queueing.expire(queues, now_ms)
         while len(active) < slots:
             item = _queueing.next_request(
@@ -226,14 +227,22 @@
 
 class PolicyTest(unittest.TestCase):
     def test_overnight_ends_in_time_under_constant_urgent_load(self):
-        """Guards against overnight work that never starts while urgent work waits."""
+        """Guards against overnight work that never starts while urgent work waits.
+
+        Callers declare no run time today, so it must be learned.
+        """
+        for declared_ms in (100, 0):
+            with self.subTest(declared_ms=declared_ms):
+                self.check_overnight_ends_in_time(declared_ms)
+
+    def check_overnight_ends_in_time(self, declared_ms):
         queues = _queueing.TeamQueues(2000)
         numbers = iter(range(100000))
 
         def arrivals(now_ms):
-            if now_ms == 0:
+            if now_ms == 1000:
                 for _ in range(200):
-                    yield request(next(numbers), 'a', 'overnight', 20000, 100)
+                    yield request(next(numbers), 'a', 'overnight', 20000, declared_ms)
             yield request(next(numbers), 'a', 'urgent', now_ms + 1000, 100, now_ms)
 
         ends = serve(queues, 4, SHARES, arrivals, 21)
@@ -267,6 +276,19 @@
         self.assertEqual(_queueing.expire(queues, 100), [])
         self.assertEqual(len(_queueing.expire(queues, 200)), 1)
 
+    def test_hopeless_requests_give_way(self):
+        """Guards against starts of tasks that are stopped at their deadline.
+
+        The mean of long tasks must not end short ones that still have time.
+        """
+        queues = _queueing.TeamQueues(10)
+        _queueing.note_run_time(queues, 'a', Priority.URGENT, 300)
+        _queueing.note_run_time(queues, 'a', Priority.OVERNIGHT, 60000)
+        for number, deadline_ms in enumerate((300, 301)):
+            _queueing.offer(queues, request(number, 'a', 'urgent', deadline_ms))
+        expired = [item.request_id for item in _queueing.expire(queues, 0)]
+        self.assertEqual(expired, ['r0'])
+
     def test_one_team_leaves_room(self):
         """Guards against one team that fills the queue for all others."""
         queues = _queueing.TeamQueues(100)
