Keep less of ended requests and of their decisions

An ended request keeps its answer, digest, team, task and host, and drops the payload, the events and the hosts of its attempts; sets of hosts are frozen sets, so the empty one is shared. Repeated answers, "why" and the number of kept requests (20,000) are unchanged.

Ruled out: keeping fewer than 20,000 ended requests, which would change how long an answer can be fetched again.

--- a/dandelionknot/_requests.py
+++ b/dandelionknot/_requests.py
@@ -1,7 +1,8 @@
 """State of the requests that an entry host has taken, and their answers."""
 
+import sys
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dandelionknot import decisions
 from dandelionknot._mailbox import Call
@@ -32,7 +33,8 @@
     """One request; the dispatcher is the only task that changes it.
 
     `deadline_at_ms` and `arrived_ms` are readings of the monotonic clock.
-    `outcome` is set once, when the request ends.
+    `outcome` is set once, when the request ends. An ended request is kept for
+    repeated answers, without its payload and what its attempts showed.
     """
 
     body: RequestBody
@@ -48,7 +50,7 @@
     task_id: str = ''
     hosts_by_task: dict[str, str] = field(default_factory=dict)
     events: list[decisions.outcomes.AttemptEvent] = field(default_factory=list)
-    failed_hosts: set[str] = field(default_factory=set)
+    failed_hosts: frozenset[str] = frozenset()
     holds_grant: bool = False
     retry_at_ms: int = 0
     refusal: Refusal | None = None
@@ -113,6 +115,15 @@
     for waiter in entry.waiters:
         waiter.answer(outcome)
     entry.waiters.clear()
+    _drop_attempts(entry)
+
+
+def _drop_attempts(entry: RequestEntry) -> None:
+    """Drops what only another attempt would need; the digest stays for resends."""
+    entry.body = replace(entry.body, service=sys.intern(entry.body.service), payload='')
+    entry.events.clear()
+    entry.hosts_by_task.clear()
+    entry.failed_hosts = frozenset()
 
 
 def forget(table: RequestTable, request_id: str) -> None:
--- a/dandelionknot/_retries.py
+++ b/dandelionknot/_retries.py
@@ -5,7 +5,7 @@
 fraction of its first attempts, so that they do not feed an overload.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 from dandelionknot.messages import RunState, StartRefusal
@@ -91,8 +91,8 @@
     attempts: int = 0
     run_state: RunState = RunState.NOT_RUN
     last_refusal: StartRefusal | None = None
-    tried_hosts: set[str] = field(default_factory=set)
-    failed_hosts: set[str] = field(default_factory=set)
+    tried_hosts: frozenset[str] = frozenset()
+    failed_hosts: frozenset[str] = frozenset()
 
 
 def deposit(budget: RetryBudget) -> None:
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -168,7 +168,7 @@
         own_zone_only,
     )
     if isinstance(chosen, Err) and entry.failed_hosts:
-        entry.failed_hosts.clear()
+        entry.failed_hosts = frozenset()
     if isinstance(chosen, Err):
         enqueue(state, entry)
         return False
@@ -493,13 +493,13 @@
     history.last_refusal = refusal
     if message.end is AttemptEnd.NOT_ALLOWED:
         return _queue_later(state, entry, NOT_ALLOWED_DELAY_MS)
-    history.tried_hosts.add(message.host_id)
+    history.tried_hosts |= {message.host_id}
     if refusal in PASSING_REFUSALS:
         entry.phase = RequestPhase.QUEUED
         return enqueue(state, entry).is_ok()
     history.attempts += 1
     if message.end is AttemptEnd.ANSWERED:
-        history.failed_hosts.add(message.host_id)
+        history.failed_hosts |= {message.host_id}
     decision = decisions.retries.next_attempt(
         retry_budget(state, entry.body.service),
         history,
@@ -511,7 +511,7 @@
             Subject.REQUEST, entry.request_id, 'not tried again', decision.reason
         )
         return False
-    entry.failed_hosts = set(decision.avoid)
+    entry.failed_hosts = decision.avoid
     state.context.metrics.count(Counter.RETRIES)
     return _queue_later(state, entry, decision.delay_ms)
 
--- a/dandelionknot/journal.py
+++ b/dandelionknot/journal.py
@@ -1,6 +1,6 @@
 """Bounded journal of decisions, read by `why`."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -30,9 +30,13 @@
 
 @dataclass(slots=True)
 class Journal:
-    """The latest decisions of each subject; the oldest subjects are dropped."""
+    """The latest decisions of each subject; the oldest subjects are dropped.
 
-    decisions_by_subject: OrderedDict[tuple[Subject, str], deque[Decision]] = field(
+    They are in lists, as most subjects have a few decisions and an empty deque
+    takes 760 bytes.
+    """
+
+    decisions_by_subject: OrderedDict[tuple[Subject, str], list[Decision]] = field(
         default_factory=OrderedDict
     )
 
@@ -41,9 +45,11 @@
         key = (subject, subject_id)
         decisions = self.decisions_by_subject.get(key)
         if decisions is None:
-            decisions = deque(maxlen=MAX_ENTRIES_PER_SUBJECT)
+            decisions = []
             self.decisions_by_subject[key] = decisions
         decisions.append(decision)
+        if len(decisions) > MAX_ENTRIES_PER_SUBJECT:
+            del decisions[0]
         self.decisions_by_subject.move_to_end(key)
         if len(self.decisions_by_subject) > MAX_SUBJECTS:
             self.decisions_by_subject.popitem(last=False)
--- /dev/null
+++ b/tests/test_kept_requests.py
@@ -0,0 +1,77 @@
+"""Guards against memory that grows with each request that has ended."""
+
+import sys
+import unittest
+
+from dandelionknot import decisions
+from dandelionknot._requests import (
+    RequestEntry,
+    RequestTable,
+    current_answer,
+    end_request,
+)
+from dandelionknot.journal import (
+    MAX_ENTRIES_PER_SUBJECT,
+    MAX_SUBJECTS,
+    Decision,
+    Journal,
+    Subject,
+)
+from dandelionknot.messages import AnswerBody, RequestBody, RequestPhase, RunState
+
+
+class EndedRequestTest(unittest.TestCase):
+    def test_payload_and_attempts_are_dropped_and_the_answer_is_kept(self) -> None:
+        """Guards against payloads kept for 15 minutes after the answer."""
+        body = RequestBody(
+            request_id='request-1',
+            service='quotes',
+            deadline_ms=1000,
+            idempotent=True,
+            payload='x' * 10_000,
+        )
+        digest = decisions.claims.body_digest(body)
+        entry = RequestEntry(
+            body=body,
+            body_digest=digest,
+            team_id='desk',
+            key_id='key-1',
+            arrived_ms=0,
+            deadline_at_ms=1000,
+        )
+        entry.events.append(decisions.outcomes.ConnectionLost(task_id='task-1'))
+        entry.hosts_by_task['task-1'] = 'host-1'
+        answer = AnswerBody(
+            request_id='request-1',
+            phase=RequestPhase.FINISHED,
+            run_state=RunState.RAN,
+            result='answer',
+        )
+        end_request(RequestTable(), entry, RequestPhase.FINISHED, answer, 10)
+        self.assertEqual(current_answer(entry), answer)
+        self.assertEqual((entry.body_digest, entry.body.service), (digest, 'quotes'))
+        self.assertEqual((entry.request_id, entry.body.idempotent), ('request-1', True))
+        self.assertEqual(entry.body.payload, '')
+        self.assertFalse(entry.events or entry.hosts_by_task)
+
+
+class JournalTest(unittest.TestCase):
+    def test_decisions_and_subjects_are_bounded(self) -> None:
+        """Guards against a journal that grows, or that forgets the newest entries."""
+        journal = Journal()
+        for number in range(MAX_ENTRIES_PER_SUBJECT + 3):
+            journal.record(Subject.HOST, 'host-1', Decision(number, 'seen', ''))
+        kept = journal.why(Subject.HOST, 'host-1')
+        self.assertEqual(len(kept), MAX_ENTRIES_PER_SUBJECT)
+        self.assertEqual((kept[0].unix_ms, kept[-1].unix_ms), (3, 52))
+        for number in range(MAX_SUBJECTS):
+            journal.record(Subject.REQUEST, str(number), Decision(0, 'queued', ''))
+        self.assertEqual(journal.why(Subject.HOST, 'host-1'), [])
+        self.assertEqual(len(journal.decisions_by_subject), MAX_SUBJECTS)
+
+    def test_a_subject_with_one_decision_is_small(self) -> None:
+        """Guards against room for fifty decisions in each of 5000 subjects."""
+        journal = Journal()
+        journal.record(Subject.REQUEST, 'request-1', Decision(0, 'queued', ''))
+        (kept,) = journal.decisions_by_subject.values()
+        self.assertLess(sys.getsizeof(kept), 200)
