--- a/dandelionknot/_requests.py
+++ b/dandelionknot/_requests.py
@@ -1,7 +1,8 @@
 """State of the requests that an entry host has taken, and their answers."""
 
+import sys
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dandelionknot import decisions
 from dandelionknot._mailbox import Call
@@ -16,6 +17,8 @@
 )
 
 OPEN_QUEUE_TEAM = 'open'
+# Each call of frozenset() returns another object of 216 bytes.
+NO_HOSTS: frozenset[str] = frozenset()
 
 END_PHASES = frozenset(
     {
@@ -33,8 +36,10 @@
     """One request; the dispatcher is the only task that changes it.
 
     `deadline_at_ms` and `arrived_ms` are readings of the monotonic clock.
-    `outcome` is set once, when the request ends. `is_kept` means that the platform
-    has the request; until then `keep_calls` are the callers to be told so.
+    `outcome` is set once, when the request ends. An ended request is kept for
+    repeated answers, without its payload and what its attempts showed. `is_kept`
+    means that the platform has the request; until then `keep_calls` are the
+    callers to be told so.
     """
 
     body: RequestBody
@@ -50,7 +55,7 @@
     task_id: str = ''
     hosts_by_task: dict[str, str] = field(default_factory=dict)
     events: list[decisions.outcomes.AttemptEvent] = field(default_factory=list)
-    failed_hosts: set[str] = field(default_factory=set)
+    failed_hosts: frozenset[str] = NO_HOSTS
     holds_grant: bool = False
     retry_at_ms: int = 0
     start_sent_ms: int = 0
@@ -124,6 +129,15 @@
         waiter.answer(outcome)
     entry.waiters.clear()
     entry.keep_calls.clear()
+    _drop_attempts(entry)
+
+
+def _drop_attempts(entry: RequestEntry) -> None:
+    """Drops what only another attempt would need; the digest stays for resends."""
+    entry.body = replace(entry.body, service=sys.intern(entry.body.service), payload='')
+    entry.events.clear()
+    entry.hosts_by_task.clear()
+    entry.failed_hosts = NO_HOSTS
 
 
 def forget(table: RequestTable, request_id: str) -> None:
--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -12,6 +12,7 @@
 from dandelionknot._ownership import outage_view
 from dandelionknot._queues import enqueue, is_held_back, observe, retry_budget
 from dandelionknot._requests import (
+    NO_HOSTS,
     OPEN_QUEUE_TEAM,
     RequestEntry,
     needs_owner,
@@ -76,7 +77,7 @@
         grant = state.grants.teams_by_id.get(team_id)
         return grant is not None and decisions.limits.may_start(grant)
 
-    while _has_room(state, service_id, own_zone_only):
+    while not queues.requests_by_id or _has_room(state, service_id, own_zone_only):
         item = decisions.queueing.next_request(queues, running, shares, can_start, now)
         if item is None:
             return
@@ -133,7 +134,7 @@
         own_zone_only,
     )
     if isinstance(chosen, Err) and entry.failed_hosts:
-        entry.failed_hosts.clear()
+        entry.failed_hosts = NO_HOSTS
     if isinstance(chosen, Err):
         enqueue(state, entry)
         return False
