Create grant records no earlier than before

Cause: since grants follow demand at once, the first member of a starting fleet created each record before it saw the others, and took the whole limit.

Change: records are created by the call once a second only.

--- a/dandelionknot/_dispatcher.py
+++ b/dandelionknot/_dispatcher.py
@@ -137,7 +137,7 @@
     if state.tick_count % SLOW_TICKS == 0:
         _slow_tick(state, now)
     elif state.grants_due:
-        update_grants(state)
+        update_grants(state, may_create=False)
 
 
 def _slow_tick(state: DispatcherState, now: int) -> None:
--- a/dandelionknot/_grants.py
+++ b/dandelionknot/_grants.py
@@ -71,11 +71,14 @@
     ]
 
 
-def update_grants(state: DispatcherState) -> None:
+def update_grants(state: DispatcherState, may_create: bool = True) -> None:
     """Writes the records of teams whose grant here should change.
 
     Called once a second, and at the next tick after demand, a record or a
-    running task has changed. The members together stay below the write budget.
+    running task has changed. Records are created by the first of these calls
+    only: a member that has just joined does not see those that start with it,
+    and would take the whole limit. The members together stay below the write
+    budget.
     """
     state.grants_due = False
     now = now_ms()
@@ -86,6 +89,8 @@
     allowance = state.grant_writes
     decisions.limits.refill(allowance, FLEET_WRITES_PER_SECOND / len(members), now)
     for team_id in _writing_order(state):
+        if not may_create and not _has_record(state, team_id):
+            continue
         if not decisions.limits.may_write(allowance):
             state.grants_due = True
             return
@@ -109,6 +114,11 @@
         )
 
 
+def _has_record(state: DispatcherState, team_id: str) -> bool:
+    team = state.grants.teams_by_id.get(team_id)
+    return team is not None and team.record is not None
+
+
 def _writing_order(state: DispatcherState) -> list[str]:
     team_ids = list(state.configuration.teams_by_id)
     if not state.last_grant_written:
