--- a/dandelionknot/_starts.py
+++ b/dandelionknot/_starts.py
@@ -57,6 +57,15 @@
     return started.is_ok()
 
 
+def _may_start_any(
+    state: DispatcherState, service_id: str, own_zone_only: bool
+) -> bool:
+    """Tells whether any work of a service may start; whoever is fresh may."""
+    if state.excluded:
+        return False
+    return not own_zone_only or may_start(state, service_id, own_zone_only)
+
+
 def start_queued(state: DispatcherState, service_id: str) -> None:
     """Starts queued requests of a service while hosts have free slots."""
     queues = state.queues_by_service.get(service_id)
@@ -64,7 +73,7 @@
         return
     now = now_ms()
     own_zone_only = not is_fresh(state, now)
-    if not may_start(state, service_id, own_zone_only):
+    if not _may_start_any(state, service_id, own_zone_only):
         return
     shares = {
         team_id: team.share for team_id, team in state.configuration.teams_by_id.items()
--- a/tests/test_start_cost.py
+++ b/tests/test_start_cost.py
@@ -10,7 +10,7 @@
 
 
 class StartCostTest(unittest.TestCase):
-    def start_one(self, fresh: bool) -> dict[str, int]:
+    def start_one(self, fresh: bool, excluded: bool = False) -> dict[str, int]:
         queues = decisions.queueing.TeamQueues(capacity=4)
         item = decisions.queueing.QueuedRequest(
             request_id='request-1',
@@ -21,13 +21,15 @@
         )
         self.assertTrue(decisions.queueing.offer(queues, item).is_ok())
         none_known = SimpleNamespace(teams_by_id={})
+        waiting = SimpleNamespace(is_kept=False)
         state = SimpleNamespace(
             queues_by_service={'quotes': queues},
             routing=object(),
+            excluded=excluded,
             configuration=none_known,
             grants=none_known,
             open_running=0,
-            requests=SimpleNamespace(by_id={'request-1': object()}),
+            requests=SimpleNamespace(by_id={'request-1': waiting}),
         )
         with unittest.mock.patch.multiple(
             _starts,
@@ -48,6 +50,11 @@
         """Guards against a second look at hosts once nothing waits."""
         self.assertEqual(self.start_one(True), {'checks': 0, 'hosts': 1, 'starts': 1})
 
+    def test_nothing_starts_once_excluded(self) -> None:
+        """Guards against a fresh member that goes on after its exclusion."""
+        counts = self.start_one(True, excluded=True)
+        self.assertEqual(counts, {'checks': 0, 'hosts': 0, 'starts': 0})
+
     def test_nothing_starts_when_freshness_is_lost(self) -> None:
         """Guards against the freshness check that is left out for good."""
         self.assertEqual(self.start_one(False), {'checks': 1, 'hosts': 0, 'starts': 0})
