End kept work whose service does not exist any more

Cause: found while reading: a new owner that read kept work of a service which operators had removed met a KeyError in its queue, which ends the process; the next owner would have ended the same way.

Change: the queue refuses such a request, and kept work ends as not run with service_not_found. The text of a refusal for a request that an owner may know is put together in one place.

Before: the new test fails with KeyError. After: test_work_rules passes.

--- a/dandelionknot/_forwarding.py
+++ b/dandelionknot/_forwarding.py
@@ -42,13 +42,13 @@
     say it of a submission that an owner may have taken already.
     """
     request = message.request
-    if request.idempotent and not message.may_be_known:
+    run_state = RunState.UNKNOWN
+    if message.may_be_known:
+        text += '; send the same request again to ask'
+    elif request.idempotent:
         run_state = RunState.NOT_RUN
     else:
-        run_state = RunState.UNKNOWN
         text += '; this submission was not run'
-    if message.may_be_known:
-        text = f'{text.partition(";")[0]}; send the same request again to ask'
     return Refusal(
         code=code,
         message=text,
@@ -60,6 +60,7 @@
 def answer_refusal(
     state: DispatcherState, call: Call, message: SubmitRequest, refusal: Refusal
 ) -> None:
+    """Answers with a refusal and records why."""
     state.context.metrics.count(Counter.REFUSALS)
     state.context.explain(
         Subject.REQUEST, message.request.request_id, 'refused', refusal.message
@@ -89,7 +90,6 @@
         body=codec.to_data(body),
         timeout_ms=max(1, request.deadline_ms - message.age_ms + FORWARD_GRACE_MS),
     )
-
     arrived_ms = now_ms() - message.age_ms
 
     def answer(result: Result[AnswerBody, PeerRefusal]) -> None:
--- a/dandelionknot/_kept_work.py
+++ b/dandelionknot/_kept_work.py
@@ -144,10 +144,18 @@
         call.answer(answer)
     entry.keep_calls.clear()
     state.context.explain(Subject.REQUEST, entry.request_id, 'kept and queued')
-    enqueue(state, entry)
+    _queue(state, entry)
     start_queued(state, entry.body.service)
 
 
+def _queue(state: DispatcherState, entry: RequestEntry) -> None:
+    """Queues a kept request, or ends it if its service does not exist any more."""
+    offered = enqueue(state, entry)
+    if isinstance(offered, Err):
+        refusal = offered.err_value
+        end_queued(state, entry, refusal.code, refusal.message)
+
+
 def _not_kept(entry: RequestEntry) -> object:
     return refusal_for(
         entry,
@@ -244,7 +252,7 @@
             text = 'the deadline passed before the request could start'
             end_not_run(state, entry, ErrorCode.DEADLINE_PASSED, text)
         case _:
-            enqueue(state, entry)
+            _queue(state, entry)
 
 
 def drop_lost(state: DispatcherState, gained: Collection[int] = ()) -> None:
@@ -307,7 +315,7 @@
         elif decisions.claims.must_be_adopted(state.claims, request_id, now_ms()):
             _settle(state, entry, _kept_request(entry))
         else:
-            enqueue(state, entry)
+            _queue(state, entry)
 
 
 def look_after_work(state: DispatcherState) -> None:
--- a/dandelionknot/_queues.py
+++ b/dandelionknot/_queues.py
@@ -3,15 +3,10 @@
 from result import Err, Ok, Result
 
 from dandelionknot import decisions
-from dandelionknot._requests import (
-    RequestEntry,
-)
+from dandelionknot._requests import RequestEntry, refusal_for
 from dandelionknot._state import DispatcherState
 from dandelionknot.clock import now_ms
-from dandelionknot.messages import (
-    Refusal,
-    RequestPhase,
-)
+from dandelionknot.messages import ErrorCode, Refusal, RequestPhase, RunState
 from dandelionknot.metrics import HistogramKey, Measure
 
 
@@ -26,7 +21,9 @@
     state.grants_due = True
     queues = state.queues_by_service.get(service_id)
     if queues is None:
-        service = state.configuration.services_by_id[service_id]
+        service = state.configuration.services_by_id.get(service_id)
+        if service is None:
+            return Err(_service_gone(entry))
         queues = decisions.queueing.TeamQueues(capacity=service.queue_limit)
         state.queues_by_service[service_id] = queues
     offered = decisions.queueing.offer(
@@ -45,6 +42,16 @@
     return offered
 
 
+def _service_gone(entry: RequestEntry) -> Refusal:
+    """Refuses a request that another owner accepted before its service ended."""
+    return refusal_for(
+        entry,
+        ErrorCode.SERVICE_NOT_FOUND,
+        f'service {entry.body.service!r} does not exist any more',
+        RunState.NOT_RUN,
+    )
+
+
 def is_held_back(state: DispatcherState, entry: RequestEntry) -> bool:
     """Holds a kept request back that must not begin an attempt here now.
 
@@ -84,6 +91,7 @@
 
 
 def queue_later(state: DispatcherState, entry: RequestEntry, delay_ms: int) -> bool:
+    """Has a request queued again after a delay."""
     entry.phase = RequestPhase.QUEUED
     state.waiting_to_retry[entry.request_id] = now_ms() + delay_ms
     return True
@@ -92,11 +100,13 @@
 def observe(
     state: DispatcherState, entry: RequestEntry, measure: Measure, now: int
 ) -> None:
+    """Adds the time since a request arrived to a histogram of its team and class."""
     key = HistogramKey(measure, entry.accounting_team, entry.body.priority)
     state.context.metrics.observe(key, now - entry.arrived_ms)
 
 
 def uncount_start(state: DispatcherState, entry: RequestEntry) -> None:
+    """Gives the grant of an attempt back that has ended."""
     if not entry.holds_grant:
         return
     entry.holds_grant = False
--- a/tests/test_work_rules.py
+++ b/tests/test_work_rules.py
@@ -1,8 +1,12 @@
 """Guards the bounds of kept work, and what owners may do with it."""
 
 import unittest
+from types import SimpleNamespace
 
 from dandelionknot import _claims, _slices, _work
+from dandelionknot._queues import enqueue
+from dandelionknot._requests import RequestEntry
+from dandelionknot.configuration import Configuration
 from dandelionknot.messages import Claim, ClaimSegment, ErrorCode, RunState
 from tests.test_work import (
     BASE_UNIX_MS,
@@ -161,3 +165,25 @@
         world.take_over(trusts_log=False)
         _claims.adopt_kept(world.owner.table, kept)
         return world.owner.table
+
+
+class MissingServiceTest(unittest.TestCase):
+    def test_work_of_a_service_that_has_ended(self):
+        """Guards against a new owner that stops when it reads such work."""
+        kept = make_kept(1, 0, 1, True)
+        entry = RequestEntry(
+            body=kept.request,
+            body_digest=kept.body_digest,
+            team_id=kept.team,
+            key_id=kept.key_id,
+            arrived_ms=0,
+            deadline_at_ms=1000,
+        )
+        state = SimpleNamespace(
+            configuration=Configuration(version=1),
+            queues_by_service={},
+            grants_due=False,
+        )
+        refusal = enqueue(state, entry).unwrap_err()
+        self.assertIs(refusal.code, ErrorCode.SERVICE_NOT_FOUND)
+        self.assertIs(refusal.run_state, RunState.NOT_RUN)
