--- a/dandelionknot/codec.py
+++ b/dandelionknot/codec.py
@@ -16,23 +16,11 @@
 from result import Err, Ok, Result
 
 from dandelionknot._generated_validators import VALIDATORS_BY_NAME
+from dandelionknot.errors import DecodeError
 
 T = TypeVar('T')
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DecodeError:
-    """Data that does not match the schema: the place and the problem."""
-
-    where: str
-    problem: str
-    line: int | None = None
-
-    def __str__(self) -> str:
-        """Formats the error as one line."""
-        return f'{self.where}: {self.problem}'
-
-
 class _UniqueKeyLoader(yaml.SafeLoader):
     """Loads YAML and refuses duplicate keys, which PyYAML silently accepts."""
 
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -52,6 +52,36 @@
     WORK_NOT_KEPT = 6009
     MOVE_ADVANCED = 7001
     PLAN_ADVANCED = 7002
+    MANAGER_STARTED = 8001
+    MANAGER_STOPPING = 8002
+    MANAGER_STOPPED = 8003
+    MANAGER_SETTINGS_READ = 8004
+    STORE_VIEW_STALE = 8005
+    STORE_VIEW_FRESH = 8006
+    STORE_HISTORY_LOST = 8007
+    LEADERSHIP_GAINED = 8008
+    LEADERSHIP_LOST = 8009
+    LINES_LEFT_OUT = 8010
+    JOB_ACCEPTED = 8101
+    JOB_REFUSED = 8102
+    JOB_CANCEL_STORED = 8103
+    JOB_ENDED = 8104
+    TASK_STARTED = 8105
+    TASK_ENDED = 8106
+    TASK_REQUEUED = 8107
+    TASK_STOPPED = 8108
+    ORPHAN_STOPPED = 8109
+    TASK_PACED = 8110
+    BACKEND_APPEARED = 8201
+    BACKEND_DRAINING = 8202
+    BACKEND_GONE = 8203
+    BACKEND_REBORN = 8204
+    BACKEND_AVOIDED = 8205
+    RECORDS_NOT_STORED = 8206
+    ZONES_EXCLUDED = 8301
+    WAVE_ADVANCED = 8302
+    UPKEEP_ORDERED = 8303
+    HOST_MOVE_ORDERED = 8304
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +225,86 @@
     Event.PLAN_ADVANCED: EventInfo(
         INFO, 'A maintenance plan drained or returned hosts.', NO_ACTION
     ),
+    Event.MANAGER_STARTED: EventInfo(INFO, 'A manager process serves.', NO_ACTION),
+    Event.MANAGER_STOPPING: EventInfo(
+        INFO, 'The process is not ready any more and finishes its calls.', NO_ACTION
+    ),
+    Event.MANAGER_STOPPED: EventInfo(INFO, 'The process has ended.', NO_ACTION),
+    Event.MANAGER_SETTINGS_READ: EventInfo(
+        INFO, 'The settings file was read again.', NO_ACTION
+    ),
+    Event.STORE_VIEW_STALE: EventInfo(
+        WARNING,
+        'The store has not answered for too long; calls are refused.',
+        'Check the path to the store; other entry hosts serve meanwhile.',
+    ),
+    Event.STORE_VIEW_FRESH: EventInfo(INFO, 'The store answers again.', NO_ACTION),
+    Event.STORE_HISTORY_LOST: EventInfo(
+        WARNING, 'The store forgot its history; everything is read again.', NO_ACTION
+    ),
+    Event.LEADERSHIP_GAINED: EventInfo(
+        INFO, 'This process decides where tasks run from now on.', NO_ACTION
+    ),
+    Event.LEADERSHIP_LOST: EventInfo(
+        WARNING, 'This process has stopped deciding; another one takes over.', NO_ACTION
+    ),
+    Event.LINES_LEFT_OUT: EventInfo(
+        WARNING,
+        'Log lines were left out to bound the volume; the fields count them by event.',
+        NO_ACTION,
+    ),
+    Event.JOB_ACCEPTED: EventInfo(INFO, 'A job was stored.', NO_ACTION),
+    Event.JOB_REFUSED: EventInfo(
+        INFO, 'A call was refused; a job of it never runs.', NO_ACTION
+    ),
+    Event.JOB_CANCEL_STORED: EventInfo(
+        INFO, 'The cancellation of a job was stored.', NO_ACTION
+    ),
+    Event.JOB_ENDED: EventInfo(INFO, 'A job has ended.', NO_ACTION),
+    Event.TASK_STARTED: EventInfo(
+        INFO, 'A backend server accepted a start.', NO_ACTION
+    ),
+    Event.TASK_ENDED: EventInfo(INFO, 'A run of a task has ended.', NO_ACTION),
+    Event.TASK_REQUEUED: EventInfo(
+        INFO, 'A task waits for its next run; the former has surely ended.', NO_ACTION
+    ),
+    Event.TASK_STOPPED: EventInfo(INFO, 'A run is ordered to stop.', NO_ACTION),
+    Event.ORPHAN_STOPPED: EventInfo(
+        WARNING, 'A run that is not wanted any more is ordered to stop.', NO_ACTION
+    ),
+    Event.TASK_PACED: EventInfo(
+        INFO, 'A task works at another share of its speed.', NO_ACTION
+    ),
+    Event.BACKEND_APPEARED: EventInfo(
+        INFO, 'A backend server has registered.', NO_ACTION
+    ),
+    Event.BACKEND_DRAINING: EventInfo(
+        INFO, 'A backend server leaves and gets no further starts.', NO_ACTION
+    ),
+    Event.BACKEND_GONE: EventInfo(
+        INFO, 'The entry of a backend server was removed.', NO_ACTION
+    ),
+    Event.BACKEND_REBORN: EventInfo(
+        WARNING, 'A backend server started again and runs nothing.', NO_ACTION
+    ),
+    Event.BACKEND_AVOIDED: EventInfo(
+        WARNING,
+        'A backend server gets no starts for a while.',
+        'Check the host if it happens again.',
+    ),
+    Event.RECORDS_NOT_STORED: EventInfo(
+        WARNING, 'The store did not take records; nothing is started.', NO_ACTION
+    ),
+    Event.ZONES_EXCLUDED: EventInfo(
+        INFO, 'The operators took availability zones out or back.', NO_ACTION
+    ),
+    Event.WAVE_ADVANCED: EventInfo(INFO, 'A wave of upkeep advanced.', NO_ACTION),
+    Event.UPKEEP_ORDERED: EventInfo(
+        INFO, 'The upkeep of a host was ordered.', NO_ACTION
+    ),
+    Event.HOST_MOVE_ORDERED: EventInfo(
+        INFO, 'A host was ordered to another pool.', NO_ACTION
+    ),
 }
 
 
--- /dev/null
+++ b/dandelionknot/jobs/_admission.py
@@ -0,0 +1,57 @@
+"""Which queue a call is for, and for which client account its key speaks."""
+
+from dataclasses import dataclass, field
+
+from dandelionknot.jobs._generated import JobConfiguration, Queue
+
+# The account of jobs on queues that are open to all and come without a key.
+NO_ACCOUNT = ''
+
+
+@dataclass(slots=True)
+class Admission:
+    """Queues and keys of one version of the configuration."""
+
+    version: int = -1
+    queues_by_name: dict[str, Queue] = field(default_factory=dict)
+    queues_by_host: dict[str, list[Queue]] = field(default_factory=dict)
+    accounts_by_key: dict[str, str] = field(default_factory=dict)
+
+    def set_configuration(self, configuration: JobConfiguration) -> None:
+        """Puts a later version in force."""
+        if configuration.version <= self.version:
+            return
+        self.version = configuration.version
+        self.queues_by_name = {queue.name: queue for queue in configuration.queues}
+        self.queues_by_host = {}
+        for queue in sorted(
+            configuration.queues, key=lambda q: len(q.path_prefix), reverse=True
+        ):
+            self.queues_by_host.setdefault(queue.host, []).append(queue)
+        self.accounts_by_key = {
+            key: account.name
+            for account in configuration.client_accounts
+            for key in account.keys
+        }
+
+    def locate(self, host: str, path: str) -> tuple[str, str] | None:
+        """Returns the queue with the longest prefix of a path, and the rest.
+
+        For the queue at `/quotes/`, `/quotes/00ff` gives `('quotes', '00ff')`.
+        """
+        path = path.split('?', 1)[0]
+        for queue in self.queues_by_host.get(host, ()):
+            if path.startswith(queue.path_prefix):
+                return queue.name, path[len(queue.path_prefix) :]
+        return None
+
+    def queue(self, name: str) -> Queue | None:
+        """Returns a queue by name."""
+        return self.queues_by_name.get(name)
+
+    def account_for(self, queue: Queue, key: str) -> str | None:
+        """Returns the client account of a call, or None if its key is not valid."""
+        account = self.accounts_by_key.get(key)
+        if account is not None:
+            return account
+        return NO_ACCOUNT if queue.open_to_all else None
--- /dev/null
+++ b/dandelionknot/jobs/_ends.py
@@ -0,0 +1,147 @@
+"""What the end of a run means for its task, its step and its job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dandelionknot.events import Event
+from dandelionknot.jobs._generated import EndedTask, EndReason, JobPhase
+from dandelionknot.jobs._records import occurrence_count
+from dandelionknot.jobs._state import (
+    BackendState,
+    JobState,
+    TaskPhase,
+    TaskState,
+    vacate,
+)
+
+if TYPE_CHECKING:
+    from dandelionknot.jobs._scheduler import Scheduler
+
+# First pause before a task that failed runs again; it doubles with each failure.
+RETRY_PAUSE_MS = 50
+MAX_RETRY_PAUSE_MS = 2000
+# A backend server on which tasks of so many jobs failed in a row is passed over.
+FAILING_JOBS = 3
+FAILING_PAUSE_MS = 4000
+
+
+def apply_end(
+    scheduler: Scheduler,
+    backend: BackendState,
+    task: TaskState,
+    ended: EndedTask,
+    now_ms: int,
+    unix_ms: int,
+) -> None:
+    """Takes the end of a run of a task.
+
+    An earlier run may be reported late; if it is done, so is the task, and a
+    later run of it is stopped.
+    """
+    state = task.step.job
+    if ended.checkpoint and ended.run >= task.run:
+        task.checkpoint = ended.checkpoint
+    current = task.backend is backend and task.run == ended.run
+    if current:
+        vacate(task)
+        if task.phase is not TaskPhase.DONE:
+            task.phase = TaskPhase.WAITING
+    if state.final or task.phase is TaskPhase.DONE:
+        return
+    scheduler.note(
+        Event.TASK_ENDED,
+        {
+            'job_id': state.job.job_id,
+            'task': task.name,
+            'run': ended.run,
+            'backend_id': backend.backend_id,
+            'reason': ended.reason.value,
+            'failures': task.failures,
+        },
+    )
+    if ended.reason is EndReason.DONE and not task.step.spec.long_running:
+        backend.failed_in_row = 0
+        backend.failed_job_ids.clear()
+        _task_done(scheduler, task, unix_ms)
+    elif ended.reason is EndReason.FAILED:
+        _task_failed(scheduler, backend, task, now_ms, unix_ms)
+    scheduler.mark(state)
+
+
+def _task_done(scheduler: Scheduler, task: TaskState, unix_ms: int) -> None:
+    step = task.step
+    # The members of a gang end together, so that one end stands for all.
+    members = step.tasks if step.spec.gang else [task]
+    for member in members:
+        if member.phase is TaskPhase.DONE:
+            continue
+        member.phase = TaskPhase.DONE
+        step.done += 1
+        if member.backend is not None and not step.spec.gang:
+            scheduler.stop(member, 'an earlier run is done')
+    settle(scheduler, step.job, unix_ms)
+
+
+def settle(scheduler: Scheduler, state: JobState, unix_ms: int) -> None:
+    """Ends a job whose tasks are all done."""
+    if len(state.steps_by_occurrence) < occurrence_count(state.job):
+        return
+    for steps in state.steps_by_occurrence.values():
+        if any(step.done < len(step.tasks) for step in steps):
+            return
+    if not state.final:
+        end_job(scheduler, state, JobPhase.DONE, unix_ms)
+
+
+def _task_failed(
+    scheduler: Scheduler,
+    backend: BackendState,
+    task: TaskState,
+    now_ms: int,
+    unix_ms: int,
+) -> None:
+    task.failures += 1
+    pause = min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << min(task.failures - 1, 10))
+    task.not_before_ms = now_ms + pause
+    _suspect(scheduler, backend, task, now_ms)
+    state = task.step.job
+    if task.step.spec.long_running or task.failures < state.queue.max_attempts:
+        return
+    end_job(scheduler, state, JobPhase.FAILED, unix_ms)
+
+
+def _suspect(
+    scheduler: Scheduler, backend: BackendState, task: TaskState, now_ms: int
+) -> None:
+    """Passes over a backend server on which tasks of several jobs fail in a row."""
+    backend.failed_in_row += 1
+    backend.failed_job_ids.add(task.step.job.job.job_id)
+    if len(backend.failed_job_ids) < FAILING_JOBS:
+        return
+    backend.avoid_until_ms = now_ms + FAILING_PAUSE_MS
+    scheduler.note(
+        Event.BACKEND_AVOIDED,
+        {
+            'backend_id': backend.backend_id,
+            'reason': 'tasks of several jobs failed in a row',
+            'failures': backend.failed_in_row,
+            'for_ms': FAILING_PAUSE_MS,
+        },
+    )
+
+
+def end_job(
+    scheduler: Scheduler, state: JobState, phase: JobPhase, unix_ms: int
+) -> None:
+    """Ends a job for good and stops what still runs of it."""
+    state.phase = phase
+    state.ended_unix_ms = unix_ms
+    scheduler.open_jobs_by_id.pop(state.job.job_id, None)
+    scheduler.mark(state)
+    scheduler.note(Event.JOB_ENDED, {'job_id': state.job.job_id, 'phase': phase.value})
+    for steps in state.steps_by_occurrence.values():
+        for step in steps:
+            for task in step.tasks:
+                if task.backend is not None and task.phase is not TaskPhase.DONE:
+                    scheduler.stop(task, f'job is {phase.value}')
--- /dev/null
+++ b/dandelionknot/jobs/_placement.py
@@ -0,0 +1,152 @@
+"""Choice of the backend server on which a task runs."""
+
+from collections.abc import Iterable
+
+from dandelionknot.jobs._generated import Resources, StepSpec
+from dandelionknot.jobs._state import (
+    AccountState,
+    BackendState,
+    StepState,
+    TaskPhase,
+    TaskState,
+    occupies_cpu,
+)
+
+# A cold backend server is used only if no warm one has room.
+COLD_PENALTY = 10.0
+REMOTE_RACK_PENALTY = 2.0
+# Serving tasks and tasks that use idle capacity disturb each other.
+DISTURBANCE_PENALTY = 4.0
+
+
+def within_limit(account: AccountState, needed: Resources) -> bool:
+    """Whether one more task keeps a client account within its limit."""
+    limit = account.limit
+    return (
+        _fits(account.cpu_millicores, needed.cpu_millicores, limit.cpu_millicores)
+        and _fits(account.memory_mb, needed.memory_mb, limit.memory_mb)
+        and _fits(account.accelerators, needed.accelerators, limit.accelerators)
+    )
+
+
+def _fits(used: int, needed: int, limit: int) -> bool:
+    """A limit of zero means no limit."""
+    return not limit or not needed or used + needed <= limit
+
+
+def has_room(backend: BackendState, spec: StepSpec) -> bool:
+    """Whether a backend server's room holds one more task of a step."""
+    if backend.report is None:
+        return False
+    room, needed = backend.report.room, spec.resources
+    return (
+        backend.cpu_millicores + occupies_cpu(spec) <= room.cpu_millicores
+        and backend.memory_mb + needed.memory_mb <= room.memory_mb
+        and backend.accelerators + needed.accelerators <= room.accelerators
+    )
+
+
+def allowed_on(step: StepState, backend: BackendState) -> bool:
+    """Whether the step's own rules allow a further task on a backend server."""
+    spec = step.spec
+    if spec.required_label and (
+        backend.report is None or spec.required_label not in backend.report.labels
+    ):
+        return False
+    if not spec.max_per_host:
+        return True
+    used = step.tasks_by_backend_id.get(backend.backend_id, 0)
+    return used < spec.max_per_host
+
+
+def preferred(step: StepState, backends: Iterable[BackendState]) -> BackendState | None:
+    """Returns the best backend server with room for a task, or None."""
+    best: BackendState | None = None
+    best_cost = 0.0
+    for backend in backends:
+        if not has_room(backend, step.spec) or not allowed_on(step, backend):
+            continue
+        cost = _cost(step, backend)
+        if best is None or cost < best_cost:
+            best, best_cost = backend, cost
+    return best
+
+
+def _cost(step: StepState, backend: BackendState) -> float:
+    """Lower is better: the share of the room in use, and what slows the task."""
+    report = backend.report
+    assert report is not None
+    room, spec = report.room, step.spec
+    cost = backend.cpu_millicores / max(1, room.cpu_millicores)
+    cost += 0.5 * backend.memory_mb / max(1, room.memory_mb)
+    if report.cold_left_ms:
+        cost += COLD_PENALTY
+    if spec.preferred_rack and backend.rack != spec.preferred_rack:
+        cost += REMOTE_RACK_PENALTY
+    if spec.uses_idle_capacity or spec.latency_objective_ms:
+        cost += DISTURBANCE_PENALTY * _disturbing(spec, backend)
+    if spec.long_running:
+        cost += step.tasks_by_backend_id.get(backend.backend_id, 0)
+    return cost
+
+
+def _disturbing(spec: StepSpec, backend: BackendState) -> int:
+    """Returns how many tasks there would disturb or be disturbed by a new one."""
+    return sum(
+        1
+        for task in backend.tasks_by_name.values()
+        if (
+            task.step.spec.latency_objective_ms
+            if spec.uses_idle_capacity
+            else task.step.spec.uses_idle_capacity
+        )
+    )
+
+
+def place_gang(
+    step: StepState, backends: list[BackendState]
+) -> list[tuple[TaskState, BackendState]] | None:
+    """Returns a place for every task of a gang, or None if they do not all fit.
+
+    With `same_rack`, a single rack is tried first.
+    """
+    if step.spec.same_rack:
+        racks = sorted({backend.rack for backend in backends})
+        for rack in racks:
+            found = _place_all(step, [b for b in backends if b.rack == rack])
+            if found is not None:
+                return found
+    return _place_all(step, backends)
+
+
+def _place_all(
+    step: StepState, backends: list[BackendState]
+) -> list[tuple[TaskState, BackendState]] | None:
+    waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
+    added: dict[str, int] = {}
+    places = []
+    for task in waiting:
+        found = next((b for b in backends if _room_for(step, b, added)), None)
+        if found is None:
+            return None
+        added[found.backend_id] = added.get(found.backend_id, 0) + 1
+        places.append((task, found))
+    return places
+
+
+def _room_for(step: StepState, backend: BackendState, added: dict[str, int]) -> bool:
+    if backend.report is None or not allowed_on(step, backend):
+        return False
+    spec, room = step.spec, backend.report.room
+    count = added.get(backend.backend_id, 0)
+    if spec.max_per_host:
+        used = step.tasks_by_backend_id.get(backend.backend_id, 0)
+        if used + count >= spec.max_per_host:
+            return False
+    needed = spec.resources
+    count += 1
+    return (
+        backend.cpu_millicores + count * occupies_cpu(spec) <= room.cpu_millicores
+        and backend.memory_mb + count * needed.memory_mb <= room.memory_mb
+        and backend.accelerators + count * needed.accelerators <= room.accelerators
+    )
--- /dev/null
+++ b/dandelionknot/manager/_commit.py
@@ -0,0 +1,112 @@
+"""The task that stores the records of the leader."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err
+
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._scheduler import Batch
+from dandelionknot.jobs._stored import LEADER_KEY, RECORD_PREFIX
+from dandelionknot.store import Precondition, Put, Store, WriteOutcome, Written
+
+# A write holds 32 entries; the condition on the leader's item and the item itself
+# take two of them.
+MAX_RECORDS = 30
+WRITE_TIMEOUT_MS = 700
+RETRY_MS = 40
+
+
+@dataclass(slots=True)
+class BatchStored:
+    """A batch is stored."""
+
+    batch: Batch
+    took_ms: int
+
+
+@dataclass(slots=True)
+class TermEnded:
+    """The leader's item has changed or its lease has ended."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class Committer:
+    """Writes batches one after the other, each under the leader's item.
+
+    Each write changes the leader's item and is conditional on its revision. A
+    write whose answer was lost therefore either is the last change of the item,
+    or can never happen any more once a later one has.
+    """
+
+    store: Store
+    member_id: str
+    lease_id: int
+    term: int
+    revision: int
+    report: Callable[[object], object]
+    number: int = 0
+    inbox: Mailbox = field(default_factory=lambda: Mailbox(64))
+
+    async def run(self) -> None:
+        """Stores what arrives until the term ends."""
+        while True:
+            message = await self.inbox.receive()
+            started_ms = now_ms()
+            if isinstance(message, Batch):
+                puts = [
+                    Put(RECORD_PREFIX + job_id, msgspec.json.encode(record))
+                    for job_id, record in message.records_by_job_id.items()
+                ]
+                puts += message.other_puts
+                if not await self._store(puts, message.deleted_keys):
+                    return
+                self.report(BatchStored(message, now_ms() - started_ms))
+
+    async def _store(self, puts: list[Put], deleted_keys: list[str]) -> bool:
+        self.number += 1
+        value = leader_value(self.member_id, self.term, self.number)
+        puts = [Put(LEADER_KEY, value, self.lease_id), *puts]
+        failed = False
+        while True:
+            condition = Precondition(LEADER_KEY, self.revision)
+            result = await self.store.write(
+                [condition], puts, deleted_keys, WRITE_TIMEOUT_MS
+            )
+            if not isinstance(result, Err):
+                return self._finish(result.ok_value, value)
+            if not failed:
+                log_event(
+                    Event.RECORDS_NOT_STORED,
+                    reason=result.err_value.message,
+                    not_done=result.err_value.not_done,
+                    records=len(puts) - 1,
+                )
+                failed = True
+            await asyncio.sleep(seconds(RETRY_MS))
+
+    def _finish(self, written: Written, value: bytes) -> bool:
+        if written.outcome is WriteOutcome.WRITTEN:
+            self.revision = written.revision
+            return True
+        if written.outcome is WriteOutcome.LEASE_ENDED:
+            self.report(TermEnded('the leader lease has ended'))
+            return False
+        for item in written.items:
+            if item.key == LEADER_KEY and item.value == value:
+                # An earlier try whose answer was lost has been carried out.
+                self.revision = item.revision
+                return True
+        self.report(TermEnded('another write changed the leader item'))
+        return False
+
+
+def leader_value(member_id: str, term: int, number: int) -> bytes:
+    """Returns the value of the leader's item after a number of its writes."""
+    return msgspec.json.encode({'member_id': member_id, 'term': term, 'write': number})
--- /dev/null
+++ b/dandelionknot/manager/_gate.py
@@ -0,0 +1,263 @@
+"""Takes calls of callers on any entry host.
+
+A job is accepted by writing it under the condition that the configuration has
+not changed since it was checked, so that no job is accepted under an old one.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err
+
+from dandelionknot.clock import now_ms, seconds, unix_ms
+from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._admission import Admission
+from dandelionknot.jobs._generated import (
+    CallerReply,
+    CallerVerdict,
+    Job,
+    JobPhase,
+    JobSpec,
+    ManagerSettings,
+    Queue,
+)
+from dandelionknot.jobs._state import FINAL_PHASES
+from dandelionknot.jobs._stored import CANCEL_PREFIX, JOB_PREFIX
+from dandelionknot.manager._view import View
+from dandelionknot.store import Item, Precondition, Put, Store, WriteOutcome, Written
+
+# Part of the time that a withdrawn key may still work after which calls are
+# refused if the store has not answered; the rest is for clocks and the call.
+STALE_SHARE = 0.6
+# A view as old as this is not ready for new connections.
+READY_AGE_MS = 2500
+WRITE_TIMEOUT_MS = 900
+# Pause between tries of a write that the store did not take.
+RETRY_MS = 60
+# The answer has to reach the caller before its deadline.
+ANSWER_MARGIN_MS = 150
+RETRY_AFTER_S = 1
+# A store that has not answered for so long is taken to turn this host away.
+TURNED_AWAY_MS = 1000
+
+
+@dataclass(slots=True)
+class Gate:
+    """Decides on calls with the view and writes what is accepted."""
+
+    settings: ManagerSettings
+    store: Store
+    view: View
+    configuration_key: str
+    admission: Admission = field(default_factory=Admission)
+    stopping: bool = False
+    fresh: bool = False
+
+    def age_ms(self) -> int:
+        """Returns how old the view may be."""
+        return now_ms() - self.view.current_as_of_ms
+
+    def usable(self) -> bool:
+        """Whether the view is current enough to decide on keys."""
+        limit = int(self.settings.timing.revoke_ms * STALE_SHARE)
+        fresh = self.view.current_as_of_ms > 0 and self.age_ms() <= limit
+        if fresh != self.fresh:
+            self.fresh = fresh
+            event = Event.STORE_VIEW_FRESH if fresh else Event.STORE_VIEW_STALE
+            log_event(event, age_ms=self.age_ms(), revision=self.view.revision)
+        return fresh
+
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        if self.stopping or self.view.configuration is None or not self.usable():
+            return False
+        return self.age_ms() <= READY_AGE_MS
+
+    def locate(self, host: str, path: str) -> tuple[str, str] | None:
+        """Returns queue and job id of a path; an empty queue means not yet known."""
+        self._refresh()
+        if self.view.configuration is None or not self.usable():
+            return '', ''
+        return self.admission.locate(host, path)
+
+    def _refresh(self) -> None:
+        configuration = self.view.configuration
+        if configuration is not None:
+            self.admission.set_configuration(configuration)
+
+    def _account(self, queue: Queue, key: str) -> str | None:
+        return self.admission.account_for(queue, key)
+
+    async def submit(
+        self, queue_name: str, key: str, job_id: str, spec: JobSpec, deadline_ms: int
+    ) -> CallerReply:
+        """Stores a job; the same id again is the same job."""
+        give_up_ms = now_ms() + deadline_ms - ANSWER_MARGIN_MS
+        unknown = False
+        while True:
+            self._refresh()
+            queue = self.admission.queue(queue_name)
+            if queue is None:
+                return self._refused(
+                    job_id, CallerVerdict.NOT_FOUND, 'the queue is gone', unknown
+                )
+            account = self._account(queue, key)
+            if account is None:
+                return self._refused(
+                    job_id, CallerVerdict.KEY_UNKNOWN, 'unknown key', unknown
+                )
+            if job_id in self.view.jobs_by_id:
+                return CallerReply(verdict=CallerVerdict.ACCEPTED)
+            written = await self._write_job(queue, account, job_id, spec, give_up_ms)
+            if isinstance(written, Err):
+                unknown = unknown or not written.err_value.not_done
+                problem = written.err_value.message
+            elif self._settled(written.ok_value, job_id):
+                log_event(
+                    Event.JOB_ACCEPTED,
+                    job_id=job_id,
+                    queue=queue.name,
+                    client_account=account,
+                    configuration_version=self.admission.version,
+                    repeated=unknown,
+                )
+                return CallerReply(verdict=CallerVerdict.ACCEPTED)
+            else:
+                problem = 'the configuration changed meanwhile'
+            late = now_ms() + RETRY_MS >= give_up_ms
+            # The store turns this host away: another host may serve the caller.
+            turned_away = not unknown and self.age_ms() > TURNED_AWAY_MS
+            if late or turned_away:
+                verdict = CallerVerdict.NOT_ACCEPTED
+                return self._refused(job_id, verdict, problem, unknown)
+            if isinstance(written, Err):
+                await asyncio.sleep(seconds(RETRY_MS))
+
+    async def _write_job(
+        self, queue: Queue, account: str, job_id: str, spec: JobSpec, give_up_ms: int
+    ):
+        job = Job(
+            job_id=job_id,
+            queue=queue.name,
+            service=queue.service,
+            client_account=account,
+            accepted_unix_ms=unix_ms(),
+            spec=spec,
+        )
+        key = JOB_PREFIX + job_id
+        return await self.store.write(
+            [
+                Precondition(self.configuration_key, self.view.configuration_revision),
+                Precondition(key, 0),
+            ],
+            [Put(key, msgspec.json.encode(job))],
+            [],
+            max(1, min(WRITE_TIMEOUT_MS, give_up_ms - now_ms())),
+        )
+
+    def _settled(self, written: Written, job_id: str) -> bool:
+        """Whether the job is stored; otherwise takes the newer configuration."""
+        if written.outcome is WriteOutcome.WRITTEN:
+            return True
+        for item in written.items:
+            if item.key == JOB_PREFIX + job_id and item.revision:
+                return True
+        self._take(written.items)
+        return False
+
+    def _take(self, items: list[Item]) -> None:
+        for item in items:
+            if item.key == self.configuration_key and item.revision:
+                fact = self.view.meaning(item)
+                if fact is not None:
+                    self.view.apply_configuration(fact)
+
+    def _refused(
+        self, job_id: str, verdict: CallerVerdict, reason: str, unknown: bool
+    ) -> CallerReply:
+        """Refuses a call; after an unanswered write the outcome stays unknown."""
+        if unknown:
+            verdict = CallerVerdict.UNKNOWN
+        log_event(
+            Event.JOB_REFUSED,
+            job_id=job_id,
+            verdict=verdict.value,
+            reason=reason,
+            view_age_ms=self.age_ms(),
+            configuration_version=self.admission.version,
+        )
+        retry = RETRY_AFTER_S if verdict is CallerVerdict.NOT_ACCEPTED else 0
+        return CallerReply(verdict=verdict, reason=reason, retry_after_s=retry)
+
+    def _check(self, queue_name: str, key: str) -> CallerReply | str:
+        """Returns the client account of a call, or why it is refused."""
+        self._refresh()
+        queue = self.admission.queue(queue_name)
+        if queue is None:
+            return CallerReply(verdict=CallerVerdict.NOT_FOUND)
+        account = self._account(queue, key)
+        if account is None:
+            return CallerReply(verdict=CallerVerdict.KEY_UNKNOWN)
+        return account
+
+    def state(self, queue_name: str, key: str, job_id: str) -> CallerReply:
+        """Returns the phase of a job."""
+        checked = self._check(queue_name, key)
+        if isinstance(checked, CallerReply):
+            return checked
+        entry = self.view.jobs_by_id.get(job_id)
+        if entry is None:
+            return CallerReply(verdict=CallerVerdict.NOT_FOUND)
+        return CallerReply(verdict=CallerVerdict.KNOWN, phase=entry.phase)
+
+    def waiting(self, queue_name: str, key: str) -> CallerReply:
+        """Returns how many jobs of a queue have not started."""
+        checked = self._check(queue_name, key)
+        if isinstance(checked, CallerReply):
+            return checked
+        count = sum(
+            1
+            for entry in self.view.jobs_by_id.values()
+            if entry.job.queue == queue_name and entry.phase is JobPhase.QUEUED
+        )
+        return CallerReply(verdict=CallerVerdict.KNOWN, waiting_jobs=count)
+
+    async def cancel(
+        self, queue_name: str, key: str, job_id: str, deadline_ms: int
+    ) -> CallerReply:
+        """Stores that a job is cancelled; a job that has ended stays as it is."""
+        give_up_ms = now_ms() + deadline_ms - ANSWER_MARGIN_MS
+        checked = self._check(queue_name, key)
+        if isinstance(checked, CallerReply):
+            return checked
+        job_key = JOB_PREFIX + job_id
+        while True:
+            entry = self.view.jobs_by_id.get(job_id)
+            if entry is not None and entry.phase in FINAL_PHASES:
+                return CallerReply(verdict=CallerVerdict.KNOWN, phase=entry.phase)
+            revision = self.view.revisions_by_key.get(job_key, 0)
+            if entry is None or not revision:
+                return CallerReply(verdict=CallerVerdict.NOT_FOUND)
+            written = await self.store.write(
+                [Precondition(job_key, revision)],
+                [Put(CANCEL_PREFIX + job_id, b'{}')],
+                [],
+                max(1, min(WRITE_TIMEOUT_MS, give_up_ms - now_ms())),
+            )
+            if not isinstance(written, Err):
+                if written.ok_value.outcome is WriteOutcome.WRITTEN:
+                    entry.cancelled = True
+                    log_event(Event.JOB_CANCEL_STORED, job_id=job_id)
+                    return CallerReply(
+                        verdict=CallerVerdict.KNOWN, phase=JobPhase.CANCELLED
+                    )
+                return CallerReply(verdict=CallerVerdict.NOT_FOUND)
+            if now_ms() + RETRY_MS >= give_up_ms:
+                return self._refused(
+                    job_id,
+                    CallerVerdict.UNKNOWN,
+                    f'cancellation not stored: {written.err_value.message}',
+                    True,
+                )
+            await asyncio.sleep(seconds(RETRY_MS))
--- /dev/null
+++ b/dandelionknot/manager/_lead.py
@@ -0,0 +1,279 @@
+"""The task that owns the scheduler during one leadership term."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from result import Result
+
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.clock import now_ms, seconds, unix_ms
+from dandelionknot.events import log_event
+from dandelionknot.jobs._generated import (
+    AdviceGiven,
+    AskAdvice,
+    ContactLost,
+    EndsStored,
+    HoldAnswered,
+    ManagerSettings,
+    StartFinished,
+    StopFinished,
+)
+from dandelionknot.jobs._scheduler import Command, Scheduler
+from dandelionknot.jobs._state import BackendState
+from dandelionknot.jobs._stored import (
+    BackendFact,
+    ConfigurationFact,
+    ZoneFact,
+)
+from dandelionknot.manager._commit import (
+    MAX_RECORDS,
+    BatchStored,
+    Committer,
+    TermEnded,
+)
+from dandelionknot.manager._leadership import Term
+from dandelionknot.manager._link import Link
+from dandelionknot.manager._ports import Orders
+from dandelionknot.manager._view import JobCancelled, JobDeleted, JobStored, View
+from dandelionknot.store import Store
+
+# Planning at least so often, for leases that lapse and occurrences that come due.
+TICK_MS = 100
+# Events that come together are planned for together.
+GROUP_MS = 4
+MAILBOX_CAPACITY = 100_000
+
+
+@dataclass(slots=True)
+class LeaderPorts:
+    """What a term needs of the rest of the process."""
+
+    store: Store
+    view: View
+    settings: ManagerSettings
+    new_orders: Callable[[str, str, int], Orders]
+    reached: Callable[[int], Awaitable[None]]
+    subscribe: Callable[[Mailbox], None]
+    unsubscribe: Callable[[Mailbox], None]
+    ask_advice: Callable[[AskAdvice], Awaitable[Result]]
+    stopping: asyncio.Event
+
+
+@dataclass(slots=True)
+class Leader:
+    """The scheduler of one term with its links and its committer."""
+
+    ports: LeaderPorts
+    term: Term
+    scheduler: Scheduler
+    mailbox: Mailbox = field(default_factory=lambda: Mailbox(MAILBOX_CAPACITY))
+    links: dict[tuple[str, int], Link] = field(default_factory=dict)
+    tasks: dict[tuple[str, int], asyncio.Task] = field(default_factory=dict)
+    others: set[asyncio.Task] = field(default_factory=set)
+    committer: Committer | None = None
+    committing: bool = False
+
+    @classmethod
+    def from_ports(cls, ports: LeaderPorts, term: Term) -> 'Leader':
+        """Returns the leader of a new term."""
+        scheduler = Scheduler(hold_max_ms=ports.settings.timing.hold_max_ms)
+        return cls(ports=ports, term=term, scheduler=scheduler)
+
+    async def run(self) -> str:
+        """Leads until the term ends; returns why it ended."""
+        self.ports.subscribe(self.mailbox)
+        try:
+            await self.ports.reached(self.term.revision)
+            self._load()
+            self.committer = Committer(
+                store=self.ports.store,
+                member_id=self.ports.settings.member_id,
+                lease_id=self.term.lease_id,
+                term=self.term.number,
+                revision=self.term.revision,
+                report=self.mailbox.send,
+            )
+            self._spawn(self.committer.run())
+            return await self._loop()
+        finally:
+            self.ports.unsubscribe(self.mailbox)
+            for task in [*self.tasks.values(), *self.others]:
+                task.cancel()
+
+    def _spawn(self, coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self.others.add(task)
+        task.add_done_callback(self.others.discard)
+        return task
+
+    def _load(self) -> None:
+        """Builds the state of the scheduler from the view."""
+        view, now, unix = self.ports.view, now_ms(), unix_ms()
+        if view.configuration is not None:
+            self.scheduler.set_configuration(view.configuration)
+        self.scheduler.excluded_zones = frozenset(view.excluded_zones)
+        for entry in view.jobs_by_id.values():
+            self.scheduler.add_job(entry.job, entry.record, now, unix)
+            if entry.cancelled:
+                self.scheduler.cancel_job(entry.job.job_id, unix)
+        for report in view.backends_by_id.values():
+            self.scheduler.set_backend(report, now)
+
+    async def _loop(self) -> str:
+        stopping = asyncio.create_task(self.ports.stopping.wait())
+        self.others.add(stopping)
+        while True:
+            for message in await self._messages():
+                if isinstance(message, TermEnded):
+                    return message.reason
+                self._take(message)
+            if stopping.done():
+                return 'the process stops'
+            if self.scheduler.lost_leadership:
+                return 'a backend server has seen a higher fencing token'
+            if not self.term.valid():
+                self._write_notes()
+                continue
+            self.scheduler.plan(now_ms(), unix_ms())
+            self._match_links()
+            self._send(self.scheduler.take_commands())
+            self._commit()
+            self._write_notes()
+
+    async def _messages(self) -> list:
+        """Returns the messages that came together, after a tick at the latest."""
+        try:
+            async with asyncio.timeout(seconds(TICK_MS)):
+                first = await self.mailbox.receive()
+        except TimeoutError:
+            return []
+        await asyncio.sleep(seconds(GROUP_MS))
+        return [first, *self.mailbox.take_all()]
+
+    def _write_notes(self) -> None:
+        for note in self.scheduler.take_notes():
+            log_event(note.event, **note.fields)
+
+    def _take(self, message: object) -> None:
+        match message:
+            case HoldAnswered() | ContactLost() | StartFinished() | StopFinished():
+                backend = self._backend(message)
+                if backend is not None:
+                    self._take_report(backend, message)
+            case AdviceGiven():
+                self.scheduler.advice_given(
+                    message.request,
+                    message.tickets_by_backend_id,
+                    message.valid_ms,
+                    now_ms(),
+                )
+            case BatchStored():
+                self.committing = False
+                self._send(self.scheduler.confirm(message.batch))
+                self._acknowledge()
+            case _:
+                self._take_view_event(message)
+
+    def _take_report(self, backend: BackendState, message: object) -> None:
+        scheduler = self.scheduler
+        match message:
+            case HoldAnswered(sent_ms=sent, received_ms=received, report=report):
+                scheduler.hold_answered(backend, report, sent, received, unix_ms())
+            case ContactLost(outcome=outcome, lapses_at_ms=lapses_at_ms):
+                scheduler.contact_lost(backend, outcome, lapses_at_ms)
+            case StartFinished(task_name=name, run=run, outcome=outcome):
+                scheduler.start_finished(backend, name, run, outcome, now_ms())
+            case StopFinished(task_name=name, run=run):
+                scheduler.stop_finished(backend, name, run, now_ms())
+
+    def _take_view_event(self, event: object) -> None:
+        scheduler, view = self.scheduler, self.ports.view
+        match event:
+            case JobStored(job_id):
+                entry = view.jobs_by_id.get(job_id)
+                if entry is not None:
+                    scheduler.add_job(entry.job, entry.record, now_ms(), unix_ms())
+            case JobCancelled(job_id):
+                scheduler.cancel_job(job_id, unix_ms())
+            case JobDeleted(job_id):
+                scheduler.forget_job(job_id)
+            case ConfigurationFact(configuration, _):
+                scheduler.set_configuration(configuration)
+            case ZoneFact():
+                scheduler.excluded_zones = frozenset(view.excluded_zones)
+            case BackendFact(backend_id, None):
+                scheduler.remove_backend(backend_id)
+            case BackendFact(_, report) if report is not None:
+                scheduler.set_backend(report, now_ms())
+
+    def _backend(
+        self, message: HoldAnswered | ContactLost | StartFinished | StopFinished
+    ) -> BackendState | None:
+        """Returns the lifetime that a report of a link is about."""
+        backend = self.scheduler.backends_by_id.get(message.backend_id)
+        if backend is not None and backend.born_ms == message.born_ms:
+            return backend
+        return None
+
+    def _match_links(self) -> None:
+        """Starts links to new lifetimes and ends those that have no use."""
+        wanted = {}
+        for backend in self.scheduler.backends_by_id.values():
+            if backend.report is not None or backend.tasks_by_name:
+                wanted[backend.backend_id, backend.born_ms] = backend
+        for key in [key for key in self.links if key not in wanted]:
+            del self.links[key]
+            self.tasks.pop(key).cancel()
+        for key, backend in wanted.items():
+            if key not in self.links and backend.report is not None:
+                self._open_link(key, backend.report.address)
+
+    def _open_link(self, key: tuple[str, int], address: str) -> None:
+        link = Link(
+            orders=self.ports.new_orders(address, key[0], self.term.number),
+            backend_id=key[0],
+            born_ms=key[1],
+            hold_max_ms=self.ports.settings.timing.hold_max_ms,
+            report=self.mailbox.send,
+            may_order=self.term.valid,
+        )
+        self.links[key] = link
+        self.tasks[key] = asyncio.create_task(link.run())
+
+    def _send(self, commands: list[Command]) -> None:
+        for command in commands:
+            if isinstance(command, AskAdvice):
+                self._spawn(self._ask(command))
+                continue
+            link = self.links.get((command.backend_id, command.born_ms))
+            if link is not None:
+                link.inbox.send(command)
+
+    async def _ask(self, request: AskAdvice) -> None:
+        given = await self.ports.ask_advice(request)
+        unanswered = AdviceGiven(request=request, tickets_by_backend_id={}, valid_ms=0)
+        self.mailbox.send(given.unwrap_or(unanswered))
+
+    def _commit(self) -> None:
+        if self.committing or self.committer is None:
+            return
+        batch = self.scheduler.take_batch(MAX_RECORDS)
+        if batch.empty():
+            return
+        if not batch.writes():
+            # Ends that change no record need no write.
+            self.scheduler.confirm(batch)
+            self._acknowledge()
+            return
+        self.committing = True
+        self.committer.inbox.send(batch)
+
+    def _acknowledge(self) -> None:
+        for key, link in self.links.items():
+            backend = self.scheduler.backends_by_id.get(key[0])
+            if backend is None or backend.born_ms != key[1]:
+                continue
+            if backend.stored_end > backend.acknowledged_end:
+                backend.acknowledged_end = backend.stored_end
+                link.inbox.send(EndsStored(number=backend.stored_end))
--- /dev/null
+++ b/dandelionknot/manager/_link.py
@@ -0,0 +1,231 @@
+"""The task that owns the connections to one lifetime of a backend server."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err
+
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.jobs._generated import (
+    ContactLost,
+    EndsStored,
+    HoldAnswered,
+    OrderOutcome,
+    PaceTask,
+    StartFinished,
+    StartTask,
+    StopFinished,
+    StopTask,
+)
+from dandelionknot.jobs._leases import LeaseClock
+from dandelionknot.manager._ports import Orders
+
+# Longest wait of one hold; each hold extends the lease.
+HOLD_WAIT_MS = 1000
+# Time that a backend server gets to answer, beyond a wait that was asked for.
+ORDER_TIMEOUT_MS = 700
+# Pause between holds, so that ends that come together are reported together.
+HOLD_PAUSE_MS = 25
+# Longest wait for ends to be stored before the next hold.
+STORED_WAIT_MS = 300
+# Pause between probes of a backend server that does not answer.
+PROBE_PAUSE_MS = 300
+# Starts that are not answered are sent again so often; that is safe, since the
+# same run is started once.
+START_TRIES = 3
+# The lease ends a little before the platform's limit would end it.
+LEASE_MARGIN_MS = 100
+# No answer at all for so long ends a stop that nobody may be there to take.
+MAX_PARALLEL_ORDERS = 8
+
+
+@dataclass(slots=True)
+class Link:
+    """Holds the lease of a backend server while it runs something."""
+
+    orders: Orders
+    backend_id: str
+    born_ms: int
+    hold_max_ms: int
+    report: Callable[[object], object]
+    may_order: Callable[[], bool]
+    inbox: Mailbox = field(default_factory=lambda: Mailbox(4096))
+    clock: LeaseClock = field(init=False)
+    lost: bool = False
+    # Starts sent whose run has not been seen to end.
+    busy: bool = True
+    starting: int = 0
+    stored_end: int = 0
+    seen_end: int = 0
+    acknowledged_end: int = 0
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    running: set[asyncio.Task] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Starts without a clock reading."""
+        self.clock = LeaseClock(now_ms(), self.hold_max_ms)
+
+    async def run(self) -> None:
+        """Takes commands and keeps the lease until it is cancelled."""
+        holding = asyncio.create_task(self._hold_forever())
+        try:
+            while True:
+                message = await self.inbox.receive()
+                if isinstance(message, EndsStored):
+                    self.stored_end = max(self.stored_end, message.number)
+                    self.wake.set()
+                    continue
+                task = asyncio.create_task(self._order(message))
+                self.running.add(task)
+                task.add_done_callback(self.running.discard)
+        finally:
+            holding.cancel()
+            for task in self.running:
+                task.cancel()
+            self.orders.close()
+
+    async def _order(self, message: object) -> None:
+        if isinstance(message, StartTask):
+            await self._start(message)
+        elif isinstance(message, StopTask):
+            await self._stop(message)
+        elif isinstance(message, PaceTask):
+            await self.orders.pace(
+                message.task_name, message.run, message.percent, ORDER_TIMEOUT_MS
+            )
+
+    async def _start(self, message: StartTask) -> None:
+        self.starting += 1
+        outcome = OrderOutcome.NOT_SENT
+        sent = False
+        for _ in range(START_TRIES):
+            if self.lost or not self.clock.known or not self.may_order():
+                break
+            deadline = self.clock.extend(now_ms(), self._lease_ms())
+            outcome = await self.orders.start(message.order, deadline, ORDER_TIMEOUT_MS)
+            sent = sent or outcome is OrderOutcome.NO_ANSWER
+            if outcome not in (
+                OrderOutcome.NO_ANSWER,
+                OrderOutcome.NOT_SENT,
+                OrderOutcome.TOO_LATE,
+            ):
+                break
+        if sent and outcome is OrderOutcome.NOT_SENT:
+            # An earlier try may have been or may yet be carried out.
+            outcome = OrderOutcome.NO_ANSWER
+        self.starting -= 1
+        self.busy = True
+        self.wake.set()
+        self.report(
+            StartFinished(
+                backend_id=self.backend_id,
+                born_ms=self.born_ms,
+                task_name=message.order.task_name,
+                run=message.order.run,
+                outcome=outcome,
+            )
+        )
+
+    async def _stop(self, message: StopTask) -> None:
+        self.busy = True
+        self.wake.set()
+        while True:
+            if self.may_order() and not self.lost:
+                outcome = await self.orders.stop(
+                    message.task_name, message.run, ORDER_TIMEOUT_MS
+                )
+                if outcome not in (OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT):
+                    break
+            await asyncio.sleep(seconds(PROBE_PAUSE_MS))
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED):
+            self.report(
+                StopFinished(
+                    backend_id=self.backend_id,
+                    born_ms=self.born_ms,
+                    task_name=message.task_name,
+                    run=message.run,
+                )
+            )
+
+    def _lease_ms(self) -> int:
+        return self.hold_max_ms - LEASE_MARGIN_MS
+
+    async def _hold_forever(self) -> None:
+        while True:
+            if not self.may_order():
+                await asyncio.sleep(seconds(PROBE_PAUSE_MS))
+                continue
+            if self._idle():
+                await self._wait(HOLD_WAIT_MS)
+                continue
+            await self._hold_once()
+
+    def _idle(self) -> bool:
+        if self.lost or not self.clock.known:
+            return False
+        unacknowledged = self.acknowledged_end < self.stored_end
+        return not (self.busy or self.starting or unacknowledged)
+
+    async def _hold_once(self) -> None:
+        probing = self.lost or not self.clock.known
+        sent_ms = now_ms()
+        # A backend server out of contact may be given up; its lease must then
+        # not be extended.
+        deadline = 0 if probing else self.clock.extend(sent_ms, self._lease_ms())
+        wait_ms = 0 if probing or not self.busy else HOLD_WAIT_MS
+        acknowledged = self.stored_end
+        result = await self.orders.hold(
+            deadline, acknowledged, wait_ms, ORDER_TIMEOUT_MS
+        )
+        if isinstance(result, Err):
+            self._contact_lost(result.err_value)
+            await asyncio.sleep(seconds(0 if not probing else PROBE_PAUSE_MS))
+            return
+        received_ms = now_ms()
+        report = result.ok_value
+        if report.born_ms and self.born_ms and report.born_ms != self.born_ms:
+            self._contact_lost(OrderOutcome.OTHER_LIFETIME)
+            await asyncio.sleep(seconds(PROBE_PAUSE_MS))
+            return
+        self.clock.read(report.clock_ms, received_ms)
+        self.lost = False
+        self.acknowledged_end = max(self.acknowledged_end, acknowledged)
+        new_ends = [end for end in report.ended if end.number > self.seen_end]
+        self.seen_end = max([self.seen_end, *(end.number for end in new_ends)])
+        self.busy = bool(report.running) or probing
+        self.report(
+            HoldAnswered(
+                backend_id=self.backend_id,
+                born_ms=self.born_ms,
+                sent_ms=sent_ms,
+                received_ms=received_ms,
+                report=report,
+            )
+        )
+        if new_ends or self.seen_end > self.stored_end:
+            self.wake.clear()
+            await self._wait(STORED_WAIT_MS)
+        await asyncio.sleep(seconds(HOLD_PAUSE_MS))
+
+    async def _wait(self, duration_ms: int) -> None:
+        """Waits for a command that changes what the next hold has to say."""
+        try:
+            async with asyncio.timeout(seconds(duration_ms)):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.wake.clear()
+
+    def _contact_lost(self, outcome: OrderOutcome) -> None:
+        self.lost = True
+        self.report(
+            ContactLost(
+                backend_id=self.backend_id,
+                born_ms=self.born_ms,
+                outcome=outcome,
+                lapses_at_ms=self.clock.lapsed_at(),
+            )
+        )
--- /dev/null
+++ b/dandelionknot/manager/_view.py
@@ -0,0 +1,176 @@
+"""What the store holds, as one process has read it.
+
+The view is kept current by one watch over all keys. How old it may be is known:
+everything that was stored before the last answered watch was sent is in it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from dandelionknot.jobs._generated import (
+    BackendReport,
+    Job,
+    JobConfiguration,
+    JobPhase,
+    JobRecord,
+    UpkeepWave,
+)
+from dandelionknot.jobs._stored import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+    RECORD_PREFIX,
+    BackendFact,
+    ConfigurationFact,
+    Fact,
+    WaveFact,
+    ZoneFact,
+)
+from dandelionknot.store import Item
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """A stored job with its latest record."""
+
+    job: Job
+    record: JobRecord | None = None
+    cancelled: bool = False
+
+    @property
+    def phase(self) -> JobPhase:
+        """What the caller is told."""
+        phase = self.record.phase if self.record else JobPhase.QUEUED
+        if self.cancelled and phase in (JobPhase.QUEUED, JobPhase.RUNNING):
+            return JobPhase.CANCELLED
+        return phase
+
+
+@dataclass(slots=True, frozen=True)
+class JobStored:
+    """A job was accepted on some entry host."""
+
+    job_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class JobCancelled:
+    """A caller has cancelled a job."""
+
+    job_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class JobDeleted:
+    """A job was deleted some time after its end."""
+
+    job_id: str
+
+
+ViewEvent = JobStored | JobCancelled | JobDeleted | Fact
+
+
+@dataclass(slots=True)
+class View:
+    """Items of the store by what they mean; only the watching task changes it."""
+
+    meaning: Callable[[Item], Fact | None]
+    configuration: JobConfiguration | None = None
+    configuration_revision: int = 0
+    jobs_by_id: dict[str, JobEntry] = field(default_factory=dict)
+    backends_by_id: dict[str, BackendReport] = field(default_factory=dict)
+    excluded_zones: set[str] = field(default_factory=set)
+    waves_by_name: dict[str, UpkeepWave] = field(default_factory=dict)
+    leader: Item | None = None
+    revision: int = 0
+    # Local time at which the last answered read was sent; 0 before the first.
+    current_as_of_ms: int = 0
+    revisions_by_key: dict[str, int] = field(default_factory=dict)
+
+    def apply(self, item: Item) -> ViewEvent | None:
+        """Takes a version of an item unless a later one is known."""
+        if item.revision <= self.revisions_by_key.get(item.key, 0):
+            return None
+        if item.deleted:
+            self.revisions_by_key.pop(item.key, None)
+        else:
+            self.revisions_by_key[item.key] = item.revision
+        if item.key == LEADER_KEY:
+            self.leader = None if item.deleted else item
+            return None
+        if item.key.startswith(JOB_PREFIX):
+            return self._apply_job(item.key.removeprefix(JOB_PREFIX), item)
+        if item.key.startswith(RECORD_PREFIX):
+            return self._apply_record(item.key.removeprefix(RECORD_PREFIX), item)
+        if item.key.startswith(CANCEL_PREFIX):
+            return self._apply_cancel(item.key.removeprefix(CANCEL_PREFIX), item)
+        fact = self.meaning(item)
+        return self._apply_fact(fact) if fact is not None else None
+
+    def _apply_job(self, job_id: str, item: Item) -> ViewEvent | None:
+        if item.deleted:
+            self.jobs_by_id.pop(job_id, None)
+            return JobDeleted(job_id)
+        job = msgspec.json.decode(item.value, type=Job)
+        entry = self.jobs_by_id.get(job_id)
+        if entry is None:
+            self.jobs_by_id[job_id] = JobEntry(job)
+        return JobStored(job_id)
+
+    def _apply_record(self, job_id: str, item: Item) -> ViewEvent | None:
+        entry = self.jobs_by_id.get(job_id)
+        if entry is not None and not item.deleted:
+            entry.record = msgspec.json.decode(item.value, type=JobRecord)
+        return None
+
+    def _apply_cancel(self, job_id: str, item: Item) -> ViewEvent | None:
+        entry = self.jobs_by_id.get(job_id)
+        if entry is None or item.deleted:
+            return None
+        entry.cancelled = True
+        return JobCancelled(job_id)
+
+    def _apply_fact(self, fact: Fact) -> ViewEvent | None:
+        match fact:
+            case ConfigurationFact(configuration, revision):
+                known = self.configuration
+                newest = max(self.configuration_revision, revision)
+                self.configuration_revision = newest
+                if known is not None and known.version >= configuration.version:
+                    return None
+                self.configuration = configuration
+            case BackendFact(backend_id, None):
+                self.backends_by_id.pop(backend_id, None)
+            case BackendFact(backend_id, report) if report is not None:
+                self.backends_by_id[backend_id] = report
+            case ZoneFact(zone, True):
+                self.excluded_zones.add(zone)
+            case ZoneFact(zone, False):
+                self.excluded_zones.discard(zone)
+            case WaveFact(name, None):
+                self.waves_by_name.pop(name, None)
+            case WaveFact(name, wave) if wave is not None:
+                self.waves_by_name[name] = wave
+        return fact
+
+    def apply_configuration(self, fact: Fact) -> None:
+        """Takes a configuration that came with the answer to a write."""
+        if isinstance(fact, ConfigurationFact):
+            self._apply_fact(fact)
+
+    def missing_from(self, keys: set[str], as_of: int) -> list[Item]:
+        """Returns deletions of items that a whole reading as of a revision lacks."""
+        return [
+            Item(key, b'', as_of, deleted=True)
+            for key, revision in self.revisions_by_key.items()
+            if key not in keys and revision <= as_of
+        ]
+
+
+def sort_for_view(items: list[Item]) -> list[Item]:
+    """Orders items of one reading so that jobs come before what refers to them."""
+    return sorted(items, key=lambda item: not item.key.startswith(JOB_PREFIX))
--- /dev/null
+++ b/dandelionknot/manager/settings.py
@@ -0,0 +1,26 @@
+"""Settings of a manager process."""
+
+from pathlib import Path
+
+import msgspec
+import yaml
+from result import Err, Ok, Result
+
+from dandelionknot.errors import DecodeError
+from dandelionknot.jobs._generated import ManagerSettings
+
+__all__ = ['ManagerSettings', 'load_manager_settings']
+
+
+def load_manager_settings(path: Path) -> Result[ManagerSettings, DecodeError]:
+    """Reads and checks a settings file; the error names file, line or field."""
+    where = str(path)
+    try:
+        data = yaml.safe_load(path.read_text(encoding='utf-8'))
+        return Ok(msgspec.convert(data, ManagerSettings))
+    except yaml.YAMLError as error:
+        mark = getattr(error, 'problem_mark', None)
+        place = f'{where}:{mark.line + 1}' if mark else where
+        return Err(DecodeError(where=place, problem=str(error)))
+    except (OSError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        return Err(DecodeError(where=where, problem=str(error)))
--- /dev/null
+++ b/dandelionknot/platform/__init__.py
@@ -0,0 +1,13 @@
+"""Adapter to the users' platform: names, formats and calls, no decisions."""
+
+from dandelionknot.platform._adapter import PlatformAdapter
+from dandelionknot.platform._callers import CallerPort, CallerServer, ReadinessServer
+from dandelionknot.platform._items import CONFIGURATION_KEY
+
+__all__ = [
+    'CONFIGURATION_KEY',
+    'CallerPort',
+    'CallerServer',
+    'PlatformAdapter',
+    'ReadinessServer',
+]
--- /dev/null
+++ b/dandelionknot/platform/_adapter.py
@@ -0,0 +1,80 @@
+"""The platform's addresses, and the clients made from them."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from dandelionknot.errors import PortError
+from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._generated import AdviceGiven, AskAdvice, ManagerSettings
+from dandelionknot.jobs._stored import Fact
+from dandelionknot.platform import _items
+from dandelionknot.platform._backends import BackendOrders
+from dandelionknot.platform._decode import decode
+from dandelionknot.platform._generated import WireGranted
+from dandelionknot.platform._http import HttpClient
+from dandelionknot.platform._store import PlatformStore
+from dandelionknot.store import Item
+
+ADVICE_TIMEOUT_MS = 3000
+OK = 200
+
+
+@dataclass(slots=True)
+class PlatformAdapter:
+    """Makes clients of the platform's services."""
+
+    settings: ManagerSettings
+    advice: HttpClient | None = field(default=None)
+
+    @classmethod
+    def from_settings(cls, settings: ManagerSettings) -> 'PlatformAdapter':
+        """Returns the adapter to the platform that the settings name."""
+        address = settings.advice_address
+        return cls(settings, HttpClient(address) if address else None)
+
+    def new_store(self) -> PlatformStore:
+        """Returns a client of the store with connections of its own."""
+        return PlatformStore(HttpClient(self.settings.store_address))
+
+    def new_orders(self, address: str, backend_id: str, token: int) -> BackendOrders:
+        """Returns a client of one lifetime of a backend server."""
+        return BackendOrders(HttpClient(address), backend_id, token)
+
+    def meaning(self, item: Item) -> Fact | None:
+        """Decodes an item; one that cannot be read is logged and passed over."""
+        found = _items.meaning(item)
+        if isinstance(found, Err):
+            log_event(
+                Event.PLATFORM_VALUE_MALFORMED,
+                key=item.key,
+                revision=item.revision,
+                problem=str(found.err_value),
+            )
+            return None
+        return found.ok_value
+
+    async def ask_advice(self, request: AskAdvice) -> Result[AdviceGiven, PortError]:
+        """Asks which backend servers may run a step."""
+        if self.advice is None:
+            return Ok(
+                AdviceGiven(request=request, tickets_by_backend_id={}, valid_ms=0)
+            )
+        body = {'step': request.step_key, 'workers': request.backend_ids}
+        answer = await self.advice.call(
+            'POST', '/advise', msgspec.json.encode(body), ADVICE_TIMEOUT_MS
+        )
+        if isinstance(answer, Err):
+            return answer
+        tickets: dict[str, str] = {}
+        valid_ms = 0
+        decoded = decode(answer.ok_value.body, WireGranted, 'advice')
+        if answer.ok_value.status == OK and isinstance(decoded, Ok):
+            valid_ms = int(decoded.ok_value.valid_ms)
+            tickets = {row[0]: row[1] for row in decoded.ok_value.granted}
+        return Ok(
+            AdviceGiven(
+                request=request, tickets_by_backend_id=tickets, valid_ms=valid_ms
+            )
+        )
--- /dev/null
+++ b/dandelionknot/platform/_backends.py
@@ -0,0 +1,131 @@
+"""Orders to one backend server."""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from dandelionknot.errors import PortError, PortErrorKind
+from dandelionknot.jobs._generated import HoldReport, OrderOutcome, StartOrder
+from dandelionknot.platform._decode import decode, hold_report
+from dandelionknot.platform._generated import WireLists, WireOrderAnswer
+from dandelionknot.platform._http import Answer, HttpClient
+
+OK = 200
+CONFLICT = 409
+MISDIRECTED = 421
+UNHEALTHY = (429, 503)
+OUTCOMES_BY_REASON = {
+    'fence': OrderOutcome.FENCED,
+    'old': OrderOutcome.SUPERSEDED,
+    'late': OrderOutcome.TOO_LATE,
+    'room': OrderOutcome.NO_ROOM,
+    'ticket': OrderOutcome.TICKET_INVALID,
+}
+
+
+@dataclass(slots=True)
+class BackendOrders:
+    """Calls to one lifetime of a backend server under one fencing token."""
+
+    client: HttpClient
+    backend_id: str
+    fencing_token: int
+
+    async def hold(
+        self, deadline_ms: int, acknowledged_end: int, wait_ms: int, timeout_ms: int
+    ) -> Result[HoldReport, OrderOutcome]:
+        """Extends the lease unless `deadline_ms` is 0, and lists what runs.
+
+        The answer waits up to `wait_ms` for a run to end.
+        """
+        body: dict = {'fence': self.fencing_token, 'acked_upto': acknowledged_end}
+        if deadline_ms:
+            body['deadline_ms'] = deadline_ms
+        if wait_ms:
+            body['wait_ms'] = wait_ms
+        answer = await self._call('/hold', body, timeout_ms + wait_ms)
+        if isinstance(answer, Err):
+            return Err(_outcome_of_error(answer.err_value))
+        if answer.ok_value.status != OK:
+            return Err(_outcome_of(answer.ok_value))
+        decoded = decode(answer.ok_value.body, WireLists, 'lists')
+        if isinstance(decoded, Err):
+            return Err(OrderOutcome.REFUSED)
+        report = hold_report(decoded.ok_value)
+        if isinstance(report, Err):
+            return Err(OrderOutcome.REFUSED)
+        return Ok(report.ok_value)
+
+    async def start(
+        self, order: StartOrder, deadline_ms: int, timeout_ms: int
+    ) -> OrderOutcome:
+        """Starts a run of a task; a repeated start of the same run is accepted."""
+        body: dict = {
+            'task': order.task_name,
+            'run': order.run,
+            'spec': order.payload,
+            'deadline_ms': deadline_ms,
+            'fence': self.fencing_token,
+        }
+        if order.checkpoint:
+            body['checkpoint_data'] = order.checkpoint
+        if order.ticket:
+            body['ticket'] = order.ticket
+        return await self._order('/run-start', body, timeout_ms)
+
+    async def stop(self, task_name: str, run: int, timeout_ms: int) -> OrderOutcome:
+        """Stops a run, or makes the backend server reject it from now on."""
+        body = {'task': task_name, 'run': run, 'fence': self.fencing_token}
+        return await self._order('/run-stop', body, timeout_ms)
+
+    async def pace(
+        self, task_name: str, run: int, percent: int, timeout_ms: int
+    ) -> OrderOutcome:
+        """Lets a run work at a share of its speed."""
+        body = {
+            'task': task_name,
+            'run': run,
+            'percent': percent,
+            'fence': self.fencing_token,
+        }
+        return await self._order('/pace', body, timeout_ms)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self.client.close()
+
+    async def _order(self, path: str, body: dict, timeout_ms: int) -> OrderOutcome:
+        answer = await self._call(path, body, timeout_ms)
+        if isinstance(answer, Err):
+            return _outcome_of_error(answer.err_value)
+        return _outcome_of(answer.ok_value)
+
+    async def _call(
+        self, path: str, body: dict, timeout_ms: int
+    ) -> Result[Answer, PortError]:
+        headers = {'X-Expect-Instance': self.backend_id}
+        return await self.client.call(
+            'POST', path, msgspec.json.encode(body), timeout_ms, headers
+        )
+
+
+def _outcome_of_error(error: PortError) -> OrderOutcome:
+    if error.kind is PortErrorKind.NOT_SENT:
+        return OrderOutcome.NOT_SENT
+    return OrderOutcome.NO_ANSWER
+
+
+def _outcome_of(answer: Answer) -> OrderOutcome:
+    if answer.status == OK:
+        return OrderOutcome.ACCEPTED
+    if answer.status in UNHEALTHY:
+        return OrderOutcome.UNHEALTHY
+    if answer.status == MISDIRECTED:
+        return OrderOutcome.OTHER_LIFETIME
+    if answer.status == CONFLICT:
+        decoded = decode(answer.body, WireOrderAnswer, 'order')
+        if isinstance(decoded, Ok):
+            reason = decoded.ok_value.reason
+            return OUTCOMES_BY_REASON.get(reason, OrderOutcome.REFUSED)
+    return OrderOutcome.REFUSED
--- /dev/null
+++ b/dandelionknot/platform/_decode.py
@@ -0,0 +1,247 @@
+"""Decodes the platform's messages into the product's classes, each once."""
+
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from dandelionknot.errors import DecodeError
+from dandelionknot.jobs._generated import (
+    BackendReport,
+    ClientAccount,
+    EndedTask,
+    EndReason,
+    HoldReport,
+    Host,
+    JobConfiguration,
+    JobSpec,
+    PoolPolicy,
+    Queue,
+    Resources,
+    RunningTask,
+    StepSpec,
+    UpkeepWave,
+)
+from dandelionknot.platform._generated import (
+    WireAdvice,
+    WireAmounts,
+    WireConfig,
+    WireLists,
+    WireMachine,
+    WireRoute,
+    WireServer,
+    WireStep,
+    WireSubmission,
+    WireWave,
+)
+
+T = TypeVar('T')
+
+READY = 'ready'
+DRAINING = 'draining'
+
+
+def decode(data: bytes, cls: type[T], where: str) -> Result[T, DecodeError]:
+    """Decodes JSON into a wire class and checks the types."""
+    try:
+        return Ok(msgspec.json.decode(data, type=cls))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Err(DecodeError(where=where, problem=str(error)))
+
+
+def _resources(amounts: WireAmounts | WireStep) -> Resources:
+    return Resources(
+        cpu_millicores=amounts.cpu,
+        memory_mb=amounts.mem_mb,
+        accelerators=amounts.gpu,
+    )
+
+
+def job_spec(data: bytes) -> Result[JobSpec, DecodeError]:
+    """Decodes what a caller submits."""
+    decoded = decode(data, WireSubmission, 'submission')
+    if isinstance(decoded, Err):
+        return decoded
+    wire = decoded.ok_value
+    problem = _step_problem(wire)
+    if problem:
+        return Err(DecodeError(where='submission', problem=problem))
+    return Ok(
+        JobSpec(
+            payload=wire.spec,
+            steps=[_step(step) for step in wire.steps],
+            repeats=wire.times,
+            first_due_unix_ms=int(wire.first_ms),
+            interval_ms=int(wire.interval_ms),
+        )
+    )
+
+
+def _step_problem(wire: WireSubmission) -> str:
+    if not wire.steps:
+        return 'no steps'
+    for number, step in enumerate(wire.steps):
+        if step.count < 1:
+            return f'step {number} has no tasks'
+        if any(not 0 <= earlier < number for earlier in step.after):
+            return f'step {number} comes after a step that is not before it'
+    return ''
+
+
+def _step(wire: WireStep) -> StepSpec:
+    return StepSpec(
+        task_count=wire.count,
+        resources=_resources(wire),
+        estimated_ms=int(wire.est_ms),
+        after=wire.after,
+        checkpoints=wire.checkpoint,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        required_label=wire.requires,
+        preferred_rack=wire.affinity,
+        max_per_host=wire.max_per_server,
+        speculative=wire.speculative,
+        long_running=wire.daemon,
+        image=wire.image,
+        latency_objective_ms=int(wire.latency_slo_ms),
+        uses_idle_capacity=wire.fills,
+        max_unavailable=wire.may_miss,
+    )
+
+
+def configuration(data: bytes) -> Result[JobConfiguration, DecodeError]:
+    """Decodes the operators' configuration."""
+    decoded = decode(data, WireConfig, 'configuration')
+    if isinstance(decoded, Err):
+        return decoded
+    wire = decoded.ok_value
+    return Ok(
+        JobConfiguration(
+            version=wire.version,
+            queues=[_queue(route) for route in wire.routes],
+            pools=[
+                PoolPolicy(
+                    name=service.name,
+                    checks_room=service.admission_control,
+                    standby=service.standby,
+                )
+                for service in wire.services
+            ],
+            client_accounts=[
+                ClientAccount(
+                    name=tenant.name,
+                    keys=tenant.keys,
+                    weight=tenant.weight,
+                    limit=_resources(tenant.cap),
+                )
+                for tenant in wire.tenants
+            ],
+        )
+    )
+
+
+def _queue(route: WireRoute) -> Queue:
+    advice = route.advice or WireAdvice()
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.attempts,
+        stretch=route.stretch,
+        objective_ms=int(route.objective_ms),
+        open_to_all=route.public,
+        advice_decide_ms=int(advice.decide_ms),
+        advice_each_ms=advice.each_ms,
+        advice_valid_ms=int(advice.valid_ms),
+    )
+
+
+def backend_report(backend_id: str, data: bytes) -> Result[BackendReport, DecodeError]:
+    """Decodes a registry entry; entries of other writers are errors."""
+    where = f'entry of {backend_id}'
+    decoded = decode(data, WireServer, where)
+    if isinstance(decoded, Err):
+        return decoded
+    wire = decoded.ok_value
+    if wire.state not in (READY, DRAINING) or ':' not in wire.addr:
+        problem = f'state {wire.state!r} at {wire.addr!r}'
+        return Err(DecodeError(where=where, problem=problem))
+    return Ok(
+        BackendReport(
+            backend_id=backend_id,
+            born_ms=wire.born,
+            service=wire.service,
+            address=wire.addr,
+            availability_zone=wire.zone,
+            draining=wire.state == DRAINING,
+            room=_resources(wire.room),
+            labels=wire.labels,
+            cold_left_ms=int(wire.cold_left_ms),
+            remaining_ms=int(wire.remaining_ms),
+        )
+    )
+
+
+def wave(data: bytes) -> Result[UpkeepWave, DecodeError]:
+    """Decodes an operators' order of upkeep."""
+    decoded = decode(data, WireWave, 'wave')
+    if isinstance(decoded, Err):
+        return decoded
+    wire = decoded.ok_value
+    return Ok(
+        UpkeepWave(
+            number=wire.wave,
+            host_ids=wire.machines,
+            within_s=wire.within_s,
+            max_down=wire.cap,
+        )
+    )
+
+
+def host(wire: WireMachine) -> Host:
+    """Converts a row of the platform's list of hosts."""
+    return Host(
+        host_id=wire.machine,
+        pool=wire.pool,
+        state=wire.state,
+        backend_id=wire.id or '',
+    )
+
+
+def hold_report(wire: WireLists) -> Result[HoldReport, DecodeError]:
+    """Converts the two lists of a backend server."""
+    try:
+        running = [_running(row) for row in wire.running]
+        ended = [_ended(row) for row in wire.finished]
+    except (ValueError, TypeError, IndexError) as error:
+        return Err(DecodeError(where='lists', problem=str(error)))
+    ended.sort(key=lambda end: end.number)
+    return Ok(
+        HoldReport(
+            clock_ms=wire.clock_ms, born_ms=wire.born, running=running, ended=ended
+        )
+    )
+
+
+def _running(row: list) -> RunningTask:
+    """Rows are task, run, saved data, percent and a reading."""
+    return RunningTask(
+        task_name=row[0],
+        run=row[1],
+        checkpoint=row[2] or '',
+        percent=int(row[3]),
+        reading=float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
+    )
+
+
+def _ended(row: list) -> EndedTask:
+    """Rows are the number of the end, task, run, how it ended and saved data."""
+    return EndedTask(
+        number=row[0],
+        task_name=row[1],
+        run=row[2],
+        reason=EndReason(row[3]),
+        checkpoint=row[4] if len(row) > 4 and row[4] else '',
+    )
--- /dev/null
+++ b/dandelionknot/platform/_http.py
@@ -0,0 +1,150 @@
+"""HTTP calls over kept connections, with time limits; failures are values."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from dandelionknot.clock import seconds
+from dandelionknot.errors import PortError, PortErrorKind
+
+# A connection inside a region opens in milliseconds unless packets are lost.
+CONNECT_TIMEOUT_MS = 400
+# Largest body that is accepted, above the platform's largest page of items.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
+
+
+@dataclass(slots=True)
+class Answer(HTTPMessageDelegate):
+    """A whole HTTP answer, filled while it is read."""
+
+    status: int = 0
+    body: bytes = b''
+    whole: bool = False
+
+    def headers_received(self, start_line: object, headers: HTTPHeaders) -> None:
+        """Takes the status."""
+        assert isinstance(start_line, ResponseStartLine)
+        self.status = start_line.code
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        self.body += chunk
+
+    def finish(self) -> None:
+        """Takes that the answer is whole."""
+        self.whole = True
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Calls to one server; each connection carries one call at a time."""
+
+    address: str
+    idle: list[IOStream] = field(default_factory=list)
+    closed: bool = False
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: int,
+        headers: dict[str, str] | None = None,
+    ) -> Result[Answer, PortError]:
+        """Makes one call and reads the whole answer.
+
+        An error of kind `NOT_SENT` means that no connection could be opened.
+        """
+        stream = self._idle_stream()
+        if stream is None:
+            opened = await self._open(min(CONNECT_TIMEOUT_MS, timeout_ms))
+            if isinstance(opened, Err):
+                return opened
+            stream = opened.ok_value
+        try:
+            async with asyncio.timeout(seconds(timeout_ms)):
+                answer = await self._exchange(stream, method, path, body, headers)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            stream.close()
+            return Err(_no_answer(path, error))
+        except BaseException:
+            stream.close()
+            raise
+        if not answer.whole:
+            stream.close()
+            return Err(_no_answer(path, 'the connection was closed'))
+        self._keep(stream)
+        return Ok(answer)
+
+    def _idle_stream(self) -> IOStream | None:
+        while self.idle:
+            stream = self.idle.pop()
+            if not stream.closed():
+                return stream
+        return None
+
+    def _keep(self, stream: IOStream) -> None:
+        if self.closed or stream.closed():
+            stream.close()
+        else:
+            self.idle.append(stream)
+
+    async def _open(self, timeout_ms: int) -> Result[IOStream, PortError]:
+        host, _, port = self.address.rpartition(':')
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            async with asyncio.timeout(seconds(timeout_ms)):
+                await stream.connect((host, int(port)))
+            stream.set_nodelay(True)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            stream.close()
+            message = f'{self.address}: {error or type(error).__name__}'
+            return Err(PortError(kind=PortErrorKind.NOT_SENT, message=message))
+        except BaseException:
+            stream.close()
+            raise
+        return Ok(stream)
+
+    async def _exchange(
+        self,
+        stream: IOStream,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+    ) -> Answer:
+        connection = HTTP1Connection(stream, True, PARAMETERS)
+        fields = HTTPHeaders({'Host': self.address, **(headers or {})})
+        if body is not None:
+            fields['Content-Type'] = 'application/json'
+            fields['Content-Length'] = str(len(body))
+        connection.write_headers(
+            RequestStartLine(method, path, 'HTTP/1.1'), fields, body
+        )
+        connection.finish()
+        answer = Answer()
+        await connection.read_response(answer)
+        return answer
+
+    def close(self) -> None:
+        """Closes the idle connections; calls in progress close theirs."""
+        self.closed = True
+        for stream in self.idle:
+            stream.close()
+        self.idle.clear()
+
+
+def _no_answer(path: str, problem: object) -> PortError:
+    text = str(problem) or type(problem).__name__
+    return PortError(kind=PortErrorKind.NO_ANSWER, message=f'{path}: {text}')
--- /dev/null
+++ b/dandelionknot/platform/_items.py
@@ -0,0 +1,59 @@
+"""What the items of the platform's store mean to the product."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from dandelionknot.errors import DecodeError
+from dandelionknot.jobs import _stored
+from dandelionknot.platform import _decode
+from dandelionknot.store import Item
+
+CONFIGURATION_KEY = 'op/config'
+EXCLUDED_ZONE_PREFIX = 'op/evacuate/'
+WAVE_PREFIX = 'op/wave/'
+BACKEND_PREFIX = 'servers/'
+WAVE_STATUS_PREFIX = 'status/wave/'
+
+
+def meaning(item: Item) -> Result[_stored.Fact | None, DecodeError]:
+    """Decodes an item that operators or backend servers wrote.
+
+    Items of the product itself, and of others, are None.
+    """
+    key = item.key
+    if key == CONFIGURATION_KEY:
+        if item.deleted:
+            return Ok(None)
+        return _decode.configuration(item.value).map(
+            lambda found: _stored.ConfigurationFact(found, item.revision)
+        )
+    if key.startswith(BACKEND_PREFIX):
+        return _backend(key.removeprefix(BACKEND_PREFIX), item)
+    if key.startswith(EXCLUDED_ZONE_PREFIX):
+        zone = key.removeprefix(EXCLUDED_ZONE_PREFIX)
+        return Ok(_stored.ZoneFact(zone, excluded=not item.deleted))
+    if key.startswith(WAVE_PREFIX):
+        number = key.removeprefix(WAVE_PREFIX)
+        if item.deleted:
+            return Ok(_stored.WaveFact(number, None))
+        return _decode.wave(item.value).map(
+            lambda found: _stored.WaveFact(number, found)
+        )
+    return Ok(None)
+
+
+def _backend(backend_id: str, item: Item) -> Result[_stored.Fact, DecodeError]:
+    if item.deleted:
+        return Ok(_stored.BackendFact(backend_id, None))
+    report = _decode.backend_report(backend_id, item.value)
+    if isinstance(report, Err):
+        return report
+    return Ok(_stored.BackendFact(backend_id, report.ok_value))
+
+
+def wave_status(number: int, done: bool) -> tuple[str, bytes]:
+    """Returns key and value of the status of a wave that operators read."""
+    value = msgspec.json.encode(
+        {'wave': number, 'state': 'done' if done else 'running'}
+    )
+    return f'{WAVE_STATUS_PREFIX}{number}', value
--- a/dandelionknot/ports.py
+++ b/dandelionknot/ports.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from enum import StrEnum
 
 from result import Result
 
+from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.messages import (
     HostList,
     LeaseGrant,
@@ -25,26 +25,7 @@
     WriteResult,
 )
 
-
-class PortErrorKind(StrEnum):
-    """How far a call got before it failed.
-
-    `NOT_SENT` means that the other side cannot have seen the request;
-    with `NO_ANSWER` it may have taken effect.
-    """
-
-    NOT_SENT = 'not_sent'
-    NO_ANSWER = 'no_answer'
-    REJECTED = 'rejected'
-    MALFORMED = 'malformed'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PortError:
-    """A call that gave no usable answer."""
-
-    kind: PortErrorKind
-    message: str
+__all__ = ['BackendPort', 'PlatformPort', 'PortError', 'PortErrorKind']
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/dandelionknot/settings.py
+++ b/dandelionknot/settings.py
@@ -24,6 +24,7 @@
     StatsdSettings,
     TlsSettings,
 )
+from dandelionknot.addresses import split_address
 
 __all__ = [
     'EntrySettings',
@@ -147,9 +148,3 @@
         for operator_id, token in settings.operator_tokens_by_id.items()
     }
     return administrators | settings.operators_by_id
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Splits `IP:PORT` as checked by the schema."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -23,10 +23,17 @@
 PACKAGE = ROOT / 'dandelionknot'
 CLASSES_FILE = PACKAGE / '_generated_classes.py'
 VALIDATORS_FILE = PACKAGE / '_generated_validators.py'
-CLASS_OPTIONS = (
-    '--input-file-type=jsonschema',
+JOB_CLASSES_FILE = PACKAGE / 'jobs' / '_generated.py'
+WIRE_CLASSES_FILE = PACKAGE / 'platform' / '_generated.py'
+DATACLASS_OPTIONS = (
     '--output-model-type=dataclasses.dataclass',
     '--dataclass-arguments={"slots": true, "frozen": true, "kw_only": true}',
+)
+# Structs are decoded from JSON in one step, which checks the types; jobs are
+# read and written hundreds of times a second.
+STRUCT_OPTIONS = ('--output-model-type=msgspec.Struct',)
+CLASS_OPTIONS = (
+    '--input-file-type=jsonschema',
     '--target-python-version=3.11',
     '--use-schema-description',
     '--use-standard-collections',
@@ -43,17 +50,23 @@
 
 DEFINITION_ARGUMENT = re.compile(r", definition=(.*), rule='(\w+)'")
 
+JOB_SCHEMAS = frozenset({'jobs.yaml'})
+WIRE_SCHEMAS = frozenset({'wire.yaml'})
+STRUCT_SCHEMAS = JOB_SCHEMAS | WIRE_SCHEMAS
 # Messages between the tasks of a process are never decoded, so that validators
 # of them would only take memory.
-INTERNAL_SCHEMAS = frozenset({'tasks.yaml'})
+INTERNAL_SCHEMAS = frozenset({'tasks.yaml'}) | STRUCT_SCHEMAS
 
 
-def load_definitions(excluded: frozenset[str] = frozenset()) -> dict:
-    """Merges the definitions of the schema files; each name stands once."""
+def schema_names() -> frozenset[str]:
+    """Returns the names of all schema files."""
+    return frozenset(path.name for path in SCHEMA_DIRECTORY.glob('*.yaml'))
+
+
+def load_definitions(names: frozenset[str]) -> dict:
+    """Merges the definitions of the schema files named; each name stands once."""
     definitions: dict = {}
-    for path in sorted(SCHEMA_DIRECTORY.glob('*.yaml')):
-        if path.name in excluded:
-            continue
+    for path in sorted(SCHEMA_DIRECTORY / name for name in names):
         for name, definition in yaml.safe_load(path.read_text())['$defs'].items():
             if name in definitions:
                 raise SystemExit(f'{path.name}: {name} is defined twice')
@@ -61,14 +74,24 @@
     return definitions
 
 
-def generator_command(source: Path, output: Path) -> list[str]:
+def generator_command(source: Path, output: Path, options: tuple) -> list[str]:
     """Returns the command that generates the classes of one schema file."""
     files = ['--input', str(source), '--output', str(output)]
-    return [sys.executable, '-m', 'datamodel_code_generator', *files, *CLASS_OPTIONS]
+    program = [sys.executable, '-m', 'datamodel_code_generator']
+    return [*program, *files, *options, *CLASS_OPTIONS]
+
+
+def generate_structs(definitions: dict) -> str:
+    """Returns the module with one frozen struct or enumeration a definition."""
+    code = generate_classes(definitions, STRUCT_OPTIONS)
+    code = code.replace(' | UnsetType', '').replace(', UnsetType', '')
+    code = code.replace('= UNSET', '= None').replace(' UNSET,', '')
+    arguments = 'Struct, frozen=True, kw_only=True, omit_defaults=True'
+    return code.replace('(Struct):', f'({arguments}):')
 
 
-def generate_classes(definitions: dict) -> str:
-    """Returns the module with one frozen dataclass or enumeration a definition."""
+def generate_classes(definitions: dict, options: tuple) -> str:
+    """Returns the module with one class or enumeration a definition."""
     schema = {
         '$schema': 'http://json-schema.org/draft-07/schema#',
         'title': 'SchemaRoot',
@@ -79,7 +102,7 @@
         source = Path(directory) / 'schema.yaml'
         output = Path(directory) / 'classes.py'
         source.write_text(yaml.safe_dump(schema, sort_keys=False))
-        subprocess.run(generator_command(source, output), check=True)
+        subprocess.run(generator_command(source, output, options), check=True)
         return output.read_text()
 
 
@@ -121,8 +144,14 @@
 def main() -> int:
     """Writes the generated files, or compares them with `--check`."""
     text_by_path = {
-        CLASSES_FILE: generate_classes(load_definitions()),
-        VALIDATORS_FILE: generate_validators(load_definitions(INTERNAL_SCHEMAS)),
+        CLASSES_FILE: generate_classes(
+            load_definitions(schema_names() - STRUCT_SCHEMAS), DATACLASS_OPTIONS
+        ),
+        VALIDATORS_FILE: generate_validators(
+            load_definitions(schema_names() - INTERNAL_SCHEMAS)
+        ),
+        JOB_CLASSES_FILE: generate_structs(load_definitions(JOB_SCHEMAS)),
+        WIRE_CLASSES_FILE: generate_structs(load_definitions(WIRE_SCHEMAS)),
     }
     return write_or_check(text_by_path, 'python tools/generate.py')
 
