Take hosts down for waves of upkeep within the budgets of their tasks

Change: a host is cordoned, its long-running tasks move one of a step at a time, and the upkeep is ordered once the host is empty; progress is stored, so that a new leader goes on.

Ruled out: a lost answer of the platform (the log shows one order a host).

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -82,6 +82,8 @@
     WAVE_ADVANCED = 8302
     UPKEEP_ORDERED = 8303
     HOST_MOVE_ORDERED = 8304
+    HOST_LIST_UNREACHABLE = 8305
+    HOST_ORDER_FINISHED = 8306
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,6 +304,12 @@
     Event.UPKEEP_ORDERED: EventInfo(
         INFO, 'The upkeep of a host was ordered.', NO_ACTION
     ),
+    Event.HOST_LIST_UNREACHABLE: EventInfo(
+        WARNING, 'The list of hosts could not be read; upkeep waits.', NO_ACTION
+    ),
+    Event.HOST_ORDER_FINISHED: EventInfo(
+        INFO, 'The platform answered an order about a host.', NO_ACTION
+    ),
     Event.HOST_MOVE_ORDERED: EventInfo(
         INFO, 'A host was ordered to another pool.', NO_ACTION
     ),
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -394,6 +394,57 @@
     backend_id: str = ""
 
 
+class HostOrderOutcome(StrEnum):
+    """
+    What became of an order to the platform about a host.
+    """
+
+    ACCEPTED = "accepted"
+    FENCED = "fenced"
+    BUSY = "busy"
+    OTHER_WAVE = "other_wave"
+    UNKNOWN_HOST = "unknown_host"
+    NOT_DONE = "not_done"
+    NO_ANSWER = "no_answer"
+
+
+class HostsListed(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    All hosts as the platform listed them in answer to a call sent then.
+    """
+
+    hosts: list[Host]
+    sent_ms: int
+
+
+class HostOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Move a host to a pool or, without a pool, take it down for the upkeep of a wave.
+    """
+
+    host_id: str
+    pool: str = ""
+    wave_number: int = 0
+
+
+class HostOrderFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    What became of an order about a host.
+    """
+
+    order: HostOrder
+    outcome: HostOrderOutcome
+
+
+class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    What is stored of a wave, so that a new leader goes on with it.
+    """
+
+    begun_host_ids: list[str]
+    done: bool = False
+
+
 class UpkeepWave(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
     Hosts that are due for maintenance.
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -15,6 +15,8 @@
 # A cold backend server is used only if no warm one has room.
 COLD_PENALTY = 10.0
 REMOTE_RACK_PENALTY = 2.0
+# A long-running task on a host that is due for upkeep has to be moved soon.
+UPKEEP_DUE_PENALTY = 3.0
 # Serving tasks and tasks that use idle capacity disturb each other.
 DISTURBANCE_PENALTY = 4.0
 
@@ -86,6 +88,7 @@
     if spec.uses_idle_capacity or spec.latency_objective_ms:
         cost += DISTURBANCE_PENALTY * _disturbing(spec, backend)
     if spec.long_running:
+        cost += UPKEEP_DUE_PENALTY * backend.upkeep_due
         cost += step.tasks_by_backend_id.get(backend.backend_id, 0)
     return cost
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -15,6 +15,7 @@
     AskAdvice,
     BackendReport,
     HoldReport,
+    HostOrder,
     Job,
     JobConfiguration,
     JobPhase,
@@ -26,6 +27,7 @@
     StartOrder,
     StartTask,
     StopTask,
+    WaveRecord,
 )
 from dandelionknot.jobs._leases import longest_lapse_ms
 from dandelionknot.jobs._notes import Note
@@ -49,7 +51,7 @@
     stop_command,
     vacate,
 )
-from dandelionknot.store import Put
+from dandelionknot.jobs._upkeep import Upkeep
 
 # A backend server that rejects a task for want of room is passed over for so long.
 FULL_PAUSE_MS = 300
@@ -69,7 +71,7 @@
 DUE_MARGIN_MS = 20
 
 
-Command = StartTask | StopTask | PaceTask | AskAdvice
+Command = StartTask | StopTask | PaceTask | AskAdvice | HostOrder
 
 
 @dataclass(slots=True)
@@ -79,12 +81,13 @@
     records_by_job_id: dict[str, JobRecord]
     starts: list[TaskState]
     ends_by_backend: list[tuple[BackendState, int]]
-    other_puts: list[Put] = field(default_factory=list)
+    waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
+    wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
     deleted_keys: list[str] = field(default_factory=list)
 
     def writes(self) -> bool:
         """Whether anything has to be written to the store."""
-        return bool(self.records_by_job_id or self.other_puts or self.deleted_keys)
+        return bool(self.records_by_job_id or self.waves_by_name or self.deleted_keys)
 
     def empty(self) -> bool:
         """Whether nothing would follow from the batch."""
@@ -110,6 +113,7 @@
     commands: list[Command] = field(default_factory=list)
     started_ms: int = 0
     lost_leadership: bool = False
+    upkeep: Upkeep = field(default_factory=Upkeep)
 
     # What the rest of the process tells the scheduler.
 
@@ -423,6 +427,12 @@
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Frees what has lapsed and places waiting tasks."""
         self._free_lapsed(now_ms)
+        for order in self.upkeep.plan(self, now_ms):
+            self.commands.append(order)
+            self.note(
+                Event.UPKEEP_ORDERED,
+                {'host_id': order.host_id, 'wave': order.wave_number},
+            )
         backends_by_service: dict[str, list[BackendState]] = {}
         for backend in self.backends_by_id.values():
             if backend.report is not None and self._usable(backend, now_ms):
@@ -530,6 +540,8 @@
         task.run = run
         task.phase = TaskPhase.PLACED
         task.sent = False
+        task.percent = 0
+        task.reading = 0.0
         occupy(task, backend)
         state = task.step.job
         state.started = True
@@ -604,7 +616,14 @@
                 for backend in self.backends_by_id.values()
                 if backend.seen_end > backend.stored_end
             ]
-        return Batch(records, starts, ends)
+        batch = Batch(records, starts, ends)
+        for name in sorted(self.upkeep.dirty):
+            wave = self.upkeep.waves_by_name.get(name)
+            if wave is not None:
+                batch.waves_by_name[name] = wave.record()
+                batch.wave_numbers_by_name[name] = wave.wave.number
+        self.upkeep.dirty.clear()
+        return batch
 
     def restore_batch(self, batch: Batch) -> None:
         """Puts back a batch that was surely not stored."""
--- a/dandelionknot/jobs/_stored.py
+++ b/dandelionknot/jobs/_stored.py
@@ -7,6 +7,7 @@
 LEADER_KEY = 'dandelionknot/leader'
 JOB_PREFIX = 'dandelionknot/jobs/'
 RECORD_PREFIX = 'dandelionknot/records/'
+WAVE_RECORD_PREFIX = 'dandelionknot/waves/'
 CANCEL_PREFIX = 'dandelionknot/cancelled/'
 
 
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -11,12 +11,11 @@
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._scheduler import Batch
-from dandelionknot.jobs._stored import LEADER_KEY, RECORD_PREFIX
+from dandelionknot.jobs._stored import LEADER_KEY, RECORD_PREFIX, WAVE_RECORD_PREFIX
 from dandelionknot.store import Precondition, Put, Store, WriteOutcome, Written
 
-# A write holds 32 entries; the condition on the leader's item and the item itself
-# take two of them.
-MAX_RECORDS = 30
+# A write holds 32 entries; the leader's item takes two of them, a wave two more.
+MAX_RECORDS = 26
 WRITE_TIMEOUT_MS = 700
 RETRY_MS = 40
 
@@ -51,6 +50,8 @@
     term: int
     revision: int
     report: Callable[[object], object]
+    # Returns the item in which operators read the state of a wave.
+    wave_status: Callable[[int, bool], Put]
     number: int = 0
     inbox: Mailbox = field(default_factory=lambda: Mailbox(64))
 
@@ -64,7 +65,12 @@
                     Put(RECORD_PREFIX + job_id, msgspec.json.encode(record))
                     for job_id, record in message.records_by_job_id.items()
                 ]
-                puts += message.other_puts
+                for name, record in message.waves_by_name.items():
+                    number = message.wave_numbers_by_name[name]
+                    puts.append(self.wave_status(number, record.done))
+                    puts.append(
+                        Put(WAVE_RECORD_PREFIX + name, msgspec.json.encode(record))
+                    )
                 if not await self._store(puts, message.deleted_keys):
                     return
                 self.report(BatchStored(message, now_ms() - started_ms))
--- /dev/null
+++ b/dandelionknot/manager/_hosts.py
@@ -0,0 +1,73 @@
+"""The task that lists hosts and gives orders about them."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err
+
+from dandelionknot._mailbox import Mailbox
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._generated import (
+    HostOrder,
+    HostOrderFinished,
+    HostOrderOutcome,
+    HostsListed,
+)
+from dandelionknot.manager._ports import HostOrders
+
+# Pause between readings of the list while upkeep is under way.
+LIST_PAUSE_MS = 700
+IDLE_PAUSE_MS = 300
+
+
+@dataclass(slots=True)
+class HostKeeper:
+    """Owns the connections to the platform's service of hosts."""
+
+    hosts: HostOrders
+    fencing_token: int
+    report: Callable[[object], object]
+    may_order: Callable[[], bool]
+    list_wanted: Callable[[], bool]
+    inbox: Mailbox = field(default_factory=lambda: Mailbox(1024))
+    orders: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Lists hosts while that is wanted and carries out orders."""
+        listing = asyncio.create_task(self._list_forever())
+        try:
+            while True:
+                order = await self.inbox.receive()
+                task = asyncio.create_task(self._order(order))
+                self.orders.add(task)
+                task.add_done_callback(self.orders.discard)
+        finally:
+            listing.cancel()
+            for task in self.orders:
+                task.cancel()
+
+    async def _order(self, order: HostOrder) -> None:
+        outcome = HostOrderOutcome.NOT_DONE
+        if self.may_order():
+            outcome = await self.hosts.order(order, self.fencing_token)
+        self.report(HostOrderFinished(order=order, outcome=outcome))
+
+    async def _list_forever(self) -> None:
+        reached = True
+        while True:
+            if not self.list_wanted():
+                await asyncio.sleep(seconds(IDLE_PAUSE_MS))
+                continue
+            sent_ms = now_ms()
+            listed = await self.hosts.list_hosts()
+            if isinstance(listed, Err):
+                if reached:
+                    message = listed.err_value.message
+                    log_event(Event.HOST_LIST_UNREACHABLE, problem=message)
+                reached = False
+            else:
+                reached = True
+                self.report(HostsListed(hosts=listed.ok_value, sent_ms=sent_ms))
+            await asyncio.sleep(seconds(LIST_PAUSE_MS))
--- a/dandelionknot/manager/_lead.py
+++ b/dandelionknot/manager/_lead.py
@@ -8,13 +8,17 @@
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds, unix_ms
-from dandelionknot.events import log_event
+from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
     ContactLost,
     EndsStored,
     HoldAnswered,
+    HostOrder,
+    HostOrderFinished,
+    HostOrderOutcome,
+    HostsListed,
     ManagerSettings,
     StartFinished,
     StopFinished,
@@ -24,6 +28,7 @@
 from dandelionknot.jobs._stored import (
     BackendFact,
     ConfigurationFact,
+    WaveFact,
     ZoneFact,
 )
 from dandelionknot.manager._commit import (
@@ -32,11 +37,12 @@
     Committer,
     TermEnded,
 )
+from dandelionknot.manager._hosts import HostKeeper
 from dandelionknot.manager._leadership import Term
 from dandelionknot.manager._link import Link
-from dandelionknot.manager._ports import Orders
+from dandelionknot.manager._ports import HostOrders, Orders
 from dandelionknot.manager._view import JobCancelled, JobDeleted, JobStored, View
-from dandelionknot.store import Store
+from dandelionknot.store import Put, Store
 
 # Planning at least so often, for leases that lapse and occurrences that come due.
 TICK_MS = 100
@@ -56,6 +62,8 @@
     reached: Callable[[int], Awaitable[None]]
     subscribe: Callable[[Mailbox], None]
     unsubscribe: Callable[[Mailbox], None]
+    new_hosts: Callable[[], HostOrders | None]
+    wave_status: Callable[[int, bool], Put]
     ask_advice: Callable[[AskAdvice], Awaitable[Result]]
     stopping: asyncio.Event
 
@@ -72,6 +80,7 @@
     tasks: dict[tuple[str, int], asyncio.Task] = field(default_factory=dict)
     others: set[asyncio.Task] = field(default_factory=set)
     committer: Committer | None = None
+    hosts: HostKeeper | None = None
     committing: bool = False
 
     @classmethod
@@ -93,8 +102,10 @@
                 term=self.term.number,
                 revision=self.term.revision,
                 report=self.mailbox.send,
+                wave_status=self.ports.wave_status,
             )
             self._spawn(self.committer.run())
+            self._keep_hosts()
             return await self._loop()
         finally:
             self.ports.unsubscribe(self.mailbox)
@@ -107,6 +118,20 @@
         task.add_done_callback(self.others.discard)
         return task
 
+    def _keep_hosts(self) -> None:
+        """Starts the task for orders about hosts, if the platform takes any."""
+        hosts = self.ports.new_hosts()
+        if hosts is None:
+            return
+        self.hosts = HostKeeper(
+            hosts=hosts,
+            fencing_token=self.term.number,
+            report=self.mailbox.send,
+            may_order=self.term.valid,
+            list_wanted=self.scheduler.upkeep.active,
+        )
+        self._spawn(self.hosts.run())
+
     def _load(self) -> None:
         """Builds the state of the scheduler from the view."""
         view, now, unix = self.ports.view, now_ms(), unix_ms()
@@ -119,6 +144,11 @@
                 self.scheduler.cancel_job(entry.job.job_id, unix)
         for report in view.backends_by_id.values():
             self.scheduler.set_backend(report, now)
+        upkeep = self.scheduler.upkeep
+        # The former leader may have given its last order just now.
+        upkeep.not_before_ms = now + self.ports.settings.timing.duty_handover_ms
+        for name, wave in view.waves_by_name.items():
+            upkeep.set_wave(name, wave, view.wave_records_by_name.get(name), now)
 
     async def _loop(self) -> str:
         stopping = asyncio.create_task(self.ports.stopping.wait())
@@ -168,6 +198,10 @@
                     message.valid_ms,
                     now_ms(),
                 )
+            case HostsListed():
+                self.scheduler.upkeep.hosts_listed(message)
+            case HostOrderFinished():
+                self._take_host_order(message)
             case BatchStored():
                 self.committing = False
                 self._send(self.scheduler.confirm(message.batch))
@@ -175,6 +209,16 @@
             case _:
                 self._take_view_event(message)
 
+    def _take_host_order(self, message: HostOrderFinished) -> None:
+        order, outcome = message.order, message.outcome
+        log_event(
+            Event.HOST_ORDER_FINISHED, host_id=order.host_id, outcome=outcome.value
+        )
+        if outcome is HostOrderOutcome.FENCED:
+            self.scheduler.lost_leadership = True
+        if not order.pool:
+            self.scheduler.upkeep.order_finished(order, outcome, now_ms())
+
     def _take_report(self, backend: BackendState, message: object) -> None:
         scheduler = self.scheduler
         match message:
@@ -198,6 +242,9 @@
                 scheduler.cancel_job(job_id, unix_ms())
             case JobDeleted(job_id):
                 scheduler.forget_job(job_id)
+            case WaveFact(name, wave):
+                record = view.wave_records_by_name.get(name)
+                scheduler.upkeep.set_wave(name, wave, record, now_ms())
             case ConfigurationFact(configuration, _):
                 scheduler.set_configuration(configuration)
             case ZoneFact():
@@ -246,6 +293,10 @@
             if isinstance(command, AskAdvice):
                 self._spawn(self._ask(command))
                 continue
+            if isinstance(command, HostOrder):
+                if self.hosts is not None:
+                    self.hosts.inbox.send(command)
+                continue
             link = self.links.get((command.backend_id, command.born_ms))
             if link is not None:
                 link.inbox.send(command)
--- a/dandelionknot/manager/_ports.py
+++ b/dandelionknot/manager/_ports.py
@@ -4,7 +4,15 @@
 
 from result import Result
 
-from dandelionknot.jobs._generated import HoldReport, OrderOutcome, StartOrder
+from dandelionknot.errors import PortError
+from dandelionknot.jobs._generated import (
+    HoldReport,
+    Host,
+    HostOrder,
+    HostOrderOutcome,
+    OrderOutcome,
+    StartOrder,
+)
 
 
 class Orders(Protocol):
@@ -30,3 +38,13 @@
 
     def close(self) -> None:
         """Closes the connections."""
+
+
+class HostOrders(Protocol):
+    """Calls about hosts, in the name of one member."""
+
+    async def list_hosts(self) -> Result[list[Host], PortError]:
+        """Reads the list of all hosts."""
+
+    async def order(self, order: HostOrder, fencing_token: int) -> HostOrderOutcome:
+        """Gives an order; one that is carried out already is accepted again."""
--- a/dandelionknot/manager/_view.py
+++ b/dandelionknot/manager/_view.py
@@ -18,12 +18,14 @@
     JobPhase,
     JobRecord,
     UpkeepWave,
+    WaveRecord,
 )
 from dandelionknot.jobs._stored import (
     CANCEL_PREFIX,
     JOB_PREFIX,
     LEADER_KEY,
     RECORD_PREFIX,
+    WAVE_RECORD_PREFIX,
     BackendFact,
     ConfigurationFact,
     Fact,
@@ -85,6 +87,7 @@
     backends_by_id: dict[str, BackendReport] = field(default_factory=dict)
     excluded_zones: set[str] = field(default_factory=set)
     waves_by_name: dict[str, UpkeepWave] = field(default_factory=dict)
+    wave_records_by_name: dict[str, WaveRecord] = field(default_factory=dict)
     leader: Item | None = None
     revision: int = 0
     # Local time at which the last answered read was sent; 0 before the first.
@@ -108,6 +111,12 @@
             return self._apply_record(item.key.removeprefix(RECORD_PREFIX), item)
         if item.key.startswith(CANCEL_PREFIX):
             return self._apply_cancel(item.key.removeprefix(CANCEL_PREFIX), item)
+        if item.key.startswith(WAVE_RECORD_PREFIX):
+            if not item.deleted:
+                name = item.key.removeprefix(WAVE_RECORD_PREFIX)
+                record = msgspec.json.decode(item.value, type=WaveRecord)
+                self.wave_records_by_name[name] = record
+            return None
         fact = self.meaning(item)
         return self._apply_fact(fact) if fact is not None else None
 
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -21,6 +21,7 @@
     CallerServer,
     PlatformAdapter,
     ReadinessServer,
+    wave_status,
 )
 
 # Calls in progress are finished until so long before the process is killed.
@@ -91,6 +92,8 @@
             reached=self.watcher.reached,
             subscribe=self.watcher.subscribers.append,
             unsubscribe=self.watcher.subscribers.remove,
+            new_hosts=self.adapter.new_hosts,
+            wave_status=wave_status,
             ask_advice=self.adapter.ask_advice,
             stopping=self.stopping,
         )
--- a/dandelionknot/platform/__init__.py
+++ b/dandelionknot/platform/__init__.py
@@ -2,7 +2,7 @@
 
 from dandelionknot.platform._adapter import PlatformAdapter
 from dandelionknot.platform._callers import CallerPort, CallerServer, ReadinessServer
-from dandelionknot.platform._items import CONFIGURATION_KEY
+from dandelionknot.platform._items import CONFIGURATION_KEY, wave_status
 
 __all__ = [
     'CONFIGURATION_KEY',
@@ -10,4 +10,5 @@
     'CallerServer',
     'PlatformAdapter',
     'ReadinessServer',
+    'wave_status',
 ]
--- a/dandelionknot/platform/_adapter.py
+++ b/dandelionknot/platform/_adapter.py
@@ -13,6 +13,7 @@
 from dandelionknot.platform._backends import BackendOrders
 from dandelionknot.platform._decode import decode
 from dandelionknot.platform._generated import WireGranted
+from dandelionknot.platform._hosts import PlatformHosts
 from dandelionknot.platform._http import HttpClient
 from dandelionknot.platform._store import PlatformStore
 from dandelionknot.store import Item
@@ -42,6 +43,13 @@
         """Returns a client of one lifetime of a backend server."""
         return BackendOrders(HttpClient(address), backend_id, token)
 
+    def new_hosts(self) -> PlatformHosts | None:
+        """Returns a client of the platform's list of hosts, if there is one."""
+        address = self.settings.hosts_address
+        if not address:
+            return None
+        return PlatformHosts(HttpClient(address), self.settings.member_id)
+
     def meaning(self, item: Item) -> Fact | None:
         """Decodes an item; one that cannot be read is logged and passed over."""
         found = _items.meaning(item)
--- /dev/null
+++ b/dandelionknot/platform/_hosts.py
@@ -0,0 +1,88 @@
+"""Orders to the platform about hosts."""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from dandelionknot.errors import PortError, PortErrorKind
+from dandelionknot.jobs._generated import (
+    Host,
+    HostOrder,
+    HostOrderOutcome,
+)
+from dandelionknot.platform._decode import decode, host
+from dandelionknot.platform._generated import WireMachines, WireOrderAnswer
+from dandelionknot.platform._http import Answer, HttpClient
+
+OK = 200
+CONFLICT = 409
+UNKNOWN = 400
+NOT_DONE = (429, 503)
+TIMEOUT_MS = 1500
+OUTCOMES_BY_REASON = {
+    'fence': HostOrderOutcome.FENCED,
+    'busy': HostOrderOutcome.BUSY,
+    'wave': HostOrderOutcome.OTHER_WAVE,
+}
+
+
+@dataclass(slots=True)
+class PlatformHosts:
+    """Lists hosts and orders their upkeep and moves in one member's name."""
+
+    client: HttpClient
+    member_id: str
+
+    async def list_hosts(self) -> Result[list[Host], PortError]:
+        """Reads all pages of the list of hosts."""
+        hosts: list[Host] = []
+        token: str | None = ''
+        while token is not None:
+            path = f'/machines?page_token={token}' if token else '/machines'
+            answer = await self.client.call('GET', path, None, TIMEOUT_MS)
+            if isinstance(answer, Err):
+                return answer
+            decoded = decode(answer.ok_value.body, WireMachines, 'hosts')
+            if answer.ok_value.status != OK or isinstance(decoded, Err):
+                message = f'hosts: HTTP status {answer.ok_value.status}'
+                return Err(PortError(kind=PortErrorKind.REJECTED, message=message))
+            hosts.extend(host(row) for row in decoded.ok_value.machines)
+            token = decoded.ok_value.next_token or None
+        return Ok(hosts)
+
+    async def order(self, order: HostOrder, fencing_token: int) -> HostOrderOutcome:
+        """Gives an order; one that is carried out already is accepted again."""
+        if not order.pool:
+            path = '/machine-upkeep'
+            body: dict = {'machine': order.host_id, 'wave': order.wave_number}
+        else:
+            path = '/machine-move'
+            body = {'machine': order.host_id, 'pool': order.pool}
+        headers = {
+            'X-Duty-Holder': self.member_id,
+            'X-Fence-Token': str(fencing_token),
+        }
+        answer = await self.client.call(
+            'POST', path, msgspec.json.encode(body), TIMEOUT_MS, headers
+        )
+        if isinstance(answer, Err):
+            if answer.err_value.kind is PortErrorKind.NOT_SENT:
+                return HostOrderOutcome.NOT_DONE
+            return HostOrderOutcome.NO_ANSWER
+        return _outcome_of(answer.ok_value)
+
+
+def _outcome_of(answer: Answer) -> HostOrderOutcome:
+    if answer.status == OK:
+        return HostOrderOutcome.ACCEPTED
+    if answer.status == UNKNOWN:
+        return HostOrderOutcome.UNKNOWN_HOST
+    if answer.status in NOT_DONE:
+        return HostOrderOutcome.NOT_DONE
+    if answer.status == CONFLICT:
+        decoded = decode(answer.body, WireOrderAnswer, 'host order')
+        if isinstance(decoded, Ok):
+            reason = decoded.ok_value.reason
+            return OUTCOMES_BY_REASON.get(reason, HostOrderOutcome.NO_ANSWER)
+    return HostOrderOutcome.NO_ANSWER
--- a/dandelionknot/platform/_items.py
+++ b/dandelionknot/platform/_items.py
@@ -6,7 +6,7 @@
 from dandelionknot.errors import DecodeError
 from dandelionknot.jobs import _stored
 from dandelionknot.platform import _decode
-from dandelionknot.store import Item
+from dandelionknot.store import Item, Put
 
 CONFIGURATION_KEY = 'op/config'
 EXCLUDED_ZONE_PREFIX = 'op/evacuate/'
@@ -51,9 +51,8 @@
     return Ok(_stored.BackendFact(backend_id, report.ok_value))
 
 
-def wave_status(number: int, done: bool) -> tuple[str, bytes]:
-    """Returns key and value of the status of a wave that operators read."""
-    value = msgspec.json.encode(
-        {'wave': number, 'state': 'done' if done else 'running'}
-    )
-    return f'{WAVE_STATUS_PREFIX}{number}', value
+def wave_status(number: int, done: bool) -> Put:
+    """Returns the item in which operators read the state of a wave."""
+    state = 'done' if done else 'running'
+    value = msgspec.json.encode({'wave': number, 'state': state})
+    return Put(f'{WAVE_STATUS_PREFIX}{number}', value)
--- /dev/null
+++ b/tests/job_world.py
@@ -0,0 +1,231 @@
+"""Backend servers and callers in memory, for tests of the job scheduler.
+
+Time is a number that the tests advance; nothing waits. Each backend server keeps
+the rules of the platform's protocol: fencing tokens, run numbers, leases, lists
+of ends that stay until they are acknowledged.
+"""
+
+from dataclasses import dataclass, field
+
+from dandelionknot.jobs._generated import (
+    BackendReport,
+    ClientAccount,
+    EndedTask,
+    EndReason,
+    HoldReport,
+    Job,
+    JobConfiguration,
+    JobSpec,
+    OrderOutcome,
+    Queue,
+    Resources,
+    RunningTask,
+    StartTask,
+    StepSpec,
+    StopTask,
+)
+from dandelionknot.jobs._scheduler import Scheduler
+
+HOLD_MAX_MS = 6000
+SERVICE = 'quotes'
+
+
+@dataclass(slots=True)
+class FakeRun:
+    """A run on a fake backend server."""
+
+    run: int
+    percent: int = 0
+
+
+@dataclass(slots=True)
+class FakeBackend:
+    """A backend server that does what it is told."""
+
+    backend_id: str
+    room: Resources = Resources(cpu_millicores=32000, memory_mb=65536)
+    born_ms: int = 1
+    zone: str = 'a'
+    labels: tuple[str, ...] = ('std', 'r1-1')
+    silent: bool = False
+    draining: bool = False
+    runs_by_name: dict[str, FakeRun] = field(default_factory=dict)
+    barred_by_name: dict[str, int] = field(default_factory=dict)
+    ends: list[EndedTask] = field(default_factory=list)
+    next_end: int = 1
+    started: list[tuple[str, int]] = field(default_factory=list)
+
+    def report(self) -> BackendReport:
+        """Returns the registry entry."""
+        return BackendReport(
+            backend_id=self.backend_id,
+            born_ms=self.born_ms,
+            service=SERVICE,
+            address='10.0.0.1:1',
+            availability_zone=self.zone,
+            draining=self.draining,
+            room=self.room,
+            labels=list(self.labels),
+        )
+
+    def start(self, name: str, run: int) -> OrderOutcome:
+        """Starts a run once."""
+        current = self.runs_by_name.get(name)
+        if current is not None and current.run == run:
+            return OrderOutcome.ACCEPTED
+        if run <= self.barred_by_name.get(name, 0):
+            return OrderOutcome.SUPERSEDED
+        self.runs_by_name[name] = FakeRun(run)
+        self.started.append((name, run))
+        return OrderOutcome.ACCEPTED
+
+    def end(self, name: str, reason: EndReason, checkpoint: str = '') -> None:
+        """Ends a run and lists its end."""
+        run = self.runs_by_name.pop(name).run
+        self.barred_by_name[name] = max(run, self.barred_by_name.get(name, 0))
+        self.ends.append(
+            EndedTask(
+                number=self.next_end,
+                task_name=name,
+                run=run,
+                reason=reason,
+                checkpoint=checkpoint,
+            )
+        )
+        self.next_end += 1
+
+    def stop(self, name: str, run: int) -> None:
+        """Stops a run, or bars it."""
+        current = self.runs_by_name.get(name)
+        if current is not None and current.run <= run:
+            self.end(name, EndReason.STOPPED)
+        self.barred_by_name[name] = max(run, self.barred_by_name.get(name, 0))
+
+    def lists(self) -> HoldReport:
+        """Returns what a hold answers."""
+        return HoldReport(
+            clock_ms=1,
+            born_ms=self.born_ms,
+            running=[
+                RunningTask(task_name=name, run=run.run, percent=run.percent)
+                for name, run in self.runs_by_name.items()
+            ],
+            ended=list(self.ends),
+        )
+
+    def restart(self) -> None:
+        """Begins a new lifetime that knows nothing."""
+        self.born_ms += 1000
+        self.runs_by_name.clear()
+        self.barred_by_name.clear()
+        self.ends.clear()
+        self.next_end = 1
+
+
+class World:
+    """A scheduler with fake backend servers and stored records."""
+
+    def __init__(self, *backends: FakeBackend, queue: Queue | None = None):
+        self.now_ms = 1_000_000
+        self.queue = queue or Queue(
+            name='desk', host='h', path_prefix='/q/', service=SERVICE, max_attempts=3
+        )
+        self.accounts = [ClientAccount(name='sofia', keys=['k'])]
+        self.backends = {backend.backend_id: backend for backend in backends}
+        self.jobs: dict[str, Job] = {}
+        self.records: dict = {}
+        self.scheduler = self.new_leader()
+
+    def new_leader(self) -> Scheduler:
+        """Replaces the scheduler by one that knows only what is stored."""
+        scheduler = Scheduler(hold_max_ms=HOLD_MAX_MS)
+        self.scheduler = scheduler
+        self.configure()
+        for job in self.jobs.values():
+            scheduler.add_job(
+                job, self.records.get(job.job_id), self.now_ms, self.now_ms
+            )
+        for backend in self.backends.values():
+            scheduler.set_backend(backend.report(), self.now_ms)
+        return scheduler
+
+    def configure(self) -> None:
+        """Puts queue and client accounts in force."""
+        self.scheduler.set_configuration(
+            JobConfiguration(
+                version=1, queues=[self.queue], client_accounts=self.accounts
+            )
+        )
+
+    def submit(self, *steps: StepSpec, job_id: str = 'j1', **spec) -> Job:
+        """Accepts a job."""
+        job = Job(
+            job_id=job_id,
+            queue=self.queue.name,
+            service=SERVICE,
+            client_account='sofia',
+            accepted_unix_ms=self.now_ms,
+            spec=JobSpec(payload='p', steps=list(steps), **spec),
+        )
+        self.jobs[job_id] = job
+        self.scheduler.add_job(job, None, self.now_ms, self.now_ms)
+        return job
+
+    def hold(self, backend: FakeBackend) -> None:
+        """Reports what a backend server lists, unless it is silent."""
+        state = self.scheduler.backends_by_id.get(backend.backend_id)
+        if state is None or backend.silent:
+            return
+        self.scheduler.hold_answered(
+            state, backend.lists(), self.now_ms, self.now_ms, self.now_ms
+        )
+
+    def step(self, advance_ms: int = 10) -> list:
+        """Advances time; holds, plans, stores and carries out all orders."""
+        self.now_ms += advance_ms
+        for backend in self.backends.values():
+            self.hold(backend)
+        self.scheduler.plan(self.now_ms, self.now_ms)
+        commands = self.scheduler.take_commands()
+        batch = self.scheduler.take_batch(1000)
+        self.records.update(batch.records_by_job_id)
+        commands += self.scheduler.confirm(batch)
+        for backend_id, backend in self.backends.items():
+            state = self.scheduler.backends_by_id.get(backend_id)
+            if state is not None and not backend.silent:
+                backend.ends = [e for e in backend.ends if e.number > state.stored_end]
+        for command in commands:
+            self.carry_out(command)
+        return commands
+
+    def carry_out(self, command) -> None:
+        """Carries out an order at once."""
+        state = self.scheduler.backends_by_id.get(getattr(command, 'backend_id', ''))
+        if state is None:
+            return
+        backend = self.backends[state.backend_id]
+        if isinstance(command, StartTask):
+            order = command.order
+            outcome = OrderOutcome.NOT_SENT
+            if not backend.silent:
+                outcome = backend.start(order.task_name, order.run)
+            self.scheduler.start_finished(
+                state, order.task_name, order.run, outcome, self.now_ms
+            )
+        elif isinstance(command, StopTask) and not backend.silent:
+            backend.stop(command.task_name, command.run)
+            self.scheduler.stop_finished(
+                state, command.task_name, command.run, self.now_ms
+            )
+
+    def running(self) -> dict[str, list[str]]:
+        """Returns the backend servers on which each task runs."""
+        places: dict[str, list[str]] = {}
+        for backend in self.backends.values():
+            for name in backend.runs_by_name:
+                places.setdefault(name, []).append(backend.backend_id)
+        return places
+
+    def phase(self, job_id: str = 'j1') -> str:
+        """Returns the phase of a job."""
+        return self.scheduler.jobs_by_id[job_id].phase.value
--- /dev/null
+++ b/tests/test_jobs_scheduling.py
@@ -0,0 +1,338 @@
+"""Where tasks run, when they run again and when a job has ended."""
+
+import unittest
+
+from dandelionknot.jobs._generated import (
+    EndReason,
+    OrderOutcome,
+    Queue,
+    Resources,
+    StartTask,
+    StepSpec,
+)
+from tests.job_world import SERVICE, FakeBackend, World
+
+SMALL = Resources(cpu_millicores=1000, memory_mb=100)
+TASK = 'j1.0.0.0'
+
+
+def step(count=1, **fields):
+    """Returns a step of small tasks."""
+    return StepSpec(task_count=count, resources=SMALL, **fields)
+
+
+class OrderTest(unittest.TestCase):
+    def test_a_start_is_sent_only_after_its_record_is_stored(self):
+        """Guards against runs that a new leader would not know of."""
+        world = World(FakeBackend('b1'))
+        world.step()
+        world.submit(step())
+        world.scheduler.plan(world.now_ms, world.now_ms)
+        self.assertEqual(world.scheduler.take_commands(), [])
+        batch = world.scheduler.take_batch(10)
+        record = batch.records_by_job_id['j1'].tasks_by_name['0.0.0']
+        self.assertEqual((record.run, record.backend_id), (1, 'b1'))
+        self.assertIsInstance(world.scheduler.confirm(batch)[0], StartTask)
+
+    def test_a_later_step_waits_for_all_tasks_of_the_earlier(self):
+        """Guards against tasks that start before their input is there."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(2), step(1, after=[0]))
+        world.step()
+        world.step()
+        backend = world.backends['b1']
+        backend.end('j1.0.0.0', EndReason.DONE)
+        world.step()
+        self.assertNotIn('j1.0.1.0', backend.runs_by_name)
+        backend.end('j1.0.0.1', EndReason.DONE)
+        world.step()
+        self.assertIn('j1.0.1.0', backend.runs_by_name)
+        backend.end('j1.0.1.0', EndReason.DONE)
+        world.step()
+        self.assertEqual(world.phase(), 'done')
+
+    def test_a_job_fails_after_its_last_attempt(self):
+        """Guards against hopeless jobs that run for ever."""
+        world = World(FakeBackend('b1'))
+        world.submit(step())
+        for run in (1, 2, 3):
+            world.step(10)
+            world.step(5000)
+            world.step(10)
+            backend = world.backends['b1']
+            self.assertEqual(backend.runs_by_name[TASK].run, run)
+            backend.end(TASK, EndReason.FAILED)
+        world.step()
+        self.assertEqual(world.phase(), 'failed')
+        self.assertEqual(len(world.backends['b1'].started), 3)
+
+    def test_an_occurrence_waits_for_its_time(self):
+        """Guards against scheduled runs that begin early."""
+        world = World(FakeBackend('b1'))
+        due = world.now_ms + 1000
+        world.submit(step(), repeats=2, first_due_unix_ms=due, interval_ms=5000)
+        world.step(500)
+        world.step(400)
+        self.assertEqual(world.running(), {})
+        world.step(200)
+        self.assertEqual(list(world.running()), [TASK])
+        world.step(5000)
+        self.assertIn('j1.1.0.0', world.running())
+
+
+class LimitTest(unittest.TestCase):
+    def test_an_account_stays_within_its_limit_on_all_backend_servers(self):
+        """Guards against a team that exceeds its upper limit across the fleet."""
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.accounts = [
+            type(world.accounts[0])(
+                name='sofia', keys=[], limit=Resources(cpu_millicores=3500)
+            )
+        ]
+        world.configure()
+        world.submit(step(8))
+        for _ in range(3):
+            world.step()
+        self.assertEqual(len(world.running()), 3)
+
+    def test_a_host_takes_no_more_than_its_room(self):
+        """Guards against starts that overfill a host that does not check."""
+        room = Resources(cpu_millicores=2500, memory_mb=1000)
+        world = World(FakeBackend('b1', room=room))
+        world.submit(step(8))
+        for _ in range(3):
+            world.step()
+        self.assertEqual(len(world.running()), 2)
+
+    def test_rules_of_the_step_hold(self):
+        """Guards against a missing label and too many tasks on one host."""
+        cases = {
+            'label': (step(2, required_label='gpu'), ['b2', 'b2']),
+            'per host': (step(2, max_per_host=1), ['b1', 'b2']),
+        }
+        for name, (spec, places) in cases.items():
+            with self.subTest(name):
+                world = World(FakeBackend('b1'), FakeBackend('b2', labels=('gpu',)))
+                world.submit(spec)
+                world.step()
+                world.step()
+                found = sorted(place for [place] in world.running().values())
+                self.assertEqual(found, places)
+
+    def test_nothing_starts_where_it_may_not(self):
+        """Guards against starts on leaving hosts and in zones taken out."""
+        for name in ('draining', 'zone'):
+            with self.subTest(name):
+                world = World(FakeBackend('b1', draining=name == 'draining'))
+                if name == 'zone':
+                    world.scheduler.excluded_zones = frozenset({'a'})
+                world.submit(step())
+                world.step()
+                world.step()
+                self.assertEqual(world.running(), {})
+
+
+class OnceTest(unittest.TestCase):
+    def start_one(self):
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.submit(step())
+        world.step()
+        world.step()
+        [place] = world.running()[TASK]
+        return world, world.backends[place]
+
+    def test_an_unanswered_start_is_stopped_before_the_next_run(self):
+        """Guards against a late start beside a second run of the task."""
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.step()
+        world.submit(step())
+        world.scheduler.plan(world.now_ms, world.now_ms)
+        [command] = world.scheduler.confirm(world.scheduler.take_batch(10))
+        first = world.backends[command.backend_id]
+        state = world.scheduler.backends_by_id[command.backend_id]
+        world.scheduler.start_finished(
+            state, TASK, 1, OrderOutcome.NO_ANSWER, world.now_ms
+        )
+        for _ in range(5):
+            world.step()
+        self.assertEqual(first.start(TASK, 1), OrderOutcome.SUPERSEDED)
+        self.assertEqual(len(world.running()[TASK]), 1)
+
+    def test_a_silent_host_keeps_its_tasks_until_its_lease_has_lapsed(self):
+        """Guards against a second run while a host that is cut off works on."""
+        world, backend = self.start_one()
+        backend.silent = True
+        state = world.scheduler.backends_by_id[backend.backend_id]
+        lapse = world.now_ms + 4000
+        world.scheduler.contact_lost(state, OrderOutcome.NO_ANSWER, lapse)
+        world.step(3900)
+        world.step(10)
+        self.assertEqual(world.running()[TASK], [backend.backend_id])
+        world.step(200)
+        world.step(10)
+        self.assertEqual(len(world.running()[TASK]), 2)
+
+    def test_a_new_leader_goes_on_with_what_runs(self):
+        """Guards against tasks that run twice after the leader has changed."""
+        world, backend = self.start_one()
+        world.new_leader()
+        for _ in range(5):
+            world.step()
+        self.assertEqual(backend.started, [(TASK, 1)])
+        backend.end(TASK, EndReason.DONE)
+        world.step()
+        self.assertEqual(world.phase(), 'done')
+
+    def test_a_new_leader_waits_for_hosts_that_it_cannot_reach(self):
+        """Guards against a second run of what a former leader has started."""
+        world, backend = self.start_one()
+        backend.silent = True
+        world.new_leader()
+        for _ in range(30):
+            world.step(200)
+        self.assertEqual(world.running()[TASK], [backend.backend_id])
+        for _ in range(5):
+            world.step(200)
+        self.assertEqual(len(world.running()[TASK]), 2)
+
+    def test_a_new_leader_places_again_what_was_never_started(self):
+        """Guards against tasks that wait for ever for a start that was not sent."""
+        world = World(FakeBackend('b1'))
+        world.step()
+        world.submit(step())
+        world.scheduler.plan(world.now_ms, world.now_ms)
+        batch = world.scheduler.take_batch(10)
+        world.records.update(batch.records_by_job_id)
+        world.new_leader()
+        for _ in range(4):
+            world.step()
+        self.assertEqual(world.backends['b1'].started, [(TASK, 2)])
+
+    def test_a_restarted_host_runs_nothing(self):
+        """Guards against tasks that wait for a lifetime that has ended."""
+        world, backend = self.start_one()
+        backend.restart()
+        world.scheduler.set_backend(backend.report(), world.now_ms)
+        for _ in range(3):
+            world.step()
+        self.assertEqual(len(world.running()[TASK]), 1)
+
+    def test_an_end_is_stored_before_it_is_acknowledged(self):
+        """Guards against a done task that runs again after the leader is lost."""
+        world, backend = self.start_one()
+        backend.end(TASK, EndReason.DONE)
+        world.hold(backend)
+        state = world.scheduler.backends_by_id[backend.backend_id]
+        self.assertEqual(state.stored_end, 0)
+        world.new_leader()
+        world.step()
+        self.assertEqual(world.phase(), 'done')
+        self.assertEqual(world.records['j1'].phase.value, 'done')
+
+
+class CancelTest(unittest.TestCase):
+    def test_a_cancelled_job_is_stopped_and_starts_nothing(self):
+        """Guards against work of a cancelled job."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(2), step(1, after=[0]))
+        world.step()
+        world.step()
+        world.scheduler.cancel_job('j1', world.now_ms)
+        for _ in range(3):
+            world.step()
+        self.assertEqual(world.running(), {})
+        self.assertEqual(len(world.backends['b1'].started), 2)
+        self.assertEqual(world.phase(), 'cancelled')
+
+    def test_a_run_of_a_job_that_has_ended_is_stopped(self):
+        """Guards against a start that was carried out late, after the cancel."""
+        world = World(FakeBackend('b1'))
+        world.submit(step())
+        world.step()
+        world.scheduler.cancel_job('j1', world.now_ms)
+        world.step()
+        world.backends['b1'].runs_by_name.clear()
+        world.backends['b1'].barred_by_name.clear()
+        world.backends['b1'].start(TASK, 1)
+        world.step()
+        world.step()
+        self.assertEqual(world.running(), {})
+
+
+class GangTest(unittest.TestCase):
+    def test_a_gang_starts_only_as_a_whole_and_with_one_run_number(self):
+        """Guards against members that wait alone."""
+        room = Resources(cpu_millicores=2000, memory_mb=1000)
+        world = World(FakeBackend('b1', room=room))
+        world.submit(step(3, gang=True))
+        world.step()
+        world.step()
+        self.assertEqual(world.running(), {})
+        other = FakeBackend('b2', room=room)
+        world.backends['b2'] = other
+        world.scheduler.set_backend(other.report(), world.now_ms)
+        world.step()
+        world.step()
+        self.assertEqual(len(world.running()), 3)
+        runs = {
+            run.run
+            for backend in world.backends.values()
+            for run in backend.runs_by_name.values()
+        }
+        self.assertEqual(runs, {1})
+
+    def test_a_gang_whose_member_fails_starts_again_together(self):
+        """Guards against members of different runs."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(2, gang=True))
+        world.step()
+        world.step()
+        backend = world.backends['b1']
+        backend.end('j1.0.0.0', EndReason.FAILED)
+        world.step()
+        self.assertEqual(len(backend.started), 2)
+        backend.end('j1.0.0.1', EndReason.BROKEN)
+        for _ in range(3):
+            world.step(200)
+        self.assertEqual({r.run for r in backend.runs_by_name.values()}, {2})
+
+
+class PriorityTest(unittest.TestCase):
+    def test_the_more_urgent_queue_goes_first(self):
+        """Guards against desk quotes that wait behind overnight packs."""
+        room = Resources(cpu_millicores=1000, memory_mb=1000)
+        world = World(FakeBackend('b1', room=room))
+        night = Queue(
+            name='night', host='h', path_prefix='/n/', service=SERVICE, priority=1
+        )
+        desk = world.queue
+        world.queue = night
+        world.configure()
+        world.submit(step(), job_id='n')
+        world.queue = desk
+        world.configure()
+        world.scheduler.jobs_by_id['n'].queue = night
+        world.submit(step(), job_id='d')
+        world.step()
+        world.step()
+        self.assertEqual(list(world.running()), ['d.0.0.0'])
+
+
+class UpkeepPercentTest(unittest.TestCase):
+    def test_a_new_run_is_not_at_work_because_the_former_was(self):
+        """Guards against moving a second task of a step too early."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(long_running=True, max_unavailable=1))
+        world.step()
+        world.step()
+        backend = world.backends['b1']
+        backend.runs_by_name[TASK].percent = 100
+        world.step()
+        backend.end(TASK, EndReason.STOPPED)
+        world.step()
+        task = world.scheduler.jobs_by_id['j1'].steps_by_occurrence[0][0].tasks[0]
+        self.assertEqual((task.run, task.percent), (2, 0))
+
+
+if __name__ == '__main__':
+    unittest.main()
