Move tasks off leaving and idle hosts, and pace tasks that disturb others

Cause: tasks on hosts that leave, stand still or share a host with serving tasks had no decision of their own.

Change: long-running tasks of draining hosts move within their budget; a task without progress runs again elsewhere; tasks that use idle capacity are paced by the readings of the serving tasks beside them. Tests without network.

Ruled out: judging a host by its health check, which a failing host may pass.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass, field
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _ends, _placement, _reports
+from dandelionknot.jobs import (
+    _drains,
+    _ends,
+    _placement,
+    _progress,
+    _reports,
+    _sharing,
+)
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
@@ -113,6 +120,8 @@
     commands: list[Command] = field(default_factory=list)
     started_ms: int = 0
     lost_leadership: bool = False
+    planned_sharing_ms: int = 0
+    planned_progress_ms: int = 0
     upkeep: Upkeep = field(default_factory=Upkeep)
 
     # What the rest of the process tells the scheduler.
@@ -427,6 +436,9 @@
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Frees what has lapsed and places waiting tasks."""
         self._free_lapsed(now_ms)
+        _drains.plan(self, now_ms)
+        _progress.plan(self, now_ms)
+        _sharing.plan(self, now_ms)
         for order in self.upkeep.plan(self, now_ms):
             self.commands.append(order)
             self.note(
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -50,7 +50,6 @@
     progressed_at_ms: int = 0
     pace_percent: int = 100
     reading: float = 0.0
-    over_objective_since_ms: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -148,6 +147,8 @@
     upkeep_due: bool = False
     last_contact_ms: int = 0
     full_until_ms: int = 0
+    # When a draining backend server leaves at the earliest; 0 if it stays.
+    leaves_at_ms: int = 0
 
     @property
     def rack(self) -> str:
@@ -188,7 +189,6 @@
     task.sent = task.stopping = task.unconfirmed = False
     task.missing_reports = 0
     task.pace_percent = 100
-    task.over_objective_since_ms = 0
     backend.tasks_by_name.pop(task.name, None)
     backend.cpu_millicores -= occupies_cpu(spec)
     backend.memory_mb -= spec.resources.memory_mb
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -49,6 +49,8 @@
     labels: tuple[str, ...] = ('std', 'r1-1')
     silent: bool = False
     draining: bool = False
+    # A backend server that works reports progress in each of its lists.
+    works: bool = True
     runs_by_name: dict[str, FakeRun] = field(default_factory=dict)
     barred_by_name: dict[str, int] = field(default_factory=dict)
     ends: list[EndedTask] = field(default_factory=list)
@@ -103,6 +105,9 @@
 
     def lists(self) -> HoldReport:
         """Returns what a hold answers."""
+        for run in self.runs_by_name.values():
+            if self.works and run.percent < 90:
+                run.percent += 1
         return HoldReport(
             clock_ms=1,
             born_ms=self.born_ms,
--- /dev/null
+++ b/tests/test_jobs_trouble.py
@@ -0,0 +1,224 @@
+"""Hosts that leave, stand still or disturb each other's tasks, and upkeep."""
+
+import unittest
+
+from dandelionknot.jobs._generated import (
+    EndReason,
+    Host,
+    HostOrder,
+    HostOrderOutcome,
+    HostsListed,
+    PaceTask,
+    Resources,
+    RunningTask,
+    StepSpec,
+    UpkeepWave,
+)
+from dandelionknot.jobs._sharing import _percent
+from tests.job_world import SERVICE, FakeBackend, World
+
+SMALL = Resources(cpu_millicores=1000, memory_mb=100)
+
+
+def step(count=1, **fields):
+    """Returns a step of small tasks."""
+    return StepSpec(task_count=count, resources=SMALL, **fields)
+
+
+def at_work(world):
+    """Lets every run reach its full share."""
+    for backend in world.backends.values():
+        for run in backend.runs_by_name.values():
+            run.percent = 100
+
+
+class StallTest(unittest.TestCase):
+    def test_a_task_that_stands_still_runs_again_elsewhere(self):
+        """Guards against jobs that wait for a host that does no work."""
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.submit(step(estimated_ms=500))
+        world.step()
+        world.step()
+        [first] = world.running()['j1.0.0.0']
+        world.backends[first].works = False
+        for _ in range(20):
+            world.step(200)
+        [second] = world.running()['j1.0.0.0']
+        self.assertNotEqual(first, second)
+
+    def test_a_slow_task_that_progresses_is_left_alone(self):
+        """Guards against work that is thrown away because an estimate was low."""
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.submit(step(estimated_ms=100))
+        for _ in range(40):
+            world.step(200)
+        started = sum(len(b.started) for b in world.backends.values())
+        self.assertEqual(started, 1)
+
+
+class DrainTest(unittest.TestCase):
+    def test_long_running_tasks_move_one_at_a_time(self):
+        """Guards against a step that is away as a whole while a host leaves."""
+        leaving = FakeBackend('b1')
+        world = World(leaving)
+        world.submit(step(3, long_running=True, max_unavailable=1))
+        world.step()
+        world.step()
+        other = FakeBackend('b2')
+        world.backends['b2'] = other
+        world.scheduler.set_backend(other.report(), world.now_ms)
+        at_work(world)
+        leaving.draining = True
+        world.scheduler.set_backend(leaving.report(), world.now_ms)
+        for moved in (1, 2, 3):
+            world.step()
+            world.step()
+            world.step()
+            self.assertEqual(len(other.runs_by_name), moved)
+            at_work(world)
+
+
+class PaceTest(unittest.TestCase):
+    def test_pace_follows_the_share_of_the_objective(self):
+        """Guards against serving tasks that stay slow beside tasks that fill."""
+        cases = [(100, 0.5, 100), (100, 0.95, 20), (60, 1.2, 0), (20, 0.5, 40)]
+        for current, worst, expected in cases:
+            with self.subTest(current=current, worst=worst):
+                self.assertEqual(_percent(current, worst), expected)
+
+    def test_a_slow_serving_task_is_relieved(self):
+        """Guards against a pace that is decided but not ordered."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(long_running=True, latency_objective_ms=100), job_id='s')
+        world.submit(step(long_running=True, uses_idle_capacity=True), job_id='f')
+        world.step()
+        world.step()
+        backend = world.backends['b1']
+        lists = backend.lists()
+        rows = [
+            RunningTask(
+                task_name=row.task_name, run=row.run, percent=100, reading=150.0
+            )
+            for row in lists.running
+        ]
+        state = world.scheduler.backends_by_id['b1']
+        report = type(lists)(clock_ms=1, born_ms=1, running=rows, ended=[])
+        now = world.now_ms
+        world.scheduler.hold_answered(state, report, now, now, now)
+        world.scheduler.plan(now + 1000, now + 1000)
+        [pace] = world.scheduler.take_commands()
+        self.assertIsInstance(pace, PaceTask)
+        self.assertEqual((pace.task_name, pace.percent), ('f.0.0.0', 0))
+
+
+class WaveTest(unittest.TestCase):
+    def wave(self, count=4, max_down=2, **step_fields):
+        backends = [FakeBackend(f'b{i}') for i in range(count)]
+        world = World(*backends)
+        upkeep = world.scheduler.upkeep
+        ids = [f'm{i}' for i in range(count)]
+        upkeep.set_wave(
+            '1',
+            UpkeepWave(number=1, host_ids=ids, within_s=20, max_down=max_down),
+            None,
+            world.now_ms,
+        )
+        world.step()
+        self.list_hosts(world)
+        return world
+
+    def list_hosts(self, world, down=()):
+        hosts = [
+            Host(
+                host_id=f'm{backend_id[1:]}',
+                pool=SERVICE,
+                state='upkeep' if backend_id in down else 'up',
+                backend_id=backend_id,
+            )
+            for backend_id in world.backends
+        ]
+        world.scheduler.upkeep.hosts_listed(
+            HostsListed(hosts=hosts, sent_ms=world.now_ms + 1)
+        )
+
+    def orders(self, world, advance=100):
+        return [
+            command.host_id
+            for command in world.step(advance)
+            if hasattr(command, 'host_id')
+        ]
+
+    def test_no_more_hosts_are_down_than_the_wave_allows(self):
+        """Guards against more upkeep at once than operators allow."""
+        world = self.wave(max_down=2)
+        ordered = []
+        for _ in range(100):
+            ordered += self.orders(world)
+        self.assertLessEqual(len(ordered), 2)
+
+    def test_an_order_without_an_answer_counts_as_down(self):
+        """Guards against an upkeep that was begun although its answer was lost."""
+        world = self.wave(count=9, max_down=1)
+        [first] = self.orders(world)
+        upkeep = world.scheduler.upkeep
+        wave = upkeep.waves_by_name['1']
+        upkeep.order_finished(
+            HostOrder(host_id=first, wave_number=1),
+            HostOrderOutcome.NO_ANSWER,
+            world.now_ms,
+        )
+        self.assertEqual(wave.down(), 1)
+        self.assertEqual(self.orders(world, 1000), [])
+
+    def test_a_host_with_a_task_waits_until_it_has_ended(self):
+        """Guards against work that is cut by an upkeep."""
+        world = World(FakeBackend('b0'))
+        world.submit(step())
+        world.step()
+        world.step()
+        world.scheduler.upkeep.set_wave(
+            '1',
+            UpkeepWave(number=1, host_ids=['m0'], within_s=20, max_down=1),
+            None,
+            world.now_ms,
+        )
+        self.list_hosts(world)
+        self.assertEqual(self.orders(world), [])
+        self.assertEqual(self.orders(world), [])
+        world.backends['b0'].end('j1.0.0.0', EndReason.DONE)
+        self.assertEqual(self.orders(world), ['m0'])
+
+    def test_a_wave_is_done_only_after_every_host_has_begun(self):
+        """Guards against a status that says done too early."""
+        world = self.wave(count=2, max_down=2)
+        wave = world.scheduler.upkeep.waves_by_name['1']
+        for _ in range(200):
+            for host_id in self.orders(world):
+                world.scheduler.upkeep.order_finished(
+                    HostOrder(host_id=host_id, wave_number=1),
+                    HostOrderOutcome.ACCEPTED,
+                    world.now_ms,
+                )
+            self.list_hosts(world)
+            if len(wave.begun) < 2:
+                self.assertFalse(wave.done)
+        self.assertTrue(wave.done)
+
+    def test_a_new_leader_does_not_order_again_what_is_stored(self):
+        """Guards against hosts that go down twice for one wave."""
+        world = self.wave(count=2, max_down=2)
+        wave = world.scheduler.upkeep.waves_by_name['1']
+        wave.begun.add('m0')
+        record = wave.record()
+        world.new_leader()
+        world.scheduler.upkeep.set_wave('1', wave.wave, record, world.now_ms)
+        world.step()
+        self.list_hosts(world)
+        ordered = []
+        for _ in range(50):
+            ordered += self.orders(world)
+        self.assertEqual(set(ordered), {'m1'})
+
+
+if __name__ == '__main__':
+    unittest.main()
