Bound the volume of the log and never wait for its reader

Cause: one line for each start and end can reach hundreds of lines a second, and a reader of standard output that stands still would stop the process.

Ruled out: a writing thread, which costs more for each line.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -6,6 +6,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from dandelionknot.log_stream import BoundedHandler
+
 LOGGER_NAME = 'dandelionknot'
 
 
@@ -326,9 +328,15 @@
     )
 
 
-def set_up_logging(level: str) -> None:
-    """Writes log events as JSON lines to standard error."""
-    handler = logging.StreamHandler()
+def set_up_logging(level: str, descriptor: int | None = None) -> None:
+    """Writes log events as JSON lines.
+
+    Without a descriptor they go to standard error and a slow reader is waited
+    for; with one, the volume is bounded and nothing is waited for.
+    """
+    handler: logging.Handler = logging.StreamHandler()
+    if descriptor is not None:
+        handler = BoundedHandler(descriptor, int(Event.LINES_LEFT_OUT))
     handler.setFormatter(
         JsonFormatter('%(asctime)s %(levelname)s %(message)s %(event)s')
     )
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -321,6 +321,7 @@
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
             task.confirmed_at_ms = task.progressed_at_ms = now
+            self._note_started(task, backend, outcome, now)
             return
         job_id = task.step.job.job.job_id
         self.note(
@@ -340,6 +341,23 @@
         else:
             self._start_refused(task, backend, outcome, now)
 
+    def _note_started(
+        self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
+    ) -> None:
+        state = task.step.job
+        self.note(
+            Event.TASK_STARTED,
+            {
+                'job_id': state.job.job_id,
+                'task': task.name,
+                'run': task.run,
+                'backend_id': backend.backend_id,
+                'outcome': outcome.value,
+                'job_age_ms': now - state.accepted_ms,
+                'due_in_ms': state.due_ms - now,
+            },
+        )
+
     def _start_refused(
         self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
     ) -> None:
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -29,6 +29,7 @@
 # The balancer needs two health checks, a second apart, to notice a stop.
 BALANCER_NOTICE_MS = 2200
 POLL_MS = 50
+STANDARD_OUTPUT = 1
 
 
 class Manager:
@@ -143,7 +144,7 @@
     if isinstance(loaded, Err):
         log_event(Event.SETTINGS_REFUSED, problem=str(loaded.err_value))
         return ExitStatus.INVALID_INPUT
-    set_up_logging(loaded.ok_value.log_level)
+    set_up_logging(loaded.ok_value.log_level, STANDARD_OUTPUT)
     return asyncio.run(_run(loaded.ok_value, settings_path))
 
 
