Give up runs only when the link says that their lease has lapsed

Cause: a start for which no connection opened marked its backend server as unreachable; the time by which its lease lapses was then that of the start of the term, long past, so that all its tasks ran again at once.

Change: only a lost contact sets the time of the lapse, and contact clears it; a start that was not sent only pauses starts there. A test fails without it.

Ruled out: the arithmetic of the lease (a unit of its own, right in the trace); late starts (both runs were ordered by the same leader, 1.4 s apart).

--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -42,6 +42,7 @@
         scheduler.contact_lost(backend, OrderOutcome.OTHER_LIFETIME, now_ms)
         return
     backend.fenced = True
+    backend.lapses_at_ms = None
     backend.last_contact_ms = now_ms
     if not backend.reachable:
         backend.reachable = True
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -64,6 +64,8 @@
 FULL_PAUSE_MS = 300
 # A backend server that answers 'unhealthy' is passed over for so long.
 UNHEALTHY_PAUSE_MS = 1000
+# A backend server to which no connection opens is passed over for so long.
+NOT_SENT_PAUSE_MS = 500
 # Pause after an order that was refused as malformed, against a busy loop.
 REFUSED_PAUSE_MS = 1000
 # Pause before asking the advice service again about the same step.
@@ -362,7 +364,9 @@
         self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
     ) -> None:
         if outcome is OrderOutcome.NOT_SENT:
-            backend.reachable = False
+            # Only the link knows whether contact is lost and until when its
+            # lease lasts.
+            backend.avoid_until_ms = now + NOT_SENT_PAUSE_MS
         elif outcome is OrderOutcome.NO_ROOM:
             backend.full_until_ms = now + FULL_PAUSE_MS
         elif outcome is OrderOutcome.UNHEALTHY:
@@ -503,7 +507,8 @@
         for backend in [*self.backends_by_id.values(), *self.former_backends]:
             if not backend.tasks_by_name:
                 continue
-            if not backend.reachable and now_ms >= backend.lapses_at_ms:
+            lapses_at_ms = backend.lapses_at_ms
+            if lapses_at_ms is not None and now_ms >= lapses_at_ms:
                 self.lose_tasks(backend, 'lease lapsed')
         self.former_backends = [b for b in self.former_backends if b.tasks_by_name]
         for backend_id, backend in list(self.backends_by_id.items()):
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -125,8 +125,8 @@
 
     backend_id: str
     born_ms: int
-    # Local time by which all it runs has ended, unless it is reachable.
-    lapses_at_ms: int
+    # Local time by which all that it runs has ended; None while it is in contact.
+    lapses_at_ms: int | None
     report: BackendReport | None = None
     tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     cpu_millicores: int = 0
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -158,6 +158,29 @@
         self.assertEqual(first.start(TASK, 1), OrderOutcome.SUPERSEDED)
         self.assertEqual(len(world.running()[TASK]), 1)
 
+    def test_a_start_that_was_not_sent_says_nothing_of_other_tasks(self):
+        """Guards against runs that are given up because a connection failed.
+
+        Seen as TWICE on a drawn day, when a zone was cut off from the leader.
+        """
+        backend = FakeBackend('b1')
+        world = World(backend)
+        world.submit(step())
+        for _ in range(40):
+            world.step(200)
+        world.submit(step(), job_id='j2')
+        world.scheduler.plan(world.now_ms, world.now_ms)
+        state = world.scheduler.backends_by_id['b1']
+        world.scheduler.start_finished(
+            state, 'j2.0.0.0', 1, OrderOutcome.NOT_SENT, world.now_ms
+        )
+        backend.silent = True
+        world.backends['b2'] = FakeBackend('b2')
+        world.scheduler.set_backend(world.backends['b2'].report(), world.now_ms)
+        for _ in range(5):
+            world.step(10)
+        self.assertEqual(world.running()[TASK], ['b1'])
+
     def test_a_silent_host_keeps_its_tasks_until_its_lease_has_lapsed(self):
         """Guards against a second run while a host that is cut off works on."""
         world, backend = self.start_one()
