Count tasks on hosts out of contact as away; borrow hosts for bursts

Cause: a long-running task was moved while another of its step was on a host that had been dark for five seconds; its last report said that it was at work.

Cause: in each queue's burst its pool is too small while a standby pool is off.

Change: at work means in contact too. What has found no place after planning counts as need of its pool, which borrows hosts from a standby pool or idle hosts that others have borrowed; idle ones go back. Tests of both without network.

--- /dev/null
+++ b/dandelionknot/jobs/_capacity.py
@@ -0,0 +1,294 @@
+"""Moves hosts between pools as the demand of their queues changes.
+
+A pool that cannot hold the work that waits borrows hosts: from a standby pool,
+or hosts that another pool has borrowed and does not use. A borrowed host that
+stays idle goes back. Hosts of a pool's own leave it only if its demand has long
+been lower.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dandelionknot.events import Event
+from dandelionknot.jobs._generated import Host, HostOrder, HostOrderOutcome
+from dandelionknot.jobs._state import BackendState, StepState, TaskPhase, occupies_cpu
+
+if TYPE_CHECKING:
+    from dandelionknot.jobs._scheduler import Scheduler
+
+PLAN_EVERY_MS = 200
+# Share of a host's room that tasks of different sizes can fill.
+FILL_SHARE = 0.85
+# Need is remembered for so long; within it, a pool keeps its own hosts.
+PEAK_WINDOW_MS = 20_000
+# A borrowed host is lent on after this idle time, and goes back after the other.
+LEND_AFTER_MS = 400
+RETURN_AFTER_MS = 3000
+# A pool keeps at least so many hosts.
+MIN_HOSTS = 2
+# Orders in one round, against moves that a short peak does not need.
+MAX_ORDERS = 4
+# A move whose answer was lost is taken to have failed if the host is listed in
+# its former pool this long after the order.
+UNANSWERED_MS = 4000
+UP = 'up'
+
+
+@dataclass(slots=True)
+class Need:
+    """Hosts that the work of a pool needs now, and those it has."""
+
+    wanted: int = 0
+    present: int = 0
+    coming: int = 0
+    peaks: deque[tuple[int, int]] = field(default_factory=deque)
+
+    def remember(self, now_ms: int) -> None:
+        """Keeps the need of the last while."""
+        self.peaks.append((now_ms, self.wanted))
+        while self.peaks and self.peaks[0][0] < now_ms - PEAK_WINDOW_MS:
+            self.peaks.popleft()
+
+    def peak(self) -> int:
+        """Returns the highest need of the last while."""
+        return max((wanted for _, wanted in self.peaks), default=0)
+
+    def settled(self, now_ms: int) -> bool:
+        """Whether the need has been watched for the whole while."""
+        return bool(self.peaks) and (
+            self.peaks[0][0] <= now_ms - PEAK_WINDOW_MS + 2 * PLAN_EVERY_MS
+        )
+
+
+@dataclass(slots=True)
+class Move:
+    """A host on its way to another pool."""
+
+    host_id: str
+    source: str
+    target: str
+    ordered_at_ms: int
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class Capacity:
+    """What is known of the pools in one leadership term."""
+
+    standby_pools: frozenset[str] = frozenset()
+    needs_by_pool: dict[str, Need] = field(default_factory=dict)
+    moves_by_host_id: dict[str, Move] = field(default_factory=dict)
+    # Home pool of each borrowed host.
+    homes_by_host_id: dict[str, str] = field(default_factory=dict)
+    idle_since_by_host_id: dict[str, int] = field(default_factory=dict)
+    planned_ms: int = 0
+
+    def active(self) -> bool:
+        """Whether there is a pool from which others may borrow."""
+        return bool(self.standby_pools)
+
+    def order_finished(self, order: HostOrder, outcome: HostOrderOutcome) -> None:
+        """Takes what became of a move."""
+        move = self.moves_by_host_id.get(order.host_id)
+        if move is None:
+            return
+        if outcome is HostOrderOutcome.ACCEPTED:
+            move.answered = True
+            home = self.homes_by_host_id.setdefault(order.host_id, move.source)
+            if home == move.target:
+                del self.homes_by_host_id[order.host_id]
+        elif outcome is not HostOrderOutcome.NO_ANSWER:
+            del self.moves_by_host_id[order.host_id]
+
+    def plan(
+        self, scheduler: Scheduler, steps: dict[str, list[StepState]], now_ms: int
+    ) -> list[HostOrder]:
+        """Returns the moves that are due; `steps` are those ready by pool."""
+        hosts = scheduler.upkeep.hosts_by_id
+        if not self.active() or not hosts or now_ms < scheduler.upkeep.not_before_ms:
+            return []
+        if now_ms - self.planned_ms < PLAN_EVERY_MS:
+            return []
+        self.planned_ms = now_ms
+        self._settle_moves(hosts, now_ms)
+        self._measure(scheduler, steps, now_ms)
+        orders: list[HostOrder] = []
+        for pool, need in sorted(
+            self.needs_by_pool.items(),
+            key=lambda item: item[1].present - item[1].wanted,
+        ):
+            while need.wanted > need.present + need.coming:
+                host = self._lender(scheduler, pool, now_ms)
+                if host is None or len(orders) >= MAX_ORDERS:
+                    break
+                orders.append(self._move(scheduler, host, pool, now_ms))
+        if not orders:
+            orders = self._returns(scheduler, now_ms)
+        for host_id, host in hosts.items():
+            backend = scheduler.backends_by_id.get(host.backend_id)
+            if backend is not None:
+                backend.moving = host_id in self.moves_by_host_id
+        return orders
+
+    def _settle_moves(self, hosts: dict[str, Host], now_ms: int) -> None:
+        for host_id, move in list(self.moves_by_host_id.items()):
+            host = hosts.get(host_id)
+            arrived = host is not None and host.pool == move.target and host.state == UP
+            failed = now_ms - move.ordered_at_ms > UNANSWERED_MS and not arrived
+            if host is None or arrived or failed:
+                del self.moves_by_host_id[host_id]
+
+    def _measure(
+        self, scheduler: Scheduler, steps: dict[str, list[StepState]], now_ms: int
+    ) -> None:
+        """Computes the need of each pool from what runs and what waits."""
+        for need in self.needs_by_pool.values():
+            need.wanted = need.present = need.coming = 0
+        used: dict[str, list[BackendState]] = {}
+        for backend in scheduler.backends_by_id.values():
+            if backend.report is not None and not backend.report.draining:
+                used.setdefault(backend.report.service, []).append(backend)
+        for pool in used.keys() | steps.keys():
+            if pool in self.standby_pools:
+                continue
+            need = self.needs_by_pool.setdefault(pool, Need())
+            backends = used.get(pool, [])
+            need.present = len(backends)
+            worth = [step for step in steps.get(pool, []) if _worth(step, now_ms)]
+            need.wanted = _hosts_wanted(backends, worth)
+        for move in self.moves_by_host_id.values():
+            need_of_target = self.needs_by_pool.get(move.target)
+            if need_of_target is not None:
+                need_of_target.coming += 1
+        for need in self.needs_by_pool.values():
+            need.remember(now_ms)
+        self._note_idle(scheduler, now_ms)
+
+    def _note_idle(self, scheduler: Scheduler, now_ms: int) -> None:
+        for host_id, host in scheduler.upkeep.hosts_by_id.items():
+            backend = scheduler.backends_by_id.get(host.backend_id)
+            if backend is not None and not backend.tasks_by_name:
+                self.idle_since_by_host_id.setdefault(host_id, now_ms)
+            else:
+                self.idle_since_by_host_id.pop(host_id, None)
+
+    def _idle_ms(self, host_id: str, now_ms: int) -> int:
+        since = self.idle_since_by_host_id.get(host_id)
+        return now_ms - since if since is not None else -1
+
+    def _lender(self, scheduler: Scheduler, pool: str, now_ms: int) -> Host | None:
+        """Returns a host that a pool may borrow now."""
+        standby = None
+        for host in scheduler.upkeep.hosts_by_id.values():
+            if not self._movable(scheduler, host) or host.pool == pool:
+                continue
+            if host.pool in self.standby_pools:
+                standby = standby or host
+            elif host.host_id in self.homes_by_host_id:
+                idle = self._idle_ms(host.host_id, now_ms)
+                if idle >= LEND_AFTER_MS and self._spare(host.pool):
+                    return host
+        return standby
+
+    def _spare(self, pool: str) -> bool:
+        need = self.needs_by_pool.get(pool)
+        return need is not None and need.present > max(MIN_HOSTS, need.wanted)
+
+    def _movable(self, scheduler: Scheduler, host: Host) -> bool:
+        if host.state != UP or host.host_id in self.moves_by_host_id:
+            return False
+        if scheduler.upkeep.in_work(host.host_id):
+            return False
+        if host.availability_zone in scheduler.excluded_zones:
+            return False
+        backend = scheduler.backends_by_id.get(host.backend_id)
+        if host.pool in self.standby_pools:
+            return True
+        return backend is not None and backend.reachable and not backend.tasks_by_name
+
+    def _move(
+        self, scheduler: Scheduler, host: Host, pool: str, now_ms: int
+    ) -> HostOrder:
+        self.moves_by_host_id[host.host_id] = Move(
+            host.host_id, host.pool, pool, now_ms
+        )
+        source = self.needs_by_pool.get(host.pool)
+        target = self.needs_by_pool.get(pool)
+        if source is not None:
+            source.present -= 1
+        if target is not None:
+            target.coming += 1
+        scheduler.note(
+            Event.HOST_MOVE_ORDERED,
+            {
+                'host_id': host.host_id,
+                'from_pool': host.pool,
+                'to_pool': pool,
+                'wanted': target.wanted if target else 0,
+                'present': target.present if target else 0,
+            },
+        )
+        return HostOrder(host_id=host.host_id, pool=pool)
+
+    def _returns(self, scheduler: Scheduler, now_ms: int) -> list[HostOrder]:
+        """Returns one idle host to where it came from, or to standby."""
+        for host in scheduler.upkeep.hosts_by_id.values():
+            if host.pool in self.standby_pools or not self._movable(scheduler, host):
+                continue
+            if self._idle_ms(host.host_id, now_ms) < RETURN_AFTER_MS:
+                continue
+            need = self.needs_by_pool.get(host.pool)
+            if need is None or need.present <= max(MIN_HOSTS, need.wanted):
+                continue
+            home = self.homes_by_host_id.get(host.host_id)
+            if home is not None:
+                return [self._move(scheduler, host, home, now_ms)]
+            if need.settled(now_ms) and need.present > max(MIN_HOSTS, need.peak()):
+                pool = sorted(self.standby_pools)[0]
+                return [self._move(scheduler, host, pool, now_ms)]
+        return []
+
+
+def _spare_hosts(item: tuple[str, Need]) -> int:
+    return item[1].present - item[1].wanted
+
+
+def _worth(step: StepState, now_ms: int) -> bool:
+    """Whether a job may still end soon enough to be of use to its caller."""
+    job = step.job
+    span = job.due_ms - job.accepted_ms
+    return step.spec.long_running or now_ms < job.due_ms + 2 * span
+
+
+def _hosts_wanted(backends: list[BackendState], steps: list[StepState]) -> int:
+    """Returns how many hosts hold what runs and what may start now."""
+    if not backends:
+        return MIN_HOSTS if steps else 0
+    reports = [backend.report for backend in backends if backend.report]
+    cpu_of_host = sum(r.room.cpu_millicores for r in reports) / len(reports)
+    memory_of_host = sum(r.room.memory_mb for r in reports) / len(reports)
+    cpu = sum(backend.cpu_millicores for backend in backends)
+    memory = sum(backend.memory_mb for backend in backends)
+    allowed: dict[str, int] = {}
+    for step in steps:
+        account = step.job.account
+        spec = step.spec
+        count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+        if account.limit.cpu_millicores and spec.resources.cpu_millicores:
+            left = allowed.setdefault(
+                account.name, account.limit.cpu_millicores - account.cpu_millicores
+            )
+            count = max(0, min(count, left // spec.resources.cpu_millicores))
+            allowed[account.name] = left - count * spec.resources.cpu_millicores
+        cpu += count * occupies_cpu(spec)
+        memory += count * spec.resources.memory_mb
+    return math.ceil(
+        max(
+            cpu / max(1.0, cpu_of_host * FILL_SHARE),
+            memory / max(1.0, memory_of_host * FILL_SHARE),
+        )
+    )
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -399,6 +399,7 @@
     host_id: str
     pool: str
     state: str
+    availability_zone: str = ""
     backend_id: str = ""
 
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -18,6 +18,7 @@
     _reports,
     _sharing,
 )
+from dandelionknot.jobs._capacity import Capacity
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
@@ -124,6 +125,7 @@
     lost_leadership: bool = False
     planned_sharing_ms: int = 0
     planned_progress_ms: int = 0
+    capacity: Capacity = field(default_factory=Capacity)
     upkeep: Upkeep = field(default_factory=Upkeep)
 
     # What the rest of the process tells the scheduler.
@@ -134,6 +136,9 @@
         for configured in configuration.client_accounts:
             account = self.account(configured.name)
             account.limit, account.weight = configured.limit, configured.weight
+        self.capacity.standby_pools = frozenset(
+            pool.name for pool in configuration.pools if pool.standby
+        )
         for state in self.open_jobs_by_id.values():
             queue = self.queues_by_name.get(state.job.queue)
             if queue is not None:
@@ -412,6 +417,10 @@
         if task.sent:
             self.commands.append(stop_command(backend, task.name, task.run))
 
+    def wants_host_list(self) -> bool:
+        """Whether the list of hosts is needed."""
+        return self.upkeep.active() or self.capacity.active()
+
     def advice_given(
         self, request: AskAdvice, granted: dict[str, str], valid_ms: int, now_ms: int
     ) -> None:
@@ -484,6 +493,8 @@
             backends = backends_by_service.get(service)
             if backends:
                 self._place_steps(steps, backends, now_ms)
+        # What still waits has found no place.
+        self.commands.extend(self.capacity.plan(self, steps_by_service, now_ms))
 
     def service_of(self, state: JobState) -> str:
         """Returns the service whose backend servers run a job now."""
@@ -498,6 +509,7 @@
             and backend.reachable
             and not report.draining
             and not backend.cordoned
+            and not backend.moving
             and report.availability_zone not in self.excluded_zones
             and backend.avoid_until_ms <= now_ms
             and backend.full_until_ms <= now_ms
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -143,6 +143,8 @@
     failed_in_row: int = 0
     failed_job_ids: set[str] = field(default_factory=set)
     cordoned: bool = False
+    # Its host has been ordered to another pool.
+    moving: bool = False
     # The host is due for upkeep, so that long-running tasks had better go elsewhere.
     upkeep_due: bool = False
     last_contact_ms: int = 0
--- a/dandelionknot/jobs/_upkeep.py
+++ b/dandelionknot/jobs/_upkeep.py
@@ -111,6 +111,16 @@
         """Whether the list of hosts is needed."""
         return any(not wave.done for wave in self.waves_by_name.values())
 
+    def in_work(self, host_id: str) -> bool:
+        """Whether a host is being emptied for its upkeep, or is down for it."""
+        for wave in self.waves_by_name.values():
+            state = wave.hosts_by_id.get(host_id)
+            if state is None:
+                continue
+            if state.down or (state.cordoned_at_ms and host_id not in wave.begun):
+                return True
+        return False
+
     def hosts_listed(self, listed: HostsListed) -> None:
         """Takes the platform's list of all hosts."""
         self.hosts_by_id = {host.host_id: host for host in listed.hosts}
@@ -288,9 +298,14 @@
 
 
 def at_work(task: TaskState) -> bool:
-    """Whether a task runs, is at its full speed and is not being stopped."""
+    """Whether a task runs, is at its full speed and is not being stopped.
+
+    A backend server out of contact may have lost its tasks.
+    """
     return (
         task.phase is TaskPhase.RUNNING
+        and task.backend is not None
+        and task.backend.reachable
         and not task.stopping
         and not task.unconfirmed
         and task.percent >= 100
--- a/dandelionknot/manager/_lead.py
+++ b/dandelionknot/manager/_lead.py
@@ -131,7 +131,7 @@
             fencing_token=self.term.number,
             report=self.mailbox.send,
             may_order=self.term.valid,
-            list_wanted=self.scheduler.upkeep.active,
+            list_wanted=self.scheduler.wants_host_list,
         )
         self._spawn(self.hosts.run())
 
@@ -219,7 +219,9 @@
         )
         if outcome is HostOrderOutcome.FENCED:
             self.scheduler.lost_leadership = True
-        if not order.pool:
+        if order.pool:
+            self.scheduler.capacity.order_finished(order, outcome)
+        else:
             self.scheduler.upkeep.order_finished(order, outcome, now_ms())
 
     def _take_report(self, backend: BackendState, message: object) -> None:
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -206,6 +206,7 @@
         host_id=wire.machine,
         pool=wire.pool,
         state=wire.state,
+        availability_zone=wire.zone,
         backend_id=wire.id or '',
     )
 
--- /dev/null
+++ b/tests/test_jobs_capacity.py
@@ -0,0 +1,122 @@
+"""Hosts that move between pools as demand changes."""
+
+import unittest
+
+from dandelionknot.jobs._generated import (
+    EndReason,
+    Host,
+    HostOrderOutcome,
+    HostsListed,
+    JobConfiguration,
+    PoolPolicy,
+    Resources,
+    StepSpec,
+)
+from tests.job_world import SERVICE, FakeBackend, World
+
+HALF = Resources(cpu_millicores=16000, memory_mb=1000)
+SPARE = 'spare'
+
+
+class CapacityTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World(FakeBackend('b0'), FakeBackend('b1'))
+        scheduler = self.world.scheduler
+        scheduler.set_configuration(
+            JobConfiguration(
+                version=1,
+                queues=[self.world.queue],
+                pools=[PoolPolicy(name=SPARE, standby=True)],
+                client_accounts=self.world.accounts,
+            )
+        )
+        self.pools = {'b0': SERVICE, 'b1': SERVICE, 's0': SPARE, 's1': SPARE}
+
+    def play(self, rounds, advance_ms=100):
+        """Advances time; orders are carried out at once."""
+        ordered = []
+        for _ in range(rounds):
+            world = self.world
+            world.scheduler.upkeep.hosts_listed(
+                HostsListed(hosts=self.hosts(), sent_ms=world.now_ms + 1)
+            )
+            for command in world.step(advance_ms):
+                if hasattr(command, 'pool') and command.pool:
+                    ordered.append((command.host_id, command.pool))
+                    self.carry_out(command)
+        return ordered
+
+    def hosts(self):
+        return [
+            Host(
+                host_id=f'm-{name}',
+                pool=pool,
+                state='up',
+                backend_id='' if pool == SPARE else name,
+            )
+            for name, pool in self.pools.items()
+        ]
+
+    def carry_out(self, order):
+        name = order.host_id.removeprefix('m-')
+        scheduler = self.world.scheduler
+        if order.pool == SPARE:
+            scheduler.remove_backend(name)
+            self.world.backends.pop(name)
+        else:
+            backend = FakeBackend(name)
+            self.world.backends[name] = backend
+            scheduler.set_backend(backend.report(), self.world.now_ms)
+        self.pools[name] = order.pool
+        scheduler.capacity.order_finished(order, HostOrderOutcome.ACCEPTED)
+
+    def burst(self, count):
+        for number in range(count):
+            self.world.submit(
+                StepSpec(task_count=1, resources=HALF, estimated_ms=60_000),
+                job_id=f'j{number}',
+            )
+
+    def test_a_pool_that_is_too_small_borrows_standby_hosts(self):
+        """Guards against a burst that waits while spare hosts are off."""
+        self.play(2)
+        self.burst(7)
+        moved = self.play(20)
+        self.assertEqual({target for _, target in moved}, {SERVICE})
+        self.assertEqual(len(self.world.running()), 7)
+
+    def test_borrowed_hosts_go_back_when_they_are_idle(self):
+        """Guards against spare hosts that are paid for after the burst."""
+        self.play(2)
+        self.burst(7)
+        self.play(20)
+        for backend in self.world.backends.values():
+            for name in list(backend.runs_by_name):
+                backend.end(name, EndReason.DONE)
+        self.play(100)
+        self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
+
+    def test_a_host_with_work_stays(self):
+        """Guards against a move that kills what runs on the host."""
+        self.play(2)
+        self.burst(7)
+        self.play(20)
+        busy = {name for name, b in self.world.backends.items() if b.runs_by_name}
+        for _, target in self.play(100):
+            self.assertNotEqual(target, SPARE)
+        self.assertTrue(busy <= set(self.world.backends))
+
+    def test_a_calm_pool_keeps_its_hosts(self):
+        """Guards against hosts that leave before the demand has been watched."""
+        self.assertEqual(self.play(150), [])
+
+    def test_an_account_at_its_limit_asks_for_no_hosts(self):
+        """Guards against hosts for work that its limit does not let start."""
+        account = self.world.scheduler.account('sofia')
+        account.limit = Resources(cpu_millicores=48000)
+        self.burst(9)
+        self.assertEqual(self.play(20), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_jobs_trouble.py
+++ b/tests/test_jobs_trouble.py
@@ -8,6 +8,7 @@
     HostOrder,
     HostOrderOutcome,
     HostsListed,
+    OrderOutcome,
     PaceTask,
     Resources,
     RunningTask,
@@ -78,6 +79,29 @@
             at_work(world)
 
 
+class BudgetTest(unittest.TestCase):
+    def test_a_task_on_a_silent_host_is_away(self):
+        """Guards against moving a task while another of its step is lost.
+
+        Seen as AVAIL on remansito-ops, scale-2, while a rack was dark.
+        """
+        silent, leaving = FakeBackend('b1'), FakeBackend('b2')
+        world = World(silent, leaving)
+        world.submit(step(2, long_running=True, max_unavailable=1, max_per_host=1))
+        world.step()
+        world.step()
+        at_work(world)
+        world.step()
+        state = world.scheduler.backends_by_id['b1']
+        world.scheduler.contact_lost(state, OrderOutcome.NO_ANSWER, world.now_ms + 9000)
+        silent.silent = True
+        leaving.draining = True
+        world.scheduler.set_backend(leaving.report(), world.now_ms)
+        for _ in range(5):
+            world.step()
+        self.assertEqual(len(leaving.runs_by_name), 1)
+
+
 class PaceTest(unittest.TestCase):
     def test_pace_follows_the_share_of_the_objective(self):
         """Guards against serving tasks that stay slow beside tasks that fill."""
