Keep each pool's own hosts and bring borrowed ones back

A new leader did not know which hosts were borrowed, and a long-running task kept a borrowed host for good.

Change: own hosts stay; the homes of borrowed hosts are stored; long-running tasks go to borrowed hosts last and are moved off them within their budget.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import Host, HostOrder, HostOrderOutcome
 from dandelionknot.jobs._state import BackendState, StepState, TaskPhase, occupies_cpu
+from dandelionknot.jobs._upkeep import evict_if_allowed
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
@@ -23,13 +23,14 @@
 PLAN_EVERY_MS = 200
 # Share of a host's room that tasks of different sizes can fill.
 FILL_SHARE = 0.85
-# Need is remembered for so long; within it, a pool keeps its own hosts.
-PEAK_WINDOW_MS = 20_000
 # A borrowed host is lent on after this idle time, and goes back after the other.
 LEND_AFTER_MS = 400
 RETURN_AFTER_MS = 3000
 # A pool keeps at least so many hosts.
 MIN_HOSTS = 2
+# A pool that keeps so many hosts beyond its need empties those it has borrowed.
+EMPTYING_RESERVE = 1
+MAX_EMPTYING = 2
 # Orders in one round, against moves that a short peak does not need.
 MAX_ORDERS = 4
 # A move whose answer was lost is taken to have failed if the host is listed in
@@ -45,23 +46,6 @@
     wanted: int = 0
     present: int = 0
     coming: int = 0
-    peaks: deque[tuple[int, int]] = field(default_factory=deque)
-
-    def remember(self, now_ms: int) -> None:
-        """Keeps the need of the last while."""
-        self.peaks.append((now_ms, self.wanted))
-        while self.peaks and self.peaks[0][0] < now_ms - PEAK_WINDOW_MS:
-            self.peaks.popleft()
-
-    def peak(self) -> int:
-        """Returns the highest need of the last while."""
-        return max((wanted for _, wanted in self.peaks), default=0)
-
-    def settled(self, now_ms: int) -> bool:
-        """Whether the need has been watched for the whole while."""
-        return bool(self.peaks) and (
-            self.peaks[0][0] <= now_ms - PEAK_WINDOW_MS + 2 * PLAN_EVERY_MS
-        )
 
 
 @dataclass(slots=True)
@@ -72,7 +56,6 @@
     source: str
     target: str
     ordered_at_ms: int
-    answered: bool = False
 
 
 @dataclass(slots=True)
@@ -85,7 +68,11 @@
     # Home pool of each borrowed host.
     homes_by_host_id: dict[str, str] = field(default_factory=dict)
     idle_since_by_host_id: dict[str, int] = field(default_factory=dict)
+    # Borrowed hosts whose long-running tasks are moved to hosts of the pool's own.
+    emptying: set[str] = field(default_factory=set)
     planned_ms: int = 0
+    # The homes have changed and have to be stored.
+    dirty: bool = False
 
     def active(self) -> bool:
         """Whether there is a pool from which others may borrow."""
@@ -97,10 +84,10 @@
         if move is None:
             return
         if outcome is HostOrderOutcome.ACCEPTED:
-            move.answered = True
             home = self.homes_by_host_id.setdefault(order.host_id, move.source)
             if home == move.target:
                 del self.homes_by_host_id[order.host_id]
+            self.dirty = True
         elif outcome is not HostOrderOutcome.NO_ANSWER:
             del self.moves_by_host_id[order.host_id]
 
@@ -126,12 +113,16 @@
                 if host is None or len(orders) >= MAX_ORDERS:
                     break
                 orders.append(self._move(scheduler, host, pool, now_ms))
+        self._empty_borrowed(scheduler)
         if not orders:
             orders = self._returns(scheduler, now_ms)
         for host_id, host in hosts.items():
             backend = scheduler.backends_by_id.get(host.backend_id)
             if backend is not None:
-                backend.moving = host_id in self.moves_by_host_id
+                backend.moving = (
+                    host_id in self.moves_by_host_id or host_id in self.emptying
+                )
+                backend.borrowed = host_id in self.homes_by_host_id
         return orders
 
     def _settle_moves(self, hosts: dict[str, Host], now_ms: int) -> None:
@@ -164,8 +155,6 @@
             need_of_target = self.needs_by_pool.get(move.target)
             if need_of_target is not None:
                 need_of_target.coming += 1
-        for need in self.needs_by_pool.values():
-            need.remember(now_ms)
         self._note_idle(scheduler, now_ms)
 
     def _note_idle(self, scheduler: Scheduler, now_ms: int) -> None:
@@ -234,8 +223,28 @@
         )
         return HostOrder(host_id=host.host_id, pool=pool)
 
+    def _empty_borrowed(self, scheduler: Scheduler) -> None:
+        """Moves long-running tasks off borrowed hosts that a pool can do without."""
+        self.emptying.clear()
+        for pool, need in self.needs_by_pool.items():
+            spare = need.present - max(MIN_HOSTS, need.wanted + EMPTYING_RESERVE)
+            if spare <= 0 or need.coming:
+                continue
+            borrowed = [
+                (backend.cpu_millicores, host.host_id, backend)
+                for host in scheduler.upkeep.hosts_by_id.values()
+                if host.pool == pool and host.host_id in self.homes_by_host_id
+                for backend in [scheduler.backends_by_id.get(host.backend_id)]
+                if backend is not None and backend.tasks_by_name
+            ]
+            borrowed.sort(key=lambda entry: entry[:2])
+            for _, host_id, backend in borrowed[: min(spare, MAX_EMPTYING)]:
+                self.emptying.add(host_id)
+                for task in list(backend.tasks_by_name.values()):
+                    evict_if_allowed(scheduler, task, 'a borrowed host goes back')
+
     def _returns(self, scheduler: Scheduler, now_ms: int) -> list[HostOrder]:
-        """Returns one idle host to where it came from, or to standby."""
+        """Returns one idle host to where it came from."""
         for host in scheduler.upkeep.hosts_by_id.values():
             if host.pool in self.standby_pools or not self._movable(scheduler, host):
                 continue
@@ -247,9 +256,6 @@
             home = self.homes_by_host_id.get(host.host_id)
             if home is not None:
                 return [self._move(scheduler, host, home, now_ms)]
-            if need.settled(now_ms) and need.present > max(MIN_HOSTS, need.peak()):
-                pool = sorted(self.standby_pools)[0]
-                return [self._move(scheduler, host, pool, now_ms)]
         return []
 
 
@@ -264,6 +270,26 @@
     return step.spec.long_running or now_ms < job.due_ms + 2 * span
 
 
+def _startable(step: StepState, left_by_account: dict[str, list[int]]) -> int:
+    """Returns how many waiting tasks the limit of the client account lets start."""
+    account, needed = step.job.account, step.spec.resources
+    left = left_by_account.setdefault(
+        account.name,
+        [
+            account.limit.cpu_millicores - account.cpu_millicores,
+            account.limit.memory_mb - account.memory_mb,
+        ],
+    )
+    count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+    if account.limit.cpu_millicores and needed.cpu_millicores:
+        count = max(0, min(count, left[0] // needed.cpu_millicores))
+    if account.limit.memory_mb and needed.memory_mb:
+        count = max(0, min(count, left[1] // needed.memory_mb))
+    left[0] -= count * needed.cpu_millicores
+    left[1] -= count * needed.memory_mb
+    return count
+
+
 def _hosts_wanted(backends: list[BackendState], steps: list[StepState]) -> int:
     """Returns how many hosts hold what runs and what may start now."""
     if not backends:
@@ -273,17 +299,10 @@
     memory_of_host = sum(r.room.memory_mb for r in reports) / len(reports)
     cpu = sum(backend.cpu_millicores for backend in backends)
     memory = sum(backend.memory_mb for backend in backends)
-    allowed: dict[str, int] = {}
+    left_by_account: dict[str, list[int]] = {}
     for step in steps:
-        account = step.job.account
         spec = step.spec
-        count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-        if account.limit.cpu_millicores and spec.resources.cpu_millicores:
-            left = allowed.setdefault(
-                account.name, account.limit.cpu_millicores - account.cpu_millicores
-            )
-            count = max(0, min(count, left // spec.resources.cpu_millicores))
-            allowed[account.name] = left - count * spec.resources.cpu_millicores
+        count = _startable(step, left_by_account)
         cpu += count * occupies_cpu(spec)
         memory += count * spec.resources.memory_mb
     return math.ceil(
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -445,6 +445,14 @@
     outcome: HostOrderOutcome
 
 
+class BorrowedHosts(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Home pool of each host that another pool has borrowed, as it is stored.
+    """
+
+    homes_by_host_id: dict[str, str] = field(default_factory=dict)
+
+
 class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
     What is stored of a wave, so that a new leader goes on with it.
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -17,6 +17,7 @@
 REMOTE_RACK_PENALTY = 2.0
 # A long-running task on a host that is due for upkeep has to be moved soon.
 UPKEEP_DUE_PENALTY = 3.0
+BORROWED_PENALTY = 3.0
 # Serving tasks and tasks that use idle capacity disturb each other.
 DISTURBANCE_PENALTY = 4.0
 
@@ -89,6 +90,7 @@
         cost += DISTURBANCE_PENALTY * _disturbing(spec, backend)
     if spec.long_running:
         cost += UPKEEP_DUE_PENALTY * backend.upkeep_due
+        cost += BORROWED_PENALTY * backend.borrowed
         cost += step.tasks_by_backend_id.get(backend.backend_id, 0)
     return cost
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -22,6 +22,7 @@
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
+    BorrowedHosts,
     HoldReport,
     HostOrder,
     Job,
@@ -93,11 +94,17 @@
     ends_by_backend: list[tuple[BackendState, int]]
     waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
     wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
+    borrowed: BorrowedHosts | None = None
     deleted_keys: list[str] = field(default_factory=list)
 
     def writes(self) -> bool:
         """Whether anything has to be written to the store."""
-        return bool(self.records_by_job_id or self.waves_by_name or self.deleted_keys)
+        return bool(
+            self.records_by_job_id
+            or self.waves_by_name
+            or self.borrowed is not None
+            or self.deleted_keys
+        )
 
     def empty(self) -> bool:
         """Whether nothing would follow from the batch."""
@@ -670,6 +677,10 @@
                 batch.waves_by_name[name] = wave.record()
                 batch.wave_numbers_by_name[name] = wave.wave.number
         self.upkeep.dirty.clear()
+        if self.capacity.dirty:
+            homes = dict(self.capacity.homes_by_host_id)
+            batch.borrowed = BorrowedHosts(homes_by_host_id=homes)
+            self.capacity.dirty = False
         return batch
 
     def restore_batch(self, batch: Batch) -> None:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -145,6 +145,8 @@
     cordoned: bool = False
     # Its host has been ordered to another pool.
     moving: bool = False
+    # Its host belongs to another pool; a long-running task would keep it here.
+    borrowed: bool = False
     # The host is due for upkeep, so that long-running tasks had better go elsewhere.
     upkeep_due: bool = False
     last_contact_ms: int = 0
--- a/dandelionknot/jobs/_stored.py
+++ b/dandelionknot/jobs/_stored.py
@@ -8,6 +8,7 @@
 JOB_PREFIX = 'dandelionknot/jobs/'
 RECORD_PREFIX = 'dandelionknot/records/'
 WAVE_RECORD_PREFIX = 'dandelionknot/waves/'
+BORROWED_KEY = 'dandelionknot/borrowed'
 CANCEL_PREFIX = 'dandelionknot/cancelled/'
 
 
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -11,11 +11,17 @@
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._scheduler import Batch
-from dandelionknot.jobs._stored import LEADER_KEY, RECORD_PREFIX, WAVE_RECORD_PREFIX
+from dandelionknot.jobs._stored import (
+    BORROWED_KEY,
+    LEADER_KEY,
+    RECORD_PREFIX,
+    WAVE_RECORD_PREFIX,
+)
 from dandelionknot.store import Precondition, Put, Store, WriteOutcome, Written
 
-# A write holds 32 entries; the leader's item takes two of them, a wave two more.
-MAX_RECORDS = 26
+# A write holds 32 entries; the leader's item takes two of them, the borrowed hosts
+# one, and each of two waves two more.
+MAX_RECORDS = 25
 WRITE_TIMEOUT_MS = 700
 RETRY_MS = 40
 
@@ -71,6 +77,10 @@
                     puts.append(
                         Put(WAVE_RECORD_PREFIX + name, msgspec.json.encode(record))
                     )
+                if message.borrowed is not None:
+                    puts.append(
+                        Put(BORROWED_KEY, msgspec.json.encode(message.borrowed))
+                    )
                 if not await self._store(puts, message.deleted_keys):
                     return
                 self.report(BatchStored(message, now_ms() - started_ms))
--- a/dandelionknot/manager/_lead.py
+++ b/dandelionknot/manager/_lead.py
@@ -147,6 +147,8 @@
                 self.scheduler.cancel_job(entry.job.job_id, unix)
         for report in view.backends_by_id.values():
             self.scheduler.set_backend(report, now)
+        homes = dict(view.borrowed.homes_by_host_id)
+        self.scheduler.capacity.homes_by_host_id = homes
         upkeep = self.scheduler.upkeep
         # The former leader may have given its last order just now.
         upkeep.not_before_ms = now + self.ports.settings.timing.duty_handover_ms
--- a/dandelionknot/manager/_leadership.py
+++ b/dandelionknot/manager/_leadership.py
@@ -22,6 +22,9 @@
 # that are under way.
 SAFETY_MS = 300
 CALL_TIMEOUT_MS = 600
+# A leader that cannot renew waits for so long beyond its lease, in case the store
+# was away for all and its leases paused.
+LAPSED_MS = 6000
 POLL_MS = 50
 # Entry hosts try at different times, so that mostly one of them writes.
 JITTER_MS = 120
@@ -119,5 +122,5 @@
                     return 'the store has ended the lease'
                 duration = self.lease_ms - SAFETY_MS
                 term.valid_until_ms = max(term.valid_until_ms, sent_ms + duration)
-            elif not self.eligible():
-                return 'the process stops'
+            elif now_ms() > term.valid_until_ms + LAPSED_MS:
+                return 'the store did not answer'
--- a/dandelionknot/manager/_view.py
+++ b/dandelionknot/manager/_view.py
@@ -13,6 +13,7 @@
 
 from dandelionknot.jobs._generated import (
     BackendReport,
+    BorrowedHosts,
     Job,
     JobConfiguration,
     JobPhase,
@@ -21,6 +22,7 @@
     WaveRecord,
 )
 from dandelionknot.jobs._stored import (
+    BORROWED_KEY,
     CANCEL_PREFIX,
     JOB_PREFIX,
     LEADER_KEY,
@@ -88,6 +90,7 @@
     excluded_zones: set[str] = field(default_factory=set)
     waves_by_name: dict[str, UpkeepWave] = field(default_factory=dict)
     wave_records_by_name: dict[str, WaveRecord] = field(default_factory=dict)
+    borrowed: BorrowedHosts = BorrowedHosts()
     leader: Item | None = None
     revision: int = 0
     # Local time at which the last answered read was sent; 0 before the first.
@@ -102,24 +105,34 @@
             self.revisions_by_key.pop(item.key, None)
         else:
             self.revisions_by_key[item.key] = item.revision
-        if item.key == LEADER_KEY:
-            self.leader = None if item.deleted else item
-            return None
-        if item.key.startswith(JOB_PREFIX):
-            return self._apply_job(item.key.removeprefix(JOB_PREFIX), item)
-        if item.key.startswith(RECORD_PREFIX):
-            return self._apply_record(item.key.removeprefix(RECORD_PREFIX), item)
-        if item.key.startswith(CANCEL_PREFIX):
-            return self._apply_cancel(item.key.removeprefix(CANCEL_PREFIX), item)
-        if item.key.startswith(WAVE_RECORD_PREFIX):
-            if not item.deleted:
-                name = item.key.removeprefix(WAVE_RECORD_PREFIX)
-                record = msgspec.json.decode(item.value, type=WaveRecord)
-                self.wave_records_by_name[name] = record
-            return None
+        for prefix, take in (
+            (JOB_PREFIX, self._apply_job),
+            (RECORD_PREFIX, self._apply_record),
+            (CANCEL_PREFIX, self._apply_cancel),
+            (WAVE_RECORD_PREFIX, self._apply_wave_record),
+            (LEADER_KEY, self._apply_leader),
+            (BORROWED_KEY, self._apply_borrowed),
+        ):
+            if item.key.startswith(prefix):
+                return take(item.key.removeprefix(prefix), item)
         fact = self.meaning(item)
         return self._apply_fact(fact) if fact is not None else None
 
+    def _apply_leader(self, _: str, item: Item) -> ViewEvent | None:
+        self.leader = None if item.deleted else item
+        return None
+
+    def _apply_borrowed(self, _: str, item: Item) -> ViewEvent | None:
+        if not item.deleted:
+            self.borrowed = msgspec.json.decode(item.value, type=BorrowedHosts)
+        return None
+
+    def _apply_wave_record(self, name: str, item: Item) -> ViewEvent | None:
+        if not item.deleted:
+            record = msgspec.json.decode(item.value, type=WaveRecord)
+            self.wave_records_by_name[name] = record
+        return None
+
     def _apply_job(self, job_id: str, item: Item) -> ViewEvent | None:
         if item.deleted:
             self.jobs_by_id.pop(job_id, None)
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -96,6 +96,46 @@
         self.play(100)
         self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
 
+    def test_a_borrowed_host_is_emptied_of_long_running_tasks(self):
+        """Guards against borrowed hosts that one such task keeps for ever."""
+        self.play(2)
+        self.burst(7)
+        self.play(20)
+        self.world.submit(
+            StepSpec(
+                task_count=1,
+                resources=Resources(cpu_millicores=100, memory_mb=1),
+                long_running=True,
+            ),
+            job_id='long',
+        )
+        scheduler = self.world.scheduler
+        for name in ('b0', 'b1'):
+            scheduler.backends_by_id[name].avoid_until_ms = self.world.now_ms + 500
+        self.play(4)
+        [place] = self.world.running()['long.0.0.0']
+        self.assertIn(place, ('s0', 's1'))
+        for backend in self.world.backends.values():
+            for name in list(backend.runs_by_name):
+                if name.startswith('j'):
+                    backend.end(name, EndReason.DONE)
+            for run in backend.runs_by_name.values():
+                run.percent = 100
+        self.play(100)
+        self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
+        self.assertEqual(len(self.world.running()['long.0.0.0']), 1)
+
+    def test_a_new_leader_knows_the_borrowed_hosts(self):
+        """Guards against hosts that stay borrowed after a change of leader."""
+        self.play(2)
+        self.burst(7)
+        self.play(20)
+        capacity = self.world.scheduler.capacity
+        self.assertEqual(set(capacity.homes_by_host_id.values()), {SPARE})
+        capacity.dirty = True
+        batch = self.world.scheduler.take_batch(10)
+        self.assertEqual(batch.borrowed.homes_by_host_id, capacity.homes_by_host_id)
+
     def test_a_host_with_work_stays(self):
         """Guards against a move that kills what runs on the host."""
         self.play(2)
