Serve metrics of decisions and delete jobs after their state was kept

Cause: the platform reads metrics as text, and records of ended jobs were never deleted.

Change: counters and histograms by queue, client account and event, fed by the decisions that are logged and counted also where lines are left out; jobs go 10 s after the time for which callers may ask.

Ruled out: statsd for these, which cannot be read from outside; it stays as it is for the product's own daemon.

--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -138,8 +138,19 @@
     state.phase = phase
     state.ended_unix_ms = unix_ms
     scheduler.open_jobs_by_id.pop(state.job.job_id, None)
+    scheduler.ended.append((unix_ms, state.job.job_id))
     scheduler.mark(state)
-    scheduler.note(Event.JOB_ENDED, {'job_id': state.job.job_id, 'phase': phase.value})
+    scheduler.note(
+        Event.JOB_ENDED,
+        {
+            'job_id': state.job.job_id,
+            'phase': phase.value,
+            'queue': state.job.queue,
+            'client_account': state.job.client_account,
+            'job_age_ms': unix_ms - state.job.accepted_unix_ms,
+            'objective_ms': state.due_ms - state.accepted_ms,
+        },
+    )
     for steps in state.steps_by_occurrence.values():
         for step in steps:
             for task in step.tasks:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -7,6 +7,7 @@
 before it is sent, and an end is stored before it is acknowledged.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from dandelionknot.events import Event
@@ -78,6 +79,12 @@
 MAX_ADVICE_IDS = 100
 # Steps that did not fit after which planning of a pool stops for this round.
 MAX_MISFITS = 12
+# Callers may ask for the state of a job for so long after its end, unless the
+# settings say otherwise.
+DEFAULT_STATUS_KEPT_MS = 130_000
+# Deleting a job takes three entries of a write that holds 32.
+MAX_DELETIONS = 6
+MAX_RECORDS_BESIDE_DELETIONS = 8
 # Occurrences start after their due time by this much, for clocks that differ.
 DUE_MARGIN_MS = 20
 
@@ -95,7 +102,7 @@
     waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
     wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
     borrowed: BorrowedHosts | None = None
-    deleted_keys: list[str] = field(default_factory=list)
+    deleted_job_ids: list[str] = field(default_factory=list)
 
     def writes(self) -> bool:
         """Whether anything has to be written to the store."""
@@ -103,7 +110,7 @@
             self.records_by_job_id
             or self.waves_by_name
             or self.borrowed is not None
-            or self.deleted_keys
+            or self.deleted_job_ids
         )
 
     def empty(self) -> bool:
@@ -128,7 +135,9 @@
     dirty_job_ids: dict[str, None] = field(default_factory=dict)
     placed: list[TaskState] = field(default_factory=list)
     commands: list[Command] = field(default_factory=list)
-    started_ms: int = 0
+    # Jobs in the order in which they ended, until they are deleted.
+    ended: deque[tuple[int, str]] = field(default_factory=deque)
+    status_kept_ms: int = DEFAULT_STATUS_KEPT_MS
     lost_leadership: bool = False
     planned_sharing_ms: int = 0
     planned_progress_ms: int = 0
@@ -169,6 +178,7 @@
         self.jobs_by_id[job.job_id] = state
         placed = restore(state, record) if record is not None else []
         if state.final:
+            self.ended.append((state.ended_unix_ms, job.job_id))
             return
         self.open_jobs_by_id[job.job_id] = state
         for task, stored in placed:
@@ -363,6 +373,8 @@
             Event.TASK_STARTED,
             {
                 'job_id': state.job.job_id,
+                'queue': state.job.queue,
+                'client_account': state.job.client_account,
                 'task': task.name,
                 'run': task.run,
                 'backend_id': backend.backend_id,
@@ -647,7 +659,7 @@
 
     # Storing.
 
-    def take_batch(self, limit: int) -> Batch:
+    def take_batch(self, limit: int, now_unix_ms: int) -> Batch:
         """Returns the records to store next, at most `limit` of them.
 
         Ends are acknowledged only with a batch that leaves no record unstored.
@@ -677,17 +689,25 @@
                 batch.waves_by_name[name] = wave.record()
                 batch.wave_numbers_by_name[name] = wave.wave.number
         self.upkeep.dirty.clear()
+        batch.deleted_job_ids = self._take_expired(len(records), now_unix_ms)
         if self.capacity.dirty:
             homes = dict(self.capacity.homes_by_host_id)
             batch.borrowed = BorrowedHosts(homes_by_host_id=homes)
             self.capacity.dirty = False
         return batch
 
-    def restore_batch(self, batch: Batch) -> None:
-        """Puts back a batch that was surely not stored."""
-        for job_id in batch.records_by_job_id:
-            self.dirty_job_ids[job_id] = None
-        self.placed.extend(batch.starts)
+    def _take_expired(self, records: int, now_unix_ms: int) -> list[str]:
+        """Returns jobs to delete: they ended long ago, and the batch has room."""
+        expired: list[str] = []
+        if records > MAX_RECORDS_BESIDE_DELETIONS:
+            return expired
+        while self.ended and len(expired) < MAX_DELETIONS:
+            ended_unix_ms, job_id = self.ended[0]
+            if ended_unix_ms + self.status_kept_ms > now_unix_ms:
+                break
+            self.ended.popleft()
+            expired.append(job_id)
+        return expired
 
     def confirm(self, batch: Batch) -> list[Command]:
         """Returns what may be sent now that a batch is stored."""
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -13,6 +13,8 @@
 from dandelionknot.jobs._scheduler import Batch
 from dandelionknot.jobs._stored import (
     BORROWED_KEY,
+    CANCEL_PREFIX,
+    JOB_PREFIX,
     LEADER_KEY,
     RECORD_PREFIX,
     WAVE_RECORD_PREFIX,
@@ -81,7 +83,12 @@
                     puts.append(
                         Put(BORROWED_KEY, msgspec.json.encode(message.borrowed))
                     )
-                if not await self._store(puts, message.deleted_keys):
+                deleted_keys = [
+                    prefix + job_id
+                    for job_id in message.deleted_job_ids
+                    for prefix in (RECORD_PREFIX, CANCEL_PREFIX, JOB_PREFIX)
+                ]
+                if not await self._store(puts, deleted_keys):
                     return
                 self.report(BatchStored(message, now_ms() - started_ms))
 
--- a/dandelionknot/manager/_core.py
+++ b/dandelionknot/manager/_core.py
@@ -1,10 +1,12 @@
 """The tasks of a manager process without its servers."""
 
 import asyncio
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from result import Result
 
+from dandelionknot.events import Event
 from dandelionknot.jobs._generated import AskAdvice, ManagerSettings
 from dandelionknot.jobs._stored import Fact
 from dandelionknot.manager._gate import Gate
@@ -47,6 +49,7 @@
         'adapter',
         'gate',
         'leadership',
+        'observe',
         'settings',
         'stopping',
         'tasks',
@@ -54,13 +57,19 @@
         'watcher',
     )
 
-    def __init__(self, settings: ManagerSettings, adapter: Adapter):
+    def __init__(
+        self,
+        settings: ManagerSettings,
+        adapter: Adapter,
+        observe: Callable[[Event, dict[str, Any]], None] = lambda event, fields: None,
+    ):
+        self.observe = observe
         self.settings = settings
         self.adapter = adapter
         self.view = View(meaning=adapter.meaning)
         self.stopping = asyncio.Event()
         self.gate = Gate(
-            settings, adapter.new_store(), self.view, adapter.configuration_key
+            settings, adapter.new_store(), self.view, adapter.configuration_key, observe
         )
         self.leadership = Leadership(
             store=adapter.new_store(),
@@ -92,6 +101,7 @@
             wave_status=self.adapter.wave_status,
             ask_advice=self.adapter.ask_advice,
             stopping=self.stopping,
+            observe=self.observe,
         )
         return await Leader.from_ports(ports, term).run()
 
--- a/dandelionknot/manager/_gate.py
+++ b/dandelionknot/manager/_gate.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 from result import Err
@@ -50,10 +52,15 @@
     store: Store
     view: View
     configuration_key: str
+    observe: Callable[[Event, dict[str, Any]], None]
     admission: Admission = field(default_factory=Admission)
     stopping: bool = False
     fresh: bool = False
 
+    def _log(self, event: Event, **fields: Any) -> None:
+        self.observe(event, fields)
+        log_event(event, **fields)
+
     def age_ms(self) -> int:
         """Returns how old the view may be."""
         return now_ms() - self.view.current_as_of_ms
@@ -65,7 +72,7 @@
         if fresh != self.fresh:
             self.fresh = fresh
             event = Event.STORE_VIEW_FRESH if fresh else Event.STORE_VIEW_STALE
-            log_event(event, age_ms=self.age_ms(), revision=self.view.revision)
+            self._log(event, age_ms=self.age_ms(), revision=self.view.revision)
         return fresh
 
     def ready(self) -> bool:
@@ -114,7 +121,7 @@
                 unknown = unknown or not written.err_value.not_done
                 problem = written.err_value.message
             elif self._settled(written.ok_value, job_id):
-                log_event(
+                self._log(
                     Event.JOB_ACCEPTED,
                     job_id=job_id,
                     queue=queue.name,
@@ -179,7 +186,7 @@
         """Refuses a call; after an unanswered write the outcome stays unknown."""
         if unknown:
             verdict = CallerVerdict.UNKNOWN
-        log_event(
+        self._log(
             Event.JOB_REFUSED,
             job_id=job_id,
             verdict=verdict.value,
@@ -248,7 +255,7 @@
             if not isinstance(written, Err):
                 if written.ok_value.outcome is WriteOutcome.WRITTEN:
                     entry.cancelled = True
-                    log_event(Event.JOB_CANCEL_STORED, job_id=job_id)
+                    self._log(Event.JOB_CANCEL_STORED, job_id=job_id)
                     return CallerReply(
                         verdict=CallerVerdict.KNOWN, phase=JobPhase.CANCELLED
                     )
--- a/dandelionknot/manager/_lead.py
+++ b/dandelionknot/manager/_lead.py
@@ -1,8 +1,10 @@
 """The task that owns the scheduler during one leadership term."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Result
 
@@ -49,6 +51,8 @@
 TICK_MS = 100
 # Events that come together are planned for together.
 GROUP_MS = 4
+# Jobs are kept a little longer than callers may ask for their state.
+STATUS_MARGIN_MS = 10_000
 MAILBOX_CAPACITY = 100_000
 
 
@@ -67,6 +71,7 @@
     wave_status: Callable[[int, bool], Put]
     ask_advice: Callable[[AskAdvice], Awaitable[Result]]
     stopping: asyncio.Event
+    observe: Callable[[Event, dict[str, Any]], None]
 
 
 @dataclass(slots=True)
@@ -145,6 +150,10 @@
             self.scheduler.add_job(entry.job, entry.record, now, unix)
             if entry.cancelled:
                 self.scheduler.cancel_job(entry.job.job_id, unix)
+        # Restored jobs come in no order; the earliest end is deleted first.
+        self.scheduler.ended = deque(sorted(self.scheduler.ended))
+        kept_ms = int(self.ports.settings.timing.status_kept_s * 1000)
+        self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
         for report in view.backends_by_id.values():
             self.scheduler.set_backend(report, now)
         homes = dict(view.borrowed.homes_by_host_id)
@@ -188,6 +197,7 @@
 
     def _write_notes(self) -> None:
         for note in self.scheduler.take_notes():
+            self.ports.observe(note.event, note.fields)
             log_event(note.event, **note.fields)
 
     def _take(self, message: object) -> None:
@@ -322,7 +332,7 @@
     def _commit(self) -> None:
         if self.committing or self.committer is None:
             return
-        batch = self.scheduler.take_batch(MAX_RECORDS)
+        batch = self.scheduler.take_batch(MAX_RECORDS, unix_ms())
         if batch.empty():
             return
         if not batch.writes():
--- /dev/null
+++ b/dandelionknot/manager/_metrics.py
@@ -0,0 +1,122 @@
+"""Counters and latency histograms of a manager, served as text.
+
+They are fed by the same decisions that are logged, and counted also where lines
+are left out.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from dandelionknot.addresses import split_address
+from dandelionknot.clock import MILLISECONDS_PER_SECOND
+from dandelionknot.events import Event
+
+PATH = '/metrics'
+# Upper bounds in seconds; equal on all hosts, so that histograms can be added.
+BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64)
+
+
+class ManagerMetrics:
+    """The metrics of one process."""
+
+    __slots__ = (
+        '_decisions',
+        '_job_seconds',
+        '_registry',
+        '_start_seconds',
+        '_task_ends',
+        'leading',
+        'view_age',
+    )
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._decisions = Counter(
+            'dandelionknot_decisions',
+            'Decisions and changes of belief by event',
+            ['event'],
+            registry=self._registry,
+        )
+        self._task_ends = Counter(
+            'dandelionknot_task_ends',
+            'Ends of runs by reason',
+            ['reason'],
+            registry=self._registry,
+        )
+        self._start_seconds = Histogram(
+            'dandelionknot_start_seconds',
+            'Time from the acceptance of a job to the start of a first run',
+            ['queue', 'client_account'],
+            buckets=BOUNDS_S,
+            registry=self._registry,
+        )
+        self._job_seconds = Histogram(
+            'dandelionknot_job_seconds',
+            'Time from the acceptance of a job to its end',
+            ['queue', 'client_account', 'phase'],
+            buckets=BOUNDS_S,
+            registry=self._registry,
+        )
+        self.leading = Gauge(
+            'dandelionknot_leading',
+            'Whether this process decides where tasks run',
+            registry=self._registry,
+        )
+        self.view_age = Gauge(
+            'dandelionknot_view_age_seconds',
+            'How old what is known of the store may be',
+            registry=self._registry,
+        )
+
+    def observe(self, event: Event, fields: dict[str, Any]) -> None:
+        """Counts a decision."""
+        self._decisions.labels(event.name.lower()).inc()
+        if event is Event.TASK_ENDED:
+            self._task_ends.labels(fields['reason']).inc()
+        elif event is Event.TASK_STARTED and fields['run'] == 1:
+            self._start_seconds.labels(
+                fields['queue'], fields['client_account']
+            ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
+        elif event is Event.JOB_ENDED:
+            self._job_seconds.labels(
+                fields['queue'], fields['client_account'], fields['phase']
+            ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
+
+class MetricsServer:
+    """Serves the metrics of a process over HTTP."""
+
+    __slots__ = ('_metrics', '_server', '_update')
+
+    def __init__(self, metrics: ManagerMetrics, update: Callable[[], None]):
+        self._metrics = metrics
+        self._update = update
+        self._server = HTTPServer(self._answer)
+
+    def listen(self, address: str) -> None:
+        """Listens on `IP:PORT`."""
+        host, port = split_address(address)
+        self._server.listen(port, host)
+
+    def _answer(self, request: HTTPServerRequest) -> None:
+        status, reason, body = 404, 'Not Found', b''
+        if request.path == PATH:
+            self._update()
+            status, reason, body = 200, 'OK', self._metrics.text()
+        headers = HTTPHeaders(
+            {'Content-Type': CONTENT_TYPE_LATEST, 'Content-Length': str(len(body))}
+        )
+        connection = request.connection
+        if connection is not None:
+            start = ResponseStartLine('HTTP/1.1', status, reason)
+            connection.write_headers(start, headers, body)
+            connection.finish()
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -10,6 +10,7 @@
 from dandelionknot.events import Event, log_event, set_up_logging
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.manager._core import ManagerCore
+from dandelionknot.manager._metrics import ManagerMetrics, MetricsServer
 from dandelionknot.manager.settings import ManagerSettings, load_manager_settings
 from dandelionknot.platform import (
     CallerPort,
@@ -29,11 +30,21 @@
 class Manager:
     """One manager process: its tasks, and the servers in front of them."""
 
-    __slots__ = ('callers', 'core', 'readiness', 'settings')
+    __slots__ = (
+        'callers',
+        'core',
+        'metrics',
+        'metrics_server',
+        'readiness',
+        'settings',
+    )
 
     def __init__(self, settings: ManagerSettings):
         self.settings = settings
-        self.core = ManagerCore(settings, PlatformAdapter.from_settings(settings))
+        self.metrics = ManagerMetrics()
+        adapter = PlatformAdapter.from_settings(settings)
+        self.core = ManagerCore(settings, adapter, self.metrics.observe)
+        self.metrics_server = MetricsServer(self.metrics, self._update_gauges)
         gate = self.core.gate
         self.callers = CallerServer(
             CallerPort(
@@ -47,10 +58,16 @@
         )
         self.readiness = ReadinessServer(gate.ready)
 
+    def _update_gauges(self) -> None:
+        self.metrics.leading.set(self.core.leadership.leading())
+        self.metrics.view_age.set(seconds(self.core.gate.age_ms()))
+
     def start(self) -> None:
         """Listens and starts the tasks."""
         self.callers.listen(self.settings.caller_address)
         self.readiness.listen(self.settings.readiness_address)
+        if self.settings.metrics_address:
+            self.metrics_server.listen(self.settings.metrics_address)
         self.core.start()
         log_event(
             Event.MANAGER_STARTED,
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -192,7 +192,7 @@
             self.hold(backend)
         self.scheduler.plan(self.now_ms, self.now_ms)
         commands = self.scheduler.take_commands()
-        batch = self.scheduler.take_batch(1000)
+        batch = self.scheduler.take_batch(1000, self.now_ms)
         self.records.update(batch.records_by_job_id)
         commands += self.scheduler.confirm(batch)
         for backend_id, backend in self.backends.items():
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -133,7 +133,7 @@
         capacity = self.world.scheduler.capacity
         self.assertEqual(set(capacity.homes_by_host_id.values()), {SPARE})
         capacity.dirty = True
-        batch = self.world.scheduler.take_batch(10)
+        batch = self.world.scheduler.take_batch(10, 0)
         self.assertEqual(batch.borrowed.homes_by_host_id, capacity.homes_by_host_id)
 
     def test_a_host_with_work_stays(self):
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -29,7 +29,7 @@
         world.submit(step())
         world.scheduler.plan(world.now_ms, world.now_ms)
         self.assertEqual(world.scheduler.take_commands(), [])
-        batch = world.scheduler.take_batch(10)
+        batch = world.scheduler.take_batch(10, 0)
         record = batch.records_by_job_id['j1'].tasks_by_name['0.0.0']
         self.assertEqual((record.run, record.backend_id), (1, 'b1'))
         self.assertIsInstance(world.scheduler.confirm(batch)[0], StartTask)
@@ -147,7 +147,7 @@
         world.step()
         world.submit(step())
         world.scheduler.plan(world.now_ms, world.now_ms)
-        [command] = world.scheduler.confirm(world.scheduler.take_batch(10))
+        [command] = world.scheduler.confirm(world.scheduler.take_batch(10, 0))
         first = world.backends[command.backend_id]
         state = world.scheduler.backends_by_id[command.backend_id]
         world.scheduler.start_finished(
@@ -224,7 +224,7 @@
         world.step()
         world.submit(step())
         world.scheduler.plan(world.now_ms, world.now_ms)
-        batch = world.scheduler.take_batch(10)
+        batch = world.scheduler.take_batch(10, 0)
         world.records.update(batch.records_by_job_id)
         world.new_leader()
         for _ in range(4):
@@ -282,6 +282,19 @@
         self.assertEqual(world.running(), {})
 
 
+class RetentionTest(unittest.TestCase):
+    def test_a_job_is_deleted_only_after_its_state_may_not_be_asked_any_more(self):
+        """Guards against jobs that vanish early, and stores that grow for ever."""
+        world = World(FakeBackend('b1'))
+        world.submit(step())
+        world.scheduler.cancel_job('j1', world.now_ms)
+        kept_ms = world.scheduler.status_kept_ms
+        early = world.scheduler.take_batch(10, world.now_ms + kept_ms - 1)
+        self.assertEqual(early.deleted_job_ids, [])
+        late = world.scheduler.take_batch(10, world.now_ms + kept_ms)
+        self.assertEqual(late.deleted_job_ids, ['j1'])
+
+
 class GangTest(unittest.TestCase):
     def test_a_gang_starts_only_as_a_whole_and_with_one_run_number(self):
         """Guards against members that wait alone."""
