Tell the story of a job, host or wave from the logs of several managers

Cause: with logs and metrics alone, on-call engineers had to join lines of eight hosts by hand.

Change: dandelionknot explain SUBJECT FILES puts lines in order of time and says which part is missing; each line names its member. dandelionknot manager runs a manager from the command line.

Ruled out: asking the running processes, which may be gone.

--- a/dandelionknot/_commands.py
+++ b/dandelionknot/_commands.py
@@ -33,6 +33,8 @@
 
 COMMANDS: dict[str, Any] = {
     'entry': local.entry,
+    'manager': local.manager,
+    'explain': local.explain,
     'check': files.check,
     'diff': files.diff_files,
     'apply': files.apply,
--- a/dandelionknot/_commands_local.py
+++ b/dandelionknot/_commands_local.py
@@ -1,6 +1,7 @@
-"""Commands of a machine: entry, submit, completion."""
+"""Commands of a machine: entry, manager, submit, explain, completion."""
 
 import asyncio
+import sys
 from pathlib import Path
 
 import fire
@@ -15,6 +16,7 @@
     whole_number,
 )
 from dandelionknot._command_outcomes import Outcome, failed_change, failure
+from dandelionknot._explain import story_lines, tell
 from dandelionknot._operator_client import Endpoint, submit_request
 from dandelionknot._slices import RANDOM_BYTES, new_request_id
 from dandelionknot.configuration import address_problem
@@ -24,6 +26,8 @@
 
 # The answer may take until the deadline, and then comes back over the network.
 ANSWER_MARGIN_MS = 2000
+# Stands for standard input where a file is named.
+STANDARD_INPUT = '-'
 SHELLS = ('bash', 'fish')
 STATUSES_BY_PHASE = {
     RequestPhase.QUEUED: ExitStatus.PENDING,
@@ -48,6 +52,33 @@
     return Outcome(status=ExitStatus(run_entry(loaded.ok_value)))
 
 
+@command(OUTPUT_OPTIONS)
+def manager(call: Call, *, settings: str) -> Outcome:
+    """Runs a manager of jobs on the platform until it is told to stop."""
+    # Imported here so that the operators' commands start without the servers.
+    from dandelionknot.manager.daemon import run_manager
+
+    return Outcome(status=run_manager(Path(settings)))
+
+
+@command(OUTPUT_OPTIONS)
+def explain(call: Call, subject: str, *files: str) -> Outcome:
+    """Tells the story of a job, task, host or wave from log files."""
+    texts: list[str] = []
+    for name in files or (STANDARD_INPUT,):
+        try:
+            source = sys.stdin if name == STANDARD_INPUT else open(name)  # noqa: SIM115
+            with source:
+                texts.extend(source)
+        except (OSError, UnicodeDecodeError) as error:
+            return failure(ExitStatus.INVALID_INPUT, f'{name}: {error}')
+    story = tell(subject, texts)
+    lines = story_lines(story)
+    if not story.lines:
+        return failure(ExitStatus.INVALID_INPUT, lines[0])
+    return Outcome(lines=lines, data=lines)
+
+
 @command(OUTPUT_OPTIONS | {'entry': '', 'dry_run': 'False'})
 def submit(
     call: Call,
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -328,17 +328,23 @@
     )
 
 
-def set_up_logging(level: str, descriptor: int | None = None) -> None:
+def set_up_logging(
+    level: str, descriptor: int | None = None, member_id: str = ''
+) -> None:
     """Writes log events as JSON lines.
 
     Without a descriptor they go to standard error and a slow reader is waited
-    for; with one, the volume is bounded and nothing is waited for.
+    for; with one, the volume is bounded and nothing is waited for. A member id stands
+    in each line, since lines of several processes are read together.
     """
     handler: logging.Handler = logging.StreamHandler()
     if descriptor is not None:
         handler = BoundedHandler(descriptor, int(Event.LINES_LEFT_OUT))
     handler.setFormatter(
-        JsonFormatter('%(asctime)s %(levelname)s %(message)s %(event)s')
+        JsonFormatter(
+            '%(asctime)s %(levelname)s %(message)s %(event)s',
+            static_fields={'member_id': member_id} if member_id else {},
+        )
     )
     logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [handler]
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -71,7 +71,6 @@
         self.core.start()
         log_event(
             Event.MANAGER_STARTED,
-            member_id=self.settings.member_id,
             availability_zone=self.settings.availability_zone,
         )
 
@@ -102,8 +101,9 @@
     if isinstance(loaded, Err):
         log_event(Event.SETTINGS_REFUSED, problem=str(loaded.err_value))
         return ExitStatus.INVALID_INPUT
-    set_up_logging(loaded.ok_value.log_level, STANDARD_OUTPUT)
-    return asyncio.run(_run(loaded.ok_value, settings_path))
+    settings = loaded.ok_value
+    set_up_logging(settings.log_level, STANDARD_OUTPUT, settings.member_id)
+    return asyncio.run(_run(settings, settings_path))
 
 
 async def _run(settings: ManagerSettings, path: Path) -> ExitStatus:
