Give fleet tests virtual time, and the product one HTTP client

A client of curl's has its own clock, which no test can advance.

Change: the client on Tornado's connections, written for the platform, also serves the product's own calls, and curl goes; fleets of tests run on a loop whose time advances only when every task waits.

Ruled out: longer bounds, which a slower machine breaks again.

--- a/dandelionknot/_http_client.py
+++ b/dandelionknot/_http_client.py
@@ -2,29 +2,25 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Generic, TypeVar
+from urllib.parse import urlsplit
 
-import pycurl
 from result import Err, Ok, Result
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders
 
 from dandelionknot import codec
-from dandelionknot.clock import seconds
-from dandelionknot.ports import PortError, PortErrorKind
+from dandelionknot._http_connections import HttpConnections
+from dandelionknot.clock import MILLISECONDS_PER_SECOND
+from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.settings import EntrySettings
 
 HTTP_SERVER_ERROR = 500
-# The connection was never made, so the server cannot have seen the request.
-NOT_SENT_CURL_CODES = frozenset(
-    {
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_INTERFACE_FAILED,
-    }
-)
+# Limits of calls to any server that name none.
+DEFAULT_CONNECT_TIMEOUT_MS = 20_000
+DEFAULT_TIMEOUT_MS = 20_000
 
 T = TypeVar('T')
 Call = Callable[..., Awaitable[Result]]
@@ -41,7 +37,7 @@
 class HttpTarget:
     """One server, the time limits of its calls and the client that reaches it."""
 
-    client: CurlAsyncHTTPClient
+    client: 'HttpClient'
     address: str
     connect_timeout_ms: int
     read_timeout_ms: int
@@ -50,7 +46,7 @@
 
 
 def http_target(
-    settings: EntrySettings, client: CurlAsyncHTTPClient, address: str
+    settings: EntrySettings, client: 'HttpClient', address: str
 ) -> HttpTarget:
     """Returns the target at an address with the time limits of the settings."""
     return HttpTarget(
@@ -63,43 +59,96 @@
     )
 
 
-class HttpClient(CurlAsyncHTTPClient):
-    """Tornado's curl client that sets fewer timers and can be closed during calls."""
-
-    _due_s = 0.0
-
-    def _set_timeout(self, msecs: int) -> None:
-        """Sets the timer that libcurl asks for, unless an earlier one is set.
-
-        libcurl may be called before the time, and then asks for the rest of
-        it. A negative time means that it needs no timer.
+@dataclass(slots=True)
+class Fetched:
+    """The answer to a request for any server; `error` is set without an answer."""
+
+    code: int = 0
+    body: bytes = b''
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    error: PortError | None = None
+
+
+class HttpClient:
+    """Calls to many servers over kept connections, a limited number at a time."""
+
+    __slots__ = ('_connections', '_places')
+
+    def __init__(self, max_connections: int):
+        self._connections: dict[tuple[str, str | None], HttpConnections] = {}
+        self._places = asyncio.Semaphore(max_connections)
+
+    def connections(
+        self, address: str, source_ip: str | None, connect_timeout_ms: int
+    ) -> HttpConnections:
+        """Returns the connections to a server."""
+        key = address, source_ip
+        found = self._connections.get(key)
+        if found is None:
+            found = HttpConnections(address, source_ip, connect_timeout_ms)
+            self._connections[key] = found
+        return found
+
+    async def call(
+        self,
+        connections: HttpConnections,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: int,
+        headers: dict[str, str],
+        fresh: bool = False,
+    ) -> Fetched:
+        """Makes one call; a wait for a place is not part of its time limit."""
+        async with self._places:
+            result = await connections.call(
+                method, path, body, timeout_ms, headers, fresh
+            )
+        if isinstance(result, Err):
+            return Fetched(error=result.err_value)
+        answer = result.ok_value
+        return Fetched(answer.status, answer.body, answer.headers)
+
+    async def fetch(
+        self, request: HTTPRequest | str, raise_error: bool = False
+    ) -> Fetched:
+        """Makes the call that a Tornado request describes, to any server.
+
+        With `raise_error`, a call without an answer raises `ConnectionError`.
         """
-        if msecs < 0:
-            if self._timeout is not None:
-                self.io_loop.remove_timeout(self._timeout)
-                self._timeout = None
-            return
-        due_s = self.io_loop.time() + seconds(msecs)
-        if self._timeout is None or due_s < self._due_s:
-            self._due_s = due_s
-            super()._set_timeout(msecs)
+        if isinstance(request, str):
+            request = HTTPRequest(request)
+        parts = urlsplit(request.url)
+        path = parts.path or '/'
+        if parts.query:
+            path += f'?{parts.query}'
+        connect_ms = _milliseconds(request.connect_timeout, DEFAULT_CONNECT_TIMEOUT_MS)
+        timeout_ms = _milliseconds(request.request_timeout, DEFAULT_TIMEOUT_MS)
+        fetched = await self.call(
+            self.connections(parts.netloc, None, connect_ms),
+            request.method,
+            path,
+            request.body,
+            timeout_ms,
+            dict(request.headers),
+        )
+        if raise_error and fetched.error is not None:
+            raise ConnectionError(fetched.error.message)
+        return fetched
 
     def close(self) -> None:
-        """Closes the connections; a second call does nothing.
+        """Closes the connections; a second call does nothing."""
+        for connections in self._connections.values():
+            connections.close()
 
-        Closing the handles makes libcurl ask for one more timeout, which
-        would run on a client that is gone.
-        """
-        if self._multi is None:
-            return
-        super().close()
-        if self._timeout is not None:
-            self.io_loop.remove_timeout(self._timeout)
+
+def _milliseconds(duration_s: float | None, default_ms: int) -> int:
+    return int(duration_s * MILLISECONDS_PER_SECOND) if duration_s else default_ms
 
 
 def new_http_client(max_connections: int) -> HttpClient:
     """Returns a client that keeps connections open and reuses them."""
-    return HttpClient(force_instance=True, max_clients=max_connections)
+    return HttpClient(max_connections)
 
 
 @dataclass(slots=True)
@@ -117,27 +166,6 @@
     return headers
 
 
-def _prepare(target: HttpTarget, fresh: bool) -> Callable[[pycurl.Curl], None]:
-    def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
-        curl.setopt(pycurl.TCP_NODELAY, 1)
-        if target.source_ip:
-            curl.setopt(pycurl.INTERFACE, target.source_ip)
-        # libcurl sends a request again over a new connection if a reused one
-        # was closed without an answer, although the first may have taken effect.
-        # It gives up instead when the body cannot be sent from its start.
-        curl.setopt(pycurl.IOCTLFUNCTION, lambda command: pycurl.IOE_FAILRESTART)
-        curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
-
-    return prepare
-
-
-def _error_kind(error: BaseException) -> PortErrorKind:
-    if isinstance(error, CurlError) and error.errno in NOT_SENT_CURL_CODES:
-        return PortErrorKind.NOT_SENT
-    return PortErrorKind.NO_ANSWER
-
-
 async def call(
     target: HttpTarget,
     method: str,
@@ -155,26 +183,22 @@
     conditional: an unchanged resource is not sent again.
     """
     timeout_ms = target.connect_timeout_ms + target.read_timeout_ms + extra_wait_ms
-    request = HTTPRequest(
-        f'http://{target.address}{path}',
-        method=method,
-        body=None if body is None else codec.encode_json(body),
-        headers=_headers(known),
-        allow_nonstandard_methods=True,
-        connect_timeout=seconds(target.connect_timeout_ms),
-        request_timeout=seconds(timeout_ms),
-        prepare_curl_callback=_prepare(target, target.health.suspect),
+    connections = target.client.connections(
+        target.address, target.source_ip, target.connect_timeout_ms
+    )
+    response = await target.client.call(
+        connections,
+        method,
+        path,
+        None if body is None else codec.encode_json(body),
+        timeout_ms,
+        _headers(known),
+        target.health.suspect,
     )
-    try:
-        response = await target.client.fetch(request, raise_error=False)
-    except asyncio.CancelledError:
-        raise
-    except Exception as error:  # noqa: BLE001 - the client raises library errors
-        return Err(PortError(kind=PortErrorKind.NO_ANSWER, message=str(error)))
-    if response.code == 599:  # noqa: PLR2004 - Tornado's code for no HTTP answer
+    if response.error is not None:
         target.health.suspect = True
-        kind = _error_kind(response.error or OSError())
-        return Err(PortError(kind=kind, message=f'{path}: {response.error}'))
+        message = f'{path}: {response.error.message}'
+        return Err(PortError(kind=response.error.kind, message=message))
     target.health.suspect = False
     if response.code == HTTPStatus.NOT_MODIFIED and known and known.value is not None:
         return Ok(known.value)
--- a/dandelionknot/platform/_http.py
+++ b/dandelionknot/_http_connections.py
@@ -29,13 +29,15 @@
     """A whole HTTP answer, filled while it is read."""
 
     status: int = 0
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     body: bytes = b''
     whole: bool = False
 
     def headers_received(self, start_line: object, headers: HTTPHeaders) -> None:
-        """Takes the status."""
+        """Takes status and headers."""
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
+        self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
@@ -47,10 +49,12 @@
 
 
 @dataclass(slots=True)
-class HttpClient:
+class HttpConnections:
     """Calls to one server; each connection carries one call at a time."""
 
     address: str
+    source_ip: str | None = None
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS
     idle: list[IOStream] = field(default_factory=list)
     closed: bool = False
 
@@ -61,14 +65,15 @@
         body: bytes | None,
         timeout_ms: int,
         headers: dict[str, str] | None = None,
+        fresh: bool = False,
     ) -> Result[Answer, PortError]:
-        """Makes one call and reads the whole answer.
+        """Makes one call and reads the whole answer, on a `fresh` connection if asked.
 
         An error of kind `NOT_SENT` means that no connection could be opened.
         """
-        stream = self._idle_stream()
+        stream = None if fresh else self._idle_stream()
         if stream is None:
-            opened = await self._open(min(CONNECT_TIMEOUT_MS, timeout_ms))
+            opened = await self._open(min(self.connect_timeout_ms, timeout_ms))
             if isinstance(opened, Err):
                 return opened
             stream = opened.ok_value
@@ -104,6 +109,8 @@
         host, _, port = self.address.rpartition(':')
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
+            if self.source_ip is not None:
+                stream.socket.bind((self.source_ip, 0))
             async with asyncio.timeout(seconds(timeout_ms)):
                 await stream.connect((host, int(port)))
             stream.set_nodelay(True)
--- a/dandelionknot/_links.py
+++ b/dandelionknot/_links.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass, field
 
 from result import Err
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from dandelionknot._backend_http import http_backend_port
 from dandelionknot._backend_link import run_backend_link
-from dandelionknot._http_client import http_target
+from dandelionknot._http_client import HttpClient, http_target
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.context import Context
 from dandelionknot.messages import (
@@ -46,7 +45,7 @@
     context: Context,
     mailbox: Mailbox,
     dispatcher: Mailbox,
-    client: CurlAsyncHTTPClient,
+    client: HttpClient,
 ) -> None:
     """Passes start and stop orders to the link of each host.
 
--- a/dandelionknot/platform/_adapter.py
+++ b/dandelionknot/platform/_adapter.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from dandelionknot._http_connections import HttpConnections
 from dandelionknot.errors import PortError
 from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import AdviceGiven, AskAdvice, ManagerSettings
@@ -14,7 +15,6 @@
 from dandelionknot.platform._decode import decode
 from dandelionknot.platform._generated import WireGranted
 from dandelionknot.platform._hosts import PlatformHosts
-from dandelionknot.platform._http import HttpClient
 from dandelionknot.platform._store import PlatformStore
 from dandelionknot.store import Item, Put
 
@@ -27,29 +27,29 @@
     """Makes clients of the platform's services."""
 
     settings: ManagerSettings
-    advice: HttpClient | None = None
+    advice: HttpConnections | None = None
     configuration_key: str = _items.CONFIGURATION_KEY
 
     @classmethod
     def from_settings(cls, settings: ManagerSettings) -> 'PlatformAdapter':
         """Returns the adapter to the platform that the settings name."""
         address = settings.advice_address
-        return cls(settings, HttpClient(address) if address else None)
+        return cls(settings, HttpConnections(address) if address else None)
 
     def new_store(self) -> PlatformStore:
         """Returns a client of the store with connections of its own."""
-        return PlatformStore(HttpClient(self.settings.store_address))
+        return PlatformStore(HttpConnections(self.settings.store_address))
 
     def new_orders(self, address: str, backend_id: str, token: int) -> BackendOrders:
         """Returns a client of one lifetime of a backend server."""
-        return BackendOrders(HttpClient(address), backend_id, token)
+        return BackendOrders(HttpConnections(address), backend_id, token)
 
     def new_hosts(self) -> PlatformHosts | None:
         """Returns a client of the platform's list of hosts, if there is one."""
         address = self.settings.hosts_address
         if not address:
             return None
-        return PlatformHosts(HttpClient(address), self.settings.member_id)
+        return PlatformHosts(HttpConnections(address), self.settings.member_id)
 
     def meaning(self, item: Item) -> Fact | None:
         """Decodes an item; one that cannot be read is logged and passed over."""
--- a/dandelionknot/platform/_backends.py
+++ b/dandelionknot/platform/_backends.py
@@ -5,11 +5,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from dandelionknot._http_connections import Answer, HttpConnections
 from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.jobs._generated import HoldReport, OrderOutcome, StartOrder
 from dandelionknot.platform._decode import decode, hold_report
 from dandelionknot.platform._generated import WireLists, WireOrderAnswer
-from dandelionknot.platform._http import Answer, HttpClient
 
 OK = 200
 CONFLICT = 409
@@ -28,7 +28,7 @@
 class BackendOrders:
     """Calls to one lifetime of a backend server under one fencing token."""
 
-    client: HttpClient
+    client: HttpConnections
     backend_id: str
     fencing_token: int
 
--- a/dandelionknot/platform/_hosts.py
+++ b/dandelionknot/platform/_hosts.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from dandelionknot._http_connections import Answer, HttpConnections
 from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.jobs._generated import (
     Host,
@@ -13,7 +14,6 @@
 )
 from dandelionknot.platform._decode import decode, host
 from dandelionknot.platform._generated import WireMachines, WireOrderAnswer
-from dandelionknot.platform._http import Answer, HttpClient
 
 OK = 200
 CONFLICT = 409
@@ -31,7 +31,7 @@
 class PlatformHosts:
     """Lists hosts and orders their upkeep and moves in one member's name."""
 
-    client: HttpClient
+    client: HttpConnections
     member_id: str
 
     async def list_hosts(self) -> Result[list[Host], PortError]:
--- a/dandelionknot/platform/_store.py
+++ b/dandelionknot/platform/_store.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from dandelionknot._http_connections import Answer, HttpConnections
 from dandelionknot.errors import PortErrorKind
 from dandelionknot.platform._decode import decode
 from dandelionknot.platform._generated import (
@@ -16,7 +17,6 @@
     WireLease,
     WireTransaction,
 )
-from dandelionknot.platform._http import Answer, HttpClient
 from dandelionknot.store import (
     HistoryLost,
     Item,
@@ -43,7 +43,7 @@
 class PlatformStore:
     """Reads, watches and writes of the platform's key-value store."""
 
-    client: HttpClient
+    client: HttpConnections
 
     async def page(
         self, prefix: str, after: str, timeout_ms: int
--- a/emulator/virtual_time.py
+++ b/emulator/virtual_time.py
@@ -11,21 +11,29 @@
 from unittest import mock
 
 START_S = 1_000_000.0
+# Real time for what happens outside the loop, if sockets are used.
+OUTSIDE_S = 20.0
 
 
 class JumpingSelector(selectors.SelectSelector):
     """Advances the time instead of waiting for it."""
 
-    def __init__(self) -> None:
+    def __init__(self, delivery_s: float) -> None:
         super().__init__()
         self.now_s = START_S
+        self._delivery_s = delivery_s
 
     def select(self, timeout: float | None = None) -> list:
         """Returns what is ready; jumps to the next timer if nothing is."""
-        ready = super().select(0)
+        if timeout is not None and timeout <= 0:
+            return super().select(0)
+        ready = super().select(self._delivery_s)
+        if not ready and timeout is None:
+            # Another thread or process may have something to say.
+            ready = super().select(OUTSIDE_S if self._delivery_s else 0)
         if not ready and timeout is None:
             raise RuntimeError('every task waits for something that cannot happen')
-        if not ready and timeout and timeout > 0:
+        if not ready and timeout is not None:
             self.now_s += timeout
         return ready
 
@@ -33,8 +41,9 @@
 class VirtualLoop(asyncio.SelectorEventLoop):
     """An event loop on the time of its selector."""
 
-    def __init__(self) -> None:
-        self.jumping = JumpingSelector()
+    def __init__(self, delivery_s: float = 0.0) -> None:
+        """Gives sockets `delivery_s` of real time to deliver before each jump."""
+        self.jumping = JumpingSelector(delivery_s)
         super().__init__(self.jumping)
 
     def time(self) -> float:
--- a/tests/test_fleet_changes.py
+++ b/tests/test_fleet_changes.py
@@ -1,7 +1,6 @@
 """Guards guarantee 11 on a running fleet, through the operators' HTTP API."""
 
 import asyncio
-import unittest
 from dataclasses import replace
 
 from result import Err, Ok
@@ -21,6 +20,7 @@
 )
 from standins.platform import platform_port, start_platform
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 FIRST = 'zone-a-entry-0'
 SECOND = 'zone-b-entry-0'
@@ -52,7 +52,7 @@
     return [key.removeprefix(prefix) for key in keys if key.startswith(prefix)]
 
 
-class ChangeTest(unittest.IsolatedAsyncioTestCase):
+class ChangeTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
@@ -163,7 +163,7 @@
             self.assertEqual(refused.body['code'], 'key_not_valid')
 
 
-class LostWriteTest(unittest.IsolatedAsyncioTestCase):
+class LostWriteTest(VirtualTimeTestCase):
     async def test_write_is_not_sent_again_by_the_http_client(self):
         """Guards against a write that took effect and is reported as a conflict."""
         platform = await start_platform()
@@ -179,7 +179,7 @@
         self.assertEqual(again.unwrap().outcome, WriteOutcome.CONFLICT)
 
 
-class RestoredPlatformTest(unittest.IsolatedAsyncioTestCase):
+class RestoredPlatformTest(VirtualTimeTestCase):
     async def test_change_to_a_restored_older_value(self):
         """Guards against a second change under a version number that was used."""
         platform = await start_platform()
@@ -195,7 +195,7 @@
                 self.assertEqual((report.outcome, report.version), (outcome, version))
 
 
-class UnreadableChangeTest(unittest.IsolatedAsyncioTestCase):
+class UnreadableChangeTest(VirtualTimeTestCase):
     async def test_change_that_no_entry_host_could_read(self):
         """Guards against a change that is written and stops every later one."""
         platform = await start_platform()
@@ -214,7 +214,7 @@
         self.assertEqual(platform.state.entries_by_key[CONFIGURATION_KEY].value, first)
 
 
-class KilledMemberTest(unittest.IsolatedAsyncioTestCase):
+class KilledMemberTest(VirtualTimeTestCase):
     async def test_killed_member_delays_acceptance_by_the_proof_time(self):
         """Guards against changes that wait for ever for a host that is gone."""
         fleet = await start_fleet(
--- a/tests/test_fleet_keys.py
+++ b/tests/test_fleet_keys.py
@@ -1,13 +1,13 @@
 """Guards guarantee 3 on a running fleet: a withdrawn key stops within the bound."""
 
 import asyncio
-import unittest
 
 from dandelionknot.clock import now_ms
 from dandelionknot.operators import ChangeOutcome, EditKind
 from standins.fleet import SHORT_BOUNDS, Fleet, FleetPlan, new_request_id, start_fleet
 from standins.load import Load, start_load
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 CUT_ZONE = 'zone-a'
 CUT_ENTRY = 'zone-a-entry-0'
@@ -23,7 +23,7 @@
     return max(start.at_ms for start in fleet.starts() if start.team == team)
 
 
-class WithdrawnKeyTest(unittest.IsolatedAsyncioTestCase):
+class WithdrawnKeyTest(VirtualTimeTestCase):
     fleet: Fleet
     load: Load
 
@@ -95,7 +95,7 @@
             self.assert_all_refused(bound_ms, now_ms(), member_id)
 
 
-class QueuedRequestTest(unittest.IsolatedAsyncioTestCase):
+class QueuedRequestTest(VirtualTimeTestCase):
     async def test_key_withdrawn_while_the_request_waits(self):
         """Guards against a start with a key that was withdrawn in the queue."""
         plan = FleetPlan.with_short_bounds(zones=('zone-a',), hosts_per_zone=1, slots=1)
@@ -120,7 +120,7 @@
         self.assertEqual((await first).body.get('result'), 'first')
 
 
-class PlatformOutageTest(unittest.IsolatedAsyncioTestCase):
+class PlatformOutageTest(VirtualTimeTestCase):
     async def test_outage_with_a_killed_member(self):
         """Guards against an outage that stops the fleet.
 
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import dataclasses
-import unittest
 
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import Cooperative
 from dandelionknot.operators import ChangeOutcome, EditKind
 from standins.fleet import Fleet, FleetPlan, Response, start_fleet
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 LIMIT = 4
 LOWERED_LIMIT = 2
@@ -25,7 +25,7 @@
     return body.get('result') or f'{body.get("code")}: {body.get("message")}'
 
 
-class LimitTest(unittest.IsolatedAsyncioTestCase):
+class LimitTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -1,7 +1,6 @@
 """Guards forwarded requests on a running fleet whose peer links fail."""
 
 import asyncio
-import unittest
 from collections.abc import Callable
 
 from dandelionknot import decisions
@@ -10,6 +9,7 @@
 from standins.load import Load, start_load
 from standins.relay import Relay
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ASKED = 'zone-a-entry-0'
 OWNER = 'zone-b-entry-0'
@@ -18,7 +18,7 @@
 TIMEOUT_S = 20
 
 
-class LinkFaultTest(unittest.IsolatedAsyncioTestCase):
+class LinkFaultTest(VirtualTimeTestCase):
     fleet: Fleet
     load: Load
 
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -1,17 +1,16 @@
 """Guards the fleet when every entry host is replaced at once."""
 
-import unittest
-
 from dandelionknot.operators import ChangeOutcome, EditKind
 from standins.fleet import Fleet, FleetPlan, new_request_id, start_fleet
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 NEW_MEMBERS = tuple(f'{zone}-new' for zone in ZONES)
 TIMEOUT_S = 40
 
 
-class ReplacementTest(unittest.IsolatedAsyncioTestCase):
+class ReplacementTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
--- a/tests/test_fleet_moves.py
+++ b/tests/test_fleet_moves.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import unittest
 
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import HostState, PlanState, Pool, Service
@@ -10,6 +9,7 @@
 from standins.fleet import Fleet, FleetPlan, start_fleet
 from standins.load import Load, start_load
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ENTRY = 'zone-a-entry-0'
 OTHER_ENTRY = 'zone-b-entry-0'
@@ -19,7 +19,7 @@
 CUT_MS = 3000
 
 
-class MoveTest(unittest.IsolatedAsyncioTestCase):
+class MoveTest(VirtualTimeTestCase):
     fleet: Fleet
     load: Load
 
--- a/tests/test_fleet_once.py
+++ b/tests/test_fleet_once.py
@@ -1,13 +1,13 @@
 """Guards at most one run of non-idempotent requests on a running fleet."""
 
 import asyncio
-import unittest
 
 from dandelionknot import decisions
 from dandelionknot.clock import now_ms
 from dandelionknot.configuration import FleetBounds
 from standins.fleet import Fleet, FleetPlan, Response, new_request_id, start_fleet
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 FAST = {
     'peer_ping_interval_ms': 200,
@@ -32,7 +32,7 @@
     return str(response.body.get('run_state'))
 
 
-class OnceTest(unittest.IsolatedAsyncioTestCase):
+class OnceTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -1,13 +1,13 @@
 """Guards the use of slots that several entry hosts share."""
 
 import asyncio
-import unittest
 
 from dandelionknot._fleet_view import host_usage
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.messages import HostUsage, UsageReport
 from standins.fleet import FleetPlan, start_fleet
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ZONES = ('zone-a', 'zone-b')
 ENTRY, OTHER_ENTRY = 'zone-a-entry-0', 'zone-b-entry-0'
@@ -16,7 +16,7 @@
 TIMEOUT_S = 10
 
 
-class SharedSlotsTest(unittest.IsolatedAsyncioTestCase):
+class SharedSlotsTest(VirtualTimeTestCase):
     async def asyncSetUp(self):
         plan = FleetPlan(zones=ZONES, hosts_per_zone=1, slots=SLOTS)
         self.fleet = await start_fleet(plan)
--- a/tests/test_fleet_stops.py
+++ b/tests/test_fleet_stops.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import unittest
 from collections.abc import Awaitable, Callable
 
 from dandelionknot.clock import now_ms
@@ -12,6 +11,7 @@
 from standins.fleet import Fleet, FleetPlan, start_fleet
 from standins.load import Load, start_load
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 HOST = 'zone-a-host-0'
 ENTRY = 'zone-a-entry-0'
@@ -22,7 +22,7 @@
 TIMEOUT_S = 20
 
 
-class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+class PlannedStopTest(VirtualTimeTestCase):
     fleet: Fleet
     loads: list[Load]
 
--- a/tests/test_fleet_votes.py
+++ b/tests/test_fleet_votes.py
@@ -1,11 +1,11 @@
 """Guards the vote on who votes on a running fleet, through the operator API."""
 
-import unittest
 from dataclasses import replace
 
 from dandelionknot.configuration import Cooperative
 from dandelionknot.operators import ChangeOutcome, EditKind
 from standins.fleet import Fleet, FleetPlan, start_fleet
+from tests.virtual import VirtualTimeTestCase
 
 FIRST = 'zone-a-entry-0'
 SECOND = 'zone-b-entry-0'
@@ -13,7 +13,7 @@
 ONE = {'shared': Cooperative(voters=['operator-2'])}
 
 
-class VotersTest(unittest.IsolatedAsyncioTestCase):
+class VotersTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -1,12 +1,12 @@
 """Guards guarantee 9 on a running fleet: accepted asynchronous work is not lost."""
 
 import asyncio
-import unittest
 
 from dandelionknot.messages import ErrorCode
 from dandelionknot.operators import EditKind
 from standins.fleet import Fleet, FleetPlan, Response, new_request_id, start_fleet
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 OLD_MEMBERS = tuple(f'{zone}-entry-0' for zone in ZONES)
@@ -18,7 +18,7 @@
 TIMEOUT_S = 40
 
 
-class WorkTest(unittest.IsolatedAsyncioTestCase):
+class WorkTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -11,6 +11,7 @@
 from standins.fleet import SHORT_BOUNDS, Fleet, FleetPlan, new_request_id, start_fleet
 from standins.load import start_load
 from standins.waiting import wait_until
+from tests.virtual import VirtualTimeTestCase
 
 ZONE = 'zone-a'
 ENTRY = 'zone-a-entry-0'
@@ -29,7 +30,7 @@
 OPEN = {'service': 'bulletin', 'key': ''}
 
 
-class ZoneTest(unittest.IsolatedAsyncioTestCase):
+class ZoneTest(VirtualTimeTestCase):
     fleet: Fleet
 
     async def asyncSetUp(self):
@@ -155,7 +156,7 @@
             self.assertTrue(sent and all(each.is_answered for each in sent[:-1]))
 
 
-class CutOffOpenQueueTest(unittest.IsolatedAsyncioTestCase):
+class CutOffOpenQueueTest(VirtualTimeTestCase):
     async def test_record_outlives_the_open_queues_of_a_cut_off_member(self):
         """Guards against a zone exit that does not wait for a forgotten member.
 
@@ -184,7 +185,7 @@
         self.assertLess(last_ms, deleted_ms)
 
 
-class ZoneBudgetTest(unittest.IsolatedAsyncioTestCase):
+class ZoneBudgetTest(VirtualTimeTestCase):
     async def test_exit_beyond_the_budget(self):
         """Guards against an exit that takes a service beyond its budget unasked.
 
