Serve first what can still end in time and within its team's share

Cause: in bursts above what a pool holds, jobs that could not end in time any more took places from others, a team that sent many times its usual took its pool, and tasks on silent hosts waited 6 s for the lease also where copies are allowed.

Change: jobs are ranked by what is left of their longest chain; what a team sends beyond its weight a second waits behind the others; tasks with copies allowed run elsewhere at once when their host falls silent.

Ruled out: shorter leases for all tasks, which would not survive a change of the leader.

--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -18,6 +18,8 @@
 # A long-running task on a host that is due for upkeep has to be moved soon.
 UPKEEP_DUE_PENALTY = 3.0
 BORROWED_PENALTY = 3.0
+# Copies of tasks on silent hosts run only below this share of the limit.
+COPY_MARGIN_SHARE = 0.5
 # Serving tasks and tasks that use idle capacity disturb each other.
 DISTURBANCE_PENALTY = 4.0
 
@@ -32,6 +34,17 @@
     )
 
 
+def has_margin(account: AccountState) -> bool:
+    """Whether an account stays within its limit if some of its tasks run twice."""
+    limit = account.limit
+    pairs = (
+        (account.cpu_millicores, limit.cpu_millicores),
+        (account.memory_mb, limit.memory_mb),
+        (account.accelerators, limit.accelerators),
+    )
+    return all(not most or used <= most * COPY_MARGIN_SHARE for used, most in pairs)
+
+
 def _fits(used: int, needed: int, limit: int) -> bool:
     """A limit of zero means no limit."""
     return not limit or not needed or used + needed <= limit
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -35,14 +35,13 @@
     return max(1, job.spec.repeats)
 
 
-def chain_ms(steps: list[StepSpec]) -> int:
-    """Returns the estimated time of the longest chain of dependent steps."""
+def chain_ms(steps: list[StepSpec], done: frozenset[int] = frozenset()) -> int:
+    """Returns the estimated time of the longest chain of steps that are not done."""
     ends: list[int] = []
-    for step in steps:
-        begin = max(
-            (ends[index] for index in step.after if index < len(ends)), default=0
-        )
-        ends.append(begin + step.estimated_ms)
+    for number, step in enumerate(steps):
+        earlier = [ends[index] for index in step.after if index < len(ends)]
+        own_ms = 0 if number in done else step.estimated_ms
+        ends.append(max(earlier, default=0) + own_ms)
     return max(ends, default=0)
 
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -16,6 +16,7 @@
     _ends,
     _placement,
     _progress,
+    _ranking,
     _reports,
     _sharing,
 )
@@ -175,6 +176,7 @@
         )
         accepted_ms = now_ms - max(0, unix_ms - job.accepted_unix_ms)
         state = new_job_state(job, queue, self.account(job.client_account), accepted_ms)
+        _ranking.note_share(state)
         self.jobs_by_id[job.job_id] = state
         placed = restore(state, record) if record is not None else []
         if state.final:
@@ -502,7 +504,7 @@
                 backends_by_service.setdefault(service, []).append(backend)
         steps_by_service: dict[str, list[StepState]] = {}
         for state in sorted(
-            self.open_jobs_by_id.values(), key=lambda job: _rank(job, now_ms)
+            self.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
         ):
             if state.job.spec.repeats:
                 self.open_due_occurrences(state, unix_ms)
@@ -541,11 +543,25 @@
             lapses_at_ms = backend.lapses_at_ms
             if lapses_at_ms is not None and now_ms >= lapses_at_ms:
                 self.lose_tasks(backend, 'lease lapsed')
+            elif lapses_at_ms is not None and backend.fenced:
+                # It was in contact in this term and is silent now.
+                self._copy_speculative(backend)
         self.former_backends = [b for b in self.former_backends if b.tasks_by_name]
         for backend_id, backend in list(self.backends_by_id.items()):
             if backend.report is None and not backend.tasks_by_name:
                 del self.backends_by_id[backend_id]
 
+    def _copy_speculative(self, backend: BackendState) -> None:
+        """Lets tasks of which copies may run go on elsewhere at once.
+
+        The copy that may still run counts no longer in the limit of the client
+        account, so that the account must have room for both.
+        """
+        for task in list(backend.tasks_by_name.values()):
+            spec = task.step.spec
+            if spec.speculative and _placement.has_margin(task.step.job.account):
+                self.requeue(task, 'a copy runs elsewhere while its host is silent')
+
     def _place_steps(
         self, steps: list[StepState], backends: list[BackendState], now_ms: int
     ) -> None:
@@ -759,20 +775,6 @@
     }
 
 
-def _rank(state: JobState, now_ms: int) -> tuple:
-    """Sorts by priority; within it, jobs that can end in time go first.
-
-    A job past its objective is worth little and one past three times its
-    objective nothing, so that they only use what the others leave.
-    """
-    span = state.due_ms - state.accepted_ms
-    lateness = now_ms + state.chain_ms // 2 - state.due_ms
-    tier = 0 if lateness <= 0 else 1 if lateness <= 2 * span else 2
-    if state.job.spec.steps and state.job.spec.steps[0].long_running:
-        tier = 0
-    return state.queue.priority, tier, state.due_ms
-
-
 def _ready_steps(state: JobState) -> list[StepState]:
     """Returns steps with waiting tasks whose earlier steps are done."""
     ready = []
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -1,5 +1,6 @@
 """State of jobs, tasks and backend servers as the scheduler believes it to be."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -99,7 +100,8 @@
     steps_by_occurrence: dict[int, list[StepState]] = field(default_factory=dict)
     chain_ms: int = 0
     due_ms: int = 0
-    done_occurrences: int = 0
+    # Its client account sent more than its share when it was accepted.
+    beyond_share: bool = False
 
     @property
     def final(self) -> bool:
@@ -114,6 +116,8 @@
     name: str
     limit: Resources = Resources()
     weight: float = 1.0
+    # When its latest jobs were accepted.
+    recent_unix_ms: deque[int] = field(default_factory=deque)
     cpu_millicores: int = 0
     memory_mb: int = 0
     accelerators: int = 0
