--- /dev/null
+++ b/standins/job_platform.py
@@ -0,0 +1,311 @@
+"""The users' platform over HTTP on loopback: store, backend servers, hosts.
+
+It keeps the rules of the emulator's store and backend servers and speaks the
+platform's protocol, so that the adapter and whole manager processes are tested
+without the users' bench.
+"""
+
+import asyncio
+import base64
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import tornado.httpserver
+import tornado.netutil
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from dandelionknot.clock import now_ms, seconds
+from dandelionknot.jobs._generated import OrderOutcome, Resources, StartOrder
+from dandelionknot.store import Item, Precondition, Put, WriteOutcome
+from emulator.backends import Backend
+from emulator.store import MemoryStore
+
+Answer = tuple[int, dict]
+Handler = Callable[[HTTPServerRequest], Awaitable[Answer]]
+POLL_S = 0.005
+REASONS = {
+    OrderOutcome.FENCED: 'fence',
+    OrderOutcome.SUPERSEDED: 'old',
+    OrderOutcome.TOO_LATE: 'late',
+}
+
+
+@dataclass(slots=True)
+class Site:
+    """One HTTP server of the platform."""
+
+    handler: Handler
+    server: tornado.httpserver.HTTPServer = field(init=False)
+    address: str = ''
+    # Answers given instead of the right ones, first to last; 0 closes the connection.
+    faults: list[int] = field(default_factory=list)
+    calls: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Creates the server."""
+        self.server = tornado.httpserver.HTTPServer(self._accept)
+
+    def listen(self) -> None:
+        """Listens on a free port."""
+        [found] = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        self.address = f'127.0.0.1:{found.getsockname()[1]}'
+        self.server.add_socket(found)
+
+    def _accept(self, request: HTTPServerRequest) -> None:
+        asyncio.get_running_loop().create_task(self._answer(request))
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        self.calls.append(f'{request.method} {request.path}')
+        status = 0
+        body: dict = {}
+        if self.faults:
+            status = self.faults.pop(0)
+        else:
+            status, body = await self.handler(request)
+        connection = request.connection
+        if connection is None or not status:
+            if connection is not None:
+                connection.detach().close()  # type: ignore[attr-defined]
+            return
+        data = msgspec.json.encode(body)
+        headers = HTTPHeaders({'Content-Length': str(len(data))})
+        start = ResponseStartLine('HTTP/1.1', status, 'Answer')
+        try:
+            await connection.write_headers(start, headers, data)
+            connection.finish()
+        except tornado.iostream.StreamClosedError:
+            return
+
+
+@dataclass(slots=True)
+class JobPlatform:
+    """A store, a list of hosts and backend servers."""
+
+    store: MemoryStore = field(default_factory=lambda: MemoryStore(random.Random(1)))
+    backends_by_id: dict[str, Backend] = field(default_factory=dict)
+    backend_sites: dict[str, Site] = field(default_factory=dict)
+    hosts: list[dict] = field(default_factory=list)
+    host_orders: list[tuple[str, dict, str]] = field(default_factory=list)
+    store_site: Site = field(init=False)
+    host_site: Site = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Starts the servers of store and hosts."""
+        self.store_site = Site(self._store)
+        self.host_site = Site(self._host)
+        self.store_site.listen()
+        self.host_site.listen()
+
+    def stop(self) -> None:
+        """Stops all servers."""
+        for site in (self.store_site, self.host_site, *self.backend_sites.values()):
+            site.server.stop()
+
+    def add_backend(self, backend_id: str, service: str) -> Backend:
+        """Starts and registers a backend server."""
+        backend = Backend(
+            backend_id,
+            service,
+            'zone-a',
+            random.Random(2),
+            Resources(cpu_millicores=16_000, memory_mb=32_000),
+            born_ms=now_ms(),
+            mean_ms=100,
+        )
+
+        async def handle(request: HTTPServerRequest) -> Answer:
+            return await _backend_answer(backend, request)
+
+        site = Site(handle)
+        site.listen()
+        self.backends_by_id[backend_id] = backend
+        self.backend_sites[backend_id] = site
+        self.register(backend_id)
+        return backend
+
+    def register(self, backend_id: str, **fields: object) -> None:
+        """Writes the registry entry of a backend server."""
+        backend = self.backends_by_id[backend_id]
+        entry = {
+            'service': backend.service,
+            'addr': self.backend_sites[backend_id].address,
+            'zone': backend.zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'room': {'cpu': backend.room.cpu_millicores, 'mem_mb': 32_000},
+            'labels': ['std', 'r1-1'],
+            'born': backend.born_ms,
+            'seq': 1,
+        }
+        self.put(f'servers/{backend_id}', entry | fields)
+
+    def put(self, key: str, value: object) -> int:
+        """Writes an item as operators and backend servers do."""
+        return self.store.put(key, msgspec.json.encode(value))
+
+    def configure(self, version: int, **fields: object) -> int:
+        """Writes a configuration with one queue and one client account."""
+        configuration = {
+            'version': version,
+            'routes': [
+                {
+                    'name': 'r-desk',
+                    'host': 'desk.example',
+                    'prefix': '/quotes/',
+                    'service': 'desk',
+                    'attempts': 3,
+                    'stretch': 1.6,
+                    'objective_ms': 600,
+                    'public': False,
+                }
+            ],
+            'services': [{'name': 'desk', 'admission_control': True}],
+            'tenants': [{'name': 'sofia', 'keys': ['key-1'], 'weight': 5}],
+        }
+        return self.put('op/config', configuration | fields)
+
+    async def _store(self, request: HTTPServerRequest) -> Answer:
+        self.store.expire()
+        arguments = {
+            name: values[0].decode() for name, values in request.arguments.items()
+        }
+        match request.path.split('/')[1]:
+            case 'kv-range':
+                return 200, self._range(arguments)
+            case 'kv-key':
+                found = self.store.items_by_key.get(arguments['key'])
+                return (200, _wire_item(found)) if found else (404, {})
+            case 'kv-watch':
+                return await self._watch(arguments)
+            case 'kv-txn':
+                return self._write(msgspec.json.decode(request.body))
+        return self._lease(request)
+
+    def _range(self, arguments: dict) -> dict:
+        items = [
+            _wire_item(item)
+            for key, item in sorted(self.store.items_by_key.items())
+            if key.startswith(arguments['prefix']) and key > arguments.get('after', '')
+        ]
+        return {
+            'items': items,
+            'truncated': False,
+            'store_revision': self.store.revision,
+        }
+
+    async def _watch(self, arguments: dict) -> Answer:
+        after, prefix = int(arguments['after']), arguments['prefix']
+        end = now_ms() + int(arguments['wait_ms'])
+        while True:
+            self.store.expire()
+            if after < self.store.forgotten_revision:
+                return 410, {}
+            found = [
+                _wire_item(item)
+                for item in self.store.history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+            if found or now_ms() >= end:
+                return 200, {'events': found, 'store_revision': self.store.revision}
+            await asyncio.sleep(POLL_S)
+
+    def _write(self, body: dict) -> Answer:
+        written = self.store.write(
+            [Precondition(row['key'], row['rev']) for row in body['precondition']],
+            [
+                Put(row['key'], base64.b64decode(row['value']), row['lease'])
+                for row in body['set_keys']
+            ],
+            body['delete_keys'],
+        )
+        if written.outcome is WriteOutcome.WRITTEN:
+            return 200, {'rev': written.revision}
+        if written.outcome is WriteOutcome.LEASE_ENDED:
+            return 404, {}
+        return 412, {'items': [_wire_item(item) for item in written.items]}
+
+    def _lease(self, request: HTTPServerRequest) -> Answer:
+        parts = request.path.split('/')
+        if parts[1] == 'kv-lease':
+            duration = msgspec.json.decode(request.body)['ttl_ms']
+            self.store.revision += 1
+            lease_id = self.store.revision
+            self.store.lease_ends_by_id[lease_id] = now_ms() + duration
+            self.store.lease_ms_by_id[lease_id] = duration
+            return 200, {'lease': lease_id, 'ttl_ms': duration}
+        lease_id = int(parts[2])
+        if lease_id not in self.store.lease_ends_by_id:
+            return 404, {}
+        if parts[1] == 'kv-lease-end':
+            self.store.end_lease(lease_id)
+            return 200, {}
+        duration = self.store.lease_ms_by_id[lease_id]
+        self.store.lease_ends_by_id[lease_id] = now_ms() + duration
+        return 200, {'ttl_ms': duration}
+
+    async def _host(self, request: HTTPServerRequest) -> Answer:
+        if request.path == '/machines':
+            return 200, {'machines': self.hosts, 'next_token': None}
+        body = msgspec.json.decode(request.body)
+        token = request.headers.get('X-Fence-Token', '')
+        self.host_orders.append((request.path, body, token))
+        return 200, {}
+
+
+def _wire_item(item: Item) -> dict:
+    if item.deleted:
+        return {'key': item.key, 'rev': item.revision, 'tombstone': True}
+    return {
+        'key': item.key,
+        'value': base64.b64encode(item.value).decode(),
+        'rev': item.revision,
+        'created': item.created,
+        'lease': item.lease_id,
+    }
+
+
+async def _backend_answer(backend: Backend, request: HTTPServerRequest) -> Answer:
+    if request.headers.get('X-Expect-Instance') != backend.backend_id:
+        return 421, {}
+    body = msgspec.json.decode(request.body)
+    token = body['fence']
+    clock = {'clock_ms': backend.clock(), 'born': backend.born_ms}
+    if request.path == '/hold':
+        return await _hold(backend, body, token)
+    if request.path == '/run-start':
+        order = StartOrder(
+            task_name=body['task'], run=body['run'], payload=body['spec']
+        )
+        outcome = backend.start(order, body['deadline_ms'], token)
+    else:
+        outcome = backend.stop(body['task'], body['run'], token)
+    if outcome is OrderOutcome.ACCEPTED:
+        return 200, clock
+    return 409, clock | {'reason': REASONS[outcome]}
+
+
+async def _hold(backend: Backend, body: dict, token: int) -> Answer:
+    report = backend.hold(body.get('deadline_ms', 0), body['acked_upto'], token)
+    if report is None:
+        return 409, {'clock_ms': backend.clock(), 'reason': 'fence'}
+    end = now_ms() + body.get('wait_ms', 0)
+    while now_ms() < end and not backend.ends:
+        await asyncio.sleep(seconds(5))
+        backend.advance()
+    report = backend.lists()
+    return 200, {
+        'clock_ms': report.clock_ms,
+        'born': report.born_ms,
+        'running': [
+            [row.task_name, row.run, '', row.percent, row.reading]
+            for row in report.running
+        ],
+        'finished': [
+            [end.number, end.task_name, end.run, end.reason.value, '']
+            for end in report.ended
+        ],
+    }
