Test manager processes, their logs and their settings

Cause: a settings file with a fault ended the process with a line that named no field, since the log was not set up yet. Found by the new test.

Change: the log is set up first. Tests start real processes: the stories of a refused job and of one that lost its host are told from their logs, a stopped leader hands over and a killed one is replaced.

Ruled out: nothing else; the cause is in the order of two calls.

--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -99,6 +99,7 @@
     """Runs a manager process until it is told to stop."""
     loaded = load_manager_settings(settings_path)
     if isinstance(loaded, Err):
+        set_up_logging('INFO', STANDARD_OUTPUT)
         log_event(Event.SETTINGS_REFUSED, problem=str(loaded.err_value))
         return ExitStatus.INVALID_INPUT
     settings = loaded.ok_value
--- /dev/null
+++ b/tests/test_manager_process.py
@@ -0,0 +1,177 @@
+"""Manager processes as they are started by the platform, and what their logs tell."""
+
+import asyncio
+import contextlib
+import io
+import re
+import signal
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from dandelionknot import cli, codec
+from dandelionknot._http_client import new_http_client
+from dandelionknot.exit_status import ExitStatus
+from emulator.fleet import TIMING
+from standins.fleet import free_port
+from standins.job_platform import JobPlatform
+from standins.waiting import wait_until
+
+# Only bounds the wait for something that is broken; no verdict depends on it.
+PATIENCE_S = 60
+JOB = {'spec': 'work', 'steps': [{'count': 1, 'cpu': 500, 'est_ms': 100}]}
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.platform = JobPlatform()
+        self.addCleanup(self.platform.stop)
+        self.platform.configure(1)
+        self.client = new_http_client(8)
+        self.addCleanup(self.client.close)
+        self.callers: dict[str, str] = {}
+        self.metrics: dict[str, str] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    def settings(self, member_id):
+        addresses = [f'127.0.0.1:{free_port()}' for _ in range(3)]
+        self.callers[member_id], readiness, self.metrics[member_id] = addresses
+        return {
+            'member_id': member_id,
+            'availability_zone': 'zone-a',
+            'caller_address': addresses[0],
+            'readiness_address': readiness,
+            'metrics_address': addresses[2],
+            'store_address': self.platform.store_site.address,
+            'timing': codec.to_data(TIMING),
+        }
+
+    async def start(self, member_id):
+        path = self.directory / f'{member_id}.yaml'
+        path.write_text(yaml.safe_dump(self.settings(member_id)))
+        with (self.directory / f'{member_id}.log').open('wb') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, '-m', 'dandelionknot.manager', str(path), stdout=log
+            )
+        self.processes[member_id] = process
+        self.addAsyncCleanup(self.end, process)
+        await wait_until(lambda: self.answers(member_id), PATIENCE_S)
+
+    async def end(self, process):
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+    async def answers(self, member_id):
+        status, _ = await self.call(member_id, 'GET', '/quotes/')
+        return status == 200
+
+    async def call(self, member_id, method, path, body=None):
+        connections = self.client.connections(self.callers[member_id], None, 1000)
+        data = None if body is None else msgspec.json.encode(body)
+        headers = {'Host': 'desk.example', 'X-Api-Key': 'key-1'}
+        fetched = await self.client.call(connections, method, path, data, 5000, headers)
+        return fetched.code, fetched.body
+
+    async def has_ended(self, member_id, path, state=b'done'):
+        _, body = await self.call(member_id, 'GET', path)
+        return state in body
+
+    def explain(self, subject):
+        logs = [str(path) for path in sorted(self.directory.glob('*.log'))]
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            status = cli.main(['explain', subject, *logs])
+        self.assertIs(status, ExitStatus.SUCCESS)
+        return out.getvalue()
+
+    async def test_the_story_of_a_job_that_lost_its_host(self):
+        """Guards against logs that do not tell why a job ran twice and late."""
+        backend = self.platform.add_backend('i-1', 'desk')
+        backend.stands_still = True
+        await self.start('edge-1')
+        path = '/quotes/00000000000000ba'
+        await self.call('edge-1', 'POST', path, JOB)
+        await wait_until(lambda: bool(backend.runs_by_name), PATIENCE_S)
+        backend.crash()
+        backend.restart()
+        backend.stands_still = False
+        self.platform.register('i-1')
+        await wait_until(lambda: self.has_ended('edge-1', path), PATIENCE_S)
+        await asyncio.sleep(0.2)
+        story = self.explain('00000000000000ba')
+        expected = (
+            r'job accepted: .*configuration_version=1.*\n'
+            r'(.*\n)*.*task started: .*run=1.*\n'
+            r'(.*\n)*.*task requeued: .*backend_id=i-1.*run=1.*\n'
+            r'(.*\n)*.*task started: .*run=2.*\n'
+            r'(.*\n)*.*job ended: .*phase=done'
+        )
+        self.assertRegex(story, expected)
+        self.assertNotIn('missing', story)
+
+    async def test_the_story_of_a_refused_job(self):
+        """Guards against refusals that say neither why nor how old the view was."""
+        self.platform.add_backend('i-1', 'desk')
+        await self.start('edge-1')
+        self.platform.store_site.faults = [503] * 2000
+        status, _ = await self.call('edge-1', 'POST', '/quotes/00000000000000bb', JOB)
+        self.assertEqual(status, 503)
+        await asyncio.sleep(0.2)
+        story = self.explain('00000000000000bb')
+        self.assertRegex(story, r'job refused: .*reason=.*503.*view_age_ms=\d+')
+
+    async def test_a_stopped_leader_hands_over_and_a_killed_one_is_replaced(self):
+        """Guards against a fleet that stands still when its leader ends."""
+        backend = self.platform.add_backend('i-1', 'desk')
+        for member_id in ('edge-1', 'edge-2', 'edge-3'):
+            await self.start(member_id)
+        for number, how in enumerate((signal.SIGTERM, signal.SIGKILL)):
+            leader = await self.leader()
+            self.processes[leader].send_signal(how)
+            status = await self.processes.pop(leader).wait()
+            self.assertEqual(status, 0 if how is signal.SIGTERM else -how)
+            other = sorted(self.processes)[0]
+            path = f'/quotes/00000000000000c{number}'
+            await self.call(other, 'POST', path, JOB)
+            await wait_until(lambda o=other, p=path: self.has_ended(o, p), PATIENCE_S)
+        names = [name for _, name, _ in backend.starts]
+        self.assertEqual(len(names), len(set(names)))
+
+    async def leader(self):
+        for _ in range(PATIENCE_S * 10):
+            for member_id in self.processes:
+                connections = self.client.connections(
+                    self.metrics[member_id], None, 1000
+                )
+                fetched = await self.client.call(
+                    connections, 'GET', '/metrics', None, 5000, {}
+                )
+                if re.search(rb'^dandelionknot_leading 1', fetched.body, re.M):
+                    return member_id
+            await asyncio.sleep(0.1)
+        raise AssertionError('no process leads')
+
+    async def test_settings_with_a_fault_are_refused_by_name(self):
+        """Guards against a process that starts with half of its settings."""
+        path = self.directory / 'bad.yaml'
+        path.write_text('member_id: edge-1\navailability_zone: 7\n')
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'dandelionknot.manager',
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        errors, _ = await process.communicate()
+        self.assertEqual(process.returncode, ExitStatus.INVALID_INPUT)
+        self.assertIn(b'availability_zone', errors)
+
+
+if __name__ == '__main__':
+    unittest.main()
