--- a/dandelionknot/_http_connections.py
+++ b/dandelionknot/_http_connections.py
@@ -116,7 +116,7 @@
             stream.set_nodelay(True)
         except (TimeoutError, StreamClosedError, OSError) as error:
             stream.close()
-            message = f'{self.address}: {error or type(error).__name__}'
+            message = f'{self.address}: {str(error) or type(error).__name__}'
             return Err(PortError(kind=PortErrorKind.NOT_SENT, message=message))
         except BaseException:
             stream.close()
