--- a/dandelionknot/manager/_lead.py
+++ b/dandelionknot/manager/_lead.py
@@ -50,6 +50,9 @@
 TICK_MS = 100
 # Events that come together are planned for together.
 GROUP_MS = 4
+# Pause after planning, in multiples of the time that it took, so that reports of
+# backend servers are not held up.
+PAUSE_PER_PLANNING = 3
 # Jobs are kept a little longer than callers may ask for their state.
 STATUS_MARGIN_MS = 10_000
 MAILBOX_CAPACITY = 100_000
@@ -88,6 +91,7 @@
     others: set[asyncio.Task] = field(default_factory=set)
     committer: Committer | None = None
     hosts: HostKeeper | None = None
+    plan_due_ms: int = 0
     committing: bool = False
 
     @classmethod
@@ -178,16 +182,27 @@
             if not self.term.valid():
                 self._write_notes()
                 continue
-            self.scheduler.plan(now_ms(), unix_ms())
+            if now_ms() >= self.plan_due_ms:
+                self._plan()
             self._match_links()
             self._send(self.scheduler.take_commands())
             self._commit()
             self._write_notes()
 
+    def _plan(self) -> None:
+        """Plans, and puts the next round off if planning takes long."""
+        began = now_ms()
+        self.scheduler.plan(now_ms(), unix_ms())
+        ended = now_ms()
+        self.plan_due_ms = ended + PAUSE_PER_PLANNING * (ended - began)
+
     async def _messages(self) -> list:
         """Returns the messages that came together, after a tick at the latest."""
+        wait_ms = TICK_MS
+        if self.plan_due_ms > now_ms():
+            wait_ms = min(wait_ms, self.plan_due_ms - now_ms())
         try:
-            async with asyncio.timeout(seconds(TICK_MS)):
+            async with asyncio.timeout(seconds(wait_ms)):
                 first = await self.mailbox.receive()
         except TimeoutError:
             return []
--- /dev/null
+++ b/measure/scheduler_cost.py
@@ -0,0 +1,163 @@
+"""Processor time of the scheduler's decisions at several sizes.
+
+Run `python -m measure.scheduler_cost`. Each row fills pools with running tasks,
+then times one planning round, one report of a backend server and one record.
+"""
+
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from dandelionknot.jobs._generated import (
+    BackendReport,
+    ClientAccount,
+    HoldReport,
+    Job,
+    JobConfiguration,
+    JobSpec,
+    OrderOutcome,
+    Queue,
+    Resources,
+    RunningTask,
+    StartTask,
+    StepSpec,
+)
+from dandelionknot.jobs._records import record_of
+from dandelionknot.jobs._scheduler import Scheduler
+
+ROUNDS = 20
+TASKS_PER_BACKEND = 8
+NOW_MS = 1_000_000
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """Hosts, pools and client accounts of a fleet, and jobs that wait."""
+
+    backends: int
+    pools: int
+    accounts: int
+    waiting_jobs: int
+
+
+SIZES = (
+    Size(48, 4, 6, 0),
+    Size(48, 4, 6, 100),
+    Size(180, 4, 20, 100),
+    Size(330, 142, 16, 100),
+    Size(660, 284, 33, 0),
+    Size(660, 284, 33, 100),
+    Size(660, 284, 33, 400),
+)
+
+
+def filled(size: Size) -> Scheduler:
+    """Returns a scheduler whose backend servers are full, and waiting jobs."""
+    scheduler = Scheduler(hold_max_ms=6000)
+    scheduler.set_configuration(
+        JobConfiguration(
+            version=1,
+            queues=[
+                Queue(name=f'q{i}', host='h', path_prefix=f'/{i}/', service=f's{i}')
+                for i in range(size.pools)
+            ],
+            client_accounts=[
+                ClientAccount(name=f'a{i}', keys=[]) for i in range(size.accounts)
+            ],
+        )
+    )
+    room = Resources(cpu_millicores=1000 * TASKS_PER_BACKEND, memory_mb=64_000)
+    for i in range(size.backends):
+        report = BackendReport(
+            backend_id=f'b{i}',
+            born_ms=1,
+            service=f's{i % size.pools}',
+            address='10.0.0.1:1',
+            availability_zone='a',
+            draining=False,
+            room=room,
+        )
+        scheduler.set_backend(report, NOW_MS)
+        empty = HoldReport(clock_ms=1, born_ms=1, running=[], ended=[])
+        backend = scheduler.backends_by_id[f'b{i}']
+        scheduler.hold_answered(backend, empty, NOW_MS, NOW_MS, NOW_MS)
+    for i in range(size.backends):
+        _submit(scheduler, size, f'r{i}', i, TASKS_PER_BACKEND)
+    scheduler.plan(NOW_MS, NOW_MS)
+    for command in scheduler.confirm(scheduler.take_batch(100_000, NOW_MS)):
+        if isinstance(command, StartTask):
+            backend = scheduler.backends_by_id[command.backend_id]
+            order = command.order
+            scheduler.start_finished(
+                backend, order.task_name, order.run, OrderOutcome.ACCEPTED, NOW_MS
+            )
+    for i in range(size.waiting_jobs):
+        _submit(scheduler, size, f'w{i}', i, TASKS_PER_BACKEND)
+    return scheduler
+
+
+def _submit(
+    scheduler: Scheduler, size: Size, job_id: str, index: int, tasks: int
+) -> None:
+    step = StepSpec(
+        task_count=tasks,
+        resources=Resources(cpu_millicores=1000, memory_mb=100),
+        estimated_ms=600,
+    )
+    job = Job(
+        job_id=job_id,
+        queue=f'q{index % size.pools}',
+        service=f's{index % size.pools}',
+        client_account=f'a{index % size.accounts}',
+        accepted_unix_ms=NOW_MS,
+        spec=JobSpec(payload='x' * 400, steps=[step]),
+    )
+    scheduler.add_job(job, None, NOW_MS, NOW_MS)
+
+
+def timed_us(action, rounds: int = ROUNDS) -> float:
+    """Returns the processor time of one call in microseconds."""
+    began = time.process_time()
+    for _ in range(rounds):
+        action()
+    return (time.process_time() - began) / rounds * MICROSECONDS_PER_SECOND
+
+
+def measure(size: Size) -> list[float]:
+    """Returns the times of a planning round, a report and a record."""
+    scheduler = filled(size)
+    backend = scheduler.backends_by_id['b0']
+    report = HoldReport(
+        clock_ms=1,
+        born_ms=1,
+        running=[
+            RunningTask(task_name=task.name, run=task.run, percent=50)
+            for task in backend.tasks_by_name.values()
+        ],
+        ended=[],
+    )
+    state = scheduler.jobs_by_id['r0']
+    return [
+        timed_us(lambda: scheduler.plan(NOW_MS, NOW_MS)),
+        timed_us(
+            lambda: scheduler.hold_answered(backend, report, NOW_MS, NOW_MS, NOW_MS),
+            ROUNDS * 50,
+        ),
+        timed_us(lambda: msgspec.json.encode(record_of(state)), ROUNDS * 50),
+    ]
+
+
+def main() -> None:
+    """Prints a table in Markdown."""
+    print('| hosts / pools / teams / waiting | plan, us | report, us | record, us |')
+    print('| --- | ---: | ---: | ---: |')
+    for size in SIZES:
+        name = f'{size.backends} / {size.pools} / {size.accounts} / {size.waiting_jobs}'
+        cells = ' | '.join(f'{value:.0f}' for value in measure(size))
+        print(f'| {name} | {cells} |')
+
+
+if __name__ == '__main__':
+    main()
