--- /dev/null
+++ b/dandelionknot/jobs/_batches.py
@@ -0,0 +1,133 @@
+"""Records to store next, and what may be sent once they are stored."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dandelionknot.jobs._generated import (
+    BorrowedHosts,
+    JobRecord,
+    StartOrder,
+    StartTask,
+    WaveRecord,
+)
+from dandelionknot.jobs._records import record_of
+from dandelionknot.jobs._state import BackendState, TaskPhase, TaskState
+
+if TYPE_CHECKING:
+    from dandelionknot.jobs._scheduler import Command, Scheduler
+
+# Deleting a job takes three entries of a write that holds 32.
+MAX_DELETIONS = 6
+MAX_RECORDS_BESIDE_DELETIONS = 8
+
+
+@dataclass(slots=True)
+class Batch:
+    """Records to store, and what may be done once they are."""
+
+    records_by_job_id: dict[str, JobRecord]
+    starts: list[TaskState]
+    ends_by_backend: list[tuple[BackendState, int]]
+    waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
+    wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
+    borrowed: BorrowedHosts | None = None
+    deleted_job_ids: list[str] = field(default_factory=list)
+
+    def writes(self) -> bool:
+        """Whether anything has to be written to the store."""
+        return bool(
+            self.records_by_job_id
+            or self.waves_by_name
+            or self.borrowed is not None
+            or self.deleted_job_ids
+        )
+
+    def empty(self) -> bool:
+        """Whether nothing would follow from the batch."""
+        return not (self.writes() or self.starts or self.ends_by_backend)
+
+
+def take_batch(scheduler: Scheduler, limit: int, now_unix_ms: int) -> Batch:
+    """Returns the records to store next, at most `limit` of them.
+
+    Ends are acknowledged only with a batch that leaves no record unstored.
+    """
+    job_ids = list(scheduler.dirty_job_ids)[:limit]
+    for job_id in job_ids:
+        del scheduler.dirty_job_ids[job_id]
+    records = {
+        job_id: record_of(scheduler.jobs_by_id[job_id])
+        for job_id in job_ids
+        if job_id in scheduler.jobs_by_id
+    }
+    taken = set(job_ids)
+    starts = [t for t in scheduler.placed if t.step.job.job.job_id in taken]
+    scheduler.placed = [
+        t for t in scheduler.placed if t.step.job.job.job_id not in taken
+    ]
+    ends = []
+    if not scheduler.dirty_job_ids:
+        ends = [
+            (backend, backend.seen_end)
+            for backend in scheduler.backends_by_id.values()
+            if backend.seen_end > backend.stored_end
+        ]
+    batch = Batch(records, starts, ends)
+    for name in sorted(scheduler.upkeep.dirty):
+        wave = scheduler.upkeep.waves_by_name.get(name)
+        if wave is not None:
+            batch.waves_by_name[name] = wave.record()
+            batch.wave_numbers_by_name[name] = wave.wave.number
+    scheduler.upkeep.dirty.clear()
+    batch.deleted_job_ids = _take_expired(scheduler, len(records), now_unix_ms)
+    if scheduler.capacity.dirty:
+        homes = dict(scheduler.capacity.homes_by_host_id)
+        batch.borrowed = BorrowedHosts(homes_by_host_id=homes)
+        scheduler.capacity.dirty = False
+    return batch
+
+
+def _take_expired(scheduler: Scheduler, records: int, now_unix_ms: int) -> list[str]:
+    """Returns jobs to delete: they ended long ago, and the batch has room."""
+    expired: list[str] = []
+    if records > MAX_RECORDS_BESIDE_DELETIONS:
+        return expired
+    while scheduler.ended and len(expired) < MAX_DELETIONS:
+        ended_unix_ms, job_id = scheduler.ended[0]
+        if ended_unix_ms + scheduler.status_kept_ms > now_unix_ms:
+            break
+        scheduler.ended.popleft()
+        expired.append(job_id)
+    return expired
+
+
+def confirm(scheduler: Scheduler, batch: Batch) -> list[Command]:
+    """Returns what may be sent now that a batch is stored."""
+    commands: list[Command] = []
+    for task in batch.starts:
+        if task.phase is not TaskPhase.PLACED or task.sent or not task.backend:
+            continue
+        if task.stopping or task.step.job.final:
+            scheduler.requeue(task, 'stopped before its start')
+            continue
+        task.sent = True
+        commands.append(_start_command(task, task.backend))
+    for backend, number in batch.ends_by_backend:
+        backend.stored_end = max(backend.stored_end, number)
+    return commands
+
+
+def _start_command(task: TaskState, backend: BackendState) -> StartTask:
+    ticket = task.step.tickets_by_backend_id.get(backend.backend_id)
+    order = StartOrder(
+        task_name=task.name,
+        run=task.run,
+        payload=task.step.job.job.spec.payload,
+        checkpoint=task.checkpoint,
+        ticket=ticket.text if ticket else '',
+    )
+    return StartTask(
+        backend_id=backend.backend_id, born_ms=backend.born_ms, order=order
+    )
--- /dev/null
+++ b/dandelionknot/jobs/_planning.py
@@ -0,0 +1,258 @@
+"""Places waiting tasks: the planning round of the scheduler."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dandelionknot.events import Event
+from dandelionknot.jobs import (
+    _drains,
+    _placement,
+    _progress,
+    _ranking,
+    _sharing,
+)
+from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
+from dandelionknot.jobs._state import (
+    BackendState,
+    JobState,
+    StepState,
+    TaskPhase,
+    TaskState,
+    occupy,
+)
+
+if TYPE_CHECKING:
+    from dandelionknot.jobs._scheduler import Scheduler
+
+# The platform's advice service takes at most so many backend servers in a call.
+MAX_ADVICE_IDS = 100
+# Steps that did not fit after which planning of a pool stops for this round.
+MAX_MISFITS = 12
+
+
+def plan(scheduler: Scheduler, now_ms: int, unix_ms: int) -> None:
+    """Frees what has lapsed and places waiting tasks."""
+    _free_lapsed(scheduler, now_ms)
+    _drains.plan(scheduler, now_ms)
+    _progress.plan(scheduler, now_ms)
+    _sharing.plan(scheduler, now_ms)
+    for order in scheduler.upkeep.plan(scheduler, now_ms):
+        scheduler.commands.append(order)
+        scheduler.note(
+            Event.UPKEEP_ORDERED,
+            {'host_id': order.host_id, 'wave': order.wave_number},
+        )
+    backends_by_service: dict[str, list[BackendState]] = {}
+    for backend in scheduler.backends_by_id.values():
+        if backend.report is not None and _usable(scheduler, backend, now_ms):
+            service = backend.report.service
+            backends_by_service.setdefault(service, []).append(backend)
+    steps_by_service: dict[str, list[StepState]] = {}
+    for state in sorted(
+        scheduler.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
+    ):
+        if state.job.spec.repeats:
+            scheduler.open_due_occurrences(state, unix_ms)
+        steps = steps_by_service.setdefault(service_of(scheduler, state), [])
+        steps.extend(_ready_steps(state))
+    for service, steps in steps_by_service.items():
+        backends = backends_by_service.get(service)
+        if backends:
+            _place_steps(scheduler, steps, backends, now_ms)
+    # What still waits has found no place.
+    scheduler.commands.extend(
+        scheduler.capacity.plan(scheduler, steps_by_service, now_ms)
+    )
+
+
+def service_of(scheduler: Scheduler, state: JobState) -> str:
+    """Returns the service whose backend servers run a job now."""
+    configured = scheduler.queues_by_name.get(state.job.queue)
+    return configured.service if configured else state.job.service
+
+
+def _usable(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
+    report = backend.report
+    return (
+        report is not None
+        and backend.fenced
+        and backend.reachable
+        and not report.draining
+        and not backend.cordoned
+        and not backend.moving
+        and not backend.ending
+        and report.availability_zone not in scheduler.excluded_zones
+        and backend.avoid_until_ms <= now_ms
+        and backend.full_until_ms <= now_ms
+    )
+
+
+def _free_lapsed(scheduler: Scheduler, now_ms: int) -> None:
+    for backend in [*scheduler.backends_by_id.values(), *scheduler.former_backends]:
+        if not backend.tasks_by_name:
+            continue
+        lapses_at_ms = backend.lapses_at_ms
+        if lapses_at_ms is not None and now_ms >= lapses_at_ms:
+            scheduler.lose_tasks(backend, 'lease lapsed')
+        elif lapses_at_ms is not None and backend.fenced:
+            # It was in contact in this term and is silent now.
+            _copy_speculative(scheduler, backend)
+    scheduler.former_backends = [
+        backend for backend in scheduler.former_backends if backend.tasks_by_name
+    ]
+    for backend_id, backend in list(scheduler.backends_by_id.items()):
+        if backend.report is None and not backend.tasks_by_name:
+            del scheduler.backends_by_id[backend_id]
+
+
+def _copy_speculative(scheduler: Scheduler, backend: BackendState) -> None:
+    """Lets tasks of which copies may run go on elsewhere at once.
+
+    The copy that may still run counts no longer in the limit of the client
+    account, so that the account must have room for both.
+    """
+    for task in list(backend.tasks_by_name.values()):
+        spec = task.step.spec
+        if spec.speculative and _placement.has_margin(task.step.job.account):
+            scheduler.requeue(task, 'a copy runs elsewhere while its host is silent')
+
+
+def _place_steps(
+    scheduler: Scheduler,
+    steps: list[StepState],
+    backends: list[BackendState],
+    now_ms: int,
+) -> None:
+    misfits = 0
+    for step in steps:
+        allowed = _advised(scheduler, step, backends, now_ms)
+        if not allowed:
+            continue
+        if step.spec.gang:
+            placed = _place_gang(scheduler, step, allowed, now_ms)
+        else:
+            placed = _place_tasks(scheduler, step, allowed, now_ms)
+        misfits += not placed
+        if misfits > MAX_MISFITS:
+            return
+
+
+def _place_tasks(
+    scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
+) -> bool:
+    """Places the waiting tasks of a step; returns whether all have a place."""
+    for task in step.tasks:
+        if task.phase is not TaskPhase.WAITING or task.not_before_ms > now_ms:
+            continue
+        if not _placement.within_limit(step.job.account, step.spec.resources):
+            return True
+        backend = _placement.preferred(step, backends)
+        if backend is None:
+            return False
+        _place(scheduler, task, backend, task.run + 1)
+    return True
+
+
+def _place_gang(
+    scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
+) -> bool:
+    """Places all tasks of a gang with one run number, or none."""
+    waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
+    if len(waiting) < len(step.tasks):
+        return True
+    if any(task.not_before_ms > now_ms for task in waiting):
+        return True
+    needed = step.spec.resources
+    total = Resources(
+        cpu_millicores=needed.cpu_millicores * len(waiting),
+        memory_mb=needed.memory_mb * len(waiting),
+        accelerators=needed.accelerators * len(waiting),
+    )
+    if not _placement.within_limit(step.job.account, total):
+        return True
+    places = _placement.place_gang(step, backends)
+    if places is None:
+        return False
+    run = max(task.run for task in step.tasks) + 1
+    for task, backend in places:
+        _place(scheduler, task, backend, run)
+    return True
+
+
+def _place(
+    scheduler: Scheduler, task: TaskState, backend: BackendState, run: int
+) -> None:
+    task.run = run
+    task.phase = TaskPhase.PLACED
+    task.sent = False
+    task.percent = 0
+    task.reading = 0.0
+    occupy(task, backend)
+    state = task.step.job
+    state.started = True
+    if state.phase is JobPhase.QUEUED:
+        state.phase = JobPhase.RUNNING
+    scheduler.mark(state)
+    scheduler.placed.append(task)
+
+
+def _advised(
+    scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
+) -> list[BackendState]:
+    """Returns the backend servers that may run a step; asks if none may yet."""
+    if not step.job.queue.needs_advice:
+        return backends
+    tickets = step.tickets_by_backend_id
+    allowed = []
+    for backend in backends:
+        ticket = tickets.get(backend.backend_id)
+        if ticket and ticket.born_ms == backend.born_ms:
+            if ticket.expires_ms > now_ms:
+                allowed.append(backend)
+            else:
+                del tickets[backend.backend_id]
+                step.asked_backend_ids.discard(backend.backend_id)
+    if not any(_placement.has_room(b, step.spec) for b in allowed):
+        _ask_advice(scheduler, step, backends, now_ms)
+    return allowed
+
+
+def _ask_advice(
+    scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
+) -> None:
+    if step.advice_pending or step.advice_not_before_ms > now_ms:
+        return
+    ids = [
+        backend.backend_id
+        for backend in backends
+        if backend.backend_id not in step.asked_backend_ids
+        and _placement.has_room(backend, step.spec)
+    ]
+    if ids:
+        step.advice_pending = True
+        scheduler.commands.append(
+            AskAdvice(
+                step_key=step.key,
+                job_id=step.job.job.job_id,
+                backend_ids=ids[:MAX_ADVICE_IDS],
+            )
+        )
+
+
+def _ready_steps(state: JobState) -> list[StepState]:
+    """Returns steps with waiting tasks whose earlier steps are done."""
+    ready = []
+    for steps in state.steps_by_occurrence.values():
+        for step in steps:
+            if step.done == len(step.tasks):
+                continue
+            if any(
+                steps[index].done < len(steps[index].tasks)
+                for index in step.spec.after
+                if index < len(steps)
+            ):
+                continue
+            if any(task.phase is TaskPhase.WAITING for task in step.tasks):
+                ready.append(step)
+    return ready
--- a/dandelionknot/jobs/_progress.py
+++ b/dandelionknot/jobs/_progress.py
@@ -36,26 +36,36 @@
     for backend in scheduler.backends_by_id.values():
         if not backend.reachable:
             continue
-        _move_lagging(scheduler, backend, now_ms)
-        stalled = [
-            task
-            for task in backend.tasks_by_name.values()
-            if _stalled(task, backend, now_ms)
-        ]
-        if not stalled:
-            continue
-        backend.avoid_until_ms = now_ms + STALLED_PAUSE_MS
-        scheduler.note(
-            Event.BACKEND_AVOIDED,
-            {
-                'backend_id': backend.backend_id,
-                'reason': 'tasks stand still',
-                'tasks': len(stalled),
-                'for_ms': STALLED_PAUSE_MS,
-            },
-        )
-        for task in stalled:
-            scheduler.stop(task, 'no progress')
+        for finds, reason in ((_lags, 'slower than others'), (_stalled, 'no progress')):
+            found = [
+                task
+                for task in backend.tasks_by_name.values()
+                if finds(task, backend, now_ms)
+            ]
+            if found:
+                _run_elsewhere(scheduler, backend, found, reason, now_ms)
+
+
+def _run_elsewhere(
+    scheduler: Scheduler,
+    backend: BackendState,
+    tasks: list[TaskState],
+    reason: str,
+    now_ms: int,
+) -> None:
+    """Stops tasks and passes over their host for a while."""
+    backend.avoid_until_ms = now_ms + STALLED_PAUSE_MS
+    scheduler.note(
+        Event.BACKEND_AVOIDED,
+        {
+            'backend_id': backend.backend_id,
+            'reason': reason,
+            'tasks': len(tasks),
+            'for_ms': STALLED_PAUSE_MS,
+        },
+    )
+    for task in tasks:
+        scheduler.stop(task, reason)
 
 
 def _stalled(task: TaskState, backend: BackendState, now_ms: int) -> bool:
@@ -71,27 +81,6 @@
     return since > max(STALLED_MS, int(STALLED_SHARE * spec.estimated_ms))
 
 
-def _move_lagging(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
-    """Lets tasks of a slow host run again on another."""
-    lagging = [
-        task for task in backend.tasks_by_name.values() if _lags(task, backend, now_ms)
-    ]
-    if not lagging:
-        return
-    backend.avoid_until_ms = now_ms + STALLED_PAUSE_MS
-    scheduler.note(
-        Event.BACKEND_AVOIDED,
-        {
-            'backend_id': backend.backend_id,
-            'reason': 'slower than others',
-            'tasks': len(lagging),
-            'for_ms': STALLED_PAUSE_MS,
-        },
-    )
-    for task in lagging:
-        scheduler.stop(task, 'slower than the others of its step')
-
-
 def _lags(task: TaskState, backend: BackendState, now_ms: int) -> bool:
     step = task.step
     if task.phase is not TaskPhase.RUNNING or task.stopping or task.unconfirmed:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -12,19 +12,17 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import (
-    _drains,
+    _batches,
     _ends,
-    _placement,
-    _progress,
+    _planning,
     _ranking,
     _reports,
-    _sharing,
 )
+from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._capacity import Capacity
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
-    BorrowedHosts,
     HoldReport,
     HostOrder,
     HostOrderOutcome,
@@ -35,11 +33,8 @@
     OrderOutcome,
     PaceTask,
     Queue,
-    Resources,
-    StartOrder,
     StartTask,
     StopTask,
-    WaveRecord,
 )
 from dandelionknot.jobs._leases import longest_lapse_ms
 from dandelionknot.jobs._notes import Note
@@ -48,7 +43,6 @@
     new_job_state,
     occurrence_count,
     open_occurrence,
-    record_of,
     restore,
 )
 from dandelionknot.jobs._state import (
@@ -77,16 +71,9 @@
 ADVICE_PAUSE_MS = 200
 # A ticket is not used in its last moments, since the start takes time.
 TICKET_MARGIN_MS = 300
-# The platform's advice service takes at most so many backend servers in a call.
-MAX_ADVICE_IDS = 100
-# Steps that did not fit after which planning of a pool stops for this round.
-MAX_MISFITS = 12
 # Callers may ask for the state of a job for so long after its end, unless the
 # settings say otherwise.
 DEFAULT_STATUS_KEPT_MS = 130_000
-# Deleting a job takes three entries of a write that holds 32.
-MAX_DELETIONS = 6
-MAX_RECORDS_BESIDE_DELETIONS = 8
 # Occurrences start after their due time by this much, for clocks that differ.
 DUE_MARGIN_MS = 20
 
@@ -94,32 +81,6 @@
 Command = StartTask | StopTask | PaceTask | AskAdvice | HostOrder
 
 
-@dataclass(slots=True)
-class Batch:
-    """Records to store, and what may be done once they are."""
-
-    records_by_job_id: dict[str, JobRecord]
-    starts: list[TaskState]
-    ends_by_backend: list[tuple[BackendState, int]]
-    waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
-    wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
-    borrowed: BorrowedHosts | None = None
-    deleted_job_ids: list[str] = field(default_factory=list)
-
-    def writes(self) -> bool:
-        """Whether anything has to be written to the store."""
-        return bool(
-            self.records_by_job_id
-            or self.waves_by_name
-            or self.borrowed is not None
-            or self.deleted_job_ids
-        )
-
-    def empty(self) -> bool:
-        """Whether nothing would follow from the batch."""
-        return not (self.writes() or self.starts or self.ends_by_backend)
-
-
 @dataclass(slots=True)
 class Scheduler:
     """All jobs, backend servers and client accounts of one leadership term."""
@@ -489,8 +450,6 @@
                     text, backend.born_ms, now_ms + valid_ms - TICKET_MARGIN_MS
                 )
 
-    # Planning.
-
     def open_due_occurrences(self, state: JobState, unix_ms: int) -> None:
         """Opens each occurrence whose time has come."""
         for occurrence in range(occurrence_count(state.job)):
@@ -501,261 +460,19 @@
                 break
             open_occurrence(state, occurrence)
 
+    # Planning and storing.
+
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Frees what has lapsed and places waiting tasks."""
-        self._free_lapsed(now_ms)
-        _drains.plan(self, now_ms)
-        _progress.plan(self, now_ms)
-        _sharing.plan(self, now_ms)
-        for order in self.upkeep.plan(self, now_ms):
-            self.commands.append(order)
-            self.note(
-                Event.UPKEEP_ORDERED,
-                {'host_id': order.host_id, 'wave': order.wave_number},
-            )
-        backends_by_service: dict[str, list[BackendState]] = {}
-        for backend in self.backends_by_id.values():
-            if backend.report is not None and self._usable(backend, now_ms):
-                service = backend.report.service
-                backends_by_service.setdefault(service, []).append(backend)
-        steps_by_service: dict[str, list[StepState]] = {}
-        for state in sorted(
-            self.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
-        ):
-            if state.job.spec.repeats:
-                self.open_due_occurrences(state, unix_ms)
-            steps = steps_by_service.setdefault(self.service_of(state), [])
-            steps.extend(_ready_steps(state))
-        for service, steps in steps_by_service.items():
-            backends = backends_by_service.get(service)
-            if backends:
-                self._place_steps(steps, backends, now_ms)
-        # What still waits has found no place.
-        self.commands.extend(self.capacity.plan(self, steps_by_service, now_ms))
-
-    def service_of(self, state: JobState) -> str:
-        """Returns the service whose backend servers run a job now."""
-        configured = self.queues_by_name.get(state.job.queue)
-        return configured.service if configured else state.job.service
-
-    def _usable(self, backend: BackendState, now_ms: int) -> bool:
-        report = backend.report
-        return (
-            report is not None
-            and backend.fenced
-            and backend.reachable
-            and not report.draining
-            and not backend.cordoned
-            and not backend.moving
-            and not backend.ending
-            and report.availability_zone not in self.excluded_zones
-            and backend.avoid_until_ms <= now_ms
-            and backend.full_until_ms <= now_ms
-        )
-
-    def _free_lapsed(self, now_ms: int) -> None:
-        for backend in [*self.backends_by_id.values(), *self.former_backends]:
-            if not backend.tasks_by_name:
-                continue
-            lapses_at_ms = backend.lapses_at_ms
-            if lapses_at_ms is not None and now_ms >= lapses_at_ms:
-                self.lose_tasks(backend, 'lease lapsed')
-            elif lapses_at_ms is not None and backend.fenced:
-                # It was in contact in this term and is silent now.
-                self._copy_speculative(backend)
-        self.former_backends = [b for b in self.former_backends if b.tasks_by_name]
-        for backend_id, backend in list(self.backends_by_id.items()):
-            if backend.report is None and not backend.tasks_by_name:
-                del self.backends_by_id[backend_id]
-
-    def _copy_speculative(self, backend: BackendState) -> None:
-        """Lets tasks of which copies may run go on elsewhere at once.
-
-        The copy that may still run counts no longer in the limit of the client
-        account, so that the account must have room for both.
-        """
-        for task in list(backend.tasks_by_name.values()):
-            spec = task.step.spec
-            if spec.speculative and _placement.has_margin(task.step.job.account):
-                self.requeue(task, 'a copy runs elsewhere while its host is silent')
-
-    def _place_steps(
-        self, steps: list[StepState], backends: list[BackendState], now_ms: int
-    ) -> None:
-        misfits = 0
-        for step in steps:
-            allowed = self._advised(step, backends, now_ms)
-            if not allowed:
-                continue
-            if step.spec.gang:
-                placed = self._place_gang(step, allowed, now_ms)
-            else:
-                placed = self._place_tasks(step, allowed, now_ms)
-            misfits += not placed
-            if misfits > MAX_MISFITS:
-                return
-
-    def _place_tasks(
-        self, step: StepState, backends: list[BackendState], now_ms: int
-    ) -> bool:
-        """Places the waiting tasks of a step; returns whether all have a place."""
-        for task in step.tasks:
-            if task.phase is not TaskPhase.WAITING or task.not_before_ms > now_ms:
-                continue
-            if not _placement.within_limit(step.job.account, step.spec.resources):
-                return True
-            backend = _placement.preferred(step, backends)
-            if backend is None:
-                return False
-            self._place(task, backend, task.run + 1)
-        return True
-
-    def _place_gang(
-        self, step: StepState, backends: list[BackendState], now_ms: int
-    ) -> bool:
-        """Places all tasks of a gang with one run number, or none."""
-        waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
-        if len(waiting) < len(step.tasks):
-            return True
-        if any(task.not_before_ms > now_ms for task in waiting):
-            return True
-        needed = step.spec.resources
-        total = Resources(
-            cpu_millicores=needed.cpu_millicores * len(waiting),
-            memory_mb=needed.memory_mb * len(waiting),
-            accelerators=needed.accelerators * len(waiting),
-        )
-        if not _placement.within_limit(step.job.account, total):
-            return True
-        places = _placement.place_gang(step, backends)
-        if places is None:
-            return False
-        run = max(task.run for task in step.tasks) + 1
-        for task, backend in places:
-            self._place(task, backend, run)
-        return True
-
-    def _place(self, task: TaskState, backend: BackendState, run: int) -> None:
-        task.run = run
-        task.phase = TaskPhase.PLACED
-        task.sent = False
-        task.percent = 0
-        task.reading = 0.0
-        occupy(task, backend)
-        state = task.step.job
-        state.started = True
-        if state.phase is JobPhase.QUEUED:
-            state.phase = JobPhase.RUNNING
-        self.mark(state)
-        self.placed.append(task)
-
-    def _advised(
-        self, step: StepState, backends: list[BackendState], now_ms: int
-    ) -> list[BackendState]:
-        """Returns the backend servers that may run a step; asks if none may yet."""
-        if not step.job.queue.needs_advice:
-            return backends
-        tickets = step.tickets_by_backend_id
-        allowed = []
-        for backend in backends:
-            ticket = tickets.get(backend.backend_id)
-            if ticket and ticket.born_ms == backend.born_ms:
-                if ticket.expires_ms > now_ms:
-                    allowed.append(backend)
-                else:
-                    del tickets[backend.backend_id]
-                    step.asked_backend_ids.discard(backend.backend_id)
-        if not any(_placement.has_room(b, step.spec) for b in allowed):
-            self._ask_advice(step, backends, now_ms)
-        return allowed
-
-    def _ask_advice(
-        self, step: StepState, backends: list[BackendState], now_ms: int
-    ) -> None:
-        if step.advice_pending or step.advice_not_before_ms > now_ms:
-            return
-        ids = [
-            backend.backend_id
-            for backend in backends
-            if backend.backend_id not in step.asked_backend_ids
-            and _placement.has_room(backend, step.spec)
-        ]
-        if ids:
-            step.advice_pending = True
-            self.commands.append(
-                AskAdvice(
-                    step_key=step.key,
-                    job_id=step.job.job.job_id,
-                    backend_ids=ids[:MAX_ADVICE_IDS],
-                )
-            )
-
-    # Storing.
+        _planning.plan(self, now_ms, unix_ms)
 
     def take_batch(self, limit: int, now_unix_ms: int) -> Batch:
-        """Returns the records to store next, at most `limit` of them.
-
-        Ends are acknowledged only with a batch that leaves no record unstored.
-        """
-        job_ids = list(self.dirty_job_ids)[:limit]
-        for job_id in job_ids:
-            del self.dirty_job_ids[job_id]
-        records = {
-            job_id: record_of(self.jobs_by_id[job_id])
-            for job_id in job_ids
-            if job_id in self.jobs_by_id
-        }
-        taken = set(job_ids)
-        starts = [t for t in self.placed if t.step.job.job.job_id in taken]
-        self.placed = [t for t in self.placed if t.step.job.job.job_id not in taken]
-        ends = []
-        if not self.dirty_job_ids:
-            ends = [
-                (backend, backend.seen_end)
-                for backend in self.backends_by_id.values()
-                if backend.seen_end > backend.stored_end
-            ]
-        batch = Batch(records, starts, ends)
-        for name in sorted(self.upkeep.dirty):
-            wave = self.upkeep.waves_by_name.get(name)
-            if wave is not None:
-                batch.waves_by_name[name] = wave.record()
-                batch.wave_numbers_by_name[name] = wave.wave.number
-        self.upkeep.dirty.clear()
-        batch.deleted_job_ids = self._take_expired(len(records), now_unix_ms)
-        if self.capacity.dirty:
-            homes = dict(self.capacity.homes_by_host_id)
-            batch.borrowed = BorrowedHosts(homes_by_host_id=homes)
-            self.capacity.dirty = False
-        return batch
-
-    def _take_expired(self, records: int, now_unix_ms: int) -> list[str]:
-        """Returns jobs to delete: they ended long ago, and the batch has room."""
-        expired: list[str] = []
-        if records > MAX_RECORDS_BESIDE_DELETIONS:
-            return expired
-        while self.ended and len(expired) < MAX_DELETIONS:
-            ended_unix_ms, job_id = self.ended[0]
-            if ended_unix_ms + self.status_kept_ms > now_unix_ms:
-                break
-            self.ended.popleft()
-            expired.append(job_id)
-        return expired
+        """Returns the records to store next, at most `limit` of them."""
+        return _batches.take_batch(self, limit, now_unix_ms)
 
     def confirm(self, batch: Batch) -> list[Command]:
         """Returns what may be sent now that a batch is stored."""
-        commands: list[Command] = []
-        for task in batch.starts:
-            if task.phase is not TaskPhase.PLACED or task.sent or not task.backend:
-                continue
-            if task.stopping or task.step.job.final:
-                self.requeue(task, 'stopped before its start')
-                continue
-            task.sent = True
-            commands.append(_start_command(task, task.backend))
-        for backend, number in batch.ends_by_backend:
-            backend.stored_end = max(backend.stored_end, number)
-        return commands
+        return _batches.confirm(self, batch)
 
     def take_commands(self) -> list[Command]:
         """Returns commands that need no stored record."""
@@ -768,20 +485,6 @@
         return notes
 
 
-def _start_command(task: TaskState, backend: BackendState) -> StartTask:
-    ticket = task.step.tickets_by_backend_id.get(backend.backend_id)
-    order = StartOrder(
-        task_name=task.name,
-        run=task.run,
-        payload=task.step.job.job.spec.payload,
-        checkpoint=task.checkpoint,
-        ticket=ticket.text if ticket else '',
-    )
-    return StartTask(
-        backend_id=backend.backend_id, born_ms=backend.born_ms, order=order
-    )
-
-
 def _about(backend: BackendState, report: BackendReport) -> dict:
     return {
         'backend_id': backend.backend_id,
@@ -790,21 +493,3 @@
         'born_ms': report.born_ms,
         'tasks': len(backend.tasks_by_name),
     }
-
-
-def _ready_steps(state: JobState) -> list[StepState]:
-    """Returns steps with waiting tasks whose earlier steps are done."""
-    ready = []
-    for steps in state.steps_by_occurrence.values():
-        for step in steps:
-            if step.done == len(step.tasks):
-                continue
-            if any(
-                steps[index].done < len(steps[index].tasks)
-                for index in step.spec.after
-                if index < len(steps)
-            ):
-                continue
-            if any(task.phase is TaskPhase.WAITING for task in step.tasks):
-                ready.append(step)
-    return ready
--- a/dandelionknot/platform/_store.py
+++ b/dandelionknot/platform/_store.py
@@ -62,19 +62,6 @@
         items = [_item(item) for item in wire.items]
         return Ok(Page(items, wire.truncated, wire.store_revision))
 
-    async def item(self, key: str, timeout_ms: int) -> Result[Item | None, StoreError]:
-        """Reads one item, or None if the key does not exist."""
-        path = f'/kv-key?key={quote(key, safe="")}'
-        answer = await self._call('GET', path, None, timeout_ms, (OK, NOT_FOUND))
-        if isinstance(answer, Err):
-            return answer
-        if answer.ok_value.status == NOT_FOUND:
-            return Ok(None)
-        decoded = decode(answer.ok_value.body, WireItem, path)
-        if isinstance(decoded, Err):
-            return Err(_malformed(str(decoded.err_value)))
-        return Ok(_item(decoded.ok_value))
-
     async def changes(
         self, prefix: str, after_revision: int, wait_ms: int, timeout_ms: int
     ) -> Result[StoreChanges | HistoryLost, StoreError]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -58,7 +58,6 @@
         self.assertEqual(again.items[0].value, b'\x00value')
         page = (await self.store.page('k/', '', TIMEOUT_MS)).unwrap()
         self.assertEqual([item.value for item in page.items], [b'\x00value'])
-        self.assertEqual((await self.store.item('k/2', TIMEOUT_MS)).unwrap(), None)
 
     async def test_changes_deletions_and_a_lost_history(self):
         """Guards against events that are missed."""
