Pass over spoilt items of the product's own keys

Cause: an item under the product's keys that does not decode ended the watching task, and with it the process, again after each start.

Change: it is logged and passed over, like entries of others. Tests of the view.

Ruled out: deleting it, since a later version may write what an earlier cannot read.

--- a/dandelionknot/manager/_view.py
+++ b/dandelionknot/manager/_view.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import (
     BackendReport,
     BorrowedHosts,
@@ -114,7 +115,7 @@
             (BORROWED_KEY, self._apply_borrowed),
         ):
             if item.key.startswith(prefix):
-                return take(item.key.removeprefix(prefix), item)
+                return _decoded(take, item.key.removeprefix(prefix), item)
         fact = self.meaning(item)
         return self._apply_fact(fact) if fact is not None else None
 
@@ -193,6 +194,22 @@
         ]
 
 
+def _decoded(
+    take: Callable[[str, Item], ViewEvent | None], name: str, item: Item
+) -> ViewEvent | None:
+    """Passes over an item of the product that another writer has spoilt."""
+    try:
+        return take(name, item)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        log_event(
+            Event.PLATFORM_VALUE_MALFORMED,
+            key=item.key,
+            revision=item.revision,
+            problem=str(error),
+        )
+        return None
+
+
 def sort_for_view(items: list[Item]) -> list[Item]:
     """Orders items of one reading so that jobs come before what refers to them."""
     return sorted(items, key=lambda item: not item.key.startswith(JOB_PREFIX))
--- /dev/null
+++ b/tests/test_manager_view.py
@@ -0,0 +1,81 @@
+"""Guards against a view of the store that is wrong, or that one bad item ends."""
+
+import unittest
+
+import msgspec
+
+from dandelionknot.jobs._generated import Job, JobPhase, JobRecord, JobSpec
+from dandelionknot.jobs._stored import (
+    BORROWED_KEY,
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+    RECORD_PREFIX,
+    WAVE_RECORD_PREFIX,
+)
+from dandelionknot.manager._view import JobStored, View, sort_for_view
+from dandelionknot.store import Item
+
+JOB = Job(
+    job_id='j1',
+    queue='q',
+    service='s',
+    client_account='a',
+    accepted_unix_ms=1,
+    spec=JobSpec(payload='p', steps=[]),
+)
+
+
+def item(key, value, revision, deleted=False):
+    return Item(key, msgspec.json.encode(value), revision, deleted=deleted)
+
+
+class ViewTest(unittest.TestCase):
+    def setUp(self):
+        self.view = View(meaning=lambda found: None)
+        self.view.apply(item(JOB_PREFIX + 'j1', JOB, 5))
+
+    def test_an_older_version_changes_nothing(self):
+        """Guards against a view that goes back when history is read again."""
+        done = JobRecord(phase=JobPhase.DONE)
+        self.view.apply(item(RECORD_PREFIX + 'j1', done, 9))
+        queued = JobRecord(phase=JobPhase.QUEUED)
+        self.view.apply(item(RECORD_PREFIX + 'j1', queued, 7))
+        self.assertIs(self.view.jobs_by_id['j1'].phase, JobPhase.DONE)
+
+    def test_a_cancelled_job_is_shown_as_such_unless_it_had_ended(self):
+        """Guards against a done job that a late cancellation changes."""
+        self.view.apply(item(CANCEL_PREFIX + 'j1', {}, 6))
+        self.assertIs(self.view.jobs_by_id['j1'].phase, JobPhase.CANCELLED)
+        done = JobRecord(phase=JobPhase.DONE)
+        self.view.apply(item(RECORD_PREFIX + 'j1', done, 7))
+        self.assertIs(self.view.jobs_by_id['j1'].phase, JobPhase.DONE)
+
+    def test_bytes_of_another_writer_are_passed_over(self):
+        """Guards against a process that ends in a loop at one spoilt item."""
+        revision = 10
+        for prefix in (JOB_PREFIX, RECORD_PREFIX, WAVE_RECORD_PREFIX, BORROWED_KEY):
+            for value in (b'', b'\xff', b'[]', b'{"phase":7}'):
+                revision += 1
+                with self.subTest(prefix=prefix, value=value):
+                    event = self.view.apply(Item(prefix + 'j1', value, revision))
+                    self.assertNotIsInstance(event, JobStored)
+        self.assertIs(self.view.jobs_by_id['j1'].phase, JobPhase.QUEUED)
+
+    def test_items_that_a_reading_lacks_are_gone(self):
+        """Guards against a leader that is believed to live after a lost history."""
+        self.view.apply(item(LEADER_KEY, {}, 6))
+        [gone] = self.view.missing_from({JOB_PREFIX + 'j1'}, 20)
+        self.view.apply(gone)
+        self.assertIsNone(self.view.leader)
+
+    def test_jobs_come_before_their_records(self):
+        """Guards against records of jobs that are not known yet."""
+        record = item(RECORD_PREFIX + 'j1', {}, 1)
+        job = item(JOB_PREFIX + 'j1', JOB, 2)
+        cancelled = item(CANCEL_PREFIX + 'j1', {}, 3)
+        self.assertIs(sort_for_view([cancelled, record, job])[0], job)
+
+
+if __name__ == '__main__':
+    unittest.main()
