Rank scheduled jobs by their latest occurrence; one checkpoint for a gang

Cause: a scheduled job was ranked by the time of its acceptance, so that its later occurrences counted as useless; members of a gang went on each from its own saved data.

Change: opening an occurrence moves the due time; a gang goes on from the data of one member.

Ruled out: dropping saved data of gangs, which throws work away.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -125,9 +125,20 @@
         task_name=task.name,
         run=task.run,
         payload=task.step.job.job.spec.payload,
-        checkpoint=task.checkpoint,
+        checkpoint=_checkpoint(task),
         ticket=ticket.text if ticket else '',
     )
     return StartTask(
         backend_id=backend.backend_id, born_ms=backend.born_ms, order=order
     )
+
+
+def _checkpoint(task: TaskState) -> str:
+    """Returns the saved data to go on from.
+
+    All members of a gang have to go on from the same data, of any member.
+    """
+    if not task.step.spec.gang:
+        return task.checkpoint
+    saved = (member.checkpoint for member in task.step.tasks)
+    return next((data for data in saved if data), '')
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -53,7 +53,7 @@
         scheduler.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
     ):
         if state.job.spec.repeats:
-            scheduler.open_due_occurrences(state, unix_ms)
+            scheduler.open_due_occurrences(state, now_ms, unix_ms)
         steps = steps_by_service.setdefault(service_of(scheduler, state), [])
         steps.extend(_ready_steps(state))
     for service, steps in steps_by_service.items():
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -149,7 +149,7 @@
             backend = self._backend_of(stored.backend_id, stored.born_ms, now_ms)
             task.phase, task.sent, task.unconfirmed = TaskPhase.RUNNING, True, True
             occupy(task, backend)
-        self.open_due_occurrences(state, unix_ms)
+        self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.settle(self, state, unix_ms)
 
     def forget_job(self, job_id: str) -> None:
@@ -450,8 +450,11 @@
                     text, backend.born_ms, now_ms + valid_ms - TICKET_MARGIN_MS
                 )
 
-    def open_due_occurrences(self, state: JobState, unix_ms: int) -> None:
-        """Opens each occurrence whose time has come."""
+    def open_due_occurrences(self, state: JobState, now_ms: int, unix_ms: int) -> None:
+        """Opens each occurrence whose time has come.
+
+        Whether a job is late is judged by its latest occurrence.
+        """
         for occurrence in range(occurrence_count(state.job)):
             if occurrence in state.steps_by_occurrence:
                 continue
@@ -459,6 +462,10 @@
             if due and unix_ms < due + DUE_MARGIN_MS:
                 break
             open_occurrence(state, occurrence)
+            if due:
+                span_ms = state.due_ms - state.accepted_ms
+                state.accepted_ms = now_ms - (unix_ms - due)
+                state.due_ms = state.accepted_ms + span_ms
 
     # Planning and storing.
 
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from dandelionknot.jobs import _ranking
 from dandelionknot.jobs._generated import (
     EndReason,
     OrderOutcome,
@@ -79,6 +80,15 @@
         world.step(5000)
         self.assertIn('j1.1.0.0', world.running())
 
+    def test_a_later_occurrence_is_not_late_because_the_job_is_old(self):
+        """Guards against scheduled runs that are ranked as useless."""
+        world = World(FakeBackend('b1'))
+        due = world.now_ms + 60_000
+        world.submit(step(estimated_ms=500), repeats=1, first_due_unix_ms=due)
+        world.step(60_100)
+        state = world.scheduler.jobs_by_id['j1']
+        self.assertIs(_ranking.tier(state, world.now_ms), _ranking.IN_TIME)
+
 
 class LimitTest(unittest.TestCase):
     def test_an_account_stays_within_its_limit_on_all_backend_servers(self):
@@ -333,6 +343,21 @@
             world.step(200)
         self.assertEqual({r.run for r in backend.runs_by_name.values()}, {2})
 
+    def test_a_gang_goes_on_from_the_same_saved_data(self):
+        """Guards against members that go on from different moments."""
+        world = World(FakeBackend('b1'))
+        world.submit(step(2, gang=True, checkpoints=True))
+        world.step()
+        world.step()
+        backend = world.backends['b1']
+        backend.end('j1.0.0.0', EndReason.FAILED, 'saved-0')
+        backend.end('j1.0.0.1', EndReason.BROKEN, 'saved-1')
+        world.step(10)
+        world.now_ms += 5000
+        world.scheduler.plan(world.now_ms, world.now_ms)
+        commands = world.scheduler.confirm(world.scheduler.take_batch(10, 0))
+        self.assertEqual([c.order.checkpoint for c in commands], ['saved-0'] * 2)
+
 
 class PriorityTest(unittest.TestCase):
     def test_the_more_urgent_queue_goes_first(self):
