Count a task as done once, whatever comes after its end

Cause: when an earlier run of a task was reported as done after its lease, the accepted stop of the later run set the task back to running; its end then counted a second time, and the job was shown as done while another task still ran.

Change: a stop only settles a start that was under way. The emulator also checks that every task of a done job has ended as done.

Ruled out: a late start (the books of the leader show the two ends); the change of the leader at 44.8 s, which is later.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -378,7 +378,8 @@
         """
         task = backend.tasks_by_name.get(name)
         if task is not None and task.run == run:
-            task.phase = TaskPhase.RUNNING
+            if task.phase is TaskPhase.PLACED:
+                task.phase = TaskPhase.RUNNING
             task.confirmed_at_ms = now
 
     def stop(self, task: TaskState, reason: str) -> None:
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -56,6 +56,8 @@
     lapsed_end: int = 0
     # Every start ever made here: time, task, run.
     starts: list[tuple[int, str, int]] = field(default_factory=list)
+    # Tasks that have ever ended as done here.
+    done_names: set[str] = field(default_factory=set)
     # Ends that were acknowledged by a holder of the highest token.
     acknowledged: list[EndedTask] = field(default_factory=list)
     fails_all: bool = False
@@ -84,6 +86,8 @@
                 self._end(run.task_name, reason)
 
     def _end(self, name: str, reason: EndReason) -> None:
+        if reason is EndReason.DONE:
+            self.done_names.add(name)
         run = self.runs_by_name.pop(name)
         self.barred_by_name[name] = max(run.run, self.barred_by_name.get(name, 0))
         self.ends.append(
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -330,3 +330,14 @@
             phase = self.phase(job_id)
             if phase not in ('done', 'failed', 'cancelled'):
                 self._problem(f'{job_id} was accepted and is {phase}')
+            if phase == 'done':
+                self._check_done(job_id)
+
+    def _check_done(self, job_id: str) -> None:
+        """Checks that every task of a job that is shown as done has ended so."""
+        done = set().union(*(b.done_names for b in self.backends_by_id.values()))
+        for number, step in enumerate(self.specs_by_job_id[job_id].steps):
+            for index in range(step.task_count):
+                name = f'{job_id}.0.{number}.{index}'
+                if name not in done:
+                    self._problem(f'{job_id} is shown as done, but {name} is not')
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -263,6 +263,40 @@
         self.assertEqual(world.phase(), 'done')
         self.assertEqual(world.records['j1'].phase.value, 'done')
 
+    def test_a_task_is_done_once(self):
+        """Guards against a job that is done before its last task has ended.
+
+        Seen as MIXED on remansito-ops, scale-2 --seed 408020418597: an earlier run
+        was reported as done, the stop of the later one made the task run again in
+        the books, and its end counted a second time.
+        """
+        world = World(FakeBackend('b1'), FakeBackend('b2'))
+        world.submit(step(2, max_per_host=1))
+        world.step()
+        world.step()
+        [place] = world.running()['j1.0.0.0']
+        silent = world.backends[place]
+        state = world.scheduler.backends_by_id[place]
+        world.backends['b3'] = FakeBackend('b3')
+        world.scheduler.set_backend(world.backends['b3'].report(), world.now_ms)
+        silent.silent = True
+        world.scheduler.contact_lost(state, OrderOutcome.NO_ANSWER, world.now_ms + 50)
+        world.step(100)
+        world.step()
+        silent.silent = False
+        silent.end('j1.0.0.0', EndReason.DONE)
+        second = world.backends['b3']
+        self.assertIn('j1.0.0.0', second.runs_by_name)
+        world.hold(silent)
+        task = world.scheduler.jobs_by_id['j1'].steps_by_occurrence[0][0].tasks[0]
+        later = world.scheduler.backends_by_id['b3']
+        world.scheduler.stop_finished(later, task.name, task.run, world.now_ms)
+        second.end('j1.0.0.0', EndReason.DONE)
+        for _ in range(3):
+            world.step()
+        self.assertEqual(world.phase(), 'running')
+        self.assertEqual(list(world.running()), ['j1.0.0.1'])
+
 
 class CancelTest(unittest.TestCase):
     def test_a_cancelled_job_is_stopped_and_starts_nothing(self):
