Keep each write of the leader within the store's 32 entries

Cause: with three waves in progress at once, or six deletions beside eight records, a batch had more entries than the store takes; it would be refused for ever. Found by counting.

Change: two waves a batch, fewer records beside deletions. Tests of the largest batch, of lost and late answers, of a replaced leader and of an outage.

Ruled out: splitting a batch, since ends are acknowledged with the last record.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -20,7 +20,9 @@
 
 # Deleting a job takes three entries of a write that holds 32.
 MAX_DELETIONS = 6
-MAX_RECORDS_BESIDE_DELETIONS = 8
+MAX_RECORDS_BESIDE_DELETIONS = 6
+# Waves whose progress is stored with one batch; each takes two entries.
+MAX_WAVES = 2
 
 
 @dataclass(slots=True)
@@ -75,12 +77,13 @@
             if backend.seen_end > backend.stored_end
         ]
     batch = Batch(records, starts, ends)
-    for name in sorted(scheduler.upkeep.dirty):
+    names = sorted(scheduler.upkeep.dirty)[:MAX_WAVES]
+    for name in names:
         wave = scheduler.upkeep.waves_by_name.get(name)
         if wave is not None:
             batch.waves_by_name[name] = wave.record()
             batch.wave_numbers_by_name[name] = wave.wave.number
-    scheduler.upkeep.dirty.clear()
+    scheduler.upkeep.dirty.difference_update(names)
     batch.deleted_job_ids = _take_expired(scheduler, len(records), now_unix_ms)
     if scheduler.capacity.dirty:
         homes = dict(scheduler.capacity.homes_by_host_id)
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -69,29 +69,30 @@
             message = await self.inbox.receive()
             started_ms = now_ms()
             if isinstance(message, Batch):
-                puts = [
-                    Put(RECORD_PREFIX + job_id, msgspec.json.encode(record))
-                    for job_id, record in message.records_by_job_id.items()
-                ]
-                for name, record in message.waves_by_name.items():
-                    number = message.wave_numbers_by_name[name]
-                    puts.append(self.wave_status(number, record.done))
-                    puts.append(
-                        Put(WAVE_RECORD_PREFIX + name, msgspec.json.encode(record))
-                    )
-                if message.borrowed is not None:
-                    puts.append(
-                        Put(BORROWED_KEY, msgspec.json.encode(message.borrowed))
-                    )
-                deleted_keys = [
-                    prefix + job_id
-                    for job_id in message.deleted_job_ids
-                    for prefix in (RECORD_PREFIX, CANCEL_PREFIX, JOB_PREFIX)
-                ]
+                puts, deleted_keys = self.entries(message)
                 if not await self._store(puts, deleted_keys):
                     return
                 self.report(BatchStored(message, now_ms() - started_ms))
 
+    def entries(self, batch: Batch) -> tuple[list[Put], list[str]]:
+        """Returns the items of a batch to write and the keys to delete."""
+        puts = [
+            Put(RECORD_PREFIX + job_id, msgspec.json.encode(record))
+            for job_id, record in batch.records_by_job_id.items()
+        ]
+        for name, record in batch.waves_by_name.items():
+            number = batch.wave_numbers_by_name[name]
+            puts.append(self.wave_status(number, record.done))
+            puts.append(Put(WAVE_RECORD_PREFIX + name, msgspec.json.encode(record)))
+        if batch.borrowed is not None:
+            puts.append(Put(BORROWED_KEY, msgspec.json.encode(batch.borrowed)))
+        deleted_keys = [
+            prefix + job_id
+            for job_id in batch.deleted_job_ids
+            for prefix in (RECORD_PREFIX, CANCEL_PREFIX, JOB_PREFIX)
+        ]
+        return puts, deleted_keys
+
     async def _store(self, puts: list[Put], deleted_keys: list[str]) -> bool:
         self.number += 1
         value = leader_value(self.member_id, self.term, self.number)
--- /dev/null
+++ b/tests/test_manager_commit.py
@@ -0,0 +1,124 @@
+"""Guards against records that are lost, doubled or too many for one write."""
+
+import asyncio
+import random
+import unittest
+
+from dandelionknot.jobs._batches import Batch
+from dandelionknot.jobs._generated import JobPhase, JobRecord, StepSpec, UpkeepWave
+from dandelionknot.jobs._stored import LEADER_KEY, RECORD_PREFIX
+from dandelionknot.manager._commit import (
+    MAX_RECORDS,
+    BatchStored,
+    Committer,
+    TermEnded,
+)
+from dandelionknot.store import Put
+from emulator import virtual_time
+from emulator.store import MAX_ENTRIES, MemoryStore, StoreClient
+from tests.job_world import FakeBackend, World
+
+# Condition on the leader's item, and the item.
+OWN_ENTRIES = 2
+
+
+def new_committer(store, reports, lease_id=0, revision=0):
+    return Committer(
+        store=StoreClient(store, [False]),
+        member_id='edge-1',
+        lease_id=lease_id,
+        term=1,
+        revision=revision,
+        report=reports.append,
+        wave_status=lambda number, done: Put(f'status/{number}', b''),
+    )
+
+
+def batch(**records):
+    found = {name: JobRecord(phase=phase) for name, phase in records.items()}
+    return Batch(found, [], [])
+
+
+class SizeTest(unittest.TestCase):
+    def test_the_largest_batch_fits_into_one_write(self):
+        """Guards against a write that the store refuses again and again."""
+        world = World(FakeBackend('b1'))
+        scheduler = world.scheduler
+        step = StepSpec(task_count=1, resources=FakeBackend('x').room)
+        for number in range(100):
+            world.submit(step, job_id=f'j{number}')
+            scheduler.cancel_job(f'j{number}', world.now_ms)
+        for name in '12345':
+            wave = UpkeepWave(number=int(name), host_ids=[], within_s=1, max_down=1)
+            scheduler.upkeep.set_wave(name, wave, None, world.now_ms)
+        committer = new_committer(MemoryStore(random.Random(1)), [])
+        later = world.now_ms + scheduler.status_kept_ms
+        deleted = 0
+        for _ in range(60):
+            scheduler.capacity.dirty = True
+            taken = scheduler.take_batch(MAX_RECORDS, later)
+            puts, deletes = committer.entries(taken)
+            self.assertLessEqual(OWN_ENTRIES + len(puts) + len(deletes), MAX_ENTRIES)
+            deleted += len(taken.deleted_job_ids)
+        self.assertEqual(deleted, 100)
+        self.assertEqual(scheduler.upkeep.dirty, set())
+
+
+class AnswerTest(unittest.TestCase):
+    def play(self, prepare, batches, seconds=20):
+        async def main():
+            store = MemoryStore(random.Random(1))
+            revision = store.put(LEADER_KEY, b'first')
+            reports = []
+            committer = new_committer(store, reports, revision=revision)
+            prepare(store)
+            task = asyncio.create_task(committer.run())
+            for each in batches:
+                committer.inbox.send(each)
+            await asyncio.sleep(seconds)
+            task.cancel()
+            return store, reports
+
+        return virtual_time.run(main())
+
+    def test_lost_answers_store_each_batch_once(self):
+        """Guards against an older record that a late write brings back."""
+
+        def prepare(store):
+            store.lost_share, store.late_share = 0.6, 0.5
+
+        batches = [
+            batch(j1=JobPhase.RUNNING),
+            batch(j1=JobPhase.DONE),
+            batch(j2=JobPhase.QUEUED),
+        ]
+        store, reports = self.play(prepare, batches, 120)
+        self.assertEqual([type(report) for report in reports], [BatchStored] * 3)
+        written = [
+            item.value for item in store.history if item.key == RECORD_PREFIX + 'j1'
+        ]
+        self.assertEqual(len(written), 2)
+        self.assertIn(b'done', store.items_by_key[RECORD_PREFIX + 'j1'].value)
+
+    def test_another_leader_ends_the_term(self):
+        """Guards against records of a leader that was replaced."""
+        store, reports = self.play(
+            lambda store: store.put(LEADER_KEY, b'second'),
+            [batch(j1=JobPhase.RUNNING)],
+        )
+        self.assertEqual([type(report) for report in reports], [TermEnded])
+        self.assertNotIn(RECORD_PREFIX + 'j1', store.items_by_key)
+
+    def test_an_outage_delays_and_loses_nothing(self):
+        """Guards against a batch that is dropped while the store is away."""
+
+        def prepare(store):
+            store.down = True
+            asyncio.get_running_loop().call_later(5, setattr, store, 'down', False)
+
+        store, reports = self.play(prepare, [batch(j1=JobPhase.RUNNING)])
+        self.assertEqual([type(report) for report in reports], [BatchStored])
+
+
+if __name__ == '__main__':
+    unittest.main()
