--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: test faults demo check generate format measure
+.PHONY: test faults emulate demo check generate format measure
 
 test: $(READY)
 	$(BIN)/python -m tests
@@ -12,6 +12,10 @@
 faults: $(READY)
 	$(BIN)/python -m tests.mixed_faults $(or $(SEED),1) $(or $(STEPS),12)
 
+# Whole fleets under faults, in virtual time: make emulate SEEDS=1-50
+emulate: $(READY)
+	$(BIN)/python -m emulator --seeds $(or $(SEEDS),1-5)
+
 demo: $(READY)
 	$(BIN)/python -m standins.demo
 
