Contain malformed messages, unexpected errors and expired permissions

Change: rows are decoded one by one and bad ones logged with their sender; errors end the smallest unit (row, order, call, term) with a log line and its traceback; jobs have at most 4000 tasks and no negative amounts; a call can carry the time until which it may be sent, checked after the connection is open.

--- a/dandelionknot/_http_connections.py
+++ b/dandelionknot/_http_connections.py
@@ -15,7 +15,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from dandelionknot.clock import seconds
+from dandelionknot.clock import now_ms, seconds
 from dandelionknot.errors import PortError, PortErrorKind
 
 # Within a region a connection opens in milliseconds unless packets are lost.
@@ -67,11 +67,13 @@
         timeout_ms: int,
         headers: dict[str, str] | None = None,
         use_new_connection: bool = False,
+        valid_until_ms: int | None = None,
     ) -> Result[HttpResponse, PortError]:
         """Makes one call and reads the complete response.
 
         With `use_new_connection`, the call opens a connection even if one is idle. An
-        error of kind `NOT_SENT` means that no connection could be opened.
+        error of kind `NOT_SENT` means that no connection could be opened, or that the
+        local time `valid_until_ms` has passed before the call could be sent.
         """
         stream = None if use_new_connection else self._idle_stream()
         if stream is None:
@@ -79,6 +81,11 @@
             if isinstance(opened, Err):
                 return opened
             stream = opened.ok_value
+        # The process may have been paused while the connection was opened.
+        if valid_until_ms is not None and now_ms() >= valid_until_ms:
+            self._return_idle(stream)
+            message = f'{path}: not sent, since the permission has expired'
+            return Err(PortError(kind=PortErrorKind.NOT_SENT, message=message))
         try:
             async with asyncio.timeout(seconds(timeout_ms)):
                 response = await self._exchange(stream, method, path, body, headers)
--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import traceback
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -12,6 +13,8 @@
 from dandelionknot.log_stream import RateLimitedHandler
 
 LOGGER_NAME = 'dandelionknot'
+# Most characters of a traceback that a log line contains; the last ones are kept.
+MAX_TRACEBACK = 2000
 
 
 class Event(IntEnum):
@@ -67,6 +70,8 @@
     LEADERSHIP_GAINED = 8008
     LEADERSHIP_LOST = 8009
     LINES_LEFT_OUT = 8010
+    UNEXPECTED_ERROR = 8011
+    MESSAGE_DROPPED = 8012
     JOB_ACCEPTED = 8101
     JOB_REFUSED = 8102
     JOB_CANCEL_STORED = 8103
@@ -82,6 +87,8 @@
     BACKEND_GONE = 8203
     BACKEND_REBORN = 8204
     BACKEND_AVOIDED = 8205
+    BACKEND_ANSWER_MALFORMED = 8206
+    BACKEND_ENTRY_IGNORED = 8207
     RECORDS_NOT_STORED = 8206
     ZONES_EXCLUDED = 8301
     WAVE_ADVANCED = 8302
@@ -89,6 +96,7 @@
     HOST_MOVE_ORDERED = 8304
     HOST_LIST_UNREACHABLE = 8305
     HOST_ORDER_FINISHED = 8306
+    HOST_ROW_MALFORMED = 8307
 
 
 @dataclass(frozen=True, slots=True)
@@ -380,6 +388,35 @@
     Event.UPKEEP_ORDERED: EventInfo(
         INFO, 'The platform was ordered to take a host down for maintenance.', NO_ACTION
     ),
+    Event.UNEXPECTED_ERROR: EventInfo(
+        ERROR,
+        'An operation failed with an exception that the program does not expect; '
+        'other operations go on.',
+        'Report the line with its traceback; `part` names the operation.',
+    ),
+    Event.MESSAGE_DROPPED: EventInfo(
+        ERROR,
+        'A message between two tasks was dropped, since the mailbox was full.',
+        'Restart the process, and report what it was doing.',
+    ),
+    Event.BACKEND_ANSWER_MALFORMED: EventInfo(
+        ERROR,
+        'An answer of a backend server, or one row of it, does not match the '
+        'protocol and is ignored.',
+        'Check the program at `address`.',
+    ),
+    Event.BACKEND_ENTRY_IGNORED: EventInfo(
+        WARNING,
+        'A registry entry names no usable lifetime of the backend server; the '
+        'former entry stays in use.',
+        'Find the program that wrote the entry.',
+    ),
+    Event.HOST_ROW_MALFORMED: EventInfo(
+        ERROR,
+        "A row of the platform's list of hosts does not match the protocol and is "
+        'ignored.',
+        'Report the row to the platform team.',
+    ),
     Event.HOST_LIST_UNREACHABLE: EventInfo(
         WARNING, 'The list of hosts could not be read; maintenance waits.', NO_ACTION
     ),
@@ -404,6 +441,18 @@
     )
 
 
+def log_unexpected_error(part: str, error: BaseException, **fields: object) -> None:
+    """Logs an exception that nothing expects, with its traceback."""
+    lines = traceback.format_exception(error)
+    log_event(
+        Event.UNEXPECTED_ERROR,
+        part=part,
+        problem=repr(error),
+        traceback=''.join(lines)[-MAX_TRACEBACK:],
+        **fields,
+    )
+
+
 def set_up_logging(
     level: str, descriptor: int | None = None, member_id: str = ''
 ) -> None:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -210,6 +210,16 @@
     def set_backend(self, report: BackendReport, now_ms: int) -> None:
         """Adds or updates a backend server from its entry in the registry."""
         backend = self.backends_by_id.get(report.backend_id)
+        if backend is not None and backend.born_ms and not report.born_ms:
+            # Another writer's entry. It names no lifetime, so it shows no restart.
+            self.note(
+                Event.BACKEND_ENTRY_IGNORED,
+                {
+                    'backend_id': report.backend_id,
+                    'reason': 'the entry does not state the start of the process',
+                },
+            )
+            return
         if backend is not None and backend.born_ms not in (0, report.born_ms):
             self._backend_restarted(backend, report.born_ms)
             backend = None
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -160,8 +160,7 @@
             if late or store_silent:
                 verdict = CallerVerdict.NOT_ACCEPTED
                 return self._refuse(job_id, verdict, problem, unknown)
-            if isinstance(written, Err):
-                await asyncio.sleep(seconds(RETRY_MS))
+            await asyncio.sleep(seconds(RETRY_MS if isinstance(written, Err) else 0))
 
     async def _write_job(
         self, queue: Queue, account: str, job_id: str, spec: JobSpec, give_up_ms: int
--- a/dandelionknot/manager/_hosts.py
+++ b/dandelionknot/manager/_hosts.py
@@ -8,7 +8,7 @@
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
-from dandelionknot.events import Event, log_event
+from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.jobs._generated import (
     HostOrder,
     HostOrderFinished,
@@ -27,14 +27,14 @@
 class HostTask:
     """Owns the connections to the platform's host service.
 
-    `may_order` returns whether the term allows orders. `list_wanted` returns whether
-    the scheduler needs the list.
+    `valid_until_ms` returns the local time until which the term allows orders.
+    `list_wanted` returns whether the scheduler needs the list.
     """
 
     hosts: HostClient
     fencing_token: int
     report: Callable[[object], object]
-    may_order: Callable[[], bool]
+    valid_until_ms: Callable[[], int]
     list_wanted: Callable[[], bool]
     inbox: Mailbox = field(default_factory=lambda: Mailbox(1024))
     # Asyncio tasks that carry out orders.
@@ -56,8 +56,15 @@
 
     async def _order(self, order: HostOrder) -> None:
         outcome = HostOrderOutcome.NOT_DONE
-        if self.may_order():
-            outcome = await self.hosts.order(order, self.fencing_token)
+        valid_until_ms = self.valid_until_ms()
+        if now_ms() < valid_until_ms:
+            try:
+                outcome = await self.hosts.order(
+                    order, self.fencing_token, valid_until_ms
+                )
+            except Exception as error:
+                log_unexpected_error('host order', error)
+                outcome = HostOrderOutcome.NO_ANSWER
         self.report(HostOrderFinished(order=order, outcome=outcome))
 
     async def _list_forever(self) -> None:
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -10,7 +10,7 @@
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds, unix_ms
-from dandelionknot.events import Event, log_event
+from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
@@ -44,7 +44,13 @@
 from dandelionknot.manager._leadership import Term
 from dandelionknot.manager._link import BackendLink
 from dandelionknot.manager._ports import BackendClient, HostClient
-from dandelionknot.manager._view import JobCancelled, JobDeleted, JobStored, View
+from dandelionknot.manager._view import (
+    JobCancelled,
+    JobDeleted,
+    JobEntry,
+    JobStored,
+    View,
+)
 from dandelionknot.manager._watch import LEADER_PAUSE_MS, Watcher
 from dandelionknot.store import Item, Put, Store
 
@@ -153,7 +159,7 @@
             hosts=hosts,
             fencing_token=self.term.number,
             report=self.mailbox.send,
-            may_order=self.term.is_valid,
+            valid_until_ms=self.term.orders_valid_until_ms,
             list_wanted=self.scheduler.wants_host_list,
         )
         self._spawn(self.hosts.run())
@@ -165,9 +171,7 @@
             self.scheduler.set_configuration(view.configuration)
         self.scheduler.excluded_zones = frozenset(view.excluded_zones)
         for entry in view.jobs_by_id.values():
-            self.scheduler.add_job(entry.job, entry.record, now, unix)
-            if entry.cancelled:
-                self.scheduler.cancel_job(entry.job.job_id, unix)
+            self._add_job(entry, now, unix)
         # Jobs are restored in no particular order, while the scheduler deletes ended
         # jobs from the front of `ended`, which must hold the earliest end.
         self.scheduler.ended = deque(sorted(self.scheduler.ended))
@@ -184,6 +188,16 @@
         for name, wave in view.waves_by_name.items():
             maintenance.set_wave(name, wave, view.wave_records_by_name.get(name), now)
 
+    def _add_job(self, entry: JobEntry, now: int, unix: int) -> None:
+        """Adds a stored job; one that cannot be restored does not affect the others."""
+        try:
+            self.scheduler.add_job(entry.job, entry.record, now, unix)
+            if entry.cancelled:
+                self.scheduler.cancel_job(entry.job.job_id, unix)
+        except Exception as error:
+            log_unexpected_error('stored job', error, job_id=entry.job.job_id)
+            self.scheduler.forget_job(entry.job.job_id)
+
     async def _loop(self) -> str:
         """Handles messages and plans until the term ends; returns the reason."""
         stopping = asyncio.create_task(self.ports.stopping.wait())
@@ -285,7 +299,7 @@
             case JobStored(job_id):
                 entry = view.jobs_by_id.get(job_id)
                 if entry is not None:
-                    scheduler.add_job(entry.job, entry.record, now_ms(), unix_ms())
+                    self._add_job(entry, now_ms(), unix_ms())
             case JobCancelled(job_id):
                 scheduler.cancel_job(job_id, unix_ms())
             case JobDeleted(job_id):
--- a/dandelionknot/manager/_leadership.py
+++ b/dandelionknot/manager/_leadership.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from dandelionknot.clock import now_ms, seconds
-from dandelionknot.events import Event, log_event
+from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.jobs._leases import HOLD_GRACE_MS
 from dandelionknot.jobs._stored import LEADER_KEY, LEADER_PRESENCE_KEY
 from dandelionknot.manager._commit import leader_value
@@ -60,6 +60,10 @@
         """Whether the lease still guarantees that no other process is leader."""
         return not self.ended and now_ms() < self.valid_until_ms
 
+    def orders_valid_until_ms(self) -> int:
+        """Returns the local time until which orders may be sent; 0 after the term."""
+        return 0 if self.ended else self.valid_until_ms
+
     def may_hold(self) -> bool:
         """Whether task leases may be extended.
 
@@ -138,7 +142,14 @@
         renewing = asyncio.create_task(self._renew_until_lost(term))
         try:
             await asyncio.wait({leading, renewing}, return_when=asyncio.FIRST_COMPLETED)
-            reason = next(t.result() for t in (leading, renewing) if t.done())
+            finished = next(task for task in (leading, renewing) if task.done())
+            error = finished.exception()
+            if error is None:
+                reason = finished.result()
+            else:
+                # The next term starts from the store with a new state.
+                log_unexpected_error('leader', error, term=term.number)
+                reason = 'unexpected error'
         finally:
             term.ended = True
             self.term = None
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -8,6 +8,7 @@
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
+from dandelionknot.events import log_unexpected_error
 from dandelionknot.jobs._generated import (
     ContactLost,
     EndsStored,
@@ -118,6 +119,12 @@
             self.client.close()
 
     async def _carry_out(self, message: object) -> None:
+        try:
+            await self._send_order(message)
+        except Exception as error:
+            log_unexpected_error('order', error, backend_id=self.backend_id)
+
+    async def _send_order(self, message: object) -> None:
         if isinstance(message, StartTask):
             await self._start(message)
         elif isinstance(message, StopTask):
@@ -130,6 +137,14 @@
     async def _start(self, message: StartTask) -> None:
         """Sends a start up to `START_TRIES` times and reports its outcome."""
         self.starts_in_progress += 1
+        outcome = OrderOutcome.NO_ANSWER
+        try:
+            outcome = await self._try_start(message)
+        finally:
+            # After an unexpected error, the start may have been carried out.
+            self._report_start(message, outcome)
+
+    async def _try_start(self, message: StartTask) -> OrderOutcome:
         outcome = OrderOutcome.NOT_SENT
         may_have_arrived = False
         for _ in range(START_TRIES):
@@ -146,7 +161,10 @@
                 break
         if may_have_arrived and outcome not in FINAL_OUTCOMES:
             # An earlier try may have been carried out or may still be.
-            outcome = OrderOutcome.NO_ANSWER
+            return OrderOutcome.NO_ANSWER
+        return outcome
+
+    def _report_start(self, message: StartTask, outcome: OrderOutcome) -> None:
         self.starts_in_progress -= 1
         self.busy = True
         self.wake.set()
@@ -193,7 +211,11 @@
             if self._is_idle():
                 await self._wait(HOLD_WAIT_MS)
                 continue
-            await self._hold_once()
+            try:
+                await self._hold_once()
+            except Exception as error:
+                log_unexpected_error('hold', error, backend_id=self.backend_id)
+                await asyncio.sleep(seconds(PROBE_PAUSE_MS))
 
     def _is_idle(self) -> bool:
         if self.is_contact_lost or not self.clock.known:
--- a/dandelionknot/manager/_ports.py
+++ b/dandelionknot/manager/_ports.py
@@ -49,5 +49,10 @@
     async def list_hosts(self) -> Result[list[Host], PortError]:
         """Reads the list of all hosts."""
 
-    async def order(self, order: HostOrder, fencing_token: int) -> HostOrderOutcome:
-        """Sends an order; a repeated order that was already carried out is accepted."""
+    async def order(
+        self, order: HostOrder, fencing_token: int, valid_until_ms: int
+    ) -> HostOrderOutcome:
+        """Sends an order; a repeated order that was already carried out is accepted.
+
+        The order is not sent after the local time `valid_until_ms`.
+        """
--- a/dandelionknot/manager/_watch.py
+++ b/dandelionknot/manager/_watch.py
@@ -7,7 +7,7 @@
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
-from dandelionknot.events import Event, log_event
+from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.manager._view import View, ViewEvent, sort_for_view
 from dandelionknot.store import HistoryLost, Item, Page, Store, StoreChanges, StoreError
 
@@ -116,9 +116,16 @@
     def _publish(self, items: list[Item]) -> None:
         events: list[ViewEvent] = []
         for item in items:
-            event = self.view.apply(item)
+            try:
+                event = self.view.apply(item)
+            except Exception as error:
+                log_unexpected_error(
+                    'stored item', error, key=item.key, revision=item.revision
+                )
+                continue
             if event is not None:
                 events.append(event)
         for mailbox in self.subscribers:
             for event in events:
-                mailbox.send(event)
+                if isinstance(mailbox.send(event), Err):
+                    log_event(Event.MESSAGE_DROPPED, message=type(event).__name__)
--- a/dandelionknot/platform/_backends.py
+++ b/dandelionknot/platform/_backends.py
@@ -7,6 +7,7 @@
 
 from dandelionknot._http_connections import HttpConnections, HttpResponse
 from dandelionknot.errors import PortError, PortErrorKind
+from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import HoldReport, OrderOutcome, StartOrder
 from dandelionknot.platform._decode import convert_hold_report, decode
 from dandelionknot.platform._generated import WireLists, WireOrderAnswer
@@ -54,11 +55,20 @@
             return Err(_outcome_of(answer.ok_value))
         decoded = decode(answer.ok_value.body, WireLists, 'lists')
         if isinstance(decoded, Err):
+            self._log_malformed(str(decoded.err_value))
             return Err(OrderOutcome.REFUSED)
-        report = convert_hold_report(decoded.ok_value)
-        if isinstance(report, Err):
-            return Err(OrderOutcome.REFUSED)
-        return Ok(report.ok_value)
+        report, problems = convert_hold_report(decoded.ok_value)
+        for problem in problems:
+            self._log_malformed(problem)
+        return Ok(report)
+
+    def _log_malformed(self, problem: str) -> None:
+        log_event(
+            Event.BACKEND_ANSWER_MALFORMED,
+            backend_id=self.backend_id,
+            address=self.client.address,
+            problem=problem,
+        )
 
     async def start(
         self, order: StartOrder, deadline_ms: int, timeout_ms: int
--- a/dandelionknot/platform/_callers.py
+++ b/dandelionknot/platform/_callers.py
@@ -14,6 +14,7 @@
 from tornado.netutil import bind_sockets
 
 from dandelionknot.addresses import split_address
+from dandelionknot.events import log_unexpected_error
 from dandelionknot.jobs._generated import (
     CallerReply,
     CallerVerdict,
@@ -137,7 +138,12 @@
         call.add_done_callback(self._calls.discard)
 
     async def _answer(self, request: HTTPServerRequest) -> None:
-        status, body, retry_after_s = await self._handle(request)
+        try:
+            status, body, retry_after_s = await self._handle(request)
+        except Exception as error:
+            log_unexpected_error('call', error, path=request.path)
+            # The call may have taken effect, so the caller must not read 'not run'.
+            status, body, retry_after_s = 504, b'{}', 0
         headers = HTTPHeaders(
             {'Content-Type': 'application/json', 'Content-Length': str(len(body))}
         )
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -3,7 +3,8 @@
 Each kind of message is translated in one place.
 """
 
-from typing import TypeVar
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -39,6 +40,12 @@
 
 T = TypeVar('T')
 
+# Most tasks of one job over all its occurrences. Every leader holds the state of all of
+# them in memory, and their record has to fit into one value of the store.
+MAX_TASKS = 4000
+# Most characters of a malformed row that a log line contains.
+MAX_ROW_LOGGED = 100
+
 # States of a backend server in its registry entry.
 READY = 'ready'
 DRAINING = 'draining'
@@ -84,14 +91,33 @@
     """Returns what is wrong with the steps of a job, or an empty text."""
     if not wire.steps:
         return 'no steps'
+    if min(wire.times, wire.first_ms, wire.interval_ms) < 0:
+        return 'a number of occurrences or a time is negative'
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             return f'step {number} has no tasks'
         if any(not 0 <= earlier < number for earlier in step.after):
             return f'step {number} comes after a step that is not before it'
+        if _lowest_amount(step) < 0:
+            return f'step {number} has a negative amount'
+    tasks = max(1, wire.times) * sum(step.count for step in wire.steps)
+    if tasks > MAX_TASKS:
+        return f'the job has {tasks} tasks, and at most {MAX_TASKS} are possible'
     return ''
 
 
+def _lowest_amount(step: WireStep) -> float:
+    return min(
+        step.cpu,
+        step.mem_mb,
+        step.gpu,
+        step.est_ms,
+        step.max_per_server,
+        step.may_miss,
+        step.latency_slo_ms,
+    )
+
+
 def _step(wire: WireStep) -> StepSpec:
     return StepSpec(
         task_count=wire.count,
@@ -206,8 +232,12 @@
     )
 
 
-def host(wire: WireMachine) -> Host:
-    """Converts a row of the platform's host list."""
+def host(row: Any) -> Host:
+    """Converts a row of the platform's host list.
+
+    Raises `msgspec.ValidationError`, which is a `ValueError`, for a malformed row.
+    """
+    wire = msgspec.convert(row, WireMachine)
     return Host(
         host_id=wire.machine,
         pool=wire.pool,
@@ -217,30 +247,40 @@
     )
 
 
-def convert_hold_report(wire: WireLists) -> Result[HoldReport, DecodeError]:
+def convert_hold_report(wire: WireLists) -> tuple[HoldReport, list[str]]:
     """Converts the lists of running and ended runs of a backend server.
 
-    Ended runs are sorted by the number under which their end was reported.
+    Ended runs are sorted by the number under which their end was reported. Malformed
+    rows are left out; the second value describes each of them.
     """
-    try:
-        running = [_running(row) for row in wire.running]
-        ended = [_ended(row) for row in wire.finished]
-    except (ValueError, TypeError, IndexError) as error:
-        return Err(DecodeError(where='lists', problem=str(error)))
+    running, problems = convert_rows(wire.running, _running)
+    ended, more_problems = convert_rows(wire.finished, _ended)
     ended.sort(key=lambda end: end.number)
-    return Ok(
-        HoldReport(
-            clock_ms=wire.clock_ms, born_ms=wire.born, running=running, ended=ended
-        )
+    report = HoldReport(
+        clock_ms=wire.clock_ms, born_ms=wire.born, running=running, ended=ended
     )
+    return report, problems + more_problems
+
+
+def convert_rows(
+    rows: list[Any], convert: Callable[[Any], T]
+) -> tuple[list[T], list[str]]:
+    """Converts each row of a message, and describes those that are malformed."""
+    converted, problems = [], []
+    for row in rows:
+        try:
+            converted.append(convert(row))
+        except (ValueError, TypeError, IndexError, OverflowError) as error:
+            problems.append(f'{str(row)[:MAX_ROW_LOGGED]}: {error}')
+    return converted, problems
 
 
 def _running(row: list) -> RunningTask:
     """Converts a row of task, run, checkpoint, percentage of speed and reading."""
     return RunningTask(
-        task_name=row[0],
-        run=row[1],
-        checkpoint=row[2] or '',
+        task_name=_checked(row[0], str),
+        run=_checked(row[1], int),
+        checkpoint=_checked(row[2] or '', str),
         percent=int(row[3]),
         reading=float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
     )
@@ -249,9 +289,16 @@
 def _ended(row: list) -> EndedTask:
     """Converts a row of end number, task, run, reason of the end and checkpoint."""
     return EndedTask(
-        number=row[0],
-        task_name=row[1],
-        run=row[2],
+        number=_checked(row[0], int),
+        task_name=_checked(row[1], str),
+        run=_checked(row[2], int),
         reason=EndReason(row[3]),
-        checkpoint=row[4] if len(row) > 4 and row[4] else '',
+        checkpoint=_checked(row[4] or '', str) if len(row) > 4 else '',
     )
+
+
+def _checked(value: Any, cls: type[T]) -> T:
+    """Returns a value of a row; raises `TypeError` for one of another type."""
+    if not isinstance(value, cls) or isinstance(value, bool):
+        raise TypeError(f'{value!r} is not of type {cls.__name__}')
+    return value
--- a/dandelionknot/platform/_generated.py
+++ b/dandelionknot/platform/_generated.py
@@ -114,7 +114,7 @@
 
 
 class WireMachines(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    machines: list[WireMachine]
+    machines: list[Any]
     next_token: str | None = None
 
 
--- a/dandelionknot/platform/_hosts.py
+++ b/dandelionknot/platform/_hosts.py
@@ -7,12 +7,13 @@
 
 from dandelionknot._http_connections import HttpConnections, HttpResponse
 from dandelionknot.errors import PortError, PortErrorKind
+from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import (
     Host,
     HostOrder,
     HostOrderOutcome,
 )
-from dandelionknot.platform._decode import decode, host
+from dandelionknot.platform._decode import convert_rows, decode, host
 from dandelionknot.platform._generated import WireMachines, WireOrderAnswer
 
 OK = 200
@@ -52,14 +53,21 @@
             if answer.ok_value.status != OK or isinstance(decoded, Err):
                 message = f'host list not read: HTTP status {answer.ok_value.status}'
                 return Err(PortError(kind=PortErrorKind.REJECTED, message=message))
-            hosts.extend(host(row) for row in decoded.ok_value.machines)
+            listed, problems = convert_rows(decoded.ok_value.machines, host)
+            hosts.extend(listed)
+            for problem in problems:
+                log_event(Event.HOST_ROW_MALFORMED, problem=problem)
             token = decoded.ok_value.next_token or None
         return Ok(hosts)
 
-    async def order(self, order: HostOrder, fencing_token: int) -> HostOrderOutcome:
+    async def order(
+        self, order: HostOrder, fencing_token: int, valid_until_ms: int
+    ) -> HostOrderOutcome:
         """Sends an order; a repeated order that was already carried out is accepted.
 
         An order with a pool moves the host; any other takes it down for maintenance.
+        The order is not sent after the local time `valid_until_ms`, since the platform
+        may not compare fencing tokens.
         """
         if not order.pool:
             path = '/machine-upkeep'
@@ -72,7 +80,12 @@
             'X-Fence-Token': str(fencing_token),
         }
         answer = await self.client.call(
-            'POST', path, msgspec.json.encode(body), TIMEOUT_MS, headers
+            'POST',
+            path,
+            msgspec.json.encode(body),
+            TIMEOUT_MS,
+            headers,
+            valid_until_ms=valid_until_ms,
         )
         if isinstance(answer, Err):
             if answer.err_value.kind is PortErrorKind.NOT_SENT:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -34,6 +34,8 @@
 from tests.virtual import VirtualTimeTestCase
 
 TIMEOUT_MS = 300
+# Local time that no test reaches.
+FAR_MS = 10**15
 
 
 class StoreTest(VirtualTimeTestCase):
@@ -161,7 +163,9 @@
         maintenance = HostOrder(host_id='m-1', wave_number=3)
         move = HostOrder(host_id='m-1', pool='night')
         for order in (maintenance, move):
-            self.assertIs(await hosts.order(order, 9), HostOrderOutcome.ACCEPTED)
+            self.assertIs(
+                await hosts.order(order, 9, FAR_MS), HostOrderOutcome.ACCEPTED
+            )
         self.assertEqual(
             platform.host_orders,
             [
@@ -175,7 +179,7 @@
             (0, HostOrderOutcome.NO_ANSWER),
         ):
             platform.host_server.faults.append(status)
-            self.assertIs(await hosts.order(maintenance, 9), outcome)
+            self.assertIs(await hosts.order(maintenance, 9, FAR_MS), outcome)
 
 
 class DecodeTest(unittest.TestCase):
