--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dandelionknot.entry._ownership import owner_of
 from dandelionknot.messages import ErrorCode
 from dandelionknot.operators import EditKind
 from standins.fleet import (
@@ -35,7 +36,8 @@
     async def submit_all(self) -> dict[str, bool]:
         """Submits the requests; returns by request id whether each is idempotent."""
         idempotent_by_id = {
-            new_request_id(): number % 2 == 0 for number in range(REQUESTS)
+            request_id: number % 2 == 0
+            for number, request_id in enumerate(self.new_request_ids())
         }
         calls = [
             self.submit(OLD_MEMBERS[number % 3], request_id, idempotent, run_ms=RUN_MS)
@@ -45,6 +47,24 @@
         self.assertEqual({each.status for each in responses}, {202}, responses)
         return idempotent_by_id
 
+    def new_request_ids(self) -> list[str]:
+        """Returns ids of which every entry host owns the same number.
+
+        With random ids, one entry host may own so few that all of them have started
+        before the last request is accepted.
+        """
+        state = self.fleet.entries_by_id[OLD_MEMBERS[0]].state
+        ids_by_owner: dict[str | None, list[str]] = {
+            entry.state.member_id: [] for entry in self.fleet.entries_by_id.values()
+        }
+        share = REQUESTS // len(OLD_MEMBERS)
+        while any(len(ids) < share for ids in ids_by_owner.values()):
+            request_id = new_request_id()
+            ids = ids_by_owner[owner_of(state, request_id)]
+            if len(ids) < share:
+                ids.append(request_id)
+        return [ids[n] for n in range(share) for ids in ids_by_owner.values()]
+
     async def submit(
         self, member_id: str, request_id: str, idempotent: bool, run_ms: int = 0
     ) -> Response:
