Divide hosts by what can end in time, and move them as fast as the platform allows

Change, in modules without scheduler, clock or network: _arrivals (rate from two windows, the lower half of each, so that jobs that come together are no rate), _turns (period and height of recurrent surges, learnt online, rebuilt from the stored jobs after a change of leader), _allocation (water filling: minimum, in time, predicted, late), _demand (hosts that tasks need, by whether their jobs can end in time). _capacity carries the division out: orders up to 0.8 of the platform's rate, reserves only for tasks without a place, hosts of late work emptied by starting nothing there. Ruled out: a fixed higher number of orders, since the rates of sites differ by five; the square root of the count as a margin, since one large burst passes it.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -1,53 +1,63 @@
 """Moves hosts between pools as the demand of their queues changes.
 
-A pool without room for its waiting tasks borrows hosts. Idle hosts that another pool
-has borrowed are moved first, then standby hosts, then idle hosts that belong to another
+A pool without room for its tasks borrows hosts. Idle hosts that another pool has
+borrowed are moved first, then standby hosts, then idle hosts that belong to another
 pool. Each pool keeps a reserve of its own hosts, since it takes time until hosts that
-it has lent are returned. A borrowed host that stays idle is returned to its home pool.
-Other idle hosts beyond the reserve are moved to a standby pool, where they are off.
+it has lent are returned. If that is not enough, the reserves are lent as well, and
+pools with more hosts than the division grants them free some by starting nothing there.
+A borrowed host that stays idle is returned to its home pool. Other idle hosts beyond
+the reserve are moved to a standby pool, where they are off.
 """
 
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs._generated import Host, HostOrder, HostOrderOutcome
+from dandelionknot.jobs._allocation import PoolNeed, divide
+from dandelionknot.jobs._arrivals import MAX_RUN_MS, Arrival, Arrivals
+from dandelionknot.jobs._demand import MIN_HOSTS, pool_need
+from dandelionknot.jobs._generated import (
+    Host,
+    HostOrder,
+    HostOrderOutcome,
+)
 from dandelionknot.jobs._maintenance import evict_if_allowed
 from dandelionknot.jobs._state import (
     BackendState,
+    JobState,
     StepState,
-    TaskPhase,
     occupied_cpu_millicores,
 )
+from dandelionknot.jobs._turns import Turns
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
 
 # Shortest time between two planning rounds of host moves.
 PLAN_EVERY_MS = 200
-# Share of a host's room that is expected to be usable, since tasks of different sizes
-# leave gaps.
-FILL_SHARE = 0.85
 # Idle time after which a host of one pool may be lent to another.
 LEND_AFTER_MS = 400
 # Idle time after which a borrowed host is returned to its home pool.
 RETURN_AFTER_MS = 3000
 # Idle time after which a host that belongs to its pool is moved to a standby pool.
 STANDBY_AFTER_MS = 4000
-# A pool gives no host away if fewer than this many would remain. A pool without hosts
-# asks for this many if jobs wait.
-MIN_HOSTS = 2
 # Share of its own hosts that a pool keeps as a reserve beyond its demand.
 RESERVE_SHARE = 0.5
 # A pool drains borrowed hosts only while this many hosts beyond its demand remain.
 DRAIN_RESERVE = 1
 # Most borrowed hosts that one pool drains at the same time.
 MAX_DRAINING = 2
-# Most moves ordered in one round, so that a short peak does not move many hosts.
-MAX_ORDERS = 4
+# Share of the orders about hosts that the platform accepts which moves may take. The
+# rest is for maintenance.
+MOVE_ORDERS_SHARE = 0.8
+# Time before the begin of a term of which the arrivals are replayed.
+REPLAYED_MS = 60_000
+# Orders that the platform accepts per second, unless the settings state another rate.
+DEFAULT_ORDERS_PER_S = 25.0
 # A move counts as failed if the host is not listed as up in its new pool this long
 # after the order. The answer to the order may have been lost.
 MOVE_TIMEOUT_MS = 4000
@@ -62,7 +72,7 @@
 class PoolDemand:
     """How many hosts a pool needs now, and how many it has."""
 
-    # Hosts needed for the tasks that run and those that may start now.
+    # Hosts that the division of all hosts grants the pool.
     wanted: int = 0
     # Hosts in the pool that can run tasks.
     present: int = 0
@@ -70,14 +80,29 @@
     arriving: int = 0
     # Hosts whose home is the pool, including those that it has lent.
     own: int = 0
+    # Demand of a surge that is about to begin; 0 if none is predicted.
+    predicted_millicores: float = 0.0
+    # Hosts needed by tasks that could end in time and for which no host has room.
+    unplaced: int = 0
 
     def can_lend_own(self) -> bool:
         """Whether the pool has enough hosts to lend one that belongs to it.
 
         It keeps the hosts that it needs now and its reserve, and at least `MIN_HOSTS`.
         """
+        return self.present > self._kept()
+
+    def lacks_own(self) -> bool:
+        """Whether the pool should get back a host that it has lent."""
+        return self.present + self.arriving < self._kept()
+
+    def lacks_hosts(self) -> bool:
+        """Whether the division grants the pool more hosts than it has."""
+        return self.wanted > self.present
+
+    def _kept(self) -> int:
         reserve = math.ceil(RESERVE_SHARE * self.own)
-        return self.present > max(MIN_HOSTS, self.wanted + reserve)
+        return max(MIN_HOSTS, self.wanted + reserve)
 
 
 @dataclass(slots=True)
@@ -95,6 +120,12 @@
     """State of the pools and of the moves between them in one leadership term."""
 
     standby_pools: frozenset[str] = frozenset()
+    # Orders about hosts that the platform accepts per second.
+    orders_per_s: float = DEFAULT_ORDERS_PER_S
+    # Jobs that were accepted in the last seconds.
+    arrivals: Arrivals = field(default_factory=Arrivals)
+    # Surges of the pools, from which the next ones are predicted.
+    turns: Turns = field(default_factory=Turns)
     demand_by_pool: dict[str, PoolDemand] = field(default_factory=dict)
     moves_by_host_id: dict[str, Move] = field(default_factory=dict)
     # Home pool of each borrowed host.
@@ -103,6 +134,8 @@
     idle_since_by_host_id: dict[str, int] = field(default_factory=dict)
     # Borrowed hosts that are drained so that they can be returned.
     draining_host_ids: set[str] = field(default_factory=set)
+    # Hosts on which nothing is started, since another pool is granted them.
+    freeing_host_ids: set[str] = field(default_factory=set)
     # Local time until which no move of a host is ordered, since its last one was
     # refused.
     refused_until_by_host_id: dict[str, int] = field(default_factory=dict)
@@ -115,6 +148,42 @@
         """Whether hosts are moved between pools, which needs a standby pool."""
         return bool(self.standby_pools)
 
+    def job_accepted(self, state: JobState, pool: str) -> None:
+        """Records the work of a new job, from which the demand is estimated."""
+        work = sum(
+            step.task_count
+            * occupied_cpu_millicores(step)
+            * min(step.estimated_ms, MAX_RUN_MS)
+            for step in state.job.spec.steps
+            if not step.long_running
+        )
+        if work and not state.job.spec.repeats and not state.beyond_share:
+            arrival = Arrival(state.accepted_ms, state.account.name, work)
+            self.arrivals.record(pool, arrival)
+
+    def replay_arrivals(self, limits_by_account: dict[str, int], now_ms: int) -> None:
+        """Finds the surges that former leaders saw, from the stored jobs."""
+        stored = [
+            (arrival, pool)
+            for pool, arrivals in self.arrivals.by_pool.items()
+            for arrival in arrivals
+        ]
+        stored.sort(key=lambda entry: entry[0].accepted_ms)
+        self.arrivals = Arrivals()
+        waiting = deque(stored)
+        first_ms = max(
+            now_ms - REPLAYED_MS, stored[0][0].accepted_ms if stored else now_ms
+        )
+        for at_ms in range(first_ms, now_ms, PLAN_EVERY_MS):
+            while waiting and waiting[0][0].accepted_ms <= at_ms:
+                arrival, pool = waiting.popleft()
+                self.arrivals.record(pool, arrival)
+            for pool in self.arrivals.by_pool:
+                millicores = self.arrivals.millicores(pool, limits_by_account, at_ms)
+                self.turns.observe(pool, millicores, at_ms)
+        for arrival, pool in waiting:
+            self.arrivals.record(pool, arrival)
+
     def order_finished(
         self, order: HostOrder, outcome: HostOrderOutcome, now_ms: int
     ) -> None:
@@ -151,17 +220,9 @@
         self.planned_ms = now_ms
         self._drop_finished_moves(hosts, now_ms)
         self._update_demand(scheduler, steps, now_ms)
-        orders: list[HostOrder] = []
-        for pool, demand in sorted(
-            self.demand_by_pool.items(),
-            key=lambda item: item[1].present - item[1].wanted,
-        ):
-            while demand.wanted > demand.present + demand.arriving:
-                host = self._find_host_to_borrow(scheduler, pool, now_ms)
-                if host is None or len(orders) >= MAX_ORDERS:
-                    break
-                orders.append(self._order_move(scheduler, host, pool, now_ms))
+        orders = self._order_moves_to_needy(scheduler, now_ms)
         self._drain_borrowed(scheduler)
+        self._drain_for_needy(scheduler)
         if not orders:
             orders = self._order_moves_home(scheduler, now_ms)
         if not orders:
@@ -172,6 +233,7 @@
                 backend.moving = (
                     host_id in self.moves_by_host_id
                     or host_id in self.draining_host_ids
+                    or host_id in self.freeing_host_ids
                 )
                 backend.borrowed = host_id in self.homes_by_host_id
         return orders
@@ -187,9 +249,11 @@
     def _update_demand(
         self, scheduler: Scheduler, steps: dict[str, list[StepState]], now_ms: int
     ) -> None:
-        """Computes the demand of each pool from its running and waiting tasks."""
+        """Computes the demand of each pool and divides the hosts among them."""
         for demand in self.demand_by_pool.values():
             demand.wanted = demand.present = demand.arriving = demand.own = 0
+        limits_by_account = scheduler.millicores_by_account()
+        needs_by_pool: dict[str, PoolNeed] = {}
         used: dict[str, list[BackendState]] = {}
         for backend in scheduler.backends_by_id.values():
             if backend.report is not None and _can_serve(scheduler, backend):
@@ -200,10 +264,30 @@
             demand = self.demand_by_pool.setdefault(pool, PoolDemand())
             backends = used.get(pool, [])
             demand.present = len(backends)
-            useful = [
-                step for step in steps.get(pool, []) if _is_still_useful(step, now_ms)
-            ]
-            demand.wanted = _needed_host_count(backends, useful)
+            waiting = steps.get(pool, [])
+            expected = self.arrivals.millicores(pool, limits_by_account, now_ms)
+            self.turns.observe(pool, expected, now_ms)
+            demand.predicted_millicores = self.turns.predicted_millicores(pool, now_ms)
+            need = pool_need(
+                backends, waiting, expected, demand.predicted_millicores, now_ms
+            )
+            needs_by_pool[pool] = need
+            demand.unplaced = need.unplaced
+        self._count_moving_and_own(scheduler)
+        total = self._standby_count(scheduler) + sum(
+            demand.present + demand.arriving for demand in self.demand_by_pool.values()
+        )
+        for pool, count in divide(total, needs_by_pool).items():
+            self.demand_by_pool[pool].wanted = count
+        self._update_idle_times(scheduler, now_ms)
+
+    def _standby_count(self, scheduler: Scheduler) -> int:
+        return sum(
+            host.pool in self.standby_pools and self._is_movable(scheduler, host)
+            for host in scheduler.maintenance.hosts_by_id.values()
+        )
+
+    def _count_moving_and_own(self, scheduler: Scheduler) -> None:
         for move in self.moves_by_host_id.values():
             target_demand = self.demand_by_pool.get(move.target)
             if target_demand is not None:
@@ -214,7 +298,6 @@
             )
             if home is not None:
                 home.own += 1
-        self._update_idle_times(scheduler, now_ms)
 
     def _update_idle_times(self, scheduler: Scheduler, now_ms: int) -> None:
         for host_id, host in scheduler.maintenance.hosts_by_id.items():
@@ -229,33 +312,104 @@
         since = self.idle_since_by_host_id.get(host_id)
         return now_ms - since if since is not None else -1
 
-    def _find_host_to_borrow(
-        self, scheduler: Scheduler, pool: str, now_ms: int
-    ) -> Host | None:
-        """Returns the best host that a pool may borrow now, or None.
+    def _max_orders(self) -> int:
+        """Returns how many moves may be ordered in one round."""
+        rate = self.orders_per_s * MOVE_ORDERS_SHARE
+        return max(1, int(rate * PLAN_EVERY_MS / 1000))
+
+    def _order_moves_to_needy(
+        self, scheduler: Scheduler, now_ms: int
+    ) -> list[HostOrder]:
+        """Returns the orders that move hosts to the pools that lack some.
+
+        The pool that lacks most goes first. Reserves of other pools are used only for
+        tasks that wait and still lack a host.
+        """
+        orders: list[HostOrder] = []
+        hosts = self._lendable_hosts(scheduler, now_ms)
+        for use_reserves in (False, True):
+            for pool, demand in sorted(
+                self.demand_by_pool.items(),
+                key=lambda item: item[1].present - item[1].wanted,
+            ):
+                left = []
+                for host in hosts:
+                    if (
+                        len(orders) < self._max_orders()
+                        and demand.wanted > demand.present + demand.arriving
+                        and host.pool != pool
+                        and (demand.unplaced > demand.arriving or not use_reserves)
+                        and self._may_lend(host, use_reserves)
+                    ):
+                        orders.append(self._order_move(scheduler, host, pool, now_ms))
+                    else:
+                        left.append(host)
+                hosts = left
+        return orders
+
+    def _lendable_hosts(self, scheduler: Scheduler, now_ms: int) -> list[Host]:
+        """Returns the hosts that may be moved to another pool now, best first.
 
-        A host that another pool has borrowed comes first, then a standby host, then a
-        host that belongs to another pool.
+        Hosts that another pool has borrowed come first, then standby hosts, then hosts
+        that belong to another pool.
         """
-        standby = own = None
+        borrowed, standby, own = [], [], []
         for host in scheduler.maintenance.hosts_by_id.values():
-            if not self._is_movable(scheduler, host) or host.pool == pool:
+            if not self._is_movable(scheduler, host):
                 continue
             if host.pool in self.standby_pools:
-                standby = standby or host
+                standby.append(host)
             elif self._idle_ms(host.host_id, now_ms) < LEND_AFTER_MS:
                 continue
-            elif host.host_id not in self.homes_by_host_id:
-                demand = self.demand_by_pool.get(host.pool)
-                if demand is not None and demand.can_lend_own():
-                    own = own or host
-            elif self._can_lend_borrowed(host.pool):
-                return host
-        return standby or own
-
-    def _can_lend_borrowed(self, pool: str) -> bool:
-        demand = self.demand_by_pool.get(pool)
-        return demand is not None and demand.present > max(MIN_HOSTS, demand.wanted)
+            elif host.host_id in self.homes_by_host_id:
+                borrowed.append(host)
+            else:
+                own.append(host)
+        return borrowed + standby + own
+
+    def _may_lend(self, host: Host, use_reserves: bool) -> bool:
+        """Whether the pool of a host needs it less than a pool that lacks hosts."""
+        if host.pool in self.standby_pools:
+            return True
+        demand = self.demand_by_pool.get(host.pool)
+        if demand is None:
+            return False
+        if use_reserves or host.host_id in self.homes_by_host_id:
+            return demand.present > max(MIN_HOSTS, demand.wanted)
+        return demand.can_lend_own()
+
+    def _drain_for_needy(self, scheduler: Scheduler) -> None:
+        """Stops starts on hosts that are granted to other pools, so that they empty.
+
+        Hosts that are drained already come first, then those with the fewest millicores
+        in use. Hosts with long-running tasks are not drained.
+        """
+        lacking = sum(
+            max(0, demand.wanted - demand.present - demand.arriving)
+            for demand in self.demand_by_pool.values()
+        )
+        if not lacking:
+            self.freeing_host_ids.clear()
+            return
+        found = []
+        for host in scheduler.maintenance.hosts_by_id.values():
+            backend = scheduler.backends_by_id.get(host.backend_id)
+            if backend is None or host.host_id in self.moves_by_host_id:
+                continue
+            if any(t.step.spec.long_running for t in backend.tasks_by_name.values()):
+                continue
+            first = host.host_id not in self.freeing_host_ids
+            found.append((first, backend.cpu_millicores, host.host_id, host.pool))
+        found.sort()
+        self.freeing_host_ids.clear()
+        spare_by_pool = {
+            pool: demand.present - max(MIN_HOSTS, demand.wanted)
+            for pool, demand in self.demand_by_pool.items()
+        }
+        for _, _, host_id, pool in found:
+            if len(self.freeing_host_ids) < lacking and spare_by_pool.get(pool, 0) > 0:
+                spare_by_pool[pool] -= 1
+                self.freeing_host_ids.add(host_id)
 
     def _is_movable(self, scheduler: Scheduler, host: Host) -> bool:
         if host.state != UP or host.host_id in self.moves_by_host_id:
@@ -292,6 +446,9 @@
                 'from_pool': host.pool,
                 'to_pool': pool,
                 'wanted': target.wanted if target else 0,
+                'predicted_millicores': int(target.predicted_millicores)
+                if target
+                else 0,
                 'present': target.present if target else 0,
             },
         )
@@ -321,7 +478,11 @@
                     evict_if_allowed(scheduler, task, 'borrowed host is returned')
 
     def _order_moves_home(self, scheduler: Scheduler, now_ms: int) -> list[HostOrder]:
-        """Returns the orders that move idle borrowed hosts to their home pools."""
+        """Returns the orders that move idle borrowed hosts to where they are needed.
+
+        This is their home pool if it lacks hosts or is a standby pool, or else a
+        standby pool.
+        """
         orders: list[HostOrder] = []
         for host in scheduler.maintenance.hosts_by_id.values():
             if host.pool in self.standby_pools or not self._is_movable(scheduler, host):
@@ -332,7 +493,10 @@
             if demand is None or demand.present <= max(MIN_HOSTS, demand.wanted):
                 continue
             home = self.homes_by_host_id.get(host.host_id)
-            if home is not None and len(orders) < MAX_ORDERS:
+            if home is not None and len(orders) < self._max_orders():
+                home_demand = self.demand_by_pool.get(home)
+                if home_demand is not None and not home_demand.lacks_own():
+                    home = min(self.standby_pools)
                 orders.append(self._order_move(scheduler, host, home, now_ms))
         return orders
 
@@ -351,7 +515,7 @@
             demand = self.demand_by_pool.get(host.pool)
             if demand is None or not demand.can_lend_own():
                 continue
-            if self._is_movable(scheduler, host) and len(orders) < MAX_ORDERS:
+            if len(orders) < self._max_orders() and self._is_movable(scheduler, host):
                 orders.append(self._order_move(scheduler, host, target, now_ms))
         return orders
 
@@ -366,61 +530,3 @@
     # A backend server that has not answered in this term yet is expected to answer
     # soon.
     return backend.reachable or not backend.fenced
-
-
-def _is_still_useful(step: StepState, now_ms: int) -> bool:
-    """Whether a step may still be useful to the caller of its job.
-
-    A job is no longer useful after three times its objective, counted from acceptance.
-    Long-running steps are always useful.
-    """
-    job = step.job
-    span = job.due_ms - job.accepted_ms
-    return step.spec.long_running or now_ms < job.due_ms + 2 * span
-
-
-def _startable_count(step: StepState, left_by_account: dict[str, list[int]]) -> int:
-    """Returns how many waiting tasks of a step the client account's limit allows.
-
-    `left_by_account` holds the unused millicores and memory of each client account;
-    the resources of the counted tasks are subtracted from it.
-    """
-    account, needed = step.job.account, step.spec.resources
-    left = left_by_account.setdefault(
-        account.name,
-        [
-            account.limit.cpu_millicores - account.cpu_millicores,
-            account.limit.memory_mb - account.memory_mb,
-        ],
-    )
-    count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-    if account.limit.cpu_millicores and needed.cpu_millicores:
-        count = max(0, min(count, left[0] // needed.cpu_millicores))
-    if account.limit.memory_mb and needed.memory_mb:
-        count = max(0, min(count, left[1] // needed.memory_mb))
-    left[0] -= count * needed.cpu_millicores
-    left[1] -= count * needed.memory_mb
-    return count
-
-
-def _needed_host_count(backends: list[BackendState], steps: list[StepState]) -> int:
-    """Returns how many hosts the running tasks and those that may start now need."""
-    if not backends:
-        return MIN_HOSTS if steps else 0
-    reports = [backend.report for backend in backends if backend.report]
-    cpu_of_host = sum(r.room.cpu_millicores for r in reports) / len(reports)
-    memory_of_host = sum(r.room.memory_mb for r in reports) / len(reports)
-    cpu = sum(backend.cpu_millicores for backend in backends)
-    memory = sum(backend.memory_mb for backend in backends)
-    left_by_account: dict[str, list[int]] = {}
-    for step in steps:
-        spec = step.spec
-        count = _startable_count(step, left_by_account)
-        cpu += count * occupied_cpu_millicores(spec)
-        memory += count * spec.resources.memory_mb
-    return math.ceil(
-        max(
-            cpu / max(1.0, cpu_of_host * FILL_SHARE),
-            memory / max(1.0, memory_of_host * FILL_SHARE),
-        )
-    )
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -540,6 +540,15 @@
     store_address: str
     metrics_address: str = ""
     hosts_address: str = ""
+    host_orders_per_s: (
+        Annotated[
+            float,
+            Meta(
+                description="Orders about hosts that the platform accepts per second."
+            ),
+        ]
+       
+    ) = 25
     advice_address: str = ""
     min_lease_ms: int = 1000
     processor_share: (
--- a/dandelionknot/jobs/_maintenance.py
+++ b/dandelionknot/jobs/_maintenance.py
@@ -246,7 +246,9 @@
     ) -> None:
         """Cordons as many hosts as necessary for the wave to end in time.
 
-        Hosts with the fewest millicores in use come first.
+        Hosts of pools that lack hosts come last, so that maintenance does not begin
+        in a surge of its own pool. Otherwise, hosts with the fewest millicores in use
+        come first.
         """
         uncordoned_ids = [
             host_id
@@ -263,7 +265,10 @@
             return
         unavailable = self._unavailable_by_pool(wave)
         uncordoned_ids.sort(
-            key=lambda host_id: self._used_millicores(scheduler, host_id)
+            key=lambda host_id: (
+                self._is_of_lacking_pool(scheduler, host_id),
+                self._used_millicores(scheduler, host_id),
+            )
         )
         for host_id in uncordoned_ids:
             host = self.hosts_by_id.get(host_id)
@@ -288,6 +293,11 @@
                 unavailable[host.pool] = unavailable.get(host.pool, 0) + 1
         return unavailable
 
+    def _is_of_lacking_pool(self, scheduler: Scheduler, host_id: str) -> bool:
+        host = self.hosts_by_id.get(host_id)
+        demand = scheduler.capacity.demand_by_pool.get(host.pool) if host else None
+        return demand is not None and demand.lacks_hosts()
+
     def _used_millicores(self, scheduler: Scheduler, host_id: str) -> int:
         backend = self._backend(scheduler, host_id)
         return backend.cpu_millicores if backend else 0
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -155,6 +155,7 @@
         state = new_job_state(job, queue, self.account(job.client_account), accepted_ms)
         _ranking.record_share(state)
         self.jobs_by_id[job.job_id] = state
+        self.capacity.job_accepted(state, _planning.service_of(self, state))
         placed = restore(state, record) if record is not None else []
         if state.final:
             self.ended.append((state.ended_unix_ms, job.job_id))
@@ -467,6 +468,13 @@
         else:
             self.maintenance.order_finished(order, outcome, now_ms)
 
+    def millicores_by_account(self) -> dict[str, int]:
+        """Returns the millicores that each client account may use; 0 is no limit."""
+        return {
+            name: account.limit.cpu_millicores
+            for name, account in self.accounts_by_name.items()
+        }
+
     def wants_host_list(self) -> bool:
         """Whether the scheduler needs the platform's list of hosts."""
         return self.maintenance.active() or self.capacity.active()
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -113,6 +113,7 @@
     def from_ports(cls, ports: LeaderPorts, term: Term) -> 'Leader':
         """Returns the leader of a new term."""
         scheduler = Scheduler(hold_max_ms=ports.settings.timing.hold_max_ms)
+        scheduler.capacity.orders_per_s = ports.settings.host_orders_per_s
         view = View(decode_fact=ports.decode_fact)
         return cls(ports=ports, term=term, scheduler=scheduler, view=view)
 
@@ -179,6 +180,8 @@
         self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
         for report in view.backends_by_id.values():
             self.scheduler.set_backend(report, now)
+        limits_by_account = self.scheduler.millicores_by_account()
+        self.scheduler.capacity.replay_arrivals(limits_by_account, now)
         homes = dict(view.borrowed.homes_by_host_id)
         self.scheduler.capacity.homes_by_host_id = homes
         maintenance = self.scheduler.maintenance
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,7 +12,7 @@
 from dandelionknot._http_connections import HttpConnections
 from dandelionknot.clock import now_ms
 from dandelionknot.events import Event
-from dandelionknot.jobs import _capacity
+from dandelionknot.jobs import _demand
 from dandelionknot.jobs._generated import (
     CallerReply,
     CallerVerdict,
@@ -400,7 +400,8 @@
 class CapacityInputTest(unittest.TestCase):
     def test_a_pool_without_hosts_asks_for_a_few(self):
         """Guards against a division by zero for a pool without backend servers."""
-        self.assertEqual(_capacity._needed_host_count([], [mock.Mock()]), 2)
+        need = _demand.pool_need([], [mock.Mock()], 0.0, 0.0, 0)
+        self.assertEqual((need.in_time, need.late), (2, 0))
 
 
 if __name__ == '__main__':
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -4,92 +4,16 @@
 
 from dandelionknot.jobs._generated import (
     EndReason,
-    Host,
-    HostOrderOutcome,
-    HostsListed,
-    JobConfiguration,
     OrderOutcome,
-    PoolPolicy,
     Queue,
     Resources,
     StepSpec,
 )
-from tests.job_test_bed import SERVICE, FakeBackend, JobTestBed
+from tests.capacity_test_bed import OTHER, SPARE, CapacityTestCase
+from tests.job_test_bed import SERVICE
 
-HALF = Resources(cpu_millicores=16000, memory_mb=1000)
-SPARE = 'spare'
-OTHER = 'calm'
-
-
-class CapacityTest(unittest.TestCase):
-    def setUp(self):
-        self.test_bed = JobTestBed(FakeBackend('b0'), FakeBackend('b1'))
-        self.configure()
-        self.pools = {'b0': SERVICE, 'b1': SERVICE, 's0': SPARE, 's1': SPARE}
-        # Hosts whose move the platform refuses.
-        self.busy: set[str] = set()
-
-    def configure(self):
-        """Applies a configuration with the queue and a standby pool."""
-        self.test_bed.scheduler.set_configuration(
-            JobConfiguration(
-                version=1,
-                queues=[self.test_bed.queue],
-                pools=[PoolPolicy(name=SPARE, standby=True)],
-                client_accounts=self.test_bed.accounts,
-            )
-        )
-
-    def run_rounds(self, rounds, advance_ms=100):
-        """Runs planning rounds, carries out moves and returns them as (host, pool)."""
-        ordered = []
-        for _ in range(rounds):
-            test_bed = self.test_bed
-            test_bed.scheduler.maintenance.hosts_listed(
-                HostsListed(hosts=self.hosts(), sent_ms=test_bed.now_ms + 1)
-            )
-            for command in test_bed.step(advance_ms):
-                if hasattr(command, 'pool') and command.pool:
-                    ordered.append((command.host_id, command.pool))
-                    self.execute(command)
-        return ordered
-
-    def hosts(self):
-        return [
-            Host(
-                host_id=f'm-{name}',
-                pool=pool,
-                state='up',
-                backend_id='' if pool == SPARE else name,
-            )
-            for name, pool in self.pools.items()
-        ]
-
-    def execute(self, order):
-        name = order.host_id.removeprefix('m-')
-        scheduler = self.test_bed.scheduler
-        if name in self.busy:
-            outcome, now_ms = HostOrderOutcome.BUSY, self.test_bed.now_ms
-            scheduler.capacity.order_finished(order, outcome, now_ms)
-            return
-        if name in self.test_bed.backends:
-            scheduler.remove_backend(name)
-            self.test_bed.backends.pop(name)
-        if order.pool != SPARE:
-            backend = FakeBackend(name, service=order.pool)
-            self.test_bed.backends[name] = backend
-            scheduler.set_backend(backend.report(), self.test_bed.now_ms)
-        self.pools[name] = order.pool
-        accepted = HostOrderOutcome.ACCEPTED
-        scheduler.capacity.order_finished(order, accepted, self.test_bed.now_ms)
-
-    def burst(self, count):
-        for number in range(count):
-            self.test_bed.submit(
-                StepSpec(task_count=1, resources=HALF, estimated_ms=60_000),
-                job_id=f'j{number}',
-            )
 
+class CapacityTest(CapacityTestCase):
     def test_a_pool_that_is_too_small_borrows_standby_hosts(self):
         """Guards against a burst of jobs that waits while standby hosts are off."""
         self.run_rounds(2)
@@ -183,15 +107,6 @@
             self.assertNotEqual(target, SPARE)
         self.assertTrue(busy <= set(self.test_bed.backends))
 
-    def add_other_pool(self, hosts):
-        """Adds a pool whose queue has no jobs."""
-        for number in range(hosts):
-            backend = FakeBackend(f'o{number}', service=OTHER)
-            self.test_bed.backends[backend.backend_id] = backend
-            self.pools[backend.backend_id] = OTHER
-            report = backend.report()
-            self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
-
     def test_a_pool_with_a_burst_borrows_idle_hosts_of_other_pools(self):
         """Guards against tasks that wait while hosts of other pools are idle.
 
@@ -227,6 +142,18 @@
         kept = [pool for pool in self.pools.values() if pool == OTHER]
         self.assertEqual(len(kept) + len(in_standby), 8)
 
+    def test_a_lent_host_goes_to_standby_without_a_detour(self):
+        """Guards against two moves of a host that neither pool needs."""
+        self.add_other_pool(8)
+        self.run_rounds(5)
+        self.burst(14)
+        self.run_rounds(30)
+        for backend in self.test_bed.backends.values():
+            for name in list(backend.runs_by_name):
+                backend.end(name, EndReason.DONE)
+        moved = self.run_rounds(200)
+        self.assertNotIn(OTHER, [target for _, target in moved])
+
     def test_idle_hosts_move_to_the_standby_pool_and_come_back(self):
         """Guards against idle hosts that stay on, and cost money, between bursts."""
         self.add_other_pool(8)
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from dandelionknot.jobs._capacity import PoolDemand
 from dandelionknot.jobs._generated import (
     EndReason,
     Host,
@@ -200,6 +201,33 @@
             ordered += self.orders(test_bed)
         self.assertLessEqual(len(ordered), 2)
 
+    def test_hosts_of_a_pool_in_a_surge_come_last(self):
+        """Guards against maintenance that begins with the hosts of a starting surge.
+
+        At the begin of a turn, the hosts of its pool are still idle, so that 43 of them
+        went down in the second in which they were needed.
+        """
+        test_bed = self.wave(count=6, max_down=1)
+        demand = PoolDemand(wanted=9, present=3)
+        test_bed.scheduler.capacity.demand_by_pool[SERVICE] = demand
+        hosts = [
+            Host(
+                host_id=f'm{n}',
+                pool=SERVICE if n < 3 else 'calm',
+                state='up',
+                backend_id=f'b{n}',
+            )
+            for n in range(6)
+        ]
+        listed = HostsListed(hosts=hosts, sent_ms=test_bed.now_ms + 1)
+        maintenance = test_bed.scheduler.maintenance
+        maintenance.hosts_listed(listed)
+        maintenance.waves_by_name['1'].hosts_by_id.clear()
+        ordered = []
+        for _ in range(5):
+            ordered += self.orders(test_bed)
+        self.assertEqual(ordered, ['m3'])
+
     def test_an_order_without_an_answer_counts_as_down(self):
         """Guards against one host too many going down after an answer was lost."""
         test_bed = self.wave(count=9, max_down=1)
