Let a new leader order hosts that the former one did not

Cause: after a change of leader no host moved for the handover time of 3 s, because the new leader did not know about which hosts the former one had given orders. Change: hosts are stored as ordered before an order about them is sent, together with the homes of borrowed hosts; a new leader waits the handover time for these hosts only, and counts them as down in waves. Ruled out: times in the record, since clocks of hosts differ; a shorter handover time, since two holders must not take turns on one host within it. Tests: four in test_jobs_faults.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -7,6 +7,7 @@
 
 from dandelionknot.jobs._generated import (
     BorrowedHosts,
+    HostOrder,
     JobPhase,
     JobRecord,
     StartOrder,
@@ -28,6 +29,9 @@
 # Shortest time between two writes of the counts of waiting jobs. Callers may receive
 # counts that are up to two seconds old.
 WAITING_INTERVAL_MS = 800
+# Time for which an order about a host stays recorded. It covers the handover time after
+# a change of leader and the longest call to the platform.
+ORDER_KEPT_MS = 8000
 # Most waves whose progress is stored with one batch. Each takes two entries.
 MAX_WAVES = 2
 
@@ -45,6 +49,8 @@
     wave_numbers_by_name: dict[str, int] = field(default_factory=dict)
     borrowed: BorrowedHosts | None = None
     waiting: WaitingJobs | None = None
+    # Orders about hosts that may be sent once the hosts are stored as ordered.
+    host_orders: list[HostOrder] = field(default_factory=list)
     deleted_job_ids: list[str] = field(default_factory=list)
 
     def has_writes(self) -> bool:
@@ -98,14 +104,30 @@
             batch.wave_numbers_by_name[name] = wave.wave.number
     scheduler.maintenance.dirty.difference_update(names)
     batch.deleted_job_ids = _take_deletable(scheduler, len(records), now_unix_ms)
-    if scheduler.capacity.dirty:
-        homes = dict(scheduler.capacity.homes_by_host_id)
-        batch.borrowed = BorrowedHosts(homes_by_host_id=homes)
+    if scheduler.capacity.dirty or scheduler.host_orders:
+        batch.borrowed = BorrowedHosts(
+            homes_by_host_id=dict(scheduler.capacity.homes_by_host_id),
+            orders_recorded=True,
+            recently_ordered_host_ids=_recently_ordered(scheduler),
+        )
         scheduler.capacity.dirty = False
+        batch.host_orders, scheduler.host_orders = scheduler.host_orders, []
     batch.waiting = _take_waiting_counts(scheduler, now_unix_ms)
     return batch
 
 
+def _recently_ordered(scheduler: Scheduler) -> list[str]:
+    """Returns the hosts about which this term has given orders recently.
+
+    Earlier orders are forgotten.
+    """
+    ordered = scheduler.ordered_at_ms_by_host_id
+    since_ms = max(ordered.values(), default=0) - ORDER_KEPT_MS
+    for host_id in [host_id for host_id, at_ms in ordered.items() if at_ms < since_ms]:
+        del ordered[host_id]
+    return sorted(ordered)
+
+
 def _take_waiting_counts(scheduler: Scheduler, now_unix_ms: int) -> WaitingJobs | None:
     """Returns the number of waiting jobs of each queue, or None to store none.
 
@@ -159,7 +181,7 @@
         commands.append(_start_command(task, task.backend))
     for backend, number in batch.ends_by_backend:
         backend.stored_end = max(backend.stored_end, number)
-    return commands
+    return [*commands, *batch.host_orders]
 
 
 def _start_command(task: TaskState, backend: BackendState) -> StartTask:
--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -215,11 +215,7 @@
         `steps` holds, for each pool, the steps that have tasks ready to be placed.
         """
         hosts = scheduler.maintenance.hosts_by_id
-        if (
-            not self.active()
-            or not hosts
-            or now_ms < scheduler.maintenance.not_before_ms
-        ):
+        if not self.active() or not hosts:
             return []
         if now_ms - self.planned_ms < PLAN_EVERY_MS:
             return []
@@ -444,6 +440,8 @@
     def _is_movable(self, scheduler: Scheduler, host: Host) -> bool:
         if host.state != UP or host.host_id in self.moves_by_host_id:
             return False
+        if not scheduler.maintenance.may_order(host.host_id, self.planned_ms):
+            return False
         if scheduler.maintenance.is_in_maintenance(host.host_id):
             return False
         if host.availability_zone in scheduler.excluded_zones:
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -448,9 +448,27 @@
 
 class BorrowedHosts(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
-    Stored home pool of each host that another pool has borrowed.
+    Stored home pool of each host that another pool has borrowed, and recent orders.
     """
 
+    orders_recorded: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the leader records the hosts that it gives orders about."
+            ),
+        ]
+       
+    ) = False
+    recently_ordered_host_ids: (
+        Annotated[
+            list[str],
+            Meta(
+                description="Hosts about which an order may have been sent in the last seconds."
+            ),
+        ]
+       
+    ) = field(default_factory=list)
     homes_by_host_id: dict[str, str] = field(default_factory=dict)
 
 
--- a/dandelionknot/jobs/_maintenance.py
+++ b/dandelionknot/jobs/_maintenance.py
@@ -103,9 +103,12 @@
     # Hosts that the latest list shows as down for maintenance. Some of them may have
     # been ordered by a former leader.
     listed_down: set[str] = field(default_factory=set)
-    # Local time before which nothing is ordered, since an order of a former leader may
-    # still be carried out.
+    # Local time before which nothing is ordered about hosts that a former leader may
+    # have given orders about recently. Its orders may still be carried out, and two
+    # leaders must not give orders about one host in turn.
     not_before_ms: int = 0
+    # These hosts; None if the former leader did not record them, so it may be any host.
+    handed_over_host_ids: frozenset[str] | None = None
 
     def set_wave(
         self, name: str, wave: UpkeepWave | None, record: WaveRecord | None, now_ms: int
@@ -137,10 +140,20 @@
                 return True
         return False
 
-    def down_count(self, wave: WaveState) -> int:
+    def may_order(self, host_id: str, now_ms: int) -> bool:
+        """Whether no former leader may have given an order about a host recently."""
+        if now_ms >= self.not_before_ms:
+            return True
+        handed_over = self.handed_over_host_ids
+        return handed_over is not None and host_id not in handed_over
+
+    def down_count(self, wave: WaveState, now_ms: int) -> int:
         """Returns how many hosts of a wave are or may be down for maintenance now."""
-        ordered = {state.host_id for state in wave.hosts_by_id.values() if state.down}
-        return len(ordered | self.listed_down.intersection(wave.wave.host_ids))
+        down = {state.host_id for state in wave.hosts_by_id.values() if state.down}
+        down |= self.listed_down.intersection(wave.wave.host_ids)
+        if now_ms < self.not_before_ms and self.handed_over_host_ids:
+            down |= self.handed_over_host_ids.intersection(wave.wave.host_ids)
+        return len(down)
 
     def hosts_listed(self, listed: HostsListed) -> None:
         """Applies the platform's list of all hosts."""
@@ -191,7 +204,7 @@
         cordoned: set[str] = set()
         orders: list[HostOrder] = []
         for name, wave in self.waves_by_name.items():
-            if not wave.done and self.listed_ms and now_ms >= self.not_before_ms:
+            if not wave.done and self.listed_ms:
                 orders.extend(self._plan_wave(scheduler, name, wave, now_ms))
             cordoned.update(
                 state.host_id
@@ -232,9 +245,9 @@
             state = wave.hosts_by_id.get(host_id)
             if state is None or not state.cordoned_at_ms or state.down:
                 continue
-            if now_ms < state.not_before_ms:
+            if now_ms < state.not_before_ms or not self.may_order(host_id, now_ms):
                 continue
-            if self.down_count(wave) >= wave.wave.max_down:
+            if self.down_count(wave, now_ms) >= wave.wave.max_down:
                 break
             if self._drain_host(scheduler, state, now_ms):
                 state.down = state.order_pending = True
@@ -246,9 +259,9 @@
     ) -> None:
         """Cordons as many hosts as necessary for the wave to end in time.
 
-        Hosts of pools that lack hosts come last, so that maintenance does not begin
-        in a surge of its own pool. Otherwise, hosts with the fewest millicores in use
-        come first.
+        Hosts that cannot be ordered down yet come last, and before them those of pools
+        that lack hosts, so that maintenance does not begin in a surge of its own pool.
+        Otherwise, hosts with the fewest millicores in use come first.
         """
         uncordoned_ids = [
             host_id
@@ -257,7 +270,7 @@
             or not wave.hosts_by_id[host_id].cordoned_at_ms
         ]
         in_maintenance_count = (
-            len(waiting) - len(uncordoned_ids) + self.down_count(wave)
+            len(waiting) - len(uncordoned_ids) + self.down_count(wave, now_ms)
         )
         wanted = _hosts_at_once(wave, len(waiting), now_ms)
         room = min(wanted, wave.wave.max_down) - in_maintenance_count
@@ -266,6 +279,7 @@
         unavailable = self._unavailable_by_pool(wave)
         uncordoned_ids.sort(
             key=lambda host_id: (
+                not self.may_order(host_id, now_ms),
                 self._is_of_lacking_pool(scheduler, host_id),
                 self._used_millicores(scheduler, host_id),
             )
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -43,7 +43,7 @@
     _progress.plan(scheduler, now_ms)
     _pacing.plan(scheduler, now_ms)
     for order in scheduler.maintenance.plan(scheduler, now_ms):
-        scheduler.commands.append(order)
+        scheduler.host_orders.append(order)
         scheduler.note(
             Event.UPKEEP_ORDERED,
             {'host_id': order.host_id, 'wave': order.wave_number},
@@ -67,9 +67,11 @@
             _place_steps(scheduler, steps, backends, now_ms)
     # Tasks that still wait count as demand for more hosts, since the pools have no room
     # for them.
-    scheduler.commands.extend(
+    scheduler.host_orders.extend(
         scheduler.capacity.plan(scheduler, steps_by_service, now_ms)
     )
+    for order in scheduler.host_orders:
+        scheduler.ordered_at_ms_by_host_id[order.host_id] = now_ms
 
 
 def service_of(scheduler: Scheduler, state: JobState) -> str:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -108,6 +108,10 @@
     placed: list[TaskState] = field(default_factory=list)
     # Commands that need no stored record.
     commands: list[Command] = field(default_factory=list)
+    # Orders about hosts that are not part of a batch of records yet.
+    host_orders: list[HostOrder] = field(default_factory=list)
+    # Local time of the last order of this term about each host.
+    ordered_at_ms_by_host_id: dict[str, int] = field(default_factory=dict)
     # End time (Unix, ms) and id of ended jobs, oldest first, until they are deleted.
     ended: deque[tuple[int, str]] = field(default_factory=deque)
     status_kept_ms: int = DEFAULT_STATUS_KEPT_MS
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -185,9 +185,13 @@
         homes = dict(view.borrowed.homes_by_host_id)
         self.scheduler.capacity.homes_by_host_id = homes
         maintenance = self.scheduler.maintenance
-        # The former leader may have sent an order about a host immediately before its
-        # term ended, so orders of this term wait for the handover time.
+        # The former leader may have sent orders immediately before its term ended, so
+        # orders about the same hosts wait for the handover time.
         maintenance.not_before_ms = now + self.ports.settings.timing.duty_handover_ms
+        if view.borrowed.orders_recorded:
+            recent = view.borrowed.recently_ordered_host_ids
+            maintenance.handed_over_host_ids = frozenset(recent)
+            self.scheduler.ordered_at_ms_by_host_id = dict.fromkeys(recent, now)
         for name, wave in view.waves_by_name.items():
             maintenance.set_wave(name, wave, view.wave_records_by_name.get(name), now)
 
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -201,6 +201,52 @@
             ordered += self.orders(test_bed)
         self.assertLessEqual(len(ordered), 2)
 
+    def test_an_order_about_a_host_is_recorded_before_it_is_sent(self):
+        """Guards against a new leader that does not know of an order sent before."""
+        test_bed = self.wave(count=3, max_down=1)
+        test_bed.scheduler.plan(test_bed.now_ms + 100, test_bed.now_ms + 100)
+        commands = test_bed.scheduler.take_commands()
+        self.assertFalse([c for c in commands if isinstance(c, HostOrder)])
+        batch = test_bed.scheduler.take_batch(10, test_bed.now_ms)
+        [order] = batch.host_orders
+        self.assertEqual(batch.borrowed.recently_ordered_host_ids, [order.host_id])
+        self.assertEqual(test_bed.scheduler.confirm(batch), [order])
+
+    def test_a_new_leader_orders_hosts_that_the_former_one_did_not(self):
+        """Guards against a handover in which nothing moves, and against two holders.
+
+        Operators saw hosts stand still for three seconds after each change of leader,
+        at the begin of a turn. Orders of two leaders about one host within the handover
+        time are not allowed.
+        """
+        test_bed = self.wave(count=4, max_down=4)
+        wave = test_bed.scheduler.maintenance.waves_by_name['1'].wave
+        test_bed.new_leader()
+        maintenance = test_bed.scheduler.maintenance
+        maintenance.set_wave('1', wave, None, test_bed.now_ms)
+        maintenance.not_before_ms = test_bed.now_ms + 3000
+        maintenance.handed_over_host_ids = frozenset({'m0', 'm1'})
+        self.list_hosts(test_bed)
+        soon = [host_id for _ in range(20) for host_id in self.orders(test_bed)]
+        self.assertTrue(soon)
+        self.assertFalse({'m0', 'm1'} & set(soon))
+        self.assertFalse(maintenance.may_order('m0', maintenance.not_before_ms - 1))
+        self.assertTrue(maintenance.may_order('m0', maintenance.not_before_ms))
+
+    def test_hosts_of_a_former_leader_count_as_down(self):
+        """Guards against one host too many going down after a change of leader."""
+        test_bed = self.wave(count=4, max_down=1)
+        maintenance = test_bed.scheduler.maintenance
+        maintenance.not_before_ms = test_bed.now_ms + 3000
+        maintenance.handed_over_host_ids = frozenset({'m0'})
+        self.assertEqual(self.orders(test_bed, 1000), [])
+
+    def test_without_a_record_every_order_waits(self):
+        """Guards against trusting a former leader that recorded no orders."""
+        test_bed = self.wave(count=4, max_down=4)
+        test_bed.scheduler.maintenance.not_before_ms = test_bed.now_ms + 3000
+        self.assertEqual(self.orders(test_bed, 1000), [])
+
     def test_hosts_of_a_pool_in_a_surge_come_last(self):
         """Guards against maintenance that begins with the hosts of a starting surge.
 
@@ -239,7 +285,7 @@
             HostOrderOutcome.NO_ANSWER,
             test_bed.now_ms,
         )
-        self.assertEqual(maintenance.down_count(wave), 1)
+        self.assertEqual(maintenance.down_count(wave, test_bed.now_ms), 1)
         self.assertEqual(self.orders(test_bed, 1000), [])
 
     def test_a_host_with_a_task_waits_until_it_has_ended(self):
