Keep idle hosts on until some seconds after the first job

Change: nothing goes to standby before the first job and for STANDBY_AFTER_MS after it. test_idle_hosts_move_to_the_standby_pool_and_come_back guards hosts that stay on between bursts; it now has a first job, and checks the same as before. Ruled out: a longer idle time, since it would keep hosts on between turns as well. Test: test_hosts_are_on_when_traffic_begins, which failed first.

--- a/dandelionknot/jobs/_arrivals.py
+++ b/dandelionknot/jobs/_arrivals.py
@@ -31,10 +31,14 @@
     """Arrivals of the last seconds for each pool."""
 
     by_pool: dict[str, deque[Arrival]] = field(default_factory=dict)
+    # Acceptance time of the first job; None before it.
+    first_ms: int | None = None
 
     def record(self, pool: str, arrival: Arrival) -> None:
         """Adds an accepted job."""
         self.by_pool.setdefault(pool, deque()).append(arrival)
+        if self.first_ms is None or arrival.accepted_ms < self.first_ms:
+            self.first_ms = arrival.accepted_ms
 
     def millicores(
         self, pool: str, limits_by_account: dict[str, int], now_ms: int
--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -531,7 +531,14 @@
     def _order_moves_to_standby(
         self, scheduler: Scheduler, now_ms: int
     ) -> list[HostOrder]:
-        """Returns the orders that move idle hosts beyond the reserve to standby."""
+        """Returns the orders that move idle hosts beyond the reserve to standby.
+
+        None are moved before the first job and some time after it, since it may begin
+        a surge.
+        """
+        first_ms = self.arrivals.first_ms
+        if first_ms is None or now_ms - first_ms < STANDBY_AFTER_MS:
+            return []
         target = min(self.standby_pools)
         orders: list[HostOrder] = []
         for host in scheduler.maintenance.hosts_by_id.values():
--- a/tests/test_jobs_allocation.py
+++ b/tests/test_jobs_allocation.py
@@ -135,6 +135,18 @@
         self.burst(100)
         self.assertGreaterEqual(len(self.run_rounds(4)), 40)
 
+    def test_hosts_are_on_when_traffic_begins(self):
+        """Guards against a first turn that finds the hosts of its pool off.
+
+        In the 16 s before traffic began, 35 of the 48 hosts of the first pool were
+        moved to the standby pool.
+        """
+        self.add_other_pool(8)
+        self.assertEqual(self.run_rounds(160), [])
+        self.burst(20)
+        moved = self.run_rounds(10)
+        self.assertEqual({target for _, target in moved}, {SERVICE})
+
     def test_late_jobs_do_not_keep_the_hosts_of_the_next_turn(self):
         """Guards against a backlog that holds all hosts when the next turn begins."""
         queues = [
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -157,6 +157,8 @@
     def test_idle_hosts_move_to_the_standby_pool_and_come_back(self):
         """Guards against idle hosts that stay on, and cost money, between bursts."""
         self.add_other_pool(8)
+        self.run_rounds(2)
+        self.burst(1)
         self.run_rounds(100)
         kept = [pool for pool in self.pools.values() if pool == OTHER]
         self.assertEqual(len(kept), 4)
