--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -26,6 +25,13 @@
     HostOrderOutcome,
 )
 from dandelionknot.jobs._maintenance import evict_if_allowed
+from dandelionknot.jobs._pools import (
+    PREDICTED_RESERVE_SHARE,
+    RESERVE_SHARE,
+    Move,
+    PoolDemand,
+    hosts_to_empty,
+)
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -42,13 +48,9 @@
 # Idle time after which a host of one pool may be lent to another.
 LEND_AFTER_MS = 400
 # Idle time after which a borrowed host is returned to its home pool.
-RETURN_AFTER_MS = 3000
+RETURN_AFTER_MS = 5000
 # Idle time after which a host that belongs to its pool is moved to a standby pool.
-STANDBY_AFTER_MS = 4000
-# Share of its own hosts that a pool keeps as a reserve beyond its demand. Surges that
-# are predicted need less of it, since their hosts are moved before they begin.
-RESERVE_SHARE = 0.5
-PREDICTED_RESERVE_SHARE = 0.15
+STANDBY_AFTER_MS = 5000
 # A pool drains borrowed hosts only while this many hosts beyond its demand remain.
 DRAIN_RESERVE = 1
 # Most borrowed hosts that one pool drains at the same time.
@@ -70,57 +72,6 @@
 UP = 'up'
 
 
-@dataclass(slots=True)
-class PoolDemand:
-    """How many hosts a pool needs now, and how many it has."""
-
-    # Hosts that the division of all hosts grants the pool.
-    wanted: int = 0
-    # Hosts in the pool that can run tasks.
-    present: int = 0
-    # Hosts that were ordered to the pool and have not arrived.
-    arriving: int = 0
-    # Hosts whose home is the pool, including those that it has lent.
-    own: int = 0
-    # Demand of a surge that is about to begin; 0 if none is predicted.
-    predicted_millicores: float = 0.0
-    # Hosts needed by tasks that could end in time and for which no host has room.
-    unplaced: int = 0
-    reserve_share: float = RESERVE_SHARE
-    # Whether the last round logged that the pool lacks hosts, and a prediction for it.
-    logged_lacking: bool = False
-    logged_prediction: bool = False
-
-    def can_lend_own(self) -> bool:
-        """Whether the pool has enough hosts to lend one that belongs to it.
-
-        It keeps the hosts that it needs now and its reserve, and at least `MIN_HOSTS`.
-        """
-        return self.present > self._kept()
-
-    def lacks_own(self) -> bool:
-        """Whether the pool should get back a host that it has lent."""
-        return self.present + self.arriving < self._kept()
-
-    def lacks_hosts(self) -> bool:
-        """Whether the division grants the pool more hosts than it has."""
-        return self.wanted > self.present
-
-    def _kept(self) -> int:
-        reserve = math.ceil(self.reserve_share * self.own)
-        return max(MIN_HOSTS, self.wanted + reserve)
-
-
-@dataclass(slots=True)
-class Move:
-    """A move of a host to another pool that was ordered and is not finished."""
-
-    host_id: str
-    source: str
-    target: str
-    ordered_at_ms: int
-
-
 @dataclass(slots=True)
 class Capacity:
     """State of the pools and of the moves between them in one leadership term."""
@@ -141,7 +92,7 @@
     # Borrowed hosts that are drained so that they can be returned.
     draining_host_ids: set[str] = field(default_factory=set)
     # Hosts on which nothing is started, since another pool is granted them.
-    freeing_host_ids: set[str] = field(default_factory=set)
+    emptying_host_ids: set[str] = field(default_factory=set)
     # Local time until which no move of a host is ordered, since its last one was
     # refused.
     refused_until_by_host_id: dict[str, int] = field(default_factory=dict)
@@ -224,7 +175,13 @@
         self._update_demand(scheduler, steps, now_ms)
         orders = self._order_moves_to_needy(scheduler, now_ms)
         self._drain_borrowed(scheduler)
-        self._drain_for_needy(scheduler)
+        self.emptying_host_ids = hosts_to_empty(
+            hosts.values(),
+            scheduler.backends_by_id,
+            self.demand_by_pool,
+            self.moves_by_host_id.keys(),
+            self.emptying_host_ids,
+        )
         self._log_changes(scheduler)
         if not orders:
             orders = self._order_moves_home(scheduler, now_ms)
@@ -236,7 +193,7 @@
                 backend.moving = (
                     host_id in self.moves_by_host_id
                     or host_id in self.draining_host_ids
-                    or host_id in self.freeing_host_ids
+                    or host_id in self.emptying_host_ids
                 )
                 backend.borrowed = host_id in self.homes_by_host_id
         return orders
@@ -404,39 +361,6 @@
             return demand.present > max(MIN_HOSTS, demand.wanted)
         return demand.can_lend_own()
 
-    def _drain_for_needy(self, scheduler: Scheduler) -> None:
-        """Stops starts on hosts that are granted to other pools, so that they empty.
-
-        Hosts that are drained already come first, then those with the fewest millicores
-        in use. Hosts with long-running tasks are not drained.
-        """
-        lacking = sum(
-            max(0, demand.wanted - demand.present - demand.arriving)
-            for demand in self.demand_by_pool.values()
-        )
-        if not lacking:
-            self.freeing_host_ids.clear()
-            return
-        found = []
-        for host in scheduler.maintenance.hosts_by_id.values():
-            backend = scheduler.backends_by_id.get(host.backend_id)
-            if backend is None or host.host_id in self.moves_by_host_id:
-                continue
-            if any(t.step.spec.long_running for t in backend.tasks_by_name.values()):
-                continue
-            first = host.host_id not in self.freeing_host_ids
-            found.append((first, backend.cpu_millicores, host.host_id, host.pool))
-        found.sort()
-        self.freeing_host_ids.clear()
-        spare_by_pool = {
-            pool: demand.present - max(MIN_HOSTS, demand.wanted)
-            for pool, demand in self.demand_by_pool.items()
-        }
-        for _, _, host_id, pool in found:
-            if len(self.freeing_host_ids) < lacking and spare_by_pool.get(pool, 0) > 0:
-                spare_by_pool[pool] -= 1
-                self.freeing_host_ids.add(host_id)
-
     def _is_movable(self, scheduler: Scheduler, host: Host) -> bool:
         if host.state != UP or host.host_id in self.moves_by_host_id:
             return False
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from dandelionknot.jobs._capacity import PoolDemand
 from dandelionknot.jobs._generated import (
     EndReason,
     Host,
@@ -17,6 +16,7 @@
     UpkeepWave,
 )
 from dandelionknot.jobs._pacing import _next_pace_percent
+from dandelionknot.jobs._pools import PoolDemand
 from tests.job_test_bed import SERVICE, FakeBackend, JobTestBed
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
