Give hosts to tasks that fit beside no long-running one

Change: tasks that no host can take even when its short tasks have ended count as hosts beyond those present; for late jobs one host at a time. Pools are planned in sorted order: the order of a set made the case depend on the hash seed.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -240,7 +240,7 @@
         for backend in scheduler.backends_by_id.values():
             if backend.report is not None and _can_serve(scheduler, backend):
                 used.setdefault(backend.report.service, []).append(backend)
-        for pool in used.keys() | steps.keys():
+        for pool in sorted(used.keys() | steps.keys()):
             if pool in self.standby_pools:
                 continue
             demand = self.demand_by_pool.setdefault(pool, PoolDemand())
--- a/dandelionknot/jobs/_demand.py
+++ b/dandelionknot/jobs/_demand.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dandelionknot.jobs import _ranking
 from dandelionknot.jobs._allocation import PoolNeed
-from dandelionknot.jobs._generated import StepSpec
+from dandelionknot.jobs._generated import Resources, StepSpec
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -48,6 +48,33 @@
     return count
 
 
+def _room_beside_long_running(backend: BackendState) -> Resources:
+    """Returns what a host has left when all but its long-running tasks have ended."""
+    if backend.report is None:
+        return Resources()
+    room = backend.report.room
+    specs = [
+        task.step.spec
+        for task in backend.tasks_by_name.values()
+        if task.step.spec.long_running
+    ]
+    return Resources(
+        cpu_millicores=room.cpu_millicores
+        - sum(occupied_cpu_millicores(spec) for spec in specs),
+        memory_mb=room.memory_mb - sum(spec.resources.memory_mb for spec in specs),
+        accelerators=room.accelerators
+        - sum(spec.resources.accelerators for spec in specs),
+    )
+
+
+def _fits(spec: StepSpec, room: Resources) -> bool:
+    return (
+        occupied_cpu_millicores(spec) <= room.cpu_millicores
+        and spec.resources.memory_mb <= room.memory_mb
+        and spec.resources.accelerators <= room.accelerators
+    )
+
+
 def pool_need(
     backends: list[BackendState],
     steps: list[StepState],
@@ -63,9 +90,38 @@
     if not backends:
         count = MIN_HOSTS if steps or expected_millicores else 0
         return PoolNeed(in_time=count, unplaced=count)
-    in_time, late = _Amounts(cpu_millicores=expected_millicores), _Amounts()
-    running, unplaced = _Amounts(), _Amounts()
-    left_by_account: dict[str, list[int]] = {}
+    work = _work_of(backends, steps, now_ms)
+    reports = [backend.report for backend in backends if backend.report]
+    size = _Amounts(
+        sum(report.room.cpu_millicores for report in reports) / len(reports),
+        sum(report.room.memory_mb for report in reports) / len(reports),
+    )
+    in_time = _Amounts(
+        max(work.in_time.cpu_millicores, expected_millicores), work.in_time.memory_mb
+    )
+    needed = in_time.host_count(size)
+    blocked = work.blocked.host_count(size, fill_share=1.0)
+    if blocked:
+        needed = max(needed, len(backends) + blocked)
+    all_needed = max(needed, in_time.plus(work.late).host_count(size))
+    if work.is_late_blocked:
+        # One host at a time suffices for jobs that are late anyway.
+        all_needed = max(all_needed, len(backends) + 1)
+    predicted = _Amounts(predicted_millicores).host_count(size)
+    return PoolNeed(
+        in_time=needed,
+        predicted=max(0, predicted - needed),
+        late=all_needed - needed,
+        minimum=MIN_HOSTS,
+        unplaced=work.unplaced.host_count(size, fill_share=1.0),
+    )
+
+
+def _work_of(
+    backends: list[BackendState], steps: list[StepState], now_ms: int
+) -> _Work:
+    """Sorts the tasks that run or may start by whether their jobs can end in time."""
+    work = _Work()
     tiers_by_job_id: dict[str, int] = {}
 
     def tier_of(state: JobState) -> int:
@@ -77,32 +133,43 @@
     for backend in backends:
         for task in backend.tasks_by_name.values():
             is_late = tier_of(task.step.job) >= _ranking.LATE
-            (late if is_late else running).add(task.step.spec, 1)
+            (work.late if is_late else work.in_time).add(task.step.spec, 1)
+    rooms = [_room_beside_long_running(backend) for backend in backends]
+    left_by_account: dict[str, list[int]] = {}
     for step in steps:
-        tier = tier_of(step.job)
-        if tier < _ranking.NO_LONGER_USEFUL:
-            count = _startable_count(step, left_by_account)
+        count = _startable_count(step, left_by_account)
+        is_blocked = count > 0 and not any(_fits(step.spec, room) for room in rooms)
+        work.add_startable(step.spec, count, tier_of(step.job), is_blocked)
+    return work
+
+
+@dataclass(slots=True)
+class _Work:
+    """What the tasks of a pool occupy, by what they are for."""
+
+    # Running and startable tasks of jobs that can end in time, and of late ones.
+    in_time: _Amounts = field(default_factory=lambda: _Amounts())
+    late: _Amounts = field(default_factory=lambda: _Amounts())
+    # Startable tasks of jobs that can end in time.
+    unplaced: _Amounts = field(default_factory=lambda: _Amounts())
+    # Those that no host of the pool can take even when its short tasks have ended.
+    blocked: _Amounts = field(default_factory=lambda: _Amounts())
+    # Whether this holds for a task of a job that cannot end in time.
+    is_late_blocked: bool = False
+
+    def add_startable(
+        self, spec: StepSpec, count: int, tier: int, is_blocked: bool
+    ) -> None:
+        """Adds startable tasks of a step."""
+        if tier >= _ranking.LATE:
+            self.is_late_blocked = self.is_late_blocked or is_blocked
             if tier == _ranking.LATE:
-                late.add(step.spec, count)
-            else:
-                running.add(step.spec, count)
-                unplaced.add(step.spec, count)
-    in_time.raise_to(running)
-    reports = [backend.report for backend in backends if backend.report]
-    cpu_of_host = sum(r.room.cpu_millicores for r in reports) / len(reports)
-    memory_of_host = sum(r.room.memory_mb for r in reports) / len(reports)
-    all_work = _Amounts(
-        in_time.cpu_millicores + late.cpu_millicores, in_time.memory_mb + late.memory_mb
-    )
-    needed = in_time.host_count(cpu_of_host, memory_of_host)
-    predicted = _Amounts(predicted_millicores).host_count(cpu_of_host, memory_of_host)
-    return PoolNeed(
-        in_time=needed,
-        predicted=max(0, predicted - needed),
-        late=all_work.host_count(cpu_of_host, memory_of_host) - needed,
-        minimum=MIN_HOSTS,
-        unplaced=unplaced.host_count(cpu_of_host, memory_of_host, fill_share=1.0),
-    )
+                self.late.add(spec, count)
+            return
+        self.in_time.add(spec, count)
+        self.unplaced.add(spec, count)
+        if is_blocked:
+            self.blocked.add(spec, count)
 
 
 @dataclass(slots=True)
@@ -117,21 +184,17 @@
         self.cpu_millicores += count * occupied_cpu_millicores(spec)
         self.memory_mb += count * spec.resources.memory_mb
 
-    def raise_to(self, other: _Amounts) -> None:
-        """Raises each amount to the other one if that is higher."""
-        self.cpu_millicores = max(self.cpu_millicores, other.cpu_millicores)
-        self.memory_mb = max(self.memory_mb, other.memory_mb)
-
-    def host_count(
-        self,
-        cpu_of_host: float,
-        memory_of_host: float,
-        fill_share: float = FILL_SHARE,
-    ) -> int:
-        """Returns how many hosts of a size are needed for the amounts."""
+    def plus(self, other: _Amounts) -> _Amounts:
+        """Returns the sum of both amounts."""
+        return _Amounts(
+            self.cpu_millicores + other.cpu_millicores, self.memory_mb + other.memory_mb
+        )
+
+    def host_count(self, size: _Amounts, fill_share: float = FILL_SHARE) -> int:
+        """Returns how many hosts of a size are needed, filled up to a share."""
         return math.ceil(
             max(
-                self.cpu_millicores / max(1.0, cpu_of_host * fill_share),
-                self.memory_mb / max(1.0, memory_of_host * fill_share),
+                self.cpu_millicores / max(1.0, size.cpu_millicores * fill_share),
+                self.memory_mb / max(1.0, size.memory_mb * fill_share),
             )
         )
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -86,6 +86,40 @@
         self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
         self.assertEqual(len(self.test_bed.running()['long.0.0.0']), 1)
 
+    def occupy_with_long_running_tasks(self):
+        """Puts a small long-running task on each host of the pool."""
+        self.run_rounds(2)
+        small = Resources(cpu_millicores=100, memory_mb=1)
+        self.test_bed.submit(
+            StepSpec(task_count=2, resources=small, long_running=True), job_id='long'
+        )
+        self.run_rounds(3)
+
+    def test_a_task_that_fits_beside_no_long_running_one_gets_a_host(self):
+        """Guards against a task that waits for ever, although hosts are idle.
+
+        The pool has room for it in total, but each of its hosts runs a small task that
+        never ends. Found by the fuzz test, seed 314.
+        """
+        self.occupy_with_long_running_tasks()
+        whole = Resources(cpu_millicores=32_000, memory_mb=1000)
+        self.test_bed.submit(
+            StepSpec(task_count=1, resources=whole, estimated_ms=60_000), job_id='large'
+        )
+        self.run_rounds(20)
+        self.assertIn('large.0.0.0', self.test_bed.running())
+
+    def test_a_large_task_of_a_job_that_is_late_gets_a_host(self):
+        """Guards against an accepted job that is never run since it is late."""
+        self.occupy_with_long_running_tasks()
+        whole = Resources(cpu_millicores=32_000, memory_mb=1000)
+        self.test_bed.submit(
+            StepSpec(task_count=1, resources=whole, estimated_ms=100), job_id='large'
+        )
+        self.test_bed.now_ms += 60_000
+        self.run_rounds(20)
+        self.assertIn('large.0.0.0', self.test_bed.running())
+
     def test_the_homes_of_borrowed_hosts_are_stored(self):
         """Guards against hosts that stay borrowed after a change of leader."""
         self.run_rounds(2)
