Compare the division with the best of all small ones

Test only: each level of the needs is met as well as by any other division, up to the first level that is not met whole, whose hosts are shared equally. A first form that compared the levels after that one failed by a tie between two pools of the same need.

--- a/tests/test_jobs_allocation.py
+++ b/tests/test_jobs_allocation.py
@@ -1,5 +1,6 @@
 """Loads for which hosts are divided among pools: turns, bursts, and too few hosts."""
 
+import itertools
 import unittest
 
 from hypothesis import given, strategies
@@ -84,6 +85,56 @@
                 self.assertLessEqual(granted[pool], floor)
 
 
+SMALL_COUNTS = strategies.integers(0, 3)
+SMALL_NEEDS = strategies.builds(
+    PoolNeed,
+    in_time=SMALL_COUNTS,
+    predicted=SMALL_COUNTS,
+    late=SMALL_COUNTS,
+    minimum=strategies.integers(0, 2),
+)
+
+
+def steps_of(need):
+    """Returns the hosts up to which each level of a need reaches."""
+    in_time = max(need.in_time, min(need.minimum, need.all()))
+    predicted = max(in_time, need.in_time + need.predicted)
+    return min(need.minimum, need.all()), in_time, predicted, need.all()
+
+
+def met_by_level(needs, granted):
+    """Returns how many hosts meet each level of the needs, in order of the levels.
+
+    Ends with the first level that is not met whole. Which pools get its hosts is a
+    matter of equal shares, not of the levels after it.
+    """
+    met = []
+    for level in range(4):
+        steps = [steps_of(need)[level] for need in needs]
+        met.append(sum(map(min, granted, steps)))
+        if met[-1] < sum(steps):
+            break
+    return tuple(met)
+
+
+class OptimumTest(unittest.TestCase):
+    @given(total=strategies.integers(0, 8), needs=strategies.tuples(*[SMALL_NEEDS] * 3))
+    def test_no_other_division_serves_a_level_better(self, total, needs):
+        """Guards against a division that serves late jobs before those in time.
+
+        The yardstick is the best of all divisions, tried one by one.
+        """
+        pools = 'abc'
+        granted = divide(total, dict(zip(pools, needs, strict=True)))
+        met = met_by_level(needs, [granted[pool] for pool in pools])
+        best = max(
+            met_by_level(needs, counts)
+            for counts in itertools.product(range(total + 1), repeat=len(pools))
+            if sum(counts) <= total
+        )
+        self.assertEqual(met, best)
+
+
 class ArrivalTest(unittest.TestCase):
     def millicores(self, times_ms, work=1000.0 * 1000, limits=None):
         """Returns the estimate at 10 s for jobs that were accepted at given times."""
