--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -233,8 +233,8 @@
         for demand in self.demand_by_pool.values():
             demand.wanted = demand.present = demand.arriving = demand.own = 0
         limits_by_account = scheduler.millicores_by_account()
-        is_regular = self.turns.period_ms() > 0
-        reserve_share = PREDICTED_RESERVE_SHARE if is_regular else RESERVE_SHARE
+        period_ms = self.turns.period_ms()
+        reserve_share = PREDICTED_RESERVE_SHARE if period_ms else RESERVE_SHARE
         needs_by_pool: dict[str, PoolNeed] = {}
         used: dict[str, list[BackendState]] = {}
         for backend in scheduler.backends_by_id.values():
@@ -249,7 +249,9 @@
             waiting = steps.get(pool, [])
             expected = self.arrivals.millicores(pool, limits_by_account, now_ms)
             self.turns.observe(pool, expected, now_ms)
-            demand.predicted_millicores = self.turns.predicted_millicores(pool, now_ms)
+            demand.predicted_millicores = self.turns.predicted_millicores(
+                pool, period_ms, now_ms
+            )
             need = pool_need(
                 backends, waiting, expected, demand.predicted_millicores, now_ms
             )
@@ -309,16 +311,19 @@
         tasks that wait and still lack a host.
         """
         orders: list[HostOrder] = []
+        most = self._max_orders()
         hosts = self._lendable_hosts(scheduler, now_ms)
         for use_reserves in (False, True):
             for pool, demand in sorted(
                 self.demand_by_pool.items(),
                 key=lambda item: item[1].present - item[1].wanted,
             ):
+                if demand.wanted <= demand.present + demand.arriving:
+                    continue
                 left = []
                 for host in hosts:
                     if (
-                        len(orders) < self._max_orders()
+                        len(orders) < most
                         and demand.wanted > demand.present + demand.arriving
                         and host.pool != pool
                         and (demand.unplaced > demand.arriving or not use_reserves)
--- a/dandelionknot/jobs/_turns.py
+++ b/dandelionknot/jobs/_turns.py
@@ -59,10 +59,12 @@
             surges.append(Surge(now_ms, millicores, millicores))
             del surges[:-MAX_KEPT]
 
-    def predicted_millicores(self, pool: str, now_ms: int) -> float:
-        """Returns the demand of a surge that is about to begin, or 0."""
+    def predicted_millicores(self, pool: str, period_ms: int, now_ms: int) -> float:
+        """Returns the demand of a surge that is about to begin, or 0.
+
+        `period_ms` is the value of `period_ms()`, which is the same for all pools.
+        """
         surges = self.surges_by_pool.get(pool)
-        period_ms = self.period_ms()
         if not surges or not surges[-1].ended or not period_ms:
             return 0.0
         due_ms = surges[-1].began_ms + period_ms
--- a/measure/scheduler_cost.py
+++ b/measure/scheduler_cost.py
@@ -1,8 +1,9 @@
 """Measures the processor time of the job scheduler's decisions at several sizes.
 
 Run `python -m measure.scheduler_cost`. For each row, all backend servers are filled
-with running tasks. Then a planning round, the handling of one report of a backend
-server and the encoding of one job record are timed.
+with running tasks. Then a planning round, such a round with the division of the hosts
+among the pools, the handling of one report of a backend server and the encoding of one
+job record are timed.
 """
 
 import time
@@ -14,6 +15,8 @@
     BackendReport,
     ClientAccount,
     HoldReport,
+    Host,
+    HostsListed,
     Job,
     JobConfiguration,
     JobSpec,
@@ -28,6 +31,7 @@
 from dandelionknot.jobs._scheduler import Scheduler
 
 ROUNDS = 20
+STANDBY_POOL = 'standby'
 TASKS_PER_BACKEND = 8
 NOW_MS = 1_000_000
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -96,9 +100,21 @@
             )
     for i in range(size.waiting_jobs):
         _submit(scheduler, size, f'w{i}', i, TASKS_PER_BACKEND)
+    hosts = [
+        Host(host_id=f'm{i}', pool=f's{i % size.pools}', state='up', backend_id=f'b{i}')
+        for i in range(size.backends)
+    ]
+    scheduler.maintenance.hosts_listed(HostsListed(hosts=hosts, sent_ms=NOW_MS))
     return scheduler
 
 
+def plan_with_division(scheduler: Scheduler) -> None:
+    """Runs a planning round that also divides the hosts, as every 200 ms."""
+    scheduler.capacity.standby_pools = frozenset({STANDBY_POOL})
+    scheduler.capacity.planned_ms = 0
+    scheduler.plan(NOW_MS, NOW_MS)
+
+
 def _submit(
     scheduler: Scheduler, size: Size, job_id: str, index: int, tasks: int
 ) -> None:
@@ -127,7 +143,7 @@
 
 
 def measure(size: Size) -> list[float]:
-    """Returns the times of a planning round, a report and a record, in microseconds."""
+    """Returns the times in microseconds, in the order of the table's columns."""
     scheduler = filled_scheduler(size)
     backend = scheduler.backends_by_id['b0']
     report = HoldReport(
@@ -142,6 +158,7 @@
     state = scheduler.jobs_by_id['r0']
     return [
         timed_us(lambda: scheduler.plan(NOW_MS, NOW_MS)),
+        timed_us(lambda: plan_with_division(scheduler)),
         timed_us(
             lambda: scheduler.hold_answered(backend, report, NOW_MS, NOW_MS, NOW_MS),
             ROUNDS * 50,
@@ -152,8 +169,11 @@
 
 def main() -> None:
     """Prints the measurements as a Markdown table."""
-    print('| hosts / pools / teams / waiting | plan, us | report, us | record, us |')
-    print('| --- | ---: | ---: | ---: |')
+    print(
+        '| hosts / pools / teams / waiting | plan, us | with division, us '
+        '| report, us | record, us |'
+    )
+    print('| --- | ---: | ---: | ---: | ---: |')
     for size in SIZES:
         name = f'{size.backends} / {size.pools} / {size.accounts} / {size.waiting_jobs}'
         cells = ' | '.join(f'{value:.0f}' for value in measure(size))
--- a/tests/test_jobs_turns.py
+++ b/tests/test_jobs_turns.py
@@ -25,7 +25,7 @@
         predictions = []
         for now_ms in range(0, until_ms, STEP_MS):
             for pool in POOLS:
-                predicted = turns.predicted_millicores(pool, now_ms)
+                predicted = turns.predicted_millicores(pool, turns.period_ms(), now_ms)
                 if predicted:
                     predictions.append((now_ms, pool, predicted))
                 turns.observe(pool, load(pool, now_ms), now_ms)
