--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -173,7 +173,7 @@
         self.planned_ms = now_ms
         self._drop_finished_moves(hosts, now_ms)
         self._update_demand(scheduler, steps, now_ms)
-        orders = self._order_moves_to_needy(scheduler, now_ms)
+        orders = self._order_moves_to_lacking_pools(scheduler, now_ms)
         self._drain_borrowed(scheduler)
         self.emptying_host_ids = hosts_to_empty(
             hosts.values(),
@@ -302,7 +302,7 @@
         rate = self.orders_per_s * MOVE_ORDERS_SHARE
         return max(1, int(rate * PLAN_EVERY_MS / 1000))
 
-    def _order_moves_to_needy(
+    def _order_moves_to_lacking_pools(
         self, scheduler: Scheduler, now_ms: int
     ) -> list[HostOrder]:
         """Returns the orders that move hosts to the pools that lack some.
--- a/dandelionknot/jobs/_turns.py
+++ b/dandelionknot/jobs/_turns.py
@@ -49,7 +49,7 @@
     surges_by_pool: dict[str, list[Surge]] = field(default_factory=dict)
 
     def observe(self, pool: str, millicores: float, now_ms: int) -> None:
-        """Takes note of the estimated demand of a pool."""
+        """Records the estimated demand of a pool."""
         surges = self.surges_by_pool.setdefault(pool, [])
         if surges and not surges[-1].ended:
             _continue_surge(surges[-1], millicores, now_ms)
--- a/tests/test_jobs_capacity_fuzz.py
+++ b/tests/test_jobs_capacity_fuzz.py
@@ -121,7 +121,7 @@
         return 'upkeep' if name in self.in_maintenance else 'moving'
 
     def carry_out(self, order):
-        """Takes a host down and ends its tasks; it returns later."""
+        """Ends the tasks of a host, which is up again later."""
         name = order.host_id.removeprefix('m-')
         if name in self.back_at_ms:
             return
