--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -48,9 +48,9 @@
 # Idle time after which a host of one pool may be lent to another.
 LEND_AFTER_MS = 400
 # Idle time after which a borrowed host is returned to its home pool.
-RETURN_AFTER_MS = 5000
+RETURN_AFTER_MS = 3000
 # Idle time after which a host that belongs to its pool is moved to a standby pool.
-STANDBY_AFTER_MS = 5000
+STANDBY_AFTER_MS = 4000
 # A pool drains borrowed hosts only while this many hosts beyond its demand remain.
 DRAIN_RESERVE = 1
 # Most borrowed hosts that one pool drains at the same time.
