Start no task again because its row in a report is malformed

Cause, found in reading the diff: since malformed rows are left out, a task whose row is malformed counted as missing after two reports and was started elsewhere, while it ran or after it had done its work. Change: a report says whether rows were left out; after such a report, tasks that the backend server does not list stay assigned for the rest of its lifetime, until their lease lapses or the lifetime ends. Ruled out: refusing the whole report, since its other tasks would lose their lease. Test: failed first (run 2 instead of 1).

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -218,6 +218,13 @@
     clock_ms: int
     running: list[RunningTask]
     ended: list[EndedTask]
+    complete: (
+        Annotated[
+            bool,
+            Meta(description="Whether no row of the lists was malformed and left out."),
+        ]
+       
+    ) = True
     born_ms: int = 0
 
 
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -63,7 +63,9 @@
     running = {row.task_name: row for row in report.running}
     for row in report.running:
         _apply_running(scheduler, backend, row, sent_ms, now_ms)
-    if len(report.ended) < MAX_ENDS_LISTED:
+    if not report.complete:
+        backend.lists_incomplete = True
+    if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
         _requeue_missing(scheduler, backend, running, sent_ms)
 
 
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -163,6 +163,9 @@
     acknowledged_end: int = 0
     # Ends up to this number are stored, or need no record.
     stored_end: int = 0
+    # A report had malformed rows. A run that is not listed may still be running, or may
+    # have done its task.
+    lists_incomplete: bool = False
     avoid_until_ms: int = 0
     consecutive_failures: int = 0
     failed_job_ids: set[str] = field(default_factory=set)
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -257,7 +257,11 @@
     ended, more_problems = convert_rows(wire.finished, _ended)
     ended.sort(key=lambda end: end.number)
     report = HoldReport(
-        clock_ms=wire.clock_ms, born_ms=wire.born, running=running, ended=ended
+        clock_ms=wire.clock_ms,
+        born_ms=wire.born,
+        running=running,
+        ended=ended,
+        complete=not (problems or more_problems),
     )
     return report, problems + more_problems
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -88,6 +88,25 @@
         test_bed.scheduler.hold_answered(state, report, now, now, now)
         test_bed.scheduler.plan(now, now)
 
+    def test_a_task_whose_row_is_malformed_is_not_started_again(self):
+        """Guards against a second run of a task that runs, or has done its work."""
+        backend = FakeBackend('b1')
+        test_bed = JobTestBed(backend, FakeBackend('b2'))
+        test_bed.submit(_decode.decode_job_spec(step(cpu=500)).unwrap().steps[0])
+        for _ in range(3):
+            test_bed.step()
+        [name] = test_bed.running()
+        [place] = test_bed.running()[name]
+        state = test_bed.scheduler.backends_by_id[place]
+        lists = WireLists(clock_ms=1, born=1, running=[[name, 'one', '', 40]])
+        malformed, _ = _decode.convert_hold_report(lists)
+        empty = msgspec.structs.replace(malformed, complete=True)
+        for report in (malformed, malformed, empty, empty, empty):
+            now = test_bed.now_ms = test_bed.now_ms + 1000
+            test_bed.scheduler.hold_answered(state, report, now, now, now)
+            test_bed.scheduler.plan(now, now)
+        self.assertEqual(state.tasks_by_name[name].run, 1)
+
     def test_a_malformed_row_is_named(self):
         """Guards against a backend server whose faulty rows nobody learns of."""
         lists = WireLists(clock_ms=1, running=[['a.0.0.0', 'one', '', 40]])
