--- a/dandelionknot/jobs/_maintenance.py
+++ b/dandelionknot/jobs/_maintenance.py
@@ -25,12 +25,11 @@
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
 
-# Expected time from the cordon of an empty host until it is listed as up again, used to
-# pace a wave. If hosts take longer, the wave falls behind and takes more at once.
-CYCLE_MS = 3500
+# Expected time from the cordon of a host until it is up again, used to pace a wave.
+CYCLE_MS = 6000
 # A wave is planned to end within this share of its time limit. The rest is a margin for
 # delays.
-PACE_SHARE = 0.65
+PACE_SHARE = 0.6
 # Largest share of a pool's hosts that is cordoned or down for maintenance at a time.
 MAX_POOL_SHARE = 0.34
 # Time after the cordon for which a host waits for its tasks to end. Tasks that still
