Log which runs began shortly before a backend server was lost

Callers saw late and missing answers while server after server crashed. The logs could not separate the hypotheses: 'host unreachable' only counted tasks, and lines of starts are dropped in a surge.

'backend lost' names the runs that had begun shortly before the last sign of life, and how long the server lived after the last start. Records hold the time of each placement, so that a new leader can tell the same about a server that it never reached.

No decision changes.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -89,6 +89,7 @@
     BACKEND_AVOIDED = 8205
     BACKEND_ANSWER_MALFORMED = 8206
     BACKEND_ENTRY_IGNORED = 8207
+    BACKEND_LOST = 8208
     RECORDS_NOT_STORED = 8206
     ZONES_EXCLUDED = 8301
     WAVE_ADVANCED = 8302
@@ -374,6 +375,12 @@
         'A backend server gets no starts for `for_ms` because of `reason`.',
         'Check the host if it happens again.',
     ),
+    Event.BACKEND_LOST: EventInfo(
+        WARNING,
+        'A backend server with running tasks was lost. `recent_tasks` had begun on it '
+        'shortly before, and one of them may have crashed it.',
+        'Check the host, or the named tasks if it happens again with them.',
+    ),
     Event.RECORDS_NOT_STORED: EventInfo(
         WARNING,
         'The store did not accept records; no task is started until a retry succeeds.',
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -93,6 +93,10 @@
        
     ) = field(default_factory=list)
     checkpoint: str = ""
+    placed_unix_ms: (
+        Annotated[int, Meta(description="Time at which the latest run was placed.")]
+       
+    ) = 0
 
 
 class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -215,6 +215,8 @@
     task.start_sent = False
     task.percent = 0
     task.reading = 0.0
+    task.placed_unix_ms = scheduler.planned_unix_ms
+    task.started_at_ms = scheduler.planned_ms
     assign(task, backend)
     state = task.step.job
     state.started = True
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -138,6 +138,7 @@
         born_ms=task.born_ms,
         failed_runs=task.failed_runs,
         checkpoint=task.checkpoint,
+        placed_unix_ms=task.placed_unix_ms,
     )
 
 
@@ -163,6 +164,7 @@
         task.run = stored.run
         task.failed_runs = list(stored.failed_runs)
         task.checkpoint = stored.checkpoint
+        task.placed_unix_ms = stored.placed_unix_ms
         if stored.phase == TaskPhase.PLACED:
             placed.append((task, stored))
     return placed
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -47,7 +47,8 @@
         return
     backend.fenced = True
     backend.lapses_at_ms = None
-    backend.last_contact_ms = now_ms
+    backend.last_contact_ms = backend.last_sign_ms = now_ms
+    backend.recent_runs_by_name = None
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -13,6 +13,7 @@
 from dandelionknot.events import Event
 from dandelionknot.jobs import (
     _batches,
+    _crashes,
     _ends,
     _planning,
     _ranking,
@@ -114,8 +115,9 @@
     ordered_at_ms_by_host_id: dict[str, int] = field(default_factory=dict)
     # Time (Unix, ms) at which the record of these orders was last put into a batch.
     orders_stored_unix_ms: int = 0
-    # Local time of the last planning round.
+    # Local and Unix time of the last planning round.
     planned_ms: int = 0
+    planned_unix_ms: int = 0
     # End time (Unix, ms) and id of ended jobs, oldest first, until they are deleted.
     ended: deque[tuple[int, str]] = field(default_factory=deque)
     status_kept_ms: int = DEFAULT_STATUS_KEPT_MS
@@ -178,6 +180,7 @@
                 True,
                 True,
             )
+            task.started_at_ms = now_ms - max(0, unix_ms - stored.placed_unix_ms)
             assign(task, backend)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
@@ -240,6 +243,7 @@
         elif backend.report is None or backend.report.draining != report.draining:
             if report.draining:
                 self.note(Event.BACKEND_DRAINING, _backend_fields(backend, report))
+        backend.leaving = report.draining
         backend.born_ms = report.born_ms or backend.born_ms
         backend.report = report
 
@@ -277,6 +281,7 @@
 
     def requeue_tasks(self, backend: BackendState, reason: str) -> None:
         """Requeues all tasks of a backend server on which none runs any more."""
+        _crashes.backend_lost(self, backend, reason)
         for task in list(backend.tasks_by_name.values()):
             self.requeue(task, reason)
 
@@ -328,14 +333,22 @@
         _reports.apply(self, backend, report, sent_ms, now_ms, unix_ms)
 
     def contact_lost(
-        self, backend: BackendState, outcome: OrderOutcome, lapses_at_ms: int
+        self,
+        backend: BackendState,
+        outcome: OrderOutcome,
+        lapses_at_ms: int,
+        now_ms: int | None = None,
     ) -> None:
         """Records that a backend server gave no usable answer.
 
         Its tasks have ended by the local time `lapses_at_ms` unless contact is
-        regained.
+        regained. `now_ms` is the time of the last planning round if it is left out.
         """
         backend.lapses_at_ms = lapses_at_ms
+        if backend.reachable:
+            _crashes.contact_lost(
+                backend, self.planned_ms if now_ms is None else now_ms
+            )
         if outcome is OrderOutcome.FENCED:
             self.lost_leadership = True
         elif outcome is OrderOutcome.OTHER_LIFETIME:
@@ -349,6 +362,7 @@
                     'backend_id': backend.backend_id,
                     'outcome': outcome.value,
                     'tasks': len(backend.tasks_by_name),
+                    'recent_starts': len(_crashes.recent_runs(backend)),
                 },
             )
         backend.reachable = False
@@ -369,6 +383,7 @@
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
             task.confirmed_at_ms = task.progressed_at_ms = now
+            task.started_at_ms = backend.last_sign_ms = now
             self._log_started(task, backend, outcome, now)
             return
         job_id = task.step.job.job.job_id
@@ -546,7 +561,7 @@
         It requeues the tasks of expired leases, places waiting tasks and plans moves
         and maintenance of hosts.
         """
-        self.planned_ms = now_ms
+        self.planned_ms, self.planned_unix_ms = now_ms, unix_ms
         _planning.plan(self, now_ms, unix_ms)
 
     def take_batch(self, limit: int, now_unix_ms: int) -> Batch:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -46,6 +46,11 @@
     # Placed by a former leader, and not reported to this leader yet.
     unconfirmed: bool = False
     confirmed_at_ms: int = 0
+    # Time (Unix, ms) at which the run was placed. It is stored.
+    placed_unix_ms: int = 0
+    # Local time at which the start of the run was accepted; until then, and for a run
+    # of a former leader, the time at which it was placed.
+    started_at_ms: int = 0
     # Number of successive reports that did not list the run.
     missing_reports: int = 0
     # The task is not placed before this local time.
@@ -182,6 +187,14 @@
     # other hosts are better for long-running tasks.
     maintenance_due: bool = False
     last_contact_ms: int = 0
+    # Local time of the last report or accepted start.
+    last_sign_ms: int = 0
+    # Local time at which contact was lost, and the runs by task name that had begun
+    # shortly before; None while there is contact.
+    lost_at_ms: int = 0
+    recent_runs_by_name: dict[str, int] | None = None
+    # It has announced that it leaves.
+    leaving: bool = False
     full_until_ms: int = 0
     # Earliest local time at which a draining backend server leaves; 0 if it stays.
     leaves_at_ms: int = 0
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -296,7 +296,7 @@
             case HoldAnswered(sent_ms=sent, received_ms=received, report=report):
                 scheduler.hold_answered(backend, report, sent, received, unix_ms())
             case ContactLost(outcome=outcome, lapses_at_ms=lapses_at_ms):
-                scheduler.contact_lost(backend, outcome, lapses_at_ms)
+                scheduler.contact_lost(backend, outcome, lapses_at_ms, now_ms())
             case StartFinished(task_name=name, run=run, outcome=outcome):
                 scheduler.start_finished(backend, name, run, outcome, now_ms())
             case StopFinished(task_name=name, run=run):
