--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -27,6 +27,9 @@
 from dandelionknot.jobs._scheduler import Scheduler
 
 HOLD_MAX_MS = 6000
+# Time after a crash until a backend server is back, and until its lease has expired.
+RESTART_MS = 3000
+LEASE_MS = 3600
 SERVICE = 'quotes'
 
 
@@ -36,6 +39,7 @@
 
     run: int
     percent: int = 0
+    started_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -60,6 +64,8 @@
     next_end: int = 1
     # Task name and run number of each start.
     started: list[tuple[str, int]] = field(default_factory=list)
+    # Time at which it is back after a crash; 0 while it is up.
+    down_until_ms: int = 0
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
@@ -124,6 +130,7 @@
 
     def restart(self) -> None:
         """Begins a new lifetime without any state of the former one."""
+        self.down_until_ms = 0
         self.born_ms += 1000
         self.runs_by_name.clear()
         self.barred_by_name.clear()
@@ -143,6 +150,11 @@
         self.backends = {backend.backend_id: backend for backend in backends}
         self.jobs: dict[str, Job] = {}
         self.records: dict = {}
+        # Tasks that crash each backend server on which they start, or once they have
+        # run for the given time.
+        self.crash_after_ms_by_name: dict[str, int] = {}
+        # Time, task and lost tasks of each crash by a task.
+        self.crashes: list[tuple[int, str, list[str]]] = []
         self.scheduler = self.new_leader()
 
     def new_leader(self) -> Scheduler:
@@ -183,7 +195,7 @@
     def hold(self, backend: FakeBackend) -> None:
         """Passes a backend server's report to the scheduler if the server answers."""
         state = self.scheduler.backends_by_id.get(backend.backend_id)
-        if state is None or backend.unresponsive:
+        if state is None or backend.unresponsive or backend.down_until_ms:
             return
         self.scheduler.hold_answered(
             state, backend.hold_report(), self.now_ms, self.now_ms, self.now_ms
@@ -197,6 +209,8 @@
         Returns the commands.
         """
         self.now_ms += advance_ms
+        for backend in self.backends.values():
+            self._crash_or_restart(backend)
         for backend in self.backends.values():
             self.hold(backend)
         self.scheduler.plan(self.now_ms, self.now_ms)
@@ -221,8 +235,11 @@
         if isinstance(command, StartTask):
             order = command.order
             outcome = OrderOutcome.NOT_SENT
-            if not backend.unresponsive:
+            if not backend.unresponsive and not backend.down_until_ms:
                 outcome = backend.start(order.task_name, order.run)
+                started = backend.runs_by_name.get(order.task_name)
+                if started is not None and not started.started_ms:
+                    started.started_ms = self.now_ms
             self.scheduler.start_finished(
                 state, order.task_name, order.run, outcome, self.now_ms
             )
@@ -232,6 +249,36 @@
                 state, command.task_name, command.run, self.now_ms
             )
 
+    def _crash_or_restart(self, backend: FakeBackend) -> None:
+        """Crashes a backend server under a task, or starts it again after a crash."""
+        for name, run in backend.runs_by_name.items():
+            after_ms = self.crash_after_ms_by_name.get(name)
+            if after_ms is not None and self.now_ms - run.started_ms >= after_ms:
+                others = [other for other in backend.runs_by_name if other != name]
+                self.crashes.append((self.now_ms, name, others))
+                self.lose(backend)
+                return
+        if backend.down_until_ms and self.now_ms >= backend.down_until_ms:
+            backend.restart()
+            self.scheduler.set_backend(backend.report(), self.now_ms)
+
+    def lose(self, backend: FakeBackend) -> None:
+        """Ends the lifetime of a backend server, which breaks its connections."""
+        backend.runs_by_name.clear()
+        backend.down_until_ms = self.now_ms + RESTART_MS
+        state = self.scheduler.backends_by_id.get(backend.backend_id)
+        if state is not None:
+            self.scheduler.contact_lost(
+                state, OrderOutcome.NO_ANSWER, self.now_ms + LEASE_MS, self.now_ms
+            )
+
+    def finish_after(self, duration_ms: int, spared: tuple[str, ...] = ()) -> None:
+        """Ends as done all runs that have lasted long enough."""
+        for backend in self.backends.values():
+            for name, run in list(backend.runs_by_name.items()):
+                if self.now_ms - run.started_ms >= duration_ms and name not in spared:
+                    backend.end(name, EndReason.DONE)
+
     def running(self) -> dict[str, list[str]]:
         """Returns the ids of the backend servers on which each task runs."""
         places: dict[str, list[str]] = {}
