Run tasks suspected of crashing their backend servers alone, and give up the guilty

Cause: the leader did not connect the loss of a host with the start just before it (a poison task, retried without a limit and beside others); records did not hold crashes; copies of speculative tasks carried the fault on at once.

Change: tasks with a start within 150 ms before the last sign of life of a lost host are suspected. They start only on a host that runs nothing else, and are cleared once they have outlived their crashed runs. A task under which a second host crashes while it runs alone is given up, and its job has failed with a reason. Losses of many hosts at once are an outage and make nobody suspected; an end or a run that a host reports later withdraws the crash. A task that crashes hosts long after its start is suspected at its third crash. Records hold all of it, so a new leader continues. While a task waits for its verdict, nothing else of its job is started.

Ruled out: to give up a task after its second crash beside others (innocent tasks of a busy host have that too); to start the suspects of one crash on different busy hosts; a shorter lease (a cut-off host runs on).

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -82,6 +82,11 @@
     TASK_STOPPED = 8108
     ORPHAN_STOPPED = 8109
     TASK_PACED = 8110
+    TASK_SUSPECTED = 8111
+    TASK_ISOLATED = 8112
+    TASK_CLEARED = 8113
+    TASK_GIVEN_UP = 8114
+    CRASH_WITHDRAWN = 8115
     BACKEND_APPEARED = 8201
     BACKEND_DRAINING = 8202
     BACKEND_GONE = 8203
@@ -356,6 +361,29 @@
         'A backend server was ordered to run a task at another share of full speed.',
         NO_ACTION,
     ),
+    Event.TASK_SUSPECTED: EventInfo(
+        WARNING,
+        'A task may have crashed its backend server. It is only started alone, until '
+        'it is cleared or given up.',
+        NO_ACTION,
+    ),
+    Event.TASK_ISOLATED: EventInfo(
+        INFO, 'A suspected task was placed alone on a backend server.', NO_ACTION
+    ),
+    Event.TASK_CLEARED: EventInfo(
+        INFO, 'A task is not suspected any more, for `reason`.', NO_ACTION
+    ),
+    Event.TASK_GIVEN_UP: EventInfo(
+        WARNING,
+        'A task crashed backend servers on which it ran alone; its job has failed.',
+        'Tell the client account; the task has a fault that ends the process.',
+    ),
+    Event.CRASH_WITHDRAWN: EventInfo(
+        INFO,
+        'A backend server that was taken for crashed reports a run of that time, so '
+        'only contact was lost.',
+        NO_ACTION,
+    ),
     Event.BACKEND_APPEARED: EventInfo(
         INFO, 'A backend server has registered.', NO_ACTION
     ),
--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -287,7 +287,7 @@
     def _update_idle_times(self, scheduler: Scheduler, now_ms: int) -> None:
         for host_id, host in scheduler.maintenance.hosts_by_id.items():
             backend = scheduler.backends_by_id.get(host.backend_id)
-            if backend is not None and not backend.tasks_by_name:
+            if backend is not None and _is_empty(backend):
                 self.idle_since_by_host_id.setdefault(host_id, now_ms)
             else:
                 self.idle_since_by_host_id.pop(host_id, None)
@@ -382,7 +382,7 @@
         backend = scheduler.backends_by_id.get(host.backend_id)
         if backend is None or backend.report is None or backend.report.draining:
             return False
-        return backend.reachable and not backend.tasks_by_name
+        return backend.reachable and _is_empty(backend)
 
     def _order_move(
         self, scheduler: Scheduler, host: Host, pool: str, now_ms: int
@@ -484,6 +484,11 @@
         return orders
 
 
+def _is_empty(backend: BackendState) -> bool:
+    """Whether a backend server runs nothing and is not reserved for a suspect."""
+    return not backend.tasks_by_name and not backend.reserved_at_ms
+
+
 def _can_serve(scheduler: Scheduler, backend: BackendState) -> bool:
     """Whether a backend server can run tasks now, or is expected to soon."""
     report = backend.report
--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -2,15 +2,25 @@
 
 A backend server that is lost tells nothing about the cause. What counts is which runs
 began shortly before its last sign of life: a task that crashes its backend server does
-so as it starts.
+so as it starts. Such tasks are suspected and run alone until they have survived
+(`_isolation`). A task under which a backend server crashes again while it runs alone is
+given up, since its next start would only cost another backend server.
+
+Losses of many backend servers at once are outages, such as a rack without power or a
+network cut, and no evidence against the tasks that happened to start. An end or a run
+that a lost backend server reports later shows that it had not crashed.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs._state import BackendState, TaskPhase, TaskState
+from dandelionknot.jobs import _ends
+from dandelionknot.jobs._generated import JobPhase
+from dandelionknot.jobs._state import BackendState, JobState, TaskPhase, TaskState
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
@@ -18,10 +28,49 @@
 # A run began shortly before the loss of its backend server if its start was accepted
 # within this time before the last sign of life.
 RECENT_START_MS = 150
+# A task is suspected of crashes long after its start once this many backend servers
+# have crashed under it.
+SHARED_CRASHES_LIMIT = 3
+# A task is given up after this many crashes while it ran alone, or after one such crash
+# and this many crashes in all.
+CRASHES_ALONE_LIMIT = 2
+CRASHES_LIMIT = 5
+# A suspected task is cleared once it has run this much longer than any earlier run of
+# it lasted until the crash. The second number limits that time.
+SURVIVAL_MARGIN_MS = 250
+MAX_SURVIVAL_MS = 10_000
+# Time after a loss of contact in which a backend server may still show that it has not
+# crashed, before its task is given up.
+RETURN_MS = 7000
+# Losses of contact within these times belong together. Connections that break at once
+# tell the time of the loss exactly. Otherwise, a call has to time out first.
+TOGETHER_BROKEN_MS = 500
+TOGETHER_SILENT_MS = 1700
+# Losses that belong together are an outage from this number and this share of all
+# backend servers on, or if connections do not break, from this share of a rack on.
+OUTAGE_COUNT = 4
+OUTAGE_SHARE = 0.2
+OUTAGE_RACK_SHARE = 0.5
+# Time for which losses are kept for comparison with later ones.
+LOSSES_KEPT_MS = 15_000
+# Most crashed runs that are stored for a task.
+MAX_STORED_CRASHES = 16
 # Most tasks that one log line names.
 MAX_NAMES_LOGGED = 5
 
 
+@dataclass(slots=True, frozen=True)
+class Loss:
+    """A loss of contact with a backend server."""
+
+    backend_id: str
+    born_ms: int
+    rack: str
+    lost_at_ms: int
+    # Jobs of which a run had begun shortly before.
+    recent_job_ids: frozenset[str]
+
+
 def started_runs(backend: BackendState) -> list[TaskState]:
     """Returns the tasks whose runs a backend server has begun or may have begun."""
     return [task for task in backend.tasks_by_name.values() if task.start_sent]
@@ -40,29 +89,52 @@
     return [
         task
         for task in started
-        if task.phase is TaskPhase.PLACED
+        if (task.phase is TaskPhase.PLACED and not task.unconfirmed)
         or task.started_at_ms >= last_sign_ms - RECENT_START_MS
     ]
 
 
-def contact_lost(backend: BackendState, now_ms: int) -> None:
+def recent_runs(backend: BackendState) -> list[TaskState]:
+    """Returns the tasks with a recent start when contact was lost, or now without it.
+
+    Tasks that have been placed again since then are left out.
+    """
+    recorded = backend.recent_runs_by_name
+    if recorded is None:
+        return recent_starts(backend)
+    return [
+        task for task in started_runs(backend) if recorded.get(task.name) == task.run
+    ]
+
+
+def contact_lost(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
     """Records when contact was lost, and which runs had begun shortly before."""
+    recent = recent_starts(backend)
     backend.lost_at_ms = now_ms
-    backend.recent_runs_by_name = {
-        task.name: task.run for task in recent_starts(backend)
-    }
+    backend.recent_runs_by_name = {task.name: task.run for task in recent}
+    losses = scheduler.losses
+    while losses and losses[0].lost_at_ms < now_ms - LOSSES_KEPT_MS:
+        losses.popleft()
+    job_ids = frozenset(task.step.job.job.job_id for task in recent)
+    losses.append(
+        Loss(backend.backend_id, backend.born_ms, backend.rack, now_ms, job_ids)
+    )
 
 
-def backend_lost(scheduler: Scheduler, backend: BackendState, reason: str) -> None:
-    """Records that no run of a lifetime of a backend server continues.
+def backend_lost(
+    scheduler: Scheduler, backend: BackendState, reason: str, certain: bool
+) -> None:
+    """Records that the runs of a lifetime of a backend server do not continue.
 
-    `reason` says how that is known. It is called before the runs are requeued. A
-    backend server that was leaving, or whose host was ordered away, has not crashed.
+    It is called before they are requeued. `certain` is false if nothing but the end of
+    the lease shows it, so the backend server may only be cut off. A backend server that
+    was leaving, or whose host was ordered away, has not crashed.
     """
     started = started_runs(backend)
     if backend.ending or backend.leaving or not started:
         return
     recent = recent_runs(backend)
+    outage = is_outage(scheduler, backend)
     last_start_ms = max(task.started_at_ms for task in started)
     scheduler.note(
         Event.BACKEND_LOST,
@@ -70,22 +142,215 @@
             'backend_id': backend.backend_id,
             'reason': reason,
             'tasks': len(started),
+            'outage': outage,
             'recent_starts': len(recent),
             'recent_tasks': [task.name for task in recent[:MAX_NAMES_LOGGED]],
             'alive_after_last_start_ms': max(0, backend.last_sign_ms - last_start_ms),
             'lost_after_last_start_ms': max(0, backend.lost_at_ms - last_start_ms),
         },
     )
+    recent_names = {task.name for task in recent}
+    for task in started:
+        _record_crash(
+            scheduler, backend, task, task.name in recent_names, outage, certain
+        )
 
 
-def recent_runs(backend: BackendState) -> list[TaskState]:
-    """Returns the tasks with a recent start when contact was lost, or now without it.
+def copy_requeued(scheduler: Scheduler, backend: BackendState, task: TaskState) -> None:
+    """Records a possible crash of which a copy of a task must not wait for proof."""
+    recent = (backend.recent_runs_by_name or {}).get(task.name) == task.run
+    outage = is_outage(scheduler, backend)
+    if recent and not (outage or backend.ending or backend.leaving):
+        _record_crash(scheduler, backend, task, recent, outage, certain=False)
 
-    Tasks that have been placed again since then are left out.
+
+def _record_crash(
+    scheduler: Scheduler,
+    backend: BackendState,
+    task: TaskState,
+    recent: bool,
+    outage: bool,
+    certain: bool,
+) -> None:
+    """Adds a crash to the history of a task, which may become suspected by it."""
+    if task.step.job.final or task.phase is TaskPhase.DONE:
+        return
+    task.crashed_runs = [*task.crashed_runs, task.run][-MAX_STORED_CRASHES:]
+    lived_ms = max(0, backend.last_sign_ms - task.started_at_ms)
+    task.crash_age_ms = max(task.crash_age_ms, min(lived_ms, MAX_SURVIVAL_MS))
+    if task.isolated and not outage:
+        task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
+        if not certain:
+            lost_at_ms = backend.lost_at_ms or scheduler.planned_ms
+            task.verdict_not_before_ms = lost_at_ms + RETURN_MS
+    count = len(task.crashed_runs)
+    if (
+        task.suspected
+        or count >= SHARED_CRASHES_LIMIT
+        or (recent and (not outage or count > 1))
+    ):
+        task.suspected = True
+        scheduler.suspects_by_name[task.name] = task
+        _note(scheduler, Event.TASK_SUSPECTED, task, backend_id=backend.backend_id)
+    scheduler.mark_dirty(task.step.job)
+
+
+def is_outage(scheduler: Scheduler, backend: BackendState) -> bool:
+    """Whether so many other backend servers were lost together that no task did it.
+
+    It is none if one job had a recent start on each of them.
     """
-    recorded = backend.recent_runs_by_name
-    if recorded is None:
-        return recent_starts(backend)
-    return [
-        task for task in started_runs(backend) if recorded.get(task.name) == task.run
+    hosts = [state for state in scheduler.backends_by_id.values() if state.report]
+    if backend.recent_runs_by_name is None:
+        # Never reached in this term: compared with all others that were not either.
+        together = [state for state in hosts if not state.fenced]
+        racks = [state.rack for state in together if state is not backend]
+        return _is_large(len(racks) + 1, len(hosts)) or _is_rack(
+            backend.rack, racks, hosts
+        )
+    last_start_ms = max((t.started_at_ms for t in recent_runs(backend)), default=0)
+    is_broken = backend.lost_at_ms - last_start_ms <= RECENT_START_MS
+    window_ms = TOGETHER_BROKEN_MS if is_broken else TOGETHER_SILENT_MS
+    losses = {
+        (loss.backend_id, loss.born_ms): loss
+        for loss in scheduler.losses
+        if abs(loss.lost_at_ms - backend.lost_at_ms) <= window_ms
+    }
+    if len(losses) > 1 and frozenset.intersection(
+        *(loss.recent_job_ids for loss in losses.values())
+    ):
+        return False
+    losses.pop((backend.backend_id, backend.born_ms), None)
+    racks = [loss.rack for loss in losses.values()]
+    if _is_large(len(racks) + 1, len(hosts)):
+        return True
+    return not is_broken and _is_rack(backend.rack, racks, hosts)
+
+
+def _is_large(lost: int, total: int) -> bool:
+    return lost >= max(OUTAGE_COUNT, OUTAGE_SHARE * total)
+
+
+def _is_rack(rack: str, lost_racks: list[str], hosts: list[BackendState]) -> bool:
+    """Whether a large part of a rack was lost, and not only one host of it."""
+    lost = 1 + lost_racks.count(rack)
+    in_rack = sum(host.rack == rack for host in hosts)
+    return bool(rack) and lost > 1 and lost >= OUTAGE_RACK_SHARE * in_rack
+
+
+def is_guilty(task: TaskState) -> bool:
+    """Whether the crashes under a task leave no other explanation than the task."""
+    alone = len(task.crashed_alone_runs)
+    return alone >= CRASHES_ALONE_LIMIT or (
+        alone > 0 and len(task.crashed_runs) >= CRASHES_LIMIT
+    )
+
+
+def restored(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
+    """Takes over the suspected tasks of a job from its stored record."""
+    for task in _tasks_of(state):
+        if task.suspected and task.phase is not TaskPhase.DONE:
+            scheduler.suspects_by_name[task.name] = task
+            if is_guilty(task):
+                task.verdict_not_before_ms = now_ms + RETURN_MS
+
+
+def _tasks_of(state: JobState) -> Iterable[TaskState]:
+    for steps in state.steps_by_occurrence.values():
+        for step in steps:
+            yield from step.tasks
+
+
+def plan(scheduler: Scheduler, now_ms: int, unix_ms: int) -> None:
+    """Gives up the tasks that are guilty, and forgets those that have ended."""
+    for name, task in list(scheduler.suspects_by_name.items()):
+        state = task.step.job
+        if state.final or task.phase is TaskPhase.DONE or not task.suspected:
+            del scheduler.suspects_by_name[name]
+        elif task.phase is TaskPhase.WAITING and is_guilty(task):
+            if now_ms < task.verdict_not_before_ms:
+                continue
+            _note(scheduler, Event.TASK_GIVEN_UP, task)
+            state.end_reason = (
+                f'task {name} was given up: {len(task.crashed_runs)} backend servers '
+                f'crashed under it, {len(task.crashed_alone_runs)} of them while it '
+                'ran alone'
+            )
+            _ends.end_job(scheduler, state, JobPhase.FAILED, unix_ms)
+
+
+def withheld_job_ids(scheduler: Scheduler) -> frozenset[str]:
+    """Returns the jobs of which nothing else is started, as they may be given up."""
+    return frozenset(
+        task.step.job.job.job_id
+        for task in scheduler.suspects_by_name.values()
+        if task.crashed_alone_runs
+    )
+
+
+def run_survives(scheduler: Scheduler, task: TaskState, now_ms: int) -> None:
+    """Applies a report that lists the run of a suspected task as running."""
+    if now_ms - task.started_at_ms >= task.crash_age_ms + SURVIVAL_MARGIN_MS:
+        _clear(scheduler, task, 'it has outlived all its crashed runs')
+
+
+def run_ended(
+    scheduler: Scheduler, backend: BackendState, task: TaskState, run: int, own: bool
+) -> None:
+    """Applies the end of a run; `own` if the task and not an order ended it."""
+    withdraw_crash(scheduler, backend, task, run)
+    if task.suspected and own:
+        _clear(scheduler, task, 'its run has ended and the backend server lives')
+
+
+def withdraw_crash(
+    scheduler: Scheduler, backend: BackendState, task: TaskState, run: int
+) -> None:
+    """Removes a crash that did not happen, since the backend server reports the run."""
+    if run not in task.crashed_runs or task.step.job.final:
+        return
+    task.crashed_runs = [number for number in task.crashed_runs if number != run]
+    task.crashed_alone_runs = [
+        number for number in task.crashed_alone_runs if number != run
     ]
+    scheduler.note(
+        Event.CRASH_WITHDRAWN,
+        {
+            'job_id': task.step.job.job.job_id,
+            'task': task.name,
+            'run': run,
+            'backend_id': backend.backend_id,
+            'crashes': len(task.crashed_runs),
+        },
+    )
+    if task.suspected and not task.crashed_runs:
+        _clear(scheduler, task, 'contact with the backend server was only lost')
+    scheduler.mark_dirty(task.step.job)
+
+
+def _clear(scheduler: Scheduler, task: TaskState, reason: str) -> None:
+    """Ends the suspicion against a task and opens its host to other tasks."""
+    task.suspected = False
+    scheduler.suspects_by_name.pop(task.name, None)
+    members = task.step.tasks if task.step.spec.gang else [task]
+    if not any(member.suspected for member in members):
+        for member in members:
+            if member.isolated and member.backend is not None:
+                member.backend.isolated_tasks -= 1
+            member.isolated = False
+    _note(scheduler, Event.TASK_CLEARED, task, reason=reason)
+    scheduler.mark_dirty(task.step.job)
+
+
+def _note(scheduler: Scheduler, event: Event, task: TaskState, **fields: str) -> None:
+    scheduler.note(
+        event,
+        {
+            'job_id': task.step.job.job.job_id,
+            'task': task.name,
+            'run': task.run,
+            'crashes': len(task.crashed_runs),
+            'crashes_alone': len(task.crashed_alone_runs),
+            **fields,
+        },
+    )
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -165,6 +165,7 @@
             'client_account': state.job.client_account,
             'job_age_ms': unix_ms - state.job.accepted_unix_ms,
             'objective_ms': state.due_ms - state.accepted_ms,
+            **({'reason': state.end_reason} if state.end_reason else {}),
         },
     )
     for steps in state.steps_by_occurrence.values():
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -97,6 +97,31 @@
         Annotated[int, Meta(description="Time at which the latest run was placed.")]
        
     ) = 0
+    crashed_runs: (
+        Annotated[
+            list[int],
+            Meta(description="Numbers of runs under which a backend server crashed."),
+        ]
+       
+    ) = field(default_factory=list)
+    crashed_alone_runs: (
+        Annotated[list[int], Meta(description="Those of them that ran alone.")]
+       
+    ) = field(default_factory=list)
+    crash_age_ms: (
+        Annotated[
+            int, Meta(description="Longest time from the start of a run to the crash.")
+        ]
+       
+    ) = 0
+    suspected: (
+        Annotated[bool, Meta(description="Whether the task may only be started alone.")]
+       
+    ) = False
+    isolated: (
+        Annotated[bool, Meta(description="Whether the placed run was started alone.")]
+       
+    ) = False
 
 
 class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -106,6 +131,13 @@
 
     phase: JobPhase
     ended_unix_ms: int = 0
+    reason: (
+        Annotated[
+            str,
+            Meta(description="Why the job has failed, if no end of a run shows it."),
+        ]
+       
+    ) = ""
     done: list[str] = field(default_factory=list)
     tasks_by_name: dict[str, TaskRecord] = field(default_factory=dict)
 
@@ -319,6 +351,13 @@
     """
 
     expected: bool
+    report_soon: (
+        Annotated[
+            bool,
+            Meta(description="Whether the next report is wanted soon after a start."),
+        ]
+       
+    ) = False
 
 
 class HoldAnswered(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- /dev/null
+++ b/dandelionknot/jobs/_isolation.py
@@ -0,0 +1,249 @@
+"""Runs suspected tasks alone, so that a crash shows the guilty one and costs no other.
+
+A suspected task starts on a backend server that runs nothing else, and nothing else
+starts there until the task is cleared or its run has ended. If none is empty, one is
+reserved: it gets no further starts and becomes empty as its tasks end.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dandelionknot.events import Event
+from dandelionknot.jobs import _crashes, _placement
+from dandelionknot.jobs._generated import Resources, StepSpec
+from dandelionknot.jobs._maintenance import evict_if_allowed
+from dandelionknot.jobs._state import (
+    BackendState,
+    StepState,
+    TaskPhase,
+    TaskState,
+    occupied_cpu_millicores,
+)
+
+if TYPE_CHECKING:
+    from dandelionknot.jobs._scheduler import Scheduler
+
+# Largest share of the backend servers of a service that run suspected tasks at a time.
+# One is always possible.
+ISOLATION_SHARE = 0.34
+# A reserved backend server on which only long-running tasks are left is used beside
+# them after this time, since their steps may not allow that they are stopped.
+LONG_RUNNING_WAIT_MS = 2000
+
+Allowed = Callable[[StepState, list[BackendState]], list[BackendState]]
+Place = Callable[[TaskState, BackendState, int], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Unit:
+    """What runs alone together: a suspected task, or all tasks of a suspected gang."""
+
+    step: StepState
+    tasks: list[TaskState]
+
+    @property
+    def has_crashed_alone(self) -> bool:
+        """Whether a backend server has crashed under it while it ran alone."""
+        return any(task.crashed_alone_runs for task in self.tasks)
+
+    @property
+    def crashes(self) -> int:
+        """Number of crashes under the task with the most of them."""
+        return max(len(task.crashed_runs) for task in self.tasks)
+
+
+def place_suspects(
+    scheduler: Scheduler,
+    steps: list[StepState],
+    backends: list[BackendState],
+    now_ms: int,
+    allowed: Allowed,
+    place: Place,
+) -> list[BackendState]:
+    """Places suspected tasks of a service alone on its usable backend servers.
+
+    `allowed` returns on which of some backend servers a step may run, and `place`
+    places a task with a run number. Returns the backend servers that are left for other
+    tasks.
+    """
+    units = _waiting_units(steps, now_ms)
+    if not units:
+        return _without_reserved(backends, 0)
+    in_use, down = _isolation_counts(scheduler, steps)
+    limit = max(1, int((len(backends) + in_use + down) * ISOLATION_SHARE))
+    unplaced: list[Unit] = []
+    for unit in sorted(units, key=lambda unit: (unit.has_crashed_alone, unit.crashes)):
+        # Backend servers that are down because of a unit count only against units that
+        # are nearly certain to crash the next one.
+        used = in_use + (down if unit.has_crashed_alone else 0)
+        if used >= limit and not unit.step.spec.gang:
+            continue
+        placed = _place_unit(scheduler, unit, backends, now_ms, allowed, place)
+        if placed:
+            in_use += placed
+        else:
+            unplaced.append(unit)
+    if not unplaced:
+        return _without_reserved(backends, 0)
+    wanted = min(len(unplaced), max(limit - in_use, 0))
+    if unplaced[0].step.spec.gang:
+        # A gang needs several at a time, as many as its tasks need room.
+        wanted = max(wanted, 1 + sum(_is_free(b, now_ms) for b in backends))
+    _reserve(scheduler, unplaced[0].step, backends, wanted, now_ms)
+    return _without_reserved(backends, wanted)
+
+
+def _waiting_units(steps: list[StepState], now_ms: int) -> list[Unit]:
+    units = []
+    for step in steps:
+        suspects = [
+            task
+            for task in step.tasks
+            if task.suspected
+            and task.phase is TaskPhase.WAITING
+            and task.not_before_ms <= now_ms
+            and not _crashes.is_guilty(task)
+        ]
+        if not suspects:
+            continue
+        if not step.spec.gang:
+            units += [Unit(step, [task]) for task in suspects]
+        elif all(task.phase is TaskPhase.WAITING for task in step.tasks):
+            units.append(Unit(step, step.tasks))
+    return units
+
+
+def _isolation_counts(scheduler: Scheduler, steps: list[StepState]) -> tuple[int, int]:
+    """Returns how many backend servers with an isolated task answer, and do not."""
+    services = {step.job.job.service for step in steps}
+    services |= {step.job.queue.service for step in steps}
+    isolated = [
+        backend
+        for backend in scheduler.backends_by_id.values()
+        if backend.isolated_tasks
+        and (backend.report is None or backend.report.service in services)
+    ]
+    answering = sum(backend.reachable for backend in isolated)
+    return answering, len(isolated) - answering
+
+
+def _place_unit(
+    scheduler: Scheduler,
+    unit: Unit,
+    backends: list[BackendState],
+    now_ms: int,
+    allowed: Allowed,
+    place: Place,
+) -> int:
+    """Places a unit on free backend servers; returns how many it uses, or 0."""
+    step, needed = unit.step, unit.step.spec.resources
+    total = Resources(
+        cpu_millicores=needed.cpu_millicores * len(unit.tasks),
+        memory_mb=needed.memory_mb * len(unit.tasks),
+        accelerators=needed.accelerators * len(unit.tasks),
+    )
+    if not _placement.is_within_limit(step.job.account, total):
+        return 0
+    free = allowed(step, [b for b in backends if _is_free(b, now_ms)])
+    places: list[tuple[TaskState, BackendState]] | None
+    if step.spec.gang:
+        places = _placement.place_gang(step, free)
+    else:
+        best = _placement.best_backend(step, free)
+        places = [(unit.tasks[0], best)] if best is not None else None
+    if not places:
+        return 0
+    run = max(task.run for task in unit.tasks) + 1
+    for task, backend in places:
+        task.isolated = True
+        place(task, backend, run)
+        scheduler.note(
+            Event.TASK_ISOLATED,
+            {
+                'job_id': step.job.job.job_id,
+                'task': task.name,
+                'run': run,
+                'backend_id': backend.backend_id,
+                'crashes': len(task.crashed_runs),
+                'beside_long_running': len(backend.tasks_by_name) - 1,
+            },
+        )
+    return len({backend.backend_id for _, backend in places})
+
+
+def _is_free(backend: BackendState, now_ms: int) -> bool:
+    """Whether a suspected task would run alone on a backend server."""
+    if backend.isolated_tasks:
+        return False
+    if not backend.tasks_by_name:
+        return True
+    return (
+        0 < backend.reserved_at_ms <= now_ms - LONG_RUNNING_WAIT_MS
+        and not _has_short_tasks(backend)
+    )
+
+
+def _has_short_tasks(backend: BackendState) -> bool:
+    return any(
+        not task.step.spec.long_running for task in backend.tasks_by_name.values()
+    )
+
+
+def _reserve(
+    scheduler: Scheduler,
+    step: StepState,
+    backends: list[BackendState],
+    wanted: int,
+    now_ms: int,
+) -> None:
+    """Reserves the backend servers that will be empty first, up to a number."""
+    usable = [
+        backend
+        for backend in backends
+        if _placement.is_allowed_on(step, backend)
+        and _fits_when_empty(step.spec, backend)
+    ]
+    usable.sort(key=lambda backend: (not backend.reserved_at_ms, *_time_left(backend)))
+    for backend in usable[:wanted]:
+        backend.reserved_at_ms = backend.reserved_at_ms or now_ms
+        for task in list(backend.tasks_by_name.values()):
+            evict_if_allowed(scheduler, task, 'its host is needed for a suspected task')
+
+
+def _time_left(backend: BackendState) -> tuple[bool, float]:
+    """Returns whether a backend server runs long-running tasks, and its time left."""
+    left_ms = 0.0
+    for task in backend.tasks_by_name.values():
+        if not task.step.spec.long_running:
+            share = (100 - min(100, task.percent)) / 100
+            left_ms = max(left_ms, task.step.spec.estimated_ms * share)
+    has_long_running = any(
+        task.step.spec.long_running for task in backend.tasks_by_name.values()
+    )
+    return has_long_running, left_ms
+
+
+def _fits_when_empty(spec: StepSpec, backend: BackendState) -> bool:
+    if backend.report is None:
+        return False
+    room = backend.report.room
+    return (
+        occupied_cpu_millicores(spec) <= room.cpu_millicores
+        and spec.resources.memory_mb <= room.memory_mb
+        and spec.resources.accelerators <= room.accelerators
+    )
+
+
+def _without_reserved(backends: list[BackendState], wanted: int) -> list[BackendState]:
+    """Returns the backend servers that are not isolated or among the reserved ones.
+
+    Reservations beyond the wanted number end, the latest first.
+    """
+    reserved = [backend for backend in backends if backend.reserved_at_ms]
+    reserved.sort(key=lambda backend: backend.reserved_at_ms)
+    for backend in reserved[wanted:]:
+        backend.reserved_at_ms = 0
+    return [b for b in backends if not b.reserved_at_ms and not b.isolated_tasks]
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -6,7 +6,9 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import (
+    _crashes,
     _drains,
+    _isolation,
     _pacing,
     _placement,
     _progress,
@@ -39,6 +41,7 @@
     maintenance, places waiting tasks, and orders moves of hosts between pools.
     """
     _free_expired(scheduler, now_ms)
+    _crashes.plan(scheduler, now_ms, unix_ms)
     _drains.plan(scheduler, now_ms)
     _progress.plan(scheduler, now_ms)
     _pacing.plan(scheduler, now_ms)
@@ -64,7 +67,8 @@
     for service, steps in steps_by_service.items():
         backends = backends_by_service.get(service)
         if backends:
-            _place_steps(scheduler, steps, backends, now_ms)
+            left = _place_suspects(scheduler, steps, backends, now_ms)
+            _place_steps(scheduler, steps, left, now_ms)
     # Tasks that still wait count as demand for more hosts, since the pools have no room
     # for them.
     scheduler.host_orders.extend(
@@ -74,6 +78,27 @@
         scheduler.ordered_at_ms_by_host_id[order.host_id] = now_ms
 
 
+def _place_suspects(
+    scheduler: Scheduler,
+    steps: list[StepState],
+    backends: list[BackendState],
+    now_ms: int,
+) -> list[BackendState]:
+    """Places suspected tasks alone; returns the backend servers left for others."""
+    if not scheduler.suspects_by_name:
+        for backend in backends:
+            backend.reserved_at_ms = 0
+        return backends
+    return _isolation.place_suspects(
+        scheduler,
+        steps,
+        backends,
+        now_ms,
+        lambda step, free: _allowed_by_advice(scheduler, step, free, now_ms),
+        lambda task, backend, run: _place(scheduler, task, backend, run),
+    )
+
+
 def service_of(scheduler: Scheduler, state: JobState) -> str:
     """Returns the service whose backend servers run a job.
 
@@ -94,6 +119,7 @@
         and not backend.cordoned
         and not backend.moving
         and not backend.ending
+        and not backend.isolated_tasks
         and report.availability_zone not in scheduler.excluded_zones
         and backend.avoid_until_ms <= now_ms
         and backend.full_until_ms <= now_ms
@@ -106,7 +132,7 @@
             continue
         lapses_at_ms = backend.lapses_at_ms
         if lapses_at_ms is not None and now_ms >= lapses_at_ms:
-            scheduler.requeue_tasks(backend, 'lease lapsed')
+            scheduler.requeue_tasks(backend, 'lease lapsed', certain=False)
         elif lapses_at_ms is not None and backend.fenced:
             # The backend server has answered in this term and is unresponsive now.
             _requeue_speculative(scheduler, backend)
@@ -128,6 +154,7 @@
     for task in list(backend.tasks_by_name.values()):
         spec = task.step.spec
         if spec.speculative and _placement.has_room_for_copies(task.step.job.account):
+            _crashes.copy_requeued(scheduler, backend, task)
             scheduler.requeue(
                 task, 'backend server does not answer and the task is speculative'
             )
@@ -140,7 +167,10 @@
     now_ms: int,
 ) -> None:
     unplaced = 0
+    withheld = _crashes.withheld_job_ids(scheduler)
     for step in steps:
+        if step.job.job.job_id in withheld:
+            continue
         allowed = _allowed_by_advice(scheduler, step, backends, now_ms)
         if not allowed:
             continue
@@ -165,6 +195,8 @@
     for task in step.tasks:
         if task.phase is not TaskPhase.WAITING or task.not_before_ms > now_ms:
             continue
+        if task.suspected:
+            continue
         if not _placement.is_within_limit(step.job.account, step.spec.resources):
             return True
         # Tasks are packed, so the best host for one task is also the best for the next.
@@ -188,7 +220,7 @@
     waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
     if len(waiting) < len(step.tasks):
         return True
-    if any(task.not_before_ms > now_ms for task in waiting):
+    if any(task.not_before_ms > now_ms or task.suspected for task in waiting):
         return True
     needed = step.spec.resources
     total = Resources(
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -115,7 +115,11 @@
     of it is started again.
     """
     if state.final:
-        return JobRecord(phase=state.phase, ended_unix_ms=state.ended_unix_ms)
+        return JobRecord(
+            phase=state.phase,
+            ended_unix_ms=state.ended_unix_ms,
+            reason=state.end_reason,
+        )
     done = []
     records = {}
     for steps in state.steps_by_occurrence.values():
@@ -139,6 +143,11 @@
         failed_runs=task.failed_runs,
         checkpoint=task.checkpoint,
         placed_unix_ms=task.placed_unix_ms,
+        crashed_runs=task.crashed_runs,
+        crashed_alone_runs=task.crashed_alone_runs,
+        crash_age_ms=task.crash_age_ms,
+        suspected=task.suspected,
+        isolated=task.isolated,
     )
 
 
@@ -149,6 +158,7 @@
     """
     state.phase = record.phase
     state.ended_unix_ms = record.ended_unix_ms
+    state.end_reason = record.reason
     state.started = record.phase is not JobPhase.QUEUED
     job_id = state.job.job_id
     placed = []
@@ -165,6 +175,11 @@
         task.failed_runs = list(stored.failed_runs)
         task.checkpoint = stored.checkpoint
         task.placed_unix_ms = stored.placed_unix_ms
+        task.crashed_runs = list(stored.crashed_runs)
+        task.crashed_alone_runs = list(stored.crashed_alone_runs)
+        task.crash_age_ms = stored.crash_age_ms
+        task.suspected = stored.suspected
         if stored.phase == TaskPhase.PLACED:
+            task.isolated = stored.isolated
             placed.append((task, stored))
     return placed
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _ends
+from dandelionknot.jobs import _crashes, _ends
 from dandelionknot.jobs._generated import (
+    EndReason,
     HoldReport,
     OrderOutcome,
     RunningTask,
@@ -28,6 +29,8 @@
 # A run counts as ended if this many successive reports do not list it. One such report
 # is not enough, since responses on different connections may overtake each other.
 REPORTS_UNTIL_MISSING = 2
+# Reasons of ends that no order caused.
+OWN_ENDS = frozenset({EndReason.DONE, EndReason.FAILED})
 
 
 def apply(
@@ -60,6 +63,8 @@
         backend.seen_end = ended.number
         task = _find_task(scheduler, ended.task_name)
         if task is not None:
+            own = ended.reason in OWN_ENDS
+            _crashes.run_ended(scheduler, backend, task, ended.run, own)
             _ends.apply_end(scheduler, backend, task, ended, now_ms, unix_ms)
     running = {row.task_name: row for row in report.running}
     for row in report.running:
@@ -96,6 +101,9 @@
             },
         )
         scheduler.commands.append(stop_command(backend, row.task_name, row.run))
+        former = _find_task(scheduler, row.task_name)
+        if former is not None:
+            _crashes.withdraw_crash(scheduler, backend, former, row.run)
         return
     if task.phase is TaskPhase.PLACED or task.unconfirmed:
         if task.phase is not TaskPhase.DONE:
@@ -107,6 +115,8 @@
         task.percent = row.percent
         task.progressed_at_ms = now_ms
     task.reading = row.reading
+    if task.suspected:
+        _crashes.run_survives(scheduler, task, now_ms)
     if row.checkpoint:
         task.checkpoint = row.checkpoint
     if task.stopping and task.confirmed_at_ms < sent_ms:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -21,6 +21,7 @@
 )
 from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._capacity import Capacity
+from dandelionknot.jobs._crashes import Loss
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
@@ -100,6 +101,9 @@
     backends_by_id: dict[str, BackendState] = field(default_factory=dict)
     # Former lifetimes of backend servers whose tasks may still run.
     former_backends: list[BackendState] = field(default_factory=list)
+    # Tasks that may crash their backend servers, and recent losses of contact.
+    suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
+    losses: deque[Loss] = field(default_factory=deque)
     accounts_by_name: dict[str, AccountState] = field(default_factory=dict)
     queues_by_name: dict[str, Queue] = field(default_factory=dict)
     excluded_zones: frozenset[str] = frozenset()
@@ -182,6 +186,7 @@
             )
             task.started_at_ms = now_ms - max(0, unix_ms - stored.placed_unix_ms)
             assign(task, backend)
+        _crashes.restored(self, state, now_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
 
@@ -279,9 +284,15 @@
         )
         self.requeue_tasks(backend, 'backend server restarted')
 
-    def requeue_tasks(self, backend: BackendState, reason: str) -> None:
-        """Requeues all tasks of a backend server on which none runs any more."""
-        _crashes.backend_lost(self, backend, reason)
+    def requeue_tasks(
+        self, backend: BackendState, reason: str, certain: bool = True
+    ) -> None:
+        """Requeues all tasks of a backend server on which none runs any more.
+
+        `certain` is whether its lifetime is known to have ended. It may also have been
+        cut off until the lease of its tasks had expired.
+        """
+        _crashes.backend_lost(self, backend, reason, certain)
         for task in list(backend.tasks_by_name.values()):
             self.requeue(task, reason)
 
@@ -346,9 +357,8 @@
         """
         backend.lapses_at_ms = lapses_at_ms
         if backend.reachable:
-            _crashes.contact_lost(
-                backend, self.planned_ms if now_ms is None else now_ms
-            )
+            lost_at_ms = self.planned_ms if now_ms is None else now_ms
+            _crashes.contact_lost(self, backend, lost_at_ms)
         if outcome is OrderOutcome.FENCED:
             self.lost_leadership = True
         elif outcome is OrderOutcome.OTHER_LIFETIME:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -51,6 +51,17 @@
     # Local time at which the start of the run was accepted; until then, and for a run
     # of a former leader, the time at which it was placed.
     started_at_ms: int = 0
+    # Runs under which a backend server crashed, and those of them that ran alone.
+    crashed_runs: list[int] = field(default_factory=list)
+    crashed_alone_runs: list[int] = field(default_factory=list)
+    # Longest time from the start of a run to the crash of its backend server.
+    crash_age_ms: int = 0
+    # The task may crash its backend servers, so it is only started alone. The run is
+    # isolated if it was started so.
+    suspected: bool = False
+    isolated: bool = False
+    # The task is not given up before this local time.
+    verdict_not_before_ms: int = 0
     # Number of successive reports that did not list the run.
     missing_reports: int = 0
     # The task is not placed before this local time.
@@ -117,6 +128,8 @@
     accepted_ms: int
     phase: JobPhase = JobPhase.QUEUED
     ended_unix_ms: int = 0
+    # Why the job has failed, if no end of a run shows it.
+    end_reason: str = ''
     started: bool = False
     # Steps of each occurrence that is open.
     steps_by_occurrence: dict[int, list[StepState]] = field(default_factory=dict)
@@ -195,6 +208,10 @@
     recent_runs_by_name: dict[str, int] | None = None
     # It has announced that it leaves.
     leaving: bool = False
+    # Number of isolated runs, and the local time since which it gets no starts so that
+    # it becomes empty for one; 0 if it does get starts.
+    isolated_tasks: int = 0
+    reserved_at_ms: int = 0
     full_until_ms: int = 0
     # Earliest local time at which a draining backend server leaves; 0 if it stays.
     leaves_at_ms: int = 0
@@ -223,6 +240,7 @@
     task.backend = backend
     task.born_ms = backend.born_ms
     backend.tasks_by_name[task.name] = task
+    backend.isolated_tasks += task.isolated
     backend.cpu_millicores += occupied_cpu_millicores(spec)
     backend.memory_mb += spec.resources.memory_mb
     backend.accelerators += spec.resources.accelerators
@@ -251,6 +269,8 @@
     task.missing_reports = 0
     task.pace_percent = 100
     backend.tasks_by_name.pop(task.name, None)
+    backend.isolated_tasks -= task.isolated
+    task.isolated = False
     backend.cpu_millicores -= occupied_cpu_millicores(spec)
     backend.memory_mb -= spec.resources.memory_mb
     backend.accelerators -= spec.resources.accelerators
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -257,7 +257,10 @@
         entry, _ = found.ok_value
         if entry is None:
             return CallerReply(verdict=CallerVerdict.NOT_FOUND)
-        return CallerReply(verdict=CallerVerdict.KNOWN, phase=entry.phase)
+        reason = entry.record.reason if entry.record else ''
+        return CallerReply(
+            verdict=CallerVerdict.KNOWN, phase=entry.phase, reason=reason
+        )
 
     async def _read_job(
         self, job_id: str, give_up_ms: int
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -65,6 +65,8 @@
 PAUSE_PER_PLANNING_TIME = 3
 # Ended jobs stay stored this much longer than callers may query them.
 STATUS_MARGIN_MS = 10_000
+# What a new backend link assumes.
+NOT_EXPECTED = TasksExpected(expected=False)
 # Most messages that may wait in the mailbox of the leader.
 MAILBOX_CAPACITY = 100_000
 
@@ -99,7 +101,7 @@
     links: dict[tuple[str, int], BackendLink] = field(default_factory=dict)
     tasks: dict[tuple[str, int], asyncio.Task] = field(default_factory=dict)
     # Last value of `TasksExpected` that was sent to each link, by the same key.
-    expected: dict[tuple[str, int], bool] = field(default_factory=dict)
+    expected: dict[tuple[str, int], TasksExpected] = field(default_factory=dict)
     # All asyncio tasks of the term except those that run links.
     other_tasks: set[asyncio.Task] = field(default_factory=set)
     committer: Committer | None = None
@@ -356,10 +358,13 @@
             if key not in self.links and backend.report is not None:
                 self._open_link(key, backend.report.address)
             link = self.links.get(key)
-            expected = bool(backend.tasks_by_name)
-            if link is not None and self.expected.get(key, False) is not expected:
+            expected = TasksExpected(
+                expected=bool(backend.tasks_by_name),
+                report_soon=bool(backend.isolated_tasks),
+            )
+            if link is not None and self.expected.get(key, NOT_EXPECTED) != expected:
                 self.expected[key] = expected
-                link.inbox.send(TasksExpected(expected=expected))
+                link.inbox.send(expected)
 
     def _open_link(self, key: tuple[str, int], address: str) -> None:
         link = BackendLink(
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -28,8 +28,8 @@
 # extends the lease and lists the runs.
 HOLD_WAIT_MS = 1000
 # Longest time for which it may delay the answer if the last one listed no run although
-# the scheduler expects one.
-UNLISTED_WAIT_MS = 150
+# the scheduler expects one, or if a report is wanted soon.
+SHORT_WAIT_MS = 150
 # Time limit of a call to a backend server, in addition to the requested delay.
 ORDER_TIMEOUT_MS = 700
 # Pause between hold calls, so that runs that end at about the same time are reported
@@ -80,6 +80,8 @@
     busy: bool = True
     # Whether the scheduler has tasks on this backend server.
     expected: bool = False
+    # Whether the scheduler waits for a report on a run.
+    report_soon: bool = False
     starts_in_progress: int = 0
     # Number of the last end of a run that was stored, of the last that the backend
     # server reported, and of the last that was acknowledged to the backend server.
@@ -107,6 +109,7 @@
                     continue
                 if isinstance(message, TasksExpected):
                     self.expected = message.expected
+                    self.report_soon = message.report_soon
                     self.wake.set()
                     continue
                 task = asyncio.create_task(self._carry_out(message))
@@ -200,6 +203,9 @@
                 )
             )
 
+    def _wait_ms(self) -> int:
+        return HOLD_WAIT_MS if self.busy and not self.report_soon else SHORT_WAIT_MS
+
     def _lease_ms(self) -> int:
         return task_lease_ms(self.hold_max_ms)
 
@@ -235,7 +241,7 @@
         # Without contact, the scheduler may give up the tasks of the backend server
         # once their lease expires, so a probe must not extend it.
         deadline = 0 if probing else self.clock.extend(sent_ms, self._lease_ms())
-        wait_ms = 0 if probing else HOLD_WAIT_MS if self.busy else UNLISTED_WAIT_MS
+        wait_ms = 0 if probing else self._wait_ms()
         acknowledged = self.stored_end
         result = await self.client.hold(
             deadline, acknowledged, wait_ms, ORDER_TIMEOUT_MS
