Requeue the tasks of a crashed host as soon as the list of hosts shows its end

Callers whose tasks ran beside a deadly one waited 3.3 to 3.9 s until they ran again: the leader waited for a new lifetime at the same address or for the end of the lease, since a host that does not answer may only be cut off.

The platform's list tells the two apart. A list that was requested after the loss therefore ends the wait; one from before, a host that moves and a malformed row show nothing. A lost contact makes the host task read the list at once, 100 ms after the last read at the earliest.

Ruled out: refused or reset connections as proof (cuts may look the same); a shorter lease.

Three tests failed before.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -69,6 +69,8 @@
     lost_at_ms: int
     # Jobs of which a run had begun shortly before.
     recent_job_ids: frozenset[str]
+    # Service of an isolated task that ran there; empty if none did.
+    isolated_service: str
 
 
 def started_runs(backend: BackendState) -> list[TaskState]:
@@ -116,8 +118,16 @@
     while losses and losses[0].lost_at_ms < now_ms - LOSSES_KEPT_MS:
         losses.popleft()
     job_ids = frozenset(task.step.job.job.job_id for task in recent)
+    services = [task.step.job.queue.service for task in recent if task.isolated]
     losses.append(
-        Loss(backend.backend_id, backend.born_ms, backend.rack, now_ms, job_ids)
+        Loss(
+            backend_id=backend.backend_id,
+            born_ms=backend.born_ms,
+            rack=backend.rack,
+            lost_at_ms=now_ms,
+            recent_job_ids=job_ids,
+            isolated_service=services[0] if services else '',
+        )
     )
 
 
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -32,6 +32,8 @@
 # A reserved backend server on which only long-running tasks are left is used beside
 # them after this time, since their steps may not allow that they are stopped.
 LONG_RUNNING_WAIT_MS = 2000
+# Time for which a backend server that crashed under an isolated task counts as down.
+RESTART_MS = 3500
 
 Allowed = Callable[[StepState, list[BackendState]], list[BackendState]]
 Place = Callable[[TaskState, BackendState, int], None]
@@ -72,7 +74,7 @@
     units = _waiting_units(steps, now_ms)
     if not units:
         return _without_reserved(backends, 0)
-    in_use, down = _isolation_counts(scheduler, steps)
+    in_use, down = _isolation_counts(scheduler, steps, now_ms)
     limit = max(1, int((len(backends) + in_use + down) * ISOLATION_SHARE))
     unplaced: list[Unit] = []
     for unit in sorted(units, key=lambda unit: (unit.has_crashed_alone, unit.crashes)):
@@ -116,18 +118,24 @@
     return units
 
 
-def _isolation_counts(scheduler: Scheduler, steps: list[StepState]) -> tuple[int, int]:
-    """Returns how many backend servers with an isolated task answer, and do not."""
-    services = {step.job.job.service for step in steps}
-    services |= {step.job.queue.service for step in steps}
-    isolated = [
-        backend
+def _isolation_counts(
+    scheduler: Scheduler, steps: list[StepState], now_ms: int
+) -> tuple[int, int]:
+    """Returns how many backend servers run an isolated task, and are down under one."""
+    services = {step.job.queue.service for step in steps}
+    in_use = sum(
+        1
         for backend in scheduler.backends_by_id.values()
         if backend.isolated_tasks
-        and (backend.report is None or backend.report.service in services)
-    ]
-    answering = sum(backend.reachable for backend in isolated)
-    return answering, len(isolated) - answering
+        and backend.reachable
+        and backend.report is not None
+        and backend.report.service in services
+    )
+    down = sum(
+        loss.lost_at_ms > now_ms - RESTART_MS and loss.isolated_service in services
+        for loss in scheduler.losses
+    )
+    return in_use, down
 
 
 def _place_unit(
--- a/dandelionknot/jobs/_maintenance.py
+++ b/dandelionknot/jobs/_maintenance.py
@@ -41,9 +41,11 @@
 # Time after a maintenance order without an answer during which the platform may still
 # carry it out, so that lists requested within it do not show its outcome.
 LATE_ORDER_MS = 1500
-# States in the platform's list of hosts: the host runs, or is down for maintenance.
+# States in the platform's list of hosts: the host runs, is down for maintenance, or is
+# down for another reason. A host that is only cut off from callers counts as up.
 UP = 'up'
 IN_MAINTENANCE = 'upkeep'
+DOWN = 'down'
 
 
 @dataclass(slots=True)
@@ -353,6 +355,13 @@
         return not left
 
 
+def shows_end(host: Host, backend_id: str) -> bool:
+    """Whether the row of a host shows that a backend server on it has ended."""
+    if host.backend_id:
+        return host.backend_id != backend_id
+    return host.state == DOWN
+
+
 def _hosts_at_once(wave: WaveState, waiting: int, now_ms: int) -> int:
     """Returns how many hosts must be in maintenance at once to end a wave in time."""
     end_ms = wave.first_seen_ms + int(wave.wave.within_s * 1000 * PACE_SHARE)
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -28,6 +28,7 @@
     HoldReport,
     HostOrder,
     HostOrderOutcome,
+    HostsListed,
     Job,
     JobConfiguration,
     JobPhase,
@@ -41,7 +42,7 @@
 )
 from dandelionknot.jobs._leases import max_former_lease_ms
 from dandelionknot.jobs._log_entries import LogEntry
-from dandelionknot.jobs._maintenance import MaintenanceScheduler
+from dandelionknot.jobs._maintenance import MaintenanceScheduler, shows_end
 from dandelionknot.jobs._records import (
     due_unix_ms,
     new_job_state,
@@ -512,6 +513,30 @@
         """Whether the scheduler needs the platform's list of hosts."""
         return self.maintenance.active() or self.capacity.active()
 
+    def hosts_listed(self, listed: HostsListed) -> None:
+        """Applies the platform's list of all hosts.
+
+        A host that is listed as down, or with another backend server, shows that a
+        backend server that does not answer has crashed. Its tasks run no more, so they
+        need not wait until their lease expires.
+        """
+        self.maintenance.hosts_listed(listed)
+        for host in listed.hosts:
+            backend = self.backends_by_id.get(host.backend_id)
+            if backend is not None:
+                backend.host_id = host.host_id
+        for backend in list(self.backends_by_id.values()):
+            host_row = self.maintenance.hosts_by_id.get(backend.host_id)
+            if (
+                backend.tasks_by_name
+                and not backend.reachable
+                and host_row is not None
+                and backend.lost_at_ms < listed.sent_ms
+                and shows_end(host_row, backend.backend_id)
+            ):
+                backend.report = None
+                self.requeue_tasks(backend, f'its host is listed as {host_row.state}')
+
     def advice_given(
         self, request: AskAdvice, granted: dict[str, str], valid_ms: int, now_ms: int
     ) -> None:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -200,6 +200,8 @@
     # other hosts are better for long-running tasks.
     maintenance_due: bool = False
     last_contact_ms: int = 0
+    # Host on which the platform has listed it; empty if it has not been listed.
+    host_id: str = ''
     # Local time of the last report or accepted start.
     last_sign_ms: int = 0
     # Local time at which contact was lost, and the runs by task name that had begun
--- a/dandelionknot/manager/_hosts.py
+++ b/dandelionknot/manager/_hosts.py
@@ -19,6 +19,9 @@
 
 # Pause between reads of the host list while the scheduler needs it.
 LIST_PAUSE_MS = 700
+# Shortest pause between two reads. An earlier one than usual is made when a backend
+# server has been lost, since the list shows whether its host is down.
+MIN_LIST_PAUSE_MS = 100
 # Pause between checks whether the scheduler needs the list.
 IDLE_PAUSE_MS = 300
 
@@ -37,6 +40,8 @@
     valid_until_ms: Callable[[], int]
     list_wanted: Callable[[], bool]
     inbox: Mailbox = field(default_factory=lambda: Mailbox(1024))
+    # Set if the next list is wanted soon.
+    list_soon: asyncio.Event = field(default_factory=asyncio.Event)
     # Asyncio tasks that carry out orders.
     order_tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -83,4 +88,15 @@
             else:
                 reached = True
                 self.report(HostsListed(hosts=listed.ok_value, sent_ms=sent_ms))
-            await asyncio.sleep(seconds(LIST_PAUSE_MS))
+            await asyncio.sleep(seconds(MIN_LIST_PAUSE_MS))
+            await self._wait_for_wish(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
+
+    async def _wait_for_wish(self, longest_ms: int) -> None:
+        """Waits until a list is wanted soon, or for the usual pause."""
+        try:
+            async with asyncio.timeout(seconds(longest_ms)):
+                await self.list_soon.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.list_soon.clear()
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -275,7 +275,7 @@
                     now_ms(),
                 )
             case HostsListed():
-                self.scheduler.maintenance.hosts_listed(message)
+                self.scheduler.hosts_listed(message)
             case HostOrderFinished():
                 self._handle_host_order_end(message)
             case BatchStored():
@@ -298,6 +298,8 @@
             case HoldAnswered(sent_ms=sent, received_ms=received, report=report):
                 scheduler.hold_answered(backend, report, sent, received, unix_ms())
             case ContactLost(outcome=outcome, lapses_at_ms=lapses_at_ms):
+                if self.hosts is not None and backend.reachable:
+                    self.hosts.list_soon.set()
                 scheduler.contact_lost(backend, outcome, lapses_at_ms, now_ms())
             case StartFinished(task_name=name, run=run, outcome=outcome):
                 scheduler.start_finished(backend, name, run, outcome, now_ms())
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -9,6 +9,8 @@
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import (
     EndReason,
+    Host,
+    HostsListed,
     OrderOutcome,
     Queue,
     Resources,
@@ -244,6 +246,67 @@
         self.assert_done(innocent)
 
 
+class HostListTest(CrashTestCase):
+    def setUp(self):
+        super().setUp()
+        self.ids = self.submit_jobs(1)
+        self.list_hosts()
+        self.test_bed.step(TICK_MS)
+        self.test_bed.step(TICK_MS)
+        [self.lost_id] = self.test_bed.running()['job0.0.0.0']
+        self.test_bed.lose(self.test_bed.backends[self.lost_id])
+
+    def list_hosts(self, sent_ms=None, **changed_by_backend_id):
+        """Passes a list of hosts, with some changed rows, to the scheduler."""
+        now_ms = self.test_bed.now_ms
+        rows = {
+            backend_id: {'state': 'up', 'backend_id': backend_id}
+            for backend_id in self.test_bed.backends
+        }
+        rows.update(changed_by_backend_id)
+        hosts = [
+            Host(host_id=f'h-{name}', pool=SERVICE, **row) for name, row in rows.items()
+        ]
+        listed = HostsListed(
+            hosts=hosts, sent_ms=now_ms if sent_ms is None else sent_ms
+        )
+        self.test_bed.scheduler.hosts_listed(listed)
+
+    def waiting(self):
+        """Returns how many tasks are not running or placed any more."""
+        backend = self.test_bed.scheduler.backends_by_id.get(self.lost_id)
+        return 6 - (len(backend.tasks_by_name) if backend else 0)
+
+    def test_tasks_of_a_host_that_is_down_start_again_at_once(self):
+        """Guards against waiting for the lease of a host that is known to be down.
+
+        The list shows the host as down, or with a later lifetime.
+        """
+        row = {'state': 'down', 'backend_id': ''}
+        for changed in (row, {'state': 'up', 'backend_id': 'other'}):
+            with self.subTest(**changed):
+                self.setUp()
+                self.test_bed.now_ms += 20
+                self.list_hosts(**{self.lost_id: changed})
+                self.assertEqual(self.waiting(), 6)
+                self.run_for(1500)
+                self.assert_done(self.ids)
+
+    def test_tasks_of_a_host_that_is_only_cut_off_stay(self):
+        """Guards against running a task twice: a host that is cut off runs on."""
+        self.test_bed.now_ms += 20
+        self.list_hosts()
+        moving = {'state': 'moving', 'backend_id': ''}
+        self.list_hosts(**{self.lost_id: moving})
+        self.assertEqual(self.waiting(), 0)
+
+    def test_a_list_from_before_the_loss_shows_nothing(self):
+        """Guards against a slow answer with a state from before the host was up."""
+        row = {'state': 'down', 'backend_id': ''}
+        self.list_hosts(self.test_bed.now_ms - 20, **{self.lost_id: row})
+        self.assertEqual(self.waiting(), 0)
+
+
 class NewLeaderTest(CrashTestCase):
     def test_a_new_leader_knows_of_earlier_crashes(self):
         """Guards against a change of leader after which the count begins anew."""
