Leave few tasks suspected after a crash, and clear the innocent ones soon

Callers with a task that had started beside a deadly one waited up to 9 s: a surge fills a host in one round, so 10 to 20 tasks were suspected after each crash, and each needed an empty host and half a second.

Crashes under isolated tasks are no sign of an outage. How suddenly contact was lost is judged once, when all runs are known.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -12,10 +12,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
+from dandelionknot.jobs import _isolation
 from dandelionknot.jobs._allocation import PoolNeed, divide
 from dandelionknot.jobs._arrivals import MAX_RUN_MS, Arrival, Arrivals
 from dandelionknot.jobs._demand import MIN_HOSTS, pool_need
@@ -255,6 +256,9 @@
             need = pool_need(
                 backends, waiting, expected, demand.predicted_millicores, now_ms
             )
+            if scheduler.suspects_by_name:
+                isolated = _isolation.wanted_backends(waiting, len(backends))
+                need = replace(need, in_time=need.in_time + isolated)
             needs_by_pool[pool] = need
             demand.unplaced = need.unplaced
             demand.reserve_share = reserve_share
--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -27,7 +27,9 @@
 
 # A run began shortly before the loss of its backend server if its start was accepted
 # within this time before the last sign of life.
-RECENT_START_MS = 150
+RECENT_START_MS = 60
+# Contact is lost suddenly if that is noticed within this time after the last start.
+SUDDEN_LOSS_MS = 250
 # A task is suspected of crashes long after its start once this many backend servers
 # have crashed under it.
 SHARED_CRASHES_LIMIT = 3
@@ -35,16 +37,21 @@
 # and this many crashes in all.
 CRASHES_ALONE_LIMIT = 2
 CRASHES_LIMIT = 5
-# A suspected task is cleared once it has run this much longer than any earlier run of
-# it lasted until the crash. The second number limits that time.
-SURVIVAL_MARGIN_MS = 250
+# A suspected task is cleared once it has run for this time, and if it is suspected of
+# crashes long after its start, this much longer than the longest of its crashed runs.
+# The second number limits the length of those that is counted.
+SURVIVAL_MARGIN_MS = 150
 MAX_SURVIVAL_MS = 10_000
 # Time after a loss of contact in which a backend server may still show that it has not
 # crashed, before its task is given up.
 RETURN_MS = 7000
-# Losses of contact within these times belong together. Connections that break at once
-# tell the time of the loss exactly. Otherwise, a call has to time out first.
-TOGETHER_BROKEN_MS = 500
+# Least time between two starts on one backend server after a crash, and the time for
+# which starts are spaced.
+SPACING_MS = 30
+SPACING_KEPT_MS = 10_000
+# Losses of contact within these times belong together. If contact is lost right after a
+# start, its time is exact. Otherwise, a call has to time out first.
+TOGETHER_SUDDEN_MS = 500
 TOGETHER_SILENT_MS = 1700
 # Losses that belong together are an outage from this number and this share of all
 # backend servers on, or if connections do not break, from this share of a rack on.
@@ -109,10 +116,19 @@
     ]
 
 
+def _is_sudden(recent: list[TaskState], lost_at_ms: int) -> bool:
+    """Whether contact was lost right after a start, as when a process crashes."""
+    last_start_ms = max((task.started_at_ms for task in recent), default=0)
+    return lost_at_ms - last_start_ms <= SUDDEN_LOSS_MS
+
+
 def contact_lost(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
     """Records when contact was lost, and which runs had begun shortly before."""
     recent = recent_starts(backend)
     backend.lost_at_ms = now_ms
+    backend.lost_suddenly = _is_sudden(recent, now_ms)
+    if backend.lost_suddenly:
+        _space_starts(scheduler, recent, now_ms)
     backend.recent_runs_by_name = {task.name: task.run for task in recent}
     losses = scheduler.losses
     while losses and losses[0].lost_at_ms < now_ms - LOSSES_KEPT_MS:
@@ -159,6 +175,8 @@
             'lost_after_last_start_ms': max(0, backend.lost_at_ms - last_start_ms),
         },
     )
+    if not outage:
+        _space_starts(scheduler, recent, scheduler.planned_ms)
     recent_names = {task.name for task in recent}
     for task in started:
         _record_crash(
@@ -166,12 +184,21 @@
         )
 
 
-def copy_requeued(scheduler: Scheduler, backend: BackendState, task: TaskState) -> None:
-    """Records a possible crash of which a copy of a task must not wait for proof."""
-    recent = (backend.recent_runs_by_name or {}).get(task.name) == task.run
-    outage = is_outage(scheduler, backend)
-    if recent and not (outage or backend.ending or backend.leaving):
-        _record_crash(scheduler, backend, task, recent, outage, certain=False)
+def may_copy(scheduler: Scheduler, backend: BackendState, task: TaskState) -> bool:
+    """Whether a copy of a task of an unresponsive backend server may be made now.
+
+    If its start may have crashed the backend server, the task becomes suspected, so
+    that the copy starts apart from other tasks. In an outage, it is not suspected, but
+    its copy has to wait until the end of the backend server is known.
+    """
+    if (backend.recent_runs_by_name or {}).get(task.name) != task.run:
+        return True
+    if backend.ending or backend.leaving:
+        return True
+    if is_outage(scheduler, backend):
+        return False
+    _record_crash(scheduler, backend, task, recent=True, outage=False, certain=False)
+    return True
 
 
 def _record_crash(
@@ -186,8 +213,9 @@
     if task.step.job.final or task.phase is TaskPhase.DONE:
         return
     task.crashed_runs = [*task.crashed_runs, task.run][-MAX_STORED_CRASHES:]
-    lived_ms = max(0, backend.last_sign_ms - task.started_at_ms)
-    task.crash_age_ms = max(task.crash_age_ms, min(lived_ms, MAX_SURVIVAL_MS))
+    if not recent:
+        lived_ms = max(0, backend.last_sign_ms - task.started_at_ms)
+        task.crash_age_ms = max(task.crash_age_ms, min(lived_ms, MAX_SURVIVAL_MS))
     if task.isolated and not outage:
         task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
         if not certain:
@@ -211,20 +239,21 @@
     It is none if one job had a recent start on each of them.
     """
     hosts = [state for state in scheduler.backends_by_id.values() if state.report]
-    if backend.recent_runs_by_name is None:
-        # Never reached in this term: compared with all others that were not either.
+    if not backend.fenced:
+        # Never reached in this term, so compared with all others that were not either.
         together = [state for state in hosts if not state.fenced]
         racks = [state.rack for state in together if state is not backend]
         return _is_large(len(racks) + 1, len(hosts)) or _is_rack(
             backend.rack, racks, hosts
         )
-    last_start_ms = max((t.started_at_ms for t in recent_runs(backend)), default=0)
-    is_broken = backend.lost_at_ms - last_start_ms <= RECENT_START_MS
-    window_ms = TOGETHER_BROKEN_MS if is_broken else TOGETHER_SILENT_MS
+    sudden = backend.lost_suddenly
+    window_ms = TOGETHER_SUDDEN_MS if sudden else TOGETHER_SILENT_MS
+    # A crash under an isolated task is expected and no sign of an outage.
     losses = {
         (loss.backend_id, loss.born_ms): loss
         for loss in scheduler.losses
         if abs(loss.lost_at_ms - backend.lost_at_ms) <= window_ms
+        and not loss.isolated_service
     }
     if len(losses) > 1 and frozenset.intersection(
         *(loss.recent_job_ids for loss in losses.values())
@@ -234,7 +263,24 @@
     racks = [loss.rack for loss in losses.values()]
     if _is_large(len(racks) + 1, len(hosts)):
         return True
-    return not is_broken and _is_rack(backend.rack, racks, hosts)
+    return not sudden and _is_rack(backend.rack, racks, hosts)
+
+
+def _space_starts(scheduler: Scheduler, recent: list[TaskState], now_ms: int) -> None:
+    for task in recent:
+        scheduler.crashed_at_ms_by_service[task.step.job.queue.service] = now_ms
+
+
+def start_spacing_ms(scheduler: Scheduler, service: str, now_ms: int) -> int:
+    """Returns the least time between two starts on one backend server of a service.
+
+    After a crash, starts are spaced for a while, so that the next crash leaves only few
+    tasks suspected.
+    """
+    crashed_ms = scheduler.crashed_at_ms_by_service.get(service)
+    if crashed_ms is None or now_ms - crashed_ms > SPACING_KEPT_MS:
+        return 0
+    return SPACING_MS
 
 
 def _is_large(lost: int, total: int) -> bool:
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -1,12 +1,13 @@
 """Runs suspected tasks alone, so that a crash shows the guilty one and costs no other.
 
 A suspected task starts on a backend server that runs nothing else, and nothing else
-starts there until the task is cleared or its run has ended. If none is empty, one is
-reserved: it gets no further starts and becomes empty as its tasks end.
+starts there until the task is cleared or its run has ended. If none is empty, some are
+reserved: a reserved one gets no other starts and becomes empty as its tasks end.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -28,7 +29,9 @@
 
 # Largest share of the backend servers of a service that run suspected tasks at a time.
 # One is always possible.
-ISOLATION_SHARE = 0.34
+ISOLATION_SHARE = 0.25
+# One more backend server is reserved for this many suspected tasks that wait.
+SUSPECTS_PER_BACKEND = 4
 # A reserved backend server on which only long-running tasks are left is used beside
 # them after this time, since their steps may not allow that they are stopped.
 LONG_RUNNING_WAIT_MS = 2000
@@ -75,7 +78,10 @@
     if not units:
         return _without_reserved(backends, 0)
     in_use, down = _isolation_counts(scheduler, steps, now_ms)
-    limit = max(1, int((len(backends) + in_use + down) * ISOLATION_SHARE))
+    present = len(backends) + in_use + down
+    limit = max(1, int(present * ISOLATION_SHARE))
+    if not _has_ordinary_tasks(steps):
+        limit = max(limit, present // 2)
     unplaced: list[Unit] = []
     for unit in sorted(units, key=lambda unit: (unit.has_crashed_alone, unit.crashes)):
         # Backend servers that are down because of a unit count only against units that
@@ -90,10 +96,11 @@
             unplaced.append(unit)
     if not unplaced:
         return _without_reserved(backends, 0)
-    wanted = min(len(unplaced), max(limit - in_use, 0))
+    wanted = min(math.ceil(len(units) / SUSPECTS_PER_BACKEND), limit) - in_use
+    wanted = max(wanted, 0 if in_use else 1)
     if unplaced[0].step.spec.gang:
         # A gang needs several at a time, as many as its tasks need room.
-        wanted = max(wanted, 1 + sum(_is_free(b, now_ms) for b in backends))
+        wanted = max(wanted, 1 + sum(not b.tasks_by_name for b in backends))
     _reserve(scheduler, unplaced[0].step, backends, wanted, now_ms)
     return _without_reserved(backends, wanted)
 
@@ -118,6 +125,29 @@
     return units
 
 
+def _has_ordinary_tasks(steps: list[StepState]) -> bool:
+    return any(
+        task.phase is TaskPhase.WAITING and not task.suspected
+        for step in steps
+        for task in step.tasks
+    )
+
+
+def wanted_backends(steps: list[StepState], present: int) -> int:
+    """Returns how many backend servers a service needs for its suspected tasks.
+
+    They are asked for in addition to those for other tasks, so that these do not wait.
+    """
+    alone = waiting = 0
+    for step in steps:
+        for task in step.tasks:
+            if task.suspected and task.phase is TaskPhase.WAITING:
+                alone += bool(task.crashed_alone_runs)
+                waiting += not task.crashed_alone_runs
+    wanted = alone + math.ceil(waiting / SUSPECTS_PER_BACKEND)
+    return min(wanted, 1 + present // 2)
+
+
 def _isolation_counts(
     scheduler: Scheduler, steps: list[StepState], now_ms: int
 ) -> tuple[int, int]:
@@ -176,27 +206,23 @@
                 'run': run,
                 'backend_id': backend.backend_id,
                 'crashes': len(task.crashed_runs),
-                'beside_long_running': len(backend.tasks_by_name) - 1,
+                'beside_tasks': len(backend.tasks_by_name) - 1,
             },
         )
     return len({backend.backend_id for _, backend in places})
 
 
 def _is_free(backend: BackendState, now_ms: int) -> bool:
-    """Whether a suspected task would run alone on a backend server."""
+    """Whether a suspected task would run alone on a backend server.
+
+    Long-running tasks that could not be stopped in time do not count.
+    """
     if backend.isolated_tasks:
         return False
-    if not backend.tasks_by_name:
-        return True
-    return (
-        0 < backend.reserved_at_ms <= now_ms - LONG_RUNNING_WAIT_MS
-        and not _has_short_tasks(backend)
-    )
-
-
-def _has_short_tasks(backend: BackendState) -> bool:
-    return any(
-        not task.step.spec.long_running for task in backend.tasks_by_name.values()
+    has_waited = 0 < backend.reserved_at_ms <= now_ms - LONG_RUNNING_WAIT_MS
+    return not backend.tasks_by_name or (
+        has_waited
+        and all(task.step.spec.long_running for task in backend.tasks_by_name.values())
     )
 
 
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -152,9 +152,11 @@
     therefore made only if the limit leaves room for two runs of each task.
     """
     for task in list(backend.tasks_by_name.values()):
-        spec = task.step.spec
-        if spec.speculative and _placement.has_room_for_copies(task.step.job.account):
-            _crashes.copy_requeued(scheduler, backend, task)
+        if (
+            task.step.spec.speculative
+            and _placement.has_room_for_copies(task.step.job.account)
+            and _crashes.may_copy(scheduler, backend, task)
+        ):
             scheduler.requeue(
                 task, 'backend server does not answer and the task is speculative'
             )
@@ -189,8 +191,9 @@
     """Places the waiting tasks of a step.
 
     Returns False if no backend server has room for one of them. Returns True if a task
-    waits only because of the limit of its client account.
+    waits only because of the limit of its client account or because starts are spaced.
     """
+    spacing_ms = _crashes.start_spacing_ms(scheduler, step.job.queue.service, now_ms)
     backend: BackendState | None = None
     for task in step.tasks:
         if task.phase is not TaskPhase.WAITING or task.not_before_ms > now_ms:
@@ -201,11 +204,12 @@
             return True
         # Tasks are packed, so the best host for one task is also the best for the next.
         # Long-running tasks are spread, so each needs a new choice.
-        spread = step.spec.long_running
+        spread = step.spec.long_running or spacing_ms > 0
         if backend is None or spread or not _placement.can_take(backend, step):
-            backend = _placement.best_backend(step, backends)
+            ready = [b for b in backends if b.placed_at_ms <= now_ms - spacing_ms]
+            backend = _placement.best_backend(step, ready)
         if backend is None:
-            return False
+            return any(_placement.can_take(b, step) for b in backends)
         _place(scheduler, task, backend, task.run + 1)
     return True
 
@@ -250,6 +254,7 @@
     task.placed_unix_ms = scheduler.planned_unix_ms
     task.started_at_ms = scheduler.planned_ms
     assign(task, backend)
+    backend.placed_at_ms = scheduler.planned_ms
     state = task.step.job
     state.started = True
     if state.phase is JobPhase.QUEUED:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -105,6 +105,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Local time of the last crash for which tasks of a service are suspected.
+    crashed_at_ms_by_service: dict[str, int] = field(default_factory=dict)
     accounts_by_name: dict[str, AccountState] = field(default_factory=dict)
     queues_by_name: dict[str, Queue] = field(default_factory=dict)
     excluded_zones: frozenset[str] = frozenset()
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -207,6 +207,9 @@
     # Local time at which contact was lost, and the runs by task name that had begun
     # shortly before; None while there is contact.
     lost_at_ms: int = 0
+    lost_suddenly: bool = False
+    # Local time at which a task was placed on it last.
+    placed_at_ms: int = 0
     recent_runs_by_name: dict[str, int] | None = None
     # It has announced that it leaves.
     leaving: bool = False
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -324,10 +324,18 @@
                 scheduler.set_configuration(configuration)
             case ZoneFact():
                 scheduler.excluded_zones = frozenset(view.excluded_zones)
-            case BackendFact(backend_id, None):
-                scheduler.remove_backend(backend_id)
-            case BackendFact(_, report) if report is not None:
-                scheduler.set_backend(report, now_ms())
+            case BackendFact():
+                self._handle_backend_fact(event)
+
+    def _handle_backend_fact(self, fact: BackendFact) -> None:
+        if fact.report is None:
+            self.scheduler.remove_backend(fact.backend_id)
+            return
+        is_new = fact.backend_id not in self.scheduler.backends_by_id
+        if self.hosts is not None and is_new:
+            # Only a list from before its loss shows on which host it is.
+            self.hosts.list_soon.set()
+        self.scheduler.set_backend(fact.report, now_ms())
 
     def _backend_lifetime(
         self, message: HoldAnswered | ContactLost | StartFinished | StopFinished
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -28,8 +28,10 @@
 # extends the lease and lists the runs.
 HOLD_WAIT_MS = 1000
 # Longest time for which it may delay the answer if the last one listed no run although
-# the scheduler expects one, or if a report is wanted soon.
-SHORT_WAIT_MS = 150
+# the scheduler expects one.
+UNLISTED_WAIT_MS = 150
+# Longest time for which it may delay the answer if a report is wanted soon.
+SOON_WAIT_MS = 50
 # Time limit of a call to a backend server, in addition to the requested delay.
 ORDER_TIMEOUT_MS = 700
 # Pause between hold calls, so that runs that end at about the same time are reported
@@ -204,7 +206,9 @@
             )
 
     def _wait_ms(self) -> int:
-        return HOLD_WAIT_MS if self.busy and not self.report_soon else SHORT_WAIT_MS
+        if self.report_soon:
+            return SOON_WAIT_MS
+        return HOLD_WAIT_MS if self.busy else UNLISTED_WAIT_MS
 
     def _lease_ms(self) -> int:
         return task_lease_ms(self.hold_max_ms)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -95,7 +95,10 @@
         self.submit_jobs(8)
         self.deadly('bad0.0.0.0')
         self.submit_jobs(1, 'bad')
-        self.run_for(40_000)
+        for number in range(100):
+            self.submit_jobs(1, f'later{number}-')
+            self.run_for(100)
+        self.run_for(30_000)
         lost_beside = [others for _, _, others in self.test_bed.crashes]
         self.assertGreaterEqual(len(lost_beside), 2)
         self.assertEqual(lost_beside[1:], [[] for _ in lost_beside[1:]])
@@ -128,6 +131,51 @@
         self.assert_done(ids)
         beside = [name for _, name, others in self.test_bed.crashes if others]
         self.assertLessEqual(len(beside), 5)
+        # Tests of several tasks at the same time are no outage that proves nothing.
+        self.assertLessEqual(len(self.test_bed.crashes), 15)
+
+    def test_nothing_else_of_a_job_starts_before_the_verdict(self):
+        """Guards against work for a job that is about to be given up."""
+        self.deadly('bad0.0.0.0')
+        self.test_bed.submit(step(2), job_id='bad0')
+        while len(self.test_bed.crashes) < 2:
+            self.run_for(TICK_MS, ('bad0.0.0.1',))
+        self.run_for(LEASE_MS + 40, ('bad0.0.0.1',))
+        before = self.starts_of('bad0.0.0.1')
+        [host] = self.test_bed.running()['bad0.0.0.1']
+        self.test_bed.backends[host].end('bad0.0.0.1', EndReason.FAILED)
+        self.run_for(3000, ('bad0.0.0.1',))
+        self.assertEqual(self.starts_of('bad0.0.0.1'), before)
+
+    def test_tests_of_several_tasks_at_once_are_no_outage(self):
+        """Guards against crashes of isolated tasks that prove nothing together."""
+        self.test_bed = JobTestBed(*pool(16))
+        for number in range(6):
+            self.deadly(f'bad{number}.0.0.0')
+        self.submit_jobs(6, 'bad')
+        self.run_for(60_000)
+        for number in range(6):
+            self.assert_given_up(f'bad{number}', f'bad{number}.0.0.0')
+            self.assertLessEqual(self.starts_of(f'bad{number}.0.0.0'), 4)
+
+    def test_a_crash_after_the_first_one_leaves_few_suspects(self):
+        """Guards against innocent tasks that wait because they started just before.
+
+        The tasks of a surge start together, so that without a space between the starts
+        on one host all of them are suspected.
+        """
+        for number in range(3):
+            self.deadly(f'bad{number}-0.0.0.0')
+            self.submit_jobs(1, f'bad{number}-')
+            self.submit_jobs(10, f'job{number}-')
+            self.run_for(2000)
+        suspects = [
+            entry.fields['task']
+            for entry in self.test_bed.scheduler.take_log_entries()
+            if entry.event is Event.TASK_SUSPECTED and 'bad' not in entry.fields['task']
+        ]
+        first = [name for name in suspects if name.startswith('job0-')]
+        self.assertLessEqual(len(set(suspects) - set(first)), 8)
 
     def test_a_whole_step_of_deadly_tasks(self):
         """Guards against tasks of one job that each crash several hosts."""
@@ -194,6 +242,23 @@
         self.run_for(LEASE_MS + 3 * TASK_MS)
         self.assert_done(ids)
 
+    def test_copies_after_an_outage_wait_for_the_end_of_the_host(self):
+        """Guards against copies of a deadly task during an outage.
+
+        So many hosts are lost at once that no task is suspected. A copy of the task
+        whose start preceded the loss would crash the next host at once.
+        """
+        self.submit_jobs(12, speculative=True)
+        self.test_bed.step(TICK_MS)
+        self.test_bed.step(TICK_MS)
+        lost = list(self.test_bed.backends.values())[:4]
+        recent = {name for backend in lost for name in backend.runs_by_name}
+        for backend in lost:
+            self.test_bed.lose(backend)
+        self.test_bed.step(TICK_MS)
+        self.test_bed.step(TICK_MS)
+        self.assertEqual(recent & self.test_bed.running().keys(), set())
+
     def test_tasks_of_hosts_that_crash_again_and_again_are_not_given_up(self):
         """Guards against `failed` for tasks whose hosts crash for another reason."""
         ids = self.submit_jobs(12)
@@ -324,6 +389,8 @@
         self.run_for(60_000, each_tick=replace_leader)
         self.assert_given_up('bad0', 'bad0.0.0.0')
         self.assert_done(innocent)
+        self.assertEqual([o for _, _, o in self.test_bed.crashes[1:] if o], [])
+        self.assertLessEqual(len(self.test_bed.crashes), 3)
 
     def run_quietly(self):
         """Lets the leader see and store the end of the crashed host."""
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -30,11 +30,13 @@
         self.starts = list(start)
         self.unresponsive = unresponsive
         self.deadlines = []
+        self.waits_ms = []
         self.start_deadlines = []
         self.stops = 0
 
     async def hold(self, deadline_ms, acknowledged_end, wait_ms, timeout_ms):
         self.deadlines.append(deadline_ms)
+        self.waits_ms.append(wait_ms)
         if self.unresponsive:
             await asyncio.sleep((wait_ms + timeout_ms) / 1000)
             return Err(NO_ANSWER)
@@ -105,6 +107,17 @@
         held = [report for report in reports[at:] if isinstance(report, HoldAnswered)]
         self.assertGreaterEqual(len(held), 2)
 
+    def test_a_report_that_is_wanted_soon_is_not_delayed(self):
+        """Guards against suspected tasks that wait a second until they are cleared."""
+        counts = []
+        for soon in (False, True):
+            client = FakeBackendClient()
+            expected = TasksExpected(expected=True, report_soon=soon)
+            virtual_time.run(run_link(client, [expected, START], 4))
+            counts.append(max(client.waits_ms[2:]))
+        self.assertGreaterEqual(counts[0], 150)
+        self.assertLessEqual(counts[1], 100)
+
     def test_an_idle_link_makes_no_calls(self):
         """Guards against calls to backend servers that run nothing."""
         client = FakeBackendClient()
