Emulate tasks that crash their backend servers, and check the budget and the cause

The emulator could not show the fault: no task ended its backend server. The new fault makes a task of a tenth of the new jobs do so 10 ms after its start. The oracle reports a third start after the third crash, unless another fault was active within 3 s, and a job that is shown as failed without a cause.

The emulated platform has no list of hosts, so this covers deployments without one.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -25,6 +25,8 @@
 NETWORK_DELAY_MS = 1
 # Interval at which a waiting hold call looks for ended tasks.
 POLL_INTERVAL_MS = 5
+# Time from the start of a task that crashes its backend server to the crash.
+CRASH_DELAY_MS = 10
 # Delay of an order that is carried out late.
 LATE_DELAY_RANGE_MS = (1000, 8000)
 
@@ -71,6 +73,12 @@
     starts: list[tuple[int, str, int]] = field(default_factory=list)
     # Tasks that ended as done in any lifetime.
     done_task_names: set[str] = field(default_factory=set)
+    # Number of runs of each task that failed in any lifetime.
+    failed_runs_by_name: dict[str, int] = field(default_factory=dict)
+    # Tasks that crash each backend server on which they start, and the time, task and
+    # run of each such crash that has not been carried out yet.
+    deadly_task_names: set[str] = field(default_factory=set)
+    crashing: list[tuple[int, str, int]] = field(default_factory=list)
     # Ends acknowledged under the highest fencing token, in any lifetime.
     acknowledged: list[EndedTask] = field(default_factory=list)
     fails_all: bool = False
@@ -105,6 +113,9 @@
     def _end(self, name: str, reason: EndReason) -> None:
         if reason is EndReason.DONE:
             self.done_task_names.add(name)
+        elif reason is EndReason.FAILED:
+            count = self.failed_runs_by_name.get(name, 0)
+            self.failed_runs_by_name[name] = count + 1
         run = self.runs_by_name.pop(name)
         self.barred_by_name[name] = max(run.run, self.barred_by_name.get(name, 0))
         self.ends.append(
@@ -115,6 +126,7 @@
     def crash(self) -> None:
         """Ends the lifetime and drops its runs and unacknowledged ends."""
         self.up = False
+        self.crashing.clear()
         self.runs_by_name.clear()
         self.barred_by_name.clear()
         self.ends.clear()
@@ -157,6 +169,8 @@
         duration = int(self.mean_ms * self.rng.uniform(0.5, 1.5))
         self.runs_by_name[name] = Run(name, run, now_ms(), duration, fails)
         self.starts.append((now_ms(), name, run))
+        if name in self.deadly_task_names:
+            self.crashing.append((now_ms() + CRASH_DELAY_MS, name, run))
         return OrderOutcome.ACCEPTED
 
     def stop(self, name: str, run: int, token: int) -> OrderOutcome:
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -7,9 +7,11 @@
 
 from dandelionknot.clock import now_ms, seconds
 from emulator import virtual_time
-from emulator.faults import FAULTS
+from emulator.faults import DEADLY_TASKS, FAULTS
 from emulator.fleet import EmulatedFleet
 
+# Time after a fault in which it may still explain what happens.
+STABLE_MS = 3000
 # Time for every accepted job to end after the last fault.
 SETTLE_MS = 30_000
 
@@ -104,5 +106,16 @@
             break
         name = fleet.rng.choice(experiment.faults)
         verdict.faults.append(f'{now_ms() - start_ms} {name}')
-        running.add(asyncio.create_task(FAULTS[name](fleet)))
+        running.add(asyncio.create_task(_inject(fleet, name)))
     await asyncio.gather(*running)
+
+
+async def _inject(fleet: EmulatedFleet, name: str) -> None:
+    """Injects a fault; until shortly after it, it may explain what happens."""
+    fleet.active_faults += name != DEADLY_TASKS
+    try:
+        await FAULTS[name](fleet)
+    finally:
+        if name != DEADLY_TASKS:
+            fleet.active_faults -= 1
+            fleet.disturbed_until_ms = now_ms() + STABLE_MS
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 from dandelionknot.clock import seconds
-from emulator.fleet import BACKEND_PREFIX, REGISTRY_EXPIRY_MS, EmulatedFleet
+from emulator.fleet import EmulatedFleet
+
+# Name of the fault that does not disturb the managers themselves.
+DEADLY_TASKS = 'deadly_tasks'
 
 Fault = Callable[[EmulatedFleet], Coroutine[Any, Any, None]]
 
@@ -65,22 +68,12 @@
 
 
 async def crash_backend(fleet: EmulatedFleet) -> None:
-    """Crashes a backend server and restarts it later under the same id.
-
-    The registry entry is deleted if the server is down for longer than
-    `REGISTRY_EXPIRY_MS`.
-    """
+    """Crashes a backend server and restarts it later under the same id."""
     backend = fleet.backends_by_id[fleet.rng.choice(sorted(fleet.backends_by_id))]
     if not backend.up:
         return
     backend.crash()
-    down_ms = fleet.rng.randint(100, 8000)
-    await asyncio.sleep(seconds(min(down_ms, REGISTRY_EXPIRY_MS)))
-    if down_ms > REGISTRY_EXPIRY_MS:
-        fleet.store.delete(BACKEND_PREFIX + backend.backend_id)
-        await asyncio.sleep(seconds(down_ms - REGISTRY_EXPIRY_MS))
-    backend.restart()
-    fleet.register(backend)
+    await fleet.restart_later(backend, fleet.rng.randint(100, 8000))
 
 
 async def store_down(fleet: EmulatedFleet) -> None:
@@ -141,6 +134,13 @@
         backend.is_stalled = False
 
 
+async def deadly_tasks(fleet: EmulatedFleet) -> None:
+    """Makes a task of some new jobs crash each backend server that starts it."""
+    fleet.deadly_share = 0.1
+    await _wait(fleet, 2000, 8000)
+    fleet.deadly_share = 0.0
+
+
 FAULTS: dict[str, Fault] = {
     'kill_leader': kill_leader,
     'kill_all': kill_all,
@@ -155,4 +155,5 @@
     'forget_history': forget_history,
     'late_orders': late_orders,
     'bad_backend': bad_backend,
+    DEADLY_TASKS: deadly_tasks,
 }
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -130,6 +130,14 @@
     cut_paths: set[tuple[str, str]] = field(default_factory=set)
     late_share: list[float] = field(default_factory=lambda: [0.0])
     limit: Resources = Resources(cpu_millicores=40_000)
+    # Share of the jobs of which a task crashes each backend server that starts it.
+    deadly_share: float = 0.0
+    deadly_task_names: set[str] = field(default_factory=set)
+    # Number of other faults that are active, and the time until which the last one
+    # explains what happens.
+    active_faults: int = 0
+    disturbed_until_ms: int = 0
+    restarts: set[asyncio.Task] = field(default_factory=set)
     oracle: Oracle = field(init=False)
 
     def __post_init__(self) -> None:
@@ -155,6 +163,7 @@
                 rng,
                 Resources(cpu_millicores=16_000, memory_mb=32_000),
                 fail_share=0.02,
+                deadly_task_names=fleet.deadly_task_names,
             )
         return fleet
 
@@ -256,6 +265,9 @@
         """
         spec = self.random_spec()
         self.oracle.specs_by_job_id[job_id] = spec
+        if self.rng.random() < self.deadly_share:
+            number = self.rng.randrange(len(spec.steps))
+            self.deadly_task_names.add(f'{job_id}.0.{number}.0')
         queue = self.rng.choice(SERVICES)
         refused = True
         for _ in range(4):
@@ -291,6 +303,31 @@
                 return reply.phase.value if reply.phase else None
         return None
 
+    async def restart_later(self, backend: Backend, down_ms: int) -> None:
+        """Starts a crashed backend server again under the same id.
+
+        The registry entry is deleted if the server is down for longer than
+        `REGISTRY_EXPIRY_MS`.
+        """
+        await asyncio.sleep(seconds(min(down_ms, REGISTRY_EXPIRY_MS)))
+        if down_ms > REGISTRY_EXPIRY_MS:
+            self.store.delete(BACKEND_PREFIX + backend.backend_id)
+            await asyncio.sleep(seconds(down_ms - REGISTRY_EXPIRY_MS))
+        backend.restart()
+        self.register(backend)
+
+    def _crash_if_due(self, backend: Backend) -> None:
+        due = [crash for crash in backend.crashing if crash[0] <= now_ms()]
+        if not due:
+            return
+        disturbed = bool(self.active_faults) or now_ms() < self.disturbed_until_ms
+        self.oracle.crashed(due[0][1], disturbed)
+        backend.crash()
+        down_ms = self.rng.randint(2500, 4000)
+        restart = asyncio.create_task(self.restart_later(backend, down_ms))
+        self.restarts.add(restart)
+        restart.add_done_callback(self.restarts.discard)
+
     # Checks.
 
     async def watch(self) -> None:
@@ -299,5 +336,6 @@
             for backend in self.backends_by_id.values():
                 if backend.up:
                     backend.advance()
+                    self._crash_if_due(backend)
             self.oracle.check_invariants()
             await asyncio.sleep(seconds(ADVANCE_INTERVAL_MS))
--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -1,6 +1,6 @@
 """Test oracle: checks a fleet by what its callers and backend servers observe."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -11,6 +11,13 @@
 # Further problems of the same experiment are not recorded, as they add little.
 MAX_PROBLEMS = 20
 FINAL_PHASES = ('done', 'failed', 'cancelled')
+# Runs of a task that fail before its job may be shown as failed.
+MAX_ATTEMPTS = 4
+# Crashes under a task after which its job may be shown as failed, and those after which
+# it may be started only a few times more.
+CRASHES_UNTIL_FAILED = 2
+CRASHES_UNTIL_LIMIT = 3
+STARTS_AFTER_LIMIT = 2
 
 
 @dataclass(slots=True)
@@ -24,6 +31,25 @@
     # Jobs whose submissions were all answered 'not accepted'.
     refused_job_ids: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
+    # Crashes of backend servers by each task, and starts of it after the third crash
+    # that no fault can explain.
+    crashes_by_task: Counter[str] = field(default_factory=Counter)
+    late_starts_by_task: Counter[str] = field(default_factory=Counter)
+
+    def crashed(self, task_name: str, disturbed: bool) -> None:
+        """Records that a task has crashed its backend server.
+
+        `disturbed` is whether another fault was active shortly before.
+        """
+        self.crashes_by_task[task_name] += 1
+        if self.crashes_by_task[task_name] <= CRASHES_UNTIL_LIMIT or disturbed:
+            return
+        self.late_starts_by_task[task_name] += 1
+        if self.late_starts_by_task[task_name] > STARTS_AFTER_LIMIT:
+            self.report(
+                f'task {task_name} was started again after it had crashed '
+                f'{self.crashes_by_task[task_name]} backend servers'
+            )
 
     def report(self, text: str) -> None:
         """Records a violation with the current time."""
@@ -63,6 +89,8 @@
                 self.report(f'job {job_id} was accepted but not ended: phase {phase}')
             if phase == 'done':
                 self._check_done(job_id)
+            if phase == 'failed' and not self._has_cause_to_fail(job_id):
+                self.report(f'job {job_id} is reported as failed without a cause')
 
     def _check_starts(self) -> None:
         starts = sorted(
@@ -87,6 +115,21 @@
             if job_id not in self.specs_by_job_id:
                 self.report(f'task {name} started at {at}, but no caller submitted it')
 
+    def _has_cause_to_fail(self, job_id: str) -> bool:
+        failures: Counter[str] = Counter()
+        for backend in self.backends_by_id.values():
+            failures.update(backend.failed_runs_by_name)
+        prefix = f'{job_id}.'
+        return any(
+            count >= MAX_ATTEMPTS
+            for name, count in failures.items()
+            if name.startswith(prefix)
+        ) or any(
+            count >= CRASHES_UNTIL_FAILED
+            for name, count in self.crashes_by_task.items()
+            if name.startswith(prefix)
+        )
+
     def _check_done(self, job_id: str) -> None:
         """Checks that every task of a job reported as done has ended as done."""
         done = set().union(*(b.done_task_names for b in self.backends_by_id.values()))
