Test the suspects that are most likely innocent first, and bound what tests cost

Long-running tasks that had seen three crashes as bystanders were isolated for 10 s each.

Change: of the starts before a crash, the earliest are tested first; hosts that are down under a test count against the limit of a quarter of the pool while tasks of it find no room, else of half; hosts for suspects are asked for after all jobs in time; a task is suspected of late crashes only if its last three runs lived alike long.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -257,8 +257,8 @@
                 backends, waiting, expected, demand.predicted_millicores, now_ms
             )
             if scheduler.suspects_by_name:
-                isolated = _isolation.wanted_backends(waiting, len(backends))
-                need = replace(need, in_time=need.in_time + isolated)
+                isolated = _isolation.wanted_backends(waiting)
+                need = replace(need, late=need.late + isolated)
             needs_by_pool[pool] = need
             demand.unplaced = need.unplaced
             demand.reserve_share = reserve_share
--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -31,15 +31,17 @@
 # Contact is lost suddenly if that is noticed within this time after the last start.
 SUDDEN_LOSS_MS = 250
 # A task is suspected of crashes long after its start once this many backend servers
-# have crashed under it.
-SHARED_CRASHES_LIMIT = 3
+# have crashed under it in a row and the longest of these runs lived at most this
+# multiple of the shortest.
+LATE_CRASHES = 3
+LATE_CRASH_SPREAD = 1.5
 # A task is given up after this many crashes while it ran alone, or after one such crash
 # and this many crashes in all.
 CRASHES_ALONE_LIMIT = 2
 CRASHES_LIMIT = 5
 # A suspected task is cleared once it has run for this time, and if it is suspected of
-# crashes long after its start, this much longer than the longest of its crashed runs.
-# The second number limits the length of those that is counted.
+# crashes long after its start, this much longer than these runs. The second number
+# limits the length of those that is counted.
 SURVIVAL_MARGIN_MS = 150
 MAX_SURVIVAL_MS = 10_000
 # Time after a loss of contact in which a backend server may still show that it has not
@@ -212,10 +214,10 @@
     """Adds a crash to the history of a task, which may become suspected by it."""
     if task.step.job.final or task.phase is TaskPhase.DONE:
         return
+    answered = task.phase is not TaskPhase.PLACED
+    age_ms = max(0, backend.last_sign_ms - task.started_at_ms) if answered else 0
     task.crashed_runs = [*task.crashed_runs, task.run][-MAX_STORED_CRASHES:]
-    if not recent:
-        lived_ms = max(0, backend.last_sign_ms - task.started_at_ms)
-        task.crash_age_ms = max(task.crash_age_ms, min(lived_ms, MAX_SURVIVAL_MS))
+    task.crash_ages_ms = [*task.crash_ages_ms, age_ms][-MAX_STORED_CRASHES:]
     if task.isolated and not outage:
         task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
         if not certain:
@@ -224,7 +226,7 @@
     count = len(task.crashed_runs)
     if (
         task.suspected
-        or count >= SHARED_CRASHES_LIMIT
+        or late_crash_age_ms(task)
         or (recent and (not outage or count > 1))
     ):
         task.suspected = True
@@ -233,6 +235,19 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def late_crash_age_ms(task: TaskState) -> int:
+    """Returns how long after its start a task may crash its backend servers, or 0.
+
+    It may if its last crashed runs had lived for about the same time. A bystander that
+    was hit as often had not.
+    """
+    ages_ms = task.crash_ages_ms[-LATE_CRASHES:]
+    if len(ages_ms) < LATE_CRASHES or min(ages_ms) <= RECENT_START_MS:
+        return 0
+    alike = max(ages_ms) <= LATE_CRASH_SPREAD * min(ages_ms)
+    return min(max(ages_ms), MAX_SURVIVAL_MS) if alike else 0
+
+
 def is_outage(scheduler: Scheduler, backend: BackendState) -> bool:
     """Whether so many other backend servers were lost together that no task did it.
 
@@ -346,7 +361,7 @@
 
 def run_survives(scheduler: Scheduler, task: TaskState, now_ms: int) -> None:
     """Applies a report that lists the run of a suspected task as running."""
-    if now_ms - task.started_at_ms >= task.crash_age_ms + SURVIVAL_MARGIN_MS:
+    if now_ms - task.started_at_ms >= late_crash_age_ms(task) + SURVIVAL_MARGIN_MS:
         _clear(scheduler, task, 'it has outlived all its crashed runs')
 
 
@@ -365,7 +380,10 @@
     """Removes a crash that did not happen, since the backend server reports the run."""
     if run not in task.crashed_runs or task.step.job.final:
         return
-    task.crashed_runs = [number for number in task.crashed_runs if number != run]
+    index = task.crashed_runs.index(run)
+    # A batch that is being stored may hold the lists, so they are replaced.
+    task.crashed_runs = _without(task.crashed_runs, index)
+    task.crash_ages_ms = _without(task.crash_ages_ms, index)
     task.crashed_alone_runs = [
         number for number in task.crashed_alone_runs if number != run
     ]
@@ -384,6 +402,10 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def _without(values: list[int], index: int) -> list[int]:
+    return values[:index] + values[index + 1 :]
+
+
 def _clear(scheduler: Scheduler, task: TaskState, reason: str) -> None:
     """Ends the suspicion against a task and opens its host to other tasks."""
     task.suspected = False
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -108,12 +108,15 @@
         Annotated[list[int], Meta(description="Those of them that ran alone.")]
        
     ) = field(default_factory=list)
-    crash_age_ms: (
+    crash_ages_ms: (
         Annotated[
-            int, Meta(description="Longest time from the start of a run to the crash.")
+            list[int],
+            Meta(
+                description="Time from the start of each crashed run to the crash; 0 if the start was not answered."
+            ),
         ]
        
-    ) = 0
+    ) = field(default_factory=list)
     suspected: (
         Annotated[bool, Meta(description="Whether the task may only be started alone.")]
        
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -27,11 +27,16 @@
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
 
-# Largest share of the backend servers of a service that run suspected tasks at a time.
-# One is always possible.
+# Largest share of the backend servers of a service that run suspected tasks, or are
+# down because of one, at a time: while other tasks find no room, and otherwise. One is
+# always possible.
 ISOLATION_SHARE = 0.25
+CALM_ISOLATION_SHARE = 0.5
 # One more backend server is reserved for this many suspected tasks that wait.
 SUSPECTS_PER_BACKEND = 4
+# Backend servers that a service asks for beyond those for its other tasks, for each
+# suspected task that waits. A guilty one takes them out of service for some seconds.
+BACKENDS_PER_SUSPECT = 0.5
 # A reserved backend server on which only long-running tasks are left is used beside
 # them after this time, since their steps may not allow that they are stopped.
 LONG_RUNNING_WAIT_MS = 2000
@@ -79,15 +84,12 @@
         return _without_reserved(backends, 0)
     in_use, down = _isolation_counts(scheduler, steps, now_ms)
     present = len(backends) + in_use + down
-    limit = max(1, int(present * ISOLATION_SHARE))
-    if not _has_ordinary_tasks(steps):
-        limit = max(limit, present // 2)
+    services = {step.job.queue.service for step in steps}
+    full = not services.isdisjoint(scheduler.full_services)
+    limit = max(1, int(present * (ISOLATION_SHARE if full else CALM_ISOLATION_SHARE)))
     unplaced: list[Unit] = []
-    for unit in sorted(units, key=lambda unit: (unit.has_crashed_alone, unit.crashes)):
-        # Backend servers that are down because of a unit count only against units that
-        # are nearly certain to crash the next one.
-        used = in_use + (down if unit.has_crashed_alone else 0)
-        if used >= limit and not unit.step.spec.gang:
+    for unit in sorted(units, key=_innocence):
+        if in_use + down >= limit and not unit.step.spec.gang:
             continue
         placed = _place_unit(scheduler, unit, backends, now_ms, allowed, place)
         if placed:
@@ -125,27 +127,29 @@
     return units
 
 
-def _has_ordinary_tasks(steps: list[StepState]) -> bool:
-    return any(
-        task.phase is TaskPhase.WAITING and not task.suspected
-        for step in steps
-        for task in step.tasks
+def _innocence(unit: Unit) -> tuple[bool, int, int]:
+    """Returns the sort key of a unit; the one that is most likely innocent goes first.
+
+    It costs no backend server and need not wait for the guilty ones. Of the tasks that
+    started shortly before a crash, the latest is the most likely to have caused it.
+    """
+    age_ms = min(
+        (task.crash_ages_ms[-1] for task in unit.tasks if task.crash_ages_ms), default=0
     )
+    return unit.has_crashed_alone, unit.crashes, -age_ms
 
 
-def wanted_backends(steps: list[StepState], present: int) -> int:
-    """Returns how many backend servers a service needs for its suspected tasks.
+def wanted_backends(steps: list[StepState]) -> int:
+    """Returns how many backend servers a service can use for its suspected tasks.
 
-    They are asked for in addition to those for other tasks, so that these do not wait.
+    They come in addition to those for other tasks, so that these do not wait.
     """
-    alone = waiting = 0
-    for step in steps:
-        for task in step.tasks:
-            if task.suspected and task.phase is TaskPhase.WAITING:
-                alone += bool(task.crashed_alone_runs)
-                waiting += not task.crashed_alone_runs
-    wanted = alone + math.ceil(waiting / SUSPECTS_PER_BACKEND)
-    return min(wanted, 1 + present // 2)
+    suspects = sum(
+        task.suspected and task.phase is TaskPhase.WAITING
+        for step in steps
+        for task in step.tasks
+    )
+    return math.ceil(suspects * BACKENDS_PER_SUSPECT)
 
 
 def _isolation_counts(
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -68,7 +68,10 @@
         backends = backends_by_service.get(service)
         if backends:
             left = _place_suspects(scheduler, steps, backends, now_ms)
-            _place_steps(scheduler, steps, left, now_ms)
+            if _place_steps(scheduler, steps, left, now_ms):
+                scheduler.full_services.discard(service)
+            else:
+                scheduler.full_services.add(service)
     # Tasks that still wait count as demand for more hosts, since the pools have no room
     # for them.
     scheduler.host_orders.extend(
@@ -167,7 +170,8 @@
     steps: list[StepState],
     backends: list[BackendState],
     now_ms: int,
-) -> None:
+) -> bool:
+    """Places waiting tasks of a service; returns whether there was room for all."""
     unplaced = 0
     withheld = _crashes.withheld_job_ids(scheduler)
     for step in steps:
@@ -182,7 +186,8 @@
             placed = _place_tasks(scheduler, step, allowed, now_ms)
         unplaced += not placed
         if unplaced > MAX_UNPLACED_STEPS:
-            return
+            return False
+    return not unplaced
 
 
 def _place_tasks(
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -145,7 +145,7 @@
         placed_unix_ms=task.placed_unix_ms,
         crashed_runs=task.crashed_runs,
         crashed_alone_runs=task.crashed_alone_runs,
-        crash_age_ms=task.crash_age_ms,
+        crash_ages_ms=task.crash_ages_ms,
         suspected=task.suspected,
         isolated=task.isolated,
     )
@@ -177,7 +177,7 @@
         task.placed_unix_ms = stored.placed_unix_ms
         task.crashed_runs = list(stored.crashed_runs)
         task.crashed_alone_runs = list(stored.crashed_alone_runs)
-        task.crash_age_ms = stored.crash_age_ms
+        task.crash_ages_ms = list(stored.crash_ages_ms)
         task.suspected = stored.suspected
         if stored.phase == TaskPhase.PLACED:
             task.isolated = stored.isolated
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -108,6 +108,8 @@
     # Local time of the last crash for which tasks of a service are suspected.
     crashed_at_ms_by_service: dict[str, int] = field(default_factory=dict)
     accounts_by_name: dict[str, AccountState] = field(default_factory=dict)
+    # Services whose backend servers had no room for a task in the last round.
+    full_services: set[str] = field(default_factory=set)
     queues_by_name: dict[str, Queue] = field(default_factory=dict)
     excluded_zones: frozenset[str] = frozenset()
     # Jobs whose record has to be stored, in the order in which they changed.
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -54,8 +54,9 @@
     # Runs under which a backend server crashed, and those of them that ran alone.
     crashed_runs: list[int] = field(default_factory=list)
     crashed_alone_runs: list[int] = field(default_factory=list)
-    # Longest time from the start of a run to the crash of its backend server.
-    crash_age_ms: int = 0
+    # Time from the start of each crashed run to the crash; 0 if its start was not
+    # answered.
+    crash_ages_ms: list[int] = field(default_factory=list)
     # The task may crash its backend servers, so it is only started alone. The run is
     # isolated if it was started so.
     suspected: bool = False
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -272,6 +272,46 @@
         self.run_for(30_000)
         self.assert_done(ids)
 
+    def test_a_long_running_bystander_of_many_crashes_is_not_suspected(self):
+        """Guards against isolating what runs for long and so sees many crashes.
+
+        Its runs lived for different times until the crashes.
+        """
+        self.test_bed.submit(step(1, long_running=True), job_id='service')
+        spared = ('service.0.0.0',)
+        for lived_ms in (3000, 500, 7000, 1200):
+            self.run_for(lived_ms, spared)
+            [host] = self.test_bed.running()['service.0.0.0']
+            self.test_bed.lose(self.test_bed.backends[host])
+            self.run_for(LEASE_MS + 100, spared)
+        [task] = (
+            self.test_bed.scheduler.jobs_by_id['service']
+            .steps_by_occurrence[0][0]
+            .tasks
+        )
+        self.assertEqual(len(task.crashed_runs), 4)
+        self.assertFalse(task.suspected)
+
+    def test_the_latest_start_before_a_crash_is_tested_last(self):
+        """Guards against innocent suspects that wait until hosts are back.
+
+        The guilty task is most likely the one that started last. Its test takes a host
+        out of service, while the others need one only for a moment.
+        """
+        self.test_bed = JobTestBed(*pool(4))
+        self.deadly('bad.0.0.0')
+        self.submit_jobs(1)
+        self.run_for(40)
+        self.test_bed.submit(step(1), job_id='bad')
+        self.run_for(LEASE_MS + 2000)
+        isolated = [
+            entry.fields['task']
+            for entry in self.test_bed.scheduler.take_log_entries()
+            if entry.event is Event.TASK_ISOLATED
+        ]
+        first = isolated.index('bad.0.0.0')
+        self.assertGreaterEqual(first, 6)
+
     def test_lost_contact_is_no_crash(self):
         """Guards against suspecting a task because its host did not answer for a while.
 
