Tell caller and operator why a job that crashed its hosts has failed

A caller saw 'failed' without a reason, and 'explain' did not show the losses that a task may have caused, since 'backend lost' has no job id.

A test with a real manager process crashes its only host three times under a task and checks answer, timeline, metric and the number of starts; it failed without the change of 'explain'.

--- a/dandelionknot/cli/_explain.py
+++ b/dandelionknot/cli/_explain.py
@@ -93,7 +93,11 @@
         value = str(line.fields.get(name, ''))
         if value == subject or (name == 'task' and value.startswith(f'{subject}.')):
             return True
-    return False
+    # The loss of a backend server is also about the tasks that may have caused it.
+    return any(
+        f'{task}.'.startswith(f'{subject}.')
+        for task in line.fields.get('recent_tasks', [])
+    )
 
 
 def _dropped_lines_texts(
--- a/tests/test_manager_process.py
+++ b/tests/test_manager_process.py
@@ -116,6 +116,42 @@
         self.assertRegex(timeline, expected)
         self.assertNotIn('missing', timeline)
 
+    async def test_timeline_of_a_job_that_crashes_its_hosts(self):
+        """Guards against a failed job of which caller and operator see no cause."""
+        backend = self.platform.add_backend('i-1', 'desk')
+        backend.deadly_task_names.add('00000000000000bc.0.0.0')
+        await self.start('edge-1')
+        path = '/quotes/00000000000000bc'
+        await self.call('edge-1', 'POST', path, JOB)
+        for _ in range(3):
+            await wait_until(lambda: bool(backend.crashing), MAX_WAIT_S)
+            backend.crash()
+            await asyncio.sleep(0.1)
+            backend.restart()
+            self.platform.register('i-1')
+        await wait_until(lambda: self.has_ended('edge-1', path, b'failed'), MAX_WAIT_S)
+        _, body = await self.call('edge-1', 'GET', path)
+        self.assertRegex(msgspec.json.decode(body)['reason'], r'\.0\.0\.0 .* crashed')
+        self.assertEqual(len(backend.starts), 3)
+        await asyncio.sleep(0.2)
+        expected = (
+            r'backend lost: .*recent_tasks=.*\n'
+            r'(.*\n)*.*task suspected: .*crashes=1 crashes_alone=0.*\n'
+            r'(.*\n)*.*task isolated: .*beside_tasks=0.*\n'
+            r'(.*\n)*.*task suspected: .*crashes_alone=2.*\n'
+            r'(.*\n)*.*job ended: .*phase=failed.*reason=task .* given up.*'
+        )
+        self.assertRegex(self.explain('00000000000000bc'), expected)
+        metrics = await self.fetch_metrics('edge-1')
+        self.assertIn(
+            'dandelionknot_decisions_total{event="task_given_up"} 1.0', metrics
+        )
+
+    async def fetch_metrics(self, member_id):
+        connections = self.client.connections(self.metrics[member_id], None, 1000)
+        fetched = await self.client.call(connections, 'GET', '/metrics', None, 5000, {})
+        return fetched.body.decode()
+
     async def test_timeline_of_a_refused_job(self):
         """Guards against logged refusals without the reason or the age of the view."""
         self.platform.add_backend('i-1', 'desk')
