Test a suspected task on another host than the one that crashed before

A caller's job would have failed for the fault of a host: a host that crashes whatever it starts is empty after each restart, so that a suspect was tested on it twice and given up. Found by reading; the new test failed for pools of two and three hosts.

Records hold the hosts of the crashes. A suspect is tested on a host that has not crashed under it, then on one that has not while it ran alone. Crashes of two different hosts alone are the verdict; where there is one host, three of it, or two and five crashes in all, which is within the budget of five starts.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -15,7 +15,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import _ends
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
 
+T = TypeVar('T')
+
 # A run began shortly before the loss of its backend server if its start was accepted
 # within this time before the last sign of life.
 RECENT_START_MS = 60
@@ -35,9 +37,11 @@
 # multiple of the shortest.
 LATE_CRASHES = 3
 LATE_CRASH_SPREAD = 1.5
-# A task is given up after this many crashes while it ran alone, or after one such crash
-# and this many crashes in all.
-CRASHES_ALONE_LIMIT = 2
+# A task is given up once this many hosts have crashed while it ran alone on them. Two
+# crashes of one host may be the fault of the host, so without a second host it takes
+# more of them, or as many crashes in all as the third number says.
+HOSTS_ALONE_LIMIT = 2
+CRASHES_ALONE_LIMIT = 3
 CRASHES_LIMIT = 5
 # A suspected task is cleared once it has run for this time, and if it is suspected of
 # crashes long after its start, this much longer than these runs. The second number
@@ -218,6 +222,8 @@
     age_ms = max(0, backend.last_sign_ms - task.started_at_ms) if answered else 0
     task.crashed_runs = [*task.crashed_runs, task.run][-MAX_STORED_CRASHES:]
     task.crash_ages_ms = [*task.crash_ages_ms, age_ms][-MAX_STORED_CRASHES:]
+    hosts = [*task.crashed_host_ids, backend.known_host_id]
+    task.crashed_host_ids = hosts[-MAX_STORED_CRASHES:]
     if task.isolated and not outage:
         task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
         if not certain:
@@ -309,11 +315,20 @@
     return bool(rack) and lost > 1 and lost >= OUTAGE_RACK_SHARE * in_rack
 
 
+def hosts_of_crashes(task: TaskState, alone: bool) -> set[str]:
+    """Returns the hosts that crashed under a task, or only while it ran alone."""
+    pairs = zip(task.crashed_runs, task.crashed_host_ids, strict=False)
+    runs = task.crashed_alone_runs if alone else task.crashed_runs
+    return {host_id for run, host_id in pairs if run in runs}
+
+
 def is_guilty(task: TaskState) -> bool:
     """Whether the crashes under a task leave no other explanation than the task."""
     alone = len(task.crashed_alone_runs)
-    return alone >= CRASHES_ALONE_LIMIT or (
-        alone > 0 and len(task.crashed_runs) >= CRASHES_LIMIT
+    return (
+        len(hosts_of_crashes(task, alone=True)) >= HOSTS_ALONE_LIMIT
+        or alone >= CRASHES_ALONE_LIMIT
+        or (alone > 1 and len(task.crashed_runs) >= CRASHES_LIMIT)
     )
 
 
@@ -384,6 +399,7 @@
     # A batch that is being stored may hold the lists, so they are replaced.
     task.crashed_runs = _without(task.crashed_runs, index)
     task.crash_ages_ms = _without(task.crash_ages_ms, index)
+    task.crashed_host_ids = _without(task.crashed_host_ids, index)
     task.crashed_alone_runs = [
         number for number in task.crashed_alone_runs if number != run
     ]
@@ -402,7 +418,7 @@
     scheduler.mark_dirty(task.step.job)
 
 
-def _without(values: list[int], index: int) -> list[int]:
+def _without(values: list[T], index: int) -> list[T]:
     return values[:index] + values[index + 1 :]
 
 
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -117,6 +117,9 @@
         ]
        
     ) = field(default_factory=list)
+    crashed_host_ids: (
+        Annotated[list[str], Meta(description="Hosts of these crashes.")]
+    ) = field(default_factory=list)
     suspected: (
         Annotated[bool, Meta(description="Whether the task may only be started alone.")]
        
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -14,7 +14,7 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import _crashes, _placement
-from dandelionknot.jobs._generated import Resources, StepSpec
+from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._maintenance import evict_if_allowed
 from dandelionknot.jobs._state import (
     BackendState,
@@ -189,7 +189,9 @@
     )
     if not _placement.is_within_limit(step.job.account, total):
         return 0
-    free = allowed(step, [b for b in backends if _is_free(b, now_ms)])
+    usable = [backend for backend in backends if _is_usable_for(step, backend)]
+    free = allowed(step, [b for b in usable if _is_free(b, now_ms)])
+    free = _other_hosts(unit, free, only_host=len(usable) == 1)
     places: list[tuple[TaskState, BackendState]] | None
     if step.spec.gang:
         places = _placement.place_gang(step, free)
@@ -216,6 +218,27 @@
     return len({backend.backend_id for _, backend in places})
 
 
+def _other_hosts(
+    unit: Unit, free: list[BackendState], only_host: bool
+) -> list[BackendState]:
+    """Returns the free backend servers on other hosts than those that crashed before.
+
+    A host may crash whatever it starts, so a second crash on it proves nothing. If none
+    is left, those that did not crash while the unit ran alone are next. The only host
+    that a step can use is used again.
+    """
+    if only_host:
+        return free
+    for alone in (False, True):
+        crashed: set[str] = set()
+        for task in unit.tasks:
+            crashed |= _crashes.hosts_of_crashes(task, alone)
+        others = [b for b in free if b.known_host_id not in crashed]
+        if others:
+            return others
+    return []
+
+
 def _is_free(backend: BackendState, now_ms: int) -> bool:
     """Whether a suspected task would run alone on a backend server.
 
@@ -238,12 +261,7 @@
     now_ms: int,
 ) -> None:
     """Reserves the backend servers that will be empty first, up to a number."""
-    usable = [
-        backend
-        for backend in backends
-        if _placement.is_allowed_on(step, backend)
-        and _fits_when_empty(step.spec, backend)
-    ]
+    usable = [backend for backend in backends if _is_usable_for(step, backend)]
     usable.sort(key=lambda backend: (not backend.reserved_at_ms, *_time_left(backend)))
     for backend in usable[:wanted]:
         backend.reserved_at_ms = backend.reserved_at_ms or now_ms
@@ -264,10 +282,11 @@
     return has_long_running, left_ms
 
 
-def _fits_when_empty(spec: StepSpec, backend: BackendState) -> bool:
-    if backend.report is None:
+def _is_usable_for(step: StepState, backend: BackendState) -> bool:
+    """Whether a step may run on a backend server and fits there once it is empty."""
+    if backend.report is None or not _placement.is_allowed_on(step, backend):
         return False
-    room = backend.report.room
+    spec, room = step.spec, backend.report.room
     return (
         occupied_cpu_millicores(spec) <= room.cpu_millicores
         and spec.resources.memory_mb <= room.memory_mb
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -146,6 +146,7 @@
         crashed_runs=task.crashed_runs,
         crashed_alone_runs=task.crashed_alone_runs,
         crash_ages_ms=task.crash_ages_ms,
+        crashed_host_ids=task.crashed_host_ids,
         suspected=task.suspected,
         isolated=task.isolated,
     )
@@ -178,6 +179,7 @@
         task.crashed_runs = list(stored.crashed_runs)
         task.crashed_alone_runs = list(stored.crashed_alone_runs)
         task.crash_ages_ms = list(stored.crash_ages_ms)
+        task.crashed_host_ids = list(stored.crashed_host_ids)
         task.suspected = stored.suspected
         if stored.phase == TaskPhase.PLACED:
             task.isolated = stored.isolated
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -57,6 +57,8 @@
     # Time from the start of each crashed run to the crash; 0 if its start was not
     # answered.
     crash_ages_ms: list[int] = field(default_factory=list)
+    # Hosts of these crashes.
+    crashed_host_ids: list[str] = field(default_factory=list)
     # The task may crash its backend servers, so it is only started alone. The run is
     # isolated if it was started so.
     suspected: bool = False
@@ -222,6 +224,11 @@
     # Earliest local time at which a draining backend server leaves; 0 if it stays.
     leaves_at_ms: int = 0
 
+    @property
+    def known_host_id(self) -> str:
+        """Its host, or its own id if the platform has not listed it."""
+        return self.host_id or self.backend_id
+
     @property
     def rack(self) -> str:
         """Rack of the host: the first of its labels that contains a hyphen."""
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -66,6 +66,8 @@
     started: list[tuple[str, int]] = field(default_factory=list)
     # Time at which it is back after a crash; 0 while it is up.
     down_until_ms: int = 0
+    # Whether it crashes whatever it starts.
+    crashes_always: bool = False
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
@@ -253,6 +255,8 @@
         """Crashes a backend server under a task, or starts it again after a crash."""
         for name, run in backend.runs_by_name.items():
             after_ms = self.crash_after_ms_by_name.get(name)
+            if backend.crashes_always:
+                after_ms = 0
             if after_ms is not None and self.now_ms - run.started_ms >= after_ms:
                 others = [other for other in backend.runs_by_name if other != name]
                 self.crashes.append((self.now_ms, name, others))
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -272,6 +272,19 @@
         self.run_for(30_000)
         self.assert_done(ids)
 
+    def test_a_host_that_crashes_whatever_it_starts_makes_no_task_guilty(self):
+        """Guards against taking the fault of a host for that of the tasks on it.
+
+        A task that is tested on the same host twice would be given up.
+        """
+        for count in (2, 3, 8):
+            with self.subTest(count=count):
+                self.test_bed = JobTestBed(*pool(count))
+                self.test_bed.backends['b0'].crashes_always = True
+                ids = self.submit_jobs(4)
+                self.run_for(60_000)
+                self.assert_done(ids)
+
     def test_a_long_running_bystander_of_many_crashes_is_not_suspected(self):
         """Guards against isolating what runs for long and so sees many crashes.
 
