Reserve no host for a suspected task that may not start

While the client account of a suspected task is at its limit, a host was kept empty for it, and other tasks of the pool had one host less.

Suspects beyond the limit of their account, and those that no present host can take, reserve nothing.

--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -83,19 +83,23 @@
     if not units:
         return _without_reserved(backends, 0)
     in_use, down = _isolation_counts(scheduler, steps, now_ms)
-    present = len(backends) + in_use + down
-    services = {step.job.queue.service for step in steps}
-    full = not services.isdisjoint(scheduler.full_services)
-    limit = max(1, int(present * (ISOLATION_SHARE if full else CALM_ISOLATION_SHARE)))
+    limit = _most_at_once(scheduler, steps, len(backends) + in_use + down)
     unplaced: list[Unit] = []
     for unit in sorted(units, key=_innocence):
         if in_use + down >= limit and not unit.step.spec.gang:
             continue
+        if not _is_within_limit(unit):
+            continue
         placed = _place_unit(scheduler, unit, backends, now_ms, allowed, place)
         if placed:
             in_use += placed
         else:
             unplaced.append(unit)
+    unplaced = [
+        unit
+        for unit in unplaced
+        if any(_is_usable_for(unit.step, backend) for backend in backends)
+    ]
     if not unplaced:
         return _without_reserved(backends, 0)
     wanted = min(math.ceil(len(units) / SUSPECTS_PER_BACKEND), limit) - in_use
@@ -127,6 +131,23 @@
     return units
 
 
+def _most_at_once(scheduler: Scheduler, steps: list[StepState], present: int) -> int:
+    """Returns how many of the present backend servers may be used for suspects."""
+    services = {step.job.queue.service for step in steps}
+    full = not services.isdisjoint(scheduler.full_services)
+    return max(1, int(present * (ISOLATION_SHARE if full else CALM_ISOLATION_SHARE)))
+
+
+def _is_within_limit(unit: Unit) -> bool:
+    needed, count = unit.step.spec.resources, len(unit.tasks)
+    total = Resources(
+        cpu_millicores=needed.cpu_millicores * count,
+        memory_mb=needed.memory_mb * count,
+        accelerators=needed.accelerators * count,
+    )
+    return _placement.is_within_limit(unit.step.job.account, total)
+
+
 def _innocence(unit: Unit) -> tuple[bool, int, int]:
     """Returns the sort key of a unit; the one that is most likely innocent goes first.
 
@@ -181,14 +202,7 @@
     place: Place,
 ) -> int:
     """Places a unit on free backend servers; returns how many it uses, or 0."""
-    step, needed = unit.step, unit.step.spec.resources
-    total = Resources(
-        cpu_millicores=needed.cpu_millicores * len(unit.tasks),
-        memory_mb=needed.memory_mb * len(unit.tasks),
-        accelerators=needed.accelerators * len(unit.tasks),
-    )
-    if not _placement.is_within_limit(step.job.account, total):
-        return 0
+    step = unit.step
     usable = [backend for backend in backends if _is_usable_for(step, backend)]
     free = allowed(step, [b for b in usable if _is_free(b, now_ms)])
     free = _other_hosts(unit, free, only_host=len(usable) == 1)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -285,6 +285,27 @@
                 self.run_for(60_000)
                 self.assert_done(ids)
 
+    def test_a_suspect_beyond_the_limit_of_its_account_holds_no_host(self):
+        """Guards against hosts that are kept empty for a task that may not start."""
+        self.test_bed = JobTestBed(*pool(2))
+        self.submit_jobs(1)
+        self.test_bed.step(TICK_MS)
+        self.test_bed.step(TICK_MS)
+        for backend in self.test_bed.backends.values():
+            if backend.runs_by_name:
+                self.test_bed.lose(backend)
+        self.run_for(2 * TICK_MS)
+        account = self.test_bed.scheduler.account('sofia')
+        account.limit = Resources(cpu_millicores=1)
+        self.run_for(LEASE_MS + 1000)
+        reserved = [
+            backend.backend_id
+            for backend in self.test_bed.scheduler.backends_by_id.values()
+            if backend.reserved_at_ms
+        ]
+        self.assertTrue(self.test_bed.scheduler.suspects_by_name)
+        self.assertEqual(reserved, [])
+
     def test_a_long_running_bystander_of_many_crashes_is_not_suspected(self):
         """Guards against isolating what runs for long and so sees many crashes.
 
