Reserve a host for a suspected task that has not crashed under it yet

In a busy pool of two hosts a suspect could wait for ever: the host that had crashed under it was empty after its restart and was reserved, but the verdict needs the other one, which never became empty by itself. Found by reading the diff; the new test failed.

Hosts that crashed under the task are left out of the reservation like they are left out of the test. Reservations for others end.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -60,7 +60,8 @@
 TOGETHER_SUDDEN_MS = 500
 TOGETHER_SILENT_MS = 1700
 # Losses that belong together are an outage from this number and this share of all
-# backend servers on, or if connections do not break, from this share of a rack on.
+# backend servers on. Unless contact was lost right after a start, they also are from
+# this share of a rack on.
 OUTAGE_COUNT = 4
 OUTAGE_SHARE = 0.2
 OUTAGE_RACK_SHARE = 0.5
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -107,7 +107,7 @@
     if unplaced[0].step.spec.gang:
         # A gang needs several at a time, as many as its tasks need room.
         wanted = max(wanted, 1 + sum(not b.tasks_by_name for b in backends))
-    _reserve(scheduler, unplaced[0].step, backends, wanted, now_ms)
+    _reserve(scheduler, unplaced[0], backends, wanted, now_ms)
     return _without_reserved(backends, wanted)
 
 
@@ -233,21 +233,21 @@
 
 
 def _other_hosts(
-    unit: Unit, free: list[BackendState], only_host: bool
+    unit: Unit, backends: list[BackendState], only_host: bool
 ) -> list[BackendState]:
-    """Returns the free backend servers on other hosts than those that crashed before.
+    """Returns the backend servers on other hosts than those that crashed before.
 
     A host may crash whatever it starts, so a second crash on it proves nothing. If none
     is left, those that did not crash while the unit ran alone are next. The only host
     that a step can use is used again.
     """
     if only_host:
-        return free
+        return backends
     for alone in (False, True):
         crashed: set[str] = set()
         for task in unit.tasks:
             crashed |= _crashes.hosts_of_crashes(task, alone)
-        others = [b for b in free if b.known_host_id not in crashed]
+        others = [b for b in backends if b.known_host_id not in crashed]
         if others:
             return others
     return []
@@ -269,13 +269,20 @@
 
 def _reserve(
     scheduler: Scheduler,
-    step: StepState,
+    unit: Unit,
     backends: list[BackendState],
     wanted: int,
     now_ms: int,
 ) -> None:
-    """Reserves the backend servers that will be empty first, up to a number."""
-    usable = [backend for backend in backends if _is_usable_for(step, backend)]
+    """Reserves the backend servers for a unit that will be empty first.
+
+    At most `wanted` are reserved, and former reservations of others end.
+    """
+    usable = [backend for backend in backends if _is_usable_for(unit.step, backend)]
+    usable = _other_hosts(unit, usable, only_host=len(usable) == 1)
+    for backend in backends:
+        if backend not in usable:
+            backend.reserved_at_ms = 0
     usable.sort(key=lambda backend: (not backend.reserved_at_ms, *_time_left(backend)))
     for backend in usable[:wanted]:
         backend.reserved_at_ms = backend.reserved_at_ms or now_ms
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -198,6 +198,32 @@
         self.assert_given_up('bad0', 'bad0.0.0.0')
         self.assert_done(innocent)
 
+    def test_the_host_that_has_not_crashed_yet_is_reserved(self):
+        """Guards against waiting for ever for a second host in a busy pool of two.
+
+        The host that crashed under the task is empty after its restart, and the other
+        one never is by itself.
+        """
+        self.test_bed = JobTestBed(*pool(2))
+        self.test_bed.submit(step(1), job_id='job0')
+        self.run_for(2 * TICK_MS, ('job0.0.0.0',))
+        [busy] = self.test_bed.running()['job0.0.0.0']
+        [crashed] = self.test_bed.backends.keys() - {busy}
+        self.test_bed.submit(step(1), job_id='bad0')
+        scheduler = self.test_bed.scheduler
+        [task] = scheduler.jobs_by_id['bad0'].steps_by_occurrence[0][0].tasks
+        task.run, task.suspected = 2, True
+        task.crashed_runs, task.crash_ages_ms = [1, 2], [0, 0]
+        task.crashed_host_ids, task.crashed_alone_runs = [busy, crashed], [2]
+        scheduler.suspects_by_name[task.name] = task
+        self.run_for(2 * TICK_MS, ('job0.0.0.0',))
+        reserved = [
+            backend.backend_id
+            for backend in scheduler.backends_by_id.values()
+            if backend.reserved_at_ms
+        ]
+        self.assertEqual(reserved, [busy])
+
     def test_a_deadly_gang(self):
         """Guards against gangs whose members crash a host at each start."""
         innocent = self.submit_jobs(4)
