--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -334,7 +334,7 @@
 
 
 def restored(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
-    """Takes over the suspected tasks of a job from its stored record."""
+    """Restores the suspected tasks of a job from its stored record."""
     for task in _tasks_of(state):
         if task.suspected and task.phase is not TaskPhase.DONE:
             scheduler.suspects_by_name[task.name] = task
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -493,7 +493,7 @@
         self.assertLessEqual(len(self.test_bed.crashes), 3)
 
     def run_quietly(self):
-        """Lets the leader see and store the end of the crashed host."""
+        """Plays rounds until the leader has stored the end of the crashed host."""
         self.run_for(LEASE_MS + 100)
 
     def test_a_leader_that_is_lost_with_the_host(self):
