Compare tasks only by run times that this leader has measured

Seen by callers: after a restart of the leader, a job never ended.

Cause: a new leader took the time since it had first heard of a run for the run time of its task, so that whole tasks seemed slow beside it. Nothing limited how often a task was stopped.

Change: a run time counts only if this leader sent the start and the run did not resume from a checkpoint. Each stop of a task as slow or stalled doubles the time until the next; the number is stored. The last host of a service stays in use.

Ruled out: a wrong estimate after a restore (the comparison does not use it); progress counted from the former leader (the stopped runs began under the new one).

Conclusion: a guess about slowness costs a task at most some restarts.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -184,7 +184,10 @@
             scheduler.requeue(task, 'stopped before its start was sent')
             continue
         task.start_sent = True
-        commands.append(_start_command(task, task.backend))
+        command = _start_command(task, task.backend)
+        if not command.order.checkpoint:
+            task.measured_from_ms = scheduler.planned_ms
+        commands.append(command)
     for backend, number in batch.ends_by_backend:
         backend.stored_end = max(backend.stored_end, number)
     return [*commands, *batch.host_orders]
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -52,8 +52,8 @@
         task.checkpoint = ended.checkpoint
     current = task.backend is backend and task.run == ended.run
     if current:
-        if ended.reason is EndReason.DONE:
-            task.step.durations_ms.append(now_ms - task.confirmed_at_ms)
+        if ended.reason is EndReason.DONE and task.measured_from_ms:
+            task.step.durations_ms.append(now_ms - task.measured_from_ms)
         unassign(task)
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -96,6 +96,15 @@
     placed_unix_ms: (
         Annotated[int, Meta(description="Time at which the latest run was placed.")]
        
+    ) = 0
+    slow_runs: (
+        Annotated[
+            int,
+            Meta(
+                description="How often the task was stopped because it made too little progress."
+            ),
+        ]
+       
     ) = 0
     crashed_runs: (
         Annotated[
--- a/dandelionknot/jobs/_progress.py
+++ b/dandelionknot/jobs/_progress.py
@@ -1,4 +1,9 @@
-"""Finds stalled and lagging tasks and restarts them on other backend servers."""
+"""Finds stalled and lagging tasks and restarts them on other backend servers.
+
+Both are guesses, from the estimate of the caller or from other tasks of the step. Each
+restart of a task doubles the time after which the next one is considered, so that a
+wrong guess delays a task and never keeps it from ending.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +29,8 @@
 # to its progress, it still needs more than the second multiple of that time.
 LAGGING_RUN_MULTIPLE = 2.0
 LAGGING_REMAINING_MULTIPLE = 1.5
+# Most doublings of these times.
+MAX_DOUBLINGS = 16
 # Fewest done tasks of a step whose median run time is used for comparison.
 MIN_DONE_TASKS = 2
 # Expected time that a restart costs. It is added to both limits, so that a task is
@@ -59,21 +66,45 @@
     reason: str,
     now_ms: int,
 ) -> None:
-    """Stops tasks and sends no starts to their backend server for a while."""
-    backend.avoid_until_ms = now_ms + STALLED_PAUSE_MS
-    scheduler.note(
-        Event.BACKEND_AVOIDED,
-        {
-            'backend_id': backend.backend_id,
-            'reason': reason,
-            'tasks': len(tasks),
-            'for_ms': STALLED_PAUSE_MS,
-        },
-    )
+    """Stops tasks and sends no starts to their backend server for a while.
+
+    The last backend server of a service that gets starts is not avoided.
+    """
+    if _has_alternative(scheduler, backend, now_ms):
+        backend.avoid_until_ms = now_ms + STALLED_PAUSE_MS
+        scheduler.note(
+            Event.BACKEND_AVOIDED,
+            {
+                'backend_id': backend.backend_id,
+                'reason': reason,
+                'tasks': len(tasks),
+                'for_ms': STALLED_PAUSE_MS,
+            },
+        )
     for task in tasks:
+        task.slow_runs += 1
+        scheduler.mark_dirty(task.step.job)
         scheduler.stop(task, reason)
 
 
+def _has_alternative(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
+    """Whether another backend server of the same service gets starts."""
+    return backend.report is None or any(
+        other is not backend
+        and other.report is not None
+        and other.report.service == backend.report.service
+        and other.reachable
+        and not other.leaving
+        and other.avoid_until_ms <= now_ms
+        for other in scheduler.backends_by_id.values()
+    )
+
+
+def _patience(task: TaskState) -> int:
+    """Returns the factor by which earlier restarts of a task lengthen its limits."""
+    return 1 << min(task.slow_runs, MAX_DOUBLINGS)
+
+
 def _is_stalled(task: TaskState, backend: BackendState, now_ms: int) -> bool:
     spec = task.step.spec
     if task.phase is not TaskPhase.RUNNING or task.stopping or task.unconfirmed:
@@ -85,7 +116,8 @@
     # The time after the last report is not counted, because progress that was made in
     # it is not reported yet.
     without_progress_ms = backend.last_contact_ms - task.progressed_at_ms
-    return without_progress_ms > max(STALLED_MS, int(STALLED_SHARE * spec.estimated_ms))
+    limit_ms = max(STALLED_MS, int(STALLED_SHARE * spec.estimated_ms))
+    return without_progress_ms > _patience(task) * limit_ms
 
 
 def _is_lagging(task: TaskState, backend: BackendState, now_ms: int) -> bool:
@@ -100,7 +132,7 @@
         return False
     if task.pace_percent < 100 or not 0 < task.percent < 100:
         return False
-    usual_ms = median(step.durations_ms)
+    usual_ms = _patience(task) * median(step.durations_ms)
     # The percentage is from the last report, so the run time is counted up to then too.
     ran_ms = backend.last_contact_ms - task.confirmed_at_ms
     if ran_ms < LAGGING_RUN_MULTIPLE * usual_ms + RESTART_MS:
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -143,6 +143,7 @@
         failed_runs=task.failed_runs,
         checkpoint=task.checkpoint,
         placed_unix_ms=task.placed_unix_ms,
+        slow_runs=task.slow_runs,
         crashed_runs=task.crashed_runs,
         crashed_alone_runs=task.crashed_alone_runs,
         crash_ages_ms=task.crash_ages_ms,
@@ -176,6 +177,7 @@
         task.failed_runs = list(stored.failed_runs)
         task.checkpoint = stored.checkpoint
         task.placed_unix_ms = stored.placed_unix_ms
+        task.slow_runs = stored.slow_runs
         task.crashed_runs = list(stored.crashed_runs)
         task.crashed_alone_runs = list(stored.crashed_alone_runs)
         task.crash_ages_ms = list(stored.crash_ages_ms)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -51,6 +51,12 @@
     # Local time at which the start of the run was accepted; until then, and for a run
     # of a former leader, the time at which it was placed.
     started_at_ms: int = 0
+    # Local time from which the run time of the current run counts, not later than the
+    # start of its work; 0 if the run time shows nothing about other tasks, because a
+    # former leader started the run or it resumed from a checkpoint.
+    measured_from_ms: int = 0
+    # How often the task was stopped because it made too little progress. It is stored.
+    slow_runs: int = 0
     # Runs under which a backend server crashed, and those of them that ran alone.
     crashed_runs: list[int] = field(default_factory=list)
     crashed_alone_runs: list[int] = field(default_factory=list)
@@ -280,6 +286,7 @@
     task.backend = None
     task.start_sent = task.stopping = task.unconfirmed = False
     task.missing_reports = 0
+    task.measured_from_ms = 0
     task.pace_percent = 100
     backend.tasks_by_name.pop(task.name, None)
     backend.isolated_tasks -= task.isolated
