Repeat orders to stop and to pace a run until they are carried out

Cause: a stop that was answered with 503 counted as ended. The task, whose start had not been answered, waited for an accepted stop for good.

Change: a stop is repeated until it is carried out or would always be rejected, one at a time for a run. A start carries its deadline on the clock of the backend server; a later report without the run frees the task. A stop withdraws the tries of its start that are left, and the former run of a copy is stopped. The latest pace of a run is repeated likewise. An error while asking for advice asks again.

Ruled out: an accepted stop that is lost in the leader, and missing reports: the stand-in saw one stop, and the link went on asking for reports.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -95,7 +95,8 @@
     BACKEND_ANSWER_MALFORMED = 8206
     BACKEND_ENTRY_IGNORED = 8207
     BACKEND_LOST = 8208
-    RECORDS_NOT_STORED = 8206
+    RECORDS_NOT_STORED = 8209
+    ORDER_REPEATED = 8210
     ZONES_EXCLUDED = 8301
     WAVE_ADVANCED = 8302
     UPKEEP_ORDERED = 8303
@@ -409,6 +410,12 @@
         'shortly before, and one of them may have crashed it.',
         'Check the host, or the named tasks if it happens again with them.',
     ),
+    Event.ORDER_REPEATED: EventInfo(
+        WARNING,
+        'A backend server refused or did not answer an order to stop or to pace a run, '
+        'so it is repeated until it is carried out.',
+        'If this continues, check the backend server that `backend_id` names.',
+    ),
     Event.RECORDS_NOT_STORED: EventInfo(
         WARNING,
         'The store did not accept records; no task is started until a retry succeeds.',
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -408,6 +408,15 @@
     task_name: str
     run: int
     outcome: OrderOutcome
+    deadline_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Time on the clock of the backend server after which it rejects the start; 0 if no start was sent."
+            ),
+        ]
+       
+    ) = 0
 
 
 class StopFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -22,6 +22,7 @@
     TaskPhase,
     TaskState,
     assign,
+    stop_command,
 )
 
 if TYPE_CHECKING:
@@ -160,6 +161,9 @@
             and _placement.has_room_for_copies(task.step.job.account)
             and _crashes.may_copy(scheduler, backend, task)
         ):
+            # Its start may not have arrived yet and must not be carried out later.
+            if task.start_sent:
+                scheduler.commands.append(stop_command(backend, task.name, task.run))
             scheduler.requeue(
                 task, 'backend server does not answer and the task is speculative'
             )
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -29,6 +29,9 @@
 # A run counts as ended if this many successive reports do not list it. One such report
 # is not enough, since responses on different connections may overtake each other.
 REPORTS_UNTIL_MISSING = 2
+# Time from the deadline of a start, on the clock of the backend server, until a run
+# that is not listed has certainly not started.
+START_DEADLINE_MARGIN_MS = 250
 # Reasons of ends that no order caused.
 OWN_ENDS = frozenset({EndReason.DONE, EndReason.FAILED})
 
@@ -72,7 +75,7 @@
     if not report.complete:
         backend.lists_incomplete = True
     if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
-        _requeue_missing(scheduler, backend, running, sent_ms)
+        _requeue_missing(scheduler, backend, running, sent_ms, report.clock_ms)
 
 
 def _find_task(scheduler: Scheduler, name: str) -> TaskState | None:
@@ -129,8 +132,12 @@
     backend: BackendState,
     running: dict[str, RunningTask],
     sent_ms: int,
+    clock_ms: int,
 ) -> None:
-    """Requeues tasks that should run but are not reported as running or ended."""
+    """Requeues tasks that should run but are not reported as running or ended.
+
+    `clock_ms` is the time of the report on the clock of the backend server.
+    """
     for task in list(backend.tasks_by_name.values()):
         if task.name in running:
             continue
@@ -138,9 +145,24 @@
             # The backend server has accepted the fencing token of this term and rejects
             # starts of a former term, so the run cannot start any more.
             scheduler.requeue(task, 'run not reported to the new leader')
+        elif _has_missed_start(task, clock_ms):
+            scheduler.requeue(task, 'its start was not carried out in time')
         elif task.phase is not TaskPhase.PLACED and task.confirmed_at_ms < sent_ms:
             task.missing_reports += 1
             if task.missing_reports >= REPORTS_UNTIL_MISSING:
                 scheduler.requeue(
                     task, 'run missing from reports of its backend server'
                 )
+
+
+def _has_missed_start(task: TaskState, clock_ms: int) -> bool:
+    """Whether a run that is not listed can no longer start.
+
+    Its start was not answered, and whether it was stopped is not known.
+    """
+    deadline_ms = task.start_deadline_ms
+    return (
+        task.phase is TaskPhase.PLACED
+        and deadline_ms > 0
+        and clock_ms > deadline_ms + START_DEADLINE_MARGIN_MS
+    )
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -389,8 +389,13 @@
         run: int,
         outcome: OrderOutcome,
         now: int,
+        deadline_ms: int = 0,
     ) -> None:
-        """Applies the outcome of a start order if it is for the task's current run."""
+        """Applies the outcome of a start order if it is for the task's current run.
+
+        The backend server rejects a start that arrives after `deadline_ms`, on its own
+        clock.
+        """
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
             return
@@ -413,6 +418,7 @@
             },
         )
         if outcome is OrderOutcome.NO_ANSWER:
+            task.start_deadline_ms = deadline_ms
             self.stop(task, 'start not answered')
         elif outcome is OrderOutcome.FENCED:
             self.lost_leadership = True
@@ -441,7 +447,10 @@
     def _start_refused(
         self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
     ) -> None:
-        if outcome is OrderOutcome.NOT_SENT:
+        if outcome is OrderOutcome.NOT_SENT and task.stopping:
+            # Withdrawn before it was sent, which says nothing about the backend server.
+            pass
+        elif outcome is OrderOutcome.NOT_SENT:
             # Only the backend link knows whether contact is lost and when the lease
             # expires, so the other tasks of the backend server stay as they are.
             backend.avoid_until_ms = now + NOT_SENT_PAUSE_MS
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -43,6 +43,9 @@
     start_sent: bool = False
     # The scheduler has decided to stop the run, and its end is not known yet.
     stopping: bool = False
+    # Time on the clock of the backend server after which it rejects the start of the
+    # run; 0 unless the start was sent and may still be carried out.
+    start_deadline_ms: int = 0
     # Placed by a former leader, and not reported to this leader yet.
     unconfirmed: bool = False
     confirmed_at_ms: int = 0
@@ -286,7 +289,7 @@
     task.backend = None
     task.start_sent = task.stopping = task.unconfirmed = False
     task.missing_reports = 0
-    task.measured_from_ms = 0
+    task.measured_from_ms = task.start_deadline_ms = 0
     task.pace_percent = 100
     backend.tasks_by_name.pop(task.name, None)
     backend.isolated_tasks -= task.isolated
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -302,7 +302,9 @@
                     self.hosts.list_soon.set()
                 scheduler.contact_lost(backend, outcome, lapses_at_ms, now_ms())
             case StartFinished(task_name=name, run=run, outcome=outcome):
-                scheduler.start_finished(backend, name, run, outcome, now_ms())
+                scheduler.start_finished(
+                    backend, name, run, outcome, now_ms(), message.deadline_ms
+                )
             case StopFinished(task_name=name, run=run):
                 scheduler.stop_finished(backend, name, run, now_ms())
 
@@ -403,9 +405,13 @@
                 link.inbox.send(command)
 
     async def _request_advice(self, request: AskAdvice) -> None:
-        given = await self.ports.ask_advice(request)
-        unanswered = AdviceGiven(request=request, tickets_by_backend_id={}, valid_ms=0)
-        self.mailbox.send(given.unwrap_or(unanswered))
+        advice = AdviceGiven(request=request, tickets_by_backend_id={}, valid_ms=0)
+        try:
+            advice = (await self.ports.ask_advice(request)).unwrap_or(advice)
+        except Exception as error:
+            log_unexpected_error('advice', error, step=request.step_key)
+        # Without an answer, the step would never ask again.
+        self.mailbox.send(advice)
 
     def _commit_batch(self) -> None:
         """Passes the next batch to the committer unless one is being written."""
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -1,14 +1,14 @@
 """The task that owns the connections to one lifetime of a backend server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from result import Err
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
-from dandelionknot.events import log_unexpected_error
+from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.jobs._generated import (
     ContactLost,
     EndsStored,
@@ -46,6 +46,12 @@
 # Times that a start is sent if it is not answered. Repeating it is safe, since the
 # backend server starts the same run only once.
 START_TRIES = 3
+# Pause between the tries of an order that is repeated until it is carried out.
+REPEAT_PAUSE_MS = 300
+# Outcomes which show that the order was carried out, or that the run has ended.
+CARRIED_OUT = frozenset({OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED})
+# Outcomes after which the order would be rejected each time.
+POINTLESS = frozenset({OrderOutcome.FENCED, OrderOutcome.OTHER_LIFETIME})
 # Outcomes which show that no earlier try of the same start will still be carried out.
 FINAL_OUTCOMES = frozenset(
     {
@@ -57,6 +63,9 @@
     }
 )
 
+# Name and number of a run.
+RunKey = tuple[str, int]
+
 
 @dataclass(slots=True)
 class BackendLink:
@@ -84,7 +93,12 @@
     expected: bool = False
     # Whether the scheduler waits for a report on a run.
     report_soon: bool = False
-    starts_in_progress: int = 0
+    starts_in_progress: set[RunKey] = field(default_factory=set)
+    # Those of them whose run has been stopped, so that they are not repeated.
+    withdrawn_starts: set[RunKey] = field(default_factory=set)
+    stops_in_progress: set[RunKey] = field(default_factory=set)
+    # Latest pace that is not carried out yet, by run.
+    paces_by_run: dict[RunKey, int] = field(default_factory=dict)
     # Number of the last end of a run that was stored, of the last that the backend
     # server reported, and of the last that was acknowledged to the backend server.
     stored_end: int = 0
@@ -135,25 +149,32 @@
         elif isinstance(message, StopTask):
             await self._stop(message)
         elif isinstance(message, PaceTask):
-            await self.client.pace(
-                message.task_name, message.run, message.percent, ORDER_TIMEOUT_MS
-            )
+            await self._pace(message)
 
     async def _start(self, message: StartTask) -> None:
         """Sends a start up to `START_TRIES` times and reports its outcome."""
-        self.starts_in_progress += 1
-        outcome = OrderOutcome.NO_ANSWER
+        key = (message.order.task_name, message.order.run)
+        self.starts_in_progress.add(key)
+        outcome, deadline = OrderOutcome.NO_ANSWER, 0
         try:
-            outcome = await self._try_start(message)
+            outcome, deadline = await self._try_start(message, key)
         finally:
             # After an unexpected error, the start may have been carried out.
-            self._report_start(message, outcome)
+            self._report_start(message, outcome, deadline)
 
-    async def _try_start(self, message: StartTask) -> OrderOutcome:
+    async def _try_start(
+        self, message: StartTask, key: RunKey
+    ) -> tuple[OrderOutcome, int]:
+        """Returns the outcome of a start, and the deadline of its last try.
+
+        The deadline is on the backend server's clock; a try that arrives after it is
+        rejected.
+        """
         outcome = OrderOutcome.NOT_SENT
+        deadline = 0
         may_have_arrived = False
         for _ in range(START_TRIES):
-            if self.is_contact_lost or not self.clock.known or not self.may_order():
+            if key in self.withdrawn_starts or not self._may_start():
                 break
             deadline = self.clock.extend(now_ms(), self._lease_ms())
             outcome = await self.client.start(message.order, deadline, ORDER_TIMEOUT_MS)
@@ -166,11 +187,18 @@
                 break
         if may_have_arrived and outcome not in FINAL_OUTCOMES:
             # An earlier try may have been carried out or may still be.
-            return OrderOutcome.NO_ANSWER
-        return outcome
+            return OrderOutcome.NO_ANSWER, deadline
+        return outcome, deadline
+
+    def _may_start(self) -> bool:
+        return not self.is_contact_lost and self.clock.known and self.may_order()
 
-    def _report_start(self, message: StartTask, outcome: OrderOutcome) -> None:
-        self.starts_in_progress -= 1
+    def _report_start(
+        self, message: StartTask, outcome: OrderOutcome, deadline: int
+    ) -> None:
+        key = (message.order.task_name, message.order.run)
+        self.starts_in_progress.discard(key)
+        self.withdrawn_starts.discard(key)
         self.busy = True
         self.wake.set()
         self.report(
@@ -180,22 +208,29 @@
                 task_name=message.order.task_name,
                 run=message.order.run,
                 outcome=outcome,
+                deadline_ms=deadline,
             )
         )
 
     async def _stop(self, message: StopTask) -> None:
-        """Sends a stop until the backend server answers it."""
+        """Sends a stop until the backend server has carried it out.
+
+        A refusal says that nothing was done, so the run may still start. Only one stop
+        of a run is in progress at a time.
+        """
+        key = (message.task_name, message.run)
+        if key in self.starts_in_progress:
+            self.withdrawn_starts.add(key)
+        if key in self.stops_in_progress:
+            return
+        self.stops_in_progress.add(key)
         self.busy = True
         self.wake.set()
-        while True:
-            if self.may_order() and not self.is_contact_lost:
-                outcome = await self.client.stop(
-                    message.task_name, message.run, ORDER_TIMEOUT_MS
-                )
-                if outcome not in (OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT):
-                    break
-            await asyncio.sleep(seconds(PROBE_PAUSE_MS))
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED):
+        try:
+            outcome = await self._repeat('stop', key, lambda: self._send_stop(key))
+        finally:
+            self.stops_in_progress.discard(key)
+        if outcome in CARRIED_OUT:
             self.report(
                 StopFinished(
                     backend_id=self.backend_id,
@@ -205,6 +240,50 @@
                 )
             )
 
+    async def _send_stop(self, key: RunKey) -> OrderOutcome:
+        return await self.client.stop(*key, ORDER_TIMEOUT_MS)
+
+    async def _pace(self, message: PaceTask) -> None:
+        """Sends the latest pace of a run until the backend server carries it out."""
+        key = (message.task_name, message.run)
+        in_progress = key in self.paces_by_run
+        self.paces_by_run[key] = message.percent
+        if in_progress:
+            return
+        try:
+            await self._repeat('pace', key, lambda: self._send_pace(key))
+        finally:
+            self.paces_by_run.pop(key, None)
+
+    async def _send_pace(self, key: RunKey) -> OrderOutcome:
+        percent = self.paces_by_run[key]
+        outcome = await self.client.pace(*key, percent, ORDER_TIMEOUT_MS)
+        if outcome in CARRIED_OUT and self.paces_by_run[key] != percent:
+            return OrderOutcome.NOT_SENT
+        return outcome
+
+    async def _repeat(
+        self, order: str, key: RunKey, send: Callable[[], Awaitable[OrderOutcome]]
+    ) -> OrderOutcome:
+        """Repeats an order until it is carried out or would always be rejected."""
+        is_logged = False
+        while True:
+            if self.may_order() and not self.is_contact_lost:
+                outcome = await send()
+                if outcome in CARRIED_OUT or outcome in POINTLESS:
+                    return outcome
+                if not is_logged:
+                    is_logged = True
+                    log_event(
+                        Event.ORDER_REPEATED,
+                        order=order,
+                        task=key[0],
+                        run=key[1],
+                        backend_id=self.backend_id,
+                        outcome=outcome.value,
+                    )
+            await asyncio.sleep(seconds(REPEAT_PAUSE_MS))
+
     def _wait_ms(self) -> int:
         if self.report_soon:
             return SOON_WAIT_MS
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -68,6 +68,9 @@
     down_until_ms: int = 0
     # Whether it crashes whatever it starts.
     crashes_always: bool = False
+    # Whether it leaves starts unanswered, and does nothing with starts and stops.
+    ignores_orders: bool = False
+    clock_ms: int = 1
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
@@ -121,7 +124,7 @@
             if self.makes_progress and run.percent < 90:
                 run.percent += 1
         return HoldReport(
-            clock_ms=1,
+            clock_ms=self.clock_ms,
             born_ms=self.born_ms,
             running=[
                 RunningTask(task_name=name, run=run.run, percent=run.percent)
@@ -237,14 +240,23 @@
         if isinstance(command, StartTask):
             order = command.order
             outcome = OrderOutcome.NOT_SENT
-            if not backend.unresponsive and not backend.down_until_ms:
+            if backend.ignores_orders:
+                outcome = OrderOutcome.NO_ANSWER
+            elif not backend.unresponsive and not backend.down_until_ms:
                 outcome = backend.start(order.task_name, order.run)
                 started = backend.runs_by_name.get(order.task_name)
                 if started is not None and not started.started_ms:
                     started.started_ms = self.now_ms
             self.scheduler.start_finished(
-                state, order.task_name, order.run, outcome, self.now_ms
+                state,
+                order.task_name,
+                order.run,
+                outcome,
+                self.now_ms,
+                backend.clock_ms + LEASE_MS,
             )
+        elif backend.ignores_orders:
+            return
         elif isinstance(command, StopTask) and not backend.unresponsive:
             backend.stop(command.task_name, command.run)
             self.scheduler.stop_finished(
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -13,6 +13,7 @@
     Resources,
     RunningTask,
     StepSpec,
+    StopTask,
     UpkeepWave,
 )
 from dandelionknot.jobs._pacing import _next_pace_percent
@@ -75,6 +76,68 @@
         self.assertEqual(started, 1)
 
 
+class UnansweredStartTest(unittest.TestCase):
+    def test_a_start_that_cannot_arrive_any_more_frees_its_task(self):
+        """Guards against a task that is never started again, as its stop has no effect.
+
+        The backend server rejects a start after its deadline, so that its later report
+        shows whether the run has begun.
+        """
+        kinds = {
+            'short': {},
+            'long-running': {'long_running': True, 'max_unavailable': 1},
+            'gang': {'gang': True},
+            'speculative': {'speculative': True},
+            'checkpoints': {'checkpoints': True},
+        }
+        for kind, fields in kinds.items():
+            with self.subTest(kind=kind):
+                grey = FakeBackend('b1', ignores_orders=True)
+                test_bed = JobTestBed(grey)
+                test_bed.step()
+                test_bed.submit(step(2, estimated_ms=500, **fields))
+                test_bed.step()
+                test_bed.step()
+                grey.ignores_orders = False
+                other = FakeBackend('b2')
+                test_bed.backends['b2'] = other
+                test_bed.scheduler.set_backend(other.report(), test_bed.now_ms)
+                grey.clock_ms += 3600
+                for _ in range(10):
+                    test_bed.step(10)
+                self.assertEqual(test_bed.running(), {})
+                grey.clock_ms += 1000
+                for _ in range(10):
+                    test_bed.step(10)
+                self.assertEqual(len(test_bed.running()), 2)
+
+    def test_the_former_run_of_a_copy_is_stopped(self):
+        """Guards against a late start of a task that its copy has done already."""
+        silent, other = FakeBackend('b1'), FakeBackend('b2')
+        test_bed = JobTestBed(silent)
+        test_bed.step()
+        test_bed.submit(step(speculative=True, estimated_ms=500))
+        test_bed.step()
+        for _ in range(10):
+            test_bed.step(100)
+        silent.unresponsive = True
+        test_bed.backends['b2'] = other
+        test_bed.scheduler.set_backend(other.report(), test_bed.now_ms)
+        test_bed.step()
+        state = test_bed.scheduler.backends_by_id['b1']
+        test_bed.scheduler.contact_lost(
+            state, OrderOutcome.NO_ANSWER, test_bed.now_ms + 3600, test_bed.now_ms
+        )
+        commands = test_bed.step() + test_bed.step()
+        stopped = [
+            (command.backend_id, command.run)
+            for command in commands
+            if isinstance(command, StopTask)
+        ]
+        self.assertEqual(stopped, [('b1', 1)])
+        self.assertEqual(other.started, [('j1.0.0.0', 2)])
+
+
 class DrainTest(unittest.TestCase):
     def test_long_running_tasks_move_one_at_a_time(self):
         """Guards against stopping all tasks of a step at once when a host leaves."""
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -10,6 +10,7 @@
     HoldAnswered,
     HoldReport,
     OrderOutcome,
+    PaceTask,
     StartFinished,
     StartOrder,
     StartTask,
@@ -21,13 +22,27 @@
 from emulator import virtual_time
 
 NO_ANSWER = OrderOutcome.NO_ANSWER
+ACCEPTED = OrderOutcome.ACCEPTED
+# Outcomes of a stop which show that the run has ended or cannot start any more.
+DONE_OUTCOMES = (ACCEPTED, OrderOutcome.SUPERSEDED)
+# Outcomes after which a stop would be rejected each time.
+POINTLESS_OUTCOMES = (OrderOutcome.FENCED, OrderOutcome.OTHER_LIFETIME)
 
 
 class FakeBackendClient:
-    """Answers starts with a list of outcomes, of which the last is repeated."""
-
-    def __init__(self, start=(OrderOutcome.ACCEPTED,), unresponsive=False):
+    """Answers each kind of order with outcomes, of which the last is repeated."""
+
+    def __init__(
+        self,
+        start=(OrderOutcome.ACCEPTED,),
+        unresponsive=False,
+        stop=(OrderOutcome.ACCEPTED,),
+        pace=(OrderOutcome.ACCEPTED,),
+    ):
         self.starts = list(start)
+        self.stop_outcomes = list(stop)
+        self.pace_outcomes = list(pace)
+        self.paces = []
         self.unresponsive = unresponsive
         self.deadlines = []
         self.waits_ms = []
@@ -45,13 +60,20 @@
 
     async def start(self, order, deadline_ms, timeout_ms):
         self.start_deadlines.append(deadline_ms)
-        outcome = self.starts.pop(0) if len(self.starts) > 1 else self.starts[0]
-        await asyncio.sleep(timeout_ms / 1000 if outcome is NO_ANSWER else 0.001)
-        return outcome
+        return await self._answer(self.starts, timeout_ms)
 
     async def stop(self, task_name, run, timeout_ms):
         self.stops += 1
-        return OrderOutcome.ACCEPTED
+        return await self._answer(self.stop_outcomes, timeout_ms)
+
+    async def pace(self, task_name, run, percent, timeout_ms):
+        self.paces.append(percent)
+        return await self._answer(self.pace_outcomes, timeout_ms)
+
+    async def _answer(self, outcomes, timeout_ms):
+        outcome = outcomes.pop(0) if len(outcomes) > 1 else outcomes[0]
+        await asyncio.sleep(timeout_ms / 1000 if outcome is NO_ANSWER else 0.001)
+        return outcome
 
     def close(self):
         pass
@@ -153,6 +175,66 @@
         self.assertLessEqual(sum(1 for d in client.deadlines if d), 1)
         self.assertLess(lost[0].lapses_at_ms, lost[-1].lapses_at_ms + 1)
 
+    def test_a_refused_stop_is_repeated(self):
+        """Guards against a task that waits for good for the end of an unanswered start.
+
+        A refusal of the stop says that nothing was done, so the start may still be
+        carried out.
+        """
+        for refusal in OrderOutcome:
+            if refusal in (*DONE_OUTCOMES, *POINTLESS_OUTCOMES):
+                continue
+            for count in (1, 4):
+                with self.subTest(refusal=refusal, count=count):
+                    client = FakeBackendClient(stop=(*[refusal] * count, ACCEPTED))
+                    reports = virtual_time.run(run_link(client, [EXPECTED, STOP], 10))
+                    stopped = [r for r in reports if isinstance(r, StopFinished)]
+                    self.assertEqual(len(stopped), 1)
+                    self.assertEqual(client.stops, count + 1)
+
+    def test_a_stop_that_would_always_be_rejected_is_not_repeated(self):
+        """Guards against calls that can have no effect any more."""
+        for outcome in POINTLESS_OUTCOMES:
+            client = FakeBackendClient(stop=(outcome,))
+            reports = virtual_time.run(run_link(client, [EXPECTED, STOP], 10))
+            self.assertEqual(client.stops, 1)
+            self.assertFalse([r for r in reports if isinstance(r, StopFinished)])
+
+    def test_repeated_commands_to_stop_a_run_share_their_calls(self):
+        """Guards against a load that grows with each report while stops are refused."""
+        client = FakeBackendClient(stop=(OrderOutcome.UNHEALTHY,))
+        virtual_time.run(run_link(client, [EXPECTED, *[STOP] * 50], 3))
+        self.assertLessEqual(client.stops, 15)
+
+    def test_a_start_is_not_repeated_after_its_stop(self):
+        """Guards against a start of a task that has meanwhile been done elsewhere."""
+        for messages in ([EXPECTED, START, STOP], [EXPECTED, START, STOP, STOP]):
+            client = FakeBackendClient(start=(NO_ANSWER,))
+            reports = virtual_time.run(run_link(client, messages, 10))
+            [finished] = [r for r in reports if isinstance(r, StartFinished)]
+            self.assertIs(finished.outcome, NO_ANSWER)
+            self.assertLessEqual(len(client.start_deadlines), 1)
+
+    def test_an_unanswered_start_is_reported_with_its_last_deadline(self):
+        """Guards against a run that begins after its task was placed again."""
+        client = FakeBackendClient(start=(NO_ANSWER,))
+        reports = virtual_time.run(run_link(client, [EXPECTED, START], 10))
+        [finished] = [r for r in reports if isinstance(r, StartFinished)]
+        self.assertEqual(finished.deadline_ms, max(client.start_deadlines))
+
+    def test_the_latest_pace_is_sent_until_it_is_carried_out(self):
+        """Guards against a task that stays paced down after a refused order."""
+        paces = [
+            PaceTask(
+                backend_id='b', born_ms=1, task_name='j.0.0.0', run=1, percent=percent
+            )
+            for percent in (20, 100)
+        ]
+        for refusal in (OrderOutcome.UNHEALTHY, NO_ANSWER, OrderOutcome.REFUSED):
+            client = FakeBackendClient(pace=(refusal, refusal, ACCEPTED))
+            virtual_time.run(run_link(client, [EXPECTED, *paces], 10))
+            self.assertEqual(client.paces, [20, 100, 100])
+
 
 if __name__ == '__main__':
     unittest.main()
