Count a crash against a task only if the end of its host is proven

Cause: an unanswered start on a host that became unreachable was a crash under the task, withdrawn only if the host listed the run later.

Change: a crash is unproven until a later lifetime or the list of hosts shows it, and is withdrawn if the same lifetime answers. Both last in the record. A task that ran alone is copied only once the end of its host or its lease is known.

Ruled out: an answer taken for another lifetime (the start time is the same); a lower limit for outages (a small cut and a crash look alike at first).

Conclusion: silence fails no job any more; deadly tasks are still given up.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -7,8 +7,8 @@
 given up, since its next start would only cost another backend server.
 
 Losses of many backend servers at once are outages, such as a rack without power or a
-network cut, and no evidence against the tasks that happened to start. An end or a run
-that a lost backend server reports later shows that it had not crashed.
+network cut, and no evidence against the tasks that happened to start. What shows that
+a backend server has crashed, and not only been cut off, is in `_losses`.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _ends
+from dandelionknot.jobs import _ends, _losses
 from dandelionknot.jobs._generated import JobPhase
 from dandelionknot.jobs._state import BackendState, JobState, TaskPhase, TaskState
 
@@ -48,9 +48,6 @@
 # limits the length of those that is counted.
 SURVIVAL_MARGIN_MS = 150
 MAX_SURVIVAL_MS = 10_000
-# Time after a loss of contact in which a backend server may still show that it has not
-# crashed, before its task is given up.
-RETURN_MS = 7000
 # Least time between two starts on one backend server after a crash, and the time for
 # which starts are spaced.
 SPACING_MS = 30
@@ -164,6 +161,8 @@
     was leaving, or whose host was ordered away, has not crashed.
     """
     started = started_runs(backend)
+    if certain:
+        _losses.lifetime_ended(scheduler, backend.lifetime)
     if backend.ending or backend.leaving or not started:
         return
     recent = recent_runs(backend)
@@ -196,13 +195,14 @@
 
     If its start may have crashed the backend server, the task becomes suspected, so
     that the copy starts apart from other tasks. In an outage, it is not suspected, but
-    its copy has to wait until the end of the backend server is known.
+    its copy has to wait until the end of the backend server is known. So does a copy of
+    a task that ran alone, since each further crash would cost another host.
     """
     if (backend.recent_runs_by_name or {}).get(task.name) != task.run:
         return True
     if backend.ending or backend.leaving:
         return True
-    if is_outage(scheduler, backend):
+    if task.isolated or is_outage(scheduler, backend):
         return False
     _record_crash(scheduler, backend, task, recent=True, outage=False, certain=False)
     return True
@@ -225,11 +225,19 @@
     task.crash_ages_ms = [*task.crash_ages_ms, age_ms][-MAX_STORED_CRASHES:]
     hosts = [*task.crashed_host_ids, backend.known_host_id]
     task.crashed_host_ids = hosts[-MAX_STORED_CRASHES:]
+    lifetimes = [*task.crash_lifetimes, backend.lifetime]
+    task.crash_lifetimes = lifetimes[-MAX_STORED_CRASHES:]
     if task.isolated and not outage:
         task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
-        if not certain:
-            lost_at_ms = backend.lost_at_ms or scheduler.planned_ms
-            task.verdict_not_before_ms = lost_at_ms + RETURN_MS
+    if not certain:
+        task.unproven_runs = [*task.unproven_runs, task.run][-MAX_STORED_CRASHES:]
+        loss = _losses.record(
+            scheduler,
+            backend.lifetime,
+            backend.known_host_id,
+            backend.lost_at_ms or scheduler.planned_ms,
+        )
+        loss.tasks_by_name[task.name] = task
     count = len(task.crashed_runs)
     if (
         task.suspected
@@ -316,30 +324,36 @@
     return bool(rack) and lost > 1 and lost >= OUTAGE_RACK_SHARE * in_rack
 
 
-def hosts_of_crashes(task: TaskState, alone: bool) -> set[str]:
-    """Returns the hosts that crashed under a task, or only while it ran alone."""
+def hosts_of_crashes(task: TaskState, runs: Iterable[int]) -> set[str]:
+    """Returns the hosts that crashed under some runs of a task."""
     pairs = zip(task.crashed_runs, task.crashed_host_ids, strict=False)
-    runs = task.crashed_alone_runs if alone else task.crashed_runs
     return {host_id for run, host_id in pairs if run in runs}
 
 
+def proven_runs(task: TaskState, runs: list[int]) -> list[int]:
+    """Returns those of some crashed runs whose backend server has certainly ended."""
+    return [run for run in runs if run not in task.unproven_runs]
+
+
 def is_guilty(task: TaskState) -> bool:
     """Whether the crashes under a task leave no other explanation than the task."""
-    alone = len(task.crashed_alone_runs)
+    alone = proven_runs(task, task.crashed_alone_runs)
+    crashes = proven_runs(task, task.crashed_runs)
     return (
-        len(hosts_of_crashes(task, alone=True)) >= HOSTS_ALONE_LIMIT
-        or alone >= CRASHES_ALONE_LIMIT
-        or (alone > 1 and len(task.crashed_runs) >= CRASHES_LIMIT)
+        len(hosts_of_crashes(task, alone)) >= HOSTS_ALONE_LIMIT
+        or len(alone) >= CRASHES_ALONE_LIMIT
+        or (len(alone) > 1 and len(crashes) >= CRASHES_LIMIT)
     )
 
 
 def restored(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
     """Restores the suspected tasks of a job from its stored record."""
     for task in _tasks_of(state):
-        if task.suspected and task.phase is not TaskPhase.DONE:
+        if task.phase is TaskPhase.DONE:
+            continue
+        if task.suspected:
             scheduler.suspects_by_name[task.name] = task
-            if is_guilty(task):
-                task.verdict_not_before_ms = now_ms + RETURN_MS
+        _losses.restored(scheduler, task, now_ms)
 
 
 def _tasks_of(state: JobState) -> Iterable[TaskState]:
@@ -350,18 +364,18 @@
 
 def plan(scheduler: Scheduler, now_ms: int, unix_ms: int) -> None:
     """Gives up the tasks that are guilty, and forgets those that have ended."""
+    _losses.plan(scheduler, now_ms)
     for name, task in list(scheduler.suspects_by_name.items()):
         state = task.step.job
         if state.final or task.phase is TaskPhase.DONE or not task.suspected:
             del scheduler.suspects_by_name[name]
         elif task.phase is TaskPhase.WAITING and is_guilty(task):
-            if now_ms < task.verdict_not_before_ms:
-                continue
             _note(scheduler, Event.TASK_GIVEN_UP, task)
+            crashes = len(proven_runs(task, task.crashed_runs))
+            alone = len(proven_runs(task, task.crashed_alone_runs))
             state.end_reason = (
-                f'task {name} was given up: {len(task.crashed_runs)} backend servers '
-                f'crashed under it, {len(task.crashed_alone_runs)} of them while it '
-                'ran alone'
+                f'task {name} was given up: {crashes} backend servers crashed under '
+                f'it, {alone} of them while it ran alone'
             )
             _ends.end_job(scheduler, state, JobPhase.FAILED, unix_ms)
 
@@ -371,7 +385,7 @@
     return frozenset(
         task.step.job.job.job_id
         for task in scheduler.suspects_by_name.values()
-        if task.crashed_alone_runs
+        if proven_runs(task, task.crashed_alone_runs)
     )
 
 
@@ -393,7 +407,7 @@
 def withdraw_crash(
     scheduler: Scheduler, backend: BackendState, task: TaskState, run: int
 ) -> None:
-    """Removes a crash that did not happen, since the backend server reports the run."""
+    """Removes a crash that did not happen, since the backend server runs on."""
     if run not in task.crashed_runs or task.step.job.final:
         return
     index = task.crashed_runs.index(run)
@@ -401,6 +415,8 @@
     task.crashed_runs = _without(task.crashed_runs, index)
     task.crash_ages_ms = _without(task.crash_ages_ms, index)
     task.crashed_host_ids = _without(task.crashed_host_ids, index)
+    task.crash_lifetimes = _without(task.crash_lifetimes, index)
+    task.unproven_runs = [number for number in task.unproven_runs if number != run]
     task.crashed_alone_runs = [
         number for number in task.crashed_alone_runs if number != run
     ]
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -129,6 +129,21 @@
     crashed_host_ids: (
         Annotated[list[str], Meta(description="Hosts of these crashes.")]
     ) = field(default_factory=list)
+    crash_backend_ids: (
+        Annotated[list[str], Meta(description="Backend servers of these crashes.")]
+       
+    ) = field(default_factory=list)
+    crash_born_ms: (
+        Annotated[list[int], Meta(description="Start times of their processes.")]
+       
+    ) = field(default_factory=list)
+    unproven_runs: (
+        Annotated[
+            list[int],
+            Meta(description="Crashed runs whose backend server may only be cut off."),
+        ]
+       
+    ) = field(default_factory=list)
     suspected: (
         Annotated[bool, Meta(description="Whether the task may only be started alone.")]
        
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -246,7 +246,8 @@
     for alone in (False, True):
         crashed: set[str] = set()
         for task in unit.tasks:
-            crashed |= _crashes.hosts_of_crashes(task, alone)
+            runs = task.crashed_alone_runs if alone else task.crashed_runs
+            crashed |= _crashes.hosts_of_crashes(task, runs)
         others = [b for b in backends if b.known_host_id not in crashed]
         if others:
             return others
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -11,6 +11,7 @@
 from dandelionknot.jobs._state import (
     AccountState,
     JobState,
+    Lifetime,
     StepState,
     TaskPhase,
     TaskState,
@@ -148,6 +149,9 @@
         crashed_alone_runs=task.crashed_alone_runs,
         crash_ages_ms=task.crash_ages_ms,
         crashed_host_ids=task.crashed_host_ids,
+        crash_backend_ids=[crash.backend_id for crash in task.crash_lifetimes],
+        crash_born_ms=[crash.born_ms for crash in task.crash_lifetimes],
+        unproven_runs=task.unproven_runs,
         suspected=task.suspected,
         isolated=task.isolated,
     )
@@ -182,8 +186,18 @@
         task.crashed_alone_runs = list(stored.crashed_alone_runs)
         task.crash_ages_ms = list(stored.crash_ages_ms)
         task.crashed_host_ids = list(stored.crashed_host_ids)
+        task.crash_lifetimes = _crash_lifetimes(stored)
+        task.unproven_runs = list(stored.unproven_runs)
         task.suspected = stored.suspected
         if stored.phase == TaskPhase.PLACED:
             task.isolated = stored.isolated
             placed.append((task, stored))
     return placed
+
+
+def _crash_lifetimes(stored: TaskRecord) -> list[Lifetime]:
+    """Returns a lifetime for each crash; an earlier version stored none."""
+    pairs = zip(stored.crash_backend_ids, stored.crash_born_ms, strict=False)
+    lifetimes = [Lifetime(backend_id, born_ms) for backend_id, born_ms in pairs]
+    missing = len(stored.crashed_runs) - len(lifetimes)
+    return [Lifetime('', 0)] * missing + lifetimes
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _ends
+from dandelionknot.jobs import _crashes, _ends, _losses
 from dandelionknot.jobs._generated import (
     EndReason,
     HoldReport,
@@ -55,6 +55,7 @@
     backend.lapses_at_ms = None
     backend.last_contact_ms = backend.last_sign_ms = now_ms
     backend.recent_runs_by_name = None
+    _losses.lifetime_answered(scheduler, backend)
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -15,6 +15,7 @@
     _batches,
     _crashes,
     _ends,
+    _losses,
     _planning,
     _ranking,
     _reports,
@@ -42,6 +43,7 @@
 )
 from dandelionknot.jobs._leases import max_former_lease_ms
 from dandelionknot.jobs._log_entries import LogEntry
+from dandelionknot.jobs._losses import UnprovenLoss
 from dandelionknot.jobs._maintenance import MaintenanceScheduler, shows_end
 from dandelionknot.jobs._records import (
     due_unix_ms,
@@ -54,6 +56,7 @@
     AccountState,
     BackendState,
     JobState,
+    Lifetime,
     StepState,
     TaskPhase,
     TaskState,
@@ -105,6 +108,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Losses that may have been no crash, by the lifetime that was lost.
+    unproven_losses: dict[Lifetime, UnprovenLoss] = field(default_factory=dict)
     # Local time of the last crash for which tasks of a service are suspected.
     crashed_at_ms_by_service: dict[str, int] = field(default_factory=dict)
     accounts_by_name: dict[str, AccountState] = field(default_factory=dict)
@@ -524,7 +529,9 @@
 
     def wants_host_list(self) -> bool:
         """Whether the scheduler needs the platform's list of hosts."""
-        return self.maintenance.active() or self.capacity.active()
+        return bool(
+            self.maintenance.active() or self.capacity.active() or self.unproven_losses
+        )
 
     def hosts_listed(self, listed: HostsListed) -> None:
         """Applies the platform's list of all hosts.
@@ -534,6 +541,7 @@
         need not wait until their lease expires.
         """
         self.maintenance.hosts_listed(listed)
+        _losses.hosts_listed(self, listed)
         for host in listed.hosts:
             backend = self.backends_by_id.get(host.backend_id)
             if backend is not None:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 from dandelionknot.jobs._generated import (
     BackendReport,
@@ -27,6 +28,13 @@
     DONE = 4
 
 
+class Lifetime(NamedTuple):
+    """One run of the process of a backend server, by the time at which it started."""
+
+    backend_id: str
+    born_ms: int
+
+
 @dataclass(slots=True, eq=False)
 class TaskState:
     """One task of one occurrence of a step."""
@@ -66,14 +74,15 @@
     # Time from the start of each crashed run to the crash; 0 if its start was not
     # answered.
     crash_ages_ms: list[int] = field(default_factory=list)
-    # Hosts of these crashes.
+    # Hosts of these crashes, and lifetimes of the backend servers.
     crashed_host_ids: list[str] = field(default_factory=list)
+    crash_lifetimes: list[Lifetime] = field(default_factory=list)
+    # Crashed runs whose backend server may only be cut off.
+    unproven_runs: list[int] = field(default_factory=list)
     # The task may crash its backend servers, so it is only started alone. The run is
     # isolated if it was started so.
     suspected: bool = False
     isolated: bool = False
-    # The task is not given up before this local time.
-    verdict_not_before_ms: int = 0
     # Number of successive reports that did not list the run.
     missing_reports: int = 0
     # The task is not placed before this local time.
@@ -233,6 +242,11 @@
     # Earliest local time at which a draining backend server leaves; 0 if it stays.
     leaves_at_ms: int = 0
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """Identifies this lifetime among those of all backend servers."""
+        return Lifetime(self.backend_id, self.born_ms)
+
     @property
     def known_host_id(self) -> str:
         """Its host, or its own id if the platform has not listed it."""
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -71,6 +71,8 @@
     # Whether it leaves starts unanswered, and does nothing with starts and stops.
     ignores_orders: bool = False
     clock_ms: int = 1
+    # Whether no call arrives, which shows only once an order is sent.
+    cut_off: bool = False
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
@@ -200,7 +202,8 @@
     def hold(self, backend: FakeBackend) -> None:
         """Passes a backend server's report to the scheduler if the server answers."""
         state = self.scheduler.backends_by_id.get(backend.backend_id)
-        if state is None or backend.unresponsive or backend.down_until_ms:
+        silent = backend.unresponsive or backend.cut_off or backend.down_until_ms
+        if state is None or silent:
             return
         self.scheduler.hold_answered(
             state, backend.hold_report(), self.now_ms, self.now_ms, self.now_ms
@@ -240,7 +243,7 @@
         if isinstance(command, StartTask):
             order = command.order
             outcome = OrderOutcome.NOT_SENT
-            if backend.ignores_orders:
+            if backend.ignores_orders or backend.cut_off:
                 outcome = OrderOutcome.NO_ANSWER
             elif not backend.unresponsive and not backend.down_until_ms:
                 outcome = backend.start(order.task_name, order.run)
@@ -255,7 +258,11 @@
                 self.now_ms,
                 backend.clock_ms + LEASE_MS,
             )
-        elif backend.ignores_orders:
+            if backend.cut_off:
+                self.scheduler.contact_lost(
+                    state, outcome, self.now_ms + LEASE_MS, self.now_ms
+                )
+        elif backend.ignores_orders or backend.cut_off:
             return
         elif isinstance(command, StopTask) and not backend.unresponsive:
             backend.stop(command.task_name, command.run)
