Let steps that no host can take hold up no other step

Cause: the planning round of a service ended after 12 steps without a place, whatever they waited for. Thirteen jobs that miss a host of their own used that up each round.

Change: only steps that wait for room on some host count, and later steps are held back only while half of the pool is in use.

Ruled out: the limit of the account (none in the case), avoided or reserved hosts.

Conclusion: what cannot be placed costs others nothing.

--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -92,6 +92,26 @@
     return has_room(backend, step.spec) and is_allowed_on(step, backend)
 
 
+def may_take_later(backend: BackendState, step: StepState) -> bool:
+    """Whether a backend server can take a task of a step once its short tasks end."""
+    if backend.report is None or not is_allowed_on(step, backend):
+        return False
+    spec, room = step.spec, backend.report.room
+    cpu_millicores = occupied_cpu_millicores(spec)
+    memory_mb = spec.resources.memory_mb
+    accelerators = spec.resources.accelerators
+    for task in backend.tasks_by_name.values():
+        if task.step.spec.long_running:
+            cpu_millicores += occupied_cpu_millicores(task.step.spec)
+            memory_mb += task.step.spec.resources.memory_mb
+            accelerators += task.step.spec.resources.accelerators
+    return (
+        cpu_millicores <= room.cpu_millicores
+        and memory_mb <= room.memory_mb
+        and accelerators <= room.accelerators
+    )
+
+
 def best_backend(
     step: StepState, backends: Iterable[BackendState]
 ) -> BackendState | None:
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -30,9 +30,12 @@
 
 # Most backend servers that the platform's advice service accepts in one call.
 MAX_ADVICE_IDS = 100
-# Once more steps of a service than this could not be placed, no further steps of it are
-# placed in this round.
-MAX_UNPLACED_STEPS = 12
+# Once more steps of a service than this wait for room, no further steps of it are
+# placed in this round, so that small tasks do not take the room that large ones need.
+MAX_WAITING_STEPS = 12
+# Share of the room of a service from which on this holds. Below it, there is room for
+# others without what the waiting steps need.
+HOLD_BACK_SHARE = 0.5
 
 
 def plan(scheduler: Scheduler, now_ms: int, unix_ms: int) -> None:
@@ -175,8 +178,12 @@
     backends: list[BackendState],
     now_ms: int,
 ) -> bool:
-    """Places waiting tasks of a service; returns whether there was room for all."""
-    unplaced = 0
+    """Places waiting tasks of a service; returns whether none waits for room.
+
+    A step that no backend server could take, even without its short tasks, waits for
+    something else than room and holds up no other step.
+    """
+    waiting = 0
     withheld = _crashes.withheld_job_ids(scheduler)
     for step in steps:
         if step.job.job.job_id in withheld:
@@ -188,10 +195,23 @@
             placed = _place_gang(scheduler, step, allowed, now_ms)
         else:
             placed = _place_tasks(scheduler, step, allowed, now_ms)
-        unplaced += not placed
-        if unplaced > MAX_UNPLACED_STEPS:
+        if placed or not any(_placement.may_take_later(b, step) for b in allowed):
+            continue
+        waiting += 1
+        if waiting > MAX_WAITING_STEPS and _used_share(backends) >= HOLD_BACK_SHARE:
             return False
-    return not unplaced
+    return not waiting
+
+
+def _used_share(backends: list[BackendState]) -> float:
+    """Returns the used share of the room of backend servers: the larger of two."""
+    rooms = [b.report.room for b in backends if b.report is not None]
+    cpu_millicores = sum(room.cpu_millicores for room in rooms)
+    memory_mb = sum(room.memory_mb for room in rooms)
+    return max(
+        sum(b.cpu_millicores for b in backends) / max(1, cpu_millicores),
+        sum(b.memory_mb for b in backends) / max(1, memory_mb),
+    )
 
 
 def _place_tasks(
