Refuse entries of backend servers that could not be used

Other operators reported processes that end again and again, or stop following the list, because of one odd entry. Here none of them ended, but entries with an address that is none or with numbers of any size were taken for backend servers: each raised an exception at every attempt to connect, and a host name would have blocked the event loop while it is looked up.

Change: ids, addresses and numbers of an entry are checked where it is decoded; a connection to no address is an error value; an error in one entry affects it alone. Numbers of a submission have the same upper bound.

Ruled out: processes that end, and lists that are not followed (three real processes with 41 odd entries in the list and in a watch served on before the change as well, but logged unexpected errors without end).

Conclusion: an odd entry costs one log line.

--- a/dandelionknot/_http_connections.py
+++ b/dandelionknot/_http_connections.py
@@ -15,6 +15,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from dandelionknot.addresses import address_problem, split_address
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.errors import PortError, PortErrorKind
 
@@ -124,13 +125,16 @@
             self.idle.append(stream)
 
     async def _open(self, timeout_ms: int) -> Result[IOStream, PortError]:
-        host, _, port = self.address.rpartition(':')
+        problem = address_problem(self.address)
+        if problem:
+            return Err(PortError(kind=PortErrorKind.NOT_SENT, message=problem))
+        host, port = split_address(self.address)
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
             if self.source_ip is not None:
                 stream.socket.bind((self.source_ip, 0))
             async with asyncio.timeout(seconds(timeout_ms)):
-                await stream.connect((host, int(port)))
+                await stream.connect((host, port))
             stream.set_nodelay(True)
         except (TimeoutError, StreamClosedError, OSError) as error:
             stream.close()
--- a/dandelionknot/cli/_command_options.py
+++ b/dandelionknot/cli/_command_options.py
@@ -9,9 +9,9 @@
 import fire
 from result import Err, Ok, Result
 
+from dandelionknot.addresses import address_problem
 from dandelionknot.cli._command_outcomes import Outcome, failure
 from dandelionknot.cli._operator_client import Endpoint
-from dandelionknot.configuration import address_problem
 from dandelionknot.exit_status import ExitStatus
 
 DEFAULT_TIMEOUT_MS = 10_000
--- a/dandelionknot/cli/_commands_local.py
+++ b/dandelionknot/cli/_commands_local.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from dandelionknot import codec
+from dandelionknot.addresses import address_problem
 from dandelionknot.cli._command_options import (
     OUTPUT_OPTIONS,
     CommandCall,
@@ -18,7 +19,6 @@
 from dandelionknot.cli._command_outcomes import Outcome, failed_change, failure
 from dandelionknot.cli._explain import build_timeline, timeline_lines
 from dandelionknot.cli._operator_client import Endpoint, submit_request
-from dandelionknot.configuration import address_problem
 from dandelionknot.decisions._slices import RANDOM_BYTES, new_request_id
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.messages import RequestBody, RequestPhase
--- a/dandelionknot/configuration/__init__.py
+++ b/dandelionknot/configuration/__init__.py
@@ -27,7 +27,7 @@
     ZoneOverlay,
     ZoneState,
 )
-from dandelionknot.configuration._crosschecks import address_problem, find_faults
+from dandelionknot.configuration._crosschecks import find_faults
 from dandelionknot.configuration._diff import ChangeKind, ConfigurationChange, diff
 from dandelionknot.configuration._faults import (
     ConfigurationFault,
@@ -75,7 +75,6 @@
     'VotersProposal',
     'ZoneOverlay',
     'ZoneState',
-    'address_problem',
     'diff',
     'find_faults',
     'load_base',
--- a/dandelionknot/configuration/_crosschecks.py
+++ b/dandelionknot/configuration/_crosschecks.py
@@ -1,14 +1,12 @@
 """Checks that compare several entries of a configuration with each other."""
 
-import ipaddress
 from collections import Counter
 from collections.abc import Callable, Iterator
 
 from dandelionknot._generated_classes import Configuration
+from dandelionknot.addresses import address_problem
 from dandelionknot.configuration._faults import FaultKind, FieldFault
 
-MAX_PORT = 65535
-
 # Yields a fault for each violation of the rule that is the name of the function.
 Check = Callable[[Configuration], Iterator[FieldFault]]
 
@@ -61,18 +59,6 @@
             yield _duplicate_fault(field, f'host {other!r} has the same address')
 
 
-def address_problem(address: str) -> str:
-    """Returns why an address is not a valid `IP:PORT`, or an empty string."""
-    host, separator, port = address.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return f'{address!r} is not an IPv4 address with a port'
-    if not separator or not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
-        return f'the port of {address!r} is not between 1 and {MAX_PORT}'
-    return ''
-
-
 def _racks_are_in_one_zone(configuration: Configuration) -> Iterator[FieldFault]:
     zones_by_rack: dict[str, str] = {}
     for host_id, host in configuration.hosts_by_id.items():
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -14,6 +14,7 @@
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
+    BackendReport,
     ContactLost,
     EndsStored,
     HoldAnswered,
@@ -181,7 +182,7 @@
         kept_ms = int(self.ports.settings.timing.status_kept_s * 1000)
         self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
         for report in view.backends_by_id.values():
-            self.scheduler.set_backend(report, now)
+            self._set_backend(report, now)
         limits_by_account = self.scheduler.millicores_by_account()
         self.scheduler.capacity.replay_arrivals(limits_by_account, now)
         homes = dict(view.borrowed.homes_by_host_id)
@@ -337,7 +338,14 @@
         if self.hosts is not None and is_new:
             # Only a list from before its loss shows on which host it is.
             self.hosts.list_soon.set()
-        self.scheduler.set_backend(fact.report, now_ms())
+        self._set_backend(fact.report, now_ms())
+
+    def _set_backend(self, report: BackendReport, now: int) -> None:
+        """Adds a backend server; an error in one entry does not affect the others."""
+        try:
+            self.scheduler.set_backend(report, now)
+        except Exception as error:
+            log_unexpected_error('entry', error, backend_id=report.backend_id)
 
     def _backend_lifetime(
         self, message: HoldAnswered | ContactLost | StartFinished | StopFinished
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -3,12 +3,14 @@
 Each kind of message is translated in one place.
 """
 
+import re
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
+from dandelionknot.addresses import address_problem
 from dandelionknot.errors import DecodeError
 from dandelionknot.jobs._generated import (
     BackendReport,
@@ -46,6 +48,12 @@
 # Most characters of a malformed row that a log line contains.
 MAX_ROW_LOGGED = 100
 
+# Largest amount or time in an entry or a job, up to which floats are exact. Larger ones
+# could not be added or divided with others.
+MAX_NUMBER = 2**53
+# Characters of the id of a backend server, which is sent in a header.
+ID_PATTERN = re.compile(r'[!-.0-~]+')
+
 # States of a backend server in its registry entry.
 READY = 'ready'
 DRAINING = 'draining'
@@ -91,23 +99,28 @@
     """Returns what is wrong with the steps of a job, or an empty text."""
     if not wire.steps:
         return 'no steps'
-    if min(wire.times, wire.first_ms, wire.interval_ms) < 0:
+    times = (wire.times, wire.first_ms, wire.interval_ms)
+    if min(times) < 0:
         return 'a number of occurrences or a time is negative'
+    if max(times) > MAX_NUMBER:
+        return f'a number of occurrences or a time is above {MAX_NUMBER}'
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             return f'step {number} has no tasks'
         if any(not 0 <= earlier < number for earlier in step.after):
             return f'step {number} comes after a step that is not before it'
-        if _lowest_amount(step) < 0:
+        if min(_amounts(step)) < 0:
             return f'step {number} has a negative amount'
+        if max(_amounts(step)) > MAX_NUMBER:
+            return f'step {number} has an amount above {MAX_NUMBER}'
     tasks = max(1, wire.times) * sum(step.count for step in wire.steps)
     if tasks > MAX_TASKS:
         return f'the job has {tasks} tasks, and at most {MAX_TASKS} are possible'
     return ''
 
 
-def _lowest_amount(step: WireStep) -> float:
-    return min(
+def _amounts(step: WireStep) -> tuple[float, ...]:
+    return (
         step.cpu,
         step.mem_mb,
         step.gpu,
@@ -189,16 +202,18 @@
 ) -> Result[BackendReport, DecodeError]:
     """Decodes the registry entry of a backend server.
 
-    An entry with an unknown state, or with an address without a port, is an error,
-    since other writers may have stored it.
+    An entry with an unknown state, an address that is none, or a number out of range
+    is an error, since other writers may have stored it.
     """
     where = f'entry of {backend_id}'
+    if not ID_PATTERN.fullmatch(backend_id):
+        return Err(DecodeError(where=where, problem='the key names no id'))
     decoded = decode(data, WireServer, where)
     if isinstance(decoded, Err):
         return decoded
     wire = decoded.ok_value
-    if wire.state not in (READY, DRAINING) or ':' not in wire.addr:
-        problem = f'state {wire.state!r} or address {wire.addr!r} is not valid'
+    problem = _entry_problem(wire)
+    if problem:
         return Err(DecodeError(where=where, problem=problem))
     return Ok(
         BackendReport(
@@ -216,6 +231,23 @@
     )
 
 
+def _entry_problem(wire: WireServer) -> str:
+    """Returns what is wrong with an entry, or an empty text."""
+    if wire.state not in (READY, DRAINING):
+        return f'state {wire.state[:MAX_ROW_LOGGED]!r} is not known'
+    problem = address_problem(wire.addr)
+    if problem:
+        return problem
+    room = wire.room
+    numbers = (
+        *(wire.born, wire.cold_left_ms, wire.remaining_ms),
+        *(room.cpu, room.mem_mb, room.gpu),
+    )
+    if min(numbers) < 0 or max(numbers) > MAX_NUMBER:
+        return f'a number is not between 0 and {MAX_NUMBER}'
+    return ''
+
+
 def wave(data: bytes) -> Result[UpkeepWave, DecodeError]:
     """Decodes the operators' order of a maintenance wave."""
     decoded = decode(data, WireWave, 'wave')
@@ -275,10 +307,17 @@
         try:
             converted.append(convert(row))
         except (ValueError, TypeError, IndexError, OverflowError) as error:
-            problems.append(f'{str(row)[:MAX_ROW_LOGGED]}: {error}')
+            problems.append(f'{_row_text(row)}: {error}')
     return converted, problems
 
 
+def _row_text(row: Any) -> str:
+    try:
+        return str(row)[:MAX_ROW_LOGGED]
+    except RecursionError:
+        return 'a deeply nested row'
+
+
 def _running(row: list) -> RunningTask:
     """Converts a row of task, run, checkpoint, percentage of speed and reading."""
     return RunningTask(
--- a/dandelionknot/settings.py
+++ b/dandelionknot/settings.py
@@ -15,9 +15,8 @@
     StatsdSettings,
     TlsSettings,
 )
-from dandelionknot.addresses import split_address
+from dandelionknot.addresses import address_problem, split_address
 from dandelionknot.configuration._configuration_files import read_yaml_with_lines
-from dandelionknot.configuration._crosschecks import address_problem
 from dandelionknot.configuration._faults import (
     ConfigurationFault,
     FaultKind,
