Do not take one lost answer or a refusal for a lost backend server

Cause: one lease renewal without an answer, or with 503, made a host unreachable: it got no starts, its speculative tasks were copied, and starts in progress were suspected. Each try of an order waited 700 ms.

Change: two quick calls on new connections decide whether contact is lost, from the time of the first failure, without extending the lease. It takes five refusals in a row, since a refusal shows that the process lives. Orders are repeated after 150 and 300 ms.

Ruled out: extending the lease with these calls, which would delay the end of the lease of a host that is really cut off.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -411,6 +411,9 @@
     born_ms: int
     outcome: OrderOutcome
     lapses_at_ms: int
+    lost_at_ms: Annotated[
+        int, Meta(description="Local time of the first call without an answer.")
+    ]
 
 
 class StartFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -301,7 +301,9 @@
             case ContactLost(outcome=outcome, lapses_at_ms=lapses_at_ms):
                 if self.hosts is not None and backend.reachable:
                     self.hosts.list_soon.set()
-                scheduler.contact_lost(backend, outcome, lapses_at_ms, now_ms())
+                scheduler.contact_lost(
+                    backend, outcome, lapses_at_ms, message.lost_at_ms
+                )
             case StartFinished(task_name=name, run=run, outcome=outcome):
                 scheduler.start_finished(
                     backend, name, run, outcome, now_ms(), message.deadline_ms
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from result import Err
+from result import Err, Ok, Result
 
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
@@ -13,6 +13,7 @@
     ContactLost,
     EndsStored,
     HoldAnswered,
+    HoldReport,
     OrderOutcome,
     PaceTask,
     StartFinished,
@@ -43,9 +44,19 @@
 # Pause between calls to a backend server that does not answer. Also the pause between
 # checks whether calls are allowed again.
 PROBE_PAUSE_MS = 300
-# Times that a start is sent if it is not answered. Repeating it is safe, since the
-# backend server starts the same run only once.
-START_TRIES = 3
+# Time limits of the tries of an order that is not answered. The first are short, since
+# an answer usually takes some milliseconds. Repeating an order is safe: the backend
+# server starts the same run only once.
+TRY_TIMEOUTS_MS = (150, 300, ORDER_TIMEOUT_MS)
+# Time limits of the calls that check whether contact is lost after a hold call without
+# an answer.
+CHECK_TIMEOUTS_MS = (150, 300)
+# Successive hold calls that are refused until contact counts as lost, and the pause
+# between them. A refusal shows that the process lives.
+MAX_REFUSED_HOLDS = 5
+REFUSED_PAUSE_MS = 100
+# Outcomes of a hold call which leave open whether the backend server lives.
+SILENT_OUTCOMES = frozenset({OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT})
 # Pause between the tries of an order that is repeated until it is carried out.
 REPEAT_PAUSE_MS = 300
 # Outcomes which show that the order was carried out, or that the run has ended.
@@ -85,8 +96,10 @@
     may_hold: Callable[[], bool]
     inbox: Mailbox = field(default_factory=lambda: Mailbox(4096))
     clock: LeaseClock = field(init=False)
-    # Whether the last hold call failed.
+    # Whether the backend server did not answer the last calls.
     is_contact_lost: bool = False
+    # Number of successive hold calls that were refused.
+    refused_holds: int = 0
     # Whether the last report listed a run, or an order was sent after it.
     busy: bool = True
     # Whether the scheduler has tasks on this backend server.
@@ -152,7 +165,7 @@
             await self._pace(message)
 
     async def _start(self, message: StartTask) -> None:
-        """Sends a start up to `START_TRIES` times and reports its outcome."""
+        """Sends a start, if need be repeatedly, and reports its outcome."""
         key = (message.order.task_name, message.order.run)
         self.starts_in_progress.add(key)
         outcome, deadline = OrderOutcome.NO_ANSWER, 0
@@ -173,11 +186,11 @@
         outcome = OrderOutcome.NOT_SENT
         deadline = 0
         may_have_arrived = False
-        for _ in range(START_TRIES):
+        for timeout_ms in TRY_TIMEOUTS_MS:
             if key in self.withdrawn_starts or not self._may_start():
                 break
             deadline = self.clock.extend(now_ms(), self._lease_ms())
-            outcome = await self.client.start(message.order, deadline, ORDER_TIMEOUT_MS)
+            outcome = await self.client.start(message.order, deadline, timeout_ms)
             may_have_arrived = may_have_arrived or outcome is OrderOutcome.NO_ANSWER
             if outcome not in (
                 OrderOutcome.NO_ANSWER,
@@ -227,7 +240,11 @@
         self.busy = True
         self.wake.set()
         try:
-            outcome = await self._repeat('stop', key, lambda: self._send_stop(key))
+            outcome = await self._repeat(
+                'stop',
+                key,
+                lambda timeout_ms: self.client.stop(*key, timeout_ms),
+            )
         finally:
             self.stops_in_progress.discard(key)
         if outcome in CARRIED_OUT:
@@ -240,9 +257,6 @@
                 )
             )
 
-    async def _send_stop(self, key: RunKey) -> OrderOutcome:
-        return await self.client.stop(*key, ORDER_TIMEOUT_MS)
-
     async def _pace(self, message: PaceTask) -> None:
         """Sends the latest pace of a run until the backend server carries it out."""
         key = (message.task_name, message.run)
@@ -251,25 +265,31 @@
         if in_progress:
             return
         try:
-            await self._repeat('pace', key, lambda: self._send_pace(key))
+            await self._repeat(
+                'pace', key, lambda timeout_ms: self._send_pace(key, timeout_ms)
+            )
         finally:
             self.paces_by_run.pop(key, None)
 
-    async def _send_pace(self, key: RunKey) -> OrderOutcome:
+    async def _send_pace(self, key: RunKey, timeout_ms: int) -> OrderOutcome:
         percent = self.paces_by_run[key]
-        outcome = await self.client.pace(*key, percent, ORDER_TIMEOUT_MS)
+        outcome = await self.client.pace(*key, percent, timeout_ms)
         if outcome in CARRIED_OUT and self.paces_by_run[key] != percent:
             return OrderOutcome.NOT_SENT
         return outcome
 
     async def _repeat(
-        self, order: str, key: RunKey, send: Callable[[], Awaitable[OrderOutcome]]
+        self, order: str, key: RunKey, send: Callable[[int], Awaitable[OrderOutcome]]
     ) -> OrderOutcome:
-        """Repeats an order until it is carried out or would always be rejected."""
+        """Repeats an order until it is carried out or would always be rejected.
+
+        `send` makes one try, with a time limit in ms.
+        """
         is_logged = False
+        timeouts_ms = iter(TRY_TIMEOUTS_MS)
         while True:
             if self.may_order() and not self.is_contact_lost:
-                outcome = await send()
+                outcome = await send(next(timeouts_ms, ORDER_TIMEOUT_MS))
                 if outcome in CARRIED_OUT or outcome in POINTLESS:
                     return outcome
                 if not is_logged:
@@ -329,14 +349,17 @@
         result = await self.client.hold(
             deadline, acknowledged, wait_ms, ORDER_TIMEOUT_MS
         )
+        failed_ms = now_ms()
+        if isinstance(result, Err) and not probing:
+            result = await self._check_contact(result, acknowledged)
         if isinstance(result, Err):
-            self._report_contact_lost(result.err_value)
-            await asyncio.sleep(seconds(0 if not probing else PROBE_PAUSE_MS))
+            await self._handle_failed_hold(result.err_value, probing, failed_ms)
             return
+        self.refused_holds = 0
         received_ms = now_ms()
         report = result.ok_value
         if report.born_ms and self.born_ms and report.born_ms != self.born_ms:
-            self._report_contact_lost(OrderOutcome.OTHER_LIFETIME)
+            self._report_contact_lost(OrderOutcome.OTHER_LIFETIME, received_ms)
             await asyncio.sleep(seconds(PROBE_PAUSE_MS))
             return
         self.clock.read(report.clock_ms, received_ms)
@@ -359,6 +382,36 @@
             await self._wait(STORED_WAIT_MS)
         await asyncio.sleep(seconds(HOLD_PAUSE_MS))
 
+    async def _check_contact(
+        self, result: Err[OrderOutcome], acknowledged: int
+    ) -> Result[HoldReport, OrderOutcome]:
+        """Repeats a hold call that was not answered, on other connections.
+
+        One lost answer is no loss of contact. The lease is not extended, so that it
+        expires as early as without these calls. An attempt to connect that fails at
+        once shows that nothing listens there.
+        """
+        for timeout_ms in CHECK_TIMEOUTS_MS:
+            if result.err_value is not OrderOutcome.NO_ANSWER:
+                break
+            checked = await self.client.hold(0, acknowledged, 0, timeout_ms)
+            if isinstance(checked, Ok):
+                return checked
+            result = checked
+        return result
+
+    async def _handle_failed_hold(
+        self, outcome: OrderOutcome, probing: bool, failed_ms: int
+    ) -> None:
+        """Reports that contact is lost, unless a refusal shows that it is not."""
+        refused = outcome not in SILENT_OUTCOMES and outcome not in POINTLESS
+        self.refused_holds = self.refused_holds + 1 if refused else 0
+        if refused and not probing and self.refused_holds < MAX_REFUSED_HOLDS:
+            await asyncio.sleep(seconds(REFUSED_PAUSE_MS))
+            return
+        self._report_contact_lost(outcome, failed_ms)
+        await asyncio.sleep(seconds(0 if not probing else PROBE_PAUSE_MS))
+
     async def _wait(self, duration_ms: int) -> None:
         """Waits up to a duration for `wake`, then clears it."""
         try:
@@ -369,7 +422,7 @@
         finally:
             self.wake.clear()
 
-    def _report_contact_lost(self, outcome: OrderOutcome) -> None:
+    def _report_contact_lost(self, outcome: OrderOutcome, lost_at_ms: int) -> None:
         self.is_contact_lost = True
         self.report(
             ContactLost(
@@ -377,5 +430,6 @@
                 born_ms=self.born_ms,
                 outcome=outcome,
                 lapses_at_ms=self.clock.expiry_ms(),
+                lost_at_ms=lost_at_ms,
             )
         )
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -38,7 +38,11 @@
         unresponsive=False,
         stop=(OrderOutcome.ACCEPTED,),
         pace=(OrderOutcome.ACCEPTED,),
+        holds=(),
     ):
+        # Outcomes of failed hold calls from the third second on; then all succeed.
+        self.failed_holds = list(holds)
+        self.hold_calls = 0
         self.starts = list(start)
         self.stop_outcomes = list(stop)
         self.pace_outcomes = list(pace)
@@ -55,6 +59,12 @@
         if self.unresponsive:
             await asyncio.sleep((wait_ms + timeout_ms) / 1000)
             return Err(NO_ANSWER)
+        self.hold_calls += 1
+        if self.failed_holds and self.hold_calls > 3:
+            outcome = self.failed_holds.pop(0)
+            is_silent = outcome is NO_ANSWER
+            await asyncio.sleep((wait_ms + timeout_ms) / 1000 if is_silent else 0.001)
+            return Err(outcome)
         await asyncio.sleep(max(wait_ms, 1) / 1000)
         return Ok(HoldReport(clock_ms=1000, born_ms=1, running=[], ended=[]))
 
@@ -192,6 +202,39 @@
                     self.assertEqual(len(stopped), 1)
                     self.assertEqual(client.stops, count + 1)
 
+    def lost_contacts(self, *outcomes):
+        """Returns the reports of lost contact after some failed hold calls."""
+        client = FakeBackendClient(holds=outcomes)
+        reports = virtual_time.run(run_link(client, [EXPECTED], 20))
+        self.assertEqual(client.failed_holds, [])
+        return [report for report in reports if isinstance(report, ContactLost)]
+
+    def test_one_lost_answer_is_no_lost_contact(self):
+        """Guards against hosts that get no starts, and copies of all their tasks."""
+        for outcomes in ((NO_ANSWER,), (NO_ANSWER, NO_ANSWER)):
+            self.assertEqual(self.lost_contacts(*outcomes), [])
+        for outcomes in ((NO_ANSWER,) * 3, (NO_ANSWER, OrderOutcome.NOT_SENT)):
+            self.assertEqual(len(self.lost_contacts(*outcomes)), 1)
+
+    def test_a_refused_hold_call_is_no_lost_contact(self):
+        """Guards against silence being assumed of a host that has just answered."""
+        for refusal in (OrderOutcome.UNHEALTHY, OrderOutcome.REFUSED):
+            self.assertEqual(self.lost_contacts(*[refusal] * 4), [])
+            self.assertEqual(len(self.lost_contacts(*[refusal] * 5)), 1)
+        for outcome in POINTLESS_OUTCOMES:
+            self.assertEqual(len(self.lost_contacts(outcome)), 1)
+
+    def test_contact_is_lost_at_the_first_failure(self):
+        """Guards against a crash whose time is that of the last check after it."""
+        [lost] = self.lost_contacts(NO_ANSWER, NO_ANSWER, NO_ANSWER)
+        client = FakeBackendClient(holds=(NO_ANSWER, OrderOutcome.NOT_SENT))
+        reports = virtual_time.run(run_link(client, [EXPECTED], 20))
+        [earlier] = [r for r in reports if isinstance(r, ContactLost)]
+        self.assertEqual(
+            lost.lost_at_ms - lost.lapses_at_ms,
+            earlier.lost_at_ms - earlier.lapses_at_ms,
+        )
+
     def test_a_stop_that_would_always_be_rejected_is_not_repeated(self):
         """Guards against calls that can have no effect any more."""
         for outcome in POINTLESS_OUTCOMES:
