Ignore a late entry of a former lifetime of a backend server

Cause: any other start time in an entry counted as a later lifetime.

Change: an entry with an earlier start time changes nothing while the known lifetime answers or its lease lasts.

Ruled out: comparing start times alone, since the clock of a host may be set back.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -247,6 +247,15 @@
                 },
             )
             return
+        if backend is not None and _may_be_outdated(backend, report, now_ms):
+            self.note(
+                Event.BACKEND_ENTRY_IGNORED,
+                {
+                    'backend_id': report.backend_id,
+                    'reason': 'the entry may be of a former lifetime, written late',
+                },
+            )
+            return
         if backend is not None and backend.born_ms not in (0, report.born_ms):
             self._backend_restarted(backend, report.born_ms)
             backend = None
@@ -639,6 +648,18 @@
         return log_entries
 
 
+def _may_be_outdated(backend: BackendState, report: BackendReport, now_ms: int) -> bool:
+    """Whether an entry may be of an earlier lifetime than the known one.
+
+    A write of a former lifetime may be carried out late. If the clock of the host was
+    set back, the later lifetime has the earlier start time. Only the backend server
+    itself can tell then, or the end of its lease.
+    """
+    if not 0 < report.born_ms < backend.born_ms:
+        return False
+    return backend.lapses_at_ms is None or now_ms < backend.lapses_at_ms
+
+
 def _backend_fields(backend: BackendState, report: BackendReport) -> dict:
     return {
         'backend_id': backend.backend_id,
--- /dev/null
+++ b/tests/test_jobs_lifetimes.py
@@ -0,0 +1,110 @@
+"""Entries of several lifetimes of one backend server, in any order."""
+
+import unittest
+
+from dandelionknot.jobs._generated import OrderOutcome, Resources, StepSpec
+from tests.job_test_bed import LEASE_MS, RESTART_MS, FakeBackend, JobTestBed
+
+SMALL = Resources(cpu_millicores=1000, memory_mb=100)
+TICK_MS = 50
+
+
+class LifetimeTest(unittest.TestCase):
+    def setUp(self):
+        self.backend = FakeBackend('b1', born_ms=5000)
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        self.test_bed.submit(StepSpec(task_count=3, resources=SMALL, estimated_ms=500))
+        self.run_for(200)
+        self.assertEqual(len(self.test_bed.running()), 3)
+        self.test_bed.backends['b2'] = FakeBackend('b2')
+        self.set_entry(self.test_bed.backends['b2'].report())
+
+    def set_entry(self, report):
+        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+
+    def late_entry(self):
+        """Returns an entry of the lifetime before the current one."""
+        current = self.backend.report()
+        self.backend.born_ms -= 1000
+        report = self.backend.report()
+        self.backend.born_ms = current.born_ms
+        return report
+
+    def assert_each_ran_once(self):
+        self.assertEqual(len(self.backend.started), 3)
+        self.assertEqual(self.test_bed.backends['b2'].started, [])
+
+    def test_a_late_entry_of_a_former_lifetime_restarts_nothing(self):
+        """Guards against a second run of each task of the lifetime that runs."""
+        for leader_before, leader_after in (
+            (False, False),
+            (True, False),
+            (False, True),
+        ):
+            with self.subTest(leader_before=leader_before, leader_after=leader_after):
+                self.setUp()
+                if leader_before:
+                    self.test_bed.new_leader()
+                self.set_entry(self.late_entry())
+                if leader_after:
+                    self.test_bed.new_leader()
+                    self.set_entry(self.late_entry())
+                self.run_for(1500)
+                self.set_entry(self.backend.report())
+                self.run_for(500)
+                self.assert_each_ran_once()
+
+    def test_a_later_lifetime_is_used_at_once(self):
+        """Guards against tasks that wait although their host has started again."""
+        self.backend.restart()
+        self.set_entry(self.backend.report())
+        self.run_for(300)
+        self.assertEqual(len(self.test_bed.running()), 3)
+
+    def test_a_later_lifetime_with_an_earlier_start_time_is_used(self):
+        """Guards against a host that is ignored since its clock was set back."""
+        self.backend.restart()
+        self.backend.born_ms = 100
+        self.set_entry(self.backend.report())
+        self.run_for(100)
+        state = self.test_bed.scheduler.backends_by_id.get('b1')
+        if state is not None and state.born_ms != 100:
+            self.test_bed.scheduler.contact_lost(
+                state,
+                OrderOutcome.OTHER_LIFETIME,
+                self.test_bed.now_ms,
+                self.test_bed.now_ms,
+            )
+        self.run_for(100)
+        self.set_entry(self.backend.report())
+        self.run_for(300)
+        self.assertEqual(self.test_bed.scheduler.backends_by_id['b1'].born_ms, 100)
+        self.assertEqual(len(self.test_bed.running()), 3)
+
+    def test_a_silent_lifetime_ends_with_its_lease(self):
+        """Guards against a host that is ignored for good, as no call reaches it."""
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        self.backend.unresponsive = True
+        self.backend.runs_by_name.clear()
+        self.test_bed.scheduler.contact_lost(
+            state,
+            OrderOutcome.NO_ANSWER,
+            self.test_bed.now_ms + LEASE_MS,
+            self.test_bed.now_ms,
+        )
+        self.backend.born_ms = 100
+        self.run_for(RESTART_MS)
+        self.set_entry(self.backend.report())
+        self.assertEqual(self.test_bed.running(), {})
+        self.run_for(LEASE_MS)
+        self.set_entry(self.backend.report())
+        self.assertEqual(self.test_bed.scheduler.backends_by_id['b1'].born_ms, 100)
+
+
+if __name__ == '__main__':
+    unittest.main()
