Test a suspected gang on the crashed host again if it needs it

Seen by callers: a gang is never started again after one of its hosts has crashed and is back (review/further/gang.py, LOST).

Cause: the hosts that had crashed were left out although the gang does not fit on the others.

Change: other hosts count only if the whole unit could run on them.

Ruled out: the limit of hosts for tests, which does not apply to gangs.

--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -205,7 +205,7 @@
     step = unit.step
     usable = [backend for backend in backends if _is_usable_for(step, backend)]
     free = allowed(step, [b for b in usable if _is_free(b, now_ms)])
-    free = _other_hosts(unit, free, only_host=len(usable) == 1)
+    free = _other_hosts(unit, free, usable)
     places: list[tuple[TaskState, BackendState]] | None
     if step.spec.gang:
         places = _placement.place_gang(step, free)
@@ -233,25 +233,53 @@
 
 
 def _other_hosts(
-    unit: Unit, backends: list[BackendState], only_host: bool
+    unit: Unit, backends: list[BackendState], usable: list[BackendState]
 ) -> list[BackendState]:
     """Returns the backend servers on other hosts than those that crashed before.
 
-    A host may crash whatever it starts, so a second crash on it proves nothing. If none
-    is left, those that did not crash while the unit ran alone are next. The only host
-    that a step can use is used again.
+    A host may crash whatever it starts, so a second crash on it proves nothing. If too
+    few are left for the unit, those that did not crash while it ran alone are next. All
+    are used again if the unit could not run on the other `usable` ones at all.
     """
-    if only_host:
-        return backends
+    crashed: set[str] = set()
     for alone in (False, True):
-        crashed: set[str] = set()
-        for task in unit.tasks:
-            runs = task.crashed_alone_runs if alone else task.crashed_runs
-            crashed |= _crashes.hosts_of_crashes(task, runs)
+        crashed = _crashed_host_ids(unit, alone)
         others = [b for b in backends if b.known_host_id not in crashed]
-        if others:
+        if _could_hold(unit, others):
             return others
-    return []
+    others = [b for b in usable if b.known_host_id not in crashed]
+    return [] if _could_hold(unit, others) else backends
+
+
+def _crashed_host_ids(unit: Unit, alone: bool) -> set[str]:
+    host_ids: set[str] = set()
+    for task in unit.tasks:
+        runs = task.crashed_alone_runs if alone else task.crashed_runs
+        host_ids |= _crashes.hosts_of_crashes(task, runs)
+    return host_ids
+
+
+def _could_hold(unit: Unit, backends: list[BackendState]) -> bool:
+    """Whether empty backend servers would have room for all tasks of a unit."""
+    if not unit.step.spec.gang:
+        return bool(backends)
+    return sum(_most_tasks(unit, b) for b in backends) >= len(unit.tasks)
+
+
+def _most_tasks(unit: Unit, backend: BackendState) -> int:
+    """Returns how many tasks of a unit an empty backend server could run."""
+    if backend.report is None:
+        return 0
+    spec, room = unit.step.spec, backend.report.room
+    most = min(spec.max_per_host or len(unit.tasks), len(unit.tasks))
+    for needed, present in (
+        (occupied_cpu_millicores(spec), room.cpu_millicores),
+        (spec.resources.memory_mb, room.memory_mb),
+        (spec.resources.accelerators, room.accelerators),
+    ):
+        if needed:
+            most = min(most, present // needed)
+    return most
 
 
 def _is_free(backend: BackendState, now_ms: int) -> bool:
@@ -280,7 +308,7 @@
     At most `wanted` are reserved, and former reservations of others end.
     """
     usable = [backend for backend in backends if _is_usable_for(unit.step, backend)]
-    usable = _other_hosts(unit, usable, only_host=len(usable) == 1)
+    usable = _other_hosts(unit, usable, usable)
     for backend in backends:
         if backend not in usable:
             backend.reserved_at_ms = 0
