Ask for advice about each lifetime of a backend server

Cause: the ticket of the former lifetime was neither removed nor asked for again.

Change: what the advice service has answered is kept by lifetime.

--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -306,12 +306,13 @@
     allowed = []
     for backend in backends:
         ticket = tickets.get(backend.backend_id)
-        if ticket and ticket.born_ms == backend.born_ms:
-            if ticket.expires_ms > now_ms:
-                allowed.append(backend)
-            else:
-                del tickets[backend.backend_id]
-                step.asked_backend_ids.discard(backend.backend_id)
+        if ticket is None:
+            continue
+        if ticket.born_ms == backend.born_ms and ticket.expires_ms > now_ms:
+            allowed.append(backend)
+        else:
+            del tickets[backend.backend_id]
+            step.asked_lifetimes.discard(backend.lifetime)
     if not any(_placement.has_room(b, step.spec) for b in allowed):
         _ask_advice(scheduler, step, backends, now_ms)
     return allowed
@@ -325,7 +326,7 @@
     ids = [
         backend.backend_id
         for backend in backends
-        if backend.backend_id not in step.asked_backend_ids
+        if backend.lifetime not in step.asked_lifetimes
         and _placement.has_room(backend, step.spec)
     ]
     if ids:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -476,7 +476,7 @@
             task.not_before_ms = now + REFUSED_PAUSE_MS
         elif outcome is OrderOutcome.TICKET_INVALID:
             task.step.tickets_by_backend_id.pop(backend.backend_id, None)
-            task.step.asked_backend_ids.discard(backend.backend_id)
+            task.step.asked_lifetimes.discard(backend.lifetime)
         elif outcome is OrderOutcome.OTHER_LIFETIME:
             backend.avoid_until_ms = now + UNHEALTHY_PAUSE_MS
         self.requeue(task, outcome.value)
@@ -593,7 +593,11 @@
         step.advice_pending = False
         step.advice_not_before_ms = now_ms + ADVICE_PAUSE_MS
         if valid_ms:
-            step.asked_backend_ids.update(request.backend_ids)
+            step.asked_lifetimes.update(
+                self.backends_by_id[backend_id].lifetime
+                for backend_id in request.backend_ids
+                if backend_id in self.backends_by_id
+            )
         for backend_id, text in granted.items():
             backend = self.backends_by_id.get(backend_id)
             if backend is not None:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -119,8 +119,9 @@
     # Number of tasks of this step that are assigned to each backend server.
     tasks_by_backend_id: dict[str, int] = field(default_factory=dict)
     tickets_by_backend_id: dict[str, 'Ticket'] = field(default_factory=dict)
-    # Backend servers about which the advice service has answered.
-    asked_backend_ids: set[str] = field(default_factory=set)
+    # Lifetimes of backend servers about which the advice service has answered. A later
+    # one may be of another kind.
+    asked_lifetimes: set[Lifetime] = field(default_factory=set)
     advice_pending: bool = False
     advice_not_before_ms: int = 0
 
