--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -54,19 +54,6 @@
     interval_ms: int = 0
 
 
-class Job(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """
-    An accepted job as it is stored; it never changes.
-    """
-
-    job_id: str
-    queue: str
-    service: str
-    client_account: str
-    accepted_unix_ms: int
-    spec: JobSpec
-
-
 class JobPhase(StrEnum):
     """
     State of a job as its caller sees it.
@@ -684,3 +671,21 @@
     timing: ManagerTiming = field(
         default_factory=lambda: convert({}, type=ManagerTiming)
     )
+
+
+class Job(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    An accepted job as it is stored; it never changes.
+    """
+
+    job_id: str
+    queue: str
+    service: str
+    client_account: str
+    accepted_unix_ms: int
+    spec: JobSpec
+    accepted_queue: (
+        Annotated[Queue, Meta(description="Rules of its queue when it was accepted.")]
+        | None
+       
+    ) = None
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -172,9 +172,10 @@
         """Adds an accepted job and restores its progress if it has a record."""
         if job.job_id in self.jobs_by_id:
             return
-        queue = self.queues_by_name.get(job.queue) or Queue(
-            name=job.queue, host='', path_prefix='', service=job.service
-        )
+        # A job whose queue is not configured any more keeps the rules of that queue.
+        queue = self.queues_by_name.get(job.queue) or job.accepted_queue
+        if queue is None:
+            queue = Queue(name=job.queue, host='', path_prefix='', service=job.service)
         accepted_ms = now_ms - max(0, unix_ms - job.accepted_unix_ms)
         state = new_job_state(job, queue, self.account(job.client_account), accepted_ms)
         _ranking.record_share(state)
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -172,6 +172,7 @@
             client_account=account,
             accepted_unix_ms=unix_ms(),
             spec=spec,
+            accepted_queue=queue,
         )
         key = job_key(job_id)
         return await self.store.write(
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -194,6 +194,7 @@
             client_account='sofia',
             accepted_unix_ms=self.now_ms,
             spec=JobSpec(payload='p', steps=list(steps), **spec),
+            accepted_queue=self.queue,
         )
         self.jobs[job_id] = job
         self.scheduler.add_job(job, None, self.now_ms, self.now_ms)
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -466,6 +466,33 @@
 
 
 class FailureTest(unittest.TestCase):
+    def test_a_job_keeps_its_attempts_without_its_queue(self):
+        """Guards against a job that fails early, as its queue was taken out.
+
+        The leader changes while the queue is not configured, between two failed runs.
+        """
+        for leaders in (0, 1, 2):
+            with self.subTest(leaders=leaders):
+                test_bed = JobTestBed(FakeBackend('b1'))
+                test_bed.submit(step())
+                test_bed.step()
+                configured = test_bed.queue
+                test_bed.queue = Queue(
+                    name='other', host='h', path_prefix='/o/', service=SERVICE
+                )
+                test_bed.configure()
+                for _ in range(leaders):
+                    test_bed.new_leader()
+                for _ in range(configured.max_attempts - 1):
+                    test_bed.step(1000)
+                    test_bed.backends['b1'].end(TASK, EndReason.FAILED)
+                    test_bed.step(1000)
+                    self.assertEqual(test_bed.phase(), 'running')
+                test_bed.step(1000)
+                test_bed.backends['b1'].end(TASK, EndReason.FAILED)
+                test_bed.step(1000)
+                self.assertEqual(test_bed.phase(), 'failed')
+
     def test_a_new_leader_counts_a_failure_once(self):
         """Guards against a job that fails before its runs are used up.
 
