--- a/tests/test_jobs_hold_up.py
+++ b/tests/test_jobs_hold_up.py
@@ -81,6 +81,30 @@
                     test_bed.submit(step, job_id=f'whole{number}')
                 self.assert_starts(test_bed)
 
+    def test_steps_that_fitted_until_the_room_shrank_hold_up_no_other(self):
+        """Guards against a pool that starts nothing while its hosts have less room.
+
+        Nor may anything start beyond the smaller room (LIMIT).
+        """
+        for share in (0.1, 0.25, 0.55):
+            with self.subTest(share=share):
+                test_bed = self.new_test_bed()
+                room = Resources(cpu_millicores=int(share * 32_000), memory_mb=65_536)
+                for backend in test_bed.backends.values():
+                    backend.room = room
+                    test_bed.scheduler.set_backend(backend.report(), test_bed.now_ms)
+                for number in range(20):
+                    step = StepSpec(task_count=1, resources=WHOLE)
+                    test_bed.submit(step, job_id=f'whole{number}')
+                self.assert_starts(test_bed)
+                self.assertEqual(list(test_bed.running()), ['other.0.0.0'])
+                for backend in test_bed.backends.values():
+                    backend.room = FakeBackend('b').room
+                    test_bed.scheduler.set_backend(backend.report(), test_bed.now_ms)
+                for _ in range(3):
+                    test_bed.step()
+                self.assertEqual(len(test_bed.running()), HOSTS)
+
     def test_small_tasks_do_not_take_the_room_for_which_large_ones_wait(self):
         """Guards against large tasks that wait for ever in a pool in use."""
         test_bed = self.new_test_bed()
