Order a pace that a new leader does not know

Cause: the pace was in the memory of the leader alone.

Change: the pace of a run that a former leader placed counts as unknown, and the first adjustment orders one.

Before: 2 of 6 cases of the new test failed (a pace that a former leader lowered was not raised). After: all pass.

--- a/dandelionknot/jobs/_pacing.py
+++ b/dandelionknot/jobs/_pacing.py
@@ -43,7 +43,7 @@
     idle_capacity_tasks = []
     worst_share = 0.0
     for task in backend.tasks_by_name.values():
-        if task.phase is not TaskPhase.RUNNING or task.stopping:
+        if task.phase is not TaskPhase.RUNNING or task.stopping or task.unconfirmed:
             continue
         spec = task.step.spec
         if spec.uses_idle_capacity:
@@ -52,7 +52,7 @@
             worst_share = max(worst_share, task.reading / spec.latency_objective_ms)
     for task in idle_capacity_tasks:
         percent = _next_pace_percent(task.pace_percent, worst_share)
-        if percent != task.pace_percent:
+        if percent != task.pace_percent or not task.pace_known:
             _pace(scheduler, backend, task, percent, worst_share)
 
 
@@ -78,7 +78,7 @@
     percent: int,
     worst_share: float,
 ) -> None:
-    task.pace_percent = percent
+    task.pace_percent, task.pace_known = percent, True
     scheduler.note(
         Event.TASK_PACED,
         {
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -196,6 +196,7 @@
                 True,
             )
             task.started_at_ms = now_ms - max(0, unix_ms - stored.placed_unix_ms)
+            task.pace_known = False
             assign(task, backend)
         _crashes.restored(self, state, now_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -94,6 +94,8 @@
     # Pace that was ordered for a task that uses idle capacity, in percent of full
     # speed.
     pace_percent: int = 100
+    # Whether this leader knows the pace; a former one may have ordered another.
+    pace_known: bool = True
     # Last reading. For a serving task, its tail latency in ms. For other tasks, the
     # millicores in use.
     reading: float = 0.0
@@ -305,7 +307,7 @@
     task.start_sent = task.stopping = task.unconfirmed = False
     task.missing_reports = 0
     task.measured_from_ms = task.start_deadline_ms = 0
-    task.pace_percent = 100
+    task.pace_percent, task.pace_known = 100, True
     backend.tasks_by_name.pop(task.name, None)
     backend.isolated_tasks -= task.isolated
     task.isolated = False
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -218,6 +218,39 @@
         self.assertIsInstance(pace, PaceTask)
         self.assertEqual((pace.task_name, pace.percent), ('f.0.0.0', 0))
 
+    def test_a_new_leader_orders_a_pace_that_it_does_not_know(self):
+        """Guards against a task that stays paced down, or works on beside a slow one.
+
+        The former leader may have ordered any pace.
+        """
+        for reading, expected in ((0.0, 100), (95.0, 20), (150.0, 0)):
+            for leaders in (1, 2):
+                with self.subTest(reading=reading, leaders=leaders):
+                    test_bed = JobTestBed(FakeBackend('b1'))
+                    serving = step(long_running=True, latency_objective_ms=100)
+                    filling = step(long_running=True, uses_idle_capacity=True)
+                    test_bed.submit(serving, job_id='s')
+                    test_bed.submit(filling, job_id='f')
+                    for _ in range(3):
+                        test_bed.step()
+                    for _ in range(leaders):
+                        test_bed.new_leader()
+                    test_bed.hold(test_bed.backends['b1'])
+                    backend = test_bed.scheduler.backends_by_id['b1']
+                    backend.tasks_by_name['s.0.0.0'].reading = reading
+                    self.assertEqual(self.paces(test_bed), [('f.0.0.0', expected)])
+
+    def paces(self, test_bed):
+        """Returns the paces that one planning round orders."""
+        now = test_bed.now_ms + 1000
+        test_bed.now_ms = now
+        test_bed.scheduler.plan(now, now)
+        return [
+            (command.task_name, command.percent)
+            for command in test_bed.scheduler.take_commands()
+            if isinstance(command, PaceTask)
+        ]
+
 
 class WaveTest(unittest.TestCase):
     def wave(self, count=4, max_down=2, within_s=20):
