Emulate backend servers that refuse orders while others are carried out late

The emulator had no refusals: an order was carried out, late, or not answered. The new fault refuses 0.4 of the calls to one backend server and leaves 0.5 of all orders for later, for some seconds.

No change of the product.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -58,6 +58,8 @@
     room: Resources
     born_ms: int = 1
     up: bool = True
+    # Share of the calls that it refuses as unhealthy, without any effect.
+    refused_share: float = 0.0
     fence: int = 0
     deadline_ms: int = 0
     runs_by_name: dict[str, Run] = field(default_factory=dict)
@@ -248,6 +250,10 @@
         await asyncio.sleep(seconds(NETWORK_DELAY_MS))
         return self.backend.up
 
+    def _is_refused(self) -> bool:
+        share = self.backend.refused_share
+        return share > 0 and self.backend.rng.random() < share
+
     def _is_late(self) -> bool:
         return self.backend.rng.random() < self.late_share[0]
 
@@ -255,6 +261,8 @@
         born = self.backend.born_ms
         if not await self._deliver_call(timeout_ms):
             return OrderOutcome.NO_ANSWER
+        if self._is_refused():
+            return OrderOutcome.UNHEALTHY
         if self._is_late():
             delay_s = seconds(self.backend.rng.randint(*LATE_DELAY_RANGE_MS))
             loop = asyncio.get_running_loop()
@@ -298,6 +306,8 @@
         """Renews the lease and waits up to `wait_ms` for an ended task."""
         if not await self._deliver_call(timeout_ms):
             return Err(OrderOutcome.NO_ANSWER)
+        if self._is_refused():
+            return Err(OrderOutcome.UNHEALTHY)
         report = self.backend.hold(deadline_ms, acknowledged_end, self.token)
         if report is None:
             return Err(OrderOutcome.FENCED)
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -121,6 +121,14 @@
     fleet.late_share[0] = 0.0
 
 
+async def refused_orders(fleet: EmulatedFleet) -> None:
+    """Lets a backend server refuse some calls, while others are carried out late."""
+    backend = fleet.backends_by_id[fleet.rng.choice(sorted(fleet.backends_by_id))]
+    backend.refused_share, fleet.late_share[0] = 0.4, 0.5
+    await _wait(fleet, 1000, 6000)
+    backend.refused_share = fleet.late_share[0] = 0.0
+
+
 async def bad_backend(fleet: EmulatedFleet) -> None:
     """Makes a backend server fail every task that it starts, or stalls its tasks."""
     backend = fleet.backends_by_id[fleet.rng.choice(sorted(fleet.backends_by_id))]
@@ -155,5 +163,6 @@
     'forget_history': forget_history,
     'late_orders': late_orders,
     'bad_backend': bad_backend,
+    'refused_orders': refused_orders,
     DEADLY_TASKS: deadly_tasks,
 }
