Bound the calls that lasting refusals cost

Found by reading the diff: a pace of a run that has ended could be refused, and was repeated three times a second until the link closed; so was a stop that is refused for good.

Change: a pace ends with a refusal that does not pass by itself; the pause between the tries of a stop doubles up to 5 s with each of these. A step that fits on no empty host is recognised without a look at what runs there.

--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -97,18 +97,17 @@
     if backend.report is None or not is_allowed_on(step, backend):
         return False
     spec, room = step.spec, backend.report.room
-    cpu_millicores = occupied_cpu_millicores(spec)
-    memory_mb = spec.resources.memory_mb
-    accelerators = spec.resources.accelerators
-    for task in backend.tasks_by_name.values():
-        if task.step.spec.long_running:
-            cpu_millicores += occupied_cpu_millicores(task.step.spec)
-            memory_mb += task.step.spec.resources.memory_mb
-            accelerators += task.step.spec.resources.accelerators
+    cpu_millicores = room.cpu_millicores - occupied_cpu_millicores(spec)
+    memory_mb = room.memory_mb - spec.resources.memory_mb
+    accelerators = room.accelerators - spec.resources.accelerators
+    if min(cpu_millicores, memory_mb, accelerators) < 0:
+        return False
+    lasting = [t.step.spec for t in backend.tasks_by_name.values()]
+    lasting = [other for other in lasting if other.long_running]
     return (
-        cpu_millicores <= room.cpu_millicores
-        and memory_mb <= room.memory_mb
-        and accelerators <= room.accelerators
+        sum(occupied_cpu_millicores(other) for other in lasting) <= cpu_millicores
+        and sum(other.resources.memory_mb for other in lasting) <= memory_mb
+        and sum(other.resources.accelerators for other in lasting) <= accelerators
     )
 
 
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -57,8 +57,14 @@
 REFUSED_PAUSE_MS = 100
 # Outcomes of a hold call which leave open whether the backend server lives.
 SILENT_OUTCOMES = frozenset({OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT})
-# Pause between the tries of an order that is repeated until it is carried out.
+# Pause between the tries of an order that is repeated until it is carried out. It
+# doubles with each refusal that does not pass by itself, up to the second number.
 REPEAT_PAUSE_MS = 300
+MAX_REPEAT_PAUSE_MS = 5000
+# Outcomes after which the same order may soon be carried out.
+PASSING_OUTCOMES = frozenset(
+    {OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT, OrderOutcome.UNHEALTHY}
+)
 # Outcomes which show that the order was carried out, or that the run has ended.
 CARRIED_OUT = frozenset({OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED})
 # Outcomes after which the order would be rejected each time.
@@ -258,7 +264,10 @@
             )
 
     async def _pace(self, message: PaceTask) -> None:
-        """Sends the latest pace of a run until the backend server carries it out."""
+        """Sends the latest pace of a run until the backend server carries it out.
+
+        A lasting refusal ends it, since the run may have ended meanwhile.
+        """
         key = (message.task_name, message.run)
         in_progress = key in self.paces_by_run
         self.paces_by_run[key] = message.percent
@@ -266,7 +275,10 @@
             return
         try:
             await self._repeat(
-                'pace', key, lambda timeout_ms: self._send_pace(key, timeout_ms)
+                'pace',
+                key,
+                lambda timeout_ms: self._send_pace(key, timeout_ms),
+                until_refused=True,
             )
         finally:
             self.paces_by_run.pop(key, None)
@@ -279,13 +291,19 @@
         return outcome
 
     async def _repeat(
-        self, order: str, key: RunKey, send: Callable[[int], Awaitable[OrderOutcome]]
+        self,
+        order: str,
+        key: RunKey,
+        send: Callable[[int], Awaitable[OrderOutcome]],
+        until_refused: bool = False,
     ) -> OrderOutcome:
         """Repeats an order until it is carried out or would always be rejected.
 
-        `send` makes one try, with a time limit in ms.
+        `send` makes one try, with a time limit in ms. With `until_refused`, a refusal
+        that does not pass by itself ends the tries too.
         """
         is_logged = False
+        pause_ms = REPEAT_PAUSE_MS
         timeouts_ms = iter(TRY_TIMEOUTS_MS)
         while True:
             if self.may_order() and not self.is_contact_lost:
@@ -294,15 +312,22 @@
                     return outcome
                 if not is_logged:
                     is_logged = True
-                    log_event(
-                        Event.ORDER_REPEATED,
-                        order=order,
-                        task=key[0],
-                        run=key[1],
-                        backend_id=self.backend_id,
-                        outcome=outcome.value,
-                    )
-            await asyncio.sleep(seconds(REPEAT_PAUSE_MS))
+                    self._log_repeated(order, key, outcome)
+                if outcome not in PASSING_OUTCOMES:
+                    if until_refused:
+                        return outcome
+                    pause_ms = min(2 * pause_ms, MAX_REPEAT_PAUSE_MS)
+            await asyncio.sleep(seconds(pause_ms))
+
+    def _log_repeated(self, order: str, key: RunKey, outcome: OrderOutcome) -> None:
+        log_event(
+            Event.ORDER_REPEATED,
+            order=order,
+            task=key[0],
+            run=key[1],
+            backend_id=self.backend_id,
+            outcome=outcome.value,
+        )
 
     def _wait_ms(self) -> int:
         if self.report_soon:
