Count a later lifetime in the registry as proof for a new leader

Found by reading: a new leader restores the unproven loss of a lifetime, but sees no change if a later one is in the registry already, so that the crash never counted.

Before: the new test failed with one and two changes of leader. After: it passes.

--- a/dandelionknot/jobs/_losses.py
+++ b/dandelionknot/jobs/_losses.py
@@ -96,14 +96,15 @@
 
 
 def plan(scheduler: Scheduler, now_ms: int) -> None:
-    """Forgets losses that matter no more, and counts long silence as a crash.
+    """Forgets losses that matter no more, and looks for proofs of the others.
 
-    Silence counts only where no list of hosts could show whether the host is up.
+    Another lifetime may have begun before this term. Silence counts only where no list
+    of hosts could show whether the host is up.
     """
     for loss in list(scheduler.unproven_losses.values()):
         if all(_is_over(task) for task in loss.tasks_by_name.values()):
             del scheduler.unproven_losses[loss.lifetime]
-        elif (
+        elif _has_successor(scheduler, loss.lifetime) or (
             now_ms >= loss.lost_at_ms + SILENCE_MS
             and loss.host_id not in scheduler.maintenance.hosts_by_id
             and not _is_registered(scheduler, loss.lifetime)
@@ -115,6 +116,20 @@
     return task.step.job.final or task.phase is TaskPhase.DONE
 
 
+def _has_successor(scheduler: Scheduler, lifetime: Lifetime) -> bool:
+    """Whether a later lifetime is known.
+
+    If a clock was set back, the later one has the earlier start time; then it has to
+    have answered.
+    """
+    backend = scheduler.backends_by_id.get(lifetime.backend_id)
+    if backend is None or backend.born_ms in (0, lifetime.born_ms):
+        return False
+    return backend.fenced or (
+        backend.report is not None and backend.born_ms > lifetime.born_ms
+    )
+
+
 def _is_registered(scheduler: Scheduler, lifetime: Lifetime) -> bool:
     backend = scheduler.backends_by_id.get(lifetime.backend_id)
     return (
--- a/tests/test_jobs_cut_off.py
+++ b/tests/test_jobs_cut_off.py
@@ -128,6 +128,27 @@
                 self.assertEqual(self.test_bed.phase(), 'failed')
                 self.assertLessEqual(len(self.test_bed.crashes), 5)
 
+    def test_a_lifetime_that_ended_while_nobody_led_is_proven(self):
+        """Guards against a deadly task that is started for ever, as leaders change.
+
+        A new leader finds the later lifetime in the registry and sees no change.
+        """
+        for leaders in (1, 2):
+            with self.subTest(leaders=leaders):
+                self.start(cut=1, full=2)
+                self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+                self.run_for(LEASE_MS + 500)
+                [task] = self.tasks('j1')
+                self.assertEqual(len(task.unproven_runs), 1)
+                [lost] = self.idle
+                lost.restart()
+                for _ in range(leaders):
+                    self.test_bed.new_leader()
+                self.run_for(100)
+                [task] = self.tasks('j1')
+                self.assertEqual(len(task.crashed_runs), 1)
+                self.assertEqual(task.unproven_runs, [])
+
     def test_silence_is_a_crash_only_without_entry_and_without_list(self):
         """Guards against hosts that are lost one after the other without any proof."""
         for listed, registered, is_proven in (
