Hold starts back while it is checked whether contact is lost

Meanwhile, starts went on to the dead host; unanswered ones counted as later signs of life, so that the start right before the crash was not recent any more and the task not suspected.

Change: starts wait for the check, and a start without an answer is no sign of life.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -92,21 +92,25 @@
 def recent_starts(backend: BackendState) -> list[TaskState]:
     """Returns the tasks that began on a backend server shortly before it was lost.
 
-    A start without an answer counts as recent. If this leader has had no contact with
-    the backend server, the latest recorded start stands for the last sign of life.
+    A start without an answer counts as recent, but is no sign of life. If this leader
+    has had no contact with the backend server, the latest recorded start stands for the
+    last sign of life.
     """
     started = started_runs(backend)
-    last_sign_ms = max(
-        [backend.last_sign_ms, *(task.started_at_ms for task in started)]
-    )
+    answered_at_ms = [task.started_at_ms for task in started if not _is_open(task)]
+    last_sign_ms = max([backend.last_sign_ms, *answered_at_ms])
     return [
         task
         for task in started
-        if (task.phase is TaskPhase.PLACED and not task.unconfirmed)
-        or task.started_at_ms >= last_sign_ms - RECENT_START_MS
+        if _is_open(task) or task.started_at_ms >= last_sign_ms - RECENT_START_MS
     ]
 
 
+def _is_open(task: TaskState) -> bool:
+    """Whether the start of a run, sent by this leader, was not answered."""
+    return task.phase is TaskPhase.PLACED and not task.unconfirmed
+
+
 def recent_runs(backend: BackendState) -> list[TaskState]:
     """Returns the tasks with a recent start when contact was lost, or now without it.
 
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -104,6 +104,9 @@
     clock: LeaseClock = field(init=False)
     # Whether the backend server did not answer the last calls.
     is_contact_lost: bool = False
+    # Cleared while it is checked whether contact is lost. Starts wait for it: those
+    # sent after a crash would hide which start came right before it.
+    contact_checked: asyncio.Event = field(default_factory=asyncio.Event)
     # Number of successive hold calls that were refused.
     refused_holds: int = 0
     # Whether the last report listed a run, or an order was sent after it.
@@ -130,6 +133,7 @@
 
     def __post_init__(self) -> None:
         """Creates the lease clock, which has no reading yet."""
+        self.contact_checked.set()
         self.clock = LeaseClock(now_ms(), self.hold_max_ms)
 
     async def run(self) -> None:
@@ -193,6 +197,7 @@
         deadline = 0
         may_have_arrived = False
         for timeout_ms in TRY_TIMEOUTS_MS:
+            await self.contact_checked.wait()
             if key in self.withdrawn_starts or not self._may_start():
                 break
             deadline = self.clock.extend(now_ms(), self._lease_ms())
@@ -376,7 +381,12 @@
         )
         failed_ms = now_ms()
         if isinstance(result, Err) and not probing:
-            result = await self._check_contact(result, acknowledged)
+            self.contact_checked.clear()
+            try:
+                result = await self._check_contact(result, acknowledged)
+            finally:
+                self.is_contact_lost = isinstance(result, Err) and _is_silent(result)
+                self.contact_checked.set()
         if isinstance(result, Err):
             await self._handle_failed_hold(result.err_value, probing, failed_ms)
             return
@@ -458,3 +468,7 @@
                 lost_at_ms=lost_at_ms,
             )
         )
+
+
+def _is_silent(failed: Err[OrderOutcome]) -> bool:
+    return failed.err_value in SILENT_OUTCOMES
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -177,6 +177,32 @@
         first = [name for name in suspects if name.startswith('job0-')]
         self.assertLessEqual(len(set(suspects) - set(first)), 8)
 
+    def test_starts_sent_after_a_crash_do_not_hide_the_deadly_one(self):
+        """Guards against a deadly task that is never suspected.
+
+        Until contact counts as lost, further starts go to the dead host. They are not
+        answered, and were taken for a later sign of life.
+        """
+        self.submit_jobs(1, 'bad')
+        self.test_bed.step(TICK_MS)
+        self.test_bed.step(TICK_MS)
+        [host] = self.test_bed.running()['bad0.0.0.0']
+        state = self.test_bed.scheduler.backends_by_id[host]
+        backend = self.test_bed.backends[host]
+        backend.ignores_orders = backend.unresponsive = True
+        for number in range(4):
+            self.submit_jobs(1, f'later{number}-')
+            for _ in range(3):
+                self.test_bed.step(TICK_MS)
+        self.assertGreater(len(state.tasks_by_name), 6)
+        self.test_bed.scheduler.contact_lost(
+            state,
+            OrderOutcome.NO_ANSWER,
+            self.test_bed.now_ms + LEASE_MS,
+            self.test_bed.now_ms,
+        )
+        self.assertIn('bad0.0.0.0', state.recent_runs_by_name)
+
     def test_a_whole_step_of_deadly_tasks(self):
         """Guards against tasks of one job that each crash several hosts."""
         innocent = self.submit_jobs(4)
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -235,6 +235,57 @@
             earlier.lost_at_ms - earlier.lapses_at_ms,
         )
 
+    def test_no_start_is_sent_while_contact_is_checked(self):
+        """Guards against starts on a dead host, which hide the one that crashed it."""
+        client = FakeBackendClient(holds=(NO_ANSWER, NO_ANSWER, NO_ANSWER))
+        calls = []
+        hold, start = client.hold, client.start
+
+        async def spy_hold(deadline_ms, acknowledged_end, wait_ms, timeout_ms):
+            calls.append('check' if timeout_ms < 700 else 'hold')
+            result = await hold(deadline_ms, acknowledged_end, wait_ms, timeout_ms)
+            calls.append('end')
+            return result
+
+        async def spy_start(order, deadline_ms, timeout_ms):
+            calls.append('start')
+            return await start(order, deadline_ms, timeout_ms)
+
+        client.hold, client.start = spy_hold, spy_start
+        starts = [
+            StartTask(
+                backend_id='b',
+                born_ms=1,
+                order=StartOrder(task_name=f'j.0.0.{i}', run=1, payload='p'),
+            )
+            for i in range(400)
+        ]
+
+        async def feed():
+            reports = []
+            link = BackendLink(
+                client=client,
+                backend_id='b',
+                born_ms=1,
+                hold_max_ms=6000,
+                report=reports.append,
+                may_order=lambda: True,
+                may_hold=lambda: True,
+            )
+            task = asyncio.create_task(link.run())
+            link.inbox.send(EXPECTED)
+            for message in starts:
+                await asyncio.sleep(0.02)
+                link.inbox.send(message)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        virtual_time.run(feed())
+        self.assertIn('check', calls)
+        for number, call in enumerate(calls):
+            if call == 'check':
+                self.assertEqual(calls[number + 1], 'end')
+
     def test_a_stop_that_would_always_be_rejected_is_not_repeated(self):
         """Guards against calls that can have no effect any more."""
         for outcome in POINTLESS_OUTCOMES:
