--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -87,6 +87,8 @@
     TASK_CLEARED = 8113
     TASK_GIVEN_UP = 8114
     CRASH_WITHDRAWN = 8115
+    JOB_STANDS_STILL = 8116
+    JOB_RUNS_AGAIN = 8117
     BACKEND_APPEARED = 8201
     BACKEND_DRAINING = 8202
     BACKEND_GONE = 8203
@@ -385,6 +387,16 @@
         'only contact was lost.',
         NO_ACTION,
     ),
+    Event.JOB_STANDS_STILL: EventInfo(
+        WARNING,
+        'Nothing of a job has run for `stands_ms` although a task is ready; it waits '
+        'for `cause`.',
+        'None while its pool is full. Otherwise look for the backend server or the '
+        'task that the line names.',
+    ),
+    Event.JOB_RUNS_AGAIN: EventInfo(
+        INFO, 'A job that stood still for `stood_ms` runs again.', NO_ACTION
+    ),
     Event.BACKEND_APPEARED: EventInfo(
         INFO, 'A backend server has registered.', NO_ACTION
     ),
--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -20,7 +20,13 @@
 from dandelionknot.events import Event
 from dandelionknot.jobs import _ends, _losses
 from dandelionknot.jobs._generated import JobPhase
-from dandelionknot.jobs._state import BackendState, JobState, TaskPhase, TaskState
+from dandelionknot.jobs._state import (
+    BackendState,
+    JobState,
+    TaskPhase,
+    TaskState,
+    tasks_of,
+)
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
@@ -352,7 +358,7 @@
 
 def restored(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
     """Restores the suspected tasks of a job from its stored record."""
-    for task in _tasks_of(state):
+    for task in tasks_of(state):
         if task.phase is TaskPhase.DONE:
             continue
         if task.suspected:
@@ -360,12 +366,6 @@
         _losses.restored(scheduler, task, now_ms)
 
 
-def _tasks_of(state: JobState) -> Iterable[TaskState]:
-    for steps in state.steps_by_occurrence.values():
-        for step in steps:
-            yield from step.tasks
-
-
 def plan(scheduler: Scheduler, now_ms: int, unix_ms: int) -> None:
     """Gives up the tasks that are guilty, and forgets those that have ended."""
     _losses.plan(scheduler, now_ms)
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -13,6 +13,7 @@
     _placement,
     _progress,
     _ranking,
+    _standstill,
 )
 from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
 from dandelionknot.jobs._state import (
@@ -81,6 +82,7 @@
     scheduler.host_orders.extend(
         scheduler.capacity.plan(scheduler, steps_by_service, now_ms)
     )
+    _standstill.plan(scheduler, backends_by_service, steps_by_service, now_ms)
     for order in scheduler.host_orders:
         scheduler.ordered_at_ms_by_host_id[order.host_id] = now_ms
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -143,6 +143,9 @@
     lost_leadership: bool = False
     last_pacing_ms: int = 0
     last_progress_check_ms: int = 0
+    last_standstill_check_ms: int = 0
+    # Local time at which the last applied list of hosts was requested; 0 if none was.
+    hosts_listed_ms: int = 0
     capacity: Capacity = field(default_factory=Capacity)
     maintenance: MaintenanceScheduler = field(default_factory=MaintenanceScheduler)
 
@@ -551,6 +554,7 @@
         backend server that does not answer has crashed. Its tasks run no more, so they
         need not wait until their lease expires.
         """
+        self.hosts_listed_ms = listed.sent_ms
         self.maintenance.hosts_listed(listed)
         _losses.hosts_listed(self, listed)
         for host in listed.hosts:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -1,6 +1,7 @@
 """The scheduler's state of jobs, tasks, client accounts and backend servers."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import NamedTuple
@@ -161,6 +162,10 @@
     due_ms: int = 0
     # The client account had submitted more than its share when the job was accepted.
     beyond_share: bool = False
+    # Local time since which nothing of it has run although a task is ready, or 0, and
+    # the cause that was logged.
+    standing_since_ms: int = 0
+    standstill_cause: str = ''
 
     @property
     def final(self) -> bool:
@@ -262,6 +267,13 @@
         return next((label for label in labels if '-' in label), '')
 
 
+def tasks_of(state: JobState) -> Iterable[TaskState]:
+    """Yields the tasks of all open occurrences of a job."""
+    for steps in state.steps_by_occurrence.values():
+        for step in steps:
+            yield from step.tasks
+
+
 def occupied_cpu_millicores(spec: StepSpec) -> int:
     """Returns the millicores by which a task of a step reduces the room of its host.
 
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -29,6 +29,7 @@
         '_decisions',
         '_job_seconds',
         '_registry',
+        '_standstill_seconds',
         '_start_seconds',
         '_task_ends',
         'leading',
@@ -63,6 +64,13 @@
             buckets=HISTOGRAM_BOUNDS_S,
             registry=self._registry,
         )
+        self._standstill_seconds = Histogram(
+            'dandelionknot_standstill_seconds',
+            'Time for which nothing of a job ran although a task was ready',
+            ['queue', 'cause'],
+            buckets=HISTOGRAM_BOUNDS_S,
+            registry=self._registry,
+        )
         self.leading = Gauge(
             'dandelionknot_leading',
             'Whether this process decides where tasks run',
@@ -88,6 +96,11 @@
                 fields['queue'], fields['client_account'], fields['phase']
             ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
 
+        elif event is Event.JOB_RUNS_AGAIN:
+            self._standstill_seconds.labels(fields['queue'], fields['cause']).observe(
+                fields['stood_ms'] / MILLISECONDS_PER_SECOND
+            )
+
     def text(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
