Reproduce jobs that stand still, and check for them in soak and emulator

Callers saw accepted jobs with nothing running while there was room. The soak had 6 backend servers and no tasks that last, and only checked how jobs end; nothing in it, nor in the emulator's oracle, could see a job that stands still for a time.

The check (emulator/standstill.py) follows the rule of the platform: nothing of a job runs for 3 s although a task is ready and has room twice over, its account uses under half of its limit, and the last fault is 4 s past. A task that lasts counts by itself, from 6 s after its last run. Both programs also print how many stood still for 3 s at all and the longest time. The soak has profiles: 'small' as before, and 'grown' with up to 176 backend servers in racks, 24 processes, tasks that last and a list of hosts. New faults, apart from those that former seeds draw from: many backend servers are lost at once, alone or before up to three leaders in a row are killed. The stand-ins notify watches instead of polling.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -1,34 +1,50 @@
 """Runs emulator experiments: `python -m emulator --seeds 1-50 --seconds 40`."""
 
 import sys
+from dataclasses import replace
 
 import fire
 
-from emulator.experiment import Experiment, run_experiment
-from emulator.faults import FAULTS
+from emulator.experiment import Experiment, run_experiment, with_losses
 
 
 def main(
-    seeds: str = '1-5', seconds: int = 40, jobs_per_s: float = 4.0, faults: str = 'all'
+    seeds: str = '1-5',
+    seconds: int = 40,
+    jobs_per_s: float = 4.0,
+    faults: str = 'all',
+    gap_ms: int = 2500,
+    backends: int = 9,
 ) -> None:
     """Runs one experiment for each seed and prints the problems that were found.
 
     `seeds` is a number or a range such as 1-50. `faults` is `all`, `none`, or one
-    or more fault names joined by plus signs. Exits with status 1 if a seed failed.
+    or more fault names joined by plus signs, and `gap_ms` the mean time from one fault
+    to the next. With `losses`, the fleet also lists its hosts, runs tasks that last and
+    has no limit. Exits with status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
-    names = {'all': tuple(FAULTS), 'none': ()}.get(faults) or tuple(faults.split('+'))
-    if faults == 'none':
-        names = ()
+    settings = Experiment(
+        seed=0,
+        seconds=seconds,
+        jobs_per_s=jobs_per_s,
+        fault_gap_ms=gap_ms,
+        backends=backends,
+    )
+    if faults == 'losses':
+        settings = with_losses(settings)
+    elif faults != 'all':
+        names = () if faults == 'none' else tuple(faults.split('+'))
+        settings = replace(settings, faults=names)
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        verdict = run_experiment(
-            Experiment(seed=seed, seconds=seconds, jobs_per_s=jobs_per_s, faults=names)
-        )
+        verdict = run_experiment(replace(settings, seed=seed))
         failed += bool(verdict.problems)
         print(
             f'seed {seed}: {len(verdict.problems)} problems, {verdict.accepted} jobs, '
-            f'{verdict.starts} starts, {verdict.store_calls} calls to the store',
+            f'{verdict.starts} starts, {verdict.store_calls} calls to the store, '
+            f'{verdict.long_standstills} stood still for 3 s with room for them, the '
+            f'longest {verdict.longest_standstill_ms} ms',
             flush=True,
         )
         for problem in verdict.problems[:5]:
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -27,6 +27,10 @@
 POLL_INTERVAL_MS = 5
 # Time from the start of a task that crashes its backend server to the crash.
 CRASH_DELAY_MS = 10
+# Payload of tasks that run until they are stopped.
+LASTING_PAYLOAD = 'lasting'
+# Duration that no experiment reaches.
+UNLIMITED_MS = 10**9
 # Delay of an order that is carried out late.
 LATE_DELAY_RANGE_MS = (1000, 8000)
 
@@ -73,7 +77,7 @@
     last_expired_end: int = 0
     # Every start in any lifetime: time, task, run.
     starts: list[tuple[int, str, int]] = field(default_factory=list)
-    # Tasks that ended as done in any lifetime.
+    # Tasks that ended as done on any backend server of the fleet.
     done_task_names: set[str] = field(default_factory=set)
     # Number of runs of each task that failed in any lifetime.
     failed_runs_by_name: dict[str, int] = field(default_factory=dict)
@@ -89,8 +93,10 @@
     is_stalled: bool = False
     # Share of the runs that fail.
     fail_share: float = 0.0
-    # Mean duration of a run.
+    # Mean duration of a run, unless its payload is `LASTING_PAYLOAD`.
     mean_ms: int = 400
+    # Host of the backend server in the platform's list.
+    host_id: str = ''
 
     def clock(self) -> int:
         """Returns the time in milliseconds since the start of this lifetime."""
@@ -169,6 +175,8 @@
             return OrderOutcome.SUPERSEDED
         fails = self.fails_all or self.rng.random() < self.fail_share
         duration = int(self.mean_ms * self.rng.uniform(0.5, 1.5))
+        if order.payload == LASTING_PAYLOAD:
+            duration = UNLIMITED_MS
         self.runs_by_name[name] = Run(name, run, now_ms(), duration, fails)
         self.starts.append((now_ms(), name, run))
         if name in self.deadly_task_names:
@@ -203,6 +211,13 @@
         self.ends = [e for e in self.ends if e.number > acknowledged_end]
         return self.hold_report()
 
+    def _percent(self, run: Run, now: int) -> int:
+        if self.is_stalled:
+            return 0
+        if run.duration_ms == UNLIMITED_MS:
+            return 100
+        return min(99, 100 * (now - run.started_ms) // run.duration_ms)
+
     def hold_report(self) -> HoldReport:
         """Returns the running tasks and the ends that are not acknowledged."""
         now = now_ms()
@@ -213,9 +228,7 @@
                 RunningTask(
                     task_name=run.task_name,
                     run=run.run,
-                    percent=0
-                    if self.is_stalled
-                    else min(99, 100 * (now - run.started_ms) // run.duration_ms),
+                    percent=self._percent(run, now),
                 )
                 for run in self.runs_by_name.values()
             ],
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dandelionknot.clock import now_ms, seconds
+from dandelionknot.jobs._generated import Resources
 from emulator import virtual_time
-from emulator.faults import DEADLY_TASKS, FAULTS
-from emulator.fleet import EmulatedFleet
+from emulator.faults import ALL_FAULTS, DEADLY_TASKS, FAULTS, LOSSES
+from emulator.fleet import LIMIT, SERVICES, EmulatedFleet
 
 # Time after a fault in which it may still explain what happens.
 STABLE_MS = 3000
@@ -25,6 +26,27 @@
     jobs_per_s: float = 4.0
     faults: tuple[str, ...] = tuple(FAULTS)
     fault_gap_ms: int = 2500
+    members: int = 4
+    backends: int = 9
+    limit: Resources = LIMIT
+    lists_hosts: bool = False
+    # Tasks of the job of each service whose tasks last; 0 for no such job.
+    lasting_tasks: int = 0
+
+
+def with_losses(experiment: Experiment) -> Experiment:
+    """Returns the experiment with losses of many backend servers as its faults.
+
+    Its fleet lists its hosts, has no limit of the client account, and runs tasks that
+    last on each backend server.
+    """
+    return replace(
+        experiment,
+        faults=tuple(LOSSES),
+        limit=Resources(),
+        lists_hosts=True,
+        lasting_tasks=experiment.backends // len(SERVICES),
+    )
 
 
 @dataclass(slots=True)
@@ -37,6 +59,10 @@
     ended: int = 0
     starts: int = 0
     store_calls: int = 0
+    # Jobs and long-running tasks that stood still for 3 s while there was room, whether
+    # a fault explains it or not, and the longest standstill.
+    long_standstills: int = 0
+    longest_standstill_ms: int = 0
 
 
 def run_experiment(experiment: Experiment) -> Verdict:
@@ -49,17 +75,26 @@
 
 
 async def _run_experiment(experiment: Experiment) -> Verdict:
-    fleet = EmulatedFleet.from_seed(experiment.seed)
+    fleet = EmulatedFleet.from_seed(
+        experiment.seed,
+        experiment.members,
+        experiment.backends,
+        experiment.limit,
+        experiment.lists_hosts,
+    )
     verdict = Verdict()
     fleet.start()
     watch_task = asyncio.create_task(fleet.watch())
     await asyncio.sleep(3)
+    if experiment.lasting_tasks:
+        await fleet.submit_lasting(experiment.lasting_tasks)
     end_ms = now_ms() + experiment.seconds * 1000
     await asyncio.gather(
         _submit_jobs(fleet, experiment, end_ms),
         _inject_faults(fleet, experiment, end_ms, verdict),
     )
     await asyncio.sleep(seconds(SETTLE_MS))
+    await fleet.cancel_lasting()
     phases = {i: await fleet.phase(i) for i in fleet.oracle.accepted_at_ms}
     fleet.oracle.check_at_end(phases.get)
     watch_task.cancel()
@@ -69,6 +104,8 @@
     verdict.problems = fleet.oracle.problems
     verdict.accepted = len(fleet.oracle.accepted_at_ms)
     verdict.starts = sum(len(b.starts) for b in fleet.backends_by_id.values())
+    verdict.long_standstills = len(fleet.standstill.long_names)
+    verdict.longest_standstill_ms = fleet.standstill.longest_ms
     verdict.store_calls = fleet.store.calls
     return verdict
 
@@ -114,8 +151,9 @@
     """Injects a fault; until shortly after it, it may explain what happens."""
     fleet.active_faults += name != DEADLY_TASKS
     try:
-        await FAULTS[name](fleet)
+        await ALL_FAULTS[name](fleet)
     finally:
+        fleet.calm_since_ms = now_ms()
         if name != DEADLY_TASKS:
             fleet.active_faults -= 1
             fleet.disturbed_until_ms = now_ms() + STABLE_MS
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -149,6 +149,28 @@
     fleet.deadly_share = 0.0
 
 
+async def lose_many(fleet: EmulatedFleet) -> None:
+    """Crashes many backend servers at once; they are back after some seconds.
+
+    Only the crash itself counts as the fault: with room elsewhere, no job has to wait
+    until they are back.
+    """
+    up = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    up = [backend for backend in up if backend.up]
+    count = max(1, int(len(up) * fleet.rng.uniform(0.05, 0.3)))
+    down_ms = fleet.rng.choice((500, 2000, 5000, 8000, 30_000))
+    for backend in fleet.rng.sample(up, min(count, len(up) - 1)):
+        backend.crash()
+        fleet.start_restart(backend, down_ms)
+
+
+async def lose_many_and_leader(fleet: EmulatedFleet) -> None:
+    """Crashes many backend servers, and kills one or more successive leaders."""
+    await lose_many(fleet)
+    for _ in range(fleet.rng.randint(1, 3)):
+        await kill_leader(fleet)
+
+
 FAULTS: dict[str, Fault] = {
     'kill_leader': kill_leader,
     'kill_all': kill_all,
@@ -166,3 +188,10 @@
     'refused_orders': refused_orders,
     DEADLY_TASKS: deadly_tasks,
 }
+# Faults that cost many backend servers at once. They are not in `FAULTS`, from which
+# the seeds of former experiments draw.
+LOSSES: dict[str, Fault] = {
+    'lose_many': lose_many,
+    'lose_many_and_leader': lose_many_and_leader,
+}
+ALL_FAULTS = FAULTS | LOSSES
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -8,12 +8,16 @@
 from result import Ok, Result
 
 from dandelionknot.clock import now_ms, seconds
+from dandelionknot.errors import PortError
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
     BackendReport,
     CallerVerdict,
     ClientAccount,
+    Host,
+    HostOrder,
+    HostOrderOutcome,
     JobConfiguration,
     JobSpec,
     ManagerSettings,
@@ -25,8 +29,15 @@
 from dandelionknot.jobs._stored import BackendFact, ConfigurationFact, Fact
 from dandelionknot.manager._core import ManagerCore
 from dandelionknot.store import Item, Put
-from emulator.backends import HOLD_MAX_MS, Backend, BackendClient
+from emulator.backends import (
+    HOLD_MAX_MS,
+    LASTING_PAYLOAD,
+    NETWORK_DELAY_MS,
+    Backend,
+    BackendClient,
+)
 from emulator.oracle import Oracle
+from emulator.standstill import StandstillCheck
 from emulator.store import MemoryStore, StoreClient
 
 OPERATOR_PREFIX = 'operators/'
@@ -38,6 +49,12 @@
 ACCOUNT = 'showroom'
 # Interval at which the backend servers advance and the invariants are checked.
 ADVANCE_INTERVAL_MS = 5
+# Number of the first job whose tasks last.
+LASTING_JOB_ID = 0xE000_0000
+# Limit of the client account.
+LIMIT = Resources(cpu_millicores=40_000)
+# Rounds from one check for jobs that stand still to the next.
+STANDSTILL_CHECK_ROUNDS = 20
 # Registry entries of backend servers are deleted when not renewed for this time.
 REGISTRY_EXPIRY_MS = 4500
 TIMING = ManagerTiming(
@@ -49,6 +66,35 @@
 )
 
 
+@dataclass(slots=True)
+class EmulatedHostClient:
+    """Lists the hosts of all backend servers; carries out no orders."""
+
+    fleet: 'EmulatedFleet'
+
+    async def list_hosts(self) -> Result[list[Host], PortError]:
+        """Returns each host with its backend server, if that is up."""
+        await asyncio.sleep(seconds(NETWORK_DELAY_MS))
+        return Ok(
+            [
+                Host(
+                    host_id=backend.host_id,
+                    pool=backend.service,
+                    state='up' if backend.up else 'down',
+                    availability_zone=backend.zone,
+                    backend_id=backend.backend_id if backend.up else '',
+                )
+                for backend in self.fleet.backends_by_id.values()
+            ]
+        )
+
+    async def order(
+        self, order: HostOrder, fencing_token: int, valid_until_ms: int
+    ) -> HostOrderOutcome:
+        """Refuses each order."""
+        return HostOrderOutcome.NOT_DONE
+
+
 @dataclass(slots=True)
 class EmulatedAdapter:
     """Platform adapter of one manager process that returns in-memory clients."""
@@ -77,8 +123,9 @@
             self.fleet.late_share,
         )
 
-    def new_host_client(self) -> None:
-        """Returns None, since the emulated platform has no host list."""
+    def new_host_client(self) -> 'EmulatedHostClient | None':
+        """Returns a client of the host list, if the emulated platform has one."""
+        return EmulatedHostClient(self.fleet) if self.fleet.lists_hosts else None
 
     def wave_status(self, number: int, done: bool) -> Put:
         """Returns a status item of a wave, which nothing in the emulator reads."""
@@ -129,7 +176,9 @@
     backends_by_id: dict[str, Backend] = field(default_factory=dict)
     cut_paths: set[tuple[str, str]] = field(default_factory=set)
     late_share: list[float] = field(default_factory=lambda: [0.0])
-    limit: Resources = Resources(cpu_millicores=40_000)
+    limit: Resources = LIMIT
+    # Whether the platform offers a list of hosts.
+    lists_hosts: bool = False
     # Share of the jobs of which a task crashes each backend server that starts it.
     deadly_share: float = 0.0
     deadly_task_names: set[str] = field(default_factory=set)
@@ -137,20 +186,29 @@
     # explains what happens.
     active_faults: int = 0
     disturbed_until_ms: int = 0
+    # Time of the end of the last fault.
+    calm_since_ms: int = 0
     restarts: set[asyncio.Task] = field(default_factory=set)
     oracle: Oracle = field(init=False)
+    standstill: StandstillCheck = field(init=False)
 
     def __post_init__(self) -> None:
         """Creates an oracle without submitted jobs."""
         self.oracle = Oracle(self.backends_by_id, self.limit)
+        self.standstill = StandstillCheck(self.oracle)
 
     @classmethod
     def from_seed(
-        cls, seed: int, members: int = 4, backends: int = 9
+        cls,
+        seed: int,
+        members: int = 4,
+        backends: int = 9,
+        limit: Resources = LIMIT,
+        lists_hosts: bool = False,
     ) -> 'EmulatedFleet':
         """Returns a fleet in which nothing has been started yet."""
         rng = random.Random(seed)
-        fleet = cls(rng, MemoryStore(rng))
+        fleet = cls(rng, MemoryStore(rng), limit=limit, lists_hosts=lists_hosts)
         for index in range(members):
             member_id = f'member-{index}'
             fleet.members_by_id[member_id] = Member(member_id)
@@ -164,6 +222,8 @@
                 Resources(cpu_millicores=16_000, memory_mb=32_000),
                 fail_share=0.02,
                 deadly_task_names=fleet.deadly_task_names,
+                done_task_names=fleet.oracle.done_task_names,
+                host_id=f'host-{index}',
             )
         return fleet
 
@@ -257,18 +317,36 @@
         steps = [first, second] if self.rng.random() < 0.5 else [first]
         return JobSpec(payload='work', steps=steps)
 
+    async def submit_lasting(self, tasks: int) -> None:
+        """Submits a job to each service whose tasks last, one on each host."""
+        step = StepSpec(
+            task_count=tasks,
+            resources=Resources(cpu_millicores=1000, memory_mb=500),
+            long_running=True,
+            max_per_host=1,
+            max_unavailable=1,
+        )
+        for number, service in enumerate(SERVICES):
+            job_id = f'{LASTING_JOB_ID + number:016x}'
+            spec = JobSpec(payload=LASTING_PAYLOAD, steps=[step])
+            await self._submit_spec(job_id, spec, service)
+
     async def submit(self, job_id: str) -> bool:
+        """Submits a random job and returns whether it was accepted."""
+        spec = self.random_spec()
+        if self.rng.random() < self.deadly_share:
+            number = self.rng.randrange(len(spec.steps))
+            self.deadly_task_names.add(f'{job_id}.0.{number}.0')
+        return await self._submit_spec(job_id, spec, self.rng.choice(SERVICES))
+
+    async def _submit_spec(self, job_id: str, spec: JobSpec, queue: str) -> bool:
         """Submits a job at random processes and returns whether it was accepted.
 
         Makes up to four attempts. The job counts as refused only if every
         received answer was `NOT_ACCEPTED`.
         """
-        spec = self.random_spec()
         self.oracle.specs_by_job_id[job_id] = spec
-        if self.rng.random() < self.deadly_share:
-            number = self.rng.randrange(len(spec.steps))
-            self.deadly_task_names.add(f'{job_id}.0.{number}.0')
-        queue = self.rng.choice(SERVICES)
+        self.oracle.services_by_job_id[job_id] = queue
         refused = True
         for _ in range(4):
             core = self.rng.choice(list(self.members_by_id.values())).core
@@ -291,8 +369,21 @@
         core = self.rng.choice(list(self.members_by_id.values())).core
         if core is None or not core.call_handler.usable():
             return
+        self.oracle.cancelled_job_ids.add(job_id)
         await core.call_handler.cancel('desk', KEY, job_id, 3000)
 
+    async def cancel_lasting(self) -> None:
+        """Cancels the jobs whose tasks last, and waits until this is carried out."""
+        for number in range(len(SERVICES)):
+            job_id = f'{LASTING_JOB_ID + number:016x}'
+            for member in self.members_by_id.values():
+                if job_id in self.oracle.accepted_at_ms and member.core is not None:
+                    self.oracle.cancelled_job_ids.add(job_id)
+                    handler = member.core.call_handler
+                    await handler.cancel(SERVICES[number], KEY, job_id, 3000)
+                    break
+        await asyncio.sleep(1)
+
     async def phase(self, job_id: str) -> str | None:
         """Returns the phase of a job as the first running process reports it."""
         for member in self.members_by_id.values():
@@ -323,7 +414,10 @@
         disturbed = bool(self.active_faults) or now_ms() < self.disturbed_until_ms
         self.oracle.crashed(due[0][1], disturbed)
         backend.crash()
-        down_ms = self.rng.randint(2500, 4000)
+        self.start_restart(backend, self.rng.randint(2500, 4000))
+
+    def start_restart(self, backend: Backend, down_ms: int) -> None:
+        """Lets a crashed backend server start again after some time."""
         restart = asyncio.create_task(self.restart_later(backend, down_ms))
         self.restarts.add(restart)
         restart.add_done_callback(self.restarts.discard)
@@ -332,10 +426,15 @@
 
     async def watch(self) -> None:
         """Advances the backend servers and checks the invariants periodically."""
+        rounds = 0
         while True:
             for backend in self.backends_by_id.values():
                 if backend.up:
                     backend.advance()
                     self._crash_if_due(backend)
             self.oracle.check_invariants()
+            rounds += 1
+            if rounds % STANDSTILL_CHECK_ROUNDS == 0:
+                calm = not self.active_faults and not self.deadly_share
+                self.standstill.check(self.calm_since_ms if calm else None)
             await asyncio.sleep(seconds(ADVANCE_INTERVAL_MS))
--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -30,6 +30,13 @@
     accepted_at_ms: dict[str, int] = field(default_factory=dict)
     # Jobs whose submissions were all answered 'not accepted'.
     refused_job_ids: set[str] = field(default_factory=set)
+    # Service of each job, jobs that callers have cancelled, and jobs of which no task
+    # has to run any more.
+    services_by_job_id: dict[str, str] = field(default_factory=dict)
+    cancelled_job_ids: set[str] = field(default_factory=set)
+    closed_job_ids: set[str] = field(default_factory=set)
+    # Tasks that have ended as done on any backend server.
+    done_task_names: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
     # Crashes of backend servers by each task, and starts of it after the third crash
     # that no fault can explain.
@@ -63,14 +70,15 @@
         for backend in self.backends_by_id.values():
             for run in backend.runs_by_name.values():
                 places[run.task_name].append(f'{backend.backend_id} run {run.run}')
-                cpu += self._cpu_millicores(run.task_name)
+                cpu += self.cpu_millicores(run.task_name)
         for name, found in places.items():
             if len(found) > 1:
                 self.report(f'task {name} runs twice at the same time: {found}')
-        if cpu > self.limit.cpu_millicores:
+        if 0 < self.limit.cpu_millicores < cpu:
             self.report(f'running tasks exceed the CPU limit: {cpu} millicores')
 
-    def _cpu_millicores(self, task_name: str) -> int:
+    def cpu_millicores(self, task_name: str) -> int:
+        """Returns the millicores of a task, or 0 if no caller submitted its job."""
         job_id, _, step, _ = task_name.split('.')
         spec = self.specs_by_job_id.get(job_id)
         return spec.steps[int(step)].resources.cpu_millicores if spec else 0
@@ -132,11 +140,10 @@
 
     def _check_done(self, job_id: str) -> None:
         """Checks that every task of a job reported as done has ended as done."""
-        done = set().union(*(b.done_task_names for b in self.backends_by_id.values()))
         for number, step in enumerate(self.specs_by_job_id[job_id].steps):
             for index in range(step.task_count):
                 name = f'{job_id}.0.{number}.{index}'
-                if name not in done:
+                if name not in self.done_task_names:
                     self.report(
                         f'job {job_id} is reported as done, but task {name} is not'
                     )
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from bisect import bisect_right
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -52,6 +53,32 @@
     slow_ms: int = 0
     # Number of calls that clients have made.
     calls: int = 0
+    # Watches that wait for a change of an item under a prefix.
+    waiting_watches: list[tuple[str, asyncio.Future]] = field(default_factory=list)
+
+    def changes_after(self, revision: int, prefix: str) -> list[Item]:
+        """Returns the changes of items under a prefix after a revision."""
+        start = bisect_right(self.history, revision, key=lambda item: item.revision)
+        return [item for item in self.history[start:] if item.key.startswith(prefix)]
+
+    async def wait_for_change(self, prefix: str, timeout_ms: int) -> None:
+        """Waits until an item under a prefix changes, or for the given time."""
+        changed = asyncio.get_running_loop().create_future()
+        self.waiting_watches.append((prefix, changed))
+        await asyncio.wait([changed], timeout=seconds(timeout_ms))
+        changed.cancel()
+
+    def _record(self, item: Item) -> None:
+        self.history.append(item)
+        still_waiting = []
+        for prefix, changed in self.waiting_watches:
+            if changed.done():
+                continue
+            if item.key.startswith(prefix):
+                changed.set_result(None)
+            else:
+                still_waiting.append((prefix, changed))
+        self.waiting_watches = still_waiting
 
     def expire(self) -> None:
         """Ends the leases that have expired, unless the store is down."""
@@ -79,7 +106,7 @@
         created = known.created if known else self.revision
         item = Item(key, value, self.revision, created, lease_id)
         self.items_by_key[key] = item
-        self.history.append(item)
+        self._record(item)
 
     def delete(self, key: str) -> None:
         """Deletes one item, if it exists, under a new revision."""
@@ -89,7 +116,7 @@
 
     def _delete(self, key: str) -> None:
         if self.items_by_key.pop(key, None) is not None:
-            self.history.append(Item(key, b'', self.revision, deleted=True))
+            self._record(Item(key, b'', self.revision, deleted=True))
 
     def forget_history(self) -> None:
         """Deletes the history, so that watches from an older revision fail."""
@@ -175,11 +202,7 @@
             self.store.expire()
             if after_revision < self.store.forgotten_revision:
                 return Ok(HistoryLost())
-            found = [
-                item
-                for item in self.store.history
-                if item.revision > after_revision and item.key.startswith(prefix)
-            ]
+            found = self.store.changes_after(after_revision, prefix)
             if found or now_ms() >= end:
                 return Ok(StoreChanges(found, self.store.revision))
             await asyncio.sleep(seconds(POLL_INTERVAL_MS))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,40 +2,66 @@
 
 import asyncio
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import fire
 
-from soak.faults import FAULTS
-from soak.run import RunSettings, run_seed
+from soak.faults import ALL_FAULTS, LOSSES
+from soak.profiles import PROFILES_BY_NAME
+from soak.run import FAULT_GAP_MS, RunSettings, run_seed
+
+FAULT_NAMES = {'all': tuple(ALL_FAULTS), 'losses': tuple(LOSSES)}
 
 
 def main(
     seeds: str = '1-3',
     seconds: int = 20,
-    members: int = 3,
+    profile: str = 'small',
+    members: int = 0,
+    backends: int = 0,
+    jobs_per_s: float = 0.0,
     faults: str = 'all',
+    gap_ms: int = FAULT_GAP_MS,
     logs: str = 'soak-logs',
 ) -> None:
     """Makes one run for each seed and prints the problems that were found.
 
-    `seeds` is a number or a range such as 1-50. `faults` is `all`, or one or more
-    fault names joined by plus signs. For each seed that failed, the logs of the
-    processes are copied to a folder below `logs`. Exits with status 1 if a seed
-    failed.
+    `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`, `none`, or
+    one or more fault names joined by plus signs, and `gap_ms` the mean time from one
+    fault to the next. `profile` is `small` or `grown`; its numbers of members, backend
+    servers and jobs are replaced by those that are given.
+
+    For each seed that failed, the logs of the processes are copied to a folder below
+    `logs`. Exits with status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
-    names = tuple(FAULTS) if faults == 'all' else tuple(faults.split('+'))
+    names = FAULT_NAMES.get(faults) or tuple(faults.split('+'))
+    if faults == 'none':
+        names = ()
+    named = PROFILES_BY_NAME[profile]
+    chosen = replace(
+        named,
+        members=members or named.members,
+        backends=backends or named.backends,
+        jobs_per_s=jobs_per_s or named.jobs_per_s,
+    )
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         settings = RunSettings(
-            seed=seed, seconds=seconds, members=members, faults=names
+            seed=seed,
+            seconds=seconds,
+            profile=chosen,
+            faults=names,
+            fault_gap_ms=gap_ms,
         )
         verdict = asyncio.run(run_seed(settings, Path(logs)))
         failed += bool(verdict.problems)
         print(
             f'seed {seed}: {len(verdict.problems)} problems, {verdict.accepted} jobs '
-            f'accepted, {verdict.refused} refused, {verdict.starts} starts',
+            f'accepted, {verdict.refused} refused, {verdict.starts} starts, '
+            f'{verdict.long_standstills} stood still for 3 s with room for them, the '
+            f'longest {verdict.longest_standstill_ms} ms',
             flush=True,
         )
         for problem in verdict.problems:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,23 +1,24 @@
 """Callers that submit jobs, ask for their state and cancel some of them."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
 from dandelionknot._http_client import FetchResult
 from dandelionknot.clock import now_ms
 from dandelionknot.errors import PortErrorKind
-from dandelionknot.jobs._generated import JobSpec, Resources, StepSpec
+from dandelionknot.jobs._generated import JobSpec, StepSpec
+from emulator.backends import LASTING_PAYLOAD
 from emulator.fleet import TIMING
 from soak.fleet import Member, SoakFleet
+from soak.profiles import CALLER_HOST, queue_path
 
 SUBMIT_ATTEMPTS = 6
 # Deadline that callers put into each call.
 DEADLINE_MS = 3000
 # Share of the accepted jobs that callers cancel.
 CANCEL_SHARE = 0.1
-QUEUE_PATH = '/quotes/'
 # Statuses that assure the caller that the job was not accepted.
 REFUSAL_STATUSES = (429, 503)
 # A process may close an idle connection just when a request is sent on it, and then
@@ -32,6 +33,7 @@
 
     fleet: SoakFleet
     number: int = 0
+    lasting_job_ids: list[str] = field(default_factory=list)
 
     async def load(self, end_ms: int, jobs_per_s: float) -> None:
         """Submits jobs at a mean rate until `end_ms` and waits for the last answers."""
@@ -42,11 +44,37 @@
             await asyncio.sleep(self.fleet.rng.expovariate(jobs_per_s))
         await asyncio.gather(*calls)
 
+    async def submit_lasting(self) -> None:
+        """Submits the jobs of all services whose tasks last."""
+        profile = self.fleet.profile
+        for service in profile.services * profile.lasting_jobs:
+            self.number += 1
+            job_id = f'{self.number:016x}'
+            self.lasting_job_ids.append(job_id)
+            self.fleet.oracle.services_by_job_id[job_id] = service
+            await self._submit(job_id, lasting=True)
+
+    async def cancel_lasting(self) -> None:
+        """Cancels these jobs, until each cancellation is answered."""
+        for job_id in self.lasting_job_ids:
+            self.fleet.oracle.cancelled_job_ids.add(job_id)
+            for _ in range(SUBMIT_ATTEMPTS):
+                member = self._random_member()
+                fetched = await self._call(member, 'DELETE', job_id, None)
+                if fetched.code in (200, 202, 410):
+                    break
+
     async def _run_caller(self, job_id: str) -> None:
+        services = self.fleet.profile.services
+        # A single service takes no number from the generator, so that the seeds of
+        # former runs keep their meaning.
+        service = services[0] if len(services) == 1 else self.fleet.rng.choice(services)
+        self.fleet.oracle.services_by_job_id[job_id] = service
         if not await self._submit(job_id):
             return
         if self.fleet.rng.random() < CANCEL_SHARE:
             await asyncio.sleep(self.fleet.rng.uniform(0, 1))
+            self.fleet.oracle.cancelled_job_ids.add(job_id)
             fetched = await self._call(self._random_member(), 'DELETE', job_id, None)
             if fetched.code == 410:
                 self.fleet.oracle.report(
@@ -56,14 +84,16 @@
     def _random_member(self) -> Member:
         return self.fleet.rng.choice(list(self.fleet.members_by_id.values()))
 
-    async def _submit(self, job_id: str) -> bool:
+    async def _submit(self, job_id: str, lasting: bool = False) -> bool:
         """Submits a job at random processes and returns whether it was accepted.
 
         Makes up to `SUBMIT_ATTEMPTS` attempts. The job counts as refused only if
         every attempt was answered with a refusal.
         """
         oracle = self.fleet.oracle
-        body, oracle.specs_by_job_id[job_id] = self._random_job()
+        body, oracle.specs_by_job_id[job_id] = (
+            self._lasting_job() if lasting else self._random_job()
+        )
         statuses = set()
         for _ in range(SUBMIT_ATTEMPTS):
             key = self.fleet.keys[0]
@@ -85,22 +115,32 @@
             self.fleet.oracle.report(f'job {job_id} was accepted with a withdrawn key')
 
     def _random_job(self) -> tuple[dict, JobSpec]:
-        rng = self.fleet.rng
-        counts = [rng.randint(1, 4) for _ in range(rng.randint(1, 2))]
-        steps = [
-            {'count': count, 'cpu': 2000, 'mem_mb': 100, 'est_ms': 100}
-            | ({'after': [number - 1]} if number else {})
+        rng, profile = self.fleet.rng, self.fleet.profile
+        counts = [
+            rng.randint(1, profile.max_tasks)
+            for _ in range(rng.randint(1, profile.max_steps))
+        ]
+        specs = [
+            StepSpec(
+                task_count=count,
+                resources=profile.task,
+                estimated_ms=profile.task_ms,
+                after=[number - 1] if number else [],
+            )
             for number, count in enumerate(counts)
         ]
-        resources = Resources(cpu_millicores=2000, memory_mb=100)
-        spec = JobSpec(
-            payload='work',
-            steps=[
-                StepSpec(task_count=n, resources=resources, estimated_ms=100)
-                for n in counts
-            ],
+        return _job('work', specs)
+
+    def _lasting_job(self) -> tuple[dict, JobSpec]:
+        profile = self.fleet.profile
+        step = StepSpec(
+            task_count=profile.lasting_tasks,
+            resources=profile.lasting_task,
+            long_running=True,
+            max_per_host=1,
+            max_unavailable=profile.max_unavailable,
         )
-        return {'spec': 'work', 'steps': steps}, spec
+        return _job(LASTING_PAYLOAD, [step])
 
     async def _call(
         self,
@@ -116,15 +156,18 @@
         call.
         """
         process, sent_ms = member.process, now_ms()
+        service = self.fleet.oracle.services_by_job_id.get(
+            job_id, self.fleet.profile.services[0]
+        )
         undisturbed_at_start = sent_ms > member.disturbed_until_ms
         fetched = await self.fleet.client.call(
             self.fleet.client.connections(member.caller_address, None, 500),
             method,
-            QUEUE_PATH + job_id,
+            queue_path(service) + job_id,
             None if body is None else msgspec.json.encode(body),
             DEADLINE_MS + 500,
             {
-                'Host': 'desk.example',
+                'Host': CALLER_HOST,
                 'X-Api-Key': key or self.fleet.keys[0],
                 'X-Deadline-Ms': str(DEADLINE_MS),
             },
@@ -162,3 +205,22 @@
                 if fetched.code == 200:
                     text = f'{member.member_id} still accepts the withdrawn key {key}'
                     self.fleet.oracle.report(text)
+
+
+def _job(payload: str, specs: list[StepSpec]) -> tuple[dict, JobSpec]:
+    """Returns the body of a submission, and the job that it describes."""
+    steps = [
+        {
+            'count': spec.task_count,
+            'cpu': spec.resources.cpu_millicores,
+            'mem_mb': spec.resources.memory_mb,
+            'est_ms': spec.estimated_ms,
+            'after': spec.after,
+            'daemon': spec.long_running,
+            'max_per_server': spec.max_per_host,
+            'may_miss': spec.max_unavailable,
+        }
+        for spec in specs
+    ]
+    body = {'spec': payload, 'steps': steps}
+    return body, JobSpec(payload=payload, steps=specs)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from dandelionknot.clock import now_ms, seconds
+from emulator.backends import Backend
 from soak.fleet import GRACE_S, Member, SoakFleet
 from standins.relay import Relay
 
@@ -164,7 +165,10 @@
     if not backend.up:
         return
     backend.crash()
-    down_ms = fleet.rng.randint(100, 7000)
+    await _restart_later(fleet, backend, fleet.rng.randint(100, 7000))
+
+
+async def _restart_later(fleet: SoakFleet, backend: Backend, down_ms: int) -> None:
     await asyncio.sleep(seconds(min(down_ms, REGISTRY_EXPIRY_MS)))
     if down_ms > REGISTRY_EXPIRY_MS:
         fleet.platform.store.delete(f'servers/{backend.backend_id}')
@@ -204,6 +208,38 @@
         fleet.withdrawn_at_ms[key] = now_ms()
 
 
+async def lose_many(fleet: SoakFleet) -> None:
+    """Crashes many backend servers at once; some of them stay down.
+
+    Only the crash itself counts as the fault: with room elsewhere, no job has to wait
+    until they are back.
+    """
+    backends = [b for b in fleet.platform.backends_by_id.values() if b.up]
+    count = max(1, int(len(backends) * fleet.rng.uniform(0.05, 0.3)))
+    chosen = fleet.rng.sample(backends, min(count, len(backends) - 1))
+    if fleet.rng.random() < 0.3:
+        # A whole rack, or some of them.
+        chosen.sort(key=lambda b: fleet.platform.racks_by_backend_id[b.backend_id])
+    down_ms = fleet.rng.choice((500, 2000, 5000, 8000, 30_000))
+    for backend in chosen:
+        backend.crash()
+        restart = asyncio.create_task(_restart_later(fleet, backend, down_ms))
+        fleet.restarts.add(restart)
+        restart.add_done_callback(fleet.restarts.discard)
+
+
+async def lose_many_and_leader(fleet: SoakFleet) -> None:
+    """Crashes many backend servers, and kills one or more successive leaders."""
+    await lose_many(fleet)
+    for _ in range(fleet.rng.randint(1, 3)):
+        member = fleet.leader()
+        if member is not None:
+            fleet.mark_disturbed(member, 1000)
+            member.send_signal(signal.SIGKILL)
+            await _wait(fleet, 500, 3000)
+            await fleet.start(member)
+
+
 FAULTS: dict[str, Fault] = {
     function.__name__: function
     for function in (
@@ -225,3 +261,9 @@
         withdraw_key,
     )
 }
+# Faults that cost many backend servers at once. They are not in `FAULTS`, from which
+# the seeds of former runs draw.
+LOSSES: dict[str, Fault] = {
+    function.__name__: function for function in (lose_many, lose_many_and_leader)
+}
+ALL_FAULTS = FAULTS | LOSSES
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,25 +8,32 @@
 from functools import partial
 from pathlib import Path
 
+import msgspec
 import yaml
 
 from dandelionknot import codec
 from dandelionknot._http_client import HttpClient, new_http_client
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.jobs._generated import Resources
+from dandelionknot.jobs._stored import LEADER_PRESENCE_KEY
 from emulator.backends import Backend
 from emulator.fleet import TIMING
 from emulator.oracle import Oracle
+from emulator.standstill import StandstillCheck
+from soak.profiles import CALLER_HOST, Profile, queue_path
 from standins.fleet import free_port
 from standins.job_platform import JobPlatform
 from standins.relay import Relay, start_relay
 from standins.waiting import wait_until
 
-SERVICE = 'desk'
-ACCOUNT_LIMIT = Resources(cpu_millicores=24_000)
-BACKENDS = 6
-# Interval at which the backend servers advance and the invariants are checked.
+# Shortest interval at which the backend servers advance and the invariants are checked.
+# It is longer in large fleets, by the second number for each backend server.
 ADVANCE_INTERVAL_MS = 5
+ADVANCE_MS_PER_BACKEND = 0.1
+# Interval of the checks for jobs that stand still.
+STANDSTILL_INTERVAL_MS = 100
+# Backend servers with a relay; the others are called directly.
+MAX_BACKEND_RELAYS = 12
 # Limit of calls in progress, for all callers together.
 MAX_CALLS = 64
 # Limit for all processes to answer callers after their start.
@@ -67,8 +74,10 @@
     """Stand-ins, relays and manager processes of one soak run, and their oracle."""
 
     rng: random.Random
+    profile: Profile
     platform: JobPlatform
     oracle: Oracle
+    standstill: StandstillCheck
     client: HttpClient
     directory: Path
     members_by_id: dict[str, Member] = field(default_factory=dict)
@@ -77,29 +86,51 @@
     # Time at which the withdrawal of each key was written to the store.
     withdrawn_at_ms: dict[str, int] = field(default_factory=dict)
     version: int = 0
+    # Number of active faults, and the time of the end of the last one.
+    active_faults: int = 0
+    calm_since_ms: int = 0
+    # Restarts of backend servers that were lost.
+    restarts: set[asyncio.Task] = field(default_factory=set)
 
     @classmethod
-    async def from_seed(cls, seed: int, members: int, directory: Path) -> 'SoakFleet':
+    async def from_seed(
+        cls, seed: int, profile: Profile, directory: Path
+    ) -> 'SoakFleet':
         """Starts the stand-ins and relays, but no manager process yet."""
         platform = JobPlatform()
+        limit = Resources(cpu_millicores=profile.limit_millicores)
+        oracle = Oracle(platform.backends_by_id, limit)
         fleet = cls(
             rng=random.Random(seed),
+            profile=profile,
             platform=platform,
-            oracle=Oracle(platform.backends_by_id, ACCOUNT_LIMIT),
+            oracle=oracle,
+            standstill=StandstillCheck(oracle),
             client=new_http_client(MAX_CALLS),
             directory=directory,
         )
         fleet.configure()
-        for index in range(BACKENDS):
-            await fleet._add_backend(f'backend-{index}')
-        for index in range(members):
+        for index in range(profile.backends):
+            await fleet._add_backend(index)
+        for index in range(profile.members):
             await fleet._add_member(f'member-{index}')
         return fleet
 
-    async def _add_backend(self, backend_id: str) -> None:
-        backend = self.platform.add_backend(backend_id, SERVICE)
+    async def _add_backend(self, index: int) -> None:
+        profile, backend_id = self.profile, f'backend-{index}'
+        backend = self.platform.add_backend(
+            backend_id,
+            profile.services[index % len(profile.services)],
+            profile.room,
+            rack=f'r1-{index // profile.rack_size}',
+            host_id=f'host-{index}' if profile.lists_hosts else '',
+            mean_ms=profile.task_ms,
+            done_task_names=self.oracle.done_task_names,
+        )
         backend.rng = random.Random(self.rng.random())
-        backend.fail_share = 0.02
+        backend.fail_share = profile.fail_share
+        if index >= MAX_BACKEND_RELAYS:
+            return
         relay = await start_relay(
             self.platform.backend_servers_by_id[backend_id].address
         )
@@ -119,6 +150,8 @@
             'store_address': relay.address,
             'timing': codec.to_data(TIMING),
         }
+        if self.profile.lists_hosts:
+            settings['hosts_address'] = self.platform.host_server.address
         path.write_text(yaml.safe_dump(settings))
         log_path = self.directory / f'{member_id}.log'
         member = Member(member_id, path, caller, relay, log_path)
@@ -131,9 +164,28 @@
             'name': 'sofia',
             'keys': list(self.keys),
             'weight': 5,
-            'cap': {'cpu': ACCOUNT_LIMIT.cpu_millicores},
+            'cap': {'cpu': self.profile.limit_millicores},
         }
-        self.platform.configure(self.version, tenants=[account], **fields)
+        routes = [
+            {
+                'name': f'r-{service}',
+                'host': CALLER_HOST,
+                'prefix': queue_path(service),
+                'service': service,
+                'attempts': 3,
+                'stretch': 1.6,
+                'objective_ms': 600,
+                'public': False,
+            }
+            for service in self.profile.services
+        ]
+        services = [
+            {'name': service, 'admission_control': True}
+            for service in self.profile.services
+        ]
+        self.platform.configure(
+            self.version, tenants=[account], routes=routes, services=services, **fields
+        )
 
     async def start(self, member: Member) -> None:
         """Starts a manager process unless it is already running."""
@@ -157,20 +209,35 @@
 
     async def _is_serving(self, member: Member) -> bool:
         connections = self.client.connections(member.caller_address, None, 500)
-        headers = {'Host': 'desk.example', 'X-Api-Key': self.keys[0]}
-        fetched = await self.client.call(
-            connections, 'GET', '/quotes/', None, 3000, headers
-        )
+        headers = {'Host': CALLER_HOST, 'X-Api-Key': self.keys[0]}
+        path = queue_path(self.profile.services[0])
+        fetched = await self.client.call(connections, 'GET', path, None, 3000, headers)
         return fetched.code == 200
 
+    def leader(self) -> Member | None:
+        """Returns the process that leads by the item in the store, if it runs."""
+        item = self.platform.store.items_by_key.get(LEADER_PRESENCE_KEY)
+        if item is None:
+            return None
+        member = self.members_by_id.get(msgspec.json.decode(item.value)['member_id'])
+        return member if member is not None and member.running else None
+
     async def watch(self) -> None:
         """Advances the backend servers and checks the invariants periodically."""
+        interval_ms = max(
+            ADVANCE_INTERVAL_MS, int(ADVANCE_MS_PER_BACKEND * self.profile.backends)
+        )
+        standstill_due_ms = 0
         while True:
             for backend in self.platform.backends_by_id.values():
                 if backend.up:
                     backend.advance()
             self.oracle.check_invariants()
-            await asyncio.sleep(seconds(ADVANCE_INTERVAL_MS))
+            if now_ms() >= standstill_due_ms:
+                standstill_due_ms = now_ms() + STANDSTILL_INTERVAL_MS
+                calm = not self.active_faults
+                self.standstill.check(self.calm_since_ms if calm else None)
+            await asyncio.sleep(seconds(interval_ms))
 
     def mark_disturbed(self, member: Member, for_ms: int) -> None:
         """Records that a fault may break requests of a process for `for_ms`."""
@@ -184,6 +251,8 @@
 
     async def end(self) -> None:
         """Kills the processes of this fleet and stops its relays and stand-ins."""
+        for restart in self.restarts:
+            restart.cancel()
         for member in self.members_by_id.values():
             member.send_signal(signal.SIGCONT)
             member.send_signal(signal.SIGKILL)
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -10,13 +10,14 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 import tornado.httpserver
 import tornado.netutil
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
-from dandelionknot.clock import now_ms, seconds
+from dandelionknot.clock import now_ms
 from dandelionknot.jobs._generated import OrderOutcome, Resources, StartOrder
 from dandelionknot.store import Item, Precondition, Put, WriteOutcome
 from emulator.backends import Backend
@@ -25,8 +26,11 @@
 # HTTP status and JSON body.
 Answer = tuple[int, dict]
 Handler = Callable[[HTTPServerRequest], Awaitable[Answer]]
-# Interval at which a waiting watch looks for changes.
-POLL_INTERVAL_S = 0.005
+# Interval at which a waiting watch ends expired leases.
+EXPIRY_INTERVAL_MS = 50
+# Interval at which a waiting hold call looks for ended tasks.
+HOLD_POLL_S = 0.02
+DEFAULT_ROOM = Resources(cpu_millicores=16_000, memory_mb=32_000)
 # Used in place of an HTTP status: the connection is closed without an answer.
 NO_ANSWER = 0
 # Reasons of the platform's protocol for orders that were not accepted.
@@ -101,8 +105,10 @@
     store: MemoryStore = field(default_factory=lambda: MemoryStore(random.Random(1)))
     backends_by_id: dict[str, Backend] = field(default_factory=dict)
     backend_servers_by_id: dict[str, StandinServer] = field(default_factory=dict)
+    racks_by_backend_id: dict[str, str] = field(default_factory=dict)
     # Addresses of relays, registered in place of a backend server's own address.
     advertised_addresses_by_id: dict[str, str] = field(default_factory=dict)
+    # Rows of the host list besides those of the backend servers' hosts.
     hosts: list[dict] = field(default_factory=list)
     host_orders: list[tuple[str, dict, str]] = field(default_factory=list)
     store_server: StandinServer = field(init=False)
@@ -124,16 +130,21 @@
         ):
             standin.server.stop()
 
-    def add_backend(self, backend_id: str, service: str) -> Backend:
-        """Starts and registers a backend server."""
+    def add_backend(
+        self,
+        backend_id: str,
+        service: str,
+        room: Resources = DEFAULT_ROOM,
+        rack: str = 'r1-1',
+        **fields: Any,
+    ) -> Backend:
+        """Starts and registers a backend server.
+
+        It is in the host list if `fields` contains the `host_id` of its host.
+        """
+        fields = {'born_ms': now_ms(), 'mean_ms': 100} | fields
         backend = Backend(
-            backend_id,
-            service,
-            'zone-a',
-            random.Random(2),
-            Resources(cpu_millicores=16_000, memory_mb=32_000),
-            born_ms=now_ms(),
-            mean_ms=100,
+            backend_id, service, 'zone-a', random.Random(2), room, **fields
         )
 
         async def handle(request: HTTPServerRequest) -> Answer:
@@ -142,6 +153,7 @@
         standin = StandinServer(handle)
         standin.listen()
         self.backends_by_id[backend_id] = backend
+        self.racks_by_backend_id[backend_id] = rack
         self.backend_servers_by_id[backend_id] = standin
         self.register(backend_id)
         return backend
@@ -160,8 +172,8 @@
             'slots': 8,
             'state': 'ready',
             'cold_left_ms': 0,
-            'room': {'cpu': backend.room.cpu_millicores, 'mem_mb': 32_000},
-            'labels': ['std', 'r1-1'],
+            'room': _wire_room(backend),
+            'labels': ['std', self.racks_by_backend_id[backend_id]],
             'born': backend.born_ms,
             'seq': 1,
         }
@@ -229,13 +241,12 @@
             if after < self.store.forgotten_revision:
                 return 410, {}
             found = [
-                _wire_item(item)
-                for item in self.store.history
-                if item.revision > after and item.key.startswith(prefix)
+                _wire_item(item) for item in self.store.changes_after(after, prefix)
             ]
-            if found or now_ms() >= end:
+            left_ms = end - now_ms()
+            if found or left_ms <= 0:
                 return 200, {'events': found, 'store_revision': self.store.revision}
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await self.store.wait_for_change(prefix, min(left_ms, EXPIRY_INTERVAL_MS))
 
     def _write(self, body: dict) -> Answer:
         written = self.store.write(
@@ -271,15 +282,36 @@
         self.store.lease_ends_by_id[lease_id] = now_ms() + duration
         return 200, {'ttl_ms': duration}
 
+    def _host_rows(self) -> list[dict]:
+        rows = [
+            {
+                'machine': backend.host_id,
+                'pool': backend.service,
+                'state': 'up' if backend.up else 'down',
+                'zone': backend.zone,
+                'labels': ['std', self.racks_by_backend_id[backend.backend_id]],
+                'room': _wire_room(backend),
+                'id': backend.backend_id if backend.up else None,
+            }
+            for backend in self.backends_by_id.values()
+            if backend.host_id
+        ]
+        return [*self.hosts, *rows]
+
     async def _handle_host_call(self, request: HTTPServerRequest) -> Answer:
         if request.path == '/machines':
-            return 200, {'machines': self.hosts, 'next_token': None}
+            return 200, {'machines': self._host_rows(), 'next_token': None}
         body = msgspec.json.decode(request.body)
         token = request.headers.get('X-Fence-Token', '')
         self.host_orders.append((request.path, body, token))
         return 200, {}
 
 
+def _wire_room(backend: Backend) -> dict:
+    room = backend.room
+    return {'cpu': room.cpu_millicores, 'mem_mb': room.memory_mb}
+
+
 def _wire_item(item: Item) -> dict:
     if item.deleted:
         return {'key': item.key, 'rev': item.revision, 'tombstone': True}
@@ -320,7 +352,7 @@
         return 409, {'clock_ms': backend.clock(), 'reason': 'fence'}
     end = now_ms() + body.get('wait_ms', 0)
     while now_ms() < end and not backend.ends:
-        await asyncio.sleep(seconds(5))
+        await asyncio.sleep(HOLD_POLL_S)
         if not backend.up:
             return NO_ANSWER, {}
         backend.advance()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from emulator.experiment import Experiment, run_experiment
+from emulator.experiment import Experiment, run_experiment, with_losses
 from emulator.faults import FAULTS
 
 # Seeds that revealed a bug, each with its bug.
@@ -15,6 +15,13 @@
 FRESH_SEEDS = (101,)
 
 
+# Many backend servers are lost, and after them several leaders one after the other.
+LOSSES_SEED = 6
+LOSSES = with_losses(
+    Experiment(LOSSES_SEED, seconds=24, jobs_per_s=8, fault_gap_ms=12_000, backends=40)
+)
+
+
 class FleetTest(unittest.TestCase):
     def test_fleet_without_faults(self):
         """Guards against jobs that do not end although no fault is injected."""
@@ -32,6 +39,12 @@
                 verdict = run_experiment(Experiment(seed=seed))
                 self.assertEqual(verdict.problems, [], verdict.faults)
 
+    def test_no_job_stands_still_after_a_loss_of_backends_and_leaders(self):
+        """Guards against accepted jobs that do not run although there is room."""
+        verdict = run_experiment(LOSSES)
+        self.assertEqual(verdict.problems, [], verdict.faults)
+        self.assertGreater(verdict.accepted, 100)
+
     def test_each_fault_alone(self):
         """Guards against violations that appear only without the other faults."""
         for name in FAULTS:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,11 @@
 import asyncio
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
+from soak.faults import LOSSES
+from soak.profiles import GROWN
 from soak.run import RunSettings, run_seed
 
 FRESH_SEEDS = (1,)
@@ -16,6 +19,11 @@
 REGRESSION_S = 12
 
 
+# A fleet with tasks that last, of a size that CI bears.
+GROWN_IN_CI = replace(GROWN, members=6, backends=48, jobs_per_s=8.0)
+GROWN_SEED = 3
+
+
 class SoakTest(unittest.TestCase):
     def test_short_run(self):
         """Guards against violations that only show with real processes."""
@@ -27,6 +35,18 @@
         for seed in REGRESSION_SEEDS:
             self.check(RunSettings(seed=seed, seconds=REGRESSION_S))
 
+    def test_no_job_stands_still_after_a_loss_of_backends_and_leaders(self):
+        """Guards against accepted jobs that do not run although there is room."""
+        self.check(
+            RunSettings(
+                seed=GROWN_SEED,
+                seconds=15,
+                profile=GROWN_IN_CI,
+                faults=tuple(LOSSES),
+                fault_gap_ms=6000,
+            )
+        )
+
     def check(self, settings):
         with self.subTest(seed=settings.seed), tempfile.TemporaryDirectory() as logs:
             verdict = asyncio.run(run_seed(settings, Path(logs)))
