Learn the end of a lost backend server from the list of hosts, in each term

What callers saw: after a loss of many backend servers, accepted jobs had nothing running for 4 to 16 s while there was room, the longer the more leaders had changed meanwhile.

Cause: only the lease of a lost server ended the wait for its tasks. The list of hosts shows at once that a host is down, but - the host of a backend server was learnt only from a list that was read while it lived, so a leader that had read none before the loss could not use it; the registry entry names the host, and that field was not decoded; - a wish for the list was dropped unless waves, moves or unproven losses needed it; - a new leader looked only at lifetimes with an entry, and knew no host of those whose entry had been removed. It waited for the longest lease that a former leader can have given (8.8 s), and each further leader began this wait again. The class of fault: a fact that is at hand is used only if the same process has seen an earlier one, so it is lost with each change of leader.

Change: the entry's host is decoded and stored with each placed run; the list is read at the begin of a term, on a wish, and while a server with tasks is not reached; it also counts for former lifetimes. A server that is only cut off stays listed as up and keeps its tasks.

Ruled out: that a server missing from all rows has ended.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -75,6 +75,15 @@
     phase: int
     backend_id: str = ""
     born_ms: int = 0
+    host_id: (
+        Annotated[
+            str,
+            Meta(
+                description="Host of the backend server in the platform's list of hosts."
+            ),
+        ]
+       
+    ) = ""
     failed_runs: (
         Annotated[list[int], Meta(description="Numbers of runs that have failed.")]
        
@@ -221,6 +230,10 @@
     draining: bool
     room: Resources
     born_ms: int = 0
+    host_id: (
+        Annotated[str, Meta(description="Its host in the platform's list of hosts.")]
+       
+    ) = ""
     labels: list[str] = field(default_factory=list)
     cold_left_ms: int = 0
     remaining_ms: int = 0
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -141,6 +141,7 @@
         phase=int(TaskPhase.PLACED if task.backend else TaskPhase.WAITING),
         backend_id=task.backend.backend_id if task.backend else '',
         born_ms=task.born_ms,
+        host_id=task.backend.host_id if task.backend else '',
         failed_runs=task.failed_runs,
         checkpoint=task.checkpoint,
         placed_unix_ms=task.placed_unix_ms,
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -193,6 +193,7 @@
             backend = self._lifetime_of_former_run(
                 stored.backend_id, stored.born_ms, now_ms
             )
+            backend.host_id = backend.host_id or stored.host_id
             task.phase, task.start_sent, task.unconfirmed = (
                 TaskPhase.RUNNING,
                 True,
@@ -274,6 +275,7 @@
                 self.note(Event.BACKEND_DRAINING, _backend_fields(backend, report))
         backend.leaving = report.draining
         backend.born_ms = report.born_ms or backend.born_ms
+        backend.host_id = backend.host_id or report.host_id
         backend.report = report
 
     def remove_backend(self, backend_id: str) -> None:
@@ -542,9 +544,20 @@
         }
 
     def wants_host_list(self) -> bool:
-        """Whether the scheduler needs the platform's list of hosts."""
+        """Whether the scheduler needs the platform's list of hosts.
+
+        Without contact, only the list shows whether the tasks of a backend server have
+        ended before their lease expires.
+        """
         return bool(
-            self.maintenance.active() or self.capacity.active() or self.unproven_losses
+            self.maintenance.active()
+            or self.capacity.active()
+            or self.unproven_losses
+            or self.former_backends
+            or any(
+                backend.tasks_by_name and not backend.reachable
+                for backend in self.backends_by_id.values()
+            )
         )
 
     def hosts_listed(self, listed: HostsListed) -> None:
@@ -561,7 +574,7 @@
             backend = self.backends_by_id.get(host.backend_id)
             if backend is not None:
                 backend.host_id = host.host_id
-        for backend in list(self.backends_by_id.values()):
+        for backend in [*self.backends_by_id.values(), *self.former_backends]:
             host_row = self.maintenance.hosts_by_id.get(backend.host_id)
             if (
                 backend.tasks_by_name
@@ -676,5 +689,6 @@
         'service': report.service,
         'availability_zone': report.availability_zone,
         'born_ms': report.born_ms,
+        'host_id': report.host_id,
         'tasks': len(backend.tasks_by_name),
     }
--- a/dandelionknot/manager/_hosts.py
+++ b/dandelionknot/manager/_hosts.py
@@ -75,8 +75,7 @@
     async def _list_forever(self) -> None:
         reached = True
         while True:
-            if not self.list_wanted():
-                await asyncio.sleep(seconds(IDLE_PAUSE_MS))
+            if not self.list_wanted() and not await self._is_wished(IDLE_PAUSE_MS):
                 continue
             sent_ms = now_ms()
             listed = await self.hosts.list_hosts()
@@ -89,14 +88,15 @@
                 reached = True
                 self.report(HostsListed(hosts=listed.ok_value, sent_ms=sent_ms))
             await asyncio.sleep(seconds(MIN_LIST_PAUSE_MS))
-            await self._wait_for_wish(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
+            await self._is_wished(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
 
-    async def _wait_for_wish(self, longest_ms: int) -> None:
-        """Waits until a list is wanted soon, or for the usual pause."""
+    async def _is_wished(self, wait_ms: int) -> bool:
+        """Waits until a list is wanted soon; returns False if none is by then."""
         try:
-            async with asyncio.timeout(seconds(longest_ms)):
+            async with asyncio.timeout(seconds(wait_ms)):
                 await self.list_soon.wait()
         except TimeoutError:
-            return
+            return False
         finally:
             self.list_soon.clear()
+        return True
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -166,6 +166,8 @@
             valid_until_ms=self.term.orders_valid_until_ms,
             list_wanted=self.scheduler.wants_host_list,
         )
+        # Backend servers may have been lost before this term.
+        self.hosts.list_soon.set()
         self._spawn(self.hosts.run())
 
     def _load_scheduler(self) -> None:
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -219,6 +219,7 @@
         BackendReport(
             backend_id=backend_id,
             born_ms=wire.born,
+            host_id=wire.machine,
             service=wire.service,
             address=wire.addr,
             availability_zone=wire.zone,
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -260,6 +260,7 @@
         report = BackendReport(
             backend_id=backend.backend_id,
             born_ms=backend.born_ms,
+            host_id=backend.host_id,
             service=backend.service,
             address='10.0.0.1:1',
             availability_zone=backend.zone,
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -175,6 +175,7 @@
             'room': _wire_room(backend),
             'labels': ['std', self.racks_by_backend_id[backend_id]],
             'born': backend.born_ms,
+            'machine': backend.host_id,
             'seq': 1,
         }
         self.put(f'servers/{backend_id}', entry | fields)
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -13,6 +13,8 @@
     EndedTask,
     EndReason,
     HoldReport,
+    Host,
+    HostsListed,
     Job,
     JobConfiguration,
     JobSpec,
@@ -73,12 +75,15 @@
     clock_ms: int = 1
     # Whether no call arrives, which shows only once an order is sent.
     cut_off: bool = False
+    # Its host in the platform's list; empty if its entry names none.
+    host_id: str = ''
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
         return BackendReport(
             backend_id=self.backend_id,
             born_ms=self.born_ms,
+            host_id=self.host_id,
             service=self.service,
             address='10.0.0.1:1',
             availability_zone=self.zone,
@@ -164,8 +169,11 @@
         self.crashes: list[tuple[int, str, list[str]]] = []
         self.scheduler = self.new_leader()
 
-    def new_leader(self) -> Scheduler:
-        """Replaces the scheduler by one that starts from the stored records alone."""
+    def new_leader(self, unregistered: tuple[str, ...] = ()) -> Scheduler:
+        """Replaces the scheduler by one that starts from the stored records alone.
+
+        The entries of `unregistered` backend servers have been removed.
+        """
         scheduler = Scheduler(hold_max_ms=HOLD_MAX_MS)
         self.scheduler = scheduler
         self.configure()
@@ -174,9 +182,25 @@
                 job, self.records.get(job.job_id), self.now_ms, self.now_ms
             )
         for backend in self.backends.values():
-            scheduler.set_backend(backend.report(), self.now_ms)
+            if backend.backend_id not in unregistered:
+                scheduler.set_backend(backend.report(), self.now_ms)
         return scheduler
 
+    def list_hosts(self) -> None:
+        """Passes the platform's list, if the scheduler wants it, to the scheduler."""
+        if not self.scheduler.wants_host_list():
+            return
+        rows = [
+            Host(
+                host_id=backend.host_id,
+                pool=SERVICE,
+                state='down' if backend.down_until_ms else 'up',
+                backend_id='' if backend.down_until_ms else backend.backend_id,
+            )
+            for backend in self.backends.values()
+        ]
+        self.scheduler.hosts_listed(HostsListed(hosts=rows, sent_ms=self.now_ms))
+
     def configure(self) -> None:
         """Applies the queue and the client accounts to the scheduler."""
         self.scheduler.set_configuration(
--- /dev/null
+++ b/tests/test_jobs_lost_hosts.py
@@ -0,0 +1,81 @@
+"""Backend servers that the list of hosts shows as lost."""
+
+import unittest
+
+from dandelionknot.events import Event
+from dandelionknot.jobs._generated import Resources, StepSpec
+from tests.job_test_bed import RESTART_MS, FakeBackend, JobTestBed
+
+TICK_MS = 50
+# Longest standstill of a job with room, from the platform's rules.
+MAX_STANDSTILL_MS = 3000
+TASKS = StepSpec(task_count=8, resources=Resources(cpu_millicores=8000))
+
+
+class LostHostsTest(unittest.TestCase):
+    """Each test crashes two of six backend servers, which stay down."""
+
+    def setUp(self):
+        self.test_bed = JobTestBed(
+            *(FakeBackend(f'b{n}', host_id=f'h{n}') for n in range(6))
+        )
+        self.test_bed.submit(TASKS)
+        self.run_for(1000)
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+            self.test_bed.list_hosts()
+
+    def crash(self):
+        self.lost = [b for b in self.test_bed.backends.values() if b.runs_by_name]
+        self.assertEqual(len(self.lost), 2)
+        for backend in self.lost:
+            self.test_bed.lose(backend)
+            backend.down_until_ms += 10 * RESTART_MS
+
+    def assert_requeued(self):
+        """Asserts that each task of the lost servers was requeued in time."""
+        self.run_for(MAX_STANDSTILL_MS - 200)
+        requeued = [
+            entry.fields['task']
+            for entry in self.test_bed.scheduler.take_log_entries()
+            if entry.event is Event.TASK_REQUEUED
+        ]
+        self.assertEqual(len(set(requeued)), TASKS.task_count)
+
+    def test_leader_that_has_read_no_list_before_the_loss(self):
+        """Guards against tasks that wait for a lease though the list shows the end."""
+        self.crash()
+        self.assert_requeued()
+
+    def test_new_leader_that_never_reached_the_lost_servers(self):
+        """Guards against tasks that wait for the longest lease of a former leader."""
+        for unregistered in (False, True):
+            with self.subTest(unregistered=unregistered):
+                self.setUp()
+                self.crash()
+                ids = tuple(backend.backend_id for backend in self.lost)
+                self.test_bed.new_leader(ids if unregistered else ())
+                self.assert_requeued()
+
+    def test_former_lifetime_of_a_server_that_is_up_elsewhere(self):
+        """Guards against tasks that wait for the lease of a replaced lifetime."""
+        self.crash()
+        for backend in self.lost:
+            backend.restart()
+        self.test_bed.new_leader()
+        self.assert_requeued()
+
+    def test_server_that_is_only_cut_off_keeps_its_tasks(self):
+        """Guards against a task that runs twice since its host does not answer."""
+        for backend in self.test_bed.backends.values():
+            backend.cut_off = bool(backend.runs_by_name)
+        before = self.test_bed.running()
+        self.test_bed.new_leader()
+        self.run_for(MAX_STANDSTILL_MS)
+        self.assertEqual(self.test_bed.running(), before)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_manager_hosts.py
+++ b/tests/test_manager_hosts.py
@@ -43,6 +43,27 @@
         virtual_time.run(run())
         self.assertEqual(len(hosts.read_at_ms), 2)
 
+    def test_a_list_is_read_for_a_loss_although_nothing_else_needs_it(self):
+        """Guards against a wish for the list that is dropped while no wave is open."""
+        hosts = Hosts()
+
+        async def run():
+            task = HostTask(
+                hosts=hosts,
+                fencing_token=1,
+                report=lambda message: None,
+                valid_until_ms=lambda: 10**15,
+                list_wanted=lambda: False,
+            )
+            running = asyncio.create_task(task.run())
+            await asyncio.sleep(1)
+            task.list_soon.set()
+            await asyncio.sleep(LIST_PAUSE_MS / 1000)
+            running.cancel()
+
+        virtual_time.run(run())
+        self.assertEqual(len(hosts.read_at_ms), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
