Recognise a large loss in any fleet, and before a new leader

What callers saw: after a loss of many backend servers and a change of leader, jobs stood still for up to 12 s although hosts had room, and some went on task by task.

Cause: their tasks were suspected of having crashed the servers, and a suspected task waits for a host that runs nothing else; where tasks that last run on each host, there is none for a while. A loss of many servers is an outage and suspects nobody, but - it took a fifth of all servers, so 26 of 176 servers lost at once were none; - a new leader compared a server that it had not reached with the others that it had not reached by the time at which it learnt of the loss. Removed entries did not count, and of servers that had started again those read first did not. The class of fault: a threshold that grows with the fleet, and a verdict that depends on the order in which facts arrive.

Change: eight losses together are an outage in any fleet. Lifetimes that ended before a leader reached them are recorded together, from one list of hosts or from the registry at the begin of the term, before their tasks are requeued.

Ruled out: to suspect nobody after a change of leader, since two servers lost right before it may be the work of a task (second test).

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -63,10 +63,12 @@
 TOGETHER_SUDDEN_MS = 500
 TOGETHER_SILENT_MS = 1700
 # Losses that belong together are an outage from this number and this share of all
-# backend servers on. Unless contact was lost right after a start, they also are from
-# this share of a rack on.
+# backend servers on, and from the third number on in any fleet: crashing tasks do not
+# start so often, however large it is. Unless contact was lost right after a start, they
+# also are from this share of a rack on.
 OUTAGE_COUNT = 4
 OUTAGE_SHARE = 0.2
+MAX_OUTAGE_COUNT = 8
 OUTAGE_RACK_SHARE = 0.5
 # Time for which losses are kept for comparison with later ones.
 LOSSES_KEPT_MS = 15_000
@@ -200,6 +202,19 @@
         )
 
 
+def unreached_lost(
+    scheduler: Scheduler, backends: Iterable[tuple[BackendState, str]]
+) -> None:
+    """Records lifetimes, with their racks, that ended before this leader reached them.
+
+    It is called for all that became known together, before their tasks are requeued, so
+    that it does not depend on their order whether they count as an outage.
+    """
+    for backend, rack in backends:
+        if not backend.fenced:
+            scheduler.unreached_losses[backend.lifetime] = rack
+
+
 def may_copy(scheduler: Scheduler, backend: BackendState, task: TaskState) -> bool:
     """Whether a copy of a task of an unresponsive backend server may be made now.
 
@@ -281,8 +296,12 @@
     hosts = [state for state in scheduler.backends_by_id.values() if state.report]
     if not backend.fenced:
         # Never reached in this term, so compared with all others that were not either.
-        together = [state for state in hosts if not state.fenced]
-        racks = [state.rack for state in together if state is not backend]
+        lost = scheduler.unreached_losses
+        if backend.lifetime not in lost:
+            lost = {state.lifetime: state.rack for state in hosts if not state.fenced}
+        racks = [
+            rack for lifetime, rack in lost.items() if lifetime != backend.lifetime
+        ]
         return _is_large(len(racks) + 1, len(hosts)) or _is_rack(
             backend.rack, racks, hosts
         )
@@ -324,7 +343,7 @@
 
 
 def _is_large(lost: int, total: int) -> bool:
-    return lost >= max(OUTAGE_COUNT, OUTAGE_SHARE * total)
+    return lost >= max(OUTAGE_COUNT, min(OUTAGE_SHARE * total, MAX_OUTAGE_COUNT))
 
 
 def _is_rack(rack: str, lost_racks: list[str], hosts: list[BackendState]) -> bool:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dandelionknot.events import Event
@@ -62,6 +63,7 @@
     TaskState,
     Ticket,
     assign,
+    rack_of,
     stop_command,
     unassign,
 )
@@ -108,6 +110,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Racks of lifetimes that ended before this leader had reached them.
+    unreached_losses: dict[Lifetime, str] = field(default_factory=dict)
     # Losses that may have been no crash, by the lifetime that was lost.
     unproven_losses: dict[Lifetime, UnprovenLoss] = field(default_factory=dict)
     # Local time of the last crash for which tasks of a service are suspected.
@@ -278,6 +282,21 @@
         backend.host_id = backend.host_id or report.host_id
         backend.report = report
 
+    def note_replaced_lifetimes(self, reports: Iterable[BackendReport]) -> None:
+        """Records which lifetimes with stored runs have ended before this term.
+
+        It is called with all entries of the registry, before the first is applied.
+        """
+        known = [(self.backends_by_id.get(r.backend_id), r) for r in reports]
+        _crashes.unreached_lost(
+            self,
+            (
+                (backend, rack_of(report))
+                for backend, report in known
+                if backend is not None and 0 < backend.born_ms < report.born_ms
+            ),
+        )
+
     def remove_backend(self, backend_id: str) -> None:
         """Records that the entry of a backend server was removed.
 
@@ -574,17 +593,19 @@
             backend = self.backends_by_id.get(host.backend_id)
             if backend is not None:
                 backend.host_id = host.host_id
-        for backend in [*self.backends_by_id.values(), *self.former_backends]:
-            host_row = self.maintenance.hosts_by_id.get(backend.host_id)
-            if (
-                backend.tasks_by_name
-                and not backend.reachable
-                and host_row is not None
-                and backend.lost_at_ms < listed.sent_ms
-                and shows_end(host_row, backend.backend_id)
-            ):
-                backend.report = None
-                self.requeue_tasks(backend, f'its host is listed as {host_row.state}')
+        ended = [
+            (backend, row.state)
+            for backend in [*self.backends_by_id.values(), *self.former_backends]
+            if backend.tasks_by_name
+            and not backend.reachable
+            and backend.lost_at_ms < listed.sent_ms
+            and (row := self.maintenance.hosts_by_id.get(backend.host_id)) is not None
+            and shows_end(row, backend.backend_id)
+        ]
+        _crashes.unreached_lost(self, ((backend, backend.rack) for backend, _ in ended))
+        for backend, state in ended:
+            backend.report = None
+            self.requeue_tasks(backend, f'its host is listed as {state}')
 
     def advice_given(
         self, request: AskAdvice, granted: dict[str, str], valid_ms: int, now_ms: int
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -262,9 +262,13 @@
 
     @property
     def rack(self) -> str:
-        """Rack of the host: the first of its labels that contains a hyphen."""
-        labels = self.report.labels if self.report else []
-        return next((label for label in labels if '-' in label), '')
+        """Rack of the host, or an empty text without an entry."""
+        return rack_of(self.report) if self.report else ''
+
+
+def rack_of(report: BackendReport) -> str:
+    """Returns the rack of a host: the first of its labels that contains a hyphen."""
+    return next((label for label in report.labels if '-' in label), '')
 
 
 def tasks_of(state: JobState) -> Iterable[TaskState]:
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -183,6 +183,7 @@
         self.scheduler.ended = deque(sorted(self.scheduler.ended))
         kept_ms = int(self.ports.settings.timing.status_kept_s * 1000)
         self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
+        self.scheduler.note_replaced_lifetimes(view.backends_by_id.values())
         for report in view.backends_by_id.values():
             self._set_backend(report, now)
         limits_by_account = self.scheduler.millicores_by_account()
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -181,9 +181,14 @@
             scheduler.add_job(
                 job, self.records.get(job.job_id), self.now_ms, self.now_ms
             )
-        for backend in self.backends.values():
-            if backend.backend_id not in unregistered:
-                scheduler.set_backend(backend.report(), self.now_ms)
+        reports = [
+            backend.report()
+            for backend in self.backends.values()
+            if backend.backend_id not in unregistered
+        ]
+        scheduler.note_replaced_lifetimes(reports)
+        for report in reports:
+            scheduler.set_backend(report, self.now_ms)
         return scheduler
 
     def list_hosts(self) -> None:
--- a/tests/test_jobs_lost_hosts.py
+++ b/tests/test_jobs_lost_hosts.py
@@ -11,6 +11,9 @@
 MAX_STANDSTILL_MS = 3000
 TASKS = StepSpec(task_count=8, resources=Resources(cpu_millicores=8000))
 
+# Two of them fill a host.
+LARGE_TASKS = StepSpec(task_count=4, resources=Resources(cpu_millicores=16_000))
+
 
 class LostHostsTest(unittest.TestCase):
     """Each test crashes two of six backend servers, which stay down."""
@@ -77,5 +80,57 @@
         self.assertEqual(self.test_bed.running(), before)
 
 
+class SuspicionTest(unittest.TestCase):
+    """Each test loses backend servers of a large fleet right before a new leader."""
+
+    def lose(self, servers, lost, end):
+        """Starts a new leader after a loss; returns the number of suspected tasks.
+
+        `end` is what the new leader sees: the servers are down, their entries have been
+        removed as well, or they have started again.
+        """
+        test_bed = JobTestBed(
+            *(
+                FakeBackend(f'b{n}', host_id=f'h{n}', labels=(f'r-{n // 8}',))
+                for n in range(servers)
+            )
+        )
+        for number in range(lost):
+            test_bed.submit(LARGE_TASKS, job_id=f'j{number}')
+        for _ in range(20):
+            test_bed.step(TICK_MS)
+        used = [b for b in test_bed.backends.values() if b.runs_by_name]
+        self.assertGreaterEqual(len(used), lost)
+        for backend in used[:: max(1, len(used) // lost)][:lost]:
+            test_bed.lose(backend)
+            backend.down_until_ms += 10 * RESTART_MS
+            if end == 'restarted':
+                backend.restart()
+        gone = tuple(i for i, b in test_bed.backends.items() if b.down_until_ms)
+        test_bed.new_leader(gone if end == 'unregistered' else ())
+        for _ in range(0, MAX_STANDSTILL_MS, TICK_MS):
+            test_bed.step(TICK_MS)
+            test_bed.list_hosts()
+        return sum(
+            entry.event is Event.TASK_SUSPECTED
+            for entry in test_bed.scheduler.take_log_entries()
+        )
+
+    def test_no_task_is_suspected_after_a_large_loss(self):
+        """Guards against jobs that wait for empty hosts, as many tasks are suspected.
+
+        What is a large loss does not grow with the fleet, and does not depend on the
+        order in which a new leader learns of the lost servers.
+        """
+        for servers, lost in ((60, 9), (160, 20)):
+            for end in ('down', 'unregistered', 'restarted'):
+                with self.subTest(servers=servers, lost=lost, end=end):
+                    self.assertEqual(self.lose(servers, lost, end), 0)
+
+    def test_tasks_are_suspected_after_a_small_loss(self):
+        """Guards against crashing tasks that a change of leader hides."""
+        self.assertGreater(self.lose(60, 2, 'down'), 0)
+
+
 if __name__ == '__main__':
     unittest.main()
