Limit how long a suspected task waits for an empty host

What callers saw: after a loss of some servers, fewer than an outage, jobs whose tasks are suspected stood still for 4 to 8 s although hosts had room, and went on with a few tasks at a time.

Cause: a suspected task starts only on a host that runs nothing else. Where tasks that last run on each host, it takes a reserved one after 2 s, one host for each four that wait, and the next ones wait for 2 s again. With the number of suspected tasks, the wait grows without a limit. The class of fault: a precaution against a rare guilty task that its innocent bystanders pay for without a bound.

Change: a suspected task that has waited for 2 s, and under which no server has crashed alone, starts on the host with the fewest tasks, if nothing started there in the last 150 ms. Nothing else starts there until it is cleared, so a crash still tells which task caused it, and from then on it waits for an empty host.

Ruled out: to reserve more hosts at once, since each is room that other tasks lack, and they still become empty only after 2 s.

Tests: WaitTest in tests/test_jobs_lost_hosts.py. The first failed before: 2 of 8 tasks ran after 3 s. The second fails with the condition on crashes alone taken out: a third crash then costs short tasks.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -270,6 +270,7 @@
         or (recent and (not outage or count > 1))
     ):
         task.suspected = True
+        task.suspected_at_ms = scheduler.planned_ms
         scheduler.suspects_by_name[task.name] = task
         _note(scheduler, Event.TASK_SUSPECTED, task, backend_id=backend.backend_id)
     scheduler.mark_dirty(task.step.job)
@@ -381,6 +382,7 @@
         if task.phase is TaskPhase.DONE:
             continue
         if task.suspected:
+            task.suspected_at_ms = now_ms
             scheduler.suspects_by_name[task.name] = task
         _losses.restored(scheduler, task, now_ms)
 
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -3,6 +3,11 @@
 A suspected task starts on a backend server that runs nothing else, and nothing else
 starts there until the task is cleared or its run has ended. If none is empty, some are
 reserved: a reserved one gets no other starts and becomes empty as its tasks end.
+
+Most suspected tasks are innocent, so their jobs wait only for a limited time. Then such
+a task starts beside others that have run there for a while, unless a backend server has
+crashed under it alone. Since nothing else starts there, a crash still shows which task
+caused it.
 """
 
 from __future__ import annotations
@@ -38,8 +43,12 @@
 # suspected task that waits. A guilty one takes them out of service for some seconds.
 BACKENDS_PER_SUSPECT = 0.5
 # A reserved backend server on which only long-running tasks are left is used beside
-# them after this time, since their steps may not allow that they are stopped.
-LONG_RUNNING_WAIT_MS = 2000
+# them after this time, since their steps may not allow that they are stopped. A
+# suspected task that has waited for as long is started beside any tasks.
+MAX_WAIT_MS = 2000
+# Time since the last start on a backend server until a suspected task may start there
+# beside the others.
+SETTLED_MS = 150
 # Time for which a backend server that crashed under an isolated task counts as down.
 RESTART_MS = 3500
 
@@ -59,6 +68,11 @@
         """Whether a backend server has crashed under it while it ran alone."""
         return any(task.crashed_alone_runs for task in self.tasks)
 
+    @property
+    def waits_since_ms(self) -> int:
+        """Local time since which it has waited for empty backend servers."""
+        return max(task.suspected_at_ms for task in self.tasks)
+
     @property
     def crashes(self) -> int:
         """Number of crashes under the task with the most of them."""
@@ -205,13 +219,10 @@
     step = unit.step
     usable = [backend for backend in backends if _is_usable_for(step, backend)]
     free = allowed(step, [b for b in usable if _is_free(b, now_ms)])
-    free = _other_hosts(unit, free, usable)
-    places: list[tuple[TaskState, BackendState]] | None
-    if step.spec.gang:
-        places = _placement.place_gang(step, free)
-    else:
-        best = _placement.best_backend(step, free)
-        places = [(unit.tasks[0], best)] if best is not None else None
+    places = _places(unit, _other_hosts(unit, free, usable))
+    if not places and _has_waited(unit, now_ms):
+        settled = allowed(step, [b for b in usable if _is_settled(b, now_ms)])
+        places = _places(unit, _least_used(unit, _other_hosts(unit, settled, usable)))
     if not places:
         return 0
     run = max(task.run for task in unit.tasks) + 1
@@ -232,6 +243,28 @@
     return len({backend.backend_id for _, backend in places})
 
 
+def _places(
+    unit: Unit, backends: list[BackendState]
+) -> list[tuple[TaskState, BackendState]] | None:
+    """Returns a backend server for each task of a unit, or None without room."""
+    if unit.step.spec.gang:
+        return _placement.place_gang(unit.step, backends)
+    best = _placement.best_backend(unit.step, backends)
+    return [(unit.tasks[0], best)] if best is not None else None
+
+
+def _least_used(unit: Unit, backends: list[BackendState]) -> list[BackendState]:
+    """Returns those with room and the fewest tasks first; for one task, the first."""
+    found = [b for b in backends if _placement.can_take(b, unit.step)]
+    found.sort(key=lambda backend: len(backend.tasks_by_name))
+    return found if unit.step.spec.gang else found[:1]
+
+
+def _has_waited(unit: Unit, now_ms: int) -> bool:
+    """Whether a unit that is probably innocent has waited for long enough."""
+    return not unit.has_crashed_alone and now_ms - unit.waits_since_ms >= MAX_WAIT_MS
+
+
 def _other_hosts(
     unit: Unit, backends: list[BackendState], usable: list[BackendState]
 ) -> list[BackendState]:
@@ -289,13 +322,18 @@
     """
     if backend.isolated_tasks:
         return False
-    has_waited = 0 < backend.reserved_at_ms <= now_ms - LONG_RUNNING_WAIT_MS
+    has_waited = 0 < backend.reserved_at_ms <= now_ms - MAX_WAIT_MS
     return not backend.tasks_by_name or (
         has_waited
         and all(task.step.spec.long_running for task in backend.tasks_by_name.values())
     )
 
 
+def _is_settled(backend: BackendState, now_ms: int) -> bool:
+    """Whether a crash would show that a task started now on it was the cause."""
+    return not backend.isolated_tasks and backend.placed_at_ms <= now_ms - SETTLED_MS
+
+
 def _reserve(
     scheduler: Scheduler,
     unit: Unit,
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -84,6 +84,8 @@
     # isolated if it was started so.
     suspected: bool = False
     isolated: bool = False
+    # Local time of the last crash that made it suspected, or of the begin of the term.
+    suspected_at_ms: int = 0
     # Number of successive reports that did not list the run.
     missing_reports: int = 0
     # The task is not placed before this local time.
--- a/tests/test_jobs_lost_hosts.py
+++ b/tests/test_jobs_lost_hosts.py
@@ -11,6 +11,9 @@
 MAX_STANDSTILL_MS = 3000
 TASKS = StepSpec(task_count=8, resources=Resources(cpu_millicores=8000))
 
+SMALL = Resources(cpu_millicores=1000)
+# Two of them leave room for small tasks only.
+HALF = Resources(cpu_millicores=12_000)
 # Two of them fill a host.
 LARGE_TASKS = StepSpec(task_count=4, resources=Resources(cpu_millicores=16_000))
 
@@ -132,5 +135,67 @@
         self.assertGreater(self.lose(60, 2, 'down'), 0)
 
 
+class WaitTest(unittest.TestCase):
+    """No host is empty, since a task that lasts runs on each."""
+
+    SERVERS = 12
+
+    def setUp(self):
+        self.test_bed = JobTestBed(
+            *(FakeBackend(f'b{n}', host_id=f'h{n}') for n in range(self.SERVERS))
+        )
+        lasting = StepSpec(
+            task_count=self.SERVERS,
+            resources=SMALL,
+            long_running=True,
+            max_per_host=1,
+            max_unavailable=1,
+        )
+        self.test_bed.submit(lasting, job_id='lasting')
+        self.run_for(500)
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+            self.test_bed.list_hosts()
+
+    def names_running(self, job_id):
+        return {n for n in self.test_bed.running() if n.startswith(f'{job_id}.')}
+
+    def test_job_of_suspected_tasks_does_not_stand_still(self):
+        """Guards against suspected tasks that wait for empty hosts in turn."""
+        self.test_bed.submit(StepSpec(task_count=8, resources=SMALL), job_id='j1')
+        self.run_for(200)
+        [lost] = [
+            backend
+            for backend in self.test_bed.backends.values()
+            if any(name.startswith('j1.') for name in backend.runs_by_name)
+        ]
+        self.test_bed.lose(lost)
+        lost.down_until_ms += 10 * RESTART_MS
+        self.test_bed.new_leader()
+        self.run_for(MAX_STANDSTILL_MS)
+        self.assertEqual(len(self.names_running('j1')), 8)
+
+    def test_task_that_crashed_a_server_alone_starts_beside_no_other(self):
+        """Guards against a crashing task that costs other tasks their work again.
+
+        The short tasks do not end, and the servers that have crashed stay down.
+        """
+        short = StepSpec(task_count=2 * self.SERVERS, resources=HALF)
+        self.test_bed.submit(short, job_id='short')
+        self.run_for(500)
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='deadly')
+        self.test_bed.crash_after_ms_by_name['deadly.0.0.0'] = 0
+        for _ in range(20):
+            self.run_for(1000)
+            for backend in self.test_bed.backends.values():
+                backend.down_until_ms *= 10
+        lost = [names for _, _, names in self.test_bed.crashes]
+        self.assertGreaterEqual(len(lost), 2)
+        for names in lost[2:]:
+            self.assertEqual([n for n in names if n.startswith('short')], [])
+
+
 if __name__ == '__main__':
     unittest.main()
