--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
     members: int = 0,
     backends: int = 0,
     jobs_per_s: float = 0.0,
+    limit_cores: int = 0,
     faults: str = 'all',
     gap_ms: int = FAULT_GAP_MS,
     logs: str = 'soak-logs',
@@ -30,7 +31,8 @@
     `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`, `none`, or
     one or more fault names joined by plus signs, and `gap_ms` the mean time from one
     fault to the next. `profile` is `small` or `grown`; its numbers of members, backend
-    servers and jobs are replaced by those that are given.
+    servers and jobs, and the limit of its client account, are replaced by those that
+    are given.
 
     For each seed that failed, the logs of the processes are copied to a folder below
     `logs`. Exits with status 1 if a seed failed.
@@ -45,6 +47,7 @@
         members=members or named.members,
         backends=backends or named.backends,
         jobs_per_s=jobs_per_s or named.jobs_per_s,
+        limit_millicores=1000 * limit_cores or named.limit_millicores,
     )
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
