Let the oracle allow a job to fail after the attempts of its queue

The oracle used the four attempts of the emulator's queues for both.

The number is now given to the oracle by the fleet: four in the emulator as before, three in the soak. The check for jobs that stand still uses the same. tests/test_oracle.py holds this, and that the check sees standing jobs and long- running tasks, but none beside a fault, with a run or without room.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -36,7 +36,7 @@
     Backend,
     BackendClient,
 )
-from emulator.oracle import Oracle
+from emulator.oracle import MAX_ATTEMPTS, Oracle
 from emulator.standstill import StandstillCheck
 from emulator.store import MemoryStore, StoreClient
 
@@ -237,7 +237,7 @@
                     host='h',
                     path_prefix=f'/{service}/',
                     service=service,
-                    max_attempts=4,
+                    max_attempts=MAX_ATTEMPTS,
                     objective_ms=600,
                 )
                 for service in SERVICES
--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -11,7 +11,8 @@
 # Further problems of the same experiment are not recorded, as they add little.
 MAX_PROBLEMS = 20
 FINAL_PHASES = ('done', 'failed', 'cancelled')
-# Runs of a task that fail before its job may be shown as failed.
+# Runs of a task that fail before its job may be shown as failed, unless the queue says
+# otherwise.
 MAX_ATTEMPTS = 4
 # Crashes under a task after which its job may be shown as failed, and those after which
 # it may be started only a few times more.
@@ -26,6 +27,7 @@
 
     backends_by_id: dict[str, Backend]
     limit: Resources
+    max_attempts: int = MAX_ATTEMPTS
     specs_by_job_id: dict[str, JobSpec] = field(default_factory=dict)
     accepted_at_ms: dict[str, int] = field(default_factory=dict)
     # Jobs whose submissions were all answered 'not accepted'.
@@ -129,7 +131,7 @@
             failures.update(backend.failed_runs_by_name)
         prefix = f'{job_id}.'
         return any(
-            count >= MAX_ATTEMPTS
+            count >= self.max_attempts
             for name, count in failures.items()
             if name.startswith(prefix)
         ) or any(
--- a/emulator/standstill.py
+++ b/emulator/standstill.py
@@ -19,8 +19,7 @@
 STABLE_MS = 4000
 # A long-running task may take this long after its last run to start again.
 RESTART_MS = 6000
-# Failed runs, and crashes, of a task after which its job may have failed.
-MAX_FAILED_RUNS = 3
+# Crashes by a task after which its job may have failed.
 MAX_CRASHES = 2
 # Places for a task that count as room.
 MIN_PLACES = 2
@@ -167,7 +166,7 @@
             if name.startswith(prefix)
         )
         return max(crashes, default=0) >= MAX_CRASHES or any(
-            count >= MAX_FAILED_RUNS
+            count >= oracle.max_attempts
             for backend in oracle.backends_by_id.values()
             for name, count in backend.failed_runs_by_name.items()
             if name.startswith(prefix)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -34,6 +34,8 @@
 STANDSTILL_INTERVAL_MS = 100
 # Backend servers with a relay; the others are called directly.
 MAX_BACKEND_RELAYS = 12
+# Failed runs of a task after which its job fails.
+MAX_ATTEMPTS = 3
 # Limit of calls in progress, for all callers together.
 MAX_CALLS = 64
 # Limit for all processes to answer callers after their start.
@@ -99,7 +101,7 @@
         """Starts the stand-ins and relays, but no manager process yet."""
         platform = JobPlatform()
         limit = Resources(cpu_millicores=profile.limit_millicores)
-        oracle = Oracle(platform.backends_by_id, limit)
+        oracle = Oracle(platform.backends_by_id, limit, MAX_ATTEMPTS)
         fleet = cls(
             rng=random.Random(seed),
             profile=profile,
@@ -172,7 +174,7 @@
                 'host': CALLER_HOST,
                 'prefix': queue_path(service),
                 'service': service,
-                'attempts': 3,
+                'attempts': MAX_ATTEMPTS,
                 'stretch': 1.6,
                 'objective_ms': 600,
                 'public': False,
--- /dev/null
+++ b/tests/test_oracle.py
@@ -0,0 +1,88 @@
+"""The oracle of soak and emulator, on fleets in a state that a test sets up."""
+
+import asyncio
+import random
+import unittest
+
+from dandelionknot.clock import now_ms
+from dandelionknot.jobs._generated import JobSpec, Resources, StepSpec
+from emulator import virtual_time
+from emulator.backends import Backend, Run
+from emulator.oracle import Oracle
+from emulator.standstill import MAX_STANDSTILL_MS, STABLE_MS, StandstillCheck
+
+JOB, TASK = '00000000000000a1', '00000000000000a1.0.0.0'
+OTHER_TASK = '00000000000000b2.0.0.0'
+ROOM = Resources(cpu_millicores=16_000)
+
+
+class OracleTest(unittest.TestCase):
+    def setUp(self):
+        self.backends = {
+            name: Backend(name, 'desk', 'zone-a', random.Random(1), ROOM)
+            for name in ('b1', 'b2')
+        }
+        self.oracle = Oracle(self.backends, Resources(), max_attempts=3)
+        step = StepSpec(task_count=1, resources=Resources(cpu_millicores=2000))
+        for job_id in (JOB, OTHER_TASK.split('.')[0]):
+            self.oracle.specs_by_job_id[job_id] = JobSpec(payload='work', steps=[step])
+            self.oracle.services_by_job_id[job_id] = 'desk'
+        self.oracle.accepted_at_ms[JOB] = 0
+
+    def stand(self, duration_ms, calm=True):
+        """Checks for some time, with no fault or with one all the while."""
+        check = StandstillCheck(self.oracle)
+
+        async def run():
+            start_ms = now_ms()
+            while now_ms() < start_ms + duration_ms:
+                check.check(start_ms if calm else None)
+                await asyncio.sleep(0.1)
+
+        virtual_time.run(run())
+        return self.oracle.problems
+
+    def test_failed_job_has_a_cause_after_the_attempts_of_its_queue(self):
+        """Guards against reports of jobs that failed for their own tasks."""
+        for failures, problems in ((2, 1), (3, 0)):
+            with self.subTest(failures=failures):
+                self.setUp()
+                self.backends['b1'].failed_runs_by_name[TASK] = failures
+                self.oracle.check_at_end(lambda job_id: 'failed')
+                self.assertEqual(len(self.oracle.problems), problems)
+
+    def test_job_without_a_run_is_reported_if_there_is_room(self):
+        """Guards against jobs that stand still unseen."""
+        self.assertEqual(self.stand(STABLE_MS + MAX_STANDSTILL_MS - 200), [])
+        [problem] = self.stand(STABLE_MS + MAX_STANDSTILL_MS + 200)
+        self.assertIn(JOB, problem)
+
+    def test_job_is_not_reported_beside_a_fault(self):
+        """Guards against reports that a fault explains."""
+        self.assertEqual(self.stand(20_000, calm=False), [])
+
+    def test_job_that_runs_or_has_no_room_is_not_reported(self):
+        """Guards against reports of jobs that are served, or cannot be."""
+        self.backends['b1'].runs_by_name[TASK] = Run(TASK, 1, 0, 1000, False)
+        self.assertEqual(self.stand(20_000), [])
+        self.setUp()
+        self.backends['b1'].up = self.backends['b2'].up = False
+        self.assertEqual(self.stand(20_000), [])
+
+    def test_long_running_task_counts_by_itself(self):
+        """Guards against tasks that last and do not run beside others of their job."""
+        step = StepSpec(
+            task_count=2,
+            resources=Resources(cpu_millicores=2000),
+            long_running=True,
+            max_per_host=1,
+        )
+        self.oracle.specs_by_job_id[JOB] = JobSpec(payload='lasting', steps=[step])
+        self.backends['b1'].runs_by_name[TASK] = Run(TASK, 1, 0, 1000, False)
+        self.backends['b3'] = Backend('b3', 'desk', 'zone-a', random.Random(1), ROOM)
+        [problem] = self.stand(STABLE_MS + MAX_STANDSTILL_MS + 200)
+        self.assertIn(f'{JOB}.0.0.1', problem)
+
+
+if __name__ == '__main__':
+    unittest.main()
