Count each accepted start as the end of a standstill in the log

The check for jobs that stand still looks at them every 500 ms. A job that waits for its next occurrence kept the begin of an earlier standstill.

Each accepted start now ends a standstill, and so does a check that finds no ready task. Test: test_job_with_short_runs_is_not_logged, which fails without the first. Also renames a function of the host task and a doc comment.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -20,6 +20,7 @@
     _planning,
     _ranking,
     _reports,
+    _standstill,
 )
 from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._capacity import Capacity
@@ -469,6 +470,7 @@
         self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
     ) -> None:
         state = task.step.job
+        _standstill.ended(self, state, now)
         self.note(
             Event.TASK_STARTED,
             {
--- a/dandelionknot/jobs/_standstill.py
+++ b/dandelionknot/jobs/_standstill.py
@@ -69,7 +69,7 @@
     for job_id, state in scheduler.open_jobs_by_id.items():
         tasks = list(tasks_of(state))
         if any(_is_at_work(task) for task in tasks):
-            _note_running(scheduler, state, now_ms)
+            ended(scheduler, state, now_ms)
             continue
         found = _assigned_cause(tasks)
         for service, step in waiting_by_job_id.get(job_id, []):
@@ -77,11 +77,31 @@
                 step, usable_by_service.get(service, []), job_id in withheld, now_ms
             )
         if found is None:
+            ended(scheduler, state, now_ms)
             continue
         state.standing_since_ms = state.standing_since_ms or now_ms
         _note_standing(scheduler, state, *found, now_ms)
 
 
+def ended(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
+    """Records that a task of a job runs, or that none is ready.
+
+    A run may begin and end between two checks, so each accepted start is reported here.
+    """
+    if state.standstill_cause:
+        scheduler.note(
+            Event.JOB_RUNS_AGAIN,
+            {
+                'job_id': state.job.job_id,
+                'queue': state.job.queue,
+                'cause': state.standstill_cause,
+                'stood_ms': now_ms - state.standing_since_ms,
+            },
+        )
+    state.standing_since_ms = 0
+    state.standstill_cause = ''
+
+
 def _is_at_work(task: TaskState) -> bool:
     return (
         task.phase is TaskPhase.RUNNING
@@ -91,9 +111,7 @@
     )
 
 
-def _assigned_cause(
-    tasks: list[TaskState],
-) -> tuple[Cause, TaskState] | None:
+def _assigned_cause(tasks: list[TaskState]) -> tuple[Cause, TaskState] | None:
     """Returns what the first task with a backend server waits for."""
     for task in tasks:
         if task.backend is None:
@@ -157,18 +175,3 @@
             'reached_in_this_term': task.backend.fenced,
         }
     scheduler.note(Event.JOB_STANDS_STILL, fields)
-
-
-def _note_running(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
-    if state.standstill_cause:
-        scheduler.note(
-            Event.JOB_RUNS_AGAIN,
-            {
-                'job_id': state.job.job_id,
-                'queue': state.job.queue,
-                'cause': state.standstill_cause,
-                'stood_ms': now_ms - state.standing_since_ms,
-            },
-        )
-    state.standing_since_ms = 0
-    state.standstill_cause = ''
--- a/dandelionknot/manager/_hosts.py
+++ b/dandelionknot/manager/_hosts.py
@@ -75,7 +75,9 @@
     async def _list_forever(self) -> None:
         reached = True
         while True:
-            if not self.list_wanted() and not await self._is_wished(IDLE_PAUSE_MS):
+            if not self.list_wanted() and not await self._is_requested_within(
+                IDLE_PAUSE_MS
+            ):
                 continue
             sent_ms = now_ms()
             listed = await self.hosts.list_hosts()
@@ -88,9 +90,9 @@
                 reached = True
                 self.report(HostsListed(hosts=listed.ok_value, sent_ms=sent_ms))
             await asyncio.sleep(seconds(MIN_LIST_PAUSE_MS))
-            await self._is_wished(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
+            await self._is_requested_within(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
 
-    async def _is_wished(self, wait_ms: int) -> bool:
+    async def _is_requested_within(self, wait_ms: int) -> bool:
         """Waits until a list is wanted soon; returns False if none is by then."""
         try:
             async with asyncio.timeout(seconds(wait_ms)):
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -418,7 +418,7 @@
         self.start_restart(backend, self.rng.randint(2500, 4000))
 
     def start_restart(self, backend: Backend, down_ms: int) -> None:
-        """Lets a crashed backend server start again after some time."""
+        """Starts a crashed backend server again after some time."""
         restart = asyncio.create_task(self.restart_later(backend, down_ms))
         self.restarts.add(restart)
         restart.add_done_callback(self.restarts.discard)
--- a/tests/test_jobs_standstill.py
+++ b/tests/test_jobs_standstill.py
@@ -59,6 +59,20 @@
         [again] = self.noted(test_bed, Event.JOB_RUNS_AGAIN)
         self.assertEqual((again['job_id'], again['cause']), ('j2', Cause.ROOM))
 
+    def test_job_with_short_runs_is_not_logged(self):
+        """Guards against a job that runs between the checks but seems to stand still.
+
+        A single host runs its tasks in turn, and each ends within a check's interval.
+        """
+        test_bed = JobTestBed(
+            FakeBackend('b1', room=Resources(cpu_millicores=2000, memory_mb=1000))
+        )
+        test_bed.submit(StepSpec(task_count=40, resources=SMALL.resources))
+        for _ in range(80):
+            test_bed.step(TICK_MS)
+            test_bed.finish_after(0)
+        self.assertEqual(self.noted(test_bed, Event.JOB_STANDS_STILL), [])
+
     def test_running_job_is_not_logged(self):
         test_bed = JobTestBed(FakeBackend('b1'))
         test_bed.submit(SMALL)
