Tell two lifetimes in the records of a former leader apart

Cause: the state of a new leader had one place per backend id. The first record read took it, whichever lifetime it named, and an entry was compared only with that one.

Change: the record with the latest start time takes the place. An entry finds the state of its lifetime wherever it is kept, and ends all lifetimes with an earlier start time. The decisions about lifetimes move from _scheduler.py to _lifetimes.py; what they do is the same but for this.

Evidence: `backend restarted` named the lifetime of the first record, then came `orphan stopped` with the run numbers of the other records.

After: the tests pass.

Ruled out: reading the records in another order, since an entry may come late too.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -16,6 +16,7 @@
     _batches,
     _crashes,
     _ends,
+    _lifetimes,
     _losses,
     _planning,
     _ranking,
@@ -43,7 +44,6 @@
     StopTask,
     WaitingJobs,
 )
-from dandelionknot.jobs._leases import max_former_lease_ms
 from dandelionknot.jobs._log_entries import LogEntry
 from dandelionknot.jobs._losses import UnprovenLoss
 from dandelionknot.jobs._maintenance import MaintenanceScheduler, shows_end
@@ -64,7 +64,6 @@
     TaskState,
     Ticket,
     assign,
-    rack_of,
     stop_command,
     unassign,
 )
@@ -195,8 +194,8 @@
             return
         self.open_jobs_by_id[job.job_id] = state
         for task, stored in placed:
-            backend = self._lifetime_of_former_run(
-                stored.backend_id, stored.born_ms, now_ms
+            backend = _lifetimes.restored(
+                self, stored.backend_id, stored.born_ms, now_ms
             )
             backend.host_id = backend.host_id or stored.host_id
             task.phase, task.start_sent, task.unconfirmed = (
@@ -216,28 +215,6 @@
         self.jobs_by_id.pop(job_id, None)
         self.open_jobs_by_id.pop(job_id, None)
 
-    def _lifetime_of_former_run(
-        self, backend_id: str, born_ms: int, now_ms: int
-    ) -> BackendState:
-        """Returns the state of the lifetime on which a former leader placed a task.
-
-        An unknown lifetime is added. Its tasks may run until the longest lease that a
-        former leader can have given has expired.
-        """
-        known = self.backends_by_id.get(backend_id)
-        if known is not None and known.born_ms == born_ms:
-            return known
-        for backend in self.former_backends:
-            if (backend.backend_id, backend.born_ms) == (backend_id, born_ms):
-                return backend
-        lapses_at_ms = now_ms + max_former_lease_ms(self.hold_max_ms)
-        backend = BackendState(backend_id, born_ms, lapses_at_ms)
-        if known is None:
-            self.backends_by_id[backend_id] = backend
-        else:
-            self.former_backends.append(backend)
-        return backend
-
     def cancel_job(self, job_id: str, unix_ms: int) -> None:
         """Cancels a job unless it has ended."""
         state = self.jobs_by_id.get(job_id)
@@ -247,56 +224,14 @@
 
     def set_backend(self, report: BackendReport, now_ms: int) -> None:
         """Adds or updates a backend server from its entry in the registry."""
-        backend = self.backends_by_id.get(report.backend_id)
-        if backend is not None and backend.born_ms and not report.born_ms:
-            # Another writer's entry. It names no lifetime, so it shows no restart.
-            self.note(
-                Event.BACKEND_ENTRY_IGNORED,
-                {
-                    'backend_id': report.backend_id,
-                    'reason': 'the entry does not state the start of the process',
-                },
-            )
-            return
-        if backend is not None and _may_be_outdated(backend, report, now_ms):
-            self.note(
-                Event.BACKEND_ENTRY_IGNORED,
-                {
-                    'backend_id': report.backend_id,
-                    'reason': 'the entry may be of a former lifetime, written late',
-                },
-            )
-            return
-        if backend is not None and backend.born_ms not in (0, report.born_ms):
-            self._backend_restarted(backend, report.born_ms)
-            backend = None
-        if backend is None:
-            lapses_at_ms = now_ms + max_former_lease_ms(self.hold_max_ms)
-            backend = BackendState(report.backend_id, report.born_ms, lapses_at_ms)
-            self.backends_by_id[report.backend_id] = backend
-            self.note(Event.BACKEND_APPEARED, _backend_fields(backend, report))
-        elif backend.report is None or backend.report.draining != report.draining:
-            if report.draining:
-                self.note(Event.BACKEND_DRAINING, _backend_fields(backend, report))
-        backend.leaving = report.draining
-        backend.born_ms = report.born_ms or backend.born_ms
-        backend.host_id = backend.host_id or report.host_id
-        backend.report = report
+        _lifetimes.apply_entry(self, report, now_ms)
 
     def note_replaced_lifetimes(self, reports: Iterable[BackendReport]) -> None:
         """Records which lifetimes with stored runs have ended before this term.
 
         It is called with all entries of the registry, before the first is applied.
         """
-        known = [(self.backends_by_id.get(r.backend_id), r) for r in reports]
-        _crashes.unreached_lost(
-            self,
-            (
-                (backend, rack_of(report))
-                for backend, report in known
-                if backend is not None and 0 < backend.born_ms < report.born_ms
-            ),
-        )
+        _lifetimes.note_replaced(self, reports)
 
     def remove_backend(self, backend_id: str) -> None:
         """Records that the entry of a backend server was removed.
@@ -314,22 +249,6 @@
         if not backend.tasks_by_name:
             del self.backends_by_id[backend_id]
 
-    def _backend_restarted(self, backend: BackendState, born_ms: int) -> None:
-        """Requeues the tasks of a lifetime that a later one has replaced.
-
-        The later lifetime shows that no task runs in the former one any more.
-        """
-        del self.backends_by_id[backend.backend_id]
-        self.note(
-            Event.BACKEND_REBORN,
-            {
-                'backend_id': backend.backend_id,
-                'born_ms': born_ms,
-                'tasks_lost': len(backend.tasks_by_name),
-            },
-        )
-        self.requeue_tasks(backend, 'backend server restarted')
-
     def requeue_tasks(
         self, backend: BackendState, reason: str, certain: bool = True
     ) -> None:
@@ -692,26 +611,3 @@
         """Returns and clears the log entries since the last call."""
         log_entries, self.log_entries = self.log_entries, []
         return log_entries
-
-
-def _may_be_outdated(backend: BackendState, report: BackendReport, now_ms: int) -> bool:
-    """Whether an entry may be of an earlier lifetime than the known one.
-
-    A write of a former lifetime may be carried out late. If the clock of the host was
-    set back, the later lifetime has the earlier start time. Only the backend server
-    itself can tell then, or the end of its lease.
-    """
-    if not 0 < report.born_ms < backend.born_ms:
-        return False
-    return backend.lapses_at_ms is None or now_ms < backend.lapses_at_ms
-
-
-def _backend_fields(backend: BackendState, report: BackendReport) -> dict:
-    return {
-        'backend_id': backend.backend_id,
-        'service': report.service,
-        'availability_zone': report.availability_zone,
-        'born_ms': report.born_ms,
-        'host_id': report.host_id,
-        'tasks': len(backend.tasks_by_name),
-    }
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -167,6 +167,8 @@
         self.crash_after_ms_by_name: dict[str, int] = {}
         # Time, task and lost tasks of each crash by a task.
         self.crashes: list[tuple[int, str, list[str]]] = []
+        # Most records that one write to the store takes.
+        self.records_per_batch = 1000
         self.scheduler = self.new_leader()
 
     def new_leader(self, unregistered: tuple[str, ...] = ()) -> Scheduler:
@@ -253,7 +255,7 @@
             self.hold(backend)
         self.scheduler.plan(self.now_ms, self.now_ms)
         commands = self.scheduler.take_commands()
-        batch = self.scheduler.take_batch(1000, self.now_ms)
+        batch = self.scheduler.take_batch(self.records_per_batch, self.now_ms)
         self.records.update(batch.records_by_job_id)
         commands += self.scheduler.confirm(batch)
         for backend_id, backend in self.backends.items():
--- /dev/null
+++ b/tests/test_jobs_two_lifetimes.py
@@ -0,0 +1,69 @@
+"""Records that name two lifetimes of one backend server, and a new leader.
+
+The leader writes the records of requeued tasks in several batches. If it ends between
+them, some records name the former lifetime and some the later one.
+"""
+
+import unittest
+
+from dandelionknot.jobs._generated import Resources, StepSpec
+from tests.job_test_bed import FakeBackend, JobTestBed
+
+SMALL = Resources(cpu_millicores=1000, memory_mb=100)
+TICK_MS = 50
+# Longest standstill of a job with room, from the platform's rules.
+MAX_STANDSTILL_MS = 3000
+TASKS_PER_JOB = 4
+
+
+class TwoLifetimesTest(unittest.TestCase):
+    def crash_between_two_batches(self, reverse: bool):
+        """Ends a leader after it has stored the first of two jobs as restarted."""
+        self.backend = FakeBackend('b1', born_ms=5000)
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        step = StepSpec(task_count=TASKS_PER_JOB, resources=SMALL, long_running=True)
+        for job_id in ('j1', 'j2'):
+            self.test_bed.submit(step, job_id=job_id)
+            self.run_for(200)
+        self.run_for(1000)
+        self.assertEqual(len(self.backend.runs_by_name), 2 * TASKS_PER_JOB)
+        self.test_bed.lose(self.backend)
+        self.test_bed.records_per_batch = 1
+        while self.backend.down_until_ms:
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(len(self.backend.runs_by_name), TASKS_PER_JOB)
+        self.test_bed.records_per_batch = 1000
+        if reverse:
+            self.test_bed.jobs = dict(reversed(self.test_bed.jobs.items()))
+        self.runs_before = self.runs()
+        self.test_bed.new_leader()
+
+    def runs(self):
+        return {name: run.run for name, run in self.backend.runs_by_name.items()}
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+
+    def test_new_leader_keeps_the_runs_of_the_later_lifetime(self):
+        """Guards against running tasks that are stopped as orphans."""
+        for reverse in (False, True):
+            with self.subTest(reverse=reverse):
+                self.crash_between_two_batches(reverse)
+                self.run_for(MAX_STANDSTILL_MS)
+                runs = self.runs()
+                for name, run in self.runs_before.items():
+                    self.assertEqual(runs.get(name), run)
+
+    def test_new_leader_restarts_the_tasks_of_the_former_lifetime(self):
+        """Guards against tasks that wait for a lease that no lifetime holds."""
+        for reverse in (False, True):
+            with self.subTest(reverse=reverse):
+                self.crash_between_two_batches(reverse)
+                self.run_for(MAX_STANDSTILL_MS)
+                self.assertEqual(len(self.runs()), 2 * TASKS_PER_JOB)
+
+
+if __name__ == '__main__':
+    unittest.main()
