Store the last sign of life of a lost backend server

Seen by callers: after a crash and the death of the leader, tasks that had run for long are suspected and run alone in turn, and others wait meanwhile.

Cause: a new leader has seen no sign of life of the lost lifetime. The latest recorded start stood for it, so all tasks placed together with the last one were suspected, although the records that the former leader had written of the same loss said otherwise.

Change: the record of a crashed run holds the last sign of life of its lifetime. It holds for all tasks that ran there. Records name the time of placement, so a write to the store is allowed for between placement and start. Records without the field are read as before; older code ignores it.

Evidence: `backend lost` of the former leader had 0 recent starts and 3.2 s of life after the last one, that of the new leader 18 and 0 s, for the same lifetime.

Before: test_new_leader_suspects_no_task_that_had_run_for_long failed in both orders of the records (4 of 4 tasks suspected). After: the test passes, as does one for a task that began right before the crash (green before and after).

Ruled out: suspecting nobody after a change of leader, since a task that crashes its host would be started beside others.

Conclusion: the new leader judges the loss as its predecessor did.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _ends, _losses
+from dandelionknot.jobs import _ends, _lifetimes, _losses
 from dandelionknot.jobs._generated import JobPhase
 from dandelionknot.jobs._state import (
     BackendState,
@@ -36,6 +36,9 @@
 # A run began shortly before the loss of its backend server if its start was accepted
 # within this time before the last sign of life.
 RECENT_START_MS = 60
+# Longest time from the placement of a run until its start is sent, which is stored in
+# between. Records of a former leader hold only the time of the placement.
+MAX_STORING_MS = 700
 # Contact is lost suddenly if that is noticed within this time after the last start.
 SUDDEN_LOSS_MS = 250
 # A task is suspected of crashes long after its start once this many backend servers
@@ -100,17 +103,19 @@
 def recent_starts(backend: BackendState) -> list[TaskState]:
     """Returns the tasks that began on a backend server shortly before it was lost.
 
-    A start without an answer counts as recent, but is no sign of life. If this leader
-    has had no contact with the backend server, the latest recorded start stands for the
-    last sign of life.
+    A start without an answer counts as recent, but is no sign of life. If neither this
+    leader nor the records of a former one know a sign of life, the latest recorded
+    start stands for the last one.
     """
     started = started_runs(backend)
     answered_at_ms = [task.started_at_ms for task in started if not _is_open(task)]
     last_sign_ms = max([backend.last_sign_ms, *answered_at_ms])
+    lag_ms = MAX_STORING_MS if backend.last_sign_ms and not backend.fenced else 0
     return [
         task
         for task in started
-        if _is_open(task) or task.started_at_ms >= last_sign_ms - RECENT_START_MS
+        if _is_open(task)
+        or task.started_at_ms >= last_sign_ms - RECENT_START_MS - lag_ms
     ]
 
 
@@ -252,6 +257,8 @@
     task.crashed_host_ids = hosts[-MAX_STORED_CRASHES:]
     lifetimes = [*task.crash_lifetimes, backend.lifetime]
     task.crash_lifetimes = lifetimes[-MAX_STORED_CRASHES:]
+    signs = [*task.crash_signs_unix_ms, _last_sign_unix_ms(scheduler, backend)]
+    task.crash_signs_unix_ms = signs[-MAX_STORED_CRASHES:]
     if task.isolated and not outage:
         task.crashed_alone_runs = [*task.crashed_alone_runs, task.run]
     if not certain:
@@ -276,6 +283,12 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def _last_sign_unix_ms(scheduler: Scheduler, backend: BackendState) -> int:
+    if not backend.last_sign_ms:
+        return 0
+    return scheduler.planned_unix_ms - (scheduler.planned_ms - backend.last_sign_ms)
+
+
 def late_crash_age_ms(task: TaskState) -> int:
     """Returns how long after its start a task may crash its backend servers, or 0.
 
@@ -376,9 +389,18 @@
     )
 
 
-def restored(scheduler: Scheduler, state: JobState, now_ms: int) -> None:
-    """Restores the suspected tasks of a job from its stored record."""
+def restored(scheduler: Scheduler, state: JobState, now_ms: int, unix_ms: int) -> None:
+    """Restores the suspected tasks of a job from its stored record.
+
+    What the record shows of crashed lifetimes holds for all tasks that ran there.
+    """
     for task in tasks_of(state):
+        for lifetime, sign_unix_ms in zip(
+            task.crash_lifetimes, task.crash_signs_unix_ms, strict=False
+        ):
+            if sign_unix_ms:
+                sign_ms = now_ms - max(0, unix_ms - sign_unix_ms)
+                _lifetimes.sign_restored(scheduler, lifetime, sign_ms)
         if task.phase is TaskPhase.DONE:
             continue
         if task.suspected:
@@ -441,6 +463,7 @@
     task.crash_ages_ms = _without(task.crash_ages_ms, index)
     task.crashed_host_ids = _without(task.crashed_host_ids, index)
     task.crash_lifetimes = _without(task.crash_lifetimes, index)
+    task.crash_signs_unix_ms = _without(task.crash_signs_unix_ms, index)
     task.unproven_runs = [number for number in task.unproven_runs if number != run]
     task.crashed_alone_runs = [
         number for number in task.crashed_alone_runs if number != run
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -132,6 +132,13 @@
     crash_born_ms: (
         Annotated[list[int], Meta(description="Start times of their processes.")]
        
+    ) = field(default_factory=list)
+    crash_signs_unix_ms: (
+        Annotated[
+            list[int],
+            Meta(description="Times of their last signs of life; 0 if not known."),
+        ]
+       
     ) = field(default_factory=list)
     unproven_runs: (
         Annotated[
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -67,7 +67,20 @@
     scheduler: Scheduler, backend_id: str, born_ms: int, now_ms: int
 ) -> BackendState:
     lapses_at_ms = now_ms + max_former_lease_ms(scheduler.hold_max_ms)
-    return BackendState(backend_id, born_ms, lapses_at_ms)
+    backend = BackendState(backend_id, born_ms, lapses_at_ms)
+    backend.last_sign_ms = scheduler.restored_signs_ms.get(backend.lifetime, 0)
+    return backend
+
+
+def sign_restored(scheduler: Scheduler, lifetime: Lifetime, sign_ms: int) -> None:
+    """Restores the local time of a sign of life of a lifetime that was lost since."""
+    signs_ms = scheduler.restored_signs_ms
+    signs_ms[lifetime] = max(sign_ms, signs_ms.get(lifetime, 0))
+    known = scheduler.backends_by_id.get(lifetime.backend_id)
+    if known is None or known.lifetime != lifetime:
+        known = _former(scheduler, lifetime)
+    if known is not None:
+        known.last_sign_ms = max(known.last_sign_ms, sign_ms)
 
 
 def note_replaced(scheduler: Scheduler, reports: Iterable[BackendReport]) -> None:
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -152,6 +152,7 @@
         crashed_host_ids=task.crashed_host_ids,
         crash_backend_ids=[crash.backend_id for crash in task.crash_lifetimes],
         crash_born_ms=[crash.born_ms for crash in task.crash_lifetimes],
+        crash_signs_unix_ms=task.crash_signs_unix_ms,
         unproven_runs=task.unproven_runs,
         suspected=task.suspected,
         isolated=task.isolated,
@@ -188,6 +189,7 @@
         task.crash_ages_ms = list(stored.crash_ages_ms)
         task.crashed_host_ids = list(stored.crashed_host_ids)
         task.crash_lifetimes = _crash_lifetimes(stored)
+        task.crash_signs_unix_ms = _crash_signs_unix_ms(stored)
         task.unproven_runs = list(stored.unproven_runs)
         task.suspected = stored.suspected
         if stored.phase == TaskPhase.PLACED:
@@ -202,3 +204,9 @@
     lifetimes = [Lifetime(backend_id, born_ms) for backend_id, born_ms in pairs]
     missing = len(stored.crashed_runs) - len(lifetimes)
     return [Lifetime('', 0)] * missing + lifetimes
+
+
+def _crash_signs_unix_ms(stored: TaskRecord) -> list[int]:
+    """Returns a time for each crash; an earlier version stored none."""
+    missing = len(stored.crashed_runs) - len(stored.crash_signs_unix_ms)
+    return [0] * missing + list(stored.crash_signs_unix_ms)
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -110,6 +110,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Local times of the last signs of life that records of former leaders name.
+    restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
     # Racks of lifetimes that ended before this leader had reached them.
     unreached_losses: dict[Lifetime, str] = field(default_factory=dict)
     # Losses that may have been no crash, by the lifetime that was lost.
@@ -206,7 +208,7 @@
             task.started_at_ms = now_ms - max(0, unix_ms - stored.placed_unix_ms)
             task.pace_known = False
             assign(task, backend)
-        _crashes.restored(self, state, now_ms)
+        _crashes.restored(self, state, now_ms, unix_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
 
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -78,6 +78,8 @@
     # Hosts of these crashes, and lifetimes of the backend servers.
     crashed_host_ids: list[str] = field(default_factory=list)
     crash_lifetimes: list[Lifetime] = field(default_factory=list)
+    # Times (Unix, ms) of the last signs of life of these lifetimes; 0 if not known.
+    crash_signs_unix_ms: list[int] = field(default_factory=list)
     # Crashed runs whose backend server may only be cut off.
     unproven_runs: list[int] = field(default_factory=list)
     # The task may crash its backend servers, so it is only started alone. The run is
