Order the entries of one lifetime by their number

Seen by callers: tasks are started on a backend server that has announced to leave, and end with it.

Cause: `seq` was not decoded, so a late write of an earlier `ready` entry replaced the `draining` one.

Change: an entry of the known lifetime with a lower number than one already applied changes nothing, also after the entry was removed.

Evidence: entry 4 (draining) and then entry 3 (ready) passed to the scheduler made the server usable, and tasks started on it.

Before: without the rule, both cases of test_a_late_entry_of_the_same_lifetime_ends_no_drain failed. After: they pass, and so do the tests of odd entries.

Ruled out: ordering by the store's revision, which is what happened.

Conclusion: closed for the leader that has read the later entry; a new leader reads only the stored one.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -237,6 +237,15 @@
     draining: bool
     room: Resources
     born_ms: int = 0
+    entry_number: (
+        Annotated[
+            int,
+            Meta(
+                description="Number of the entry in the registry; it rises within one lifetime. 0 if the entry has none."
+            ),
+        ]
+       
+    ) = 0
     host_id: (
         Annotated[str, Meta(description="Its host in the platform's list of hosts.")]
        
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -124,6 +124,7 @@
     backend.leaving = report.draining
     backend.born_ms = report.born_ms or backend.born_ms
     backend.host_id = backend.host_id or report.host_id
+    backend.entry_number = max(backend.entry_number, report.entry_number)
     backend.report = report
     _end_earlier(scheduler, backend)
 
@@ -135,6 +136,10 @@
         return 'the entry does not state the start of the process'
     if _may_be_outdated(backend, report, now_ms):
         return 'the entry may be of a former lifetime, written late'
+    if report.born_ms == backend.born_ms and (
+        0 < report.entry_number < backend.entry_number
+    ):
+        return 'a later entry of the same lifetime is known'
     return ''
 
 
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -201,6 +201,8 @@
     # while the backend server answers.
     lapses_at_ms: int | None
     report: BackendReport | None = None
+    # Highest number of its entries that was applied; 0 if they have none.
+    entry_number: int = 0
     tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     cpu_millicores: int = 0
     memory_mb: int = 0
--- a/dandelionknot/platform/_decode.py
+++ b/dandelionknot/platform/_decode.py
@@ -219,6 +219,7 @@
         BackendReport(
             backend_id=backend_id,
             born_ms=wire.born,
+            entry_number=wire.seq,
             host_id=wire.machine,
             service=wire.service,
             address=wire.addr,
@@ -241,7 +242,7 @@
         return problem
     room = wire.room
     numbers = (
-        *(wire.born, wire.cold_left_ms, wire.remaining_ms),
+        *(wire.born, wire.seq, wire.cold_left_ms, wire.remaining_ms),
         *(room.cpu, room.mem_mb, room.gpu),
     )
     if min(numbers) < 0 or max(numbers) > MAX_NUMBER:
--- a/dandelionknot/platform/_generated.py
+++ b/dandelionknot/platform/_generated.py
@@ -96,6 +96,7 @@
     labels: list[str] = field(default_factory=list)
     remaining_ms: float = 0
     born: int = 0
+    seq: int = 0
     machine: str = ""
 
 
--- a/tests/test_jobs_lifetimes.py
+++ b/tests/test_jobs_lifetimes.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from dandelionknot.jobs._generated import OrderOutcome, Resources, StepSpec
 from tests.job_test_bed import LEASE_MS, RESTART_MS, FakeBackend, JobTestBed
 
@@ -59,6 +61,35 @@
                 self.run_for(500)
                 self.assert_each_ran_once()
 
+    def test_a_late_entry_of_the_same_lifetime_ends_no_drain(self):
+        """Guards against starts on a backend server that has announced to leave."""
+        for removed in (False, True):
+            with self.subTest(removed=removed):
+                self.setUp()
+                ready = replace(self.backend.report(), entry_number=3)
+                self.set_entry(replace(ready, entry_number=4, draining=True))
+                if removed:
+                    self.test_bed.scheduler.remove_backend('b1')
+                self.set_entry(ready)
+                state = self.test_bed.scheduler.backends_by_id['b1']
+                self.assertTrue(state.leaving)
+                self.test_bed.submit(
+                    StepSpec(task_count=40, resources=SMALL), job_id='j2'
+                )
+                self.run_for(500)
+                self.assertEqual(len(self.backend.started), 3)
+                self.set_entry(replace(ready, entry_number=5))
+                self.run_for(500)
+                self.assertGreater(len(self.backend.started), 3)
+
+    def test_entry_numbers_of_another_lifetime_do_not_count(self):
+        """Guards against a restarted host that is ignored until it counts higher."""
+        self.set_entry(replace(self.backend.report(), entry_number=40))
+        self.backend.restart()
+        self.set_entry(replace(self.backend.report(), entry_number=1))
+        self.run_for(300)
+        self.assertEqual(len(self.test_bed.running()), 3)
+
     def test_a_later_lifetime_is_used_at_once(self):
         """Guards against tasks that wait although their host has started again."""
         self.backend.restart()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -58,6 +58,8 @@
     'huge start time': entry(born=10**30),
     'start time of 5000 digits': entry_with(b'"born":' + b'9' * 5000),
     'negative start time': entry(born=-1),
+    'entry number of another type': entry(seq='7'),
+    'huge entry number': entry(seq=HUGE),
     'huge room': entry(room={'cpu': HUGE, 'mem_mb': 1000}),
     'huge memory': entry(room={'cpu': 1000, 'mem_mb': HUGE}),
     'huge accelerators': entry(room={'cpu': 1000, 'mem_mb': 1000, 'gpu': HUGE}),
@@ -100,6 +102,12 @@
         """Guards against checks that no entry passes."""
         self.assertFalse(isinstance(decode_fact(Item('servers/i-1', entry(), 3)), Err))
 
+    def test_the_number_of_an_entry_is_decoded(self):
+        """Guards against entries of one lifetime that are ordered by arrival."""
+        for fields, number in (({}, 0), ({'seq': 7}, 7)):
+            fact = decode_fact(Item('servers/i-1', entry(**fields), 3)).ok_value
+            self.assertEqual(fact.report.entry_number, number)
+
     def test_odd_entries_name_no_backend_server(self):
         """Guards against values that fail later, where they affect other entries."""
         for what, value in ODD_VALUES.items():
