Ask a backend server which of two lifetimes it is

Seen by callers: after the clock of a host was set back, a late entry of the former lifetime starts all tasks of the later one a second time (TWICE), with the same leader and with a new one. A new leader whose records name the former lifetime lets its tasks wait for 8.8 s, and one that finds a late entry in the store renews no lease until the next entry.

Cause: start times were a proof even where the server itself could have told. An entry of another lifetime was compared with the known start time only, and a new leader opened no link to a lifetime without an entry.

Change: such an entry is kept while the known lifetime is in contact or was never asked in this term, and the server is called at once. Its answer decides. Start times decide if no answer comes. A link reports the answer of another lifetime with its start time. The test bed passes no reports any more to lifetimes to which a leader has no link; the tests get stricter by it.

Evidence: in the test bed the leader had answers of the later lifetime right before and after the late entry, and requeued its tasks for `backend server restarted`.

Ruled out: ignoring each entry with another start time, since a server that restarts without its leader noticing would be called too late; ordering by the store's revision, which is the order of arrival.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -1,9 +1,12 @@
 """Decides which lifetime of a backend server is its latest one.
 
 A backend server may start again under its id. Facts about its lifetimes, such as the
-records of a former leader and entries of the registry, arrive in any order, so the
-start times of the lifetimes decide and not the order of arrival. A lifetime with a
-later start time shows that no task of an earlier one runs any more.
+records of a former leader and entries of the registry, arrive in any order, and the
+clock of its host may be set back between two lifetimes. So neither the order of arrival
+nor the start times show for certain which lifetime is the latest one. The answer of the
+backend server does: an answer to a call that was made after another lifetime was known
+to have begun shows that this other one has ended. Start times decide only if the
+backend server does not answer.
 """
 
 from __future__ import annotations
@@ -105,17 +108,25 @@
 def apply_entry(scheduler: Scheduler, report: BackendReport, now_ms: int) -> None:
     """Adds or updates the lifetime that an entry of the registry is of."""
     backend = scheduler.backends_by_id.get(report.backend_id)
-    if backend is not None:
-        reason = _reason_to_ignore(backend, report, now_ms)
-        if reason:
-            scheduler.note(
-                Event.BACKEND_ENTRY_IGNORED,
-                {'backend_id': report.backend_id, 'reason': reason},
-            )
-            return
-        if backend.born_ms not in (0, report.born_ms):
+    reason = _reason_to_ignore(scheduler, backend, report)
+    if not reason and backend and backend.born_ms not in (0, report.born_ms):
+        if _is_contested(scheduler, backend, report, now_ms):
+            _ask(backend, report, now_ms)
+            reason = 'the backend server has to show first that it has started again'
+        else:
             _replace(scheduler, backend, report.born_ms)
             backend = None
+    if reason:
+        scheduler.note(
+            Event.BACKEND_ENTRY_IGNORED,
+            {
+                'backend_id': report.backend_id,
+                'born_ms': report.born_ms,
+                'entry_number': report.entry_number,
+                'reason': reason,
+            },
+        )
+        return
     if backend is None:
         backend = _registered(scheduler, report, now_ms)
     elif backend.report is None or backend.report.draining != report.draining:
@@ -124,35 +135,149 @@
     backend.leaving = report.draining
     backend.born_ms = report.born_ms or backend.born_ms
     backend.host_id = backend.host_id or report.host_id
+    backend.address, backend.address_lent = report.address, False
     backend.entry_number = max(backend.entry_number, report.entry_number)
     backend.report = report
-    _end_earlier(scheduler, backend)
 
 
-def _reason_to_ignore(backend: BackendState, report: BackendReport, now_ms: int) -> str:
+def _reason_to_ignore(
+    scheduler: Scheduler, backend: BackendState | None, report: BackendReport
+) -> str:
     """Returns why an entry must not be applied, or an empty text."""
-    if backend.born_ms and not report.born_ms:
+    if backend is not None and backend.born_ms and not report.born_ms:
         # Another writer's entry. It names no lifetime, so it shows no restart.
         return 'the entry does not state the start of the process'
-    if _may_be_outdated(backend, report, now_ms):
-        return 'the entry may be of a former lifetime, written late'
-    if report.born_ms == backend.born_ms and (
-        0 < report.entry_number < backend.entry_number
+    if Lifetime(report.backend_id, report.born_ms) in scheduler.ended_lifetimes:
+        return 'another lifetime has answered since'
+    if (
+        backend is not None
+        and report.born_ms == backend.born_ms
+        and 0 < report.entry_number < backend.entry_number
     ):
         return 'a later entry of the same lifetime is known'
     return ''
 
 
-def _may_be_outdated(backend: BackendState, report: BackendReport, now_ms: int) -> bool:
-    """Whether an entry may be of an earlier lifetime than the known one.
+def _is_contested(
+    scheduler: Scheduler, backend: BackendState, report: BackendReport, now_ms: int
+) -> bool:
+    """Whether an entry of another lifetime leaves open which one is the later.
 
-    A write of a former lifetime may be carried out late. If the clock of the host was
-    set back, the later lifetime has the earlier start time. Only the backend server
-    itself can tell then, or the end of its lease.
+    The write of an entry may be carried out after a later lifetime has begun. Its start
+    time counts only against a lifetime that this leader has reached and lost, or that
+    runs nothing.
     """
-    if not 0 < report.born_ms < backend.born_ms:
+    if backend.lifetime in scheduler.ended_lifetimes:
+        return False
+    if backend.reachable:
+        return True
+    if backend.lapses_at_ms is not None and now_ms >= backend.lapses_at_ms:
         return False
-    return backend.lapses_at_ms is None or now_ms < backend.lapses_at_ms
+    if report.born_ms < backend.born_ms:
+        return True
+    return bool(backend.tasks_by_name) and not backend.fenced
+
+
+def _ask(backend: BackendState, report: BackendReport, now_ms: int) -> None:
+    """Keeps an entry of another lifetime until the backend server has answered.
+
+    A lifetime that only records of a former leader name has no address. It is asked at
+    that of the entry, where another backend server may listen by now.
+    """
+    if backend.contested_by is None or backend.contested_by.born_ms != report.born_ms:
+        backend.contested_since_ms = now_ms
+    backend.contested_by = report
+    if not backend.address:
+        backend.address, backend.address_lent = report.address, True
+
+
+def answered(
+    scheduler: Scheduler, backend: BackendState, sent_ms: int, now_ms: int
+) -> None:
+    """Ends all other lifetimes of a backend server that has answered as this one.
+
+    `sent_ms` is the local time of the call. Only lifetimes that were known by then have
+    begun before the answer.
+    """
+    backend.address_lent = False
+    for former in scheduler.former_backends:
+        if former.backend_id == backend.backend_id:
+            scheduler.ended_lifetimes.add(former.lifetime)
+            scheduler.requeue_tasks(former, RESTARTED)
+    contested = backend.contested_by
+    if contested is not None and sent_ms > backend.contested_since_ms:
+        backend.contested_by = None
+        _set_ended(scheduler, contested)
+
+
+def other_answered(
+    scheduler: Scheduler, backend: BackendState, answered_born_ms: int, now_ms: int
+) -> None:
+    """Makes the lifetime current that has answered in place of the known one.
+
+    `answered_born_ms` is 0 if another backend server has answered at its address.
+    """
+    contested, backend.contested_by = backend.contested_by, None
+    if answered_born_ms:
+        scheduler.ended_lifetimes.add(backend.lifetime)
+    if contested is not None and answered_born_ms in (0, contested.born_ms):
+        _replace(scheduler, backend, contested.born_ms)
+        apply_entry(scheduler, contested, now_ms)
+        return
+    if contested is not None:
+        _set_ended(scheduler, contested)
+    former = _former(scheduler, Lifetime(backend.backend_id, answered_born_ms))
+    if former is not None:
+        scheduler.former_backends.remove(former)
+        scheduler.backends_by_id[backend.backend_id] = former
+        former.address = backend.address
+
+
+def not_answered(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
+    """Lets the start times decide, since the backend server does not answer."""
+    for former in scheduler.former_backends:
+        if (
+            former.backend_id == backend.backend_id
+            and 0 < former.born_ms < backend.born_ms
+        ):
+            scheduler.requeue_tasks(former, RESTARTED)
+    contested = backend.contested_by
+    if contested is not None and contested.born_ms > backend.born_ms:
+        _replace(scheduler, backend, contested.born_ms)
+        apply_entry(scheduler, contested, now_ms)
+
+
+def address_reused(scheduler: Scheduler, backend: BackendState) -> None:
+    """Drops an entry at whose address another backend server has answered.
+
+    The known lifetime was asked there only because it has no address of its own.
+    """
+    backend.address, backend.address_lent = '', False
+    contested, backend.contested_by = backend.contested_by, None
+    if contested is not None:
+        _set_ended(scheduler, contested)
+
+
+def plan(scheduler: Scheduler, now_ms: int) -> None:
+    """Applies entries that were kept until the lease of the known lifetime expired."""
+    for backend in list(scheduler.backends_by_id.values()):
+        report = backend.contested_by
+        if report and not _is_contested(scheduler, backend, report, now_ms):
+            apply_entry(scheduler, report, now_ms)
+
+
+def _set_ended(scheduler: Scheduler, report: BackendReport) -> None:
+    """Records that the lifetime of an entry has ended, so that it is ignored."""
+    scheduler.ended_lifetimes.add(Lifetime(report.backend_id, report.born_ms))
+    scheduler.note(
+        Event.BACKEND_ENTRY_IGNORED,
+        {
+            'backend_id': report.backend_id,
+            'born_ms': report.born_ms,
+            'entry_number': report.entry_number,
+            'reason': 'another lifetime has answered since',
+        },
+    )
 
 
 def _replace(scheduler: Scheduler, backend: BackendState, born_ms: int) -> None:
@@ -189,16 +314,6 @@
     return backend
 
 
-def _end_earlier(scheduler: Scheduler, backend: BackendState) -> None:
-    """Requeues the tasks of all earlier lifetimes of a registered backend server."""
-    for former in scheduler.former_backends:
-        if (
-            former.backend_id == backend.backend_id
-            and 0 < former.born_ms < backend.born_ms
-        ):
-            scheduler.requeue_tasks(former, RESTARTED)
-
-
 def _fields(backend: BackendState, report: BackendReport) -> dict:
     return {
         'backend_id': backend.backend_id,
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -9,6 +9,7 @@
     _crashes,
     _drains,
     _isolation,
+    _lifetimes,
     _pacing,
     _placement,
     _progress,
@@ -46,6 +47,7 @@
     maintenance, places waiting tasks, and orders moves of hosts between pools.
     """
     _free_expired(scheduler, now_ms)
+    _lifetimes.plan(scheduler, now_ms)
     _crashes.plan(scheduler, now_ms, unix_ms)
     _drains.plan(scheduler, now_ms)
     _progress.plan(scheduler, now_ms)
@@ -124,6 +126,7 @@
         report is not None
         and backend.fenced
         and backend.reachable
+        and backend.contested_by is None
         and not report.draining
         and not backend.cordoned
         and not backend.moving
@@ -149,7 +152,8 @@
         backend for backend in scheduler.former_backends if backend.tasks_by_name
     ]
     for backend_id, backend in list(scheduler.backends_by_id.items()):
-        if backend.report is None and not backend.tasks_by_name:
+        known = backend.report or backend.contested_by
+        if known is None and not backend.tasks_by_name:
             del scheduler.backends_by_id[backend_id]
 
 
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _ends, _losses
+from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses
 from dandelionknot.jobs._generated import (
     EndReason,
     HoldReport,
@@ -49,13 +49,20 @@
     The report lists the tasks that run and those that have ended.
     """
     if report.born_ms and backend.born_ms and report.born_ms != backend.born_ms:
-        scheduler.contact_lost(backend, OrderOutcome.OTHER_LIFETIME, now_ms)
+        scheduler.contact_lost(
+            backend,
+            OrderOutcome.OTHER_LIFETIME,
+            now_ms,
+            now_ms,
+            answered_born_ms=report.born_ms,
+        )
         return
     backend.fenced = True
     backend.lapses_at_ms = None
     backend.last_contact_ms = backend.last_sign_ms = now_ms
     backend.recent_runs_by_name = None
     _losses.lifetime_answered(scheduler, backend)
+    _lifetimes.answered(scheduler, backend, sent_ms, now_ms)
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -112,6 +112,8 @@
     losses: deque[Loss] = field(default_factory=deque)
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
+    # Lifetimes that have certainly ended, since a later one has answered.
+    ended_lifetimes: set[Lifetime] = field(default_factory=set)
     # Racks of lifetimes that ended before this leader had reached them.
     unreached_losses: dict[Lifetime, str] = field(default_factory=dict)
     # Losses that may have been no crash, by the lifetime that was lost.
@@ -243,7 +245,7 @@
         backend = self.backends_by_id.get(backend_id)
         if backend is None:
             return
-        backend.report = None
+        backend.report = backend.contested_by = None
         self.note(
             Event.BACKEND_GONE,
             {'backend_id': backend_id, 'tasks': len(backend.tasks_by_name)},
@@ -316,23 +318,30 @@
         outcome: OrderOutcome,
         lapses_at_ms: int,
         now_ms: int | None = None,
+        answered_born_ms: int = 0,
     ) -> None:
         """Records that a backend server gave no usable answer.
 
         Its tasks have ended by the local time `lapses_at_ms` unless contact is
         regained. `now_ms` is the time of the last planning round if it is left out.
+        `answered_born_ms` names the lifetime that has answered instead, if one has.
         """
+        lost_at_ms = self.planned_ms if now_ms is None else now_ms
         backend.lapses_at_ms = lapses_at_ms
-        if backend.reachable:
-            lost_at_ms = self.planned_ms if now_ms is None else now_ms
+        was_reachable, backend.reachable = backend.reachable, False
+        if was_reachable:
             _crashes.contact_lost(self, backend, lost_at_ms)
         if outcome is OrderOutcome.FENCED:
             self.lost_leadership = True
-        elif outcome is OrderOutcome.OTHER_LIFETIME:
-            if self.backends_by_id.get(backend.backend_id) is backend:
-                backend.report = None
+        elif outcome is not OrderOutcome.OTHER_LIFETIME:
+            _lifetimes.not_answered(self, backend, lost_at_ms)
+        elif backend.address_lent and not answered_born_ms:
+            _lifetimes.address_reused(self, backend)
+        else:
+            backend.report = None
             self.requeue_tasks(backend, 'another lifetime answered')
-        if backend.reachable:
+            _lifetimes.other_answered(self, backend, answered_born_ms, lost_at_ms)
+        if was_reachable:
             self.note(
                 Event.HOST_UNREACHABLE,
                 {
@@ -342,7 +351,6 @@
                     'recent_starts': len(_crashes.recent_runs(backend)),
                 },
             )
-        backend.reachable = False
 
     def start_finished(
         self,
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -201,6 +201,14 @@
     # while the backend server answers.
     lapses_at_ms: int | None
     report: BackendReport | None = None
+    # Address at which it is called; empty if no entry named one. It is lent if it is
+    # that of an entry of another lifetime.
+    address: str = ''
+    address_lent: bool = False
+    # Latest entry of another lifetime, and the local time of the first one, while it is
+    # open which of the two lifetimes is the later.
+    contested_by: BackendReport | None = None
+    contested_since_ms: int = 0
     # Highest number of its entries that was applied; 0 if they have none.
     entry_number: int = 0
     tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -101,6 +101,8 @@
     # of the backend server's process.
     links: dict[tuple[str, int], BackendLink] = field(default_factory=dict)
     tasks: dict[tuple[str, int], asyncio.Task] = field(default_factory=dict)
+    # Address that each link calls, by the same key.
+    addresses: dict[tuple[str, int], str] = field(default_factory=dict)
     # Last value of `TasksExpected` that was sent to each link, by the same key.
     expected: dict[tuple[str, int], TasksExpected] = field(default_factory=dict)
     # All asyncio tasks of the term except those that run links.
@@ -373,19 +375,20 @@
         """
         wanted = {}
         for backend in self.scheduler.backends_by_id.values():
-            if backend.report is not None or backend.tasks_by_name:
+            if backend.report or backend.contested_by or backend.tasks_by_name:
                 wanted[backend.backend_id, backend.born_ms] = backend
-        for key in [key for key in self.links if key not in wanted]:
-            del self.links[key]
-            self.expected.pop(key, None)
-            self.tasks.pop(key).cancel()
+        for key in list(self.links):
+            known = wanted.get(key)
+            # A lifetime may have been called at the address of another one's entry.
+            if known is None or known.address not in ('', self.addresses[key]):
+                self._close_link(key)
         for key, backend in wanted.items():
-            if key not in self.links and backend.report is not None:
-                self._open_link(key, backend.report.address)
+            if key not in self.links and backend.address:
+                self._open_link(key, backend.address)
             link = self.links.get(key)
             expected = TasksExpected(
                 expected=bool(backend.tasks_by_name),
-                report_soon=bool(backend.isolated_tasks),
+                report_soon=bool(backend.isolated_tasks or backend.contested_by),
             )
             if link is not None and self.expected.get(key, NOT_EXPECTED) != expected:
                 self.expected[key] = expected
@@ -402,8 +405,14 @@
             may_hold=self.term.may_hold,
         )
         self.links[key] = link
+        self.addresses[key] = address
         self.tasks[key] = asyncio.create_task(link.run())
 
+    def _close_link(self, key: tuple[str, int]) -> None:
+        del self.links[key], self.addresses[key]
+        self.expected.pop(key, None)
+        self.tasks.pop(key).cancel()
+
     def _send_commands(self, commands: list[Command]) -> None:
         for command in commands:
             if isinstance(command, AskAdvice):
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -361,7 +361,11 @@
             return False
         unacknowledged = self.acknowledged_end < self.stored_end
         return not (
-            self.busy or self.expected or self.starts_in_progress or unacknowledged
+            self.busy
+            or self.expected
+            or self.report_soon
+            or self.starts_in_progress
+            or unacknowledged
         )
 
     async def _hold_once(self) -> None:
@@ -394,7 +398,9 @@
         received_ms = now_ms()
         report = result.ok_value
         if report.born_ms and self.born_ms and report.born_ms != self.born_ms:
-            self._report_contact_lost(OrderOutcome.OTHER_LIFETIME, received_ms)
+            # The scheduler learns from the report which lifetime has answered instead.
+            self.is_contact_lost = True
+            self._report_hold(report, sent_ms, received_ms)
             await asyncio.sleep(seconds(PROBE_PAUSE_MS))
             return
         self.clock.read(report.clock_ms, received_ms)
@@ -403,6 +409,13 @@
         new_ends = [end for end in report.ended if end.number > self.seen_end]
         self.seen_end = max([self.seen_end, *(end.number for end in new_ends)])
         self.busy = bool(report.running) or probing
+        self._report_hold(report, sent_ms, received_ms)
+        if new_ends or self.seen_end > self.stored_end:
+            self.wake.clear()
+            await self._wait(STORED_WAIT_MS)
+        await asyncio.sleep(seconds(HOLD_PAUSE_MS))
+
+    def _report_hold(self, report: HoldReport, sent_ms: int, received_ms: int) -> None:
         self.report(
             HoldAnswered(
                 backend_id=self.backend_id,
@@ -412,10 +425,6 @@
                 report=report,
             )
         )
-        if new_ends or self.seen_end > self.stored_end:
-            self.wake.clear()
-            await self._wait(STORED_WAIT_MS)
-        await asyncio.sleep(seconds(HOLD_PAUSE_MS))
 
     async def _check_contact(
         self, result: Err[OrderOutcome], acknowledged: int
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -27,6 +27,7 @@
     StopTask,
 )
 from dandelionknot.jobs._scheduler import Scheduler
+from dandelionknot.jobs._state import BackendState, Lifetime
 
 HOLD_MAX_MS = 6000
 # Time after a crash until a backend server is back, and until its lease has expired.
@@ -167,6 +168,10 @@
         self.crash_after_ms_by_name: dict[str, int] = {}
         # Time, task and lost tasks of each crash by a task.
         self.crashes: list[tuple[int, str, list[str]]] = []
+        # Entries of the registry that differ from what the backend server reports now.
+        self.entries_by_id: dict[str, BackendReport] = {}
+        # Lifetimes to which the leader has a link.
+        self.linked: set[Lifetime] = set()
         # Most records that one write to the store takes.
         self.records_per_batch = 1000
         self.scheduler = self.new_leader()
@@ -178,13 +183,14 @@
         """
         scheduler = Scheduler(hold_max_ms=HOLD_MAX_MS)
         self.scheduler = scheduler
+        self.linked.clear()
         self.configure()
         for job in self.jobs.values():
             scheduler.add_job(
                 job, self.records.get(job.job_id), self.now_ms, self.now_ms
             )
         reports = [
-            backend.report()
+            self.entries_by_id.get(backend.backend_id, backend.report())
             for backend in self.backends.values()
             if backend.backend_id not in unregistered
         ]
@@ -235,12 +241,18 @@
         """Passes a backend server's report to the scheduler if the server answers."""
         state = self.scheduler.backends_by_id.get(backend.backend_id)
         silent = backend.unresponsive or backend.cut_off or backend.down_until_ms
-        if state is None or silent:
+        if state is None or silent or not self._is_linked(state):
             return
         self.scheduler.hold_answered(
             state, backend.hold_report(), self.now_ms, self.now_ms, self.now_ms
         )
 
+    def _is_linked(self, state: BackendState) -> bool:
+        """Whether the leader has a link, which it opens once it knows an address."""
+        if state.address:
+            self.linked.add(state.lifetime)
+        return state.lifetime in self.linked
+
     def step(self, advance_ms: int = 10) -> list:
         """Advances time, then does one round of the scheduler and its backend servers.
 
--- a/tests/test_jobs_lifetimes.py
+++ b/tests/test_jobs_lifetimes.py
@@ -9,6 +9,8 @@
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
 TICK_MS = 50
+# Longest standstill of a job with room, from the platform's rules.
+MAX_STANDSTILL_MS = 3000
 
 
 class LifetimeTest(unittest.TestCase):
@@ -137,5 +139,90 @@
         self.assertEqual(self.test_bed.scheduler.backends_by_id['b1'].born_ms, 100)
 
 
+class ClockSetBackTest(unittest.TestCase):
+    """The clock of the host was set back, so the later lifetime began earlier."""
+
+    def setUp(self):
+        self.backend = FakeBackend('b1', born_ms=5000)
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        self.test_bed.submit(StepSpec(task_count=3, resources=SMALL, long_running=True))
+        self.run_for(1000)
+        self.former_entry = self.backend.report()
+        self.backend.restart()
+        self.backend.born_ms = 100
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+
+    def set_entry(self, report):
+        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
+
+    def run_in_the_later_lifetime(self):
+        for _ in range(2):
+            self.set_entry(self.backend.report())
+            self.run_for(250)
+        self.assertEqual(len(self.backend.runs_by_name), 3)
+        self.test_bed.backends['b2'] = FakeBackend('b2')
+        self.set_entry(self.test_bed.backends['b2'].report())
+        self.run_for(100)
+
+    def assert_nothing_starts_again(self):
+        started = list(self.backend.started)
+        self.run_for(MAX_STANDSTILL_MS)
+        self.assertEqual(self.backend.started, started)
+        self.assertEqual(self.test_bed.backends['b2'].started, [])
+        self.assertEqual(len(self.backend.runs_by_name), 3)
+
+    def test_a_late_entry_of_the_former_lifetime(self):
+        """Guards against a second run of each task, as its start time is later."""
+        self.run_in_the_later_lifetime()
+        self.set_entry(self.former_entry)
+        self.assert_nothing_starts_again()
+
+    def test_a_late_entry_of_the_former_lifetime_before_a_new_leader(self):
+        """Guards against a new leader that trusts the entry more than the answer."""
+        self.run_in_the_later_lifetime()
+        self.test_bed.entries_by_id['b1'] = self.former_entry
+        self.test_bed.new_leader()
+        self.assert_nothing_starts_again()
+
+    def test_a_new_leader_learns_of_the_restart_from_the_backend_server(self):
+        """Guards against tasks that wait for a lease that no lifetime holds."""
+        self.test_bed.new_leader()
+        self.run_for(MAX_STANDSTILL_MS)
+        self.set_entry(self.backend.report())
+        self.run_for(100)
+        self.assertEqual(len(self.backend.runs_by_name), 3)
+
+    def test_a_removed_entry_asks_for_nothing(self):
+        """Guards against calls to an address whose entry is gone."""
+        self.run_in_the_later_lifetime()
+        self.backend.unresponsive = True
+        self.set_entry(self.former_entry)
+        self.test_bed.scheduler.remove_backend('b1')
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        self.assertIsNone(state.contested_by)
+
+
+class LateEntryBeforeNewLeaderTest(unittest.TestCase):
+    def test_a_new_leader_reaches_the_lifetime_that_the_records_name(self):
+        """Guards against leases that nobody renews until the next entry."""
+        backend = FakeBackend('b1', born_ms=5000)
+        test_bed = JobTestBed(backend)
+        test_bed.step()
+        test_bed.submit(StepSpec(task_count=3, resources=SMALL, long_running=True))
+        for _ in range(10):
+            test_bed.step(TICK_MS)
+        test_bed.entries_by_id['b1'] = replace(backend.report(), born_ms=4000)
+        test_bed.new_leader()
+        for _ in range(10):
+            test_bed.step(TICK_MS)
+        state = test_bed.scheduler.backends_by_id['b1']
+        self.assertEqual((state.born_ms, state.fenced), (5000, True))
+        self.assertEqual(len(backend.started), 3)
+
+
 if __name__ == '__main__':
     unittest.main()
