Acknowledge no end twice, since a later lifetime may get the call

Seen by callers: nothing yet; by the code a done task runs again.

Cause: each hold call repeated the number of the last stored end. It names the id of the backend server and not its lifetime, and a later lifetime, which numbers its ends from 1, forgets its own up to that number.

Change: a call acknowledges only ends that no answered call has acknowledged; a probe acknowledges none.

Evidence: test_no_end_of_a_later_lifetime_is_acknowledged lost the end of the later lifetime before the change.

Before: that test failed. After: it passes, and so do the tests of links and managers.

Ruled out: naming the lifetime in the call, for which the protocol has no field.

--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -334,6 +334,15 @@
             outcome=outcome.value,
         )
 
+    def _end_to_acknowledge(self) -> int:
+        """Returns the number of the last end to acknowledge; 0 if none is new.
+
+        The call may reach a later lifetime, which numbers its ends from 1 and would
+        forget those up to this number. So nothing is acknowledged again.
+        """
+        is_new = self.stored_end > self.acknowledged_end
+        return self.stored_end if is_new else 0
+
     def _wait_ms(self) -> int:
         if self.report_soon:
             return SOON_WAIT_MS
@@ -379,7 +388,7 @@
         # once their lease expires, so a probe must not extend it.
         deadline = 0 if probing else self.clock.extend(sent_ms, self._lease_ms())
         wait_ms = 0 if probing else self._wait_ms()
-        acknowledged = self.stored_end
+        acknowledged = 0 if probing else self._end_to_acknowledge()
         result = await self.client.hold(
             deadline, acknowledged, wait_ms, ORDER_TIMEOUT_MS
         )
@@ -387,7 +396,7 @@
         if isinstance(result, Err) and not probing:
             self.contact_checked.clear()
             try:
-                result = await self._check_contact(result, acknowledged)
+                result = await self._check_contact(result)
             finally:
                 self.is_contact_lost = isinstance(result, Err) and _is_silent(result)
                 self.contact_checked.set()
@@ -427,7 +436,7 @@
         )
 
     async def _check_contact(
-        self, result: Err[OrderOutcome], acknowledged: int
+        self, result: Err[OrderOutcome]
     ) -> Result[HoldReport, OrderOutcome]:
         """Repeats a hold call that was not answered, on other connections.
 
@@ -438,7 +447,7 @@
         for timeout_ms in CHECK_TIMEOUTS_MS:
             if result.err_value is not OrderOutcome.NO_ANSWER:
                 break
-            checked = await self.client.hold(0, acknowledged, 0, timeout_ms)
+            checked = await self.client.hold(0, 0, 0, timeout_ms)
             if isinstance(checked, Ok):
                 return checked
             result = checked
--- /dev/null
+++ b/tests/test_link_lifetimes.py
@@ -0,0 +1,89 @@
+"""A link whose backend server starts again under the same id and address."""
+
+import asyncio
+import unittest
+
+from result import Ok
+
+from dandelionknot.jobs._generated import (
+    EndedTask,
+    EndReason,
+    EndsStored,
+    HoldAnswered,
+    HoldReport,
+    TasksExpected,
+)
+from dandelionknot.manager._link import BackendLink
+from emulator import virtual_time
+from tests.test_manager_link import FakeBackendClient
+
+
+class RestartingClient(FakeBackendClient):
+    """Answers as one lifetime, which forgets acknowledged ends, and then as another."""
+
+    def __init__(self):
+        super().__init__()
+        self.born_ms = 1
+        self.ends = [ended(number) for number in range(1, 6)]
+
+    async def hold(self, deadline_ms, acknowledged_end, wait_ms, timeout_ms):
+        self.ends = [end for end in self.ends if end.number > acknowledged_end]
+        await asyncio.sleep(max(wait_ms, 1) / 1000)
+        report = HoldReport(
+            clock_ms=1000, born_ms=self.born_ms, running=[], ended=list(self.ends)
+        )
+        return Ok(report)
+
+    def restart(self):
+        """Begins a lifetime in which one run has ended already."""
+        self.born_ms = 2
+        self.ends = [ended(1)]
+
+
+def ended(number):
+    return EndedTask(
+        number=number, task_name=f'j.0.0.{number}', run=1, reason=EndReason.DONE
+    )
+
+
+async def run_over_a_restart(client):
+    """Restarts a backend server while its link is idle; returns the link's reports."""
+    reports = []
+    link = BackendLink(
+        client=client,
+        backend_id='b',
+        born_ms=1,
+        hold_max_ms=6000,
+        report=reports.append,
+        may_order=lambda: True,
+        may_hold=lambda: True,
+    )
+    task = asyncio.create_task(link.run())
+    await asyncio.sleep(1)
+    link.inbox.send(EndsStored(number=5))
+    await asyncio.sleep(3)
+    assert client.ends == [], 'the ends of the first lifetime are acknowledged'
+    client.restart()
+    link.inbox.send(TasksExpected(expected=True))
+    await asyncio.sleep(1)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return reports
+
+
+class LifetimeLinkTest(unittest.TestCase):
+    def test_no_end_of_a_later_lifetime_is_acknowledged(self):
+        """Guards against a run that is started again although it has done its task.
+
+        Ends are numbered from 1 in each lifetime, so the number of an end of the former
+        lifetime made the later one forget its own ends.
+        """
+        client = RestartingClient()
+        reports = virtual_time.run(run_over_a_restart(client))
+        self.assertEqual(client.ends, [ended(1)])
+        last = [report for report in reports if isinstance(report, HoldAnswered)][-1]
+        self.assertEqual((last.report.born_ms, last.report.ended), (2, [ended(1)]))
+
+
+if __name__ == '__main__':
+    unittest.main()
