Keep runs that a later lifetime of a backend server has accepted

Seen by callers: tasks run twice for up to some seconds (TWICE), and a task that is done runs again, after a backend server without tasks has restarted unnoticed.

Cause: a start names the id of a backend server, not its lifetime. The later lifetime accepts it, the leader counts it for the former one, and requeues it when it learns that another lifetime answers. The answer listed the runs, but only its start time was used.

Change: runs that the answer of another lifetime lists, running or ended, are moved to that lifetime, and so are starts that were accepted after the call. Starts without an answer are moved and stopped there. The same holds for a new leader whose records name the former lifetime. The emulator gets the faults `lifetimes`: restarts with late entries, clocks set back, and leaders killed between the writes of records.

Ruled out: calling an idle server before each start, since it may restart in between; it would cost a call for each start too.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -16,9 +16,15 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import _crashes
-from dandelionknot.jobs._generated import BackendReport
+from dandelionknot.jobs._generated import BackendReport, HoldReport
 from dandelionknot.jobs._leases import max_former_lease_ms
-from dandelionknot.jobs._state import BackendState, Lifetime, rack_of
+from dandelionknot.jobs._state import (
+    BackendState,
+    Lifetime,
+    TaskPhase,
+    rack_of,
+    reassign,
+)
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Scheduler
@@ -192,7 +198,7 @@
 
 
 def answered(
-    scheduler: Scheduler, backend: BackendState, sent_ms: int, now_ms: int
+    scheduler: Scheduler, backend: BackendState, report: HoldReport, sent_ms: int
 ) -> None:
     """Ends all other lifetimes of a backend server that has answered as this one.
 
@@ -203,6 +209,7 @@
     for former in scheduler.former_backends:
         if former.backend_id == backend.backend_id:
             scheduler.ended_lifetimes.add(former.lifetime)
+            _move_runs(scheduler, former, backend, report, sent_ms)
             scheduler.requeue_tasks(former, RESTARTED)
     contested = backend.contested_by
     if contested is not None and sent_ms > backend.contested_since_ms:
@@ -210,6 +217,52 @@
         _set_ended(scheduler, contested)
 
 
+def take_over_runs(
+    scheduler: Scheduler,
+    backend: BackendState,
+    report: HoldReport,
+    sent_ms: int,
+    now_ms: int,
+) -> None:
+    """Keeps the runs that have begun in another lifetime than the known one.
+
+    A backend server may start again without its leader noticing, and then accept starts
+    that were meant for the former lifetime. `report` is the answer of the other one.
+    """
+    lifetime = Lifetime(backend.backend_id, report.born_ms)
+    other = _former(scheduler, lifetime)
+    if other is None:
+        other = _new_state(scheduler, *lifetime, now_ms)
+        other.host_id = backend.host_id
+        scheduler.former_backends.append(other)
+    _move_runs(scheduler, backend, other, report, sent_ms)
+
+
+def _move_runs(
+    scheduler: Scheduler,
+    source: BackendState,
+    target: BackendState,
+    report: HoldReport,
+    sent_ms: int,
+) -> None:
+    """Moves runs from one lifetime to the later one in which they have begun.
+
+    Those are the runs that its report lists, and those of which the start may have been
+    carried out after the report. The start of a run that was not answered is withdrawn.
+    """
+    listed = {(row.task_name, row.run) for row in report.running}
+    listed |= {(row.task_name, row.run) for row in report.ended}
+    for task in list(source.tasks_by_name.values()):
+        is_open = source.reachable and task.start_sent and not task.unconfirmed
+        unanswered = is_open and task.phase is TaskPhase.PLACED
+        accepted_since = is_open and task.confirmed_at_ms >= sent_ms
+        if (task.name, task.run) in listed or unanswered or accepted_since:
+            reassign(task, target)
+            scheduler.mark_dirty(task.step.job)
+            if unanswered and (task.name, task.run) not in listed:
+                scheduler.stop(task, 'start not answered')
+
+
 def other_answered(
     scheduler: Scheduler, backend: BackendState, answered_born_ms: int, now_ms: int
 ) -> None:
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -49,6 +49,7 @@
     The report lists the tasks that run and those that have ended.
     """
     if report.born_ms and backend.born_ms and report.born_ms != backend.born_ms:
+        _lifetimes.take_over_runs(scheduler, backend, report, sent_ms, now_ms)
         scheduler.contact_lost(
             backend,
             OrderOutcome.OTHER_LIFETIME,
@@ -62,7 +63,7 @@
     backend.last_contact_ms = backend.last_sign_ms = now_ms
     backend.recent_runs_by_name = None
     _losses.lifetime_answered(scheduler, backend)
-    _lifetimes.answered(scheduler, backend, sent_ms, now_ms)
+    _lifetimes.answered(scheduler, backend, report, sent_ms)
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -321,6 +321,16 @@
     account.accelerators += spec.resources.accelerators
 
 
+def reassign(task: TaskState, backend: BackendState) -> None:
+    """Moves the current run of a task to another lifetime of its backend server."""
+    start_sent, stopping, isolated = task.start_sent, task.stopping, task.isolated
+    unassign(task)
+    task.isolated = isolated
+    assign(task, backend)
+    task.start_sent, task.stopping = start_sent, stopping
+    task.pace_known = False
+
+
 def unassign(task: TaskState) -> None:
     """Removes the current run of a task from its backend server.
 
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -5,7 +5,12 @@
 
 import fire
 
-from emulator.experiment import Experiment, run_experiment, with_losses
+from emulator.experiment import (
+    Experiment,
+    run_experiment,
+    with_lifetimes,
+    with_losses,
+)
 
 
 def main(
@@ -21,7 +26,8 @@
     `seeds` is a number or a range such as 1-50. `faults` is `all`, `none`, or one
     or more fault names joined by plus signs, and `gap_ms` the mean time from one fault
     to the next. With `losses`, the fleet also lists its hosts, runs tasks that last and
-    has no limit. Exits with status 1 if a seed failed.
+    has no limit; with `lifetimes`, backend servers restart while entries come late and
+    leaders are killed. Exits with status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
     settings = Experiment(
@@ -33,6 +39,8 @@
     )
     if faults == 'losses':
         settings = with_losses(settings)
+    elif faults == 'lifetimes':
+        settings = with_lifetimes(settings)
     elif faults != 'all':
         names = () if faults == 'none' else tuple(faults.split('+'))
         settings = replace(settings, faults=names)
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -61,6 +61,8 @@
     rng: random.Random
     room: Resources
     born_ms: int = 1
+    # Number of its last entry in the registry.
+    entry_number: int = 0
     up: bool = True
     # Share of the calls that it refuses as unhealthy, without any effect.
     refused_share: float = 0.0
@@ -143,7 +145,7 @@
         """Starts a new lifetime without a lease, fencing token or numbered ends."""
         self.up = True
         self.born_ms = now_ms()
-        self.fence = self.deadline_ms = 0
+        self.fence = self.deadline_ms = self.entry_number = 0
         self.next_end = 1
         self.last_expired_end = 0
 
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -8,7 +8,7 @@
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.jobs._generated import Resources
 from emulator import virtual_time
-from emulator.faults import ALL_FAULTS, DEADLY_TASKS, FAULTS, LOSSES
+from emulator.faults import ALL_FAULTS, DEADLY_TASKS, FAULTS, LIFETIMES, LOSSES
 from emulator.fleet import LIMIT, SERVICES, EmulatedFleet
 
 # Time after a fault in which it may still explain what happens.
@@ -49,6 +49,11 @@
     )
 
 
+def with_lifetimes(experiment: Experiment) -> Experiment:
+    """Returns the experiment with restarts of backend servers as its faults."""
+    return replace(with_losses(experiment), faults=tuple(LIFETIMES), lists_hosts=False)
+
+
 @dataclass(slots=True)
 class Verdict:
     """Result of an experiment: problems found, faults injected and counts."""
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -171,6 +171,52 @@
         await kill_leader(fleet)
 
 
+async def late_entry(fleet: EmulatedFleet) -> None:
+    """Restarts a backend server, whose former entry is written after its new one.
+
+    The clock of its host may be set back meanwhile, the new entry may come only some
+    seconds later, and the leader may be killed before or after the late entry.
+    """
+    rng = fleet.rng
+    backend = fleet.backends_by_id[rng.choice(sorted(fleet.backends_by_id))]
+    if not backend.up:
+        return
+    former = fleet.entry(backend)
+    backend.crash()
+    await _wait(fleet, 100, 3000)
+    backend.restart()
+    if rng.random() < 0.4:
+        backend.born_ms = former.born_ms - rng.randint(1, 5000)
+    await _wait(fleet, 1, rng.choice((100, 4000)))
+    fleet.register(backend)
+    await _wait(fleet, 10, 2500)
+    kill_before, kill_after = rng.random() < 0.3, rng.random() < 0.3
+    kills = [asyncio.create_task(kill_leader(fleet))] if kill_before else []
+    await _wait(fleet, 1, 2500)
+    if backend.up:
+        fleet.write_entry(former)
+    await _wait(fleet, 1, 1000)
+    if kill_after:
+        kills.append(asyncio.create_task(kill_leader(fleet)))
+    await _wait(fleet, 500, 1500)
+    if backend.up:
+        fleet.register(backend)
+    await asyncio.gather(*kills)
+
+
+async def restart_and_kill_leader(fleet: EmulatedFleet) -> None:
+    """Restarts a backend server, and kills the leader while it writes the records."""
+    backend = fleet.backends_by_id[fleet.rng.choice(sorted(fleet.backends_by_id))]
+    if not backend.up:
+        return
+    fleet.store.slow_ms = fleet.rng.choice((0, 150, 400))
+    backend.crash()
+    await fleet.restart_later(backend, fleet.rng.randint(50, 600))
+    await _wait(fleet, 50, 1500)
+    await kill_leader(fleet)
+    fleet.store.slow_ms = 0
+
+
 FAULTS: dict[str, Fault] = {
     'kill_leader': kill_leader,
     'kill_all': kill_all,
@@ -194,4 +240,9 @@
     'lose_many': lose_many,
     'lose_many_and_leader': lose_many_and_leader,
 }
-ALL_FAULTS = FAULTS | LOSSES
+# Faults that mix up lifetimes of one backend server, kept apart for the same reason.
+LIFETIMES: dict[str, Fault] = {
+    'late_entry': late_entry,
+    'restart_and_kill_leader': restart_and_kill_leader,
+}
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -257,9 +257,20 @@
 
     def register(self, backend: Backend) -> None:
         """Writes the registry entry of a backend server."""
-        report = BackendReport(
+        backend.entry_number += 1
+        self.write_entry(self.entry(backend))
+
+    def write_entry(self, report: BackendReport) -> None:
+        """Writes an entry, which need not be the latest of its backend server."""
+        key = BACKEND_PREFIX + report.backend_id
+        self.store.put(key, msgspec.json.encode(report))
+
+    def entry(self, backend: Backend) -> BackendReport:
+        """Returns the registry entry that a backend server writes now."""
+        return BackendReport(
             backend_id=backend.backend_id,
             born_ms=backend.born_ms,
+            entry_number=backend.entry_number,
             host_id=backend.host_id,
             service=backend.service,
             address='10.0.0.1:1',
@@ -267,8 +278,6 @@
             draining=False,
             room=backend.room,
         )
-        key = BACKEND_PREFIX + backend.backend_id
-        self.store.put(key, msgspec.json.encode(report))
 
     def start_member(self, member_id: str) -> None:
         """Starts a manager process without any state."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from emulator.experiment import Experiment, run_experiment, with_losses
+from emulator.experiment import (
+    Experiment,
+    run_experiment,
+    with_lifetimes,
+    with_losses,
+)
 from emulator.faults import FAULTS
 
 # Seeds that revealed a bug, each with its bug.
@@ -13,6 +18,8 @@
     840,
 )
 FRESH_SEEDS = (101,)
+# Seeds in which a later lifetime accepted starts that were meant for the former one.
+LIFETIME_SEEDS = (3, 4, 11)
 
 
 # Many backend servers are lost, and after them several leaders one after the other.
@@ -45,6 +52,16 @@
         self.assertEqual(verdict.problems, [], verdict.faults)
         self.assertGreater(verdict.accepted, 100)
 
+    def test_restarted_backends_run_no_task_twice(self):
+        """Guards against facts about several lifetimes that are mixed up.
+
+        Entries come late, clocks are set back and leaders are killed meanwhile.
+        """
+        for seed in LIFETIME_SEEDS:
+            with self.subTest(seed=seed):
+                verdict = run_experiment(with_lifetimes(Experiment(seed=seed)))
+                self.assertEqual(verdict.problems, [], verdict.faults)
+
     def test_each_fault_alone(self):
         """Guards against violations that appear only without the other faults."""
         for name in FAULTS:
--- a/tests/test_jobs_lifetimes.py
+++ b/tests/test_jobs_lifetimes.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from dandelionknot.jobs._generated import OrderOutcome, Resources, StepSpec
+from dandelionknot.jobs._generated import EndReason, OrderOutcome, Resources, StepSpec
 from tests.job_test_bed import LEASE_MS, RESTART_MS, FakeBackend, JobTestBed
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
@@ -206,6 +206,78 @@
         self.assertIsNone(state.contested_by)
 
 
+class UnnoticedRestartTest(unittest.TestCase):
+    """A backend server restarts while its link is idle, and accepts starts."""
+
+    def setUp(self):
+        self.backend = FakeBackend('b1', born_ms=5000)
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        self.backend.restart()
+        self.test_bed.submit(StepSpec(task_count=3, resources=SMALL, estimated_ms=500))
+        self.test_bed.hold = lambda backend: None
+        self.test_bed.step(TICK_MS)
+        del self.test_bed.hold
+        self.assertEqual(len(self.backend.runs_by_name), 3)
+        self.test_bed.backends['b2'] = FakeBackend('b2')
+        self.set_entry(self.test_bed.backends['b2'].report())
+
+    def set_entry(self, report):
+        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+
+    def assert_each_ran_once(self):
+        self.run_for(MAX_STANDSTILL_MS)
+        self.assertEqual(len(self.backend.started), 3)
+        self.assertEqual(self.test_bed.backends['b2'].started, [])
+
+    def test_runs_of_the_later_lifetime_go_on(self):
+        """Guards against a second run of each task that the later lifetime started."""
+        for registered in (False, True):
+            with self.subTest(registered=registered):
+                self.setUp()
+                if registered:
+                    self.set_entry(self.backend.report())
+                self.assert_each_ran_once()
+                self.assertEqual(len(self.backend.runs_by_name), 3)
+
+    def test_runs_that_have_ended_in_the_later_lifetime_count(self):
+        """Guards against a second run of a task that the later lifetime has done."""
+        for name in list(self.backend.runs_by_name):
+            self.backend.end(name, EndReason.DONE)
+        self.assert_each_ran_once()
+        self.assertEqual(self.test_bed.phase(), 'done')
+
+    def test_runs_of_the_later_lifetime_go_on_under_a_new_leader(self):
+        """Guards against a new leader that trusts the lifetime in the records."""
+        self.test_bed.new_leader()
+        self.assert_each_ran_once()
+        self.assertEqual(len(self.backend.runs_by_name), 3)
+
+    def test_unanswered_starts_are_withdrawn_from_the_later_lifetime(self):
+        """Guards against a start that is carried out after its task has run elsewhere.
+
+        The leader has sent three more starts when it learns of the later lifetime.
+        """
+        self.test_bed.submit(
+            StepSpec(task_count=3, resources=SMALL, estimated_ms=500), job_id='j2'
+        )
+        hold, execute = self.test_bed.hold, self.test_bed.execute
+        self.test_bed.hold = self.test_bed.execute = lambda *_: None
+        self.test_bed.step(TICK_MS)
+        self.test_bed.hold, self.test_bed.execute = hold, execute
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        sent = [(t.name, t.run) for t in state.tasks_by_name.values() if t.start_sent]
+        self.run_for(MAX_STANDSTILL_MS)
+        for name, run in sent:
+            if name not in self.backend.runs_by_name:
+                self.assertGreaterEqual(self.backend.barred_by_name.get(name, 0), run)
+        self.assertEqual(len(self.test_bed.running()), 6)
+
+
 class LateEntryBeforeNewLeaderTest(unittest.TestCase):
     def test_a_new_leader_reaches_the_lifetime_that_the_records_name(self):
         """Guards against leases that nobody renews until the next entry."""
