Count advice only for the lifetimes that were asked about

Seen by callers: a step waits for good for a backend server that started again while the advice service was asked about its former lifetime, or its start is rejected for the ticket.

Cause: a request named ids, and its answer was stored for the lifetime that was current when it came.

Change: a request names the lifetimes too, and the answer counts only for these.

Evidence and figures before: both cases of test_a_late_answer_counts_for_no_later_lifetime failed, one with no further question, one with a start that carried the ticket of the former lifetime. After: they pass.

Ruled out: dropping all answers during which a server restarts, which would ask again about servers that did not.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -381,6 +381,12 @@
     step_key: str
     job_id: str
     backend_ids: list[str]
+    born_ms: Annotated[
+        list[int],
+        Meta(
+            description="Start times of their processes. The answer counts for no later lifetime."
+        ),
+    ]
 
 
 class EndsStored(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -329,19 +329,20 @@
 ) -> None:
     if step.advice_pending or step.advice_not_before_ms > now_ms:
         return
-    ids = [
-        backend.backend_id
+    asked = [
+        backend.lifetime
         for backend in backends
         if backend.lifetime not in step.asked_lifetimes
         and _placement.has_room(backend, step.spec)
-    ]
-    if ids:
+    ][:MAX_ADVICE_IDS]
+    if asked:
         step.advice_pending = True
         scheduler.commands.append(
             AskAdvice(
                 step_key=step.key,
                 job_id=step.job.job.job_id,
-                backend_ids=ids[:MAX_ADVICE_IDS],
+                backend_ids=[lifetime.backend_id for lifetime in asked],
+                born_ms=[lifetime.born_ms for lifetime in asked],
             )
         )
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import starmap
 
 from dandelionknot.events import Event
 from dandelionknot.jobs import (
@@ -563,17 +564,14 @@
     ) -> None:
         step.advice_pending = False
         step.advice_not_before_ms = now_ms + ADVICE_PAUSE_MS
+        born_ms_by_id = dict(zip(request.backend_ids, request.born_ms, strict=True))
         if valid_ms:
-            step.asked_lifetimes.update(
-                self.backends_by_id[backend_id].lifetime
-                for backend_id in request.backend_ids
-                if backend_id in self.backends_by_id
-            )
+            step.asked_lifetimes.update(starmap(Lifetime, born_ms_by_id.items()))
         for backend_id, text in granted.items():
-            backend = self.backends_by_id.get(backend_id)
-            if backend is not None:
+            born_ms = born_ms_by_id.get(backend_id)
+            if born_ms is not None:
                 step.tickets_by_backend_id[backend_id] = Ticket(
-                    text, backend.born_ms, now_ms + valid_ms - TICKET_MARGIN_MS
+                    text, born_ms, now_ms + valid_ms - TICKET_MARGIN_MS
                 )
 
     def open_due_occurrences(self, state: JobState, now_ms: int, unix_ms: int) -> None:
--- a/tests/test_jobs_advice.py
+++ b/tests/test_jobs_advice.py
@@ -55,6 +55,33 @@
         test_bed, _ = self.play(('first',))
         self.assertEqual(test_bed.running(), {})
 
+    def test_a_late_answer_counts_for_no_later_lifetime(self):
+        """Guards against a ticket or a refusal that was given for a former lifetime."""
+        for granted in ({}, {'b1': 'former'}):
+            with self.subTest(granted=granted):
+                queue = Queue(
+                    name='desk',
+                    host='h',
+                    path_prefix='/q/',
+                    service=SERVICE,
+                    needs_advice=True,
+                )
+                backend = FakeBackend('b1')
+                test_bed = JobTestBed(backend, queue=queue)
+                test_bed.step()
+                test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+                (request,) = test_bed.step(TICK_MS)
+                backend.restart()
+                test_bed.scheduler.set_backend(backend.report(), test_bed.now_ms)
+                test_bed.step(TICK_MS)
+                test_bed.scheduler.advice_given(
+                    request, granted, 60_000, test_bed.now_ms
+                )
+                commands = []
+                for _ in range(10):
+                    commands += test_bed.step(TICK_MS)
+                self.assertEqual([type(c) for c in commands], [AskAdvice])
+
 
 if __name__ == '__main__':
     unittest.main()
