Count the attempts of a task on all backend servers in the standstill check

Cause: the standstill check of soak and emulator let a job rest only if its task had failed all attempts on one backend server. The platform says: "a task, or a gang, has failed `attempts` times". The check at the end of an experiment counts them together already.

Change: both checks use the same count. What is reported otherwise stays the same.

Ruled out: a fault of the product; `job ended` names the four failures.

Conclusion: a fault of the oracle.

--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -125,7 +125,8 @@
             if job_id not in self.specs_by_job_id:
                 self.report(f'task {name} started at {at}, but no caller submitted it')
 
-    def _has_cause_to_fail(self, job_id: str) -> bool:
+    def has_failed_all_attempts(self, job_id: str) -> bool:
+        """Whether a task of a job has failed as often as its queue allows."""
         failures: Counter[str] = Counter()
         for backend in self.backends_by_id.values():
             failures.update(backend.failed_runs_by_name)
@@ -134,7 +135,11 @@
             count >= self.max_attempts
             for name, count in failures.items()
             if name.startswith(prefix)
-        ) or any(
+        )
+
+    def _has_cause_to_fail(self, job_id: str) -> bool:
+        prefix = f'{job_id}.'
+        return self.has_failed_all_attempts(job_id) or any(
             count >= CRASHES_UNTIL_FAILED
             for name, count in self.crashes_by_task.items()
             if name.startswith(prefix)
--- a/emulator/standstill.py
+++ b/emulator/standstill.py
@@ -159,18 +159,14 @@
 
     def _may_have_failed(self, job_id: str) -> bool:
         prefix = f'{job_id}.'
-        oracle = self.oracle
         crashes = (
             count
-            for name, count in oracle.crashes_by_task.items()
-            if name.startswith(prefix)
-        )
-        return max(crashes, default=0) >= MAX_CRASHES or any(
-            count >= oracle.max_attempts
-            for backend in oracle.backends_by_id.values()
-            for name, count in backend.failed_runs_by_name.items()
+            for name, count in self.oracle.crashes_by_task.items()
             if name.startswith(prefix)
         )
+        return max(
+            crashes, default=0
+        ) >= MAX_CRASHES or self.oracle.has_failed_all_attempts(job_id)
 
 
 def _is_sound(backend: Backend) -> bool:
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -57,6 +57,18 @@
         [problem] = self.stand(STABLE_MS + MAX_STANDSTILL_MS + 200)
         self.assertIn(JOB, problem)
 
+    def test_job_that_failed_on_several_backends_is_not_reported(self):
+        """Guards against a report of a job that may have failed.
+
+        Its attempts count together, on whichever backend servers its task has failed.
+        """
+        for failures, is_reported in (((2, 1), False), ((1, 1), True)):
+            with self.subTest(failures=failures):
+                self.setUp()
+                for name, count in zip(('b1', 'b2'), failures, strict=True):
+                    self.backends[name].failed_runs_by_name[TASK] = count
+                self.assertEqual(bool(self.stand(20_000)), is_reported)
+
     def test_job_is_not_reported_beside_a_fault(self):
         """Guards against reports that a fault explains."""
         self.assertEqual(self.stand(20_000, calm=False), [])
