Close the link to an address where another backend server answers

Seen by callers: nothing; the leader would call a foreign backend server each 0.3 s until the next entry of the lifetime that it wants to reach.

Cause: since a lifetime that only records name is called at the address of a late entry. If another backend server answers there, the address was dropped, but the link was kept.

Change: a link is closed as soon as its address is not that of the lifetime any more.

Ruled out: never calling a lent address, which would leave leases without renewal.

--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -380,7 +380,7 @@
         for key in list(self.links):
             known = wanted.get(key)
             # A lifetime may have been called at the address of another one's entry.
-            if known is None or known.address not in ('', self.addresses[key]):
+            if known is None or known.address != self.addresses[key]:
                 self._close_link(key)
         for key, backend in wanted.items():
             if key not in self.links and backend.address:
