Soak restarts of backend servers with late entries and killed leaders

Change: faults `late_entry` and `restart_and_kill_leader`, apart from those of former seeds (`--faults lifetimes`; `all` is what it was). Entries are numbered.

Ruled out: adding them to `all`, which would change the faults of seeds on record.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -463,9 +463,9 @@
     ),
     Event.BACKEND_ENTRY_IGNORED: EventInfo(
         WARNING,
-        'A registry entry names no usable lifetime of the backend server; the '
-        'former entry stays in use.',
-        'Find the program that wrote the entry.',
+        'A registry entry names no lifetime of the backend server, or not certainly '
+        'its latest state; the former entry stays in use. The reason says which.',
+        'If the entry names no start time, find the program that wrote it.',
     ),
     Event.POOL_LACKS_HOSTS: EventInfo(
         INFO,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,11 +7,15 @@
 
 import fire
 
-from soak.faults import ALL_FAULTS, LOSSES
+from soak.faults import FAULTS, LIFETIMES, LOSSES
 from soak.profiles import PROFILES_BY_NAME
 from soak.run import FAULT_GAP_MS, RunSettings, run_seed
 
-FAULT_NAMES = {'all': tuple(ALL_FAULTS), 'losses': tuple(LOSSES)}
+FAULT_NAMES = {
+    'all': tuple(FAULTS | LOSSES),
+    'losses': tuple(LOSSES),
+    'lifetimes': tuple(LIFETIMES),
+}
 
 
 def main(
@@ -28,11 +32,11 @@
 ) -> None:
     """Makes one run for each seed and prints the problems that were found.
 
-    `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`, `none`, or
-    one or more fault names joined by plus signs, and `gap_ms` the mean time from one
-    fault to the next. `profile` is `small` or `grown`; its numbers of members, backend
-    servers and jobs, and the limit of its client account, are replaced by those that
-    are given.
+    `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`,
+    `lifetimes`, `none`, or one or more fault names joined by plus signs, and `gap_ms`
+    the mean time from one fault to the next. `all` leaves out the lifetimes.
+    `profile` is `small` or `grown`; its numbers of members, backend servers and jobs,
+    and the limit of its client account, are replaced by those that are given.
 
     For each seed that failed, the logs of the processes are copied to a folder below
     `logs`. Exits with status 1 if a seed failed.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -232,12 +232,7 @@
     """Crashes many backend servers, and kills one or more successive leaders."""
     await lose_many(fleet)
     for _ in range(fleet.rng.randint(1, 3)):
-        member = fleet.leader()
-        if member is not None:
-            fleet.mark_disturbed(member, 1000)
-            member.send_signal(signal.SIGKILL)
-            await _wait(fleet, 500, 3000)
-            await fleet.start(member)
+        await _kill_leader(fleet)
 
 
 async def lose_many_and_all_members(fleet: SoakFleet) -> None:
@@ -247,6 +242,65 @@
     await kill_all(fleet)
 
 
+async def _kill_leader(fleet: SoakFleet) -> None:
+    member = fleet.leader()
+    if member is not None:
+        fleet.mark_disturbed(member, 1000)
+        member.send_signal(signal.SIGKILL)
+        await _wait(fleet, 500, 3000)
+        await fleet.start(member)
+
+
+async def late_entry(fleet: SoakFleet) -> None:
+    """Restarts a backend server, whose former entry is written after its new one.
+
+    The clock of its host may be set back meanwhile, the new entry may come only some
+    seconds later, and the leader may be killed before or after the late entry.
+    """
+    rng, platform = fleet.rng, fleet.platform
+    backend = rng.choice(list(platform.backends_by_id.values()))
+    if not backend.up:
+        return
+    key, former = f'servers/{backend.backend_id}', platform.entry(backend.backend_id)
+    backend.crash()
+    await _wait(fleet, 100, 3000)
+    backend.restart()
+    if rng.random() < 0.4:
+        backend.born_ms = former['born'] - rng.randint(1, 5000)
+    await _wait(fleet, 1, rng.choice((100, 4000)))
+    platform.register(backend.backend_id)
+    await _wait(fleet, 10, 2500)
+    kill_before, kill_after = rng.random() < 0.3, rng.random() < 0.3
+    kills = [asyncio.create_task(_kill_leader(fleet))] if kill_before else []
+    await _wait(fleet, 1, 2500)
+    if backend.up:
+        platform.put(key, former)
+    await _wait(fleet, 1, 1000)
+    if kill_after:
+        kills.append(asyncio.create_task(_kill_leader(fleet)))
+    await _wait(fleet, 500, 1500)
+    if backend.up:
+        platform.register(backend.backend_id)
+    await asyncio.gather(*kills)
+
+
+async def restart_and_kill_leader(fleet: SoakFleet) -> None:
+    """Restarts a backend server, and kills the leader while it writes the records."""
+    backend = fleet.rng.choice(list(fleet.platform.backends_by_id.values()))
+    leader = fleet.leader()
+    if not backend.up or leader is None:
+        return
+    _mark_all_disturbed(fleet, 6000)
+    leader.store_relay.faults.delay_ms = fleet.rng.choice((0, 50, 200))
+    backend.crash()
+    await _restart_later(fleet, backend, fleet.rng.randint(50, 600))
+    await _wait(fleet, 50, 1500)
+    leader.send_signal(signal.SIGKILL)
+    leader.store_relay.faults.delay_ms = 0
+    await _wait(fleet, 500, 3000)
+    await fleet.start(leader)
+
+
 FAULTS: dict[str, Fault] = {
     function.__name__: function
     for function in (
@@ -274,4 +328,8 @@
     function.__name__: function
     for function in (lose_many, lose_many_and_leader, lose_many_and_all_members)
 }
-ALL_FAULTS = FAULTS | LOSSES
+# Faults that mix up lifetimes of one backend server, kept apart for the same reason.
+LIFETIMES: dict[str, Fault] = {
+    function.__name__: function for function in (late_entry, restart_and_kill_leader)
+}
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -159,12 +159,17 @@
         return backend
 
     def register(self, backend_id: str, **fields: object) -> None:
-        """Writes the registry entry of a backend server."""
+        """Writes the next registry entry of a backend server."""
+        self.backends_by_id[backend_id].entry_number += 1
+        self.put(f'servers/{backend_id}', self.entry(backend_id) | fields)
+
+    def entry(self, backend_id: str) -> dict:
+        """Returns the latest registry entry of a backend server."""
         backend = self.backends_by_id[backend_id]
         address = self.advertised_addresses_by_id.get(backend_id)
         if address is None:
             address = self.backend_servers_by_id[backend_id].address
-        entry = {
+        return {
             'service': backend.service,
             'addr': address,
             'zone': backend.zone,
@@ -176,9 +181,8 @@
             'labels': ['std', self.racks_by_backend_id[backend_id]],
             'born': backend.born_ms,
             'machine': backend.host_id,
-            'seq': 1,
+            'seq': backend.entry_number,
         }
-        self.put(f'servers/{backend_id}', entry | fields)
 
     def put(self, key: str, value: object) -> int:
         """Writes an item without conditions, as operators and backend servers do."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,8 @@
 # A fleet with tasks that last, of a size that CI bears.
 GROWN_IN_CI = replace(GROWN, members=6, backends=48, jobs_per_s=8.0)
 GROWN_SEED = 3
+# A later lifetime accepted starts that were meant for the former one.
+LIFETIMES_SEED = 1
 
 
 class SoakTest(unittest.TestCase):
@@ -46,6 +48,18 @@
             )
         )
 
+    def test_restarted_backends_run_no_task_twice(self):
+        """Guards against facts about several lifetimes that are mixed up."""
+        self.check(
+            RunSettings(
+                seed=LIFETIMES_SEED,
+                seconds=15,
+                profile=replace(GROWN_IN_CI, members=4, backends=16),
+                faults=('late_entry', 'restart_and_kill_leader'),
+                fault_gap_ms=1500,
+            )
+        )
+
     def check(self, settings):
         with self.subTest(seed=settings.seed), tempfile.TemporaryDirectory() as logs:
             verdict = asyncio.run(run_seed(settings, Path(logs)))
