Let no earlier list of hosts end a lifetime that took over runs

Seen by callers: nothing; found by reading what added. A list of hosts that was requested while a restarting server was down would end the runs of its later lifetime, which go on.

Cause: the later lifetime is not reached yet when it takes over runs, and the time from which it counts as lost was 0, so that any list counted.

Change: it counts as lost from the time at which its answer arrived.

Before: test_a_list_of_hosts_from_before_the_restart_ends_nothing failed (three second runs). After: it passes.

Ruled out: counting it as reached at once, since no call of its own has been answered.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -234,6 +234,8 @@
     if other is None:
         other = _new_state(scheduler, *lifetime, now_ms)
         other.host_id = backend.host_id
+        # A list of hosts that was requested earlier may be from before its start.
+        other.lost_at_ms = now_ms
         scheduler.former_backends.append(other)
     _move_runs(scheduler, backend, other, report, sent_ms)
 
--- a/tests/test_jobs_lifetimes.py
+++ b/tests/test_jobs_lifetimes.py
@@ -4,8 +4,21 @@
 
 from msgspec.structs import replace
 
-from dandelionknot.jobs._generated import EndReason, OrderOutcome, Resources, StepSpec
-from tests.job_test_bed import LEASE_MS, RESTART_MS, FakeBackend, JobTestBed
+from dandelionknot.jobs._generated import (
+    EndReason,
+    Host,
+    HostsListed,
+    OrderOutcome,
+    Resources,
+    StepSpec,
+)
+from tests.job_test_bed import (
+    LEASE_MS,
+    RESTART_MS,
+    SERVICE,
+    FakeBackend,
+    JobTestBed,
+)
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
 TICK_MS = 50
@@ -210,7 +223,7 @@
     """A backend server restarts while its link is idle, and accepts starts."""
 
     def setUp(self):
-        self.backend = FakeBackend('b1', born_ms=5000)
+        self.backend = FakeBackend('b1', born_ms=5000, host_id='h1')
         self.test_bed = JobTestBed(self.backend)
         self.test_bed.step()
         self.backend.restart()
@@ -257,6 +270,18 @@
         self.assert_each_ran_once()
         self.assertEqual(len(self.backend.runs_by_name), 3)
 
+    def test_a_list_of_hosts_from_before_the_restart_ends_nothing(self):
+        """Guards against runs that a late list requeues, since their link is new."""
+        listed = HostsListed(
+            hosts=[Host(host_id='h1', pool=SERVICE, state='down')],
+            sent_ms=self.test_bed.now_ms - 1,
+        )
+        self.test_bed.hold(self.backend)
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        self.assertEqual((state.host_id, len(state.tasks_by_name)), ('h1', 3))
+        self.test_bed.scheduler.hosts_listed(listed)
+        self.assert_each_ran_once()
+
     def test_unanswered_starts_are_withdrawn_from_the_later_lifetime(self):
         """Guards against a start that is carried out after its task has run elsewhere.
 
