--- a/tests/test_jobs_lifetimes.py
+++ b/tests/test_jobs_lifetimes.py
@@ -26,7 +26,18 @@
 MAX_STANDSTILL_MS = 3000
 
 
-class LifetimeTest(unittest.TestCase):
+class LifetimeTestCase(unittest.TestCase):
+    """A test with a test bed, whose registry and time it controls."""
+
+    def set_entry(self, report):
+        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
+
+    def run_for(self, duration_ms):
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+
+
+class LifetimeTest(LifetimeTestCase):
     def setUp(self):
         self.backend = FakeBackend('b1', born_ms=5000)
         self.test_bed = JobTestBed(self.backend)
@@ -37,13 +48,6 @@
         self.test_bed.backends['b2'] = FakeBackend('b2')
         self.set_entry(self.test_bed.backends['b2'].report())
 
-    def set_entry(self, report):
-        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
-
-    def run_for(self, duration_ms):
-        for _ in range(0, duration_ms, TICK_MS):
-            self.test_bed.step(TICK_MS)
-
     def late_entry(self):
         """Returns an entry of the lifetime before the current one."""
         current = self.backend.report()
@@ -152,7 +156,7 @@
         self.assertEqual(self.test_bed.scheduler.backends_by_id['b1'].born_ms, 100)
 
 
-class ClockSetBackTest(unittest.TestCase):
+class ClockSetBackTest(LifetimeTestCase):
     """The clock of the host was set back, so the later lifetime began earlier."""
 
     def setUp(self):
@@ -165,13 +169,6 @@
         self.backend.restart()
         self.backend.born_ms = 100
 
-    def run_for(self, duration_ms):
-        for _ in range(0, duration_ms, TICK_MS):
-            self.test_bed.step(TICK_MS)
-
-    def set_entry(self, report):
-        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
-
     def run_in_the_later_lifetime(self):
         for _ in range(2):
             self.set_entry(self.backend.report())
@@ -219,7 +216,7 @@
         self.assertIsNone(state.contested_by)
 
 
-class UnnoticedRestartTest(unittest.TestCase):
+class UnnoticedRestartTest(LifetimeTestCase):
     """A backend server restarts while its link is idle, and accepts starts."""
 
     def setUp(self):
@@ -235,13 +232,6 @@
         self.test_bed.backends['b2'] = FakeBackend('b2')
         self.set_entry(self.test_bed.backends['b2'].report())
 
-    def set_entry(self, report):
-        self.test_bed.scheduler.set_backend(report, self.test_bed.now_ms)
-
-    def run_for(self, duration_ms):
-        for _ in range(0, duration_ms, TICK_MS):
-            self.test_bed.step(TICK_MS)
-
     def assert_each_ran_once(self):
         self.run_for(MAX_STANDSTILL_MS)
         self.assertEqual(len(self.backend.started), 3)
@@ -303,19 +293,17 @@
         self.assertEqual(len(self.test_bed.running()), 6)
 
 
-class LateEntryBeforeNewLeaderTest(unittest.TestCase):
+class LateEntryBeforeNewLeaderTest(LifetimeTestCase):
     def test_a_new_leader_reaches_the_lifetime_that_the_records_name(self):
         """Guards against leases that nobody renews until the next entry."""
         backend = FakeBackend('b1', born_ms=5000)
-        test_bed = JobTestBed(backend)
+        self.test_bed = test_bed = JobTestBed(backend)
         test_bed.step()
         test_bed.submit(StepSpec(task_count=3, resources=SMALL, long_running=True))
-        for _ in range(10):
-            test_bed.step(TICK_MS)
+        self.run_for(500)
         test_bed.entries_by_id['b1'] = replace(backend.report(), born_ms=4000)
         test_bed.new_leader()
-        for _ in range(10):
-            test_bed.step(TICK_MS)
+        self.run_for(500)
         state = test_bed.scheduler.backends_by_id['b1']
         self.assertEqual((state.born_ms, state.fenced), (5000, True))
         self.assertEqual(len(backend.started), 3)
--- a/tests/test_link_lifetimes.py
+++ b/tests/test_link_lifetimes.py
@@ -13,9 +13,8 @@
     HoldReport,
     TasksExpected,
 )
-from dandelionknot.manager._link import BackendLink
 from emulator import virtual_time
-from tests.test_manager_link import FakeBackendClient
+from tests.test_manager_link import FakeBackendClient, new_link
 
 
 class RestartingClient(FakeBackendClient):
@@ -49,15 +48,7 @@
 async def run_over_a_restart(client):
     """Restarts a backend server while its link is idle; returns the link's reports."""
     reports = []
-    link = BackendLink(
-        client=client,
-        backend_id='b',
-        born_ms=1,
-        hold_max_ms=6000,
-        report=reports.append,
-        may_order=lambda: True,
-        may_hold=lambda: True,
-    )
+    link = new_link(client, reports.append)
     task = asyncio.create_task(link.run())
     await asyncio.sleep(1)
     link.inbox.send(EndsStored(number=5))
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -89,22 +89,27 @@
         pass
 
 
-async def run_link(client, messages, seconds, then=None, pause_s=0):
-    """Runs a link, sends messages after a second and returns the reports of the link.
-
-    `pause_s` is the time between messages. `then` is called halfway through the
-    remaining time.
-    """
-    reports = []
-    link = BackendLink(
+def new_link(client, report):
+    """Returns a link that may send orders and extend leases all the time."""
+    return BackendLink(
         client=client,
         backend_id='b',
         born_ms=1,
         hold_max_ms=6000,
-        report=reports.append,
+        report=report,
         may_order=lambda: True,
         may_hold=lambda: True,
     )
+
+
+async def run_link(client, messages, seconds, then=None, pause_s=0):
+    """Runs a link, sends messages after a second and returns the reports of the link.
+
+    `pause_s` is the time between messages. `then` is called halfway through the
+    remaining time.
+    """
+    reports = []
+    link = new_link(client, reports.append)
     task = asyncio.create_task(link.run())
     await asyncio.sleep(1)
     for message in messages:
