--- a/tests/test_jobs_two_lifetimes.py
+++ b/tests/test_jobs_two_lifetimes.py
@@ -6,6 +6,8 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import Resources, StepSpec
 from tests.job_test_bed import FakeBackend, JobTestBed
@@ -79,6 +81,24 @@
                 self.assertIn(Event.TASK_REQUEUED, events)
                 self.assertNotIn(Event.TASK_SUSPECTED, events)
 
+    def test_records_of_an_earlier_version_name_no_sign_of_life(self):
+        """Guards against jobs that cannot be restored after an update."""
+        self.crash_between_two_batches(reverse=False)
+        self.test_bed.records = {
+            job_id: replace(
+                record,
+                tasks_by_name={
+                    suffix: replace(task, crash_signs_unix_ms=[])
+                    for suffix, task in record.tasks_by_name.items()
+                },
+            )
+            for job_id, record in self.test_bed.records.items()
+        }
+        scheduler = self.test_bed.new_leader()
+        self.assertEqual(scheduler.restored_signs_ms, {})
+        self.run_for(MAX_STANDSTILL_MS)
+        self.assertEqual(len(self.runs()), 2 * TASKS_PER_JOB)
+
     def test_new_leader_suspects_a_task_that_began_right_before_the_crash(self):
         """Guards against a crashing task that starts beside others again."""
         for reverse in (False, True):
