Name in the log why an entry at a reused address is ignored

Cause: an entry at whose address another backend server answered was logged as if another lifetime of the same one had answered.

Change: the reason names the address. One function logs ignored entries.

Before: test_another_backend_server_at_that_address_proves_nothing fails with the reason it asks for now. After: it passes. Log text only.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -31,6 +31,8 @@
 
 # Why tasks of an earlier lifetime are requeued.
 RESTARTED = 'backend server restarted'
+# Why an entry of a lifetime that has ended is ignored.
+OTHER_ANSWERED = 'another lifetime has answered since'
 
 
 def restored(
@@ -123,15 +125,7 @@
             _replace(scheduler, backend, report.born_ms)
             backend = None
     if reason:
-        scheduler.note(
-            Event.BACKEND_ENTRY_IGNORED,
-            {
-                'backend_id': report.backend_id,
-                'born_ms': report.born_ms,
-                'entry_number': report.entry_number,
-                'reason': reason,
-            },
-        )
+        _note_ignored(scheduler, report, reason)
         return
     if backend is None:
         backend = _registered(scheduler, report, now_ms)
@@ -154,7 +148,7 @@
         # Another writer's entry. It names no lifetime, so it shows no restart.
         return 'the entry does not state the start of the process'
     if Lifetime(report.backend_id, report.born_ms) in scheduler.ended_lifetimes:
-        return 'another lifetime has answered since'
+        return OTHER_ANSWERED
     if (
         backend is not None
         and report.born_ms == backend.born_ms
@@ -214,7 +208,7 @@
     contested = backend.contested_by
     if contested is not None and sent_ms > backend.contested_since_ms:
         backend.contested_by = None
-        _set_ended(scheduler, contested)
+        _set_ended(scheduler, contested, OTHER_ANSWERED)
 
 
 def take_over_runs(
@@ -280,7 +274,7 @@
         apply_entry(scheduler, contested, now_ms)
         return
     if contested is not None:
-        _set_ended(scheduler, contested)
+        _set_ended(scheduler, contested, OTHER_ANSWERED)
     former = _former(scheduler, Lifetime(backend.backend_id, answered_born_ms))
     if former is not None:
         scheduler.former_backends.remove(former)
@@ -310,7 +304,7 @@
     backend.address, backend.address_lent = '', False
     contested, backend.contested_by = backend.contested_by, None
     if contested is not None:
-        _set_ended(scheduler, contested)
+        _set_ended(scheduler, contested, 'another backend server has its address')
 
 
 def plan(scheduler: Scheduler, now_ms: int) -> None:
@@ -321,16 +315,20 @@
             apply_entry(scheduler, report, now_ms)
 
 
-def _set_ended(scheduler: Scheduler, report: BackendReport) -> None:
+def _set_ended(scheduler: Scheduler, report: BackendReport, reason: str) -> None:
     """Records that the lifetime of an entry has ended, so that it is ignored."""
     scheduler.ended_lifetimes.add(Lifetime(report.backend_id, report.born_ms))
+    _note_ignored(scheduler, report, reason)
+
+
+def _note_ignored(scheduler: Scheduler, report: BackendReport, reason: str) -> None:
     scheduler.note(
         Event.BACKEND_ENTRY_IGNORED,
         {
             'backend_id': report.backend_id,
             'born_ms': report.born_ms,
             'entry_number': report.entry_number,
-            'reason': 'another lifetime has answered since',
+            'reason': reason,
         },
     )
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -113,7 +113,7 @@
     losses: deque[Loss] = field(default_factory=deque)
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
-    # Lifetimes that have certainly ended, since a later one has answered.
+    # Lifetimes that have certainly ended, so that late entries of them are ignored.
     ended_lifetimes: set[Lifetime] = field(default_factory=set)
     # Racks of lifetimes that ended before this leader had reached them.
     unreached_losses: dict[Lifetime, str] = field(default_factory=dict)
--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from dandelionknot.events import Event
 from dandelionknot.jobs._generated import OrderOutcome, Resources, StepSpec
 from dandelionknot.manager._leader import Leader
 from tests.job_test_bed import FakeBackend, JobTestBed
@@ -74,6 +75,12 @@
         self.assertIsNone(self.state.contested_by)
         self.leader._reconcile_links()
         self.assertEqual(self.leader.links, {})
+        reasons = [
+            entry.fields['reason']
+            for entry in self.leader.scheduler.take_log_entries()
+            if entry.event is Event.BACKEND_ENTRY_IGNORED
+        ]
+        self.assertEqual(reasons[-1], 'another backend server has its address')
 
     async def test_answer_of_the_recorded_lifetime_keeps_its_tasks(self):
         """Guards against an entry that is asked about for ever."""
