--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -283,7 +283,7 @@
 
 
 def not_answered(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
-    """Lets the start times decide, since the backend server does not answer."""
+    """Orders lifetimes by their start times, since the backend server is silent."""
     for former in scheduler.former_backends:
         if (
             former.backend_id == backend.backend_id
