Start only the runs that a stored batch of records names

Cause: a batch of records kept the placed tasks. When its write was answered, each of them that was placed and not started got a start with the run that it had by then, of which no record was stored. The next leader placed the task again.

Change: a batch keeps task, run and lifetime as they are stored. A task that was placed again since the batch was taken gets no start; its new run is part of a later batch.

Evidence: in the leader's log, run 2 is started within 10 ms of the answer to the write of run 1; the write of run 2 is tried after that and never carried out.

Ruled out: that the start followed the lost write of run 2, or that this write was overwritten: the store answered the late write with 412.

Conclusion: what follows a stored write has to be kept with the write.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -39,13 +39,26 @@
 MAX_WAVES = 2
 
 
+@dataclass(slots=True, frozen=True)
+class PlacedRun:
+    """A run of a task as a batch of records names it."""
+
+    task: TaskState
+    run: int
+    backend: BackendState
+
+    def is_current(self) -> bool:
+        """Whether the task was not placed again since the batch was taken."""
+        return self.task.run == self.run and self.task.backend is self.backend
+
+
 @dataclass(slots=True)
 class Batch:
     """Records to store with one write, and what follows once they are stored."""
 
     records_by_job_id: dict[str, JobRecord]
-    # Placed tasks whose start may be sent once the records are stored.
-    starts: list[TaskState]
+    # Runs whose start may be sent once the records are stored.
+    starts: list[PlacedRun]
     # Backend servers with the number of their last end that is stored with this batch.
     ends_by_backend: list[tuple[BackendState, int]]
     waves_by_name: dict[str, WaveRecord] = field(default_factory=dict)
@@ -86,11 +99,7 @@
         for job_id in job_ids
         if job_id in scheduler.jobs_by_id
     }
-    taken = set(job_ids)
-    starts = [t for t in scheduler.placed if t.step.job.job.job_id in taken]
-    scheduler.placed = [
-        t for t in scheduler.placed if t.step.job.job.job_id not in taken
-    ]
+    starts = _take_placed_runs(scheduler, set(job_ids))
     ends = []
     if not scheduler.dirty_job_ids:
         ends = [
@@ -112,6 +121,19 @@
     return batch
 
 
+def _take_placed_runs(scheduler: Scheduler, job_ids: set[str]) -> list[PlacedRun]:
+    """Returns the placed runs of jobs whose records are taken."""
+    runs = []
+    left = []
+    for task in scheduler.placed:
+        if task.step.job.job.job_id not in job_ids:
+            left.append(task)
+        elif task.backend is not None:
+            runs.append(PlacedRun(task, task.run, task.backend))
+    scheduler.placed = left
+    return runs
+
+
 def _take_host_orders(scheduler: Scheduler, batch: Batch, now_unix_ms: int) -> None:
     """Adds the orders about hosts, and the record that has to be stored before them."""
     ordered = scheduler.ordered_at_ms_by_host_id
@@ -173,18 +195,22 @@
 def confirm(scheduler: Scheduler, batch: Batch) -> list[Command]:
     """Returns the commands that may be sent after a batch was stored.
 
-    For a task that was stopped before its start was sent, no start is sent; the task is
-    requeued.
+    A task that was placed again since the batch was taken is not started: its new run
+    is stored with a later batch. For a task that was stopped before its start was sent,
+    no start is sent; the task is requeued.
     """
     commands: list[Command] = []
-    for task in batch.starts:
-        if task.phase is not TaskPhase.PLACED or task.start_sent or not task.backend:
+    for placed in batch.starts:
+        task = placed.task
+        if task.phase is not TaskPhase.PLACED or task.start_sent:
+            continue
+        if not placed.is_current():
             continue
         if task.stopping or task.step.job.final:
             scheduler.requeue(task, 'stopped before its start was sent')
             continue
         task.start_sent = True
-        command = _start_command(task, task.backend)
+        command = _start_command(task, placed.backend)
         if not command.order.checkpoint:
             task.measured_from_ms = scheduler.planned_ms
         commands.append(command)
