Count the time of an order about a host from its sending

Cause: a host stays in the record of recent orders for 5 s from the planning of the order. The order is sent when its record is stored, which may take seconds while answers of the store are lost.

Change: the leader tells the scheduler when it sends the order.

Before: LateHostOrderTest failed, the host was gone from the record 4 s after the order was sent. After: it passes.

Ruled out: taking the time from the outcome of the order, since the order may be carried out without one.

--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -134,7 +134,8 @@
     commands: list[Command] = field(default_factory=list)
     # Orders about hosts that are not part of a batch of records yet.
     host_orders: list[HostOrder] = field(default_factory=list)
-    # Local time of the last order of this term about each host.
+    # Local time at which the last order of this term about each host was sent, or was
+    # planned if it has not been sent yet.
     ordered_at_ms_by_host_id: dict[str, int] = field(default_factory=dict)
     # Time (Unix, ms) at which the record of these orders was last put into a batch.
     orders_stored_unix_ms: int = 0
@@ -472,6 +473,10 @@
         if task.start_sent:
             self.commands.append(stop_command(backend, task.name, task.run))
 
+    def host_order_sent(self, order: HostOrder, now_ms: int) -> None:
+        """Records when an order about a host was sent, after its record was stored."""
+        self.ordered_at_ms_by_host_id[order.host_id] = now_ms
+
     def host_order_finished(
         self, order: HostOrder, outcome: HostOrderOutcome, now_ms: int
     ) -> None:
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -420,6 +420,7 @@
                 continue
             if isinstance(command, HostOrder):
                 if self.hosts is not None:
+                    self.scheduler.host_order_sent(command, now_ms())
                     self.hosts.inbox.send(command)
                 continue
             link = self.links.get((command.backend_id, command.born_ms))
--- a/tests/test_jobs_stored_writes.py
+++ b/tests/test_jobs_stored_writes.py
@@ -1,14 +1,21 @@
 """What the leader sends after a write goes by what the write has stored."""
 
 import unittest
+from unittest import mock
 
+from dandelionknot.jobs._batches import ORDER_KEPT_MS
 from dandelionknot.jobs._generated import (
+    Host,
+    HostsListed,
     OrderOutcome,
     Resources,
     StartTask,
     StepSpec,
+    UpkeepWave,
 )
-from tests.job_test_bed import LEASE_MS, FakeBackend, JobTestBed
+from dandelionknot.manager._commit import BatchStored
+from dandelionknot.manager._leader import Leader
+from tests.job_test_bed import LEASE_MS, SERVICE, FakeBackend, JobTestBed
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
 TASK = 'j1.0.0.0'
@@ -93,5 +100,45 @@
         self.assertEqual(assigned, [])
 
 
+class LateHostOrderTest(unittest.TestCase):
+    """The record of an order about a host is stored long after it was planned."""
+
+    def setUp(self):
+        self.test_bed = JobTestBed(FakeBackend('b1'), FakeBackend('b2'))
+        self.test_bed.step()
+        scheduler = self.test_bed.scheduler
+        wave = UpkeepWave(number=1, host_ids=['m1'], within_s=20, max_down=1)
+        scheduler.maintenance.set_wave('1', wave, None, self.test_bed.now_ms)
+        row = Host(host_id='m1', pool=SERVICE, state='up', backend_id='b1')
+        listed = HostsListed(hosts=[row], sent_ms=self.test_bed.now_ms)
+        scheduler.maintenance.hosts_listed(listed)
+        self.leader = Leader.from_ports(mock.Mock(), mock.Mock())
+        self.leader.scheduler = scheduler
+        self.leader.hosts = mock.Mock()
+
+    def take_batch_after(self, duration_ms):
+        self.test_bed.now_ms += duration_ms
+        now_ms = self.test_bed.now_ms
+        self.test_bed.scheduler.plan(now_ms, now_ms)
+        return self.test_bed.scheduler.take_batch(10, now_ms)
+
+    def test_an_order_stays_recorded_for_its_time_after_it_was_sent(self):
+        """Guards against two leaders that give orders about one host in turn."""
+        batch = self.take_batch_after(10)
+        [order] = batch.host_orders
+        self.test_bed.now_ms += ORDER_KEPT_MS
+        sent_ms = self.test_bed.now_ms
+        with mock.patch('dandelionknot.manager._leader.now_ms', return_value=sent_ms):
+            self.leader._handle(BatchStored(batch, ORDER_KEPT_MS))
+        self.leader.hosts.inbox.send.assert_called_once_with(order)
+        self.test_bed.submit(step(), job_id='j1')
+        following = self.take_batch_after(ORDER_KEPT_MS - 1000)
+        self.assertIsNone(following.borrowed)
+        self.assertIn('m1', self.test_bed.scheduler.ordered_at_ms_by_host_id)
+        self.test_bed.submit(step(), job_id='j2')
+        last = self.take_batch_after(2000)
+        self.assertEqual(last.borrowed.recently_ordered_host_ids, [])
+
+
 if __name__ == '__main__':
     unittest.main()
