Keep runs that a silent later lifetime may have accepted

Cause: without an answer, the entry of a later lifetime ended all runs of the known one. The answer to a start names no lifetime, so the starts that the later lifetime had accepted counted for the known one. Starts without an answer did so too.

Change: the clock in the answer to a start shows whether a later lifetime has accepted it. These runs, and starts without an answer, are kept for the later lifetime until it reports them, until the list of hosts shows its end, or until the longest lease that the platform allows has expired since the loss of contact. The same holds if no entry is read and the lease of the known lifetime ends, and for a new leader. A wait of a new leader does not begin anew with each link.

Evidence: the log has the starts as accepted 0.22 s after the restart, then the reason 'backend server restarted' for their requeueing, while the host is listed as up.

Ruled out: an expired lease or a list of hosts as the reason, by the log. Keeping all runs that no report had listed: it holds back starts of the known lifetime without need.

The tests of the platform adapter check the outcome and the clock of a start, since the answer has both now.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -408,7 +408,7 @@
     ),
     Event.BACKEND_REBORN: EventInfo(
         WARNING,
-        'A backend server has restarted; its former tasks do not run any more.',
+        'A backend server has restarted; its former tasks have ended or are kept.',
         NO_ACTION,
     ),
     Event.BACKEND_AVOIDED: EventInfo(
--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -249,6 +249,9 @@
     """Adds a crash to the history of a task, which may become suspected by it."""
     if task.step.job.final or task.phase is TaskPhase.DONE:
         return
+    if task.run in task.crashed_runs:
+        # It was lost with an earlier lifetime, and a later one has not reported it.
+        return
     answered = task.phase is not TaskPhase.PLACED
     age_ms = max(0, backend.last_sign_ms - task.started_at_ms) if answered else 0
     task.crashed_runs = [*task.crashed_runs, task.run][-MAX_STORED_CRASHES:]
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -457,6 +457,15 @@
         ]
        
     ) = 0
+    is_later_lifetime: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the clock in the answer shows that a later lifetime has answered."
+            ),
+        ]
+       
+    ) = False
 
 
 class StopFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -724,3 +733,20 @@
         | None
        
     ) = None
+
+
+class StartAnswer(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Answer of a backend server to a start order.
+    """
+
+    outcome: OrderOutcome
+    clock_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Time on the clock of the backend server; -1 if the answer does not state it."
+            ),
+        ]
+       
+    ) = -1
--- a/dandelionknot/jobs/_leases.py
+++ b/dandelionknot/jobs/_leases.py
@@ -8,6 +8,8 @@
 # Largest share by which a backend server's clock may be slow, from the platform's
 # protocol.
 CLOCK_SLOWNESS = 0.02
+# Largest error of the difference between two clock readings, which are whole numbers.
+READING_ERROR_MS = 2
 # Added to the expiry time for the rounding of clock readings and the time that the
 # backend server takes to kill its tasks.
 EXPIRY_MARGIN_MS = 250
@@ -46,6 +48,18 @@
         """Whether the clock has been read."""
         return self._reading_ms is not None
 
+    def shows_restart(self, reading_ms: int, sent_ms: int) -> bool:
+        """Whether a reading is from a later lifetime than the last one.
+
+        `sent_ms` is the local time of the call that it answers. The clock of a later
+        lifetime starts anew, so it is behind even a slow clock of the known one.
+        """
+        if self._reading_ms is None:
+            return False
+        elapsed_ms = sent_ms - self._read_at_ms
+        slowest_ms = int(min(elapsed_ms, elapsed_ms * (1 - CLOCK_SLOWNESS)))
+        return reading_ms < self._reading_ms + slowest_ms - READING_ERROR_MS
+
     def extend(self, now_ms: int, longest_ms: int) -> int:
         """Extends the lease and returns its deadline on the backend server's clock.
 
@@ -76,10 +90,22 @@
 def max_former_lease_ms(longest_ms: int) -> int:
     """Returns how long from now a lease given by a former leader may last.
 
-    The former leader may continue to renew it for `HOLD_GRACE_MS`.
+    The former leader may continue to renew it for `HOLD_GRACE_MS`. It may also have
+    reached a later lifetime than it knew.
     """
     lease_ms = task_lease_ms(longest_ms)
-    return HOLD_GRACE_MS + _on_slow_clock_ms(lease_ms) + EXPIRY_MARGIN_MS
+    renewed_ms = HOLD_GRACE_MS + _on_slow_clock_ms(lease_ms) + EXPIRY_MARGIN_MS
+    return max(renewed_ms, max_later_lease_ms(longest_ms))
+
+
+def max_later_lease_ms(longest_ms: int) -> int:
+    """Returns how long a lease of a later lifetime than the known one may last.
+
+    The deadlines in orders are on the clock of the known lifetime. They lie far in the
+    future of a clock that has started anew, so the later lifetime shortens its lease to
+    the longest one that the platform allows.
+    """
+    return _on_slow_clock_ms(longest_ms) + EXPIRY_MARGIN_MS
 
 
 def _on_slow_clock_ms(duration_ms: int) -> int:
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -17,11 +17,12 @@
 from dandelionknot.events import Event
 from dandelionknot.jobs import _crashes
 from dandelionknot.jobs._generated import BackendReport, HoldReport
-from dandelionknot.jobs._leases import max_former_lease_ms
+from dandelionknot.jobs._leases import max_former_lease_ms, max_later_lease_ms
 from dandelionknot.jobs._state import (
     BackendState,
     Lifetime,
     TaskPhase,
+    TaskState,
     rack_of,
     reassign,
 )
@@ -122,7 +123,7 @@
             _ask(backend, report, now_ms)
             reason = 'the backend server has to show first that it has started again'
         else:
-            _replace(scheduler, backend, report.born_ms)
+            _replace(scheduler, backend, report.born_ms, now_ms)
             backend = None
     if reason:
         _note_ignored(scheduler, report, reason)
@@ -203,7 +204,7 @@
     for former in scheduler.former_backends:
         if former.backend_id == backend.backend_id:
             scheduler.ended_lifetimes.add(former.lifetime)
-            _move_runs(scheduler, former, backend, report, sent_ms)
+            _move_runs(scheduler, former, backend, report)
             scheduler.requeue_tasks(former, RESTARTED)
     contested = backend.contested_by
     if contested is not None and sent_ms > backend.contested_since_ms:
@@ -215,7 +216,6 @@
     scheduler: Scheduler,
     backend: BackendState,
     report: HoldReport,
-    sent_ms: int,
     now_ms: int,
 ) -> None:
     """Keeps the runs that have begun in another lifetime than the known one.
@@ -223,15 +223,40 @@
     A backend server may start again without its leader noticing, and then accept starts
     that were meant for the former lifetime. `report` is the answer of the other one.
     """
-    lifetime = Lifetime(backend.backend_id, report.born_ms)
-    other = _former(scheduler, lifetime)
-    if other is None:
-        other = _new_state(scheduler, *lifetime, now_ms)
-        other.host_id = backend.host_id
+    other = _later_state(scheduler, backend, report.born_ms, now_ms)
+    _move_runs(scheduler, backend, other, report)
+
+
+def _later_state(
+    scheduler: Scheduler, backend: BackendState, born_ms: int, now_ms: int
+) -> BackendState:
+    """Returns the state of a lifetime that takes over runs of the known one."""
+    lifetime = Lifetime(backend.backend_id, born_ms)
+    later = _former(scheduler, lifetime)
+    if later is None:
+        later = _new_state(scheduler, *lifetime, now_ms)
+        later.lapses_at_ms = _later_lapses_at_ms(scheduler, backend, now_ms)
+        later.host_id = backend.host_id
         # A list of hosts that was requested earlier may be from before its start.
-        other.lost_at_ms = now_ms
-        scheduler.former_backends.append(other)
-    _move_runs(scheduler, backend, other, report, sent_ms)
+        later.lost_at_ms = now_ms
+        scheduler.former_backends.append(later)
+    return later
+
+
+def _later_lapses_at_ms(
+    scheduler: Scheduler, backend: BackendState, now_ms: int
+) -> int:
+    """Returns the local time by which the lease of a later lifetime has expired.
+
+    Only calls that were made before contact was lost can have extended it.
+    """
+    if not backend.fenced:
+        # A former leader may have made them.
+        return backend.lapses_at_ms or now_ms + max_former_lease_ms(
+            scheduler.hold_max_ms
+        )
+    lost_at_ms = now_ms if backend.reachable else backend.lost_at_ms
+    return lost_at_ms + max_later_lease_ms(scheduler.hold_max_ms)
 
 
 def _move_runs(
@@ -239,24 +264,79 @@
     source: BackendState,
     target: BackendState,
     report: HoldReport,
-    sent_ms: int,
 ) -> None:
     """Moves runs from one lifetime to the later one in which they have begun.
 
-    Those are the runs that its report lists, and those of which the start may have been
-    carried out after the report. The start of a run that was not answered is withdrawn.
+    Those are the runs that its report lists, and those whose start it has accepted
+    since, as the clock in the answer shows. The start of a run that was not answered is
+    withdrawn.
     """
     listed = {(row.task_name, row.run) for row in report.running}
     listed |= {(row.task_name, row.run) for row in report.ended}
     for task in list(source.tasks_by_name.values()):
-        is_open = source.reachable and task.start_sent and not task.unconfirmed
-        unanswered = is_open and task.phase is TaskPhase.PLACED
-        accepted_since = is_open and task.confirmed_at_ms >= sent_ms
-        if (task.name, task.run) in listed or unanswered or accepted_since:
-            reassign(task, target)
-            scheduler.mark_dirty(task.step.job)
-            if unanswered and (task.name, task.run) not in listed:
-                scheduler.stop(task, 'start not answered')
+        if (task.name, task.run) in listed:
+            _move_run(scheduler, task, target)
+            task.unconfirmed = False
+        elif task.in_later_lifetime:
+            _move_run(scheduler, task, target)
+        elif source.reachable and _is_unanswered(task):
+            _move_run(scheduler, task, target)
+            _withdraw_start(scheduler, task)
+
+
+def _move_run(scheduler: Scheduler, task: TaskState, target: BackendState) -> None:
+    reassign(task, target)
+    scheduler.mark_dirty(task.step.job)
+
+
+def _withdraw_start(scheduler: Scheduler, task: TaskState) -> None:
+    """Stops a run whose start may reach the lifetime to which it was moved.
+
+    A stop that was sent to the former lifetime has no effect there.
+    """
+    task.stopping = False
+    scheduler.stop(task, 'start not answered')
+
+
+def _is_unanswered(task: TaskState) -> bool:
+    """Whether this leader has sent the start of a run and has no answer."""
+    return task.start_sent and not task.unconfirmed and task.phase is TaskPhase.PLACED
+
+
+def _may_run_later(task: TaskState) -> bool:
+    """Whether a later lifetime than the known one may have begun a run.
+
+    A start names no lifetime. One without an answer may have reached any, and so may
+    one that a former leader sent.
+    """
+    return task.in_later_lifetime or task.unconfirmed or _is_unanswered(task)
+
+
+def kept_beyond_lease(
+    scheduler: Scheduler, backend: BackendState, now_ms: int
+) -> list[TaskState]:
+    """Returns the tasks that may still run although the lease has expired.
+
+    The lease that was computed is that of the known lifetime.
+    """
+    if now_ms >= _later_lapses_at_ms(scheduler, backend, now_ms):
+        return []
+    return [task for task in backend.tasks_by_name.values() if _may_run_later(task)]
+
+
+def _hand_over(scheduler: Scheduler, former: BackendState, later: BackendState) -> None:
+    """Requeues the runs of a lifetime that has ended, unless a later one may have them.
+
+    The later lifetime does not answer. It keeps those runs until it does or until its
+    own lease has certainly expired. Starts without an answer are withdrawn there.
+    """
+    kept = [task for task in former.tasks_by_name.values() if _may_run_later(task)]
+    scheduler.requeue_tasks(former, RESTARTED, kept=kept)
+    for task in kept:
+        is_unanswered = _is_unanswered(task)
+        _move_run(scheduler, task, later)
+        if is_unanswered:
+            _withdraw_start(scheduler, task)
 
 
 def other_answered(
@@ -270,7 +350,7 @@
     if answered_born_ms:
         scheduler.ended_lifetimes.add(backend.lifetime)
     if contested is not None and answered_born_ms in (0, contested.born_ms):
-        _replace(scheduler, backend, contested.born_ms)
+        _replace(scheduler, backend, contested.born_ms, now_ms)
         apply_entry(scheduler, contested, now_ms)
         return
     if contested is not None:
@@ -289,10 +369,10 @@
             former.backend_id == backend.backend_id
             and 0 < former.born_ms < backend.born_ms
         ):
-            scheduler.requeue_tasks(former, RESTARTED)
+            _hand_over(scheduler, former, backend)
     contested = backend.contested_by
     if contested is not None and contested.born_ms > backend.born_ms:
-        _replace(scheduler, backend, contested.born_ms)
+        _replace(scheduler, backend, contested.born_ms, now_ms)
         apply_entry(scheduler, contested, now_ms)
 
 
@@ -333,21 +413,29 @@
     )
 
 
-def _replace(scheduler: Scheduler, backend: BackendState, born_ms: int) -> None:
-    """Requeues the tasks of a lifetime that a later one has replaced.
+def _replace(
+    scheduler: Scheduler, backend: BackendState, born_ms: int, now_ms: int
+) -> None:
+    """Hands the tasks of a lifetime over to a later one that has replaced it.
 
     The later lifetime shows that no task runs in the former one any more.
     """
     del scheduler.backends_by_id[backend.backend_id]
+    tasks = len(backend.tasks_by_name)
+    kept = 0
+    if tasks:
+        later = _later_state(scheduler, backend, born_ms, now_ms)
+        _hand_over(scheduler, backend, later)
+        kept = len(later.tasks_by_name)
     scheduler.note(
         Event.BACKEND_REBORN,
         {
             'backend_id': backend.backend_id,
             'born_ms': born_ms,
-            'tasks_lost': len(backend.tasks_by_name),
+            'tasks_lost': tasks - kept,
+            'tasks_kept': kept,
         },
     )
-    scheduler.requeue_tasks(backend, RESTARTED)
 
 
 def _registered(
--- a/dandelionknot/jobs/_losses.py
+++ b/dandelionknot/jobs/_losses.py
@@ -123,8 +123,16 @@
     have answered.
     """
     backend = scheduler.backends_by_id.get(lifetime.backend_id)
-    if backend is None or backend.born_ms in (0, lifetime.born_ms):
+    if backend is None or not backend.born_ms:
         return False
+    if backend.born_ms == lifetime.born_ms:
+        # A run that the later lifetime may have is still counted for the lost one.
+        entry = backend.contested_by
+        return (
+            entry is not None
+            and not backend.reachable
+            and entry.born_ms > lifetime.born_ms
+        )
     return backend.fenced or (
         backend.report is not None and backend.born_ms > lifetime.born_ms
     )
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -144,7 +144,7 @@
             continue
         lapses_at_ms = backend.lapses_at_ms
         if lapses_at_ms is not None and now_ms >= lapses_at_ms:
-            scheduler.requeue_tasks(backend, 'lease lapsed', certain=False)
+            _free_lapsed(scheduler, backend, now_ms)
         elif lapses_at_ms is not None and backend.fenced:
             # The backend server has answered in this term and is unresponsive now.
             _requeue_speculative(scheduler, backend)
@@ -157,6 +157,15 @@
             del scheduler.backends_by_id[backend_id]
 
 
+def _free_lapsed(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
+    """Requeues the tasks whose lease has expired."""
+    kept = _lifetimes.kept_beyond_lease(scheduler, backend, now_ms)
+    if backend.lease_lapsed and len(kept) == len(backend.tasks_by_name):
+        return
+    backend.lease_lapsed = True
+    scheduler.requeue_tasks(backend, 'lease lapsed', certain=False, kept=kept)
+
+
 def _requeue_speculative(scheduler: Scheduler, backend: BackendState) -> None:
     """Requeues speculative tasks of an unresponsive backend server.
 
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -49,7 +49,7 @@
     The report lists the tasks that run and those that have ended.
     """
     if report.born_ms and backend.born_ms and report.born_ms != backend.born_ms:
-        _lifetimes.take_over_runs(scheduler, backend, report, sent_ms, now_ms)
+        _lifetimes.take_over_runs(scheduler, backend, report, now_ms)
         scheduler.contact_lost(
             backend,
             OrderOutcome.OTHER_LIFETIME,
@@ -60,6 +60,7 @@
         return
     backend.fenced = True
     backend.lapses_at_ms = None
+    backend.lease_lapsed = False
     backend.last_contact_ms = backend.last_sign_ms = now_ms
     backend.recent_runs_by_name = None
     _losses.lifetime_answered(scheduler, backend)
@@ -117,6 +118,8 @@
         if former is not None:
             _crashes.withdraw_crash(scheduler, backend, former, row.run)
         return
+    _crashes.withdraw_crash(scheduler, backend, task, row.run)
+    task.in_later_lifetime = False
     if task.phase is TaskPhase.PLACED or task.unconfirmed:
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.RUNNING
@@ -156,6 +159,9 @@
             scheduler.requeue(task, 'run not reported to the new leader')
         elif _has_missed_start(task, clock_ms):
             scheduler.requeue(task, 'its start was not carried out in time')
+        elif _waits_for_stop(task):
+            # It may have been lost with a former link.
+            scheduler.commands.append(stop_command(backend, task.name, task.run))
         elif task.phase is not TaskPhase.PLACED and task.confirmed_at_ms < sent_ms:
             task.missing_reports += 1
             if task.missing_reports >= REPORTS_UNTIL_MISSING:
@@ -164,6 +170,16 @@
                 )
 
 
+def _waits_for_stop(task: TaskState) -> bool:
+    """Whether only a stop shows that a run that is not listed can no longer start."""
+    return (
+        task.phase is TaskPhase.PLACED
+        and task.start_sent
+        and task.stopping
+        and not task.start_deadline_ms
+    )
+
+
 def _has_missed_start(task: TaskState, clock_ms: int) -> bool:
     """Whether a run that is not listed can no longer start.
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from itertools import starmap
 
@@ -256,16 +256,22 @@
             del self.backends_by_id[backend_id]
 
     def requeue_tasks(
-        self, backend: BackendState, reason: str, certain: bool = True
+        self,
+        backend: BackendState,
+        reason: str,
+        certain: bool = True,
+        kept: Collection[TaskState] = (),
     ) -> None:
-        """Requeues all tasks of a backend server on which none runs any more.
+        """Requeues the tasks of a backend server on which none runs any more.
 
         `certain` is whether its lifetime is known to have ended. It may also have been
-        cut off until the lease of its tasks had expired.
+        cut off until the lease of its tasks had expired. The tasks in `kept` may run in
+        a later lifetime. They are lost with this one unless a later one reports them.
         """
         _crashes.backend_lost(self, backend, reason, certain)
         for task in list(backend.tasks_by_name.values()):
-            self.requeue(task, reason)
+            if task not in kept:
+                self.requeue(task, reason)
 
     def requeue(self, task: TaskState, reason: str) -> None:
         """Makes a task wait for its next run.
@@ -329,6 +335,9 @@
         `answered_born_ms` names the lifetime that has answered instead, if one has.
         """
         lost_at_ms = self.planned_ms if now_ms is None else now_ms
+        if not backend.fenced and backend.lapses_at_ms is not None:
+            # No call of this term has extended its lease.
+            lapses_at_ms = min(lapses_at_ms, backend.lapses_at_ms)
         backend.lapses_at_ms = lapses_at_ms
         was_reachable, backend.reachable = backend.reachable, False
         if was_reachable:
@@ -362,11 +371,12 @@
         outcome: OrderOutcome,
         now: int,
         deadline_ms: int = 0,
+        is_later_lifetime: bool = False,
     ) -> None:
         """Applies the outcome of a start order if it is for the task's current run.
 
         The backend server rejects a start that arrives after `deadline_ms`, on its own
-        clock.
+        clock. `is_later_lifetime` is whether a later lifetime than this one answered.
         """
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
@@ -374,6 +384,7 @@
         if outcome is OrderOutcome.ACCEPTED or outcome is OrderOutcome.SUPERSEDED:
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
+            task.in_later_lifetime = is_later_lifetime
             task.confirmed_at_ms = task.progressed_at_ms = now
             task.started_at_ms = backend.last_sign_ms = now
             self._log_started(task, backend, outcome, now)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -57,6 +57,9 @@
     start_deadline_ms: int = 0
     # Placed by a former leader, and not reported to this leader yet.
     unconfirmed: bool = False
+    # The answer to the start showed that a later lifetime than that of `backend` has
+    # accepted it.
+    in_later_lifetime: bool = False
     confirmed_at_ms: int = 0
     # Time (Unix, ms) at which the run was placed. It is stored.
     placed_unix_ms: int = 0
@@ -200,6 +203,8 @@
     # Local time by which all its tasks have ended unless contact is regained. None
     # while the backend server answers.
     lapses_at_ms: int | None
+    # The end of the lease was applied. Tasks that are left may run in a later lifetime.
+    lease_lapsed: bool = False
     report: BackendReport | None = None
     # Address at which it is called; empty if no entry named one. It is lent if it is
     # that of an entry of another lifetime.
@@ -324,10 +329,12 @@
 def reassign(task: TaskState, backend: BackendState) -> None:
     """Moves the current run of a task to another lifetime of its backend server."""
     start_sent, stopping, isolated = task.start_sent, task.stopping, task.isolated
+    unconfirmed = task.unconfirmed
     unassign(task)
     task.isolated = isolated
     assign(task, backend)
     task.start_sent, task.stopping = start_sent, stopping
+    task.unconfirmed = unconfirmed
     task.pace_known = False
 
 
@@ -345,6 +352,7 @@
     spec = task.step.spec
     task.backend = None
     task.start_sent = task.stopping = task.unconfirmed = False
+    task.in_later_lifetime = False
     task.missing_reports = 0
     task.measured_from_ms = task.start_deadline_ms = 0
     task.pace_percent, task.pace_known = 100, True
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -311,7 +311,13 @@
                 )
             case StartFinished(task_name=name, run=run, outcome=outcome):
                 scheduler.start_finished(
-                    backend, name, run, outcome, now_ms(), message.deadline_ms
+                    backend,
+                    name,
+                    run,
+                    outcome,
+                    now_ms(),
+                    message.deadline_ms,
+                    message.is_later_lifetime,
                 )
             case StopFinished(task_name=name, run=run):
                 scheduler.stop_finished(backend, name, run, now_ms())
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -178,16 +178,14 @@
         """Sends a start, if need be repeatedly, and reports its outcome."""
         key = (message.order.task_name, message.order.run)
         self.starts_in_progress.add(key)
-        outcome, deadline = OrderOutcome.NO_ANSWER, 0
+        # After an unexpected error, the start may have been carried out.
+        finished = self._start_finished(message, OrderOutcome.NO_ANSWER)
         try:
-            outcome, deadline = await self._try_start(message, key)
+            finished = await self._try_start(message, key)
         finally:
-            # After an unexpected error, the start may have been carried out.
-            self._report_start(message, outcome, deadline)
+            self._report_start(key, finished)
 
-    async def _try_start(
-        self, message: StartTask, key: RunKey
-    ) -> tuple[OrderOutcome, int]:
+    async def _try_start(self, message: StartTask, key: RunKey) -> StartFinished:
         """Returns the outcome of a start, and the deadline of its last try.
 
         The deadline is on the backend server's clock; a try that arrives after it is
@@ -195,13 +193,18 @@
         """
         outcome = OrderOutcome.NOT_SENT
         deadline = 0
-        may_have_arrived = False
+        may_have_arrived = is_later_lifetime = False
         for timeout_ms in TRY_TIMEOUTS_MS:
             await self.contact_checked.wait()
             if key in self.withdrawn_starts or not self._may_start():
                 break
-            deadline = self.clock.extend(now_ms(), self._lease_ms())
-            outcome = await self.client.start(message.order, deadline, timeout_ms)
+            sent_ms = now_ms()
+            deadline = self.clock.extend(sent_ms, self._lease_ms())
+            answer = await self.client.start(message.order, deadline, timeout_ms)
+            outcome = answer.outcome
+            is_later_lifetime = answer.clock_ms >= 0 and self.clock.shows_restart(
+                answer.clock_ms, sent_ms
+            )
             may_have_arrived = may_have_arrived or outcome is OrderOutcome.NO_ANSWER
             if outcome not in (
                 OrderOutcome.NO_ANSWER,
@@ -211,30 +214,35 @@
                 break
         if may_have_arrived and outcome not in FINAL_OUTCOMES:
             # An earlier try may have been carried out or may still be.
-            return OrderOutcome.NO_ANSWER, deadline
-        return outcome, deadline
+            outcome = OrderOutcome.NO_ANSWER
+        return self._start_finished(message, outcome, deadline, is_later_lifetime)
+
+    def _start_finished(
+        self,
+        message: StartTask,
+        outcome: OrderOutcome,
+        deadline_ms: int = 0,
+        is_later_lifetime: bool = False,
+    ) -> StartFinished:
+        return StartFinished(
+            backend_id=self.backend_id,
+            born_ms=self.born_ms,
+            task_name=message.order.task_name,
+            run=message.order.run,
+            outcome=outcome,
+            deadline_ms=deadline_ms,
+            is_later_lifetime=is_later_lifetime,
+        )
 
     def _may_start(self) -> bool:
         return not self.is_contact_lost and self.clock.known and self.may_order()
 
-    def _report_start(
-        self, message: StartTask, outcome: OrderOutcome, deadline: int
-    ) -> None:
-        key = (message.order.task_name, message.order.run)
+    def _report_start(self, key: RunKey, finished: StartFinished) -> None:
         self.starts_in_progress.discard(key)
         self.withdrawn_starts.discard(key)
         self.busy = True
         self.wake.set()
-        self.report(
-            StartFinished(
-                backend_id=self.backend_id,
-                born_ms=self.born_ms,
-                task_name=message.order.task_name,
-                run=message.order.run,
-                outcome=outcome,
-                deadline_ms=deadline,
-            )
-        )
+        self.report(finished)
 
     async def _stop(self, message: StopTask) -> None:
         """Sends a stop until the backend server has carried it out.
--- a/dandelionknot/manager/_ports.py
+++ b/dandelionknot/manager/_ports.py
@@ -11,6 +11,7 @@
     HostOrder,
     HostOrderOutcome,
     OrderOutcome,
+    StartAnswer,
     StartOrder,
 )
 
@@ -28,7 +29,7 @@
 
     async def start(
         self, order: StartOrder, deadline_ms: int, timeout_ms: int
-    ) -> OrderOutcome:
+    ) -> StartAnswer:
         """Starts a run of a task."""
 
     async def stop(self, task_name: str, run: int, timeout_ms: int) -> OrderOutcome:
--- a/dandelionknot/platform/_backends.py
+++ b/dandelionknot/platform/_backends.py
@@ -8,7 +8,12 @@
 from dandelionknot._http_connections import HttpConnections, HttpResponse
 from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.events import Event, log_event
-from dandelionknot.jobs._generated import HoldReport, OrderOutcome, StartOrder
+from dandelionknot.jobs._generated import (
+    HoldReport,
+    OrderOutcome,
+    StartAnswer,
+    StartOrder,
+)
 from dandelionknot.platform._decode import convert_hold_report, decode
 from dandelionknot.platform._generated import WireLists, WireOrderAnswer
 
@@ -72,7 +77,7 @@
 
     async def start(
         self, order: StartOrder, deadline_ms: int, timeout_ms: int
-    ) -> OrderOutcome:
+    ) -> StartAnswer:
         """Starts a run of a task; a repeated start of the same run is accepted."""
         body: dict = {
             'task': order.task_name,
@@ -85,7 +90,14 @@
             body['checkpoint_data'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return await self._order('/run-start', body, timeout_ms)
+        answer = await self._call('/run-start', body, timeout_ms)
+        if isinstance(answer, Err):
+            return StartAnswer(outcome=_outcome_of_error(answer.err_value))
+        clock_ms = -1
+        if answer.ok_value.status in (OK, CONFLICT):
+            decoded = decode(answer.ok_value.body, WireOrderAnswer, 'order')
+            clock_ms = decoded.map_or(-1, lambda stated: stated.clock_ms)
+        return StartAnswer(outcome=_outcome_of(answer.ok_value), clock_ms=clock_ms)
 
     async def stop(self, task_name: str, run: int, timeout_ms: int) -> OrderOutcome:
         """Stops a run, or makes the backend server reject it from now on."""
--- a/dandelionknot/platform/_generated.py
+++ b/dandelionknot/platform/_generated.py
@@ -152,7 +152,7 @@
 
 
 class WireOrderAnswer(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    clock_ms: int = 0
+    clock_ms: int = -1
     born: int = 0
     reason: str = ""
 
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -14,6 +14,7 @@
     OrderOutcome,
     Resources,
     RunningTask,
+    StartAnswer,
     StartOrder,
 )
 
@@ -295,12 +296,16 @@
 
     async def start(
         self, order: StartOrder, deadline_ms: int, timeout_ms: int
-    ) -> OrderOutcome:
+    ) -> StartAnswer:
         """Sends an order to start a run."""
         backend, token = self.backend, self.token
-        return await self._send_order(
+        outcome = await self._send_order(
             timeout_ms, lambda: backend.start(order, deadline_ms, token)
         )
+        answered = outcome is not OrderOutcome.NO_ANSWER
+        return StartAnswer(
+            outcome=outcome, clock_ms=backend.clock() if answered else -1
+        )
 
     async def stop(self, task_name: str, run: int, timeout_ms: int) -> OrderOutcome:
         """Sends an order to stop a run."""
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -301,6 +301,7 @@
                 outcome,
                 self.now_ms,
                 backend.clock_ms + LEASE_MS,
+                backend.born_ms != state.born_ms,
             )
             if backend.cut_off:
                 self.scheduler.contact_lost(
--- a/tests/test_link_lifetimes.py
+++ b/tests/test_link_lifetimes.py
@@ -11,10 +11,13 @@
     EndsStored,
     HoldAnswered,
     HoldReport,
+    OrderOutcome,
+    StartFinished,
     TasksExpected,
 )
+from dandelionknot.jobs._leases import LeaseClock
 from emulator import virtual_time
-from tests.test_manager_link import FakeBackendClient, new_link
+from tests.test_manager_link import START, FakeBackendClient, new_link, run_link
 
 
 class RestartingClient(FakeBackendClient):
@@ -75,6 +78,40 @@
         last = [report for report in reports if isinstance(report, HoldAnswered)][-1]
         self.assertEqual((last.report.born_ms, last.report.ended), (2, [ended(1)]))
 
+    def test_an_answer_to_a_start_shows_which_lifetime_accepted_it(self):
+        """Guards against a run that is counted for a lifetime that has ended."""
+        for clock_ms, expected in ((-1, False), (50, True), (2000, False)):
+            with self.subTest(clock_ms=clock_ms):
+                client = FakeBackendClient()
+                client.start_clock_ms = clock_ms
+                reports = virtual_time.run(run_link(client, [START], 2))
+                [finished] = [r for r in reports if isinstance(r, StartFinished)]
+                self.assertIs(finished.outcome, OrderOutcome.ACCEPTED)
+                self.assertIs(finished.is_later_lifetime, expected)
+
+
+class LeaseClockTest(unittest.TestCase):
+    def test_a_slow_clock_shows_no_restart(self):
+        """Guards against a lifetime that counts as ended because its clock is slow."""
+        for elapsed_ms in (0, 1, 49, 50, 1000, 60_000):
+            clock = LeaseClock(0, 6000)
+            clock.read(20_000, 100)
+            slow_ms = 20_000 + int(elapsed_ms * 0.98)
+            self.assertFalse(clock.shows_restart(slow_ms, 100 + elapsed_ms))
+
+    def test_an_answer_to_an_earlier_call_shows_no_restart(self):
+        """Guards against answers on two connections that overtake each other."""
+        clock = LeaseClock(0, 6000)
+        clock.read(20_000, 100)
+        self.assertFalse(clock.shows_restart(19_950, 50))
+
+    def test_a_clock_that_starts_anew_shows_a_restart(self):
+        """Guards against starts of a later lifetime that count for the known one."""
+        for idle_ms in (1000, 10_000, 60_000):
+            clock = LeaseClock(0, 6000)
+            clock.read(5000, 100)
+            self.assertTrue(clock.shows_restart(idle_ms - 500, 100 + idle_ms))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -11,6 +11,7 @@
     HoldReport,
     OrderOutcome,
     PaceTask,
+    StartAnswer,
     StartFinished,
     StartOrder,
     StartTask,
@@ -51,6 +52,8 @@
         self.deadlines = []
         self.waits_ms = []
         self.start_deadlines = []
+        # Clock in the answers to starts; -1 if they do not state it.
+        self.start_clock_ms = -1
         self.stops = 0
 
     async def hold(self, deadline_ms, acknowledged_end, wait_ms, timeout_ms):
@@ -70,7 +73,8 @@
 
     async def start(self, order, deadline_ms, timeout_ms):
         self.start_deadlines.append(deadline_ms)
-        return await self._answer(self.starts, timeout_ms)
+        outcome = await self._answer(self.starts, timeout_ms)
+        return StartAnswer(outcome=outcome, clock_ms=self.start_clock_ms)
 
     async def stop(self, task_name, run, timeout_ms):
         self.stops += 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -115,7 +115,8 @@
         started = await self.backend_client.start(
             order, self.backend.clock() + 5000, 300
         )
-        self.assertIs(started, OrderOutcome.ACCEPTED)
+        self.assertIs(started.outcome, OrderOutcome.ACCEPTED)
+        self.assertEqual(started.clock_ms, self.backend.clock())
         report = (await self.backend_client.hold(0, 0, 0, TIMEOUT_MS)).unwrap()
         self.assertEqual([row.task_name for row in report.running], ['j.0.0.0'])
         self.assertIs(
@@ -128,7 +129,8 @@
         """Guards against answers that are decoded as the wrong outcome."""
         order = StartOrder(task_name='j.0.0.0', run=1, payload='p')
         late = await self.backend_client.start(order, 0, TIMEOUT_MS)
-        self.assertIs(late, OrderOutcome.TOO_LATE)
+        self.assertIs(late.outcome, OrderOutcome.TOO_LATE)
+        self.assertEqual(late.clock_ms, self.backend.clock())
         other = self.new_backend_client('i-2', 7)
         self.assertIs(await other.stop('t', 1, 300), OrderOutcome.OTHER_LIFETIME)
         older = self.new_backend_client('i-1', 6)
