Log why backend servers get no starts while a job stands still

Change: the line 'job stands still' of a job that waits for a backend server has the number of unusable backend servers of its service by the reason. The test of usability moves from the planning round to a module of its own, unchanged.

Before: test_unusable_backend_servers_are_counted failed, the line had no such field. After: it passes.

--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -15,6 +15,7 @@
     _progress,
     _ranking,
     _standstill,
+    _usability,
 )
 from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
 from dandelionknot.jobs._state import (
@@ -60,7 +61,9 @@
         )
     backends_by_service: dict[str, list[BackendState]] = {}
     for backend in scheduler.backends_by_id.values():
-        if backend.report is not None and _is_usable(scheduler, backend, now_ms):
+        if backend.report is not None and _usability.is_usable(
+            scheduler, backend, now_ms
+        ):
             service = backend.report.service
             backends_by_service.setdefault(service, []).append(backend)
     steps_by_service: dict[str, list[StepState]] = {}
@@ -120,24 +123,6 @@
     return configured.service if configured else state.job.service
 
 
-def _is_usable(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
-    report = backend.report
-    return (
-        report is not None
-        and backend.fenced
-        and backend.reachable
-        and backend.contested_by is None
-        and not report.draining
-        and not backend.cordoned
-        and not backend.moving
-        and not backend.ending
-        and not backend.isolated_tasks
-        and report.availability_zone not in scheduler.excluded_zones
-        and backend.avoid_until_ms <= now_ms
-        and backend.full_until_ms <= now_ms
-    )
-
-
 def _free_expired(scheduler: Scheduler, now_ms: int) -> None:
     for backend in [*scheduler.backends_by_id.values(), *scheduler.former_backends]:
         if not backend.tasks_by_name:
--- a/dandelionknot/jobs/_standstill.py
+++ b/dandelionknot/jobs/_standstill.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _placement
+from dandelionknot.jobs import _crashes, _placement, _usability
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -165,7 +165,10 @@
         'task': task.name,
         'run': task.run,
     }
-    if task.backend is not None:
+    if task.backend is None:
+        service = state.queue.service
+        fields['unusable'] = _usability.unusable_counts(scheduler, service, now_ms)
+    else:
         lapses_at_ms = task.backend.lapses_at_ms
         fields |= {
             'backend_id': task.backend.backend_id,
--- a/tests/test_jobs_standstill.py
+++ b/tests/test_jobs_standstill.py
@@ -44,6 +44,16 @@
         [line] = self.noted(test_bed, Event.JOB_STANDS_STILL)
         self.assertEqual(line['cause'], Cause.ACCOUNT_LIMIT)
 
+    def test_unusable_backend_servers_are_counted(self):
+        test_bed = JobTestBed(FakeBackend('b1'), FakeBackend('b2'))
+        self.run_for(test_bed, 200)
+        states = test_bed.scheduler.backends_by_id
+        states['b1'].cordoned = states['b2'].ending = True
+        test_bed.submit(SMALL)
+        self.run_for(test_bed, 2500)
+        [line] = self.noted(test_bed, Event.JOB_STANDS_STILL)
+        self.assertEqual(line['unusable'], {'cordoned': 1, 'ends by an order': 1})
+
     def test_room_is_named_and_the_end_is_logged(self):
         test_bed = JobTestBed(
             FakeBackend('b1', room=Resources(cpu_millicores=2000, memory_mb=1000))
