Let a host work again whose order an earlier try had carried out

Cause: an accepted order marks the backend server listed on the host as one that ends soon. A repeated order that is already done is accepted too, when the host has a new backend server. Nothing took the mark back during the term.

Change: a marked backend server that answers a call made 1 s or more after the order was accepted gets starts again. The links ask marked servers that have no tasks.

Marking only the server that was listed when the order was sent: the repeated order is sent when the new one is listed.

An unused variable of the module of reports is removed.

Conclusion: an answer to a repeated order does not say which lifetime the order ended.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -99,6 +99,7 @@
     BACKEND_LOST = 8208
     RECORDS_NOT_STORED = 8209
     ORDER_REPEATED = 8210
+    BACKEND_GOES_ON = 8211
     ZONES_EXCLUDED = 8301
     WAVE_ADVANCED = 8302
     UPKEEP_ORDERED = 8303
@@ -428,6 +429,12 @@
         'so it is repeated until it is carried out.',
         'If this continues, check the backend server that `backend_id` names.',
     ),
+    Event.BACKEND_GOES_ON: EventInfo(
+        INFO,
+        'A backend server answers although an order about its host was accepted; the '
+        'order had ended an earlier one, so it gets starts again.',
+        NO_ACTION,
+    ),
     Event.RECORDS_NOT_STORED: EventInfo(
         WARNING,
         'The store did not accept records; no task is started until a retry succeeds.',
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -32,6 +32,9 @@
 # Time from the deadline of a start, on the clock of the backend server, until a run
 # that is not listed has certainly not started.
 START_DEADLINE_MARGIN_MS = 250
+# A backend server ends at once when its host is ordered down. It goes on if it answers
+# a call that was made this long after the order was accepted.
+ENDING_MS = 1000
 # Reasons of ends that no order caused.
 OWN_ENDS = frozenset({EndReason.DONE, EndReason.FAILED})
 
@@ -68,9 +71,13 @@
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
-    ended_names = set()
+    if backend.ending and sent_ms >= backend.ending_since_ms + ENDING_MS:
+        backend.ending = False
+        scheduler.note(
+            Event.BACKEND_GOES_ON,
+            {'backend_id': backend.backend_id, 'host_id': backend.host_id},
+        )
     for ended in report.ended:
-        ended_names.add((ended.task_name, ended.run))
         if ended.number <= backend.seen_end:
             continue
         backend.seen_end = ended.number
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -491,13 +491,17 @@
     def host_order_finished(
         self, order: HostOrder, outcome: HostOrderOutcome, now_ms: int
     ) -> None:
-        """Applies the outcome of an order about a host: a move or maintenance."""
+        """Applies the outcome of an order about a host: a move or maintenance.
+
+        An order that was repeated or answered late may have ended an earlier backend
+        server of the host than the one that is listed now.
+        """
         if outcome is HostOrderOutcome.FENCED:
             self.lost_leadership = True
         host = self.maintenance.hosts_by_id.get(order.host_id)
         backend = self.backends_by_id.get(host.backend_id) if host else None
         if backend is not None and outcome is HostOrderOutcome.ACCEPTED:
-            backend.ending = True
+            backend.ending, backend.ending_since_ms = True, now_ms
         if order.pool:
             self.capacity.order_finished(order, outcome, now_ms)
         else:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -239,8 +239,10 @@
     # Its host was ordered to move to another pool, or is borrowed and being drained so
     # that it can be returned.
     moving: bool = False
-    # The maintenance or the move of its host was accepted, so its lifetime ends soon.
+    # The maintenance or the move of its host was accepted, so its lifetime ends soon
+    # unless an earlier order had ended its predecessor; the local time of the answer.
     ending: bool = False
+    ending_since_ms: int = 0
     # Its host is borrowed from another pool. A long-running task would delay its
     # return.
     borrowed: bool = False
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -377,7 +377,8 @@
         """Opens and closes links so that they match the known backend servers.
 
         A link is needed while a lifetime of a backend server is registered or has
-        tasks. Each link is also informed whether its backend server has tasks.
+        tasks. Each link is also informed whether to expect tasks. It calls an idle
+        backend server too while it is open whether an order about its host ends it.
         """
         wanted = {}
         for backend in self.scheduler.backends_by_id.values():
@@ -393,7 +394,7 @@
                 self._open_link(key, backend.address)
             link = self.links.get(key)
             expected = TasksExpected(
-                expected=bool(backend.tasks_by_name),
+                expected=bool(backend.tasks_by_name or backend.ending),
                 report_soon=bool(backend.isolated_tasks or backend.contested_by),
             )
             if link is not None and self.expected.get(key, NOT_EXPECTED) != expected:
--- a/tests/test_jobs_standstill.py
+++ b/tests/test_jobs_standstill.py
@@ -49,6 +49,7 @@
         self.run_for(test_bed, 200)
         states = test_bed.scheduler.backends_by_id
         states['b1'].cordoned = states['b2'].ending = True
+        states['b2'].ending_since_ms = test_bed.now_ms + 10_000
         test_bed.submit(SMALL)
         self.run_for(test_bed, 2500)
         [line] = self.noted(test_bed, Event.JOB_STANDS_STILL)
