Keep a host empty for maintenance only while that can begin

Cause: a wave cordoned a host without a look at whether its long-running tasks may be stopped, and the cordon ended only when the maintenance began. Hosts that the platform said are not of the wave, or did not know, stayed cordoned for good, and so did a backend server whose row was missing in a list.

Change: a host is not cordoned while a long-running task on it may not be stopped. A cordon ends if that is so for 2.5 s, or if no order is accepted within 10 s, and is tried again 3 s later. Hosts that a wave skips are not cordoned, and a host counts as missing only while the list lacks it. A host that may have been ordered down stays cordoned.

Ruled out: that the wave waits for the lost host, or that the platform refuses the order: no order is sent. Ending a cordon for jobs that wait for short tasks on the host: it is bounded by the drain timeout, and a busy host would never get its maintenance.

Conclusion: a precaution waited for something that could not come.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -109,6 +109,7 @@
     HOST_ROW_MALFORMED = 8307
     POOL_LACKS_HOSTS = 8308
     SURGE_PREDICTED = 8309
+    CORDON_ENDED = 8310
 
 
 @dataclass(frozen=True, slots=True)
@@ -451,6 +452,12 @@
     Event.UPKEEP_ORDERED: EventInfo(
         INFO, 'The platform was ordered to take a host down for maintenance.', NO_ACTION
     ),
+    Event.CORDON_ENDED: EventInfo(
+        INFO,
+        'A host that was kept empty for its maintenance gets starts again, since the '
+        'maintenance cannot begin because of `reason`. It is tried again later.',
+        'If this continues, look for the tasks that the host may not lose.',
+    ),
     Event.UNEXPECTED_ERROR: EventInfo(
         ERROR,
         'An operation failed with an exception that the program does not expect; '
--- a/dandelionknot/jobs/_maintenance.py
+++ b/dandelionknot/jobs/_maintenance.py
@@ -36,6 +36,13 @@
 # run then are lost when the host goes down. The host waits longer only for long-running
 # tasks.
 DRAIN_TIMEOUT_MS = 8000
+# Time after which a cordon ends if a long-running task on the host may not be stopped,
+# and in any case, so that jobs that only this host can run do not wait for what may not
+# come. The first covers the restart of a task of the same step that was just evicted.
+BLOCKED_MS = 2500
+MAX_CORDON_MS = DRAIN_TIMEOUT_MS + 2000
+# Shortest time between two cordons of a host.
+CORDON_PAUSE_MS = 3000
 # Pause before an order that was not carried out is repeated.
 RETRY_MS = 400
 # Time after a maintenance order without an answer during which the platform may still
@@ -54,6 +61,11 @@
 
     host_id: str
     cordoned_at_ms: int = 0
+    # Local time since which a long-running task may not be stopped, 0 if none is left.
+    blocked_since_ms: int = 0
+    # It is not cordoned again before this local time.
+    cordon_not_before_ms: int = 0
+    # No order is sent before this local time.
     not_before_ms: int = 0
     # Maintenance was ordered, and the host has not been listed as up after that.
     down: bool = False
@@ -72,20 +84,30 @@
     first_seen_ms: int
     # Hosts whose maintenance order was accepted.
     begun: set[str] = field(default_factory=set)
-    # Hosts that the wave skips: they are not listed any more, or the platform does not
-    # know them or has assigned them to another wave.
+    # Hosts that the wave skips: the platform does not know them or has assigned them to
+    # another wave.
     gone: set[str] = field(default_factory=set)
     hosts_by_id: dict[str, HostState] = field(default_factory=dict)
+    # Hosts of the wave that the latest list lacks, so that they are skipped now.
+    missing: set[str] = field(default_factory=set)
     done: bool = False
     announced: bool = False
 
     def waiting_host_ids(self) -> list[str]:
         """Returns the hosts whose maintenance has not begun."""
-        return [
-            host_id
-            for host_id in self.wave.host_ids
-            if host_id not in self.begun and host_id not in self.gone
-        ]
+        skipped = self.begun | self.gone | self.missing
+        return [host_id for host_id in self.wave.host_ids if host_id not in skipped]
+
+    def is_cordoned(self, host_id: str) -> bool:
+        """Whether a host is kept empty until its maintenance begins."""
+        state = self.hosts_by_id.get(host_id)
+        return (
+            state is not None
+            and state.cordoned_at_ms > 0
+            and host_id not in self.begun
+            and host_id not in self.gone
+            and host_id not in self.missing
+        )
 
     def record(self) -> WaveRecord:
         """Returns the record of the wave to store."""
@@ -141,7 +163,7 @@
             state = wave.hosts_by_id.get(host_id)
             if state is None:
                 continue
-            if state.down or (state.cordoned_at_ms and host_id not in wave.begun):
+            if state.down or wave.is_cordoned(host_id):
                 return True
         return False
 
@@ -185,8 +207,7 @@
                 )
                 if shows_outcome and (host is None or host.state == UP):
                     state.down = False
-            missing = set(wave.waiting_host_ids()) - self.hosts_by_id.keys()
-            wave.gone |= missing
+            wave.missing = set(wave.wave.host_ids) - self.hosts_by_id.keys()
 
     def order_finished(
         self, order: HostOrder, outcome: HostOrderOutcome, now_ms: int
@@ -221,11 +242,7 @@
         for name, wave in self.waves_by_name.items():
             if not wave.done and self.listed_ms:
                 orders.extend(self._plan_wave(scheduler, name, wave, now_ms))
-            cordoned.update(
-                state.host_id
-                for state in wave.hosts_by_id.values()
-                if state.cordoned_at_ms and state.host_id not in wave.begun
-            )
+            cordoned.update(filter(wave.is_cordoned, wave.hosts_by_id))
         self._apply_cordons(scheduler, cordoned)
         return orders
 
@@ -236,11 +253,11 @@
             if not wave.done
             for host_id in wave.waiting_host_ids()
         }
-        for host in self.hosts_by_id.values():
-            backend = scheduler.backends_by_id.get(host.backend_id)
-            if backend is not None:
-                backend.cordoned = host.host_id in cordoned
-                backend.maintenance_due = host.host_id in due
+        host_ids = {host.backend_id: id_ for id_, host in self.hosts_by_id.items()}
+        for backend in scheduler.backends_by_id.values():
+            host_id = host_ids.get(backend.backend_id)
+            backend.cordoned = host_id in cordoned
+            backend.maintenance_due = host_id in due
 
     def _plan_wave(
         self, scheduler: Scheduler, name: str, wave: WaveState, now_ms: int
@@ -254,6 +271,7 @@
                 {'wave': wave.wave.number, 'begun': len(wave.begun), 'done': True},
             )
             return []
+        self._end_blocked_cordons(scheduler, wave, now_ms)
         self._cordon_next(scheduler, wave, waiting, now_ms)
         orders = []
         for host_id in waiting:
@@ -269,6 +287,49 @@
                 orders.append(HostOrder(host_id=host_id, wave_number=wave.wave.number))
         return orders
 
+    def _end_blocked_cordons(
+        self, scheduler: Scheduler, wave: WaveState, now_ms: int
+    ) -> None:
+        """Ends the cordons of hosts whose maintenance does not begin in time.
+
+        A host that may have been ordered down stays cordoned.
+        """
+        for host_id, state in wave.hosts_by_id.items():
+            if state.down or not wave.is_cordoned(host_id):
+                continue
+            is_blocked = self._is_blocked(scheduler, host_id)
+            since_ms = (state.blocked_since_ms or now_ms) if is_blocked else 0
+            state.blocked_since_ms = since_ms
+            if is_blocked and now_ms - since_ms >= BLOCKED_MS:
+                reason = 'a long-running task may not be stopped'
+            elif now_ms - state.cordoned_at_ms >= MAX_CORDON_MS:
+                reason = 'the order was not accepted in time'
+            else:
+                continue
+            state.cordoned_at_ms = state.blocked_since_ms = 0
+            state.cordon_not_before_ms = now_ms + CORDON_PAUSE_MS
+            scheduler.note(
+                Event.CORDON_ENDED,
+                {'host_id': host_id, 'wave': wave.wave.number, 'reason': reason},
+            )
+
+    def _is_blocked(self, scheduler: Scheduler, host_id: str) -> bool:
+        backend = self._backend(scheduler, host_id)
+        return backend is not None and is_drain_blocked(backend)
+
+    def _may_cordon(
+        self, scheduler: Scheduler, wave: WaveState, host_id: str, now_ms: int
+    ) -> bool:
+        """Whether a host is up, and its maintenance can begin soon."""
+        host = self.hosts_by_id.get(host_id)
+        state = wave.hosts_by_id.get(host_id)
+        return (
+            host is not None
+            and host.state == UP
+            and (state is None or now_ms >= state.cordon_not_before_ms)
+            and not self._is_blocked(scheduler, host_id)
+        )
+
     def _cordon_next(
         self, scheduler: Scheduler, wave: WaveState, waiting: list[str], now_ms: int
     ) -> None:
@@ -300,9 +361,9 @@
             )
         )
         for host_id in uncordoned_ids:
-            host = self.hosts_by_id.get(host_id)
-            if room <= 0 or host is None or host.state != UP:
+            if room <= 0 or not self._may_cordon(scheduler, wave, host_id, now_ms):
                 continue
+            host = self.hosts_by_id[host_id]
             pool = [h for h in self.hosts_by_id.values() if h.pool == host.pool]
             if unavailable.get(host.pool, 0) >= max(1, int(len(pool) * MAX_POOL_SHARE)):
                 continue
@@ -315,9 +376,7 @@
         unavailable: dict[str, int] = {}
         for state in wave.hosts_by_id.values():
             host = self.hosts_by_id.get(state.host_id)
-            out = state.down or (
-                state.cordoned_at_ms and state.host_id not in wave.begun
-            )
+            out = state.down or wave.is_cordoned(state.host_id)
             if host is not None and out:
                 unavailable[host.pool] = unavailable.get(host.pool, 0) + 1
         return unavailable
@@ -374,16 +433,28 @@
 
     Returns whether the task was stopped.
     """
-    if not task.step.spec.long_running or task.stopping or not task.start_sent:
-        return False
-    if task.phase is not TaskPhase.RUNNING:
-        return False
-    if unavailable_count(task.step, task) >= max(1, task.step.spec.max_unavailable):
+    if not task.step.spec.long_running or task.stopping or not may_evict(task):
         return False
     scheduler.stop(task, reason)
     return True
 
 
+def is_drain_blocked(backend: BackendState) -> bool:
+    """Whether a long-running task on a backend server may not be stopped now."""
+    return any(
+        task.step.spec.long_running and not task.stopping and not may_evict(task)
+        for task in backend.tasks_by_name.values()
+    )
+
+
+def may_evict(task: TaskState) -> bool:
+    """Whether the step of a task that runs allows one more unavailable task now."""
+    if not task.start_sent or task.phase is not TaskPhase.RUNNING:
+        return False
+    allowed = max(1, task.step.spec.max_unavailable)
+    return unavailable_count(task.step, task) < allowed
+
+
 def unavailable_count(step: StepState, excluded: TaskState) -> int:
     """Returns how many other tasks of a step do not run at full speed."""
     return sum(
