Keep a host empty for a move only while that can begin

Cause: a borrowed host that is to be returned got no starts while a long-running task on it may not be stopped. The marks of hosts without starts were set in a planning round that is left out once no pool is on standby.

Change: a host is drained only while its long-running tasks may be stopped. Without a standby pool, the marks are set too.

Before: both tests of MovedHostTest failed. After: they pass.

Ruled out: a bound in time as for maintenance; a return has no time limit, so that it can wait until it is possible.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -25,7 +25,7 @@
     HostOrder,
     HostOrderOutcome,
 )
-from dandelionknot.jobs._maintenance import evict_if_allowed
+from dandelionknot.jobs._maintenance import evict_if_allowed, is_drain_blocked
 from dandelionknot.jobs._pools import (
     PREDICTED_RESERVE_SHARE,
     RESERVE_SHARE,
@@ -167,12 +167,15 @@
         `steps` holds, for each pool, the steps that have tasks ready to be placed.
         """
         hosts = scheduler.maintenance.hosts_by_id
-        if not self.active() or not hosts:
-            return []
-        if now_ms - self.planned_ms < PLAN_EVERY_MS:
+        if not hosts or now_ms - self.planned_ms < PLAN_EVERY_MS:
             return []
         self.planned_ms = now_ms
         self._drop_finished_moves(hosts, now_ms)
+        if not self.active():
+            self.draining_host_ids.clear()
+            self.emptying_host_ids.clear()
+            self._mark_moving_hosts(scheduler)
+            return []
         self._update_demand(scheduler, steps, now_ms)
         orders = self._order_moves_to_lacking_pools(scheduler, now_ms)
         self._drain_borrowed(scheduler)
@@ -188,7 +191,12 @@
             orders = self._order_moves_home(scheduler, now_ms)
         if not orders:
             orders = self._order_moves_to_standby(scheduler, now_ms)
-        for host_id, host in hosts.items():
+        self._mark_moving_hosts(scheduler)
+        return orders
+
+    def _mark_moving_hosts(self, scheduler: Scheduler) -> None:
+        """Marks the backend servers that get no starts because of a move."""
+        for host_id, host in scheduler.maintenance.hosts_by_id.items():
             backend = scheduler.backends_by_id.get(host.backend_id)
             if backend is not None:
                 backend.moving = (
@@ -197,7 +205,6 @@
                     or host_id in self.emptying_host_ids
                 )
                 backend.borrowed = host_id in self.homes_by_host_id
-        return orders
 
     def _log_changes(self, scheduler: Scheduler) -> None:
         """Logs the pools that begin to lack hosts, and new predictions."""
@@ -418,7 +425,8 @@
     def _drain_borrowed(self, scheduler: Scheduler) -> None:
         """Evicts long-running tasks from borrowed hosts that their pool does not need.
 
-        Hosts with the fewest millicores in use are drained first.
+        Hosts with the fewest millicores in use are drained first. Those with a task
+        that may not be stopped now are left out, so that they are not kept empty.
         """
         self.draining_host_ids.clear()
         for pool, demand in self.demand_by_pool.items():
@@ -431,6 +439,7 @@
                 if host.pool == pool and host.host_id in self.homes_by_host_id
                 for backend in [scheduler.backends_by_id.get(host.backend_id)]
                 if backend is not None and backend.tasks_by_name
+                if not is_drain_blocked(backend)
             ]
             borrowed.sort(key=lambda entry: entry[:2])
             for _, host_id, backend in borrowed[: min(spare, MAX_DRAINING)]:
--- a/tests/test_jobs_cordons.py
+++ b/tests/test_jobs_cordons.py
@@ -4,6 +4,7 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import (
+    EndReason,
     Host,
     HostOrder,
     HostOrderOutcome,
@@ -14,6 +15,7 @@
     UpkeepWave,
 )
 from dandelionknot.jobs._maintenance import DOWN, UP
+from tests.capacity_test_bed import CapacityTestCase
 from tests.job_test_bed import LEASE_MS, SERVICE, FakeBackend, JobTestBed
 
 TICK_MS = 50
@@ -187,5 +189,60 @@
         self.assertIn(Event.CORDON_ENDED, events)
 
 
+class MovedHostTest(CapacityTestCase):
+    """Hosts that get no starts, since they are to move to another pool."""
+
+    def borrow_with_lasting_tasks(self):
+        """Returns a borrowed backend server with one of two long-running tasks."""
+        self.run_rounds(2)
+        self.burst(7)
+        self.run_rounds(20)
+        step = StepSpec(
+            task_count=2,
+            resources=Resources(cpu_millicores=100, memory_mb=1),
+            long_running=True,
+            max_per_host=1,
+            max_unavailable=1,
+        )
+        self.test_bed.submit(step, job_id='long')
+        states_by_id = self.test_bed.scheduler.backends_by_id
+        states_by_id['b0'].avoid_until_ms = self.test_bed.now_ms + 500
+        self.run_rounds(4)
+        borrowed = [
+            b for b in self.test_bed.backends.values() if b.backend_id[0] == 's'
+        ]
+        [found, *_] = [
+            b for b in borrowed if any('long' in name for name in b.runs_by_name)
+        ]
+        return found
+
+    def test_a_borrowed_host_works_while_its_task_may_not_be_stopped(self):
+        """Guards against a host that is kept empty for a return that cannot begin."""
+        borrowed = self.borrow_with_lasting_tasks()
+        for backend in self.test_bed.backends.values():
+            backend.makes_progress = False
+            for name, run in list(backend.runs_by_name.items()):
+                run.percent = 100 if backend is borrowed else 50
+                if name.startswith('j'):
+                    backend.end(name, EndReason.DONE)
+        state = self.test_bed.scheduler.backends_by_id[borrowed.backend_id]
+        for _ in range(60):
+            self.run_rounds(1)
+            self.assertFalse(state.moving)
+
+    def test_hosts_work_again_once_no_pool_is_on_standby(self):
+        """Guards against a host that stays closed after a change of configuration."""
+        self.run_rounds(2)
+        self.burst(1)
+        self.run_rounds(2)
+        scheduler = self.test_bed.scheduler
+        scheduler.capacity.emptying_host_ids = {'m-b0'}
+        state = scheduler.backends_by_id['b0']
+        state.moving = True
+        self.test_bed.configure()
+        self.run_rounds(5)
+        self.assertFalse(state.moving)
+
+
 if __name__ == '__main__':
     unittest.main()
