Record the home pool of a host whose move was not answered

A host whose move was carried out without an answer never returned to its pool, and one that had returned so still counted as borrowed.

Cause: the home pool was recorded with the answer. A move without an answer is finished once the list shows the host in its new pool.

Change: the home pool is recorded then too, once for each move.

Before: both tests of LostMoveAnswerTest failed. After: they pass.

Ruled out: recording the home pool with the order, since a refused move would have to be taken back.

--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -150,15 +150,22 @@
         if move is None:
             return
         if outcome is HostOrderOutcome.ACCEPTED:
-            home = self.homes_by_host_id.setdefault(order.host_id, move.source)
-            if home == move.target:
-                del self.homes_by_host_id[order.host_id]
-            self.dirty = True
+            self._record_home(move)
         elif outcome is not HostOrderOutcome.NO_ANSWER:
             del self.moves_by_host_id[order.host_id]
             until_ms = now_ms + REFUSED_PAUSE_MS
             self.refused_until_by_host_id[order.host_id] = until_ms
 
+    def _record_home(self, move: Move) -> None:
+        """Records the home pool of a host that was moved, if it is not recorded yet."""
+        if move.is_recorded:
+            return
+        move.is_recorded = True
+        home = self.homes_by_host_id.setdefault(move.host_id, move.source)
+        if home == move.target:
+            del self.homes_by_host_id[move.host_id]
+        self.dirty = True
+
     def plan(
         self, scheduler: Scheduler, steps: dict[str, list[StepState]], now_ms: int
     ) -> list[HostOrder]:
@@ -230,6 +237,9 @@
         for host_id, move in list(self.moves_by_host_id.items()):
             host = hosts.get(host_id)
             arrived = host is not None and host.pool == move.target and host.state == UP
+            if arrived:
+                # The answer to the order may have been lost.
+                self._record_home(move)
             failed = now_ms - move.ordered_at_ms > MOVE_TIMEOUT_MS and not arrived
             if host is None or arrived or failed:
                 del self.moves_by_host_id[host_id]
--- a/dandelionknot/jobs/_pools.py
+++ b/dandelionknot/jobs/_pools.py
@@ -63,6 +63,8 @@
     source: str
     target: str
     ordered_at_ms: int
+    # The home pool of the host was recorded, so the move was carried out.
+    is_recorded: bool = False
 
 
 def hosts_to_empty(
--- a/tests/capacity_test_bed.py
+++ b/tests/capacity_test_bed.py
@@ -28,6 +28,8 @@
         self.pools = {'b0': SERVICE, 'b1': SERVICE, 's0': SPARE, 's1': SPARE}
         # Hosts whose move the platform refuses.
         self.busy: set[str] = set()
+        # Whether orders are carried out without an answer.
+        self.lose_answers = False
 
     def configure(self):
         """Applies a configuration with the queue and a standby pool."""
@@ -82,8 +84,10 @@
             self.test_bed.backends[name] = backend
             scheduler.set_backend(backend.report(), self.test_bed.now_ms)
         self.pools[name] = order.pool
-        accepted = HostOrderOutcome.ACCEPTED
-        scheduler.capacity.order_finished(order, accepted, self.test_bed.now_ms)
+        outcome = HostOrderOutcome.ACCEPTED
+        if self.lose_answers:
+            outcome = HostOrderOutcome.NO_ANSWER
+        scheduler.capacity.order_finished(order, outcome, self.test_bed.now_ms)
 
     def burst(self, count):
         """Submits jobs of one long task that takes half a host."""
--- a/tests/test_jobs_host_orders.py
+++ b/tests/test_jobs_host_orders.py
@@ -5,6 +5,7 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import (
+    EndReason,
     Host,
     HostOrder,
     HostOrderOutcome,
@@ -15,6 +16,7 @@
 )
 from dandelionknot.jobs._maintenance import IN_MAINTENANCE, UP
 from dandelionknot.manager._leader import Leader
+from tests.capacity_test_bed import SPARE, CapacityTestCase
 from tests.job_test_bed import SERVICE, FakeBackend, JobTestBed
 
 TICK_MS = 50
@@ -132,5 +134,32 @@
         self.assertTrue(call.args[0].expected)
 
 
+class LostMoveAnswerTest(CapacityTestCase):
+    def test_a_host_whose_move_has_no_answer_stays_borrowed(self):
+        """Guards against a pool that loses its hosts with each lost answer."""
+        self.run_rounds(2)
+        self.lose_answers = True
+        self.burst(7)
+        self.run_rounds(20)
+        self.assertEqual(self.pools['s0'], SERVICE)
+        capacity = self.test_bed.scheduler.capacity
+        self.assertEqual(capacity.homes_by_host_id, {'m-s0': SPARE, 'm-s1': SPARE})
+        self.assertEqual(capacity.moves_by_host_id, {})
+
+    def test_a_host_that_has_returned_without_an_answer_is_at_home(self):
+        """Guards against a host that counts as borrowed by its own pool."""
+        self.run_rounds(2)
+        self.burst(7)
+        self.run_rounds(20)
+        self.lose_answers = True
+        for backend in self.test_bed.backends.values():
+            for name in list(backend.runs_by_name):
+                backend.end(name, EndReason.DONE)
+        self.run_rounds(100)
+        self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
+        capacity = self.test_bed.scheduler.capacity
+        self.assertEqual(capacity.homes_by_host_id, {})
+
+
 if __name__ == '__main__':
     unittest.main()
