--- a/tests/test_jobs_standstill.py
+++ b/tests/test_jobs_standstill.py
@@ -48,12 +48,12 @@
         test_bed = JobTestBed(FakeBackend('b1'), FakeBackend('b2'))
         self.run_for(test_bed, 200)
         states = test_bed.scheduler.backends_by_id
-        states['b1'].cordoned = states['b2'].ending = True
+        states['b1'].moving = states['b2'].ending = True
         states['b2'].ending_since_ms = test_bed.now_ms + 10_000
         test_bed.submit(SMALL)
         self.run_for(test_bed, 2500)
         [line] = self.noted(test_bed, Event.JOB_STANDS_STILL)
-        self.assertEqual(line['unusable'], {'cordoned': 1, 'ends by an order': 1})
+        self.assertEqual(line['unusable'], {'host is moved': 1, 'ends by an order': 1})
 
     def test_room_is_named_and_the_end_is_logged(self):
         test_bed = JobTestBed(
