Respect a lease that was set on the clock of a former lifetime

Seen by callers: a task that is done runs again (TWICE), after a backend server has restarted unnoticed, has answered as its later lifetime and is cut off right after that.

Cause: a start that the later lifetime had accepted carried a deadline on the former clock, so that its lease is the longest that the platform allows. The link to the later lifetime knows only the lease that it gave, and its tasks were requeued too early.

Change: the state of a lifetime that succeeds another one has the local time until which such a lease may last. A loss of contact does not count as a lapsed lease before it.

Ruled out: that the link computed its own lease wrongly. A bound for every new link: it would hold back tasks of all servers that are cut off after a change of leader.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -235,7 +235,8 @@
     later = _former(scheduler, lifetime)
     if later is None:
         later = _new_state(scheduler, *lifetime, now_ms)
-        later.lapses_at_ms = _later_lapses_at_ms(scheduler, backend, now_ms)
+        lapses_at_ms = _later_lapses_at_ms(scheduler, backend, now_ms)
+        later.lapses_at_ms = later.leased_until_ms = lapses_at_ms
         later.host_id = backend.host_id
         # A list of hosts that was requested earlier may be from before its start.
         later.lost_at_ms = now_ms
@@ -422,11 +423,9 @@
     """
     del scheduler.backends_by_id[backend.backend_id]
     tasks = len(backend.tasks_by_name)
-    kept = 0
-    if tasks:
-        later = _later_state(scheduler, backend, born_ms, now_ms)
-        _hand_over(scheduler, backend, later)
-        kept = len(later.tasks_by_name)
+    later = _later_state(scheduler, backend, born_ms, now_ms)
+    _hand_over(scheduler, backend, later)
+    kept = len(later.tasks_by_name)
     scheduler.note(
         Event.BACKEND_REBORN,
         {
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -338,7 +338,7 @@
         if not backend.fenced and backend.lapses_at_ms is not None:
             # No call of this term has extended its lease.
             lapses_at_ms = min(lapses_at_ms, backend.lapses_at_ms)
-        backend.lapses_at_ms = lapses_at_ms
+        backend.lapses_at_ms = max(lapses_at_ms, backend.leased_until_ms)
         was_reachable, backend.reachable = backend.reachable, False
         if was_reachable:
             _crashes.contact_lost(self, backend, lost_at_ms)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -203,6 +203,9 @@
     # Local time by which all its tasks have ended unless contact is regained. None
     # while the backend server answers.
     lapses_at_ms: int | None
+    # Local time until which a lease may last that was set by calls to the lifetime
+    # before this one; 0 if there were none.
+    leased_until_ms: int = 0
     # The end of the lease was applied. Tasks that are left may run in a later lifetime.
     lease_lapsed: bool = False
     report: BackendReport | None = None
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -162,6 +162,26 @@
             self.run_for(SOON_MS)
         self.assert_starts_elsewhere_within(0)
 
+    def test_a_lease_on_the_former_clock_outlasts_the_answer(self):
+        """Guards against a second run of tasks whose lease is longer than computed.
+
+        The later lifetime has answered, and is cut off after that. The starts that it
+        had accepted before gave it the longest lease.
+        """
+        for entry in (True, False):
+            with self.subTest(entry=entry):
+                self.restart()
+                if entry:
+                    self.register(self.backend)
+                self.run_for(2 * TICK_MS)
+                self.state = self.test_bed.scheduler.backends_by_id['b1']
+                self.assertEqual(self.state.born_ms, self.backend.born_ms)
+                self.assertTrue(self.state.reachable)
+                self.cut_off()
+                self.run_for(LATER_LEASE_MS - SOON_MS)
+                self.assertEqual(self.other.started, [])
+                self.assert_starts_elsewhere_within(SOON_MS)
+
     def test_runs_that_the_later_lifetime_does_not_have_start_soon(self):
         """Guards against starts without an answer that nobody withdraws."""
         self.restart(accepts=False)
