Emulate maintenance, unnoticed restarts and crashes while records are written

Change: three groups of faults, writes, silence and maintenance. The emulated platform carries out waves of maintenance, also without an answer, and checks that no more hosts are down than the wave allows and that no task of a step is ended while too many others are away. Each start is checked against the stored record. Some jobs need the one backend server of their service with a rare label.

Ruled out: waiting without a bound for a write that places a run; with lost answers no job is accepted, and the run did not end within ten minutes.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -5,12 +5,7 @@
 
 import fire
 
-from emulator.experiment import (
-    Experiment,
-    run_experiment,
-    with_lifetimes,
-    with_losses,
-)
+from emulator.experiment import GROUPS, Experiment, run_experiment
 
 
 def main(
@@ -27,7 +22,9 @@
     or more fault names joined by plus signs, and `gap_ms` the mean time from one fault
     to the next. With `losses`, the fleet also lists its hosts, runs tasks that last and
     has no limit; with `lifetimes`, backend servers restart while entries come late and
-    leaders are killed. Exits with status 1 if a seed failed.
+    leaders are killed; with `writes`, backend servers crash while records are written;
+    with `silence`, they restart unnoticed and are cut off; with `maintenance`, hosts go
+    down as operators order. Exits with status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
     settings = Experiment(
@@ -37,10 +34,8 @@
         fault_gap_ms=gap_ms,
         backends=backends,
     )
-    if faults == 'losses':
-        settings = with_losses(settings)
-    elif faults == 'lifetimes':
-        settings = with_lifetimes(settings)
+    if faults in GROUPS:
+        settings = GROUPS[faults](settings)
     elif faults != 'all':
         names = () if faults == 'none' else tuple(faults.split('+'))
         settings = replace(settings, faults=names)
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -98,8 +99,11 @@
     fail_share: float = 0.0
     # Mean duration of a run, unless its payload is `LASTING_PAYLOAD`.
     mean_ms: int = 400
+    # Called with the task and the run of each start, when it is carried out.
+    on_start: Callable[[str, int], None] | None = None
     # Host of the backend server in the platform's list.
     host_id: str = ''
+    labels: list[str] = field(default_factory=list)
 
     def clock(self) -> int:
         """Returns the time in milliseconds since the start of this lifetime."""
@@ -182,6 +186,8 @@
             duration = UNLIMITED_MS
         self.runs_by_name[name] = Run(name, run, now_ms(), duration, fails)
         self.starts.append((now_ms(), name, run))
+        if self.on_start is not None:
+            self.on_start(name, run)
         if name in self.deadly_task_names:
             self.crashing.append((now_ms() + CRASH_DELAY_MS, name, run))
         return OrderOutcome.ACCEPTED
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -8,7 +8,16 @@
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.jobs._generated import Resources
 from emulator import virtual_time
-from emulator.faults import ALL_FAULTS, DEADLY_TASKS, FAULTS, LIFETIMES, LOSSES
+from emulator.faults import (
+    ALL_FAULTS,
+    DEADLY_TASKS,
+    FAULTS,
+    LIFETIMES,
+    LOSSES,
+    MAINTENANCE,
+    SILENCE,
+    WRITES,
+)
 from emulator.fleet import LIMIT, SERVICES, EmulatedFleet
 
 # Time after a fault in which it may still explain what happens.
@@ -32,6 +41,10 @@
     lists_hosts: bool = False
     # Tasks of the job of each service whose tasks last; 0 for no such job.
     lasting_tasks: int = 0
+    # Mean duration of a run.
+    run_ms: int = 400
+    # Share of the jobs that only one backend server of their service can run.
+    rare_share: float = 0.0
 
 
 def with_losses(experiment: Experiment) -> Experiment:
@@ -54,6 +67,55 @@
     return replace(with_losses(experiment), faults=tuple(LIFETIMES), lists_hosts=False)
 
 
+def with_writes(experiment: Experiment) -> Experiment:
+    """Returns the experiment with crashes while records are written as its faults.
+
+    Its tasks outlast a change of leader.
+    """
+    return replace(
+        with_losses(experiment),
+        faults=tuple(WRITES),
+        jobs_per_s=2.0,
+        run_ms=4000,
+        fault_gap_ms=6000,
+    )
+
+
+def with_silence(experiment: Experiment) -> Experiment:
+    """Returns the experiment with unnoticed restarts of idle backend servers."""
+    return replace(
+        experiment,
+        faults=tuple(SILENCE),
+        limit=Resources(),
+        jobs_per_s=2.0,
+        run_ms=2000,
+        fault_gap_ms=3000,
+    )
+
+
+def with_maintenance(experiment: Experiment) -> Experiment:
+    """Returns the experiment with planned maintenance as its faults.
+
+    Some of its jobs need the one backend server of their service with a rare label.
+    """
+    return replace(
+        with_losses(experiment),
+        faults=tuple(MAINTENANCE),
+        rare_share=0.3,
+        fault_gap_ms=8000,
+    )
+
+
+# Experiments by the name of their group of faults.
+GROUPS = {
+    'losses': with_losses,
+    'lifetimes': with_lifetimes,
+    'writes': with_writes,
+    'silence': with_silence,
+    'maintenance': with_maintenance,
+}
+
+
 @dataclass(slots=True)
 class Verdict:
     """Result of an experiment: problems found, faults injected and counts."""
@@ -87,6 +149,9 @@
         experiment.limit,
         experiment.lists_hosts,
     )
+    fleet.rare_share = experiment.rare_share
+    for backend in fleet.backends_by_id.values():
+        backend.mean_ms = experiment.run_ms
     verdict = Verdict()
     fleet.start()
     watch_task = asyncio.create_task(fleet.watch())
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from dandelionknot.clock import seconds
+from dandelionknot.clock import now_ms, seconds
 from emulator.fleet import EmulatedFleet
 
 # Name of the fault that does not disturb the managers themselves.
 DEADLY_TASKS = 'deadly_tasks'
+# Longest time for which a fault looks for a backend server that fits.
+MAX_SEARCH_MS = 1500
 
 Fault = Callable[[EmulatedFleet], Coroutine[Any, Any, None]]
 
@@ -217,6 +219,90 @@
     fleet.store.slow_ms = 0
 
 
+async def crash_while_storing(fleet: EmulatedFleet) -> None:
+    """Crashes a backend server while the record of a run on it is being written.
+
+    The write gets no answer at first. The leader may be killed after that.
+    """
+    rng, store = fleet.rng, fleet.store
+    store.unanswered_puts = []
+    store.lost_share = store.late_share = 1.0
+    chosen = None
+    end_ms = now_ms() + MAX_SEARCH_MS
+    while chosen is None and now_ms() < end_ms:
+        await _wait(fleet, 5, 20)
+        chosen = fleet.backend_of_new_run(store.unanswered_puts)
+    store.lost_share = 0.0
+    if chosen is not None and chosen.up:
+        await _wait(fleet, 1, 100)
+        chosen.crash()
+        fleet.start_restart(chosen, rng.randint(3000, 8000))
+    await _wait(fleet, 500, 1500)
+    if rng.random() < 0.5:
+        await kill_leader(fleet)
+
+
+async def silent_restart(fleet: EmulatedFleet) -> None:
+    """Restarts a backend server unnoticed, lets it take starts, and cuts it off.
+
+    Its entry may be written before the cut, during it, or after it.
+    """
+    rng = fleet.rng
+    backend = fleet.backends_by_id[rng.choice(sorted(fleet.backends_by_id))]
+    pairs = {(member_id, backend.backend_id) for member_id in fleet.members_by_id}
+    if not backend.up or pairs & fleet.cut_paths:
+        return
+    fleet.cut_paths |= pairs
+    backend.crash()
+    await _wait(fleet, 300, 2000)
+    backend.restart()
+    register = rng.choice(('before', 'during', 'after'))
+    if register == 'before':
+        fleet.register(backend)
+    await _wait(fleet, 1, 500)
+    fleet.cut_paths -= pairs
+    await _wait(fleet, 20, 500)
+    fleet.cut_paths |= pairs
+    await _wait(fleet, 100, 1500)
+    if register == 'during':
+        fleet.register(backend)
+    await _wait(fleet, 500, 8000)
+    fleet.cut_paths -= pairs
+    if backend.up:
+        fleet.register(backend)
+
+
+async def wave(fleet: EmulatedFleet) -> None:
+    """Orders the maintenance of some hosts, or of those with a rare label."""
+    rng = fleet.rng
+    backends = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    chosen = [backend for backend in backends if backend.labels]
+    if rng.random() < 0.5:
+        chosen = rng.sample(backends, rng.randint(1, len(backends)))
+    host_ids = [backend.host_id for backend in chosen]
+    fleet.order_wave(host_ids, rng.randint(10, 26), rng.randint(1, 2))
+
+
+async def wave_without_answers(fleet: EmulatedFleet) -> None:
+    """Orders maintenance while the host service carries out orders silently."""
+    fleet.hosts.answers.clear()
+    await wave(fleet)
+    await _wait(fleet, 1000, 5000)
+    fleet.hosts.answers.set()
+
+
+async def wave_after_loss(fleet: EmulatedFleet) -> None:
+    """Loses a host for good, unless some are down, and orders maintenance.
+
+    A host with a rare label is not lost, since some jobs could never run without it.
+    """
+    backends = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    if all(backend.up for backend in backends):
+        fleet.lose(fleet.rng.choice([b for b in backends if not b.labels]))
+        await _wait(fleet, 100, 5000)
+    await wave(fleet)
+
+
 FAULTS: dict[str, Fault] = {
     'kill_leader': kill_leader,
     'kill_all': kill_all,
@@ -245,4 +331,14 @@
     'late_entry': late_entry,
     'restart_and_kill_leader': restart_and_kill_leader,
 }
-ALL_FAULTS = FAULTS | LOSSES | LIFETIMES
+# Faults beside writes to the store without an answer.
+WRITES: dict[str, Fault] = {'crash_while_storing': crash_while_storing}
+# Restarts that nobody notices, and cuts right after them.
+SILENCE: dict[str, Fault] = {'silent_restart': silent_restart}
+# Planned maintenance of hosts, also with lost answers and lost hosts.
+MAINTENANCE: dict[str, Fault] = {
+    'wave': wave,
+    'wave_without_answers': wave_without_answers,
+    'wave_after_loss': wave_after_loss,
+}
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | MAINTENANCE
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -5,43 +5,52 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from msgspec.structs import replace
 from result import Ok, Result
 
 from dandelionknot.clock import now_ms, seconds
-from dandelionknot.errors import PortError
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
     BackendReport,
     CallerVerdict,
     ClientAccount,
-    Host,
-    HostOrder,
-    HostOrderOutcome,
     JobConfiguration,
+    JobRecord,
     JobSpec,
     ManagerSettings,
     ManagerTiming,
     Queue,
     Resources,
     StepSpec,
+    UpkeepWave,
+)
+from dandelionknot.jobs._state import FINAL_PHASES
+from dandelionknot.jobs._stored import (
+    JOB_PREFIX,
+    RECORD_SUFFIX,
+    BackendFact,
+    ConfigurationFact,
+    Fact,
+    WaveFact,
+    record_key,
 )
-from dandelionknot.jobs._stored import BackendFact, ConfigurationFact, Fact
 from dandelionknot.manager._core import ManagerCore
 from dandelionknot.store import Item, Put
 from emulator.backends import (
     HOLD_MAX_MS,
     LASTING_PAYLOAD,
-    NETWORK_DELAY_MS,
     Backend,
     BackendClient,
 )
+from emulator.hosts import EmulatedHostClient, Hosts
 from emulator.oracle import MAX_ATTEMPTS, Oracle
 from emulator.standstill import StandstillCheck
 from emulator.store import MemoryStore, StoreClient
 
 OPERATOR_PREFIX = 'operators/'
 CONFIGURATION_KEY = OPERATOR_PREFIX + 'configuration'
+WAVE_PREFIX = OPERATOR_PREFIX + 'waves/'
 BACKEND_PREFIX = 'fleet/backends/'
 ZONES = ('north', 'south', 'east')
 SERVICES = ('desk', 'night')
@@ -49,6 +58,8 @@
 ACCOUNT = 'showroom'
 # Interval at which the backend servers advance and the invariants are checked.
 ADVANCE_INTERVAL_MS = 5
+# Label of one backend server of each service that some jobs require.
+RARE_LABEL = 'rare'
 # Number of the first job whose tasks last.
 LASTING_JOB_ID = 0xE000_0000
 # Limit of the client account.
@@ -66,35 +77,6 @@
 )
 
 
-@dataclass(slots=True)
-class EmulatedHostClient:
-    """Lists the hosts of all backend servers; carries out no orders."""
-
-    fleet: 'EmulatedFleet'
-
-    async def list_hosts(self) -> Result[list[Host], PortError]:
-        """Returns each host with its backend server, if that is up."""
-        await asyncio.sleep(seconds(NETWORK_DELAY_MS))
-        return Ok(
-            [
-                Host(
-                    host_id=backend.host_id,
-                    pool=backend.service,
-                    state='up' if backend.up else 'down',
-                    availability_zone=backend.zone,
-                    backend_id=backend.backend_id if backend.up else '',
-                )
-                for backend in self.fleet.backends_by_id.values()
-            ]
-        )
-
-    async def order(
-        self, order: HostOrder, fencing_token: int, valid_until_ms: int
-    ) -> HostOrderOutcome:
-        """Refuses each order."""
-        return HostOrderOutcome.NOT_DONE
-
-
 @dataclass(slots=True)
 class EmulatedAdapter:
     """Platform adapter of one manager process that returns in-memory clients."""
@@ -136,6 +118,9 @@
         if item.key == CONFIGURATION_KEY and not item.deleted:
             configuration = msgspec.json.decode(item.value, type=JobConfiguration)
             return ConfigurationFact(configuration, item.revision)
+        if item.key.startswith(WAVE_PREFIX) and not item.deleted:
+            wave = msgspec.json.decode(item.value, type=UpkeepWave)
+            return WaveFact(item.key.removeprefix(WAVE_PREFIX), wave)
         if item.key.startswith(BACKEND_PREFIX):
             backend_id = item.key.removeprefix(BACKEND_PREFIX)
             if item.deleted:
@@ -179,6 +164,9 @@
     limit: Resources = LIMIT
     # Whether the platform offers a list of hosts.
     lists_hosts: bool = False
+    hosts: Hosts = field(default_factory=Hosts)
+    # Share of the jobs that only the backend server with the rare label can run.
+    rare_share: float = 0.0
     # Share of the jobs of which a task crashes each backend server that starts it.
     deadly_share: float = 0.0
     deadly_task_names: set[str] = field(default_factory=set)
@@ -224,6 +212,8 @@
                 deadly_task_names=fleet.deadly_task_names,
                 done_task_names=fleet.oracle.done_task_names,
                 host_id=f'host-{index}',
+                on_start=fleet.check_start,
+                labels=[RARE_LABEL] if index < len(SERVICES) else [],
             )
         return fleet
 
@@ -277,6 +267,7 @@
             availability_zone=backend.zone,
             draining=False,
             room=backend.room,
+            labels=backend.labels,
         )
 
     def start_member(self, member_id: str) -> None:
@@ -325,6 +316,8 @@
             after=[0],
         )
         steps = [first, second] if self.rng.random() < 0.5 else [first]
+        if self.rare_share and self.rng.random() < self.rare_share:
+            steps = [replace(step, required_label=RARE_LABEL) for step in steps]
         return JobSpec(payload='work', steps=steps)
 
     async def submit_lasting(self, tasks: int) -> None:
@@ -404,6 +397,39 @@
                 return reply.phase.value if reply.phase else None
         return None
 
+    def backend_of(self, host_id: str) -> Backend:
+        """Returns the backend server of a host."""
+        backends = self.backends_by_id.values()
+        return next(backend for backend in backends if backend.host_id == host_id)
+
+    def order_wave(self, host_ids: list[str], within_s: int, max_down: int) -> None:
+        """Orders the maintenance of some hosts, as operators do."""
+        number = len(self.hosts.waves_by_number) + 1
+        wave = UpkeepWave(
+            number=number, host_ids=host_ids, within_s=within_s, max_down=max_down
+        )
+        self.hosts.waves_by_number[number] = wave
+        self.store.put(f'{WAVE_PREFIX}{number}', msgspec.json.encode(wave))
+
+    def begin_maintenance(self, backend: Backend, duration_ms: int) -> None:
+        """Takes a host down; its backend server is back after some time."""
+        backend.crash()
+        self.store.delete(BACKEND_PREFIX + backend.backend_id)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds(duration_ms), self._end_maintenance, backend)
+
+    def _end_maintenance(self, backend: Backend) -> None:
+        del self.hosts.wave_by_host_id[backend.host_id]
+        backend.restart()
+        self.register(backend)
+
+    def lose(self, backend: Backend) -> None:
+        """Crashes a backend server for good; its entry is removed later."""
+        backend.crash()
+        loop = asyncio.get_running_loop()
+        key = BACKEND_PREFIX + backend.backend_id
+        loop.call_later(seconds(REGISTRY_EXPIRY_MS), self.store.delete, key)
+
     async def restart_later(self, backend: Backend, down_ms: int) -> None:
         """Starts a crashed backend server again under the same id.
 
@@ -432,8 +458,39 @@
         self.restarts.add(restart)
         restart.add_done_callback(self.restarts.discard)
 
+    def backend_of_new_run(self, puts: list[Put]) -> Backend | None:
+        """Returns the backend server of a run that a write names and none has begun."""
+        for put in puts:
+            if not put.key.endswith(RECORD_SUFFIX):
+                continue
+            job_id = put.key.removeprefix(JOB_PREFIX).removesuffix(RECORD_SUFFIX)
+            record = msgspec.json.decode(put.value, type=JobRecord)
+            for suffix, task in record.tasks_by_name.items():
+                backend = self.backends_by_id.get(task.backend_id)
+                run = (f'{job_id}.{suffix}', task.run)
+                if backend and run not in {start[1:] for start in backend.starts}:
+                    return backend
+        return None
+
     # Checks.
 
+    def check_start(self, task_name: str, run: int) -> None:
+        """Checks that a record names the run when it starts.
+
+        Otherwise, the next leader would not know of the run and start the task again.
+        """
+        job_id, _, suffix = task_name.partition('.')
+        item = self.store.items_by_key.get(record_key(job_id))
+        record = msgspec.json.decode(item.value, type=JobRecord) if item else None
+        if record is None:
+            self.oracle.report(f'task {task_name} starts without a record of its job')
+        elif suffix not in record.done and record.phase not in FINAL_PHASES:
+            stored = record.tasks_by_name.get(suffix)
+            if stored is None or stored.run < run:
+                self.oracle.report(
+                    f'task {task_name} starts as run {run}, which is not stored'
+                )
+
     async def watch(self) -> None:
         """Advances the backend servers and checks the invariants periodically."""
         rounds = 0
--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -79,6 +79,29 @@
         if 0 < self.limit.cpu_millicores < cpu:
             self.report(f'running tasks exceed the CPU limit: {cpu} millicores')
 
+    def check_availability(self, backend: Backend) -> None:
+        """Checks that a host may go down by an order with what runs on it.
+
+        Of each step whose tasks last, only so many other tasks may be away.
+        """
+        at_work = {
+            name
+            for other in self.backends_by_id.values()
+            for name in other.runs_by_name
+            if other is not backend
+        }
+        for name in backend.runs_by_name:
+            job_id, _, number, _ = name.split('.')
+            spec = self.specs_by_job_id.get(job_id)
+            if spec is None or not spec.steps[int(number)].long_running:
+                continue
+            step = spec.steps[int(number)]
+            prefix = name.rpartition('.')[0]
+            others = {f'{prefix}.{i}' for i in range(step.task_count)} - {name}
+            away = sorted(others - at_work)
+            if len(away) >= max(1, step.max_unavailable):
+                self.report(f'task {name} is ended by an order while {away} are away')
+
     def cpu_millicores(self, task_name: str) -> int:
         """Returns the millicores of a task, or 0 if no caller submitted its job."""
         job_id, _, step, _ = task_name.split('.')
--- a/emulator/standstill.py
+++ b/emulator/standstill.py
@@ -32,6 +32,7 @@
     tasks_at_work: set[str] = field(default_factory=set)
     # Task names by the id of the backend server that runs them.
     runs_by_backend_id: dict[str, set[str]] = field(default_factory=dict)
+    labels_by_backend_id: dict[str, list[str]] = field(default_factory=dict)
     free_by_service: dict[str, dict[str, int]] = field(default_factory=dict)
     cpu_millicores: int = 0
 
@@ -105,6 +106,7 @@
             usage.tasks_at_work.update(end.task_name for end in backend.ends)
             usage.cpu_millicores += used
             if _is_sound(backend):
+                usage.labels_by_backend_id[backend.backend_id] = backend.labels
                 free = usage.free_by_service.setdefault(backend.service, {})
                 free[backend.backend_id] = backend.room.cpu_millicores - used
         return usage
@@ -150,6 +152,9 @@
         service = self.oracle.services_by_job_id.get(job_id, '')
         places = 0
         for backend_id, free in usage.free_by_service.get(service, {}).items():
+            label = step.required_label
+            if label and label not in usage.labels_by_backend_id[backend_id]:
+                continue
             count = free // max(1, needed)
             if step.max_per_host:
                 running = usage.runs_by_backend_id[backend_id].intersection(names)
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -49,6 +49,8 @@
     lost_share: float = 0.0
     # Share of the unanswered writes that are carried out late.
     late_share: float = 0.0
+    # Items of the last write that was not answered.
+    unanswered_puts: list[Put] = field(default_factory=list)
     # Additional delay of every call.
     slow_ms: int = 0
     # Number of calls that clients have made.
@@ -224,6 +226,7 @@
             return Err(problem)
         store = self.store
         if store.rng.random() < store.lost_share:
+            store.unanswered_puts = puts
             if store.rng.random() < store.late_share:
                 delay_s = seconds(store.rng.randint(*LATE_DELAY_RANGE_MS))
                 loop = asyncio.get_running_loop()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,6 +3,7 @@
 import unittest
 
 from emulator.experiment import (
+    GROUPS,
     Experiment,
     run_experiment,
     with_lifetimes,
@@ -20,6 +21,9 @@
 FRESH_SEEDS = (101,)
 # Seeds in which a later lifetime accepted starts that were meant for the former one.
 LIFETIME_SEEDS = (3, 4, 11)
+# Seeds that fail without the fix of review case 8, 9, or 6 and 7 of the project, by the
+# group of faults.
+GROUP_SEEDS = {'writes': (4, 5), 'silence': (2, 7), 'maintenance': (2, 4)}
 
 
 # Many backend servers are lost, and after them several leaders one after the other.
@@ -62,6 +66,19 @@
                 verdict = run_experiment(with_lifetimes(Experiment(seed=seed)))
                 self.assertEqual(verdict.problems, [], verdict.faults)
 
+    def test_groups_of_faults(self):
+        """Guards against the return of faults that a review found.
+
+        A start goes out before its record is stored; a run that a silent later lifetime
+        has accepted starts again; a host gets no work after its maintenance, or for one
+        that cannot begin.
+        """
+        for name, seeds in GROUP_SEEDS.items():
+            for seed in seeds:
+                with self.subTest(group=name, seed=seed):
+                    verdict = run_experiment(GROUPS[name](Experiment(seed=seed)))
+                    self.assertEqual(verdict.problems, [], verdict.faults)
+
     def test_each_fault_alone(self):
         """Guards against violations that appear only without the other faults."""
         for name in FAULTS:
