Count jobs as waiting until a run of them has begun

Cause: a job counted as waiting until it was placed.

Change: it counts until a start was accepted or a report shows a run, but not within the first second after its placement, so that each placed job does not change the count.

Ruled out: a record at each begin, which would make the state exact and costs a write for each job.

Conclusion: a placement was taken for a begin.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -16,7 +16,7 @@
     WaveRecord,
 )
 from dandelionknot.jobs._records import record_of
-from dandelionknot.jobs._state import BackendState, TaskPhase, TaskState
+from dandelionknot.jobs._state import BackendState, JobState, TaskPhase, TaskState
 
 if TYPE_CHECKING:
     from dandelionknot.jobs._scheduler import Command, Scheduler
@@ -29,6 +29,9 @@
 # Shortest time between two writes of the counts of waiting jobs. Callers may receive
 # counts that are up to two seconds old.
 WAITING_INTERVAL_MS = 800
+# A job that was placed counts as waiting again if none of its runs has begun after this
+# time. Usually its first one begins within some milliseconds.
+BEGIN_LIMIT_MS = 1000
 # Time for which an order about a host stays recorded. It covers the handover time after
 # a change of leader and the longest call to the platform.
 ORDER_KEPT_MS = 5000
@@ -166,7 +169,7 @@
         return None
     counts: dict[str, int] = {}
     for state in scheduler.open_jobs_by_id.values():
-        if state.phase is JobPhase.QUEUED:
+        if _is_waiting(state, scheduler.planned_ms):
             counts[state.job.queue] = counts.get(state.job.queue, 0) + 1
     scheduler.waiting_checked_unix_ms = now_unix_ms
     if scheduler.waiting is not None and counts == scheduler.waiting.jobs_by_queue:
@@ -175,6 +178,14 @@
     return scheduler.waiting
 
 
+def _is_waiting(state: JobState, now_ms: int) -> bool:
+    """Whether no run of a job has begun, except for one that is about to begin."""
+    placed = state.phase is not JobPhase.QUEUED
+    return not state.begun and not (
+        placed and now_ms - state.placed_at_ms < BEGIN_LIMIT_MS
+    )
+
+
 def _take_deletable(scheduler: Scheduler, records: int, now_unix_ms: int) -> list[str]:
     """Returns and clears the ids of ended jobs to delete, if the batch has room.
 
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -48,6 +48,7 @@
     task counts as done, and its later run is stopped.
     """
     state = task.step.job
+    state.begun = True
     if ended.checkpoint and ended.run >= task.run:
         task.checkpoint = ended.checkpoint
     current = task.backend is backend and task.run == ended.run
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -288,6 +288,7 @@
     state.started = True
     if state.phase is JobPhase.QUEUED:
         state.phase = JobPhase.RUNNING
+        state.placed_at_ms = scheduler.planned_ms
     scheduler.mark_dirty(state)
     scheduler.placed.append(task)
 
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -168,6 +168,9 @@
     state.ended_unix_ms = record.ended_unix_ms
     state.end_reason = record.reason
     state.started = record.phase is not JobPhase.QUEUED
+    state.begun = bool(record.done) or any(
+        task.failed_runs or task.checkpoint for task in record.tasks_by_name.values()
+    )
     job_id = state.job.job_id
     placed = []
     for suffix in record.done:
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -127,6 +127,7 @@
         return
     _crashes.withdraw_crash(scheduler, backend, task, row.run)
     task.in_later_lifetime = False
+    task.step.job.begun = True
     if task.phase is TaskPhase.PLACED or task.unconfirmed:
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.RUNNING
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -385,6 +385,7 @@
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
             task.in_later_lifetime = is_later_lifetime
+            task.step.job.begun = True
             task.confirmed_at_ms = task.progressed_at_ms = now
             task.started_at_ms = backend.last_sign_ms = now
             self._log_started(task, backend, outcome, now)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -162,7 +162,12 @@
     ended_unix_ms: int = 0
     # Why the job has failed, if no end of a run shows it.
     end_reason: str = ''
+    # A task of it was placed, which its record shows, and the local time of the first
+    # placement in this term.
     started: bool = False
+    placed_at_ms: int = 0
+    # A run of it has begun, as far as this leader knows.
+    begun: bool = False
     # Steps of each occurrence that is open.
     steps_by_occurrence: dict[int, list[StepState]] = field(default_factory=dict)
     critical_path_ms: int = 0
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -76,6 +76,41 @@
         self.assertEqual(started, 1)
 
 
+class WaitingCountTest(unittest.TestCase):
+    def waiting(self, test_bed):
+        """Returns the number of waiting jobs in the latest stored counts."""
+        test_bed.now_ms += 1000
+        now_ms = test_bed.now_ms
+        test_bed.scheduler.plan(now_ms, now_ms)
+        test_bed.scheduler.take_batch(100, now_ms)
+        return test_bed.scheduler.waiting.jobs_by_queue.get('desk', 0)
+
+    def test_jobs_without_a_begun_run_count_as_waiting(self):
+        """Guards against jobs on a silent backend server that vanish from the count."""
+        silent = FakeBackend('b1', ignores_orders=True)
+        test_bed = JobTestBed(silent)
+        test_bed.step()
+        for number in range(3):
+            test_bed.submit(step(2, estimated_ms=500), job_id=f'j{number}')
+        test_bed.step()
+        self.assertEqual(self.waiting(test_bed), 3)
+        test_bed.new_leader()
+        self.assertEqual(self.waiting(test_bed), 3)
+
+    def test_a_begun_run_ends_the_wait_for_good(self):
+        """Guards against counts of jobs whose runs were lost or found by a leader."""
+        test_bed = JobTestBed(FakeBackend('b1'))
+        test_bed.step()
+        test_bed.submit(step(2, estimated_ms=500))
+        test_bed.step()
+        self.assertEqual(self.waiting(test_bed), 0)
+        test_bed.new_leader()
+        test_bed.step()
+        self.assertEqual(self.waiting(test_bed), 0)
+        test_bed.lose(test_bed.backends['b1'])
+        self.assertEqual(self.waiting(test_bed), 0)
+
+
 class UnansweredStartTest(unittest.TestCase):
     def test_a_start_that_cannot_arrive_any_more_frees_its_task(self):
         """Guards against a task that is never started again, as its stop has no effect.
