Take a host that is not listed any more for the end of its backend server

Cause: the platform lists no row for a host that is lost for good. Only a row could show the end of a backend server, so its tasks waited for the longest lease of a former leader.

Change: a complete list without the host of a backend server that does not answer and has no entry any more shows its end. The list says whether a malformed row was left out.

Ruled out: the removed entry or the missing row alone. An entry is also removed while a server that runs is cut off from the store, and a malformed row is left out.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -548,6 +548,13 @@
 
     hosts: list[Host]
     sent_ms: int
+    complete: (
+        Annotated[
+            bool,
+            Meta(description="Whether no row of the list was malformed and left out."),
+        ]
+       
+    ) = True
 
 
 class HostOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_losses.py
+++ b/dandelionknot/jobs/_losses.py
@@ -24,6 +24,8 @@
 # backend server has no entry in the registry any more. It is longer than the time
 # after which the entry of a silent backend server is removed.
 SILENCE_MS = 7000
+# State of a host that is not listed any more.
+GONE = 'gone'
 
 
 @dataclass(slots=True)
@@ -95,6 +97,15 @@
             lifetime_ended(scheduler, loss.lifetime)
 
 
+def listed_end(scheduler: Scheduler, backend: BackendState, listed: HostsListed) -> str:
+    """Returns the state of a host that shows the end of a backend server, or ''."""
+    host = scheduler.maintenance.hosts_by_id.get(backend.host_id)
+    if host is not None:
+        return host.state if shows_end(host, backend.backend_id) else ''
+    is_gone = backend.host_id and backend.report is None and listed.hosts
+    return GONE if is_gone and listed.complete else ''
+
+
 def plan(scheduler: Scheduler, now_ms: int) -> None:
     """Forgets losses that matter no more, and looks for proofs of the others.
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -47,7 +47,7 @@
 )
 from dandelionknot.jobs._log_entries import LogEntry
 from dandelionknot.jobs._losses import UnprovenLoss
-from dandelionknot.jobs._maintenance import MaintenanceScheduler, shows_end
+from dandelionknot.jobs._maintenance import MaintenanceScheduler
 from dandelionknot.jobs._records import (
     due_unix_ms,
     new_job_state,
@@ -536,8 +536,9 @@
         """Applies the platform's list of all hosts.
 
         A host that is listed as down, or with another backend server, shows that a
-        backend server that does not answer has crashed. Its tasks run no more, so they
-        need not wait until their lease expires.
+        backend server that does not answer has crashed. So does a host that is not
+        listed any more, if the entry of its backend server is gone too. Its tasks run
+        no more, so they need not wait until their lease expires.
         """
         self.hosts_listed_ms = listed.sent_ms
         self.maintenance.hosts_listed(listed)
@@ -547,13 +548,12 @@
             if backend is not None:
                 backend.host_id = host.host_id
         ended = [
-            (backend, row.state)
+            (backend, state)
             for backend in [*self.backends_by_id.values(), *self.former_backends]
             if backend.tasks_by_name
             and not backend.reachable
             and backend.lost_at_ms < listed.sent_ms
-            and (row := self.maintenance.hosts_by_id.get(backend.host_id)) is not None
-            and shows_end(row, backend.backend_id)
+            and (state := _losses.listed_end(self, backend, listed))
         ]
         _crashes.unreached_lost(self, ((backend, backend.rack) for backend, _ in ended))
         for backend, state in ended:
--- a/dandelionknot/manager/_hosts.py
+++ b/dandelionknot/manager/_hosts.py
@@ -13,7 +13,6 @@
     HostOrder,
     HostOrderFinished,
     HostOrderOutcome,
-    HostsListed,
 )
 from dandelionknot.manager._ports import HostClient
 
@@ -79,7 +78,6 @@
                 IDLE_PAUSE_MS
             ):
                 continue
-            sent_ms = now_ms()
             listed = await self.hosts.list_hosts()
             if isinstance(listed, Err):
                 if reached:
@@ -88,7 +86,7 @@
                 reached = False
             else:
                 reached = True
-                self.report(HostsListed(hosts=listed.ok_value, sent_ms=sent_ms))
+                self.report(listed.ok_value)
             await asyncio.sleep(seconds(MIN_LIST_PAUSE_MS))
             await self._is_requested_within(LIST_PAUSE_MS - MIN_LIST_PAUSE_MS)
 
--- a/dandelionknot/manager/_ports.py
+++ b/dandelionknot/manager/_ports.py
@@ -7,9 +7,9 @@
 from dandelionknot.errors import PortError
 from dandelionknot.jobs._generated import (
     HoldReport,
-    Host,
     HostOrder,
     HostOrderOutcome,
+    HostsListed,
     OrderOutcome,
     StartAnswer,
     StartOrder,
@@ -47,7 +47,7 @@
 class HostClient(Protocol):
     """Calls about hosts, made on behalf of one member."""
 
-    async def list_hosts(self) -> Result[list[Host], PortError]:
+    async def list_hosts(self) -> Result[HostsListed, PortError]:
         """Reads the list of all hosts."""
 
     async def order(
--- a/dandelionknot/platform/_hosts.py
+++ b/dandelionknot/platform/_hosts.py
@@ -6,12 +6,14 @@
 from result import Err, Ok, Result
 
 from dandelionknot._http_connections import HttpConnections, HttpResponse
+from dandelionknot.clock import now_ms
 from dandelionknot.errors import PortError, PortErrorKind
 from dandelionknot.events import Event, log_event
 from dandelionknot.jobs._generated import (
     Host,
     HostOrder,
     HostOrderOutcome,
+    HostsListed,
 )
 from dandelionknot.platform._decode import convert_rows, decode, host
 from dandelionknot.platform._generated import WireMachines, WireOrderAnswer
@@ -40,8 +42,10 @@
     client: HttpConnections
     member_id: str
 
-    async def list_hosts(self) -> Result[list[Host], PortError]:
+    async def list_hosts(self) -> Result[HostsListed, PortError]:
         """Reads all pages of the host list."""
+        sent_ms = now_ms()
+        complete = True
         hosts: list[Host] = []
         token: str | None = ''
         while token is not None:
@@ -55,10 +59,11 @@
                 return Err(PortError(kind=PortErrorKind.REJECTED, message=message))
             listed, problems = convert_rows(decoded.ok_value.machines, host)
             hosts.extend(listed)
+            complete = complete and not problems
             for problem in problems:
                 log_event(Event.HOST_ROW_MALFORMED, problem=problem)
             token = decoded.ok_value.next_token or None
-        return Ok(hosts)
+        return Ok(HostsListed(hosts=hosts, sent_ms=sent_ms, complete=complete))
 
     async def order(
         self, order: HostOrder, fencing_token: int, valid_until_ms: int
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -8,12 +8,13 @@
 
 from result import Ok, Result
 
-from dandelionknot.clock import seconds
+from dandelionknot.clock import now_ms, seconds
 from dandelionknot.errors import PortError
 from dandelionknot.jobs._generated import (
     Host,
     HostOrder,
     HostOrderOutcome,
+    HostsListed,
     UpkeepWave,
 )
 from dandelionknot.jobs._maintenance import DOWN, IN_MAINTENANCE, UP
@@ -51,22 +52,22 @@
 
     fleet: EmulatedFleet
 
-    async def list_hosts(self) -> Result[list[Host], PortError]:
+    async def list_hosts(self) -> Result[HostsListed, PortError]:
         """Returns each host with its backend server, if that is up."""
+        sent_ms = now_ms()
         await asyncio.sleep(seconds(NETWORK_DELAY_MS))
         await self.fleet.hosts.answers.wait()
-        return Ok(
-            [
-                Host(
-                    host_id=backend.host_id,
-                    pool=backend.service,
-                    state=self._state(backend),
-                    availability_zone=backend.zone,
-                    backend_id=backend.backend_id if backend.up else '',
-                )
-                for backend in self.fleet.backends_by_id.values()
-            ]
-        )
+        rows = [
+            Host(
+                host_id=backend.host_id,
+                pool=backend.service,
+                state=self._state(backend),
+                availability_zone=backend.zone,
+                backend_id=backend.backend_id if backend.up else '',
+            )
+            for backend in self.fleet.backends_by_id.values()
+        ]
+        return Ok(HostsListed(hosts=rows, sent_ms=sent_ms))
 
     def _state(self, backend: Backend) -> str:
         if backend.host_id in self.fleet.hosts.wave_by_host_id:
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -172,6 +172,8 @@
         self.entries_by_id: dict[str, BackendReport] = {}
         # Lifetimes to which the leader has a link.
         self.linked: set[Lifetime] = set()
+        # Whether no row of the list of hosts is malformed.
+        self.lists_complete = True
         # Most records that one write to the store takes.
         self.records_per_batch = 1000
         self.scheduler = self.new_leader()
@@ -212,7 +214,10 @@
             )
             for backend in self.backends.values()
         ]
-        self.scheduler.hosts_listed(HostsListed(hosts=rows, sent_ms=self.now_ms))
+        listed = HostsListed(
+            hosts=rows, sent_ms=self.now_ms, complete=self.lists_complete
+        )
+        self.scheduler.hosts_listed(listed)
 
     def configure(self) -> None:
         """Applies the queue and the client accounts to the scheduler."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -241,7 +241,8 @@
         client = HttpConnections(platform.host_server.address)
         self.addCleanup(client.close)
         listed = (await PlatformHostClient(client, 'edge-1').list_hosts()).unwrap()
-        self.assertEqual([host.host_id for host in listed], ['m-1'])
+        self.assertEqual([host.host_id for host in listed.hosts], ['m-1'])
+        self.assertFalse(listed.complete)
 
     async def test_an_order_is_not_sent_after_the_term(self):
         """Guards against an order about a host by a leader that was paused.
--- a/tests/test_jobs_lost_hosts.py
+++ b/tests/test_jobs_lost_hosts.py
@@ -73,6 +73,39 @@
         self.test_bed.new_leader()
         self.assert_requeued()
 
+    def remove(self, rows=True, entries=True):
+        """Removes the rows and the entries of the lost servers."""
+        for backend in self.lost:
+            if rows:
+                del self.test_bed.backends[backend.backend_id]
+            if entries:
+                self.test_bed.scheduler.remove_backend(backend.backend_id)
+
+    def test_hosts_that_are_gone_for_good_are_not_listed(self):
+        """Guards against tasks that wait for a lease though their host is gone."""
+        for leader in (False, True):
+            with self.subTest(new_leader=leader):
+                self.setUp()
+                self.crash()
+                self.remove()
+                if leader:
+                    self.test_bed.new_leader()
+                self.assert_requeued()
+
+    def test_a_missing_row_alone_ends_nothing(self):
+        """Guards against a task that runs twice since a list lacks a row."""
+        for case in ('entry', 'incomplete', 'listed'):
+            with self.subTest(case):
+                self.setUp()
+                self.crash()
+                for backend in self.lost:
+                    backend.down_until_ms, backend.cut_off = 0, True
+                self.remove(case != 'listed', case != 'entry')
+                self.test_bed.lists_complete = case != 'incomplete'
+                self.run_for(MAX_STANDSTILL_MS)
+                events = [e.event for e in self.test_bed.scheduler.take_log_entries()]
+                self.assertNotIn(Event.TASK_REQUEUED, events)
+
     def test_server_that_is_only_cut_off_keeps_its_tasks(self):
         """Guards against a task that runs twice since its host does not answer."""
         for backend in self.test_bed.backends.values():
--- a/tests/test_manager_hosts.py
+++ b/tests/test_manager_hosts.py
@@ -6,6 +6,7 @@
 from result import Ok
 
 from dandelionknot.clock import now_ms
+from dandelionknot.jobs._generated import HostsListed
 from dandelionknot.manager._hosts import LIST_PAUSE_MS, HostTask
 from emulator import virtual_time
 
@@ -18,7 +19,7 @@
 
     async def list_hosts(self):
         self.read_at_ms.append(now_ms())
-        return Ok([])
+        return Ok(HostsListed(hosts=[], sent_ms=now_ms()))
 
 
 class ListTest(unittest.TestCase):
