--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -180,10 +180,10 @@
 
 def _is_waiting(state: JobState, now_ms: int) -> bool:
     """Whether no run of a job has begun, except for one that is about to begin."""
-    placed = state.phase is not JobPhase.QUEUED
-    return not state.begun and not (
-        placed and now_ms - state.placed_at_ms < BEGIN_LIMIT_MS
-    )
+    if state.begun:
+        return False
+    is_placed = state.phase is not JobPhase.QUEUED
+    return not is_placed or now_ms - state.placed_at_ms >= BEGIN_LIMIT_MS
 
 
 def _take_deletable(scheduler: Scheduler, records: int, now_unix_ms: int) -> list[str]:
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -325,11 +325,12 @@
     return [task for task in backend.tasks_by_name.values() if _may_run_later(task)]
 
 
-def _hand_over(scheduler: Scheduler, former: BackendState, later: BackendState) -> None:
+def _hand_over(scheduler: Scheduler, former: BackendState, later: BackendState) -> int:
     """Requeues the runs of a lifetime that has ended, unless a later one may have them.
 
     The later lifetime does not answer. It keeps those runs until it does or until its
     own lease has certainly expired. Starts without an answer are withdrawn there.
+    Returns the number of runs that are kept.
     """
     kept = [task for task in former.tasks_by_name.values() if _may_run_later(task)]
     scheduler.requeue_tasks(former, RESTARTED, kept=kept)
@@ -338,6 +339,7 @@
         _move_run(scheduler, task, later)
         if is_unanswered:
             _withdraw_start(scheduler, task)
+    return len(kept)
 
 
 def other_answered(
@@ -424,8 +426,7 @@
     del scheduler.backends_by_id[backend.backend_id]
     tasks = len(backend.tasks_by_name)
     later = _later_state(scheduler, backend, born_ms, now_ms)
-    _hand_over(scheduler, backend, later)
-    kept = len(later.tasks_by_name)
+    kept = _hand_over(scheduler, backend, later)
     scheduler.note(
         Event.BACKEND_REBORN,
         {
