--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -6,6 +6,7 @@
 
 from dandelionknot.clock import now_ms, seconds
 from emulator.fleet import EmulatedFleet
+from emulator.hosts import order_wave
 
 # Name of the fault that does not disturb the managers themselves.
 DEADLY_TASKS = 'deadly_tasks'
@@ -280,7 +281,7 @@
     if rng.random() < 0.5:
         chosen = rng.sample(backends, rng.randint(1, len(backends)))
     host_ids = [backend.host_id for backend in chosen]
-    fleet.order_wave(host_ids, rng.randint(10, 26), rng.randint(1, 2))
+    order_wave(fleet, host_ids, rng.randint(10, 26), rng.randint(1, 2))
 
 
 async def wave_without_answers(fleet: EmulatedFleet) -> None:
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -43,14 +43,13 @@
     Backend,
     BackendClient,
 )
-from emulator.hosts import EmulatedHostClient, Hosts
+from emulator.hosts import WAVE_PREFIX, EmulatedHostClient, Hosts
 from emulator.oracle import MAX_ATTEMPTS, Oracle
 from emulator.standstill import StandstillCheck
 from emulator.store import MemoryStore, StoreClient
 
 OPERATOR_PREFIX = 'operators/'
 CONFIGURATION_KEY = OPERATOR_PREFIX + 'configuration'
-WAVE_PREFIX = OPERATOR_PREFIX + 'waves/'
 BACKEND_PREFIX = 'fleet/backends/'
 ZONES = ('north', 'south', 'east')
 SERVICES = ('desk', 'night')
@@ -250,6 +249,10 @@
         backend.entry_number += 1
         self.write_entry(self.entry(backend))
 
+    def unregister(self, backend: Backend) -> None:
+        """Removes the registry entry of a backend server."""
+        self.store.delete(BACKEND_PREFIX + backend.backend_id)
+
     def write_entry(self, report: BackendReport) -> None:
         """Writes an entry, which need not be the latest of its backend server."""
         key = BACKEND_PREFIX + report.backend_id
@@ -397,38 +400,11 @@
                 return reply.phase.value if reply.phase else None
         return None
 
-    def backend_of(self, host_id: str) -> Backend:
-        """Returns the backend server of a host."""
-        backends = self.backends_by_id.values()
-        return next(backend for backend in backends if backend.host_id == host_id)
-
-    def order_wave(self, host_ids: list[str], within_s: int, max_down: int) -> None:
-        """Orders the maintenance of some hosts, as operators do."""
-        number = len(self.hosts.waves_by_number) + 1
-        wave = UpkeepWave(
-            number=number, host_ids=host_ids, within_s=within_s, max_down=max_down
-        )
-        self.hosts.waves_by_number[number] = wave
-        self.store.put(f'{WAVE_PREFIX}{number}', msgspec.json.encode(wave))
-
-    def begin_maintenance(self, backend: Backend, duration_ms: int) -> None:
-        """Takes a host down; its backend server is back after some time."""
-        backend.crash()
-        self.store.delete(BACKEND_PREFIX + backend.backend_id)
-        loop = asyncio.get_running_loop()
-        loop.call_later(seconds(duration_ms), self._end_maintenance, backend)
-
-    def _end_maintenance(self, backend: Backend) -> None:
-        del self.hosts.wave_by_host_id[backend.host_id]
-        backend.restart()
-        self.register(backend)
-
     def lose(self, backend: Backend) -> None:
         """Crashes a backend server for good; its entry is removed later."""
         backend.crash()
         loop = asyncio.get_running_loop()
-        key = BACKEND_PREFIX + backend.backend_id
-        loop.call_later(seconds(REGISTRY_EXPIRY_MS), self.store.delete, key)
+        loop.call_later(seconds(REGISTRY_EXPIRY_MS), self.unregister, backend)
 
     async def restart_later(self, backend: Backend, down_ms: int) -> None:
         """Starts a crashed backend server again under the same id.
@@ -438,7 +414,7 @@
         """
         await asyncio.sleep(seconds(min(down_ms, REGISTRY_EXPIRY_MS)))
         if down_ms > REGISTRY_EXPIRY_MS:
-            self.store.delete(BACKEND_PREFIX + backend.backend_id)
+            self.unregister(backend)
             await asyncio.sleep(seconds(down_ms - REGISTRY_EXPIRY_MS))
         backend.restart()
         self.register(backend)
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Ok, Result
 
 from dandelionknot.clock import now_ms, seconds
@@ -23,6 +24,8 @@
 if TYPE_CHECKING:
     from emulator.fleet import EmulatedFleet
 
+# Keys of the waves that operators order.
+WAVE_PREFIX = 'operators/waves/'
 # Time from the begin of the maintenance of a host until it is up again.
 MAINTENANCE_MS = 2000
 # Time after which a client gives up a call that is not answered.
@@ -42,10 +45,37 @@
     answers: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        """Lets calls be answered."""
+        """Sets the event, as calls are answered at first."""
         self.answers.set()
 
 
+def order_wave(
+    fleet: EmulatedFleet, host_ids: list[str], within_s: int, max_down: int
+) -> None:
+    """Orders the maintenance of some hosts, as operators do."""
+    number = len(fleet.hosts.waves_by_number) + 1
+    wave = UpkeepWave(
+        number=number, host_ids=host_ids, within_s=within_s, max_down=max_down
+    )
+    fleet.hosts.waves_by_number[number] = wave
+    fleet.store.put(f'{WAVE_PREFIX}{number}', msgspec.json.encode(wave))
+
+
+def begin_maintenance(fleet: EmulatedFleet, backend: Backend, number: int) -> None:
+    """Ends the backend server of a host for a wave; it is back after some time."""
+    fleet.hosts.wave_by_host_id[backend.host_id] = number
+    backend.crash()
+    fleet.unregister(backend)
+    loop = asyncio.get_running_loop()
+    loop.call_later(seconds(MAINTENANCE_MS), _end_maintenance, fleet, backend)
+
+
+def _end_maintenance(fleet: EmulatedFleet, backend: Backend) -> None:
+    del fleet.hosts.wave_by_host_id[backend.host_id]
+    backend.restart()
+    fleet.register(backend)
+
+
 @dataclass(slots=True)
 class EmulatedHostClient:
     """Lists the hosts of all backend servers and carries out their maintenance."""
@@ -93,7 +123,8 @@
         begun = hosts.begun_by_wave.setdefault(order.wave_number, set())
         if order.host_id in begun:
             return HostOrderOutcome.ACCEPTED
-        backend = self.fleet.backend_of(order.host_id)
+        backends = self.fleet.backends_by_id.values()
+        backend = next(b for b in backends if b.host_id == order.host_id)
         if not backend.up:
             return HostOrderOutcome.BUSY
         down = list(hosts.wave_by_host_id.values()).count(order.wave_number)
@@ -103,6 +134,5 @@
             )
         self.fleet.oracle.check_availability(backend)
         begun.add(order.host_id)
-        hosts.wave_by_host_id[order.host_id] = order.wave_number
-        self.fleet.begin_maintenance(backend, MAINTENANCE_MS)
+        begin_maintenance(self.fleet, backend, order.wave_number)
         return HostOrderOutcome.ACCEPTED
