Read the rows of the list of hosts in the test of its client

Cause: since the client returns the list with its time and whether it is complete.

Change: the test reads the rows, and checks that the list is complete.

Conclusion: an error of the test, which checks more than before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -160,7 +160,9 @@
         client = HttpConnections(platform.host_server.address)
         self.addCleanup(client.close)
         hosts = PlatformHostClient(client, 'edge-1')
-        [host] = (await hosts.list_hosts()).unwrap()
+        listed = (await hosts.list_hosts()).unwrap()
+        self.assertTrue(listed.complete)
+        [host] = listed.hosts
         self.assertEqual((host.host_id, host.backend_id), ('m-1', 'i-1'))
         maintenance = HostOrder(host_id='m-1', wave_number=3)
         move = HostOrder(host_id='m-1', pool='night')
