Count no server that ends by an order as a sign of an outage

Cause: links call servers whose hosts were ordered away until they end. The loss of contact with each of them counted, and several moved hosts at once made the next crashes an outage, in which no task is given up.

Change: a loss of contact with a server that leaves or ends by an order is not recorded as a sign of an outage.

Ruled out: the known bound of 8 losses in any fleet alone; without the moved servers it is not reached.

--- a/dandelionknot/jobs/_crashes.py
+++ b/dandelionknot/jobs/_crashes.py
@@ -144,13 +144,19 @@
 
 
 def contact_lost(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
-    """Records when contact was lost, and which runs had begun shortly before."""
+    """Records when contact was lost, and which runs had begun shortly before.
+
+    A backend server that leaves, or whose host was ordered away, is no sign of an
+    outage.
+    """
     recent = recent_starts(backend)
     backend.lost_at_ms = now_ms
     backend.lost_suddenly = _is_sudden(recent, now_ms)
     if backend.lost_suddenly:
         _space_starts(scheduler, recent, now_ms)
     backend.recent_runs_by_name = {task.name: task.run for task in recent}
+    if backend.ending or backend.leaving:
+        return
     losses = scheduler.losses
     while losses and losses[0].lost_at_ms < now_ms - LOSSES_KEPT_MS:
         losses.popleft()
--- a/tests/test_jobs_host_orders.py
+++ b/tests/test_jobs_host_orders.py
@@ -4,12 +4,14 @@
 from unittest import mock
 
 from dandelionknot.events import Event
+from dandelionknot.jobs._crashes import is_outage
 from dandelionknot.jobs._generated import (
     EndReason,
     Host,
     HostOrder,
     HostOrderOutcome,
     HostsListed,
+    OrderOutcome,
     Resources,
     StepSpec,
     UpkeepWave,
@@ -118,6 +120,24 @@
         self.run_for(500)
         self.assertEqual(self.former.started, [])
 
+    def test_backend_servers_that_end_by_an_order_are_no_outage(self):
+        """Guards against a deadly task that is started for ever beside moved hosts.
+
+        Contact with the moved servers is lost shortly before the crash.
+        """
+        test_bed = JobTestBed(*(FakeBackend(f'b{n}') for n in range(12)))
+        test_bed.submit(StepSpec(task_count=1, resources=STEP.resources))
+        for _ in range(4):
+            test_bed.step(TICK_MS)
+        states = list(test_bed.scheduler.backends_by_id.values())
+        [crashed] = [state for state in states if state.tasks_by_name]
+        for state in states:
+            state.ending = state is not crashed
+            test_bed.scheduler.contact_lost(
+                state, OrderOutcome.NO_ANSWER, test_bed.now_ms + 3000, test_bed.now_ms
+            )
+        self.assertFalse(is_outage(test_bed.scheduler, crashed))
+
     def test_the_link_asks_a_backend_server_that_may_end(self):
         """Guards against an idle link that never learns that the server goes on."""
         [order] = self.run_for(TICK_MS)
