Log which starts have a try without an answer, and what is known of stray runs

Change: StartFinished states the local time of the last try without an answer; task started, start refused and orphan stopped name the lifetime, the open try, the latest run and where the task is assigned. Decisions do not use it yet. Conclusion: a stray run can be traced to its start from the logs alone.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -343,7 +343,10 @@
     ),
     Event.JOB_ENDED: EventInfo(INFO, 'A job has ended.', NO_ACTION),
     Event.TASK_STARTED: EventInfo(
-        INFO, 'A backend server accepted the start of a task.', NO_ACTION
+        INFO,
+        'A backend server accepted the start of a task. `try_unanswered` says whether '
+        'another try of the same start has no answer and may be carried out late.',
+        NO_ACTION,
     ),
     Event.TASK_ENDED: EventInfo(INFO, 'A run of a task has ended.', NO_ACTION),
     Event.TASK_REQUEUED: EventInfo(
@@ -358,7 +361,8 @@
     ),
     Event.ORPHAN_STOPPED: EventInfo(
         WARNING,
-        'A backend server was ordered to stop a run that is no longer wanted.',
+        'A backend server was ordered to stop a run that is no longer wanted. '
+        '`latest_run` and `assigned_to` tell what its leader knows of the task.',
         NO_ACTION,
     ),
     Event.TASK_PACED: EventInfo(
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -466,6 +466,15 @@
         ]
        
     ) = False
+    unanswered_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Local time of the last try without an answer, which may still be carried out; 0 if each try was answered."
+            ),
+        ]
+       
+    ) = 0
 
 
 class StopFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -70,7 +70,10 @@
     _lifetimes.answered(scheduler, backend, report, sent_ms)
     if not backend.reachable:
         backend.reachable = True
-        scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
+        scheduler.note(
+            Event.HOST_REACHED,
+            {'backend_id': backend.backend_id, 'born_ms': backend.born_ms},
+        )
     if backend.ending and sent_ms >= backend.ending_since_ms + ENDING_MS:
         backend.ending = False
         scheduler.note(
@@ -111,6 +114,7 @@
     if task is None or task.run != row.run:
         # The run is an orphan: an earlier run of its task, or a run of a job that
         # has ended.
+        former = _find_task(scheduler, row.task_name)
         scheduler.note(
             Event.ORPHAN_STOPPED,
             {
@@ -118,10 +122,14 @@
                 'task': row.task_name,
                 'run': row.run,
                 'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
+                'latest_run': former.run if former else 0,
+                'assigned_to': (
+                    former.backend.backend_id if former and former.backend else ''
+                ),
             },
         )
         scheduler.commands.append(stop_command(backend, row.task_name, row.run))
-        former = _find_task(scheduler, row.task_name)
         if former is not None:
             _crashes.withdraw_crash(scheduler, backend, former, row.run)
         return
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -372,11 +372,13 @@
         now: int,
         deadline_ms: int = 0,
         is_later_lifetime: bool = False,
+        unanswered_ms: int = 0,
     ) -> None:
         """Applies the outcome of a start order if it is for the task's current run.
 
         The backend server rejects a start that arrives after `deadline_ms`, on its own
         clock. `is_later_lifetime` is whether a later lifetime than this one answered.
+        `unanswered_ms` is the local time of the last try without an answer, or 0.
         """
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
@@ -388,7 +390,7 @@
             task.step.job.begun = True
             task.confirmed_at_ms = task.progressed_at_ms = now
             task.started_at_ms = backend.last_sign_ms = now
-            self._log_started(task, backend, outcome, now)
+            self._log_started(task, backend, outcome, now, bool(unanswered_ms))
             return
         job_id = task.step.job.job.job_id
         self.note(
@@ -398,7 +400,9 @@
                 'task': name,
                 'run': run,
                 'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
                 'outcome': outcome.value,
+                'try_unanswered': bool(unanswered_ms),
             },
         )
         if outcome is OrderOutcome.NO_ANSWER:
@@ -410,7 +414,12 @@
             self._start_refused(task, backend, outcome, now)
 
     def _log_started(
-        self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
+        self,
+        task: TaskState,
+        backend: BackendState,
+        outcome: OrderOutcome,
+        now: int,
+        try_unanswered: bool,
     ) -> None:
         state = task.step.job
         _standstill.ended(self, state, now)
@@ -423,7 +432,9 @@
                 'task': task.name,
                 'run': task.run,
                 'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
                 'outcome': outcome.value,
+                'try_unanswered': try_unanswered,
                 'job_age_ms': now - state.accepted_ms,
                 'due_in_ms': state.due_ms - now,
             },
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -318,6 +318,7 @@
                     now_ms(),
                     message.deadline_ms,
                     message.is_later_lifetime,
+                    message.unanswered_ms,
                 )
             case StopFinished(task_name=name, run=run):
                 scheduler.stop_finished(backend, name, run, now_ms())
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -69,7 +69,8 @@
 CARRIED_OUT = frozenset({OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED})
 # Outcomes after which the order would be rejected each time.
 POINTLESS = frozenset({OrderOutcome.FENCED, OrderOutcome.OTHER_LIFETIME})
-# Outcomes which show that no earlier try of the same start will still be carried out.
+# Outcomes which show that no earlier try of the same start will still be carried out by
+# the lifetime that has answered. A later one may carry it out.
 FINAL_OUTCOMES = frozenset(
     {
         OrderOutcome.ACCEPTED,
@@ -179,7 +180,9 @@
         key = (message.order.task_name, message.order.run)
         self.starts_in_progress.add(key)
         # After an unexpected error, the start may have been carried out.
-        finished = self._start_finished(message, OrderOutcome.NO_ANSWER)
+        finished = self._start_finished(
+            message, OrderOutcome.NO_ANSWER, unanswered_ms=now_ms()
+        )
         try:
             finished = await self._try_start(message, key)
         finally:
@@ -192,8 +195,8 @@
         rejected.
         """
         outcome = OrderOutcome.NOT_SENT
-        deadline = 0
-        may_have_arrived = is_later_lifetime = False
+        deadline = unanswered_ms = 0
+        is_later_lifetime = False
         for timeout_ms in TRY_TIMEOUTS_MS:
             await self.contact_checked.wait()
             if key in self.withdrawn_starts or not self._may_start():
@@ -205,17 +208,20 @@
             is_later_lifetime = answer.clock_ms >= 0 and self.clock.shows_restart(
                 answer.clock_ms, sent_ms
             )
-            may_have_arrived = may_have_arrived or outcome is OrderOutcome.NO_ANSWER
+            if outcome is OrderOutcome.NO_ANSWER:
+                unanswered_ms = now_ms()
             if outcome not in (
                 OrderOutcome.NO_ANSWER,
                 OrderOutcome.NOT_SENT,
                 OrderOutcome.TOO_LATE,
             ):
                 break
-        if may_have_arrived and outcome not in FINAL_OUTCOMES:
+        if unanswered_ms and outcome not in FINAL_OUTCOMES:
             # An earlier try may have been carried out or may still be.
             outcome = OrderOutcome.NO_ANSWER
-        return self._start_finished(message, outcome, deadline, is_later_lifetime)
+        return self._start_finished(
+            message, outcome, deadline, is_later_lifetime, unanswered_ms
+        )
 
     def _start_finished(
         self,
@@ -223,6 +229,7 @@
         outcome: OrderOutcome,
         deadline_ms: int = 0,
         is_later_lifetime: bool = False,
+        unanswered_ms: int = 0,
     ) -> StartFinished:
         return StartFinished(
             backend_id=self.backend_id,
@@ -232,6 +239,7 @@
             outcome=outcome,
             deadline_ms=deadline_ms,
             is_later_lifetime=is_later_lifetime,
+            unanswered_ms=unanswered_ms,
         )
 
     def _may_start(self) -> bool:
--- a/tests/test_link_lifetimes.py
+++ b/tests/test_link_lifetimes.py
@@ -89,6 +89,20 @@
                 self.assertIs(finished.outcome, OrderOutcome.ACCEPTED)
                 self.assertIs(finished.is_later_lifetime, expected)
 
+    def test_a_try_without_an_answer_is_reported(self):
+        """Guards against a start that counts as settled while a try of it is open.
+
+        The try may be carried out late, by a later lifetime too.
+        """
+        silent, accepted = OrderOutcome.NO_ANSWER, OrderOutcome.ACCEPTED
+        for outcomes, is_open in (((silent, accepted), True), ((accepted,), False)):
+            with self.subTest(outcomes=outcomes):
+                client = FakeBackendClient(start=outcomes)
+                reports = virtual_time.run(run_link(client, [START], 2))
+                [finished] = [r for r in reports if isinstance(r, StartFinished)]
+                self.assertIs(finished.outcome, accepted)
+                self.assertIs(finished.unanswered_ms > 0, is_open)
+
 
 class LeaseClockTest(unittest.TestCase):
     def test_a_slow_clock_shows_no_restart(self):
