Reproduce late starts in a later lifetime, as known failing tests

Change: the fake backend server of the job tests keeps the highest fencing token of a lifetime, carries out starts late, and records a second run of a task on the same server. tests/test_jobs_late_starts.py fails on the code as it is: a task whose start has an open try is started elsewhere while the later lifetime carries the try out, a new leader does the same, an end as done is acknowledged while a try of its start is open, and a listed run of a waiting task is stopped while its next run starts. No product code is changed.

--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -78,6 +78,10 @@
     cut_off: bool = False
     # Its host in the platform's list; empty if its entry names none.
     host_id: str = ''
+    # Highest fencing token that this lifetime has seen.
+    fence: int = 0
+    # Name and both runs of each task that was started while another run of it ran here.
+    overlaps: list[tuple[str, int, int]] = field(default_factory=list)
 
     def report(self) -> BackendReport:
         """Returns the backend server's entry in the registry."""
@@ -100,10 +104,17 @@
             return OrderOutcome.ACCEPTED
         if run <= self.barred_by_name.get(name, 0):
             return OrderOutcome.SUPERSEDED
+        if current is not None:
+            self.overlaps.append((name, current.run, run))
         self.runs_by_name[name] = FakeRun(run)
         self.started.append((name, run))
         return OrderOutcome.ACCEPTED
 
+    def start_late(self, name: str, run: int, token: int) -> None:
+        """Carries out a start that got no answer, unless its token is too low."""
+        if token >= self.fence:
+            self.start(name, run)
+
     def end(self, name: str, reason: EndReason, checkpoint: str = '') -> None:
         """Ends a run and adds it to the list of ends."""
         run = self.runs_by_name.pop(name).run
@@ -149,6 +160,7 @@
         self.barred_by_name.clear()
         self.ends.clear()
         self.next_end = 1
+        self.fence = 0
 
 
 class JobTestBed:
@@ -172,6 +184,10 @@
         self.entries_by_id: dict[str, BackendReport] = {}
         # Lifetimes to which the leader has a link.
         self.linked: set[Lifetime] = set()
+        # Fencing token of the latest link, which is higher than those of earlier ones,
+        # and that of each lifetime.
+        self.token = 0
+        self.tokens_by_lifetime: dict[Lifetime, int] = {}
         # Whether no row of the list of hosts is malformed.
         self.lists_complete = True
         # Most records that one write to the store takes.
@@ -186,6 +202,7 @@
         scheduler = Scheduler(hold_max_ms=HOLD_MAX_MS)
         self.scheduler = scheduler
         self.linked.clear()
+        self.tokens_by_lifetime.clear()
         self.configure()
         for job in self.jobs.values():
             scheduler.add_job(
@@ -248,6 +265,7 @@
         silent = backend.unresponsive or backend.cut_off or backend.down_until_ms
         if state is None or silent or not self._is_linked(state):
             return
+        backend.fence = max(backend.fence, self.tokens_by_lifetime[state.lifetime])
         self.scheduler.hold_answered(
             state, backend.hold_report(), self.now_ms, self.now_ms, self.now_ms
         )
@@ -256,6 +274,9 @@
         """Whether the leader has a link, which it opens once it knows an address."""
         if state.address:
             self.linked.add(state.lifetime)
+        if state.lifetime not in self.tokens_by_lifetime:
+            self.token += 1
+            self.tokens_by_lifetime[state.lifetime] = self.token
         return state.lifetime in self.linked
 
     def step(self, advance_ms: int = 10) -> list:
--- /dev/null
+++ b/tests/test_jobs_late_starts.py
@@ -0,0 +1,219 @@
+"""Starts without an answer that a later lifetime of a backend server carries out."""
+
+import unittest
+
+from dandelionknot.jobs._generated import (
+    EndReason,
+    OrderOutcome,
+    Resources,
+    StartTask,
+    StepSpec,
+)
+from dandelionknot.jobs._leases import max_later_lease_ms
+from tests.job_test_bed import HOLD_MAX_MS, LEASE_MS, FakeBackend, JobTestBed
+
+SMALL = Resources(cpu_millicores=1000, memory_mb=100)
+TASK = 'j1.0.0.0'
+TICK_MS = 50
+# Time of a few calls and planning rounds.
+SOON_MS = 500
+# Time for which a task may wait for a silent backend server.
+LONGEST_WAIT_MS = max_later_lease_ms(HOLD_MAX_MS)
+# Longest time for which the end of a run may stay unacknowledged, from the platform's
+# rules.
+ACKNOWLEDGE_WITHIN_MS = 4000
+
+
+class LateStartTest(unittest.TestCase):
+    """A start to server b1 is carried out late; b2 has room too."""
+
+    def setUp(self):
+        self.backend = FakeBackend('b1', born_ms=5000, host_id='h1')
+        self.other = FakeBackend('b2', host_id='h2')
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        self.token = self.test_bed.token
+
+    def submit(self, accepted):
+        """Submits a task whose first try on b1 has no answer.
+
+        The second try is accepted, or has no answer either and is not carried out.
+        """
+        execute = self.test_bed.execute
+
+        def leave_open(command):
+            if not isinstance(command, StartTask):
+                return
+            order = command.order
+            if accepted:
+                self.backend.start(order.task_name, order.run)
+            self.test_bed.scheduler.start_finished(
+                self.state,
+                order.task_name,
+                order.run,
+                OrderOutcome.ACCEPTED if accepted else OrderOutcome.NO_ANSWER,
+                self.test_bed.now_ms,
+                self.backend.clock_ms + LEASE_MS,
+                unanswered_ms=self.test_bed.now_ms,
+            )
+
+        self.test_bed.execute = leave_open
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        self.test_bed.step(TICK_MS)
+        self.test_bed.execute = execute
+        self.test_bed.backends['b2'] = self.other
+        self.register(self.other)
+
+    @property
+    def state(self):
+        return self.test_bed.scheduler.backends_by_id['b1']
+
+    @property
+    def task(self):
+        steps = self.test_bed.scheduler.jobs_by_id['j1'].steps_by_occurrence[0]
+        return steps[0].tasks[0]
+
+    def register(self, backend):
+        self.test_bed.scheduler.set_backend(backend.report(), self.test_bed.now_ms)
+
+    def run_for(self, duration_ms):
+        """Advances time; the task must not run twice meanwhile."""
+        for _ in range(0, duration_ms, TICK_MS):
+            self.test_bed.step(TICK_MS)
+            self.assert_runs_at_most_once()
+
+    def assert_runs_at_most_once(self):
+        places = self.test_bed.running().get(TASK, [])
+        self.assertLessEqual(len(places), 1, places)
+        for backend in (self.backend, self.other):
+            self.assertEqual(backend.overlaps, [])
+
+    def crash(self):
+        self.test_bed.lose(self.backend)
+        # The host is listed as down.
+        self.test_bed.now_ms += 1
+        self.test_bed.list_hosts()
+
+    def start_late(self):
+        self.backend.start_late(TASK, 1, self.token)
+        self.assert_runs_at_most_once()
+
+    def test_a_later_lifetime_carries_out_a_start_that_had_no_answer(self):
+        """Guards against a second run on another server while the first one is open."""
+        for accepted in (True, False):
+            with self.subTest(accepted=accepted):
+                self.setUp()
+                self.submit(accepted)
+                self.crash()
+                self.run_for(SOON_MS)
+                self.backend.restart()
+                self.start_late()
+                self.run_for(SOON_MS)
+                self.register(self.backend)
+                self.run_for(SOON_MS)
+                self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
+    def test_a_later_lifetime_that_has_answered_rejects_the_start(self):
+        """Guards against a late start after the task was placed again."""
+        for accepted in (True, False):
+            with self.subTest(accepted=accepted):
+                self.setUp()
+                self.submit(accepted)
+                self.crash()
+                for _ in range(LONGEST_WAIT_MS // SOON_MS):
+                    self.run_for(SOON_MS)
+                    if self.test_bed.running():
+                        self.start_late()
+                self.assertEqual(len(self.test_bed.running()), 1)
+
+    def test_a_task_waits_for_a_silent_server_no_longer_than_its_lease(self):
+        """Guards against tasks that wait for a server which is lost for good."""
+        for accepted in (True, False):
+            with self.subTest(accepted=accepted):
+                self.setUp()
+                self.submit(accepted)
+                self.crash()
+                self.backend.down_until_ms = 10**12
+                self.run_for(LONGEST_WAIT_MS - SOON_MS)
+                self.assertEqual(self.other.started, [])
+                self.run_for(2 * SOON_MS)
+                self.assertEqual(len(self.other.started), 1)
+
+    def test_a_new_leader_waits_for_the_server_of_an_open_start(self):
+        """Guards against a leader that does not know which starts are open.
+
+        Its predecessor has recorded that the task waits, or that it was placed.
+        """
+        for recorded in ('waiting', 'placed'):
+            with self.subTest(recorded=recorded):
+                self.setUp()
+                self.submit(accepted=False)
+                self.crash()
+                if recorded == 'waiting':
+                    self.run_for(SOON_MS)
+                self.test_bed.new_leader()
+                self.run_for(SOON_MS)
+                self.assertEqual(self.other.started, [])
+                self.backend.restart()
+                self.start_late()
+                self.register(self.backend)
+                self.run_for(2 * SOON_MS)
+                self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
+    def test_the_end_of_an_open_start_is_not_acknowledged_at_once(self):
+        """Guards against a late start of a run whose end as done was acknowledged.
+
+        An end that is lost with its server was not acknowledged, so the late start is
+        no second one.
+        """
+        self.submit(accepted=True)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.phase(), 'done')
+        self.assertEqual(len(self.backend.ends), 1)
+        self.run_for(ACKNOWLEDGE_WITHIN_MS - 2 * SOON_MS)
+        self.assertEqual(self.backend.ends, [])
+
+
+class StrayRunTest(unittest.TestCase):
+    """Server b1 lists a run of a task that waits."""
+
+    def list_run(self, run, latest_run):
+        self.backend = FakeBackend('b1')
+        self.other = FakeBackend('b2')
+        self.test_bed = JobTestBed(self.backend, self.other)
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        steps = self.test_bed.scheduler.jobs_by_id['j1'].steps_by_occurrence[0]
+        self.task = steps[0].tasks[0]
+        self.task.run = latest_run
+        self.backend.start(TASK, run)
+        for backend in (self.backend, self.other):
+            self.test_bed.hold(backend)
+
+    def test_the_latest_run_of_a_waiting_task_goes_on(self):
+        """Guards against a start elsewhere while the run is being stopped."""
+        self.list_run(run=2, latest_run=2)
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+        self.assertEqual(self.task.backend.backend_id, 'b1')
+        self.assertEqual(self.other.started + self.backend.started, [(TASK, 2)])
+
+    def test_a_task_waits_until_its_earlier_run_has_ended(self):
+        """Guards against a start while an earlier run is being stopped."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+            self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+            self.assertEqual(self.backend.overlaps, [])
+        self.backend.ignores_orders = False
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+        started = self.backend.started + self.other.started
+        self.assertEqual(sorted(run for _, run in started), [1, 3])
+
+
+if __name__ == '__main__':
+    unittest.main()
