Call each later lifetime of a backend server with a higher fencing token

Cause: a call without an answer may be carried out seconds later. Within one lifetime a stop, the deadline or a newer leader's token bars it. The next lifetime has seen none of these, and the same leader called it with the same token as before, so it accepted starts, and holds with an acknowledgement, that were meant for the former lifetime, for as long as the leader's term lasted. Change: BatchStored states the revision of its write, and a link takes the last one as its token. The write is conditional on the leader's item, so the revision is above all earlier links and below the next term. A start is stored before it is sent, so a link that is opened after a start has a higher token than that start. Before and after: the new test of tests/test_leader_links.py got the tokens [7, 7] before and gets [7, 9] now. Conclusion: closes the time after the first answer of a later lifetime.

--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -38,6 +38,9 @@
 
     batch: Batch
     took_ms: int
+    # Revision of the write. It was conditional on the leader's item, so it is higher
+    # than all earlier terms and lower than all later ones.
+    revision: int
 
 
 @dataclass(slots=True)
@@ -79,7 +82,8 @@
                 puts, deleted_keys = self.entries(message)
                 if not await self._store(puts, deleted_keys):
                     return
-                self.report(BatchStored(message, now_ms() - started_ms))
+                took_ms = now_ms() - started_ms
+                self.report(BatchStored(message, took_ms, self.revision))
 
     def entries(self, batch: Batch) -> tuple[list[Put], list[str]]:
         """Returns the items to write and the keys to delete for a batch."""
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -109,6 +109,10 @@
     other_tasks: set[asyncio.Task] = field(default_factory=set)
     committer: Committer | None = None
     hosts: HostTask | None = None
+    # Fencing token of the next backend link: the revision of the last write of this
+    # term. A start is stored before it is sent, so a link that is opened after that has
+    # a higher token than the start.
+    fencing_token: int = 0
     # Local time of the next planning round.
     plan_due_ms: int = 0
     # Whether the committer is writing a batch. Only one is written at a time.
@@ -120,7 +124,13 @@
         scheduler = Scheduler(hold_max_ms=ports.settings.timing.hold_max_ms)
         scheduler.capacity.orders_per_s = ports.settings.host_orders_per_s
         view = View(decode_fact=ports.decode_fact)
-        return cls(ports=ports, term=term, scheduler=scheduler, view=view)
+        return cls(
+            ports=ports,
+            term=term,
+            scheduler=scheduler,
+            view=view,
+            fencing_token=term.number,
+        )
 
     async def run(self) -> str:
         """Runs the scheduler until the term ends and returns the reason of its end.
@@ -286,6 +296,7 @@
                 self._handle_host_order_end(message)
             case BatchStored():
                 self.committing = False
+                self.fencing_token = max(self.fencing_token, message.revision)
                 self._send_commands(self.scheduler.confirm(message.batch))
                 self._acknowledge_ends()
             case _:
@@ -403,8 +414,14 @@
                 link.inbox.send(expected)
 
     def _open_link(self, key: tuple[str, int], address: str) -> None:
+        """Opens a link to a lifetime of a backend server.
+
+        A call without an answer may be carried out late, by a later lifetime too, which
+        knows no fencing token yet. Once it has accepted a call of its own link, it
+        rejects those of former links.
+        """
         link = BackendLink(
-            client=self.ports.new_backend_client(address, key[0], self.term.number),
+            client=self.ports.new_backend_client(address, key[0], self.fencing_token),
             backend_id=key[0],
             born_ms=key[1],
             hold_max_ms=self.ports.settings.timing.hold_max_ms,
--- a/tests/test_jobs_stored_writes.py
+++ b/tests/test_jobs_stored_writes.py
@@ -112,7 +112,7 @@
         row = Host(host_id='m1', pool=SERVICE, state='up', backend_id='b1')
         listed = HostsListed(hosts=[row], sent_ms=self.test_bed.now_ms)
         scheduler.maintenance.hosts_listed(listed)
-        self.leader = Leader.from_ports(mock.Mock(), mock.Mock())
+        self.leader = Leader.from_ports(mock.Mock(), mock.Mock(number=1))
         self.leader.scheduler = scheduler
         self.leader.hosts = mock.Mock()
 
@@ -129,7 +129,7 @@
         self.test_bed.now_ms += ORDER_KEPT_MS
         sent_ms = self.test_bed.now_ms
         with mock.patch('dandelionknot.manager._leader.now_ms', return_value=sent_ms):
-            self.leader._handle(BatchStored(batch, ORDER_KEPT_MS))
+            self.leader._handle(BatchStored(batch, ORDER_KEPT_MS, revision=2))
         self.leader.hosts.inbox.send.assert_called_once_with(order)
         self.test_bed.submit(step(), job_id='j1')
         following = self.take_batch_after(ORDER_KEPT_MS - 1000)
--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -8,6 +8,7 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import OrderOutcome, Resources, StepSpec
+from dandelionknot.manager._commit import BatchStored
 from dandelionknot.manager._leader import Leader
 from tests.job_test_bed import FakeBackend, JobTestBed
 from tests.test_manager_link import FakeBackendClient
@@ -30,10 +31,11 @@
         late = replace(self.entry, born_ms=4000, address=LATE_ADDRESS)
         self.test_bed.entries_by_id['b1'] = late
         self.called = []
+        self.tokens = []
         ports = mock.Mock()
         ports.settings.timing.hold_max_ms = 6000
         ports.new_backend_client = self.new_client
-        self.leader = Leader.from_ports(ports, mock.Mock())
+        self.leader = Leader.from_ports(ports, mock.Mock(number=7))
         self.leader.scheduler = self.test_bed.new_leader()
         self.leader._reconcile_links()
 
@@ -44,6 +46,7 @@
 
     def new_client(self, address, backend_id, token):
         self.called.append(address)
+        self.tokens.append(token)
         return FakeBackendClient()
 
     @property
@@ -63,6 +66,24 @@
         self.leader._reconcile_links()
         self.assertEqual(self.called, [LATE_ADDRESS, ADDRESS])
 
+    async def test_a_later_lifetime_is_called_with_a_higher_token(self):
+        """Guards against starts of a former lifetime that a later one accepts.
+
+        Calls without an answer may be carried out by a later lifetime, which knows no
+        token of its own.
+        """
+        batch = self.leader.scheduler.take_batch(10, self.test_bed.now_ms)
+        self.leader._handle(BatchStored(batch, 10, revision=9))
+        self.backend.restart()
+        now_ms = self.test_bed.now_ms + 10
+        report = self.backend.hold_report()
+        self.leader.scheduler.hold_answered(self.state, report, now_ms, now_ms, now_ms)
+        later = replace(self.entry, born_ms=self.backend.born_ms)
+        self.leader.scheduler.set_backend(later, now_ms)
+        self.leader._reconcile_links()
+        self.assertEqual(self.called, [LATE_ADDRESS, ADDRESS])
+        self.assertEqual(self.tokens, [7, 9])
+
     async def test_another_backend_server_at_that_address_proves_nothing(self):
         """Guards against a second run of tasks whose host has another address."""
         self.leader.scheduler.contact_lost(
--- a/tests/test_manager_commit.py
+++ b/tests/test_manager_commit.py
@@ -94,6 +94,8 @@
         ]
         store, reports = self.run_committer(prepare, batches, 120)
         self.assertEqual([type(report) for report in reports], [BatchStored] * 3)
+        revisions = [report.revision for report in reports]
+        self.assertEqual(revisions, sorted(set(revisions)))
         written = [item.value for item in store.history if item.key == record_key('j1')]
         self.assertEqual(len(written), 2)
         self.assertIn(b'done', store.items_by_key[record_key('j1')].value)
