Place a task again only when its unanswered starts can do no harm

Cause: a try of a start without an answer may be carried out up to 12 s later. A stop, a deadline or a token bars it in one lifetime of the backend server only. Once that lifetime had ended, the task was placed elsewhere at once, and the later lifetime carried the try out before the leader had called it. The same held if a later try had been accepted, and for a new leader, which knew nothing of the open try. Change: the scheduler keeps the open starts of each task (_late_starts). Open starts are stored in the record of the job. For tries of a former leader that no record names, a new leader waits 2 s for the backend server. Ruled out: to wait until the call can no longer be carried out (18.4 s with the lease), since a server that is lost for good would hold up its jobs for longer than the platform's rules allow; to hold up speculative tasks, which may run twice. What a server that stays silent for longer than the wait carries out after it remains open.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -155,6 +155,15 @@
         Annotated[bool, Meta(description="Whether the placed run was started alone.")]
        
     ) = False
+    late_until_unix_ms_by_backend_id: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description="Backend servers that may still carry out a start without an answer, and the time until which they may."
+            ),
+        ]
+       
+    ) = field(default_factory=dict)
 
 
 class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _placement
+from dandelionknot.jobs import _crashes, _late_starts, _placement
 from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._maintenance import evict_if_allowed
 from dandelionknot.jobs._state import (
@@ -93,7 +93,7 @@
     places a task with a run number. Returns the backend servers that are left for other
     tasks.
     """
-    units = _waiting_units(steps, now_ms)
+    units = _waiting_units(scheduler, steps, now_ms)
     if not units:
         return _without_reserved(backends, 0)
     in_use, down = _isolation_counts(scheduler, steps, now_ms)
@@ -125,7 +125,9 @@
     return _without_reserved(backends, wanted)
 
 
-def _waiting_units(steps: list[StepState], now_ms: int) -> list[Unit]:
+def _waiting_units(
+    scheduler: Scheduler, steps: list[StepState], now_ms: int
+) -> list[Unit]:
     units = []
     for step in steps:
         suspects = [
@@ -138,9 +140,17 @@
         ]
         if not suspects:
             continue
+        may_start = {
+            task.name
+            for task in step.tasks
+            if not _late_starts.must_wait(scheduler, task, now_ms)
+        }
         if not step.spec.gang:
-            units += [Unit(step, [task]) for task in suspects]
-        elif all(task.phase is TaskPhase.WAITING for task in step.tasks):
+            units += [Unit(step, [task]) for task in suspects if task.name in may_start]
+        elif all(
+            task.phase is TaskPhase.WAITING and task.name in may_start
+            for task in step.tasks
+        ):
             units.append(Unit(step, step.tasks))
     return units
 
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -235,7 +235,7 @@
     later = _former(scheduler, lifetime)
     if later is None:
         later = _new_state(scheduler, *lifetime, now_ms)
-        lapses_at_ms = _later_lapses_at_ms(scheduler, backend, now_ms)
+        lapses_at_ms = later_lapses_at_ms(scheduler, backend, now_ms)
         later.lapses_at_ms = later.leased_until_ms = lapses_at_ms
         later.host_id = backend.host_id
         # A list of hosts that was requested earlier may be from before its start.
@@ -244,9 +244,7 @@
     return later
 
 
-def _later_lapses_at_ms(
-    scheduler: Scheduler, backend: BackendState, now_ms: int
-) -> int:
+def later_lapses_at_ms(scheduler: Scheduler, backend: BackendState, now_ms: int) -> int:
     """Returns the local time by which the lease of a later lifetime has expired.
 
     Only calls that were made before contact was lost can have extended it.
@@ -307,10 +305,14 @@
 def _may_run_later(task: TaskState) -> bool:
     """Whether a later lifetime than the known one may have begun a run.
 
-    A start names no lifetime. One without an answer may have reached any, and so may
-    one that a former leader sent.
+    A start names no lifetime. A try without an answer may reach any, even if another
+    try was answered, and so may one that a former leader sent.
     """
-    return task.in_later_lifetime or task.unconfirmed or _is_unanswered(task)
+    if task.in_later_lifetime or task.unconfirmed or _is_unanswered(task):
+        return True
+    backend_id = task.backend.backend_id if task.backend else ''
+    start = task.late_starts_by_backend_id.get(backend_id)
+    return start is not None and not start.is_assumed
 
 
 def kept_beyond_lease(
@@ -320,7 +322,7 @@
 
     The lease that was computed is that of the known lifetime.
     """
-    if now_ms >= _later_lapses_at_ms(scheduler, backend, now_ms):
+    if now_ms >= later_lapses_at_ms(scheduler, backend, now_ms):
         return []
     return [task for task in backend.tasks_by_name.values() if _may_run_later(task)]
 
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -9,6 +9,7 @@
     _crashes,
     _drains,
     _isolation,
+    _late_starts,
     _lifetimes,
     _pacing,
     _placement,
@@ -47,6 +48,7 @@
     It requeues the tasks of expired leases, plans drains, restarts, paces and
     maintenance, places waiting tasks, and orders moves of hosts between pools.
     """
+    _late_starts.plan(scheduler, now_ms)
     _free_expired(scheduler, now_ms)
     _lifetimes.plan(scheduler, now_ms)
     _crashes.plan(scheduler, now_ms, unix_ms)
@@ -227,7 +229,7 @@
     for task in step.tasks:
         if task.phase is not TaskPhase.WAITING or task.not_before_ms > now_ms:
             continue
-        if task.suspected:
+        if task.suspected or _late_starts.must_wait(scheduler, task, now_ms):
             continue
         if not _placement.is_within_limit(step.job.account, step.spec.resources):
             return True
@@ -239,7 +241,10 @@
             backend = _placement.best_backend(step, ready)
         if backend is None:
             return any(_placement.can_take(b, step) for b in backends)
-        _place(scheduler, task, backend, task.run + 1)
+        preferred = _late_starts.preferred_backend(
+            task, [b for b in backends if b.placed_at_ms <= now_ms - spacing_ms]
+        )
+        _place(scheduler, task, preferred or backend, task.run + 1)
     return True
 
 
@@ -255,6 +260,8 @@
         return True
     if any(task.not_before_ms > now_ms or task.suspected for task in waiting):
         return True
+    if any(_late_starts.must_wait(scheduler, task, now_ms) for task in waiting):
+        return True
     needed = step.spec.resources
     total = Resources(
         cpu_millicores=needed.cpu_millicores * len(waiting),
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -11,6 +11,7 @@
 from dandelionknot.jobs._state import (
     AccountState,
     JobState,
+    LateStart,
     Lifetime,
     StepState,
     TaskPhase,
@@ -156,6 +157,11 @@
         unproven_runs=task.unproven_runs,
         suspected=task.suspected,
         isolated=task.isolated,
+        late_until_unix_ms_by_backend_id={
+            backend_id: start.until_unix_ms
+            for backend_id, start in task.late_starts_by_backend_id.items()
+            if not start.is_assumed
+        },
     )
 
 
@@ -195,6 +201,12 @@
         task.crash_signs_unix_ms = _crash_signs_unix_ms(stored)
         task.unproven_runs = list(stored.unproven_runs)
         task.suspected = stored.suspected
+        task.late_starts_by_backend_id = {
+            backend_id: LateStart(0, until_unix_ms)
+            for backend_id, until_unix_ms in (
+                stored.late_until_unix_ms_by_backend_id.items()
+            )
+        }
         if stored.phase == TaskPhase.PLACED:
             task.isolated = stored.isolated
             placed.append((task, stored))
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -17,6 +17,7 @@
     _batches,
     _crashes,
     _ends,
+    _late_starts,
     _lifetimes,
     _losses,
     _planning,
@@ -66,6 +67,7 @@
     Ticket,
     assign,
     stop_command,
+    tasks_of,
     unassign,
 )
 
@@ -111,6 +113,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Tasks with starts that may still be carried out late.
+    late_start_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
     # Lifetimes that have certainly ended, so that late entries of them are ignored.
@@ -213,6 +217,7 @@
             task.pace_known = False
             assign(task, backend)
         _crashes.restored(self, state, now_ms, unix_ms)
+        _late_starts.restored(self, tasks_of(state), now_ms, unix_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
 
@@ -280,6 +285,7 @@
         run at the same time.
         """
         backend_id = task.backend.backend_id if task.backend else ''
+        _late_starts.note_requeued(self, task, self.planned_ms)
         unassign(task)
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
@@ -383,6 +389,8 @@
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
             return
+        if unanswered_ms:
+            _late_starts.note_unanswered(self, task, backend, unanswered_ms)
         if outcome is OrderOutcome.ACCEPTED or outcome is OrderOutcome.SUPERSEDED:
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
@@ -461,6 +469,8 @@
             task.step.asked_lifetimes.discard(backend.lifetime)
         elif outcome is OrderOutcome.OTHER_LIFETIME:
             backend.avoid_until_ms = now + UNHEALTHY_PAUSE_MS
+        # The refusal answers the last try, and earlier ones were noted.
+        task.start_sent = False
         self.requeue(task, outcome.value)
 
     def stop_finished(
--- a/dandelionknot/jobs/_standstill.py
+++ b/dandelionknot/jobs/_standstill.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _placement, _usability
+from dandelionknot.jobs import _crashes, _late_starts, _placement, _usability
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -37,6 +37,7 @@
     START = 'start not answered'
     STOP = 'stop not carried out'
     PAUSE = 'pause after a refusal'
+    LATE_START = 'answer of a backend server that may carry out a start late'
     SUSPECTED = 'empty host, since it is suspected'
     WITHHELD = 'suspected task of its job'
     ADVICE = 'advice'
@@ -74,7 +75,11 @@
         found = _assigned_cause(tasks)
         for service, step in waiting_by_job_id.get(job_id, []):
             found = found or _waiting_cause(
-                step, usable_by_service.get(service, []), job_id in withheld, now_ms
+                scheduler,
+                step,
+                usable_by_service.get(service, []),
+                job_id in withheld,
+                now_ms,
             )
         if found is None:
             ended(scheduler, state, now_ms)
@@ -125,7 +130,11 @@
 
 
 def _waiting_cause(
-    step: StepState, usable: list[BackendState], withheld: bool, now_ms: int
+    scheduler: Scheduler,
+    step: StepState,
+    usable: list[BackendState],
+    withheld: bool,
+    now_ms: int,
 ) -> tuple[Cause, TaskState] | None:
     """Returns what the first waiting task of a step waits for."""
     task = next((t for t in step.tasks if t.phase is TaskPhase.WAITING), None)
@@ -136,6 +145,8 @@
         cause = Cause.WITHHELD
     elif task.not_before_ms > now_ms:
         cause = Cause.PAUSE
+    elif _late_starts.must_wait(scheduler, task, now_ms):
+        cause = Cause.LATE_START
     elif not usable:
         cause = Cause.NO_BACKEND
     elif not _placement.is_within_limit(step.job.account, step.spec.resources):
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -36,6 +36,20 @@
     born_ms: int
 
 
+@dataclass(slots=True)
+class LateStart:
+    """A start without an answer that a backend server may still carry out."""
+
+    # Local and Unix time until which it may be carried out.
+    until_ms: int
+    until_unix_ms: int
+    # Local time until which the task waits for an answer of the backend server.
+    waits_until_ms: int = 0
+    # Whether a former leader may have sent it; otherwise a try without an answer is
+    # known.
+    is_assumed: bool = False
+
+
 @dataclass(slots=True, eq=False)
 class TaskState:
     """One task of one occurrence of a step."""
@@ -95,6 +109,8 @@
     missing_reports: int = 0
     # The task is not placed before this local time.
     not_before_ms: int = 0
+    # Starts of any of its runs that may still be carried out late.
+    late_starts_by_backend_id: dict[str, LateStart] = field(default_factory=dict)
     # Progress of the run in percent. For a long-running task, its speed in percent of
     # full speed.
     percent: int = 0
