Place no task while another run of it is being stopped

Cause: a backend server may list a run that its leader does not expect, as one that it has started late. The run was stopped, and its task, if it waited, was placed in the same round; a stop takes up to 0.4 s. Change: the latest run of a task that waits goes on (new event 8118). Any other unexpected run is stopped as before, and its task is not placed until a report no longer lists the run, or the lease of the silent backend server has expired. A placement whose start was not sent yet is taken back. Steps with speculative tasks are left out, since they may run twice. Ruled out: to adopt an earlier run than the latest, whose number could be used again; to adopt a member of a gang, which ends alone.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -89,6 +89,7 @@
     CRASH_WITHDRAWN = 8115
     JOB_STANDS_STILL = 8116
     JOB_RUNS_AGAIN = 8117
+    RUN_ADOPTED = 8118
     BACKEND_APPEARED = 8201
     BACKEND_DRAINING = 8202
     BACKEND_GONE = 8203
@@ -365,6 +366,12 @@
         '`latest_run` and `assigned_to` tell what its leader knows of the task.',
         NO_ACTION,
     ),
+    Event.RUN_ADOPTED: EventInfo(
+        WARNING,
+        'A backend server runs the latest run of a task that waited to be placed, so '
+        'the run goes on.',
+        NO_ACTION,
+    ),
     Event.TASK_PACED: EventInfo(
         INFO,
         'A backend server was ordered to run a task at another share of full speed.',
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from dandelionknot.jobs import _lifetimes, _placement
+from dandelionknot.jobs import _lifetimes, _placement, _strays
 from dandelionknot.jobs._leases import max_later_lease_ms
 from dandelionknot.jobs._state import (
     BackendState,
@@ -111,13 +111,14 @@
 
 
 def must_wait(scheduler: Scheduler, task: TaskState, now_ms: int) -> bool:
-    """Whether a waiting task may run unseen in a later lifetime of a backend server.
+    """Whether a run of a waiting task may be under way.
 
-    A step with speculative tasks allows that.
+    It is one that is being stopped, or one that a backend server may have begun unseen
+    in a later lifetime. A step with speculative tasks allows that.
     """
     if task.step.spec.speculative:
         return False
-    return any(
+    return _strays.must_wait(scheduler, task, now_ms) or any(
         _may_run_unseen(scheduler, backend_id, start, now_ms)
         for backend_id, start in task.late_starts_by_backend_id.items()
     )
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses
+from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses, _strays
 from dandelionknot.jobs._generated import (
     EndReason,
     HoldReport,
@@ -90,6 +90,7 @@
             _crashes.run_ended(scheduler, backend, task, ended.run, own)
             _ends.apply_end(scheduler, backend, task, ended, now_ms, unix_ms)
     running = {row.task_name: row for row in report.running}
+    _strays.forget_ended(backend, running)
     for row in report.running:
         _apply_running(scheduler, backend, row, sent_ms, now_ms)
     if not report.complete:
@@ -112,27 +113,10 @@
 ) -> None:
     task = backend.tasks_by_name.get(row.task_name)
     if task is None or task.run != row.run:
-        # The run is an orphan: an earlier run of its task, or a run of a job that
-        # has ended.
-        former = _find_task(scheduler, row.task_name)
-        scheduler.note(
-            Event.ORPHAN_STOPPED,
-            {
-                'job_id': job_id_of(row.task_name),
-                'task': row.task_name,
-                'run': row.run,
-                'backend_id': backend.backend_id,
-                'born_ms': backend.born_ms,
-                'latest_run': former.run if former else 0,
-                'assigned_to': (
-                    former.backend.backend_id if former and former.backend else ''
-                ),
-            },
-        )
-        scheduler.commands.append(stop_command(backend, row.task_name, row.run))
-        if former is not None:
-            _crashes.withdraw_crash(scheduler, backend, former, row.run)
-        return
+        task = _find_task(scheduler, row.task_name)
+        if task is None or not _strays.adopt(scheduler, backend, task, row.run, now_ms):
+            _strays.stop(scheduler, backend, row, task)
+            return
     _crashes.withdraw_crash(scheduler, backend, task, row.run)
     task.in_later_lifetime = False
     task.step.job.begun = True
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -109,6 +109,8 @@
     missing_reports: int = 0
     # The task is not placed before this local time.
     not_before_ms: int = 0
+    # Lifetimes whose last report listed another run of the task than the current one.
+    stray_backends_by_id: dict[str, 'BackendState'] = field(default_factory=dict)
     # Starts of any of its runs that may still be carried out late.
     late_starts_by_backend_id: dict[str, LateStart] = field(default_factory=dict)
     # Progress of the run in percent. For a long-running task, its speed in percent of
@@ -248,6 +250,8 @@
     # Whether the backend server has accepted a call with the fencing token of this
     # term. From then on, it rejects calls with the token of an earlier term.
     fenced: bool = False
+    # Tasks of which the last report listed another run than the current one.
+    stray_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     # Number of the latest end that was processed.
     seen_end: int = 0
     acknowledged_end: int = 0
