Hold a task to the server of its open start, and wait while that is cut off

Cause: after 6.4 s of silence the task was placed elsewhere, while a try could still be carried out for up to 12 s by a server that was back behind the cut. And once the later lifetime had answered, the task was placed anywhere, so that the try met it in the lifetime after that one. Change: the wait for a server that only does not answer lasts until its try can no longer be carried out and a run begun by it has ended, 18.4 s at most. If the list of hosts shows the host as down, or without a list the entry is removed, the bound is 6.4 s from the loss as before; if the host has another backend server, there is no wait. A task with an open start is placed on that server only, for 6.4 s at most, and unless it has failed or its step is speculative. What may be under way counts towards the limit of the client account. Two tests of test_jobs_silent_restart.py said 'lost for good' and left the entry of the server in the registry, which the platform removes after 4.5 s. They remove it now; their bounds are the same, and two tests with a server that is cut off state the new bound. Ruled out: binding a suspected task to the server of a start that is only assumed, as it crashes what else runs there (test_a_leader_that_is_lost_with_the_host). Before and after: the new tests failed before.

--- a/dandelionknot/jobs/_isolation.py
+++ b/dandelionknot/jobs/_isolation.py
@@ -227,6 +227,10 @@
 ) -> int:
     """Places a unit on free backend servers; returns how many it uses, or 0."""
     step = unit.step
+    if not step.spec.gang:
+        backends = _late_starts.allowed_backends(
+            scheduler, unit.tasks[0], backends, now_ms
+        )
     usable = [backend for backend in backends if _is_usable_for(step, backend)]
     free = allowed(step, [b for b in usable if _is_free(b, now_ms)])
     places = _places(unit, _other_hosts(unit, free, usable))
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -10,16 +10,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from dandelionknot.jobs import _lifetimes, _placement, _strays
+from dandelionknot.jobs import _lifetimes, _strays
+from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._leases import max_later_lease_ms
+from dandelionknot.jobs._maintenance import shows_end
 from dandelionknot.jobs._state import (
     BackendState,
+    JobState,
     LateStart,
     TaskPhase,
     TaskState,
+    tasks_of,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +35,7 @@
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known.
 ASSUMED_WAIT_MS = 2000
+NOTHING = Resources()
 
 
 def note_unanswered(
@@ -44,6 +48,7 @@
     starts_by_backend_id = task.late_starts_by_backend_id
     start = starts_by_backend_id.setdefault(backend.backend_id, LateStart(0, 0))
     start.is_assumed = False
+    start.host_id = backend.host_id
     if until_ms <= start.until_ms:
         return
     start.until_ms = until_ms
@@ -52,8 +57,8 @@
     scheduler.mark_dirty(task.step.job)
 
 
-def restored(
-    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: int, unix_ms: int
+def tasks_restored(
+    scheduler: Scheduler, state: JobState, now_ms: int, unix_ms: int
 ) -> None:
     """Restores the open starts of a job's tasks from the times in its record.
 
@@ -62,7 +67,7 @@
     may have been lost before this term.
     """
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
-    for task in tasks:
+    for task in tasks_of(state):
         if task.backend is not None and task.unconfirmed:
             until_unix_ms = task.placed_unix_ms + SENDING_MS + LATE_CALL_MS
             task.late_starts_by_backend_id.setdefault(
@@ -78,36 +83,51 @@
 
 
 def plan(scheduler: Scheduler, now_ms: int) -> None:
-    """Forgets starts that can no longer be carried out, and tasks that have ended."""
+    """Forgets starts that can no longer be carried out, or whose runs have ended."""
+    bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    for account in scheduler.accounts_by_name.values():
+        account.unseen = NOTHING
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
-        is_over = task.phase is TaskPhase.DONE or task.step.job.final
+        if task.backend is not None:
+            task.bound_until_ms = bound_until_ms
+        elif must_wait(scheduler, task, now_ms):
+            task.bound_until_ms = bound_until_ms
+            _add_unseen(task)
         task.late_starts_by_backend_id = {
             backend_id: start
             for backend_id, start in task.late_starts_by_backend_id.items()
-            if now_ms < start.until_ms and not is_over
+            if now_ms < start.until_ms
+            or may_run_unseen(scheduler, backend_id, start, now_ms)
         }
         if not task.late_starts_by_backend_id:
             del scheduler.late_start_tasks_by_name[name]
 
 
+def _add_unseen(task: TaskState) -> None:
+    """Counts a run that may be under way towards the limit of its client account."""
+    account, used = task.step.job.account, task.step.spec.resources
+    account.unseen = Resources(
+        cpu_millicores=account.unseen.cpu_millicores + used.cpu_millicores,
+        memory_mb=account.unseen.memory_mb + used.memory_mb,
+        accelerators=account.unseen.accelerators + used.accelerators,
+    )
+
+
 def note_requeued(scheduler: Scheduler, task: TaskState, now_ms: int) -> None:
-    """Records until when a task waits for the backend servers of its open starts.
+    """Records how long a task waits for the backend server that it has lost.
 
-    The state of a backend server without tasks may be forgotten before it answers.
+    Its state may be forgotten before it answers.
     """
     backend = task.backend
     if backend is None:
         return
     if task.start_sent and task.phase is TaskPhase.PLACED and not task.unconfirmed:
         note_unanswered(scheduler, task, backend, now_ms)
-    for backend_id, start in task.late_starts_by_backend_id.items():
-        state = scheduler.backends_by_id.get(backend_id)
-        if backend_id == backend.backend_id:
-            state = backend
-        if state is not None and not state.reachable and not start.is_assumed:
-            start.waits_until_ms = _lifetimes.later_lapses_at_ms(
-                scheduler, state, now_ms
-            )
+    task.bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    start = task.late_starts_by_backend_id.get(backend.backend_id)
+    if start is not None and not backend.reachable and not start.is_assumed:
+        lapses_at_ms = _lifetimes.later_lapses_at_ms(scheduler, backend, now_ms)
+        start.waits_until_ms = max(start.waits_until_ms, lapses_at_ms)
 
 
 def must_wait(scheduler: Scheduler, task: TaskState, now_ms: int) -> bool:
@@ -119,37 +139,82 @@
     if task.step.spec.speculative:
         return False
     return _strays.must_wait(scheduler, task, now_ms) or any(
-        _may_run_unseen(scheduler, backend_id, start, now_ms)
+        may_run_unseen(scheduler, backend_id, start, now_ms)
         for backend_id, start in task.late_starts_by_backend_id.items()
     )
 
 
-def _may_run_unseen(
+def may_run_unseen(
     scheduler: Scheduler, backend_id: str, start: LateStart, now_ms: int
 ) -> bool:
-    state = scheduler.backends_by_id.get(backend_id)
-    if state is not None and state.reachable and state.fenced:
+    """Whether a backend server may have begun a run that this leader has not seen.
+
+    If it seems to be down for good, this counts only as long as a run that it had begun
+    before its loss could last.
+    """
+    if _is_reached(scheduler, backend_id):
+        return False
+    host = scheduler.maintenance.hosts_by_id.get(start.host_id)
+    if host is not None and host.backend_id not in ('', backend_id):
         return False
-    if state is not None and state.lost_at_ms and not start.is_assumed:
-        waits_until_ms = _lifetimes.later_lapses_at_ms(scheduler, state, now_ms)
-        return now_ms < max(waits_until_ms, start.waits_until_ms)
-    return now_ms < start.waits_until_ms
+    if start.is_assumed:
+        return now_ms < start.waits_until_ms
+    longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
+    if not _seems_down(scheduler, backend_id, start):
+        return now_ms < start.until_ms + longest_ms
+    state = scheduler.backends_by_id.get(backend_id)
+    lost_at_ms = state.lost_at_ms if state is not None else 0
+    lapses_at_ms = lost_at_ms + longest_ms if lost_at_ms else 0
+    return now_ms < max(start.waits_until_ms, lapses_at_ms)
+
 
+def _is_reached(scheduler: Scheduler, backend_id: str) -> bool:
+    """Whether the latest lifetime of a backend server has answered its link."""
+    state = scheduler.backends_by_id.get(backend_id)
+    return state is not None and state.reachable and state.fenced
 
-def preferred_backend(
-    task: TaskState, backends: Iterable[BackendState]
-) -> BackendState | None:
-    """Returns a usable backend server with an open start of a task, or None.
 
-    There, a run of the task bars the start if the backend server crashes once more:
-    nothing runs elsewhere meanwhile.
-    """
-    return next(
-        (
-            backend
-            for backend in backends
-            if backend.backend_id in task.late_starts_by_backend_id
-            and _placement.can_take(backend, task.step)
-        ),
-        None,
+def _seems_down(scheduler: Scheduler, backend_id: str, start: LateStart) -> bool:
+    """Whether the list of hosts, or without one the registry, shows no such server."""
+    hosts_by_id = scheduler.maintenance.hosts_by_id
+    if hosts_by_id and start.host_id:
+        host = hosts_by_id.get(start.host_id)
+        return host is None or shows_end(host, backend_id)
+    state = scheduler.backends_by_id.get(backend_id)
+    return state is None or (state.report is None and state.contested_by is None)
+
+
+def lacks_contact(scheduler: Scheduler, now_ms: int) -> bool:
+    """Whether a task waits for a backend server that may have ended."""
+    return any(
+        may_run_unseen(scheduler, backend_id, start, now_ms)
+        for task in scheduler.late_start_tasks_by_name.values()
+        if task.backend is None
+        for backend_id, start in task.late_starts_by_backend_id.items()
     )
+
+
+def allowed_backends(
+    scheduler: Scheduler, task: TaskState, backends: list[BackendState], now_ms: int
+) -> list[BackendState]:
+    """Returns those of some usable backend servers on which a task may be placed.
+
+    While a start is open, the task runs on the backend server that may carry it out.
+    Nothing runs elsewhere then if that one starts again, as the run ends with it. This
+    holds for a limited time, and not for a task that has failed, which may be its
+    fault.
+    """
+    if not task.late_starts_by_backend_id or task.failed_runs:
+        return backends
+    if task.step.spec.speculative or now_ms >= task.bound_until_ms:
+        return backends
+    open_ids = {
+        backend_id
+        for backend_id, start in task.late_starts_by_backend_id.items()
+        if now_ms < start.until_ms
+        and not (start.is_assumed and task.suspected)
+        and _is_reached(scheduler, backend_id)
+    }
+    if not open_ids:
+        return backends
+    return [backend for backend in backends if backend.backend_id in open_ids]
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes
+from dandelionknot.jobs import _crashes, _late_starts
 from dandelionknot.jobs._generated import BackendReport, HoldReport
 from dandelionknot.jobs._leases import max_former_lease_ms, max_later_lease_ms
 from dandelionknot.jobs._state import (
@@ -322,9 +322,13 @@
 
     The lease that was computed is that of the known lifetime.
     """
-    if now_ms >= later_lapses_at_ms(scheduler, backend, now_ms):
-        return []
-    return [task for task in backend.tasks_by_name.values() if _may_run_later(task)]
+    lapses_at_ms = later_lapses_at_ms(scheduler, backend, now_ms)
+    return [
+        task
+        for task in backend.tasks_by_name.values()
+        if (now_ms < lapses_at_ms and _may_run_later(task))
+        or _late_starts.must_wait(scheduler, task, now_ms)
+    ]
 
 
 def _hand_over(scheduler: Scheduler, former: BackendState, later: BackendState) -> int:
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -32,16 +32,20 @@
 
 def is_within_limit(account: AccountState, needed: Resources) -> bool:
     """Whether a client account stays within its limit with `needed` added."""
-    limit = account.limit
+    limit, unseen = account.limit, account.unseen
     return (
         _is_amount_within_limit(
-            account.cpu_millicores, needed.cpu_millicores, limit.cpu_millicores
+            account.cpu_millicores + unseen.cpu_millicores,
+            needed.cpu_millicores,
+            limit.cpu_millicores,
         )
         and _is_amount_within_limit(
-            account.memory_mb, needed.memory_mb, limit.memory_mb
+            account.memory_mb + unseen.memory_mb, needed.memory_mb, limit.memory_mb
         )
         and _is_amount_within_limit(
-            account.accelerators, needed.accelerators, limit.accelerators
+            account.accelerators + unseen.accelerators,
+            needed.accelerators,
+            limit.accelerators,
         )
     )
 
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -231,20 +231,25 @@
             continue
         if task.suspected or _late_starts.must_wait(scheduler, task, now_ms):
             continue
+        allowed = _late_starts.allowed_backends(scheduler, task, backends, now_ms)
         if not _placement.is_within_limit(step.job.account, step.spec.resources):
             return True
         # Tasks are packed, so the best host for one task is also the best for the next.
         # Long-running tasks are spread, so each needs a new choice.
         spread = step.spec.long_running or spacing_ms > 0
-        if backend is None or spread or not _placement.can_take(backend, step):
-            ready = [b for b in backends if b.placed_at_ms <= now_ms - spacing_ms]
+        if (
+            backend is None
+            or spread
+            or backend not in allowed
+            or not _placement.can_take(backend, step)
+        ):
+            ready = [b for b in allowed if b.placed_at_ms <= now_ms - spacing_ms]
             backend = _placement.best_backend(step, ready)
+        if backend is None and len(allowed) < len(backends):
+            continue
         if backend is None:
             return any(_placement.can_take(b, step) for b in backends)
-        preferred = _late_starts.preferred_backend(
-            task, [b for b in backends if b.placed_at_ms <= now_ms - spacing_ms]
-        )
-        _place(scheduler, task, preferred or backend, task.run + 1)
+        _place(scheduler, task, backend, task.run + 1)
     return True
 
 
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -67,7 +67,6 @@
     Ticket,
     assign,
     stop_command,
-    tasks_of,
     unassign,
 )
 
@@ -217,7 +216,7 @@
             task.pace_known = False
             assign(task, backend)
         _crashes.restored(self, state, now_ms, unix_ms)
-        _late_starts.restored(self, tasks_of(state), now_ms, unix_ms)
+        _late_starts.tasks_restored(self, state, now_ms, unix_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
 
@@ -547,6 +546,7 @@
             or self.capacity.active()
             or self.unproven_losses
             or self.former_backends
+            or _late_starts.lacks_contact(self, self.planned_ms)
             or any(
                 backend.tasks_by_name and not backend.reachable
                 for backend in self.backends_by_id.values()
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -48,6 +48,8 @@
     # Whether a former leader may have sent it; otherwise a try without an answer is
     # known.
     is_assumed: bool = False
+    # Host of the backend server; empty if it is not known.
+    host_id: str = ''
 
 
 @dataclass(slots=True, eq=False)
@@ -113,6 +115,8 @@
     stray_backends_by_id: dict[str, 'BackendState'] = field(default_factory=dict)
     # Starts of any of its runs that may still be carried out late.
     late_starts_by_backend_id: dict[str, LateStart] = field(default_factory=dict)
+    # Local time until which the task is placed only on the backend servers of these.
+    bound_until_ms: int = 0
     # Progress of the run in percent. For a long-running task, its speed in percent of
     # full speed.
     percent: int = 0
@@ -215,6 +219,8 @@
     cpu_millicores: int = 0
     memory_mb: int = 0
     accelerators: int = 0
+    # Resources of waiting tasks of which a run may be under way.
+    unseen: Resources = Resources()
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -3,12 +3,14 @@
 import unittest
 
 from dandelionknot.jobs._generated import (
+    ClientAccount,
     EndReason,
     OrderOutcome,
     Resources,
     StartTask,
     StepSpec,
 )
+from dandelionknot.jobs._late_starts import LATE_CALL_MS
 from dandelionknot.jobs._leases import max_later_lease_ms
 from tests.job_test_bed import HOLD_MAX_MS, LEASE_MS, FakeBackend, JobTestBed
 
@@ -82,6 +84,12 @@
             self.test_bed.step(TICK_MS)
             self.assert_runs_at_most_once()
 
+    def run_for_listed(self, duration_ms):
+        """Advances time while the platform lists its hosts."""
+        for _ in range(0, duration_ms, SOON_MS):
+            self.run_for(SOON_MS)
+            self.test_bed.list_hosts()
+
     def assert_runs_at_most_once(self):
         places = self.test_bed.running().get(TASK, [])
         self.assertLessEqual(len(places), 1, places)
@@ -139,6 +147,35 @@
                 self.run_for(2 * SOON_MS)
                 self.assertEqual(len(self.other.started), 1)
 
+    def test_a_task_waits_while_a_server_is_cut_off(self):
+        """Guards against a second run while a start reaches a server that is cut off.
+
+        The server is back unseen; its host is listed as up.
+        """
+        for accepted in (True, False):
+            with self.subTest(accepted=accepted):
+                self.setUp()
+                self.submit(accepted)
+                self.crash()
+                self.backend.restart()
+                self.backend.cut_off = True
+                self.run_for_listed(LONGEST_WAIT_MS + SOON_MS)
+                self.start_late()
+                self.run_for_listed(SOON_MS)
+                self.backend.cut_off = False
+                self.register(self.backend)
+                self.run_for_listed(SOON_MS)
+                self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
+    def test_the_wait_for_a_server_that_is_cut_off_ends(self):
+        """Guards against a task that waits for a server that stays cut off."""
+        self.submit(accepted=False)
+        self.crash()
+        self.backend.restart()
+        self.backend.cut_off = True
+        self.run_for_listed(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
     def test_a_new_leader_waits_for_the_server_of_an_open_start(self):
         """Guards against a leader that does not know which starts are open.
 
@@ -160,6 +197,35 @@
                 self.run_for(2 * SOON_MS)
                 self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
 
+    def test_a_second_restart_finds_the_task_on_no_other_server(self):
+        """Guards against a late start in the lifetime after the one that answered."""
+        for accepted in (True, False):
+            with self.subTest(accepted=accepted):
+                self.setUp()
+                self.submit(accepted)
+                for _ in range(2):
+                    self.crash()
+                    self.backend.restart()
+                    self.register(self.backend)
+                    self.run_for(LONGEST_WAIT_MS // 2)
+                self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+                self.crash()
+                self.backend.restart()
+                self.start_late()
+                self.run_for(SOON_MS)
+
+    def test_a_run_that_may_be_under_way_counts_towards_the_limit(self):
+        """Guards against an account that exceeds its limit by a run begun unseen."""
+        limit = Resources(cpu_millicores=SMALL.cpu_millicores)
+        self.test_bed.accounts = [ClientAccount(name='sofia', keys=['k'], limit=limit)]
+        self.test_bed.configure()
+        self.submit(accepted=False)
+        self.crash()
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='j2')
+        self.run_for(SOON_MS)
+        self.start_late()
+        self.assertEqual(self.other.started, [])
+
     def test_the_end_of_an_open_start_is_not_acknowledged_at_once(self):
         """Guards against a late start of a run whose end as done was acknowledged.
 
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -143,6 +143,8 @@
                     if entry:
                         self.register(self.backend)
                     self.cut_off()
+                    # The platform removes the entry of a server that is lost.
+                    self.test_bed.scheduler.remove_backend('b1')
                     self.assert_starts_elsewhere_within(LATER_LEASE_MS)
 
     def test_the_wait_of_a_new_leader_ends_with_the_longest_lease(self):
@@ -239,6 +241,7 @@
         self.cut_off()
         self.run_for(LEASE_MS + SOON_MS)
         self.register(self.backend)
+        self.test_bed.scheduler.remove_backend('b1')
         self.assert_starts_elsewhere_within(LATER_LEASE_MS)
         steps = self.test_bed.scheduler.jobs_by_id['j1'].steps_by_occurrence[0]
         for task in steps[0].tasks:
