Acknowledge no end as done while a start of its task may be carried out

Cause: a start is tried up to three times. If the second try is accepted, the run may be done and acknowledged while the first one is still open. A server that starts again carries the first try out. Change: an end as done is acknowledged only once no start of its task is open. The end of the job is stored and shown to callers at once, as before. An end that is lost with its server does not count as acknowledged. The time is stored with the job, so that the next leader does not acknowledge the end either. The platform requires that four fifths of the ends are acknowledged within 4 s, and ends are acknowledged in their order, so the delay is at most 3 s, unless a server has started again under its id within the last minute; then it is as long as the start is open, 12 s. At most 250 ends wait, since a report lists 500.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dandelionknot.jobs import _late_starts
 from dandelionknot.jobs._generated import (
     BorrowedHosts,
     HostOrder,
@@ -103,12 +104,14 @@
         if job_id in scheduler.jobs_by_id
     }
     starts = _take_placed_runs(scheduler, set(job_ids))
+    now_ms = scheduler.planned_ms
     ends = []
     if not scheduler.dirty_job_ids:
         ends = [
-            (backend, backend.seen_end)
+            (backend, number)
             for backend in scheduler.backends_by_id.values()
-            if backend.seen_end > backend.stored_end
+            if (number := _late_starts.end_to_acknowledge(backend, now_ms))
+            > backend.stored_end
         ]
     batch = Batch(records, starts, ends)
     names = sorted(scheduler.maintenance.dirty)[:MAX_WAVES]
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
+from dandelionknot.jobs import _late_starts
 from dandelionknot.jobs._generated import EndedTask, EndReason, JobPhase
 from dandelionknot.jobs._records import occurrence_count
 from dandelionknot.jobs._state import (
@@ -58,6 +59,8 @@
         unassign(task)
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
+    if ended.reason is EndReason.DONE:
+        _late_starts.withhold_end(scheduler, backend, task, ended.number, now_ms)
     # An end that was stored but not acknowledged is reported again to the next leader.
     known = ended.reason is EndReason.FAILED and ended.run in task.failed_runs
     if known or state.final or task.phase is TaskPhase.DONE:
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -181,6 +181,15 @@
        
     ) = ""
     done: list[str] = field(default_factory=list)
+    late_until_unix_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Time until which a start of a task that is done may be carried out late."
+            ),
+        ]
+       
+    ) = 0
     tasks_by_name: dict[str, TaskRecord] = field(default_factory=dict)
 
 
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -32,6 +32,13 @@
 LATE_CALL_MS = 12_000
 # Longest time from the placement of a run until the last try of its start.
 SENDING_MS = 3000
+# Time for which restarts of backend servers under their ids are expected to go on.
+RESTARTS_KEPT_MS = 60_000
+# Longest delay of an acknowledgement without such restarts. The platform requires that
+# most ends are acknowledged within 4 s.
+SHORT_DELAY_MS = 3000
+# Most ends that may wait to be acknowledged, since one report lists a limited number.
+MAX_WITHHELD_ENDS = 250
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known.
 ASSUMED_WAIT_MS = 2000
@@ -57,6 +64,12 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def job_restored(state: JobState, now_ms: int, unix_ms: int) -> None:
+    """Restores until when ends of a job are not acknowledged from its record."""
+    left_ms = min(state.late_until_unix_ms - unix_ms, LATE_CALL_MS)
+    state.former_late_until_ms = now_ms + left_ms if left_ms > 0 else 0
+
+
 def tasks_restored(
     scheduler: Scheduler, state: JobState, now_ms: int, unix_ms: int
 ) -> None:
@@ -218,3 +231,42 @@
     if not open_ids:
         return backends
     return [backend for backend in backends if backend.backend_id in open_ids]
+
+
+def withhold_end(
+    scheduler: Scheduler,
+    backend: BackendState,
+    task: TaskState,
+    number: int,
+    now_ms: int,
+) -> None:
+    """Delays the acknowledgement of an end as done while a start may be carried out.
+
+    An end that was acknowledged stands for good, so that a late start would run the
+    task once more. One that is lost with its backend server does not. The time is
+    stored, since the next leader acknowledges the ends that this one has not.
+    """
+    state = task.step.job
+    starts = [
+        start
+        for start in task.late_starts_by_backend_id.values()
+        if not start.is_assumed
+    ]
+    for start in starts:
+        state.late_until_unix_ms = max(state.late_until_unix_ms, start.until_unix_ms)
+    until_ms = max(state.former_late_until_ms, *(start.until_ms for start in starts), 0)
+    if not until_ms:
+        return
+    restarted_ms = scheduler.last_restart_ms
+    if restarted_ms is None or now_ms - restarted_ms > RESTARTS_KEPT_MS:
+        until_ms = min(until_ms, now_ms + SHORT_DELAY_MS)
+    backend.withheld_until_ms_by_end[number] = until_ms
+
+
+def end_to_acknowledge(backend: BackendState, now_ms: int) -> int:
+    """Returns the number of the last end up to which all may be acknowledged."""
+    withheld = backend.withheld_until_ms_by_end
+    for number, until_ms in list(withheld.items()):
+        if now_ms >= until_ms or backend.seen_end - number >= MAX_WITHHELD_ENDS:
+            del withheld[number]
+    return min((number - 1 for number in withheld), default=backend.seen_end)
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -231,6 +231,7 @@
     scheduler: Scheduler, backend: BackendState, born_ms: int, now_ms: int
 ) -> BackendState:
     """Returns the state of a lifetime that takes over runs of the known one."""
+    scheduler.last_restart_ms = now_ms
     lifetime = Lifetime(backend.backend_id, born_ms)
     later = _former(scheduler, lifetime)
     if later is None:
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -113,14 +113,14 @@
 def record_of(state: JobState) -> JobRecord:
     """Returns the record of a job to store.
 
-    The record of a job that has ended holds only its phase and end time, since no task
-    of it is started again.
+    The record of a job that has ended holds no tasks, since none is started again.
     """
     if state.final:
         return JobRecord(
             phase=state.phase,
             ended_unix_ms=state.ended_unix_ms,
             reason=state.end_reason,
+            late_until_unix_ms=state.late_until_unix_ms,
         )
     done = []
     records = {}
@@ -133,7 +133,12 @@
                 elif task.run:
                     records[suffix] = _task_record(task)
     phase = JobPhase.RUNNING if state.started else JobPhase.QUEUED
-    return JobRecord(phase=phase, done=done, tasks_by_name=records)
+    return JobRecord(
+        phase=phase,
+        done=done,
+        late_until_unix_ms=state.late_until_unix_ms,
+        tasks_by_name=records,
+    )
 
 
 def _task_record(task: TaskState) -> TaskRecord:
@@ -173,6 +178,7 @@
     state.phase = record.phase
     state.ended_unix_ms = record.ended_unix_ms
     state.end_reason = record.reason
+    state.late_until_unix_ms = record.late_until_unix_ms
     state.started = record.phase is not JobPhase.QUEUED
     state.begun = bool(record.done) or any(
         task.failed_runs or task.checkpoint for task in record.tasks_by_name.values()
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses, _strays
+from dandelionknot.jobs import (
+    _crashes,
+    _ends,
+    _lifetimes,
+    _losses,
+    _strays,
+)
 from dandelionknot.jobs._generated import (
     EndReason,
     HoldReport,
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -114,6 +114,8 @@
     losses: deque[Loss] = field(default_factory=deque)
     # Tasks with starts that may still be carried out late.
     late_start_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
+    # Local time at which the last restart of a backend server under its id was learnt.
+    last_restart_ms: int | None = None
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
     # Lifetimes that have certainly ended, so that late entries of them are ignored.
@@ -198,6 +200,7 @@
         self.jobs_by_id[job.job_id] = state
         self.capacity.job_accepted(state, _planning.service_of(self, state))
         placed = restore(state, record) if record is not None else []
+        _late_starts.job_restored(state, now_ms, unix_ms)
         if state.final:
             self.ended.append((state.ended_unix_ms, job.job_id))
             return
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -184,6 +184,10 @@
     ended_unix_ms: int = 0
     # Why the job has failed, if no end of a run shows it.
     end_reason: str = ''
+    # Time until which a start of a task that is done may be carried out late, or 0, and
+    # the local time that a record of a former leader stated.
+    late_until_unix_ms: int = 0
+    former_late_until_ms: int = 0
     # A task of it was placed, which its record shows, and the local time of the first
     # placement in this term.
     started: bool = False
@@ -263,6 +267,8 @@
     acknowledged_end: int = 0
     # Ends up to this number are stored, or need no record.
     stored_end: int = 0
+    # Local time until which an end is not acknowledged, by its number.
+    withheld_until_ms_by_end: dict[int, int] = field(default_factory=dict)
     # A report had malformed rows. A run that is not listed may still be running, or may
     # have done its task.
     lists_incomplete: bool = False
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -241,6 +241,30 @@
         self.run_for(ACKNOWLEDGE_WITHIN_MS - 2 * SOON_MS)
         self.assertEqual(self.backend.ends, [])
 
+    def test_after_a_restart_the_end_waits_until_the_start_is_closed(self):
+        """Guards against a late start where servers start again under their ids."""
+        self.submit(accepted=True)
+        self.test_bed.scheduler.last_restart_ms = self.test_bed.now_ms
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(LATE_CALL_MS - 2 * SOON_MS)
+        self.assertEqual(len(self.backend.ends), 1)
+        self.run_for(2 * SOON_MS)
+        self.assertEqual(self.backend.ends, [])
+
+    def test_a_new_leader_does_not_acknowledge_the_end_at_once(self):
+        """Guards against a leader that acknowledges what its predecessor has not."""
+        self.submit(accepted=True)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.test_bed.new_leader()
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.phase(), 'done')
+        self.assertEqual(len(self.backend.ends), 1)
+        self.run_for(ACKNOWLEDGE_WITHIN_MS)
+        self.assertEqual(self.backend.ends, [])
+
 
 class StrayRunTest(unittest.TestCase):
     """Server b1 lists a run of a task that waits."""
