Count the lease of a later lifetime from its first answer

What callers saw: a task ran twice although none of its starts was late: its lease on a server that had started again and was then cut off lasted longer than the leader had computed. Change: until the first answer to its own link, which has a higher fencing token, a later lifetime may have been given the longest lease; so it counts from there. Ruled out: to do so for every lifetime, which would hold up tasks on new servers. A lifetime that it has not reached counts as before.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -81,6 +81,8 @@
     lapses_at_ms = now_ms + max_former_lease_ms(scheduler.hold_max_ms)
     backend = BackendState(backend_id, born_ms, lapses_at_ms)
     backend.last_sign_ms = scheduler.restored_signs_ms.get(backend.lifetime, 0)
+    known_born_ms = scheduler.known_born_ms_by_id.setdefault(backend_id, born_ms)
+    backend.follows_another = known_born_ms != born_ms
     return backend
 
 
@@ -193,13 +195,21 @@
 
 
 def answered(
-    scheduler: Scheduler, backend: BackendState, report: HoldReport, sent_ms: int
+    scheduler: Scheduler,
+    backend: BackendState,
+    report: HoldReport,
+    sent_ms: int,
+    now_ms: int,
 ) -> None:
     """Ends all other lifetimes of a backend server that has answered as this one.
 
     `sent_ms` is the local time of the call. Only lifetimes that were known by then have
-    begun before the answer.
+    begun before the answer. Until its first answer, a late call to an earlier lifetime
+    may have given it the longest lease, as its deadline is on another clock.
     """
+    if backend.follows_another and not backend.fenced:
+        lapses_at_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+        backend.leased_until_ms = max(backend.leased_until_ms, lapses_at_ms)
     backend.address_lent = False
     for former in scheduler.former_backends:
         if former.backend_id == backend.backend_id:
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -67,13 +67,13 @@
             answered_born_ms=report.born_ms,
         )
         return
+    _lifetimes.answered(scheduler, backend, report, sent_ms, now_ms)
     backend.fenced = True
     backend.lapses_at_ms = None
     backend.lease_lapsed = False
     backend.last_contact_ms = backend.last_sign_ms = now_ms
     backend.recent_runs_by_name = None
     _losses.lifetime_answered(scheduler, backend)
-    _lifetimes.answered(scheduler, backend, report, sent_ms)
     if not backend.reachable:
         backend.reachable = True
         scheduler.note(
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -112,6 +112,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Start time of the first lifetime of each backend server that this leader knew.
+    known_born_ms_by_id: dict[str, int] = field(default_factory=dict)
     # Tasks with starts that may still be carried out late.
     late_start_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     # Local time at which the last restart of a backend server under its id was learnt.
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -239,6 +239,8 @@
     # Local time until which a lease may last that was set by calls to the lifetime
     # before this one; 0 if there were none.
     leased_until_ms: int = 0
+    # Another lifetime under the same id came before it, as far as this leader knows.
+    follows_another: bool = False
     # The end of the lease was applied. Tasks that are left may run in a later lifetime.
     lease_lapsed: bool = False
     report: BackendReport | None = None
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -184,6 +184,33 @@
                 self.assertEqual(self.other.started, [])
                 self.assert_starts_elsewhere_within(SOON_MS)
 
+    def test_a_late_call_before_the_first_answer_gives_the_longest_lease(self):
+        """Guards against a second run of tasks whose lease is longer than computed.
+
+        A call to the former lifetime is carried out by the later one long after the
+        loss, right before that one answers, and it is cut off soon after.
+        """
+        self.backend = FakeBackend('b1', born_ms=5000, host_id='h1')
+        self.test_bed = JobTestBed(self.backend)
+        self.test_bed.step()
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 0
+        self.backend.cut_off = True
+        self.backend.born_ms += 1000
+        self.run_for(2 * SOON_MS)
+        self.test_bed.submit(StepSpec(task_count=TASKS, resources=SMALL))
+        self.backend.cut_off = False
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.backend.runs_by_name), TASKS)
+        self.other = self.test_bed.backends['b2'] = FakeBackend('b2')
+        self.register(self.other)
+        self.state = self.test_bed.scheduler.backends_by_id['b1']
+        self.cut_off()
+        self.run_for(LATER_LEASE_MS - 2 * SOON_MS)
+        self.assertEqual(self.other.started, [])
+        self.assert_starts_elsewhere_within(SOON_MS)
+
     def test_runs_that_the_later_lifetime_does_not_have_start_soon(self):
         """Guards against starts without an answer that nobody withdraws."""
         self.restart(accepts=False)
