Let a later lifetime of a backend server carry out late calls

Cause: the emulator dropped a late order once another lifetime had begun.

Change: a late order reaches the lifetime that is up then, or the next one as it begins. Of the calls that a server never received because it was down or cut off, hold calls among them, the share of late calls is carried out too.

The new draws have their own generator, and the delay draws as before.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -33,8 +33,15 @@
 LASTING_PAYLOAD = 'lasting'
 # Duration that no experiment reaches.
 UNLIMITED_MS = 10**9
-# Delay of an order that is carried out late.
-LATE_DELAY_RANGE_MS = (1000, 8000)
+# Delay of a call that is carried out late.
+LATE_DELAY_RANGE_MS = (2000, 12_000)
+# Steps of that delay: seeds of former experiments draw from as many numbers.
+LATE_DELAY_STEPS = 7000
+
+
+def _late_delay_ms(rng: random.Random) -> int:
+    low, high = LATE_DELAY_RANGE_MS
+    return low + (high - low) * rng.randint(0, LATE_DELAY_STEPS) // LATE_DELAY_STEPS
 
 
 @dataclass(slots=True)
@@ -49,6 +56,16 @@
     stop_at_ms: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class LateCall:
+    """A call without an answer that is still on its way to a backend server."""
+
+    sent_ms: int
+    # Lifetime of the backend server in which it was sent, counted from 1.
+    lifetime: int
+    carry_out: Callable[[], object]
+
+
 @dataclass(slots=True)
 class Backend:
     """State of one backend server over all of its lifetimes.
@@ -66,6 +83,12 @@
     # Number of its last entry in the registry.
     entry_number: int = 0
     up: bool = True
+    # Number of the current lifetime, or of the last one if the server is down.
+    lifetime: int = 1
+    # Calls on their way that the next lifetime takes when it begins.
+    waiting_calls: list[LateCall] = field(default_factory=list)
+    # Decides which calls that do not reach the server are carried out late.
+    late_rng: random.Random = field(default_factory=lambda: random.Random(0))
     # Share of the calls that it refuses as unhealthy, without any effect.
     refused_share: float = 0.0
     fence: int = 0
@@ -149,10 +172,27 @@
     def restart(self) -> None:
         """Starts a new lifetime without a lease, fencing token or numbered ends."""
         self.up = True
+        self.lifetime += 1
         self.born_ms = now_ms()
         self.fence = self.deadline_ms = self.entry_number = 0
         self.next_end = 1
         self.last_expired_end = 0
+        calls, self.waiting_calls = self.waiting_calls, []
+        for call in calls:
+            loop = asyncio.get_running_loop()
+            loop.call_later(seconds(NETWORK_DELAY_MS), self.carry_out_late, call)
+
+    def carry_out_late(self, call: LateCall) -> None:
+        """Carries out a call on its way, in whichever lifetime is up.
+
+        All lifetimes have the same id, so a later one takes a call that was meant for
+        a former one. If none is up, the next one takes it, unless that begins only
+        after the longest delay.
+        """
+        if self.up:
+            call.carry_out()
+        elif now_ms() < call.sent_ms + LATE_DELAY_RANGE_MS[1]:
+            self.waiting_calls.append(call)
 
     def accept_token(self, token: int) -> bool:
         """Records a fencing token; returns False if a higher one is known."""
@@ -258,20 +298,34 @@
     cut_paths: set[tuple[str, str]]
     member_id: str
     alive: list[bool]
-    # Share of the orders that are not answered and are carried out late.
+    # Share of the orders that are not answered and are carried out late. Of the calls
+    # that do not reach the server, hold calls among them, as many are on their way.
     late_share: list[float]
 
     def _is_reachable(self) -> bool:
         pair = (self.member_id, self.backend.backend_id)
         return self.backend.up and pair not in self.cut_paths
 
-    async def _deliver_call(self, timeout_ms: int) -> bool:
+    async def _deliver_call(self, call: LateCall, timeout_ms: int) -> bool:
         if not self._is_reachable():
+            self._keep_on_its_way(call)
             await asyncio.sleep(seconds(timeout_ms))
             return False
         await asyncio.sleep(seconds(NETWORK_DELAY_MS))
+        if not self.backend.up:
+            self._keep_on_its_way(call)
         return self.backend.up
 
+    def _keep_on_its_way(self, call: LateCall) -> None:
+        """Lets a call that does not reach the server arrive late, or drops it."""
+        rng = self.backend.late_rng
+        if rng.random() >= self.late_share[0]:
+            return
+        if self.backend.up:
+            self._delay(call, _late_delay_ms(rng))
+        else:
+            self.backend.carry_out_late(call)
+
     def _is_refused(self) -> bool:
         share = self.backend.refused_share
         return share > 0 and self.backend.rng.random() < share
@@ -280,25 +334,22 @@
         return self.backend.rng.random() < self.late_share[0]
 
     async def _send_order(self, timeout_ms: int, carry_out) -> OrderOutcome:
-        born = self.backend.born_ms
-        if not await self._deliver_call(timeout_ms):
+        call = LateCall(now_ms(), self.backend.lifetime, carry_out)
+        if not await self._deliver_call(call, timeout_ms):
             return OrderOutcome.NO_ANSWER
         if self._is_refused():
             return OrderOutcome.UNHEALTHY
         if self._is_late():
-            delay_s = seconds(self.backend.rng.randint(*LATE_DELAY_RANGE_MS))
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._carry_out_late, born, carry_out)
+            self._delay(call, _late_delay_ms(self.backend.rng))
             await asyncio.sleep(seconds(timeout_ms))
             return OrderOutcome.NO_ANSWER
         outcome = carry_out()
         await asyncio.sleep(seconds(NETWORK_DELAY_MS))
         return outcome if self._is_reachable() else OrderOutcome.NO_ANSWER
 
-    def _carry_out_late(self, born_ms: int, carry_out) -> None:
-        # An order names the lifetime that it is meant for, so a later one rejects it.
-        if self.backend.up and self.backend.born_ms == born_ms:
-            carry_out()
+    def _delay(self, call: LateCall, delay_ms: int) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds(delay_ms), self.backend.carry_out_late, call)
 
     async def start(
         self, order: StartOrder, deadline_ms: int, timeout_ms: int
@@ -330,11 +381,17 @@
         self, deadline_ms: int, acknowledged_end: int, wait_ms: int, timeout_ms: int
     ) -> Result[HoldReport, OrderOutcome]:
         """Renews the lease and waits up to `wait_ms` for an ended task."""
-        if not await self._deliver_call(timeout_ms):
+        backend, token = self.backend, self.token
+        call = LateCall(
+            now_ms(),
+            backend.lifetime,
+            lambda: backend.hold(deadline_ms, acknowledged_end, token),
+        )
+        if not await self._deliver_call(call, timeout_ms):
             return Err(OrderOutcome.NO_ANSWER)
         if self._is_refused():
             return Err(OrderOutcome.UNHEALTHY)
-        report = self.backend.hold(deadline_ms, acknowledged_end, self.token)
+        report = backend.hold(deadline_ms, acknowledged_end, token)
         if report is None:
             return Err(OrderOutcome.FENCED)
         before = self.backend.next_end
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -194,7 +194,7 @@
         lists_hosts: bool = False,
     ) -> 'EmulatedFleet':
         """Returns a fleet in which nothing has been started yet."""
-        rng = random.Random(seed)
+        rng, late_rng = random.Random(seed), random.Random(f'late {seed}')
         fleet = cls(rng, MemoryStore(rng), limit=limit, lists_hosts=lists_hosts)
         for index in range(members):
             member_id = f'member-{index}'
@@ -208,6 +208,7 @@
                 rng,
                 Resources(cpu_millicores=16_000, memory_mb=32_000),
                 fail_share=0.02,
+                late_rng=late_rng,
                 deadly_task_names=fleet.deadly_task_names,
                 done_task_names=fleet.oracle.done_task_names,
                 host_id=f'host-{index}',
