Judge starts beside a done run by time, not by run number

Cause: the oracle compared run numbers, so that a late start of a lower or of the same run, carried out after a run of the task had ended as done, went unseen.

Change: a server records begin and end of each run whose end counts as acknowledged. Any start that is carried out after the begin of such a run, other than its own, is reported: beside it, after its end, and after the acknowledgement. Reports name the starts that were carried out late, with the lifetimes in which they were sent and carried out.

Ruled out: a lower bound at the end of the run. A start less than 5 ms before it is not seen by the check of what runs at a time. A start of a higher run that ended before the done run began is no longer reported, since the rule allows it.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 
@@ -66,6 +66,25 @@
     carry_out: Callable[[], object]
 
 
+@dataclass(slots=True, frozen=True)
+class LateStart:
+    """A start that was carried out late, and the lifetime that did so."""
+
+    call: LateCall
+    lifetime: int
+
+
+@dataclass(slots=True, frozen=True)
+class AcknowledgedEnd:
+    """An end that counts as acknowledged, with the times of its run."""
+
+    end: EndedTask
+    started_ms: int
+    ended_ms: int
+    # Whether a hold call acknowledged it that was carried out late.
+    by_late_call: bool
+
+
 @dataclass(slots=True)
 class Backend:
     """State of one backend server over all of its lifetimes.
@@ -99,11 +118,15 @@
     barred_by_name: dict[str, int] = field(default_factory=dict)
     # Ends that have not been acknowledged yet.
     ends: list[EndedTask] = field(default_factory=list)
+    # Begin and end of the run of each of them, by the number of the end.
+    run_times_ms_by_end: dict[int, tuple[int, int]] = field(default_factory=dict)
     next_end: int = 1
     # Number of the last end that happened before or when the lease expired.
     last_expired_end: int = 0
     # Every start in any lifetime: time, task, run.
     starts: list[tuple[int, str, int]] = field(default_factory=list)
+    # Those of them that were carried out late.
+    late_starts: dict[tuple[int, str, int], LateStart] = field(default_factory=dict)
     # Tasks that ended as done on any backend server of the fleet.
     done_task_names: set[str] = field(default_factory=set)
     # Number of runs of each task that failed in any lifetime.
@@ -113,7 +136,7 @@
     deadly_task_names: set[str] = field(default_factory=set)
     crashing: list[tuple[int, str, int]] = field(default_factory=list)
     # Ends acknowledged under the highest fencing token, in any lifetime.
-    acknowledged: list[EndedTask] = field(default_factory=list)
+    acknowledged: list[AcknowledgedEnd] = field(default_factory=list)
     fails_all: bool = False
     # Whether running tasks make no progress. They end only by a stop order, an expired
     # lease or a crash.
@@ -159,6 +182,7 @@
         self.ends.append(
             EndedTask(number=self.next_end, task_name=name, run=run.run, reason=reason)
         )
+        self.run_times_ms_by_end[self.next_end] = (run.started_ms, now_ms())
         self.next_end += 1
 
     def crash(self) -> None:
@@ -168,6 +192,7 @@
         self.runs_by_name.clear()
         self.barred_by_name.clear()
         self.ends.clear()
+        self.run_times_ms_by_end.clear()
 
     def restart(self) -> None:
         """Starts a new lifetime without a lease, fencing token or numbered ends."""
@@ -190,7 +215,13 @@
         after the longest delay.
         """
         if self.up:
+            starts, ends = len(self.starts), len(self.acknowledged)
             call.carry_out()
+            for start in self.starts[starts:]:
+                self.late_starts[start] = LateStart(call, self.lifetime)
+            self.acknowledged[ends:] = [
+                replace(end, by_late_call=True) for end in self.acknowledged[ends:]
+            ]
         elif now_ms() < call.sent_ms + LATE_DELAY_RANGE_MS[1]:
             self.waiting_calls.append(call)
 
@@ -255,11 +286,24 @@
         if deadline_ms:
             self.extend_lease(deadline_ms)
         self.acknowledged += [
-            e for e in self.ends if self.last_expired_end < e.number <= acknowledged_end
+            AcknowledgedEnd(e, *self.run_times_ms_by_end[e.number], by_late_call=False)
+            for e in self.ends
+            if self.last_expired_end < e.number <= acknowledged_end
         ]
         self.ends = [e for e in self.ends if e.number > acknowledged_end]
         return self.hold_report()
 
+    def describe_start(self, start: tuple[int, str, int]) -> str:
+        """Returns the server and the run of a start, and whether it came late."""
+        text = f'{self.backend_id} run {start[2]}'
+        late = self.late_starts.get(start)
+        if late is None:
+            return text
+        return (
+            f'{text} (carried out late at {start[0]} in lifetime {late.lifetime}, sent '
+            f'at {late.call.sent_ms} in lifetime {late.call.lifetime})'
+        )
+
     def _percent(self, run: Run, now: int) -> int:
         if self.is_stalled:
             return 0
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 import unittest
+from functools import partial
+from unittest import mock
 
 from dandelionknot.clock import now_ms
-from dandelionknot.jobs._generated import JobSpec, Resources, StepSpec
+from dandelionknot.jobs._generated import JobSpec, Resources, StartOrder, StepSpec
 from emulator import virtual_time
-from emulator.backends import Backend, Run
+from emulator.backends import Backend, LateCall, Run
 from emulator.oracle import Oracle
 from emulator.standstill import MAX_STANDSTILL_MS, STABLE_MS, StandstillCheck
 
@@ -51,6 +53,100 @@
                 self.oracle.check_at_end(lambda job_id: 'failed')
                 self.assertEqual(len(self.oracle.problems), problems)
 
+    def run_steps(self, *steps):
+        """Takes the steps one after the other, 100 ms apart, and returns the problems.
+
+        A step is a name of a backend server and what it does: the number of a run that
+        it starts, which lasts 400 ms, or a method without arguments.
+        """
+        for backend in self.backends.values():
+            backend.rng = mock.Mock(**{'uniform.return_value': 1.0})
+            backend.rng.random.return_value = 0.9
+
+        async def run():
+            for backend in self.backends.values():
+                backend.born_ms = now_ms()
+            for name, step in steps:
+                backend = self.backends[name]
+                backend.advance()
+                if callable(step):
+                    step(backend)
+                else:
+                    order = StartOrder(task_name=TASK, run=step, payload='work')
+                    backend.start(order, backend.clock() + 3000, 1)
+                await asyncio.sleep(0.1)
+
+        virtual_time.run(run())
+        self.oracle.check_at_end(lambda job_id: 'running')
+        return [problem for problem in self.oracle.problems if TASK in problem]
+
+    def test_start_beside_or_after_a_done_run_is_reported(self):
+        """Guards against starts of lower runs, carried out late, that go unseen.
+
+        What counts is the time of the start and of the end, not the run numbers.
+        """
+        wait = [('b1', Backend.advance)] * 5
+        acknowledge = ('b1', lambda backend: backend.hold(0, 1, 1))
+        for run in (1, 2, 3):
+            cases = {
+                'after both': [*wait, acknowledge, ('b2', run)],
+                'before the acknowledgement': [*wait, ('b2', run), acknowledge],
+                'before the end': [('b2', run), *wait, acknowledge],
+            }
+            for name, steps in cases.items():
+                with self.subTest(name, run=run):
+                    self.setUp()
+                    [problem] = self.run_steps(('b1', 2), *steps)
+                    self.assertIn(f'on b2 run {run}', problem)
+
+    def test_start_beside_an_end_that_does_not_count_is_not_reported(self):
+        """Guards against reports of starts that the rules allow."""
+        wait = [('b1', Backend.advance)] * 5
+        acknowledge = ('b1', lambda backend: backend.hold(0, 1, 1))
+
+        def restart(backend):
+            backend.crash()
+            backend.restart()
+
+        cases = {
+            'not acknowledged': [('b1', 2), *wait, ('b2', 1)],
+            'lost by a crash': [('b1', 2), *wait, ('b1', restart), ('b2', 1)],
+            'lease expired': [('b1', 2), *wait * 6, acknowledge, ('b2', 3)],
+            'lost earlier': [('b2', 3), ('b2', restart), ('b1', 2), *wait, acknowledge],
+        }
+        for name, steps in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.assertEqual(self.run_steps(*steps), [])
+
+    def test_report_of_a_late_start_names_its_lifetimes(self):
+        """Guards against reports that do not tell how a task came to run twice."""
+
+        def start_late(backend, lifetime):
+            order = StartOrder(task_name=TASK, run=1, payload='work')
+            start = partial(backend.start, order, backend.clock() + 3000, 1)
+            call = LateCall(now_ms(), backend.lifetime, start)
+            if lifetime == 1:
+                backend.carry_out_late(call)
+            else:
+                backend.crash()
+                backend.carry_out_late(call)
+                backend.restart()
+
+        for lifetime in (1, 2):
+            with self.subTest(lifetime=lifetime):
+                self.setUp()
+                steps = [('b1', 2), ('b2', partial(start_late, lifetime=lifetime))]
+                self.run_steps(*steps)
+                self.oracle.problems.clear()
+                self.oracle.check_invariants()
+                [problem] = self.oracle.problems
+                self.assertRegex(
+                    problem,
+                    r"'b1 run 2', 'b2 run 1 \(carried out late at \d+ in lifetime "
+                    rf'{lifetime}, sent at \d+ in lifetime 1\)',
+                )
+
     def test_job_without_a_run_is_reported_if_there_is_room(self):
         """Guards against jobs that stand still unseen."""
         self.assertEqual(self.stand(STABLE_MS + MAX_STANDSTILL_MS - 200), [])
