Drop a call that waits for the next lifetime after the longest delay

Cause: a call that waited for a server to be up again was checked only as it began to wait, and one was carried out 12.4 s after it was sent.

Change: the check is made as the next lifetime begins.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -204,8 +204,9 @@
         self.last_expired_end = 0
         calls, self.waiting_calls = self.waiting_calls, []
         for call in calls:
-            loop = asyncio.get_running_loop()
-            loop.call_later(seconds(NETWORK_DELAY_MS), self.carry_out_late, call)
+            if now_ms() < call.sent_ms + LATE_DELAY_RANGE_MS[1]:
+                loop = asyncio.get_running_loop()
+                loop.call_later(seconds(NETWORK_DELAY_MS), self.carry_out_late, call)
 
     def carry_out_late(self, call: LateCall) -> None:
         """Carries out a call on its way, in whichever lifetime is up.
@@ -222,7 +223,7 @@
             self.acknowledged[ends:] = [
                 replace(end, by_late_call=True) for end in self.acknowledged[ends:]
             ]
-        elif now_ms() < call.sent_ms + LATE_DELAY_RANGE_MS[1]:
+        else:
             self.waiting_calls.append(call)
 
     def accept_token(self, token: int) -> bool:
