Record each problem of an experiment once

Cause: a task that runs twice is seen every 5 ms, so that one duplicate fills the list of 20 problems and hides the later ones, among them the starts that are checked at the end.

Change: a text that has been reported is not recorded again.

Ruled out: a higher limit, which a longer duplicate fills as well.

--- a/emulator/oracle.py
+++ b/emulator/oracle.py
@@ -40,6 +40,8 @@
     # Tasks that have ended as done on any backend server.
     done_task_names: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
+    # Texts of the problems, each of which is recorded once.
+    reported: set[str] = field(default_factory=set)
     # Crashes of backend servers by each task, and starts of it after the third crash
     # that no fault can explain.
     crashes_by_task: Counter[str] = field(default_factory=Counter)
@@ -61,8 +63,9 @@
             )
 
     def report(self, text: str) -> None:
-        """Records a violation with the current time."""
-        if len(self.problems) < MAX_PROBLEMS:
+        """Records a violation with the current time, and the same one only once."""
+        if len(self.problems) < MAX_PROBLEMS and text not in self.reported:
+            self.reported.add(text)
             self.problems.append(f'{now_ms()}: {text}')
 
     def check_invariants(self) -> None:
