Add faults that restart and cut off a server that carries out starts late

Change: the groups recut and recut_hosts (with a list of hosts). A server with running tasks, short and long ones, leaves starts unanswered, restarts after 0.3 to 2 s, is cut off 1 to 3 s later for up to 9 s, and may restart again within 12 s; the leader may be killed before the restart or between restart and cut. Reports of late starts also name the begin of the lifetime.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -23,8 +23,10 @@
     to the next. With `losses`, the fleet also lists its hosts, runs tasks that last and
     has no limit; with `lifetimes`, backend servers restart while entries come late and
     leaders are killed; with `writes`, backend servers crash while records are written;
-    with `silence`, they restart unnoticed and are cut off; with `maintenance`, hosts go
-    down as operators order. Exits with status 1 if a seed failed.
+    with `silence`, they restart unnoticed and are cut off; with `recut` or
+    `recut_hosts`, without or with a list of hosts, they restart, carry out starts late
+    and are cut off; with `maintenance`, hosts go down as operators order. Exits with
+    status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
     settings = Experiment(
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -31,6 +31,9 @@
 CRASH_DELAY_MS = 10
 # Payload of tasks that run until they are stopped.
 LASTING_PAYLOAD = 'lasting'
+# Payload of tasks that take longer than others, and how many times as long.
+LONG_PAYLOAD = 'long'
+LONG_FACTOR = 10
 # Duration that no experiment reaches.
 UNLIMITED_MS = 10**9
 # Delay of a call that is carried out late.
@@ -72,6 +75,8 @@
 
     call: LateCall
     lifetime: int
+    # Time of the begin of that lifetime.
+    born_ms: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,6 +113,8 @@
     waiting_calls: list[LateCall] = field(default_factory=list)
     # Decides which calls that do not reach the server are carried out late.
     late_rng: random.Random = field(default_factory=lambda: random.Random(0))
+    # Share of the calls that are carried out late, if that of the fleet is lower.
+    late_share: float = 0.0
     # Share of the calls that it refuses as unhealthy, without any effect.
     refused_share: float = 0.0
     fence: int = 0
@@ -143,7 +150,7 @@
     is_stalled: bool = False
     # Share of the runs that fail.
     fail_share: float = 0.0
-    # Mean duration of a run, unless its payload is `LASTING_PAYLOAD`.
+    # Mean duration of a run, unless its payload is `LASTING_PAYLOAD` or `LONG_PAYLOAD`.
     mean_ms: int = 400
     # Called with the task and the run of each start, when it is carried out.
     on_start: Callable[[str, int], None] | None = None
@@ -219,7 +226,7 @@
             starts, ends = len(self.starts), len(self.acknowledged)
             call.carry_out()
             for start in self.starts[starts:]:
-                self.late_starts[start] = LateStart(call, self.lifetime)
+                self.late_starts[start] = LateStart(call, self.lifetime, self.born_ms)
             self.acknowledged[ends:] = [
                 replace(end, by_late_call=True) for end in self.acknowledged[ends:]
             ]
@@ -256,6 +263,8 @@
         duration = int(self.mean_ms * self.rng.uniform(0.5, 1.5))
         if order.payload == LASTING_PAYLOAD:
             duration = UNLIMITED_MS
+        elif order.payload == LONG_PAYLOAD:
+            duration *= LONG_FACTOR
         self.runs_by_name[name] = Run(name, run, now_ms(), duration, fails)
         self.starts.append((now_ms(), name, run))
         if self.on_start is not None:
@@ -301,8 +310,9 @@
         if late is None:
             return text
         return (
-            f'{text} (carried out late at {start[0]} in lifetime {late.lifetime}, sent '
-            f'at {late.call.sent_ms} in lifetime {late.call.lifetime})'
+            f'{text} (carried out late at {start[0]} in lifetime {late.lifetime} since '
+            f'{late.born_ms}, sent at {late.call.sent_ms} in lifetime '
+            f'{late.call.lifetime})'
         )
 
     def _percent(self, run: Run, now: int) -> int:
@@ -364,7 +374,7 @@
     def _keep_on_its_way(self, call: LateCall) -> None:
         """Lets a call that does not reach the server arrive late, or drops it."""
         rng = self.backend.late_rng
-        if rng.random() >= self.late_share[0]:
+        if rng.random() >= self._late_share():
             return
         if self.backend.up:
             self._delay(call, _late_delay_ms(rng))
@@ -375,8 +385,11 @@
         share = self.backend.refused_share
         return share > 0 and self.backend.rng.random() < share
 
+    def _late_share(self) -> float:
+        return max(self.late_share[0], self.backend.late_share)
+
     def _is_late(self) -> bool:
-        return self.backend.rng.random() < self.late_share[0]
+        return self.backend.rng.random() < self._late_share()
 
     async def _send_order(self, timeout_ms: int, carry_out) -> OrderOutcome:
         call = LateCall(now_ms(), self.backend.lifetime, carry_out)
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -15,6 +15,7 @@
     LIFETIMES,
     LOSSES,
     MAINTENANCE,
+    RECUT,
     SILENCE,
     WRITES,
 )
@@ -45,6 +46,8 @@
     run_ms: int = 400
     # Share of the jobs that only one backend server of their service can run.
     rare_share: float = 0.0
+    # Share of the jobs whose tasks are long.
+    long_share: float = 0.0
 
 
 def with_losses(experiment: Experiment) -> Experiment:
@@ -93,6 +96,26 @@
     )
 
 
+def with_recut(experiment: Experiment) -> Experiment:
+    """Returns the experiment with late starts, restarts and cuts as its faults.
+
+    Its tasks are short and long ones.
+    """
+    return replace(
+        experiment,
+        faults=tuple(RECUT),
+        limit=Resources(),
+        jobs_per_s=3.0,
+        long_share=0.4,
+        fault_gap_ms=4000,
+    )
+
+
+def with_recut_and_hosts(experiment: Experiment) -> Experiment:
+    """Returns the same experiment with a fleet that lists its hosts."""
+    return replace(with_recut(experiment), lists_hosts=True)
+
+
 def with_maintenance(experiment: Experiment) -> Experiment:
     """Returns the experiment with planned maintenance as its faults.
 
@@ -112,6 +135,8 @@
     'lifetimes': with_lifetimes,
     'writes': with_writes,
     'silence': with_silence,
+    'recut': with_recut,
+    'recut_hosts': with_recut_and_hosts,
     'maintenance': with_maintenance,
 }
 
@@ -150,6 +175,7 @@
         experiment.lists_hosts,
     )
     fleet.rare_share = experiment.rare_share
+    fleet.long_share = experiment.long_share
     for backend in fleet.backends_by_id.values():
         backend.mean_ms = experiment.run_ms
     verdict = Verdict()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from dandelionknot.clock import now_ms, seconds
+from emulator.backends import Backend
 from emulator.fleet import EmulatedFleet
 from emulator.hosts import order_wave
 
@@ -273,6 +274,53 @@
         fleet.register(backend)
 
 
+async def _restart_again(fleet: EmulatedFleet, backend: Backend) -> None:
+    """Restarts a backend server once more, some seconds after its last restart."""
+    await _wait(fleet, 1500, 12_000)
+    if backend.up:
+        backend.crash()
+        await fleet.restart_later(backend, fleet.rng.randint(300, 2000))
+
+
+async def restart_and_cut(fleet: EmulatedFleet) -> None:
+    """Restarts a backend server, whose new lifetime gets late starts, and cuts it off.
+
+    Starts before the restart and right after it are unanswered and carried out late.
+    The leader may be killed before the restart or between restart and cut, and the
+    server may restart a second time.
+    """
+    rng = fleet.rng
+    backends = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    backends = [b for b in backends if b.up and b.runs_by_name and not b.late_share]
+    if not backends:
+        return
+    backend = rng.choice(backends)
+    kill_before, kill_after = rng.random() < 0.25, rng.random() < 0.25
+    others: list[asyncio.Task] = []
+    backend.late_share = rng.choice((0.4, 0.8))
+    await _wait(fleet, 500, 4000)
+    if kill_before:
+        others.append(asyncio.create_task(kill_leader(fleet)))
+        await _wait(fleet, 1, 1500)
+    if backend.up:
+        backend.crash()
+        await fleet.restart_later(backend, rng.randint(300, 2000))
+    if rng.random() < 0.4:
+        others.append(asyncio.create_task(_restart_again(fleet, backend)))
+    if rng.random() < 0.5:
+        backend.late_share = 0.0
+    await _wait(fleet, 1, 1500)
+    if kill_after:
+        others.append(asyncio.create_task(kill_leader(fleet)))
+    await _wait(fleet, 1000, 1500)
+    pairs = {(member_id, backend.backend_id) for member_id in fleet.members_by_id}
+    fleet.cut_paths |= pairs
+    await _wait(fleet, 500, 9000)
+    fleet.cut_paths -= pairs
+    backend.late_share = 0.0
+    await asyncio.gather(*others)
+
+
 async def wave(fleet: EmulatedFleet) -> None:
     """Orders the maintenance of some hosts, or of those with a rare label."""
     rng = fleet.rng
@@ -336,10 +384,12 @@
 WRITES: dict[str, Fault] = {'crash_while_storing': crash_while_storing}
 # Restarts that nobody notices, and cuts right after them.
 SILENCE: dict[str, Fault] = {'silent_restart': silent_restart}
+# Restarts with starts that are carried out late, and cuts soon after them.
+RECUT: dict[str, Fault] = {'restart_and_cut': restart_and_cut}
 # Planned maintenance of hosts, also with lost answers and lost hosts.
 MAINTENANCE: dict[str, Fault] = {
     'wave': wave,
     'wave_without_answers': wave_without_answers,
     'wave_after_loss': wave_after_loss,
 }
-ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | MAINTENANCE
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | RECUT | MAINTENANCE
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -40,6 +40,8 @@
 from emulator.backends import (
     HOLD_MAX_MS,
     LASTING_PAYLOAD,
+    LONG_FACTOR,
+    LONG_PAYLOAD,
     Backend,
     BackendClient,
 )
@@ -166,6 +168,8 @@
     hosts: Hosts = field(default_factory=Hosts)
     # Share of the jobs that only the backend server with the rare label can run.
     rare_share: float = 0.0
+    # Share of the jobs whose tasks are long.
+    long_share: float = 0.0
     # Share of the jobs of which a task crashes each backend server that starts it.
     deadly_share: float = 0.0
     deadly_task_names: set[str] = field(default_factory=set)
@@ -322,6 +326,12 @@
         steps = [first, second] if self.rng.random() < 0.5 else [first]
         if self.rare_share and self.rng.random() < self.rare_share:
             steps = [replace(step, required_label=RARE_LABEL) for step in steps]
+        if self.long_share and self.rng.random() < self.long_share:
+            steps = [
+                replace(step, estimated_ms=step.estimated_ms * LONG_FACTOR)
+                for step in steps
+            ]
+            return JobSpec(payload=LONG_PAYLOAD, steps=steps)
         return JobSpec(payload='work', steps=steps)
 
     async def submit_lasting(self, tasks: int) -> None:
