--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -24,6 +24,9 @@
 # Seeds that fail without the fix of review case 8, 9, or 6 and 7 of the project, by the
 # group of faults.
 GROUP_SEEDS = {'writes': (4, 5), 'silence': (2, 7), 'maintenance': (2, 4)}
+# Seeds of the group `recut` in which a later lifetime carried out a start beside
+# another run of the task or after its end.
+LATE_START_SEEDS = (5, 6, 19)
 
 
 # Many backend servers are lost, and after them several leaders one after the other.
@@ -66,6 +69,16 @@
                 verdict = run_experiment(with_lifetimes(Experiment(seed=seed)))
                 self.assertEqual(verdict.problems, [], verdict.faults)
 
+    def test_late_orders_reach_a_later_lifetime(self):
+        """Guards against tasks that run twice by a start of a former lifetime.
+
+        A server starts again under its id, carries out starts late and is cut off.
+        """
+        for seed in LATE_START_SEEDS:
+            with self.subTest(seed=seed):
+                verdict = run_experiment(GROUPS['recut'](Experiment(seed=seed)))
+                self.assertEqual(verdict.problems, [], verdict.faults)
+
     def test_groups_of_faults(self):
         """Guards against the return of faults that a review found.
 
