Take one time for the start of a run

Cause: a start took the time twice, for the run and for the list of starts. In real time the clock may tick in between, and since the oracle then took the start of a done run for another one: in soak, 3 of 6 runs of test_no_job_stands_still_after_a_loss_of_backends_and_leaders reported a run beside itself. Emulator experiments aren't concerned, since virtual time stands still.

Change: the time is taken once.

--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -265,12 +265,13 @@
             duration = UNLIMITED_MS
         elif order.payload == LONG_PAYLOAD:
             duration *= LONG_FACTOR
-        self.runs_by_name[name] = Run(name, run, now_ms(), duration, fails)
-        self.starts.append((now_ms(), name, run))
+        now = now_ms()
+        self.runs_by_name[name] = Run(name, run, now, duration, fails)
+        self.starts.append((now, name, run))
         if self.on_start is not None:
             self.on_start(name, run)
         if name in self.deadly_task_names:
-            self.crashing.append((now_ms() + CRASH_DELAY_MS, name, run))
+            self.crashing.append((now + CRASH_DELAY_MS, name, run))
         return OrderOutcome.ACCEPTED
 
     def stop(self, name: str, run: int, token: int) -> OrderOutcome:
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -1,6 +1,7 @@
 """The oracle of soak and emulator, on fleets in a state that a test sets up."""
 
 import asyncio
+import itertools
 import random
 import unittest
 from functools import partial
@@ -119,6 +120,21 @@
                 self.setUp()
                 self.assertEqual(self.run_steps(*steps), [])
 
+    def test_a_run_is_not_reported_beside_itself(self):
+        """Guards against two times of one start, if the clock ticks in between."""
+        ticks = itertools.count(1_000_000)
+        backend = self.backends['b1']
+        backend.fail_share = 0.0
+        with mock.patch('emulator.backends.now_ms', lambda: next(ticks)):
+            order = StartOrder(task_name=TASK, run=1, payload='work')
+            backend.start(order, 10**9, 1)
+            while backend.runs_by_name:
+                backend.advance()
+            backend.hold(0, 1, 1)
+        self.assertEqual(len(backend.acknowledged), 1)
+        self.oracle.check_at_end(lambda job_id: 'running')
+        self.assertEqual([p for p in self.oracle.problems if TASK in p], [])
+
     def test_report_of_a_late_start_names_its_lifetimes(self):
         """Guards against reports that do not tell how a task came to run twice."""
 
