--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -40,6 +40,8 @@
 from emulator.backends import (
     HOLD_MAX_MS,
     LASTING_PAYLOAD,
+    LONG_FACTOR,
+    LONG_PAYLOAD,
     Backend,
     BackendClient,
 )
@@ -166,6 +168,8 @@
     hosts: Hosts = field(default_factory=Hosts)
     # Share of the jobs that only the backend server with the rare label can run.
     rare_share: float = 0.0
+    # Share of the jobs whose tasks are long.
+    long_share: float = 0.0
     # Share of the jobs of which a task crashes each backend server that starts it.
     deadly_share: float = 0.0
     deadly_task_names: set[str] = field(default_factory=set)
@@ -194,7 +198,7 @@
         lists_hosts: bool = False,
     ) -> 'EmulatedFleet':
         """Returns a fleet in which nothing has been started yet."""
-        rng = random.Random(seed)
+        rng, late_rng = random.Random(seed), random.Random(f'late {seed}')
         fleet = cls(rng, MemoryStore(rng), limit=limit, lists_hosts=lists_hosts)
         for index in range(members):
             member_id = f'member-{index}'
@@ -208,6 +212,7 @@
                 rng,
                 Resources(cpu_millicores=16_000, memory_mb=32_000),
                 fail_share=0.02,
+                late_rng=late_rng,
                 deadly_task_names=fleet.deadly_task_names,
                 done_task_names=fleet.oracle.done_task_names,
                 host_id=f'host-{index}',
@@ -321,6 +326,12 @@
         steps = [first, second] if self.rng.random() < 0.5 else [first]
         if self.rare_share and self.rng.random() < self.rare_share:
             steps = [replace(step, required_label=RARE_LABEL) for step in steps]
+        if self.long_share and self.rng.random() < self.long_share:
+            steps = [
+                replace(step, estimated_ms=step.estimated_ms * LONG_FACTOR)
+                for step in steps
+            ]
+            return JobSpec(payload=LONG_PAYLOAD, steps=steps)
         return JobSpec(payload='work', steps=steps)
 
     async def submit_lasting(self, tasks: int) -> None:
