Do not hold a task to a server that is to go away

What callers saw: a task with an open start waited for up to 6.4 s while its server was draining, cordoned, moved, or in a zone that was taken out. Change: a server that gets no starts because it or its host is to go away binds no task. Ruled out: the same for a server that is paused for a second after a refusal, which may take the task soon. Conclusion: a restart under the same id after a planned end, within 12 s of an open start, remains.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING
 
-from dandelionknot.jobs import _lifetimes, _strays
+from dandelionknot.jobs import _lifetimes, _strays, _usability
 from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._leases import max_later_lease_ms
 from dandelionknot.jobs._maintenance import shows_end
@@ -214,8 +214,8 @@
 
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
-    holds for a limited time, and not for a task that has failed, which may be its
-    fault.
+    holds for a limited time, not if the backend server is to go away, and not for a
+    task that has failed, which may be its fault.
     """
     if not task.late_starts_by_backend_id or task.failed_runs:
         return backends
@@ -227,6 +227,7 @@
         if now_ms < start.until_ms
         and not (start.is_assumed and task.suspected)
         and _is_reached(scheduler, backend_id)
+        and not _usability.is_closed(scheduler, scheduler.backends_by_id[backend_id])
     }
     if not open_ids:
         return backends
--- a/dandelionknot/jobs/_usability.py
+++ b/dandelionknot/jobs/_usability.py
@@ -18,17 +18,26 @@
         and backend.fenced
         and backend.reachable
         and backend.contested_by is None
-        and not report.draining
-        and not backend.cordoned
-        and not backend.moving
-        and not backend.ending
+        and not is_closed(scheduler, backend)
         and not backend.isolated_tasks
-        and report.availability_zone not in scheduler.excluded_zones
         and backend.avoid_until_ms <= now_ms
         and backend.full_until_ms <= now_ms
     )
 
 
+def is_closed(scheduler: Scheduler, backend: BackendState) -> bool:
+    """Whether a backend server gets no starts because it or its host is to go away."""
+    report = backend.report
+    return (
+        report is None
+        or report.draining
+        or backend.cordoned
+        or backend.moving
+        or backend.ending
+        or report.availability_zone in scheduler.excluded_zones
+    )
+
+
 def unusable_counts(scheduler: Scheduler, service: str, now_ms: int) -> dict[str, int]:
     """Returns how many backend servers of a service get no starts, by the reason."""
     counts: dict[str, int] = {}
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -214,6 +214,14 @@
                 self.start_late()
                 self.run_for(SOON_MS)
 
+    def test_a_task_leaves_a_server_that_is_to_go_away(self):
+        """Guards against a task that waits for room on a server without starts."""
+        self.submit(accepted=False)
+        self.backend.draining = True
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
     def test_a_run_that_may_be_under_way_counts_towards_the_limit(self):
         """Guards against an account that exceeds its limit by a run begun unseen."""
         limit = Resources(cpu_millicores=SMALL.cpu_millicores)
