Let the stand-in of a backend server carry out calls late

A call without an answer may be carried out seconds later, by a later lifetime too, and so may calls that arrive while the server is down. No stand-in with real processes did that. Change: LateCalls leaves the calls that a closure chooses without an answer, and carries each out when the closure's awaitable has ended, in whatever lifetime is up then. On request it keeps calls that arrive while the server is down for the next lifetime; their connections stay open. What was carried out late is listed. Ruled out: a share and a range of delays as fields, since a test has to release a call after an event. Before and after: without a choice, calls are answered as before.

--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -22,6 +22,7 @@
 from dandelionknot.store import Item, Precondition, Put, WriteOutcome
 from emulator.backends import Backend
 from emulator.store import MemoryStore
+from standins.waiting import wait_until
 
 # HTTP status and JSON body.
 Answer = tuple[int, dict]
@@ -31,8 +32,13 @@
 # Interval at which a waiting hold call looks for ended tasks.
 HOLD_POLL_S = 0.02
 DEFAULT_ROOM = Resources(cpu_millicores=16_000, memory_mb=32_000)
+OK = 200
 # Used in place of an HTTP status: the connection is closed without an answer.
 NO_ANSWER = 0
+# Used in place of an HTTP status: the connection stays open without an answer.
+SILENCE = -1
+# Longest time for which a late call waits for the next lifetime.
+MAX_KEPT_S = 60
 # Reasons of the platform's protocol for orders that were not accepted.
 WIRE_REASONS = {
     OrderOutcome.FENCED: 'fence',
@@ -84,6 +90,8 @@
             if self.rng.random() < self.lost_share:
                 status = NO_ANSWER
         connection = request.connection
+        if status == SILENCE:
+            return
         if connection is None or not status:
             if connection is not None:
                 connection.detach().close()  # type: ignore[attr-defined]
@@ -98,6 +106,75 @@
             return
 
 
+@dataclass(slots=True, frozen=True)
+class LateCall:
+    """A call that a backend server has carried out without an answer."""
+
+    received_ms: int
+    at_ms: int
+    born_ms: int
+    path: str
+    body: dict
+    # Status with which it would have been answered.
+    status: int
+
+
+def _hold_back_none(path: str) -> None:
+    return None
+
+
+@dataclass(slots=True)
+class LateCalls:
+    """Calls that a backend server leaves without an answer and carries out late.
+
+    A late call is carried out in whatever lifetime of its id is up then, or at the
+    begin of the next one if none is. For example, each start is carried out after 2 s
+    with `hold_back = lambda path: asyncio.sleep(2) if path == '/run-start' else None`.
+    """
+
+    backend: Backend
+    # Returns what a call to a path waits for, or None if it is answered.
+    hold_back: Callable[[str], Awaitable[object] | None] = _hold_back_none
+    # Whether calls that arrive while the backend server is down are kept for its next
+    # lifetime. Their connections, and those of calls in progress, stay open meanwhile.
+    keeps_when_down: bool = False
+    carried_out: list[LateCall] = field(default_factory=list)
+    # Last lifetime that has answered a call, and the time of its first answer.
+    reached_born_ms: int = 0
+    reached_at_ms: int = 0
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def answer(self, request: HTTPServerRequest) -> Answer:
+        """Answers a call, or leaves it to be carried out late."""
+        wait = self.hold_back(request.path)
+        if wait is None and not self.backend.up and self.keeps_when_down:
+            wait = asyncio.sleep(0)
+        if wait is None:
+            status, body = await _answer_backend_call(self.backend, request)
+            if status == OK and self.reached_born_ms != self.backend.born_ms:
+                self.reached_born_ms = self.backend.born_ms
+                self.reached_at_ms = now_ms()
+            is_silent = status == NO_ANSWER and self.keeps_when_down
+            return (SILENCE if is_silent else status), body
+        task = asyncio.create_task(self._carry_out(request, wait))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return SILENCE, {}
+
+    async def _carry_out(
+        self, request: HTTPServerRequest, wait: Awaitable[object]
+    ) -> None:
+        received_ms = now_ms()
+        await wait
+        await wait_until(lambda: self.backend.up, MAX_KEPT_S)
+        at_ms, born_ms = now_ms(), self.backend.born_ms
+        status, _ = await _answer_backend_call(self.backend, request)
+        body = msgspec.json.decode(request.body)
+        self.carried_out.append(
+            LateCall(received_ms, at_ms, born_ms, request.path, body, status)
+        )
+
+
 @dataclass(slots=True)
 class JobPlatform:
     """Store, host list and backend servers, with the HTTP server of each."""
@@ -105,6 +182,7 @@
     store: MemoryStore = field(default_factory=lambda: MemoryStore(random.Random(1)))
     backends_by_id: dict[str, Backend] = field(default_factory=dict)
     backend_servers_by_id: dict[str, StandinServer] = field(default_factory=dict)
+    late_calls_by_backend_id: dict[str, LateCalls] = field(default_factory=dict)
     racks_by_backend_id: dict[str, str] = field(default_factory=dict)
     # Addresses of relays, registered in place of a backend server's own address.
     advertised_addresses_by_id: dict[str, str] = field(default_factory=dict)
@@ -122,7 +200,10 @@
         self.host_server.listen()
 
     def stop(self) -> None:
-        """Stops all HTTP servers."""
+        """Stops all HTTP servers and drops the calls that are not carried out yet."""
+        for late_calls in self.late_calls_by_backend_id.values():
+            for task in late_calls.tasks:
+                task.cancel()
         for standin in (
             self.store_server,
             self.host_server,
@@ -146,14 +227,12 @@
         backend = Backend(
             backend_id, service, 'zone-a', random.Random(2), room, **fields
         )
-
-        async def handle(request: HTTPServerRequest) -> Answer:
-            return await _answer_backend_call(backend, request)
-
-        standin = StandinServer(handle)
+        late_calls = LateCalls(backend)
+        standin = StandinServer(late_calls.answer)
         standin.listen()
         self.backends_by_id[backend_id] = backend
         self.racks_by_backend_id[backend_id] = rack
+        self.late_calls_by_backend_id[backend_id] = late_calls
         self.backend_servers_by_id[backend_id] = standin
         self.register(backend_id)
         return backend
