Add the faults `recut` and `recut-reached` to the soak

Change: a server restarts after 0.3 to 2 s, carries out calls late (up to 12 s) and those that came while it was down, and is cut off 1 to 3 s after the restart for up to 9 s; the leader may be killed before the cut and the server may restart once more. Kills, stops and pauses overlap. The profile `mixed` has tasks of 100 ms and of 3 s on servers that are 100 s old. A failed seed's folder gets platform.log, with what the platform did. `recut-reached` has no late call in a later lifetime before 500 ms after its first answer, other than calls kept while it was down: a try that is still open when its run has ended and the server restarts cannot be barred by any leader before that. Ruled out: fault `recut` alone, since no leader can pass it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from soak.faults import FAULTS, LIFETIMES, LOSSES
+from soak.faults import FAULTS, LIFETIMES, LOSSES, RECUT_NAMES, RECUT_REACHED_NAMES
 from soak.profiles import PROFILES_BY_NAME
 from soak.run import FAULT_GAP_MS, RunSettings, run_seed
 
@@ -15,13 +15,17 @@
     'all': tuple(FAULTS | LOSSES),
     'losses': tuple(LOSSES),
     'lifetimes': tuple(LIFETIMES),
+    'recut': RECUT_NAMES,
+    'recut-reached': RECUT_REACHED_NAMES,
 }
+# Profiles other than `small` on which groups of faults are played by default.
+PROFILE_NAMES_BY_FAULTS = {'recut': 'mixed', 'recut-reached': 'mixed'}
 
 
 def main(
     seeds: str = '1-3',
     seconds: int = 20,
-    profile: str = 'small',
+    profile: str = '',
     members: int = 0,
     backends: int = 0,
     jobs_per_s: float = 0.0,
@@ -33,10 +37,12 @@
     """Makes one run for each seed and prints the problems that were found.
 
     `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`,
-    `lifetimes`, `none`, or one or more fault names joined by plus signs, and `gap_ms`
-    the mean time from one fault to the next. `all` leaves out the lifetimes.
-    `profile` is `small` or `grown`; its numbers of members, backend servers and jobs,
-    and the limit of its client account, are replaced by those that are given.
+    `lifetimes`, `recut`, `recut-reached`, `none`, or one or more fault names joined by
+    plus signs, and `gap_ms` the mean time from one fault to the next. `all` leaves out
+    `lifetimes` and both `recut`s. `profile` is `small`, `mixed` or `grown`, by default
+    `mixed` for `recut` and `recut-reached`, and else `small`; its numbers of members,
+    backend servers and jobs, and the limit of its client account, are replaced by those
+    that are given.
 
     For each seed that failed, the logs of the processes are copied to a folder below
     `logs`. Exits with status 1 if a seed failed.
@@ -45,7 +51,7 @@
     names = FAULT_NAMES.get(faults) or tuple(faults.split('+'))
     if faults == 'none':
         names = ()
-    named = PROFILES_BY_NAME[profile]
+    named = PROFILES_BY_NAME[profile or PROFILE_NAMES_BY_FAULTS.get(faults, 'small')]
     chosen = replace(
         named,
         members=members or named.members,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -124,13 +124,24 @@
             StepSpec(
                 task_count=count,
                 resources=profile.task,
-                estimated_ms=profile.task_ms,
+                estimated_ms=self._random_task_ms(),
                 after=[number - 1] if number else [],
             )
             for number, count in enumerate(counts)
         ]
         return _job('work', specs)
 
+    def _random_task_ms(self) -> int:
+        """Returns the estimate of a step.
+
+        A profile without long tasks takes no number from the generator, so that the
+        seeds of former runs keep their meaning.
+        """
+        profile = self.fleet.profile
+        if profile.long_share and self.fleet.rng.random() < profile.long_share:
+            return profile.long_task_ms
+        return profile.task_ms
+
     def _lasting_job(self) -> tuple[dict, JobSpec]:
         profile = self.fleet.profile
         step = StepSpec(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,18 +1,25 @@
 """Faults injected into the processes from outside; the seed determines them."""
 
 import asyncio
+import random
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from dandelionknot.clock import now_ms, seconds
 from emulator.backends import Backend
 from soak.fleet import GRACE_S, Member, SoakFleet
+from standins.job_platform import MAX_KEPT_S, LateCalls
 from standins.relay import Relay
+from standins.waiting import wait_until
 
 Fault = Callable[[SoakFleet], Coroutine[Any, Any, None]]
 # Registry entries of backend servers are deleted when not renewed for this time.
 REGISTRY_EXPIRY_MS = 4500
+# Longest time after which a call without an answer is carried out.
+MAX_LATE_MS = 12_000
+# Time after the first answer of a lifetime in which its leader can bar former calls.
+CONTACT_MS = 500
 
 
 async def _wait(fleet: SoakFleet, low_ms: int, high_ms: int) -> None:
@@ -301,6 +308,114 @@
     await fleet.start(leader)
 
 
+def _late(
+    late_calls: LateCalls, rng: random.Random, share: float, waits_for_contact: bool
+) -> Callable[[str], Awaitable[object] | None]:
+    """Returns a function that chooses calls to be carried out late, and when.
+
+    Those are a share of the calls, and all that arrive while the server is down. The
+    latter are carried out at the begin of the next lifetime or, as the others, after a
+    random time. With `waits_for_contact`, a later lifetime carries these out only when
+    its leader has reached it.
+    """
+    backend = late_calls.backend
+
+    def is_reached() -> bool:
+        return (
+            backend.up
+            and late_calls.reached_born_ms == backend.born_ms
+            and now_ms() >= late_calls.reached_at_ms + CONTACT_MS
+        )
+
+    async def wait(delay_ms: int, born_ms: int) -> None:
+        await asyncio.sleep(seconds(delay_ms))
+        is_later = not backend.up or backend.born_ms != born_ms
+        if waits_for_contact and delay_ms and is_later:
+            await wait_until(is_reached, MAX_KEPT_S)
+
+    def hold_back(path: str) -> Awaitable[object] | None:
+        if backend.up and rng.random() >= share:
+            return None
+        at_begin = not backend.up and rng.random() < 0.5
+        return wait(0 if at_begin else rng.randint(1, MAX_LATE_MS), backend.born_ms)
+
+    return hold_back
+
+
+async def recut(fleet: SoakFleet) -> None:
+    """Restarts a backend server and cuts it off, while it carries out calls late.
+
+    It leaves some calls without an answer, and all that arrive while it is down. The
+    leader may be killed between the restart and the cut, and the server may restart
+    once more, during the cut or after it.
+    """
+    await _recut(fleet, waits_for_contact=False)
+
+
+async def recut_reached(fleet: SoakFleet) -> None:
+    """Does the same, with no late call that a leader could not bar.
+
+    A start may be carried out after its run has ended, by a later lifetime which no
+    leader has reached. Nothing that a leader does can bar that.
+    """
+    await _recut(fleet, waits_for_contact=True)
+
+
+async def _recut(fleet: SoakFleet, waits_for_contact: bool) -> None:
+    rng, platform = fleet.rng, fleet.platform
+    free = [
+        backend
+        for backend in platform.backends_by_id.values()
+        if backend.up
+        and not platform.late_calls_by_backend_id[backend.backend_id].keeps_when_down
+    ]
+    if not free:
+        return
+    backend = rng.choice(free)
+    backend_id = backend.backend_id
+    late_calls = platform.late_calls_by_backend_id[backend_id]
+    relay_faults = fleet.backend_relays_by_id[backend_id].faults
+    answer_again = late_calls.hold_back
+    late_calls.keeps_when_down = True
+    late_rng = random.Random(rng.random())
+    late_calls.hold_back = _late(
+        late_calls, late_rng, rng.uniform(0.0, 0.4), waits_for_contact
+    )
+    kills_leader, restarts_again = rng.random() < 0.4, rng.random() < 0.4
+    kills = []
+    await _wait(fleet, 0, 1000)
+    await _crash_and_restart(fleet, backend, rng.randint(300, 2000))
+    if kills_leader:
+        kills.append(asyncio.create_task(_kill_leader(fleet)))
+    await _wait(fleet, 1000, 3000)
+    _mark_all_disturbed(fleet, 15_000)
+    fleet.note(f'{backend_id} is cut off')
+    relay_faults.silent = True
+    cut_ms = rng.randint(500, 9000)
+    again = asyncio.create_task(_restart_again(fleet, backend, restarts_again))
+    await asyncio.sleep(seconds(cut_ms))
+    relay_faults.silent = False
+    fleet.note(f'{backend_id} is not cut off any more')
+    await asyncio.gather(again, *kills)
+    late_calls.hold_back = answer_again
+    late_calls.keeps_when_down = False
+
+
+async def _crash_and_restart(fleet: SoakFleet, backend: Backend, down_ms: int) -> None:
+    if backend.up:
+        runs = [f'{run.task_name} {run.run}' for run in backend.runs_by_name.values()]
+        fleet.note(f'{backend.backend_id} crashes under {runs}')
+        backend.crash()
+        await _restart_later(fleet, backend, down_ms)
+        fleet.note(f'{backend.backend_id} is up as lifetime {backend.born_ms}')
+
+
+async def _restart_again(fleet: SoakFleet, backend: Backend, restarts: bool) -> None:
+    if restarts:
+        await _wait(fleet, 0, 9000)
+        await _crash_and_restart(fleet, backend, fleet.rng.randint(300, 2000))
+
+
 FAULTS: dict[str, Fault] = {
     function.__name__: function
     for function in (
@@ -332,4 +447,12 @@
 LIFETIMES: dict[str, Fault] = {
     function.__name__: function for function in (late_entry, restart_and_kill_leader)
 }
-ALL_FAULTS = FAULTS | LOSSES | LIFETIMES
+# Restarts and cuts with calls that are carried out late, kept apart for the same
+# reason, and the faults that overlap with them. A name that occurs twice is drawn twice
+# as often.
+RECUT: dict[str, Fault] = {
+    function.__name__: function for function in (recut, recut_reached)
+}
+RECUT_NAMES = (*(['recut'] * 3), 'kill', 'stop', 'pause')
+RECUT_REACHED_NAMES = (*(['recut_reached'] * 3), 'kill', 'stop', 'pause')
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | RECUT
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,6 +6,7 @@
 import sys
 from dataclasses import dataclass, field
 from functools import partial
+from operator import itemgetter
 from pathlib import Path
 
 import msgspec
@@ -13,7 +14,7 @@
 
 from dandelionknot import codec
 from dandelionknot._http_client import HttpClient, new_http_client
-from dandelionknot.clock import now_ms, seconds
+from dandelionknot.clock import now_ms, seconds, unix_ms
 from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._stored import LEADER_PRESENCE_KEY
 from emulator.backends import Backend
@@ -93,6 +94,8 @@
     calm_since_ms: int = 0
     # Restarts of backend servers that were lost.
     restarts: set[asyncio.Task] = field(default_factory=set)
+    # Times (Unix, ms) and texts of noted events.
+    events: list[tuple[int, str]] = field(default_factory=list)
 
     @classmethod
     async def from_seed(
@@ -131,6 +134,9 @@
         )
         backend.rng = random.Random(self.rng.random())
         backend.fail_share = profile.fail_share
+        if profile.long_share:
+            backend.born_ms = max(1, now_ms() - profile.backend_age_ms)
+            backend.on_start = partial(self._set_duration, backend)
         if index >= MAX_BACKEND_RELAYS:
             return
         relay = await start_relay(
@@ -140,6 +146,15 @@
         self.platform.advertised_addresses_by_id[backend_id] = relay.address
         self.platform.register(backend_id)
 
+    def _set_duration(self, backend: Backend, task_name: str, run: int) -> None:
+        """Makes a run last as long as its step was estimated to last, on average."""
+        job_id, _, step, _ = task_name.split('.')
+        spec = self.oracle.specs_by_job_id.get(job_id)
+        if spec is not None:
+            started = backend.runs_by_name[task_name]
+            estimated_ms = spec.steps[int(step)].estimated_ms
+            started.duration_ms = started.duration_ms * estimated_ms // backend.mean_ms
+
     async def _add_member(self, member_id: str) -> None:
         relay = await start_relay(self.platform.store_server.address)
         caller, readiness = (f'127.0.0.1:{free_port()}' for _ in range(2))
@@ -246,6 +261,34 @@
         until = now_ms() + for_ms
         member.disturbed_until_ms = max(member.disturbed_until_ms, until)
 
+    def note(self, text: str) -> None:
+        """Records an event with its time (Unix, ms), to be read beside the logs."""
+        self.events.append((unix_ms(), text))
+
+    def write_events(self, path: Path) -> None:
+        """Writes the events of the platform: faults, starts and late calls."""
+        offset_ms = unix_ms() - now_ms()
+        events = list(self.events)
+        for backend_id, backend in self.platform.backends_by_id.items():
+            events += [
+                (at_ms + offset_ms, f'{backend_id} starts {name} run {run}')
+                for at_ms, name, run in backend.starts
+            ]
+            calls = self.platform.late_calls_by_backend_id[backend_id].carried_out
+            events += [
+                (
+                    call.at_ms + offset_ms,
+                    f'{backend_id} carries out {call.path} as lifetime {call.born_ms}, '
+                    f'{call.at_ms - call.received_ms} ms late, status {call.status}: '
+                    f'{call.body}',
+                )
+                for call in calls
+            ]
+        lines = (
+            f'{at_ms} {text}\n' for at_ms, text in sorted(events, key=itemgetter(0))
+        )
+        path.write_text(''.join(lines))
+
     def restart_backend(self, backend: Backend) -> None:
         """Starts a new lifetime of a backend server and registers it."""
         backend.restart()
--- a/soak/profiles.py
+++ b/soak/profiles.py
@@ -1,6 +1,6 @@
 """Sizes and loads of the fleets on which a soak runs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from dandelionknot.jobs._generated import Resources
 
@@ -26,6 +26,12 @@
     max_tasks: int
     task: Resources
     task_ms: int
+    # Share of the steps whose tasks last `long_task_ms`.
+    long_share: float = 0.0
+    long_task_ms: int = 3000
+    # Age of the backend servers at the begin of a run. The deadlines in orders to them
+    # lie this far ahead for a later lifetime.
+    backend_age_ms: int = 0
     # Jobs of each service with tasks that last, at most one of them on each host.
     lasting_jobs: int = 0
     lasting_tasks: int = 0
@@ -54,6 +60,14 @@
     task=Resources(cpu_millicores=2000, memory_mb=100),
     task_ms=100,
 )
+# Long and short tasks on backend servers that have run for a while.
+MIXED = replace(
+    SMALL,
+    jobs_per_s=2.5,
+    limit_millicores=48_000,
+    long_share=0.3,
+    backend_age_ms=100_000,
+)
 # The size and the kinds of jobs of a deployment of some hundred hosts. `members` and
 # `backends` are the most that one machine bears beside other work.
 GROWN = Profile(
@@ -75,4 +89,4 @@
     lasting_task=Resources(cpu_millicores=4000, memory_mb=8000),
     max_unavailable=4,
 )
-PROFILES_BY_NAME = {'small': SMALL, 'grown': GROWN}
+PROFILES_BY_NAME = {'small': SMALL, 'mixed': MIXED, 'grown': GROWN}
--- a/soak/run.py
+++ b/soak/run.py
@@ -59,6 +59,7 @@
         finally:
             await fleet.end()
         if verdict.problems:
+            fleet.write_events(Path(directory) / 'platform.log')
             target = logs_directory / f'seed-{settings.seed}'
             shutil.copytree(directory, target, dirs_exist_ok=True)
         return verdict
@@ -122,6 +123,7 @@
             break
         name = fleet.rng.choice(settings.faults)
         verdict.faults.append(f'{now_ms() - start_ms} {name}')
+        fleet.note(f'fault {name} begins')
         running.add(asyncio.create_task(_inject(fleet, name)))
     await asyncio.gather(*running)
 
