--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 from pathlib import Path
 
-from soak.profiles import GROWN
+from soak.faults import RECUT_REACHED_NAMES
+from soak.profiles import GROWN, MIXED
 from soak.run import RunSettings, run_seed
 
 FRESH_SEEDS = (1,)
@@ -23,6 +24,8 @@
 GROWN_SEED = 3
 # A later lifetime accepted starts that were meant for the former one.
 LIFETIMES_SEED = 1
+# Later lifetimes carried out calls that former ones had left without an answer.
+LATE_CALLS_SEED = 1
 
 
 class SoakTest(unittest.TestCase):
@@ -60,6 +63,17 @@
             )
         )
 
+    def test_calls_that_a_later_lifetime_carries_out_run_no_task_twice(self):
+        """Guards against late starts, and late holds that prolong a lease."""
+        self.check(
+            RunSettings(
+                seed=LATE_CALLS_SEED,
+                seconds=12,
+                profile=MIXED,
+                faults=RECUT_REACHED_NAMES,
+            )
+        )
+
     def check(self, settings):
         with self.subTest(seed=settings.seed), tempfile.TemporaryDirectory() as logs:
             verdict = asyncio.run(run_seed(settings, Path(logs)))
