--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -155,6 +155,15 @@
         Annotated[bool, Meta(description="Whether the placed run was started alone.")]
        
     ) = False
+    late_until_unix_ms_by_backend_id: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description="Backend servers that may still carry out a start without an answer, and the time until which they may."
+            ),
+        ]
+       
+    ) = field(default_factory=dict)
 
 
 class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -466,6 +475,15 @@
         ]
        
     ) = False
+    unanswered_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Local time of the last try without an answer, which may still be carried out; 0 if each try was answered."
+            ),
+        ]
+       
+    ) = 0
 
 
 class StopFinished(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses
+from dandelionknot.jobs import _crashes, _ends, _lifetimes, _losses, _strays
 from dandelionknot.jobs._generated import (
     EndReason,
     HoldReport,
@@ -70,7 +70,10 @@
     _lifetimes.answered(scheduler, backend, report, sent_ms)
     if not backend.reachable:
         backend.reachable = True
-        scheduler.note(Event.HOST_REACHED, {'backend_id': backend.backend_id})
+        scheduler.note(
+            Event.HOST_REACHED,
+            {'backend_id': backend.backend_id, 'born_ms': backend.born_ms},
+        )
     if backend.ending and sent_ms >= backend.ending_since_ms + ENDING_MS:
         backend.ending = False
         scheduler.note(
@@ -87,6 +90,7 @@
             _crashes.run_ended(scheduler, backend, task, ended.run, own)
             _ends.apply_end(scheduler, backend, task, ended, now_ms, unix_ms)
     running = {row.task_name: row for row in report.running}
+    _strays.forget_ended(backend, running)
     for row in report.running:
         _apply_running(scheduler, backend, row, sent_ms, now_ms)
     if not report.complete:
@@ -109,22 +113,10 @@
 ) -> None:
     task = backend.tasks_by_name.get(row.task_name)
     if task is None or task.run != row.run:
-        # The run is an orphan: an earlier run of its task, or a run of a job that
-        # has ended.
-        scheduler.note(
-            Event.ORPHAN_STOPPED,
-            {
-                'job_id': job_id_of(row.task_name),
-                'task': row.task_name,
-                'run': row.run,
-                'backend_id': backend.backend_id,
-            },
-        )
-        scheduler.commands.append(stop_command(backend, row.task_name, row.run))
-        former = _find_task(scheduler, row.task_name)
-        if former is not None:
-            _crashes.withdraw_crash(scheduler, backend, former, row.run)
-        return
+        task = _find_task(scheduler, row.task_name)
+        if task is None or not _strays.adopt(scheduler, backend, task, row.run, now_ms):
+            _strays.stop(scheduler, backend, row, task)
+            return
     _crashes.withdraw_crash(scheduler, backend, task, row.run)
     task.in_later_lifetime = False
     task.step.job.begun = True
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -17,6 +17,7 @@
     _batches,
     _crashes,
     _ends,
+    _late_starts,
     _lifetimes,
     _losses,
     _planning,
@@ -66,6 +67,7 @@
     Ticket,
     assign,
     stop_command,
+    tasks_of,
     unassign,
 )
 
@@ -111,6 +113,8 @@
     # Tasks that may crash their backend servers, and recent losses of contact.
     suspects_by_name: dict[str, TaskState] = field(default_factory=dict)
     losses: deque[Loss] = field(default_factory=deque)
+    # Tasks with starts that may still be carried out late.
+    late_start_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
     # Lifetimes that have certainly ended, so that late entries of them are ignored.
@@ -213,6 +217,7 @@
             task.pace_known = False
             assign(task, backend)
         _crashes.restored(self, state, now_ms, unix_ms)
+        _late_starts.restored(self, tasks_of(state), now_ms, unix_ms)
         self.open_due_occurrences(state, now_ms, unix_ms)
         _ends.end_job_if_done(self, state, unix_ms)
 
@@ -280,6 +285,7 @@
         run at the same time.
         """
         backend_id = task.backend.backend_id if task.backend else ''
+        _late_starts.note_requeued(self, task, self.planned_ms)
         unassign(task)
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
@@ -372,15 +378,19 @@
         now: int,
         deadline_ms: int = 0,
         is_later_lifetime: bool = False,
+        unanswered_ms: int = 0,
     ) -> None:
         """Applies the outcome of a start order if it is for the task's current run.
 
         The backend server rejects a start that arrives after `deadline_ms`, on its own
         clock. `is_later_lifetime` is whether a later lifetime than this one answered.
+        `unanswered_ms` is the local time of the last try without an answer, or 0.
         """
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
             return
+        if unanswered_ms:
+            _late_starts.note_unanswered(self, task, backend, unanswered_ms)
         if outcome is OrderOutcome.ACCEPTED or outcome is OrderOutcome.SUPERSEDED:
             if task.phase is TaskPhase.PLACED:
                 task.phase = TaskPhase.RUNNING
@@ -388,7 +398,7 @@
             task.step.job.begun = True
             task.confirmed_at_ms = task.progressed_at_ms = now
             task.started_at_ms = backend.last_sign_ms = now
-            self._log_started(task, backend, outcome, now)
+            self._log_started(task, backend, outcome, now, bool(unanswered_ms))
             return
         job_id = task.step.job.job.job_id
         self.note(
@@ -398,7 +408,9 @@
                 'task': name,
                 'run': run,
                 'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
                 'outcome': outcome.value,
+                'try_unanswered': bool(unanswered_ms),
             },
         )
         if outcome is OrderOutcome.NO_ANSWER:
@@ -410,7 +422,12 @@
             self._start_refused(task, backend, outcome, now)
 
     def _log_started(
-        self, task: TaskState, backend: BackendState, outcome: OrderOutcome, now: int
+        self,
+        task: TaskState,
+        backend: BackendState,
+        outcome: OrderOutcome,
+        now: int,
+        try_unanswered: bool,
     ) -> None:
         state = task.step.job
         _standstill.ended(self, state, now)
@@ -423,7 +440,9 @@
                 'task': task.name,
                 'run': task.run,
                 'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
                 'outcome': outcome.value,
+                'try_unanswered': try_unanswered,
                 'job_age_ms': now - state.accepted_ms,
                 'due_in_ms': state.due_ms - now,
             },
@@ -450,6 +469,8 @@
             task.step.asked_lifetimes.discard(backend.lifetime)
         elif outcome is OrderOutcome.OTHER_LIFETIME:
             backend.avoid_until_ms = now + UNHEALTHY_PAUSE_MS
+        # The refusal answers the last try, and earlier ones were noted.
+        task.start_sent = False
         self.requeue(task, outcome.value)
 
     def stop_finished(
