Let late calls extend the lease of a server that is cut off

Cause: a later lifetime that no leader has reached under its own link carries out late calls while it is cut off. Each grants the longest lease anew, since the deadline is on the former clock, up to 12 s after the call. The leader counted the longest lease from the loss of contact, and a new one 8.8 s from the begin of its term. Change: while such a server may be up, the runs that a later lifetime may have are kept for 12 s more (18.4 s from the loss). A new leader keeps a run that was placed shortly before its term until its start can no longer be carried out and has ended (21.4 s from the placement at most). If the server seems to be down, nothing changes. The bound of a lifetime counts from its first answer. Two tests had bounds that left late calls out: the new leader's wait in test_jobs_scheduling holds for a run that was placed 15 s before, and a new test states the bound of a recent one; the wait of the new leader in test_jobs_silent_restart, whose starts are recent, ends at that bound. Ruled out: to count each call without an answer, since the last calls before any loss have none. Conclusion: costs a wait of up to 18.4 s for tasks on a server that is cut off right after a restart, or right after their start by a former leader.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -40,7 +40,7 @@
 # Most ends that may wait to be acknowledged, since one report lists a limited number.
 MAX_WITHHELD_ENDS = 250
 # Time for which a task waits at the begin of a term if its start may be open, but no
-# try without an answer is known.
+# try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
 NOTHING = Resources()
 
@@ -84,7 +84,10 @@
         if task.backend is not None and task.unconfirmed:
             until_unix_ms = task.placed_unix_ms + SENDING_MS + LATE_CALL_MS
             task.late_starts_by_backend_id.setdefault(
-                task.backend.backend_id, LateStart(0, until_unix_ms, is_assumed=True)
+                task.backend.backend_id,
+                LateStart(
+                    0, until_unix_ms, is_assumed=True, host_id=task.backend.host_id
+                ),
             )
         for start in task.late_starts_by_backend_id.values():
             left_ms = start.until_unix_ms - unix_ms
@@ -170,11 +173,11 @@
     host = scheduler.maintenance.hosts_by_id.get(start.host_id)
     if host is not None and host.backend_id not in ('', backend_id):
         return False
-    if start.is_assumed:
-        return now_ms < start.waits_until_ms
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
-    if not _seems_down(scheduler, backend_id, start):
+    if not seems_down(scheduler, backend_id, start.host_id):
         return now_ms < start.until_ms + longest_ms
+    if start.is_assumed:
+        return now_ms < start.waits_until_ms
     state = scheduler.backends_by_id.get(backend_id)
     lost_at_ms = state.lost_at_ms if state is not None else 0
     lapses_at_ms = lost_at_ms + longest_ms if lost_at_ms else 0
@@ -187,11 +190,14 @@
     return state is not None and state.reachable and state.fenced
 
 
-def _seems_down(scheduler: Scheduler, backend_id: str, start: LateStart) -> bool:
-    """Whether the list of hosts, or without one the registry, shows no such server."""
+def seems_down(scheduler: Scheduler, backend_id: str, host_id: str) -> bool:
+    """Whether the list of hosts, or without one the registry, shows no such server.
+
+    `host_id` is its host; empty if that is not known.
+    """
     hosts_by_id = scheduler.maintenance.hosts_by_id
-    if hosts_by_id and start.host_id:
-        host = hosts_by_id.get(start.host_id)
+    if hosts_by_id and host_id:
+        host = hosts_by_id.get(host_id)
         return host is None or shows_end(host, backend_id)
     state = scheduler.backends_by_id.get(backend_id)
     return state is None or (state.report is None and state.contested_by is None)
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -208,8 +208,7 @@
     may have given it the longest lease, as its deadline is on another clock.
     """
     if backend.follows_another and not backend.fenced:
-        lapses_at_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
-        backend.leased_until_ms = max(backend.leased_until_ms, lapses_at_ms)
+        backend.leased_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
     backend.address_lent = False
     for former in scheduler.former_backends:
         if former.backend_id == backend.backend_id:
@@ -258,7 +257,7 @@
 def later_lapses_at_ms(scheduler: Scheduler, backend: BackendState, now_ms: int) -> int:
     """Returns the local time by which the lease of a later lifetime has expired.
 
-    Only calls that were made before contact was lost can have extended it.
+    It is that without calls that are carried out late.
     """
     if not backend.fenced:
         # A former leader may have made them.
@@ -334,10 +333,17 @@
     The lease that was computed is that of the known lifetime.
     """
     lapses_at_ms = later_lapses_at_ms(scheduler, backend, now_ms)
+    is_unreached = backend.follows_another and not backend.fenced
+    may_be_up = not _late_starts.seems_down(
+        scheduler, backend.backend_id, backend.host_id
+    )
+    if may_be_up and (backend.fenced or is_unreached):
+        # Late calls may extend the lease of a later lifetime until it is reached.
+        lapses_at_ms += _late_starts.LATE_CALL_MS
     return [
         task
         for task in backend.tasks_by_name.values()
-        if (now_ms < lapses_at_ms and _may_run_later(task))
+        if (now_ms < lapses_at_ms and (is_unreached or _may_run_later(task)))
         or _late_starts.must_wait(scheduler, task, now_ms)
     ]
 
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -11,7 +11,8 @@
     StartTask,
     StepSpec,
 )
-from tests.job_test_bed import SERVICE, FakeBackend, JobTestBed
+from dandelionknot.jobs._late_starts import LATE_CALL_MS, SENDING_MS
+from tests.job_test_bed import HOLD_MAX_MS, SERVICE, FakeBackend, JobTestBed
 
 SMALL = Resources(cpu_millicores=1000, memory_mb=100)
 TASK = 'j1.0.0.0'
@@ -223,6 +224,9 @@
     def test_a_new_leader_waits_for_hosts_that_it_cannot_reach(self):
         """Guards against a second run of a task that a former leader started."""
         test_bed, backend = self.start_one()
+        # No call about its start is under way any more.
+        for _ in range(0, SENDING_MS + LATE_CALL_MS, 200):
+            test_bed.step(200)
         backend.unresponsive = True
         test_bed.new_leader()
         # The former leader may renew leases of 3.5 s for up to 5 s.
@@ -233,6 +237,23 @@
             test_bed.step(200)
         self.assertEqual(len(test_bed.running()[TASK]), 2)
 
+    def test_a_new_leader_waits_for_a_start_that_may_be_under_way(self):
+        """Guards against a second run of a task whose start is carried out late.
+
+        Only the former leader knew whether it was answered. A server that starts again
+        behind a cut may carry it out after up to 12 s and run it for 6 s.
+        """
+        test_bed, backend = self.start_one()
+        backend.unresponsive = True
+        test_bed.new_leader()
+        waits_ms = LATE_CALL_MS + HOLD_MAX_MS
+        for _ in range(0, waits_ms, 200):
+            test_bed.step(200)
+        self.assertEqual(test_bed.running()[TASK], [backend.backend_id])
+        for _ in range(0, SENDING_MS + 1000, 200):
+            test_bed.step(200)
+        self.assertEqual(len(test_bed.running()[TASK]), 2)
+
     def test_a_new_leader_places_again_a_task_that_was_not_started(self):
         """Guards against a task that never runs because its start was not sent."""
         test_bed = JobTestBed(FakeBackend('b1'))
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -4,6 +4,7 @@
 
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import OrderOutcome, Resources, StartTask, StepSpec
+from dandelionknot.jobs._late_starts import LATE_CALL_MS, SENDING_MS
 from dandelionknot.jobs._leases import max_former_lease_ms, max_later_lease_ms
 from tests.job_test_bed import HOLD_MAX_MS, LEASE_MS, FakeBackend, JobTestBed
 
@@ -154,8 +155,10 @@
         self.test_bed.entries_by_id['b1'] = self.backend.report()
         scheduler = self.test_bed.new_leader()
         longest_ms = max_former_lease_ms(HOLD_MAX_MS)
+        # The starts were sent right before the term.
+        waits_ms = SENDING_MS + LATE_CALL_MS + LATER_LEASE_MS
         began_ms = self.test_bed.now_ms
-        while self.test_bed.now_ms < began_ms + longest_ms:
+        while self.test_bed.now_ms < began_ms + waits_ms:
             state = scheduler.backends_by_id['b1']
             now_ms = self.test_bed.now_ms
             # The lease clock of a link counts from when the link was opened.
@@ -184,6 +187,26 @@
                 self.assertEqual(self.other.started, [])
                 self.assert_starts_elsewhere_within(SOON_MS)
 
+    def test_late_calls_extend_the_lease_until_the_later_lifetime_is_reached(self):
+        """Guards against a second run of tasks whose lease late calls extend.
+
+        The server is registered while it is cut off, and the leader has not called the
+        later lifetime yet.
+        """
+        for entry in ('before', 'during'):
+            with self.subTest(entry=entry):
+                self.restart()
+                if entry == 'before':
+                    self.register(self.backend)
+                self.cut_off()
+                if entry == 'during':
+                    self.run_for(SOON_MS)
+                    self.register(self.backend)
+                self.run_for(LATER_LEASE_MS + LATE_CALL_MS - 3 * SOON_MS)
+                self.assertEqual(self.other.started, [])
+                self.run_for(3 * SOON_MS)
+                self.assertTrue(self.other.started)
+
     def test_a_late_call_before_the_first_answer_gives_the_longest_lease(self):
         """Guards against a second run of tasks whose lease is longer than computed.
 
