--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -221,7 +221,10 @@
         WARNING, 'A message of a peer could not be decoded and was dropped.', NO_ACTION
     ),
     Event.HOST_UNREACHABLE: EventInfo(
-        WARNING, 'A backend server does not answer.', 'Check the host.'
+        WARNING,
+        'A backend server does not answer. The lease of its tasks was computed to '
+        'lapse in `lapses_in_ms`.',
+        'Check the host.',
     ),
     Event.HOST_REACHED: EventInfo(INFO, 'A backend server answers again.', NO_ACTION),
     Event.HOST_EJECTED: EventInfo(
@@ -239,7 +242,8 @@
     ),
     Event.START_REFUSED: EventInfo(
         INFO,
-        'A backend server refused to start a task; the task has not run.',
+        'A backend server refused to start a task; the task has not run. With the '
+        'outcome `no_answer`, the start may have been carried out, or still may be.',
         NO_ACTION,
     ),
     Event.SLICES_TAKEN: EventInfo(
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -370,6 +370,7 @@
                     'outcome': outcome.value,
                     'tasks': len(backend.tasks_by_name),
                     'recent_starts': len(_crashes.recent_runs(backend)),
+                    'lapses_in_ms': backend.lapses_at_ms - lost_at_ms,
                 },
             )
 
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -207,6 +207,17 @@
                 self.run_for(3 * SOON_MS)
                 self.assertTrue(self.other.started)
 
+    def test_the_log_says_when_a_lease_lapses(self):
+        """Guards against a lease that was computed wrongly and leaves no line."""
+        self.restart()
+        self.cut_off()
+        fields = [
+            entry.fields
+            for entry in self.test_bed.scheduler.take_log_entries()
+            if entry.event is Event.HOST_UNREACHABLE
+        ]
+        self.assertEqual([field['lapses_in_ms'] for field in fields], [LEASE_MS])
+
     def test_a_late_call_before_the_first_answer_gives_the_longest_lease(self):
         """Guards against a second run of tasks whose lease is longer than computed.
 
