Hold a task to the server of its open start unless it has failed there

Cause: any failed run, on whichever server, released a task from the server of its open start. And a new leader that learnt of a restart from records and the registry took restarts for absent, so that it acknowledged ends after 3 s. Change: only a run that failed on that server releases the task from it; every lifetime that follows another one counts as a restart. Ruled out: to hold it there all the same, since all attempts could fail on one bad server.

--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -119,6 +119,9 @@
     unix_ms: int,
 ) -> None:
     task.failed_runs = [*task.failed_runs, run][-MAX_STORED_FAILED_RUNS:]
+    late_start = task.late_starts_by_backend_id.get(backend.backend_id)
+    if late_start is not None:
+        late_start.has_failed = True
     pause = min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << min(task.failures - 1, 10))
     task.not_before_ms = now_ms + pause
     _record_backend_failure(scheduler, backend, task, now_ms)
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -54,6 +54,8 @@
     until_ms = tried_ms + LATE_CALL_MS
     starts_by_backend_id = task.late_starts_by_backend_id
     start = starts_by_backend_id.setdefault(backend.backend_id, LateStart(0, 0))
+    bound_until_ms = tried_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    task.bound_until_ms = max(task.bound_until_ms, bound_until_ms)
     start.is_assumed = False
     start.host_id = backend.host_id
     if until_ms <= start.until_ms:
@@ -220,10 +222,10 @@
 
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
-    holds for a limited time, not if the backend server is to go away, and not for a
-    task that has failed, which may be its fault.
+    holds for a limited time, not if the backend server is to go away, and not if the
+    task has failed there, which may be its fault.
     """
-    if not task.late_starts_by_backend_id or task.failed_runs:
+    if not task.late_starts_by_backend_id:
         return backends
     if task.step.spec.speculative or now_ms >= task.bound_until_ms:
         return backends
@@ -231,6 +233,7 @@
         backend_id
         for backend_id, start in task.late_starts_by_backend_id.items()
         if now_ms < start.until_ms
+        and not start.has_failed
         and not (start.is_assumed and task.suspected)
         and _is_reached(scheduler, backend_id)
         and not _usability.is_closed(scheduler, scheduler.backends_by_id[backend_id])
--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -83,6 +83,8 @@
     backend.last_sign_ms = scheduler.restored_signs_ms.get(backend.lifetime, 0)
     known_born_ms = scheduler.known_born_ms_by_id.setdefault(backend_id, born_ms)
     backend.follows_another = known_born_ms != born_ms
+    if backend.follows_another:
+        scheduler.last_restart_ms = now_ms
     return backend
 
 
@@ -240,7 +242,6 @@
     scheduler: Scheduler, backend: BackendState, born_ms: int, now_ms: int
 ) -> BackendState:
     """Returns the state of a lifetime that takes over runs of the known one."""
-    scheduler.last_restart_ms = now_ms
     lifetime = Lifetime(backend.backend_id, born_ms)
     later = _former(scheduler, lifetime)
     if later is None:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -50,6 +50,8 @@
     is_assumed: bool = False
     # Host of the backend server; empty if it is not known.
     host_id: str = ''
+    # A run of the task has failed there since, which may be the server's fault.
+    has_failed: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -214,6 +214,24 @@
                 self.start_late()
                 self.run_for(SOON_MS)
 
+    def test_a_task_that_failed_elsewhere_stays_with_the_server(self):
+        """Guards against a second run by an open start of a task with a failed run."""
+        self.submit(accepted=False)
+        self.task.failed_runs = [0]
+        self.crash()
+        self.backend.restart()
+        self.register(self.backend)
+        self.run_for(LONGEST_WAIT_MS // 2)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
+    def test_a_task_leaves_a_server_where_it_has_failed(self):
+        """Guards against attempts that are all made on one bad server."""
+        self.submit(accepted=True)
+        self.backend.end(TASK, EndReason.FAILED)
+        self.state.avoid_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running()[TASK], ['b2'])
+
     def test_a_task_leaves_a_server_that_is_to_go_away(self):
         """Guards against a task that waits for room on a server without starts."""
         self.submit(accepted=False)
