Release a task from a server that crashes under it alone

Cause: the binding to the server of an open start left the isolation of suspected tasks no other host to compare with. Change: a task under which a server has crashed alone is not bound. The choice for a bound task is not reused for the next task, and the usable servers are searched only for those of open starts. Ruled out: to bind no suspected task at all, since most tasks of a restarted server are suspected.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -223,24 +223,24 @@
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
     holds for a limited time, not if the backend server is to go away, and not if the
-    task has failed there, which may be its fault.
+    task has failed there or crashed a server alone, which may be the server's fault.
     """
-    if not task.late_starts_by_backend_id:
+    if not task.late_starts_by_backend_id or task.crashed_alone_runs:
         return backends
     if task.step.spec.speculative or now_ms >= task.bound_until_ms:
         return backends
-    open_ids = {
-        backend_id
+    bound_to = [
+        scheduler.backends_by_id[backend_id]
         for backend_id, start in task.late_starts_by_backend_id.items()
         if now_ms < start.until_ms
         and not start.has_failed
         and not (start.is_assumed and task.suspected)
         and _is_reached(scheduler, backend_id)
         and not _usability.is_closed(scheduler, scheduler.backends_by_id[backend_id])
-    }
-    if not open_ids:
+    ]
+    if not bound_to:
         return backends
-    return [backend for backend in backends if backend.backend_id in open_ids]
+    return [backend for backend in bound_to if backend in backends]
 
 
 def withhold_end(
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -250,6 +250,9 @@
         if backend is None:
             return any(_placement.can_take(b, step) for b in backends)
         _place(scheduler, task, backend, task.run + 1)
+        if len(allowed) < len(backends):
+            # It was the only choice for this task, not the best one for the next.
+            backend = None
     return True
 
 
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -36,7 +36,7 @@
         self.test_bed.step()
         self.token = self.test_bed.token
 
-    def submit(self, accepted):
+    def submit(self, accepted, tasks=1, rack=''):
         """Submits a task whose first try on b1 has no answer.
 
         The second try is accepted, or has no answer either and is not carried out.
@@ -60,7 +60,8 @@
             )
 
         self.test_bed.execute = leave_open
-        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        step = StepSpec(task_count=tasks, resources=SMALL, preferred_rack=rack)
+        self.test_bed.submit(step)
         self.test_bed.step(TICK_MS)
         self.test_bed.execute = execute
         self.test_bed.backends['b2'] = self.other
@@ -232,6 +233,45 @@
         self.run_for(SOON_MS)
         self.assertEqual(self.test_bed.running()[TASK], ['b2'])
 
+    def test_a_task_leaves_a_server_that_crashes_under_it_alone(self):
+        """Guards against a sound task that is given up because of one bad server."""
+        self.submit(accepted=False)
+        self.crash()
+        self.backend.crashes_always = True
+        execute = self.test_bed.execute
+
+        def lose_answers(command):
+            execute(command)
+            state = self.test_bed.scheduler.backends_by_id.get('b1')
+            if isinstance(command, StartTask) and command.backend_id == 'b1':
+                self.test_bed.scheduler.start_finished(
+                    state,
+                    command.order.task_name,
+                    command.order.run,
+                    OrderOutcome.NO_ANSWER,
+                    self.test_bed.now_ms,
+                    unanswered_ms=self.test_bed.now_ms,
+                )
+
+        self.test_bed.execute = lose_answers
+        for _ in range(60):
+            self.run_for(SOON_MS)
+            self.test_bed.list_hosts()
+            if self.other.started:
+                break
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
+    def test_the_best_server_is_found_for_the_next_task(self):
+        """Guards against tasks that follow another one to the server of its start."""
+        self.other.labels = ('std', 'r2-1')
+        self.submit(accepted=False, tasks=2, rack='r2-1')
+        for task in self.task.step.tasks:
+            self.test_bed.scheduler.requeue(task, 'test')
+        self.task.step.tasks[1].late_starts_by_backend_id.clear()
+        self.test_bed.step(TICK_MS)
+        places = self.test_bed.running()
+        self.assertEqual(places, {TASK: ['b1'], 'j1.0.0.1': ['b2']})
+
     def test_a_task_leaves_a_server_that_is_to_go_away(self):
         """Guards against a task that waits for room on a server without starts."""
         self.submit(accepted=False)
