Record each open start once, and from the sending of its first try

A task waited for 37 s instead of 18.4 s for a server that was cut off; an end as done was acknowledged although the first try of its start was open; and an account whose tasks were done waited for 18 s beside an empty server. Cause: whether a start is open was guessed from the phase of its task. So a start that had been noted was noted again when the task was requeued, and one whose run ended before the outcome of its start was known was not noted. Open starts of done tasks counted towards the limit of the account. Change: the time at which a start was sent is kept until its outcome is known, also when the run moves to another lifetime. Only waiting tasks count as under way. Related: the ends of all members of a gang are held back for an open start of one of them; the record states the time that was decided, and the next leader keeps it; an assumed start that proves to be open is stored. Ruled out: to note a start when it is sent, which costs a write for each.

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -223,7 +223,7 @@
         if task.stopping or task.step.job.final:
             scheduler.requeue(task, 'stopped before its start was sent')
             continue
-        task.start_sent = True
+        task.start_sent, task.start_pending_ms = True, scheduler.planned_ms
         command = _start_command(task, placed.backend)
         if not command.order.checkpoint:
             task.measured_from_ms = scheduler.planned_ms
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -52,6 +52,8 @@
     state.begun = True
     if ended.checkpoint and ended.run >= task.run:
         task.checkpoint = ended.checkpoint
+    if ended.reason is EndReason.DONE:
+        _late_starts.note_pending(scheduler, task, now_ms)
     current = task.backend is backend and task.run == ended.run
     if current:
         if ended.reason is EndReason.DONE and task.measured_from_ms:
@@ -60,7 +62,9 @@
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
     if ended.reason is EndReason.DONE:
-        _late_starts.withhold_end(scheduler, backend, task, ended.number, now_ms)
+        _late_starts.withhold_end(
+            scheduler, backend, task, ended.number, now_ms, unix_ms
+        )
     # An end that was stored but not acknowledged is reported again to the next leader.
     known = ended.reason is EndReason.FAILED and ended.run in task.failed_runs
     if known or state.final or task.phase is TaskPhase.DONE:
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -39,6 +39,10 @@
 SHORT_DELAY_MS = 3000
 # Most ends that may wait to be acknowledged, since one report lists a limited number.
 MAX_WITHHELD_ENDS = 250
+# Time from the sending of a start until its first try counts as unanswered, and until
+# its last try was made.
+FIRST_TRY_MS = 150
+TRIES_MS = 1150
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
@@ -56,6 +60,9 @@
     start = starts_by_backend_id.setdefault(backend.backend_id, LateStart(0, 0))
     bound_until_ms = tried_ms + max_later_lease_ms(scheduler.hold_max_ms)
     task.bound_until_ms = max(task.bound_until_ms, bound_until_ms)
+    if start.is_assumed:
+        # It is stored from now on.
+        scheduler.mark_dirty(task.step.job)
     start.is_assumed = False
     start.host_id = backend.host_id
     if until_ms <= start.until_ms:
@@ -66,6 +73,14 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def note_pending(scheduler: Scheduler, task: TaskState, now_ms: int) -> None:
+    """Records the tries of a start whose outcome comes after the end of its run."""
+    sent_ms = task.start_pending_ms
+    if task.backend is not None and sent_ms and now_ms >= sent_ms + FIRST_TRY_MS:
+        tried_ms = min(now_ms, sent_ms + TRIES_MS)
+        note_unanswered(scheduler, task, task.backend, tried_ms)
+
+
 def job_restored(state: JobState, now_ms: int, unix_ms: int) -> None:
     """Restores until when ends of a job are not acknowledged from its record."""
     left_ms = min(state.late_until_unix_ms - unix_ms, LATE_CALL_MS)
@@ -108,7 +123,7 @@
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
         if task.backend is not None:
             task.bound_until_ms = bound_until_ms
-        elif must_wait(scheduler, task, now_ms):
+        elif task.phase is TaskPhase.WAITING and must_wait(scheduler, task, now_ms):
             task.bound_until_ms = bound_until_ms
             _add_unseen(task)
         task.late_starts_by_backend_id = {
@@ -139,7 +154,7 @@
     backend = task.backend
     if backend is None:
         return
-    if task.start_sent and task.phase is TaskPhase.PLACED and not task.unconfirmed:
+    if task.start_pending_ms:
         note_unanswered(scheduler, task, backend, now_ms)
     task.bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
     start = task.late_starts_by_backend_id.get(backend.backend_id)
@@ -210,7 +225,7 @@
     return any(
         may_run_unseen(scheduler, backend_id, start, now_ms)
         for task in scheduler.late_start_tasks_by_name.values()
-        if task.backend is None
+        if task.backend is None and task.phase is TaskPhase.WAITING
         for backend_id, start in task.late_starts_by_backend_id.items()
     )
 
@@ -249,6 +264,7 @@
     task: TaskState,
     number: int,
     now_ms: int,
+    unix_ms: int,
 ) -> None:
     """Delays the acknowledgement of an end as done while a start may be carried out.
 
@@ -257,20 +273,26 @@
     stored, since the next leader acknowledges the ends that this one has not.
     """
     state = task.step.job
+    # The end of one member of a gang stands for all of them.
+    tasks = task.step.tasks if task.step.spec.gang else [task]
     starts = [
         start
-        for start in task.late_starts_by_backend_id.values()
+        for member in tasks
+        for start in member.late_starts_by_backend_id.values()
         if not start.is_assumed
     ]
-    for start in starts:
-        state.late_until_unix_ms = max(state.late_until_unix_ms, start.until_unix_ms)
-    until_ms = max(state.former_late_until_ms, *(start.until_ms for start in starts), 0)
-    if not until_ms:
-        return
+    until_ms = max((start.until_ms for start in starts), default=0)
     restarted_ms = scheduler.last_restart_ms
     if restarted_ms is None or now_ms - restarted_ms > RESTARTS_KEPT_MS:
         until_ms = min(until_ms, now_ms + SHORT_DELAY_MS)
+    until_ms = max(until_ms, state.former_late_until_ms)
+    if until_ms <= now_ms:
+        return
     backend.withheld_until_ms_by_end[number] = until_ms
+    until_unix_ms = until_ms - now_ms + unix_ms
+    if until_unix_ms > state.late_until_unix_ms:
+        state.late_until_unix_ms = until_unix_ms
+        scheduler.mark_dirty(state)
 
 
 def end_to_acknowledge(backend: BackendState, now_ms: int) -> int:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -394,6 +394,7 @@
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
             return
+        task.start_pending_ms = 0
         if unanswered_ms:
             _late_starts.note_unanswered(self, task, backend, unanswered_ms)
         if outcome is OrderOutcome.ACCEPTED or outcome is OrderOutcome.SUPERSEDED:
@@ -474,8 +475,6 @@
             task.step.asked_lifetimes.discard(backend.lifetime)
         elif outcome is OrderOutcome.OTHER_LIFETIME:
             backend.avoid_until_ms = now + UNHEALTHY_PAUSE_MS
-        # The refusal answers the last try, and earlier ones were noted.
-        task.start_sent = False
         self.requeue(task, outcome.value)
 
     def stop_finished(
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -68,6 +68,8 @@
     checkpoint: str = ''
     # The start order was sent. Until then, no backend server can run the task.
     start_sent: bool = False
+    # Local time at which the start was sent, while its outcome is not known; else 0.
+    start_pending_ms: int = 0
     # The scheduler has decided to stop the run, and its end is not known yet.
     stopping: bool = False
     # Time on the clock of the backend server after which it rejects the start of the
@@ -375,12 +377,12 @@
 def reassign(task: TaskState, backend: BackendState) -> None:
     """Moves the current run of a task to another lifetime of its backend server."""
     start_sent, stopping, isolated = task.start_sent, task.stopping, task.isolated
-    unconfirmed = task.unconfirmed
+    unconfirmed, pending_ms = task.unconfirmed, task.start_pending_ms
     unassign(task)
     task.isolated = isolated
     assign(task, backend)
     task.start_sent, task.stopping = start_sent, stopping
-    task.unconfirmed = unconfirmed
+    task.unconfirmed, task.start_pending_ms = unconfirmed, pending_ms
     task.pace_known = False
 
 
@@ -399,7 +401,7 @@
     task.backend = None
     task.start_sent = task.stopping = task.unconfirmed = False
     task.in_later_lifetime = False
-    task.missing_reports = 0
+    task.missing_reports = task.start_pending_ms = 0
     task.measured_from_ms = task.start_deadline_ms = 0
     task.pace_percent, task.pace_known = 100, True
     backend.tasks_by_name.pop(task.name, None)
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -177,6 +177,41 @@
         self.run_for_listed(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
         self.assertEqual(len(self.other.started), 1)
 
+    def test_a_start_is_open_once(self):
+        """Guards against a wait that begins anew when the task is requeued."""
+        self.submit(accepted=False)
+        self.test_bed.scheduler.contact_lost(
+            self.state, OrderOutcome.NO_ANSWER, self.test_bed.now_ms + LEASE_MS
+        )
+        self.backend.cut_off = True
+        self.run_for(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
+    def test_an_end_before_the_outcome_of_its_start_is_not_acknowledged(self):
+        """Guards against a late start of a run that was shorter than its tries."""
+        self.test_bed.execute = lambda command: None
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        self.test_bed.step(TICK_MS)
+        self.backend.start(TASK, 1)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.phase(), 'done')
+        self.assertEqual(len(self.backend.ends), 1)
+
+    def test_a_done_task_does_not_count_towards_the_limit(self):
+        """Guards against an account that waits for runs which have ended."""
+        limit = Resources(cpu_millicores=SMALL.cpu_millicores)
+        self.test_bed.accounts = [ClientAccount(name='sofia', keys=['k'], limit=limit)]
+        self.test_bed.configure()
+        self.submit(accepted=True)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.crash()
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='j2')
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
     def test_a_new_leader_waits_for_the_server_of_an_open_start(self):
         """Guards against a leader that does not know which starts are open.
 
