Count the longest lease of a young lifetime that a new leader finds

What callers saw: nothing yet; the review showed a task that ran twice for 2.35 s. Cause: a leader that begins between restart and cut knows only the later lifetime, and took its lease for the one that it had given itself. A late call of the former leader to the earlier lifetime may have granted the longest one. Ruled out: to do so whatever its age, which holds up tasks on all servers after a change of leader. It uses the time of day of the host.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -83,6 +83,7 @@
     backend.last_sign_ms = scheduler.restored_signs_ms.get(backend.lifetime, 0)
     known_born_ms = scheduler.known_born_ms_by_id.setdefault(backend_id, born_ms)
     backend.follows_another = known_born_ms != born_ms
+    backend.known_at_begin = not scheduler.planned_ms
     if backend.follows_another:
         scheduler.last_restart_ms = now_ms
     return backend
@@ -202,6 +203,7 @@
     report: HoldReport,
     sent_ms: int,
     now_ms: int,
+    unix_ms: int,
 ) -> None:
     """Ends all other lifetimes of a backend server that has answered as this one.
 
@@ -209,8 +211,12 @@
     begun before the answer. Until its first answer, a late call to an earlier lifetime
     may have given it the longest lease, as its deadline is on another clock.
     """
-    if backend.follows_another and not backend.fenced:
-        backend.leased_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
+    is_young = unix_ms - backend.born_ms < _late_starts.LATE_CALL_MS + longest_ms
+    if not backend.fenced and (
+        backend.follows_another or (backend.known_at_begin and is_young)
+    ):
+        backend.leased_until_ms = now_ms + longest_ms
     backend.address_lent = False
     for former in scheduler.former_backends:
         if former.backend_id == backend.backend_id:
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -67,7 +67,7 @@
             answered_born_ms=report.born_ms,
         )
         return
-    _lifetimes.answered(scheduler, backend, report, sent_ms, now_ms)
+    _lifetimes.answered(scheduler, backend, report, sent_ms, now_ms, unix_ms)
     backend.fenced = True
     backend.lapses_at_ms = None
     backend.lease_lapsed = False
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -245,6 +245,8 @@
     leased_until_ms: int = 0
     # Another lifetime under the same id came before it, as far as this leader knows.
     follows_another: bool = False
+    # It was known at the begin of the term; the leader may not know of an earlier one.
+    known_at_begin: bool = False
     # The end of the lease was applied. Tasks that are left may run in a later lifetime.
     lease_lapsed: bool = False
     report: BackendReport | None = None
--- a/tests/test_jobs_silent_restart.py
+++ b/tests/test_jobs_silent_restart.py
@@ -207,6 +207,27 @@
                 self.run_for(3 * SOON_MS)
                 self.assertTrue(self.other.started)
 
+    def test_a_new_leader_counts_the_longest_lease_of_a_young_lifetime(self):
+        """Guards against a second run of tasks whose lease a former leader's call set.
+
+        The lifetime began shortly before the term, and is cut off soon after its first
+        answer.
+        """
+        self.backend = FakeBackend('b1', host_id='h1')
+        self.test_bed = JobTestBed(self.backend)
+        self.backend.born_ms = self.test_bed.now_ms
+        self.test_bed.new_leader()
+        self.test_bed.submit(StepSpec(task_count=TASKS, resources=SMALL))
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.backend.runs_by_name), TASKS)
+        self.other = self.test_bed.backends['b2'] = FakeBackend('b2')
+        self.register(self.other)
+        self.state = self.test_bed.scheduler.backends_by_id['b1']
+        self.cut_off()
+        self.run_for(LATER_LEASE_MS - 2 * SOON_MS)
+        self.assertEqual(self.other.started, [])
+        self.assert_starts_elsewhere_within(SOON_MS)
+
     def test_the_log_says_when_a_lease_lapses(self):
         """Guards against a lease that was computed wrongly and leaves no line."""
         self.restart()
