Keep what is known of a lost server while a task waits for it

What callers saw: nothing yet; the review showed tasks that ran twice. Cause: the wait for the server of an open start, or of a run that is being stopped, went by the state of that server, which is dropped when its entry is removed. It also trusted a list of hosts from before the loss, a registered lifetime that has not answered, and a report with malformed rows. A host in maintenance counted as up. Change: the open start keeps the time of the loss; a state with listed runs is kept until their lease has expired; only a list from after the loss shows another server on the host; a server whose later lifetime is registered has not been reached; only a complete report ends a listed run; a host that is away is down. An adopted run gets its pace ordered again, and a listed run of a lifetime that has ended bars no adoption. Ruled out: to keep all states of servers without entries.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -15,7 +15,7 @@
 from dandelionknot.jobs import _lifetimes, _strays, _usability
 from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._leases import max_later_lease_ms
-from dandelionknot.jobs._maintenance import shows_end
+from dandelionknot.jobs._maintenance import UP, shows_end
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -117,14 +117,15 @@
 
 def plan(scheduler: Scheduler, now_ms: int) -> None:
     """Forgets starts that can no longer be carried out, or whose runs have ended."""
-    bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     for account in scheduler.accounts_by_name.values():
         account.unseen = NOTHING
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
+        _keep_loss_times(scheduler, task, longest_ms)
         if task.backend is not None:
-            task.bound_until_ms = bound_until_ms
+            task.bound_until_ms = now_ms + longest_ms
         elif task.phase is TaskPhase.WAITING and must_wait(scheduler, task, now_ms):
-            task.bound_until_ms = bound_until_ms
+            task.bound_until_ms = now_ms + longest_ms
             _add_unseen(task)
         task.late_starts_by_backend_id = {
             backend_id: start
@@ -136,6 +137,18 @@
             del scheduler.late_start_tasks_by_name[name]
 
 
+def _keep_loss_times(scheduler: Scheduler, task: TaskState, longest_ms: int) -> None:
+    """Keeps the times of losses, since states of lost servers may be forgotten."""
+    for backend_id, start in task.late_starts_by_backend_id.items():
+        state = scheduler.backends_by_id.get(backend_id)
+        if state is None or state.reachable or not state.lost_at_ms:
+            continue
+        if not start.is_assumed:
+            start.lost_at_ms = state.lost_at_ms
+            waits_until_ms = state.lost_at_ms + longest_ms
+            start.waits_until_ms = max(start.waits_until_ms, waits_until_ms)
+
+
 def _add_unseen(task: TaskState) -> None:
     """Counts a run that may be under way towards the limit of its client account."""
     account, used = task.step.job.account, task.step.spec.resources
@@ -188,23 +201,26 @@
     if _is_reached(scheduler, backend_id):
         return False
     host = scheduler.maintenance.hosts_by_id.get(start.host_id)
-    if host is not None and host.backend_id not in ('', backend_id):
+    is_listed_since = scheduler.hosts_listed_ms > start.lost_at_ms
+    if host is not None and host.backend_id not in ('', backend_id) and is_listed_since:
         return False
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     if not seems_down(scheduler, backend_id, start.host_id):
         return now_ms < start.until_ms + longest_ms
     if start.is_assumed:
         return now_ms < start.waits_until_ms
-    state = scheduler.backends_by_id.get(backend_id)
-    lost_at_ms = state.lost_at_ms if state is not None else 0
-    lapses_at_ms = lost_at_ms + longest_ms if lost_at_ms else 0
-    return now_ms < max(start.waits_until_ms, lapses_at_ms)
+    return now_ms < start.waits_until_ms
 
 
 def _is_reached(scheduler: Scheduler, backend_id: str) -> bool:
     """Whether the latest lifetime of a backend server has answered its link."""
     state = scheduler.backends_by_id.get(backend_id)
-    return state is not None and state.reachable and state.fenced
+    return (
+        state is not None
+        and state.reachable
+        and state.fenced
+        and state.contested_by is None
+    )
 
 
 def seems_down(scheduler: Scheduler, backend_id: str, host_id: str) -> bool:
@@ -215,7 +231,8 @@
     hosts_by_id = scheduler.maintenance.hosts_by_id
     if hosts_by_id and host_id:
         host = hosts_by_id.get(host_id)
-        return host is None or shows_end(host, backend_id)
+        is_away = host is not None and not host.backend_id and host.state != UP
+        return host is None or is_away or shows_end(host, backend_id)
     state = scheduler.backends_by_id.get(backend_id)
     return state is None or (state.report is None and state.contested_by is None)
 
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -16,6 +16,7 @@
     _progress,
     _ranking,
     _standstill,
+    _strays,
     _usability,
 )
 from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
@@ -140,7 +141,10 @@
     ]
     for backend_id, backend in list(scheduler.backends_by_id.items()):
         known = backend.report or backend.contested_by
-        if known is None and not backend.tasks_by_name:
+        has_strays = bool(backend.stray_tasks_by_name) and _strays.may_run(
+            scheduler, backend, now_ms
+        )
+        if known is None and not backend.tasks_by_name and not has_strays:
             del scheduler.backends_by_id[backend_id]
 
 
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -86,6 +86,25 @@
             Event.BACKEND_GOES_ON,
             {'backend_id': backend.backend_id, 'host_id': backend.host_id},
         )
+    _apply_ends(scheduler, backend, report, now_ms, unix_ms)
+    running = {row.task_name: row for row in report.running}
+    if report.complete:
+        _strays.forget_ended(backend, running)
+    for row in report.running:
+        _apply_running(scheduler, backend, row, sent_ms, now_ms)
+    if not report.complete:
+        backend.lists_incomplete = True
+    if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
+        _requeue_missing(scheduler, backend, running, sent_ms, report.clock_ms)
+
+
+def _apply_ends(
+    scheduler: Scheduler,
+    backend: BackendState,
+    report: HoldReport,
+    now_ms: int,
+    unix_ms: int,
+) -> None:
     for ended in report.ended:
         if ended.number <= backend.seen_end:
             continue
@@ -95,14 +114,6 @@
             own = ended.reason in OWN_ENDS
             _crashes.run_ended(scheduler, backend, task, ended.run, own)
             _ends.apply_end(scheduler, backend, task, ended, now_ms, unix_ms)
-    running = {row.task_name: row for row in report.running}
-    _strays.forget_ended(backend, running)
-    for row in report.running:
-        _apply_running(scheduler, backend, row, sent_ms, now_ms)
-    if not report.complete:
-        backend.lists_incomplete = True
-    if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
-        _requeue_missing(scheduler, backend, running, sent_ms, report.clock_ms)
 
 
 def _find_task(scheduler: Scheduler, name: str) -> TaskState | None:
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -261,7 +261,7 @@
             Event.BACKEND_GONE,
             {'backend_id': backend_id, 'tasks': len(backend.tasks_by_name)},
         )
-        if not backend.tasks_by_name:
+        if not backend.tasks_by_name and not backend.stray_tasks_by_name:
             del self.backends_by_id[backend_id]
 
     def requeue_tasks(
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -38,13 +38,15 @@
 
 @dataclass(slots=True)
 class LateStart:
-    """A start without an answer that a backend server may still carry out."""
+    """A start that a backend server may still carry out, or carry out again."""
 
     # Local and Unix time until which it may be carried out.
     until_ms: int
     until_unix_ms: int
-    # Local time until which the task waits for an answer of the backend server.
+    # Local time until which the task waits for the backend server if that seems to be
+    # down, and the local time of its last loss.
     waits_until_ms: int = 0
+    lost_at_ms: int = 0
     # Whether a former leader may have sent it; otherwise a try without an answer is
     # known.
     is_assumed: bool = False
--- a/dandelionknot/jobs/_strays.py
+++ b/dandelionknot/jobs/_strays.py
@@ -39,10 +39,11 @@
         or task.run != run
         or task.step.spec.gang
         or task.step.job.final
-        or task.stray_backends_by_id
+        or must_wait(scheduler, task, now_ms)
     ):
         return False
     assign(task, backend)
+    task.pace_known = False
     task.phase = TaskPhase.RUNNING
     task.start_sent = True
     task.started_at_ms = task.confirmed_at_ms = task.progressed_at_ms = now_ms
@@ -92,12 +93,12 @@
     A step with speculative tasks allows that.
     """
     return not task.step.spec.speculative and any(
-        _may_run(scheduler, backend, now_ms)
+        may_run(scheduler, backend, now_ms)
         for backend in task.stray_backends_by_id.values()
     )
 
 
-def _may_run(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
+def may_run(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
     """Whether a lifetime of a backend server may still run tasks."""
     is_current = scheduler.backends_by_id.get(backend.backend_id) is backend
     lapses_at_ms = backend.lapses_at_ms
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -2,9 +2,13 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from dandelionknot.jobs._generated import (
     ClientAccount,
     EndReason,
+    Host,
+    HostsListed,
     OrderOutcome,
     Resources,
     StartTask,
@@ -177,6 +181,59 @@
         self.run_for_listed(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
         self.assertEqual(len(self.other.started), 1)
 
+    def test_the_wait_outlasts_the_entry_of_a_lost_server(self):
+        """Guards against a task that is placed when the entry of its server goes."""
+        self.submit(accepted=False)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.scheduler.remove_backend('b1')
+        self.run_for(LONGEST_WAIT_MS - 2 * SOON_MS)
+        self.assertEqual(self.other.started, [])
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
+    def test_a_list_from_before_the_loss_ends_no_wait(self):
+        """Guards against the former server of a host that an old list shows."""
+        self.submit(accepted=False)
+        rows = [Host(host_id='h1', pool='p', state='up', backend_id='b0')]
+        listed = HostsListed(hosts=rows, sent_ms=self.test_bed.now_ms - LEASE_MS)
+        self.test_bed.scheduler.hosts_listed(listed)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.restart()
+        self.backend.cut_off = True
+        self.run_for(LONGEST_WAIT_MS - SOON_MS)
+        self.assertEqual(self.other.started, [])
+
+    def test_a_server_whose_later_lifetime_is_registered_is_not_reached(self):
+        """Guards against a start elsewhere before the later lifetime has answered."""
+        self.submit(accepted=False)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.task.late_starts_by_backend_id['b1'].has_failed = True
+        self.state.full_until_ms = 0
+        self.backend.restart()
+        self.backend.cut_off = True
+        self.start_late()
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+
+    def test_a_host_in_maintenance_ends_the_long_wait(self):
+        """Guards against a wait for a server that cannot be up."""
+        self.submit(accepted=True)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        rows = [Host(host_id='h1', pool='p', state='upkeep')]
+        self.test_bed.now_ms += 1
+        listed = HostsListed(hosts=rows, sent_ms=self.test_bed.now_ms)
+        self.test_bed.scheduler.hosts_listed(listed)
+        self.run_for(LONGEST_WAIT_MS + SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
     def test_a_start_is_open_once(self):
         """Guards against a wait that begins anew when the task is requeued."""
         self.submit(accepted=False)
@@ -389,6 +446,7 @@
             self.test_bed.step(TICK_MS)
         self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
         self.assertEqual(self.task.backend.backend_id, 'b1')
+        self.assertFalse(self.task.pace_known)
         self.assertEqual(self.other.started + self.backend.started, [(TASK, 2)])
 
     def test_a_task_waits_until_its_earlier_run_has_ended(self):
@@ -405,6 +463,30 @@
         started = self.backend.started + self.other.started
         self.assertEqual(sorted(run for _, run in started), [1, 3])
 
+    def test_a_task_waits_for_a_run_on_a_server_that_is_lost(self):
+        """Guards against a start before the lease of a listed run has expired."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        self.test_bed.step(TICK_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        self.test_bed.scheduler.remove_backend('b1')
+        for _ in range(0, LEASE_MS - 2 * TICK_MS, TICK_MS):
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(self.other.started, [])
+        self.test_bed.step(4 * TICK_MS)
+        self.assertEqual(self.other.started, [(TASK, 3)])
+
+    def test_a_malformed_report_ends_no_run(self):
+        """Guards against a start beside a run whose row was left out."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        report = replace(self.backend.hold_report(), running=[], complete=False)
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        now_ms = self.test_bed.now_ms
+        self.test_bed.scheduler.hold_answered(state, report, now_ms, now_ms, now_ms)
+        self.assertIn('b1', self.task.stray_backends_by_id)
+
 
 if __name__ == '__main__':
     unittest.main()
