Open a link only with a higher token than those to earlier lifetimes

What callers saw: nothing yet; the review showed two links with one token. Cause: a link takes the revision of the last write. Between two links to one backend server there may be no write, if only holds were sent. A hold of the former lifetime, with an acknowledgement or a deadline, was then accepted by the later one after its first answer too. Change: if the token would not be higher, the leader writes its item first, and opens the link after that. Ruled out: to write before each link, which costs a write for each new server. Before and after: the new test failed before.

--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -11,6 +11,7 @@
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds, unix_ms
 from dandelionknot.events import Event, log_event, log_unexpected_error
+from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._generated import (
     AdviceGiven,
     AskAdvice,
@@ -113,6 +114,8 @@
     # term. A start is stored before it is sent, so a link that is opened after that has
     # a higher token than the start.
     fencing_token: int = 0
+    # Lifetime and token of the last link to each backend server.
+    last_links_by_backend_id: dict[str, tuple[int, int]] = field(default_factory=dict)
     # Local time of the next planning round.
     plan_due_ms: int = 0
     # Whether the committer is writing a batch. Only one is written at a time.
@@ -402,7 +405,7 @@
             if known is None or known.address != self.addresses[key]:
                 self._close_link(key)
         for key, backend in wanted.items():
-            if key not in self.links and backend.address:
+            if key not in self.links and backend.address and self._has_new_token(key):
                 self._open_link(key, backend.address)
             link = self.links.get(key)
             expected = TasksExpected(
@@ -413,6 +416,20 @@
                 self.expected[key] = expected
                 link.inbox.send(expected)
 
+    def _has_new_token(self, key: tuple[str, int]) -> bool:
+        """Whether a link would have a higher token than those to earlier lifetimes.
+
+        Otherwise, a write is made, after which it has. The calls of the earlier link
+        may have been holds only, which need no write.
+        """
+        born_ms, token = self.last_links_by_backend_id.get(key[0], (key[1], 0))
+        if born_ms == key[1] or self.fencing_token > token:
+            return True
+        if not self.committing and self.committer is not None:
+            self.committing = True
+            self.committer.inbox.send(Batch({}, [], []))
+        return False
+
     def _open_link(self, key: tuple[str, int], address: str) -> None:
         """Opens a link to a lifetime of a backend server.
 
@@ -430,6 +447,7 @@
             may_hold=self.term.may_hold,
         )
         self.links[key] = link
+        self.last_links_by_backend_id[key[0]] = key[1], self.fencing_token
         self.addresses[key] = address
         self.tasks[key] = asyncio.create_task(link.run())
 
--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -84,6 +84,27 @@
         self.assertEqual(self.called, [LATE_ADDRESS, ADDRESS])
         self.assertEqual(self.tokens, [7, 9])
 
+    async def test_a_link_waits_for_a_token_that_is_higher(self):
+        """Guards against a hold of a former lifetime that a later one accepts.
+
+        Nothing was written since the link to the former lifetime was opened.
+        """
+        self.leader.committer = mock.Mock()
+        self.backend.restart()
+        now_ms = self.test_bed.now_ms + 10
+        report = self.backend.hold_report()
+        self.leader.scheduler.hold_answered(self.state, report, now_ms, now_ms, now_ms)
+        later = replace(self.entry, born_ms=self.backend.born_ms)
+        self.leader.scheduler.set_backend(later, now_ms)
+        for _ in range(2):
+            self.leader._reconcile_links()
+        self.assertEqual(self.called, [LATE_ADDRESS])
+        [call] = self.leader.committer.inbox.send.call_args_list
+        self.leader._handle(BatchStored(call.args[0], 10, revision=9))
+        self.leader._reconcile_links()
+        self.assertEqual(self.called, [LATE_ADDRESS, ADDRESS])
+        self.assertEqual(self.tokens, [7, 9])
+
     async def test_another_backend_server_at_that_address_proves_nothing(self):
         """Guards against a second run of tasks whose host has another address."""
         self.leader.scheduler.contact_lost(
