Test how the emulator carries out late calls

Change: four tests of one backend server: a late start, a start and a hold call to a server that is down, the acknowledgement by a late hold call, and the longest delay.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,7 +1,17 @@
 """Emulated fleets in virtual time, under faults that a seed determines."""
 
+import asyncio
+import random
 import unittest
 
+from dandelionknot.jobs._generated import OrderOutcome, Resources, StartOrder
+from emulator import virtual_time
+from emulator.backends import (
+    HOLD_MAX_MS,
+    LASTING_PAYLOAD,
+    Backend,
+    BackendClient,
+)
 from emulator.experiment import (
     GROUPS,
     Experiment,
@@ -19,6 +29,10 @@
     840,
 )
 FRESH_SEEDS = (101,)
+# Begin of every experiment.
+START_MS = int(virtual_time.START_S * 1000)
+# Age of a lifetime that ends, which its deadlines count in.
+UP_MS = 60_000
 # Seeds in which a later lifetime accepted starts that were meant for the former one.
 LIFETIME_SEEDS = (3, 4, 11)
 # Seeds that fail without the fix of review case 8, 9, or 6 and 7 of the project, by the
@@ -102,5 +116,92 @@
                 self.assertEqual(run_experiment(experiment).problems, [])
 
 
+class LateCallTest(unittest.TestCase):
+    """Calls of a former lifetime to one backend server with running and ended tasks."""
+
+    def setUp(self):
+        room = Resources(cpu_millicores=16_000)
+        self.backend = Backend('b1', 'desk', 'zone-a', random.Random(1), room)
+        self.backend.born_ms = START_MS - UP_MS
+        # All calls without an answer are carried out late.
+        self.late_share = [1.0]
+        self.client = BackendClient(
+            self.backend, 1, set(), 'member', [True], self.late_share
+        )
+
+    async def start(self, run):
+        order = StartOrder(task_name='a.0.0.0', run=run, payload=LASTING_PAYLOAD)
+        answer = await self.client.start(order, UP_MS + 6000, 150)
+        self.assertIs(answer.outcome, OrderOutcome.NO_ANSWER)
+
+    async def restart(self, down_s):
+        self.backend.crash()
+        await asyncio.sleep(down_s)
+        self.backend.restart()
+
+    def test_a_later_lifetime_carries_out_a_late_start(self):
+        """Guards against late starts that end with the lifetime they were meant for."""
+
+        async def run():
+            await self.start(1)
+            await self.restart(0.5)
+            await asyncio.sleep(12)
+
+        virtual_time.run(run())
+        [start] = self.backend.starts
+        self.assertEqual(self.backend.late_starts[start].lifetime, 2)
+        sent_ms = self.backend.late_starts[start].call.sent_ms
+        self.assertIn(start[0] - sent_ms, range(2000, 12_002))
+
+    def test_calls_to_a_server_that_is_down_wait_for_its_next_lifetime(self):
+        """Guards against calls that are lost while a server restarts.
+
+        A hold call brings the number of an end and a deadline of the former lifetime.
+        """
+
+        async def run():
+            restart = asyncio.create_task(self.restart(3))
+            await asyncio.sleep(1)
+            await self.start(1)
+            await self.client.hold(UP_MS + 6000, 7, 0, 150)
+            await restart
+            await asyncio.sleep(0.1)
+
+        virtual_time.run(run())
+        [(at, _, _)] = self.backend.starts
+        self.assertEqual(at, self.backend.born_ms + 1)
+        self.assertEqual(self.backend.deadline_ms, HOLD_MAX_MS + 1)
+
+    def test_a_late_hold_call_acknowledges_ends_of_a_later_lifetime(self):
+        """Guards against acknowledgements that the oracle takes for ones in time."""
+
+        async def run():
+            restart = asyncio.create_task(self.restart(3))
+            await asyncio.sleep(1)
+            await self.client.hold(UP_MS + 6000, 7, 0, 150)
+            await restart
+            self.backend.mean_ms = 0
+            order = StartOrder(task_name='a.0.0.0', run=1, payload='work')
+            self.backend.start(order, 6000, 1)
+            self.backend.advance()
+            await asyncio.sleep(0.1)
+
+        virtual_time.run(run())
+        [acknowledged] = self.backend.acknowledged
+        self.assertTrue(acknowledged.by_late_call)
+
+    def test_no_call_is_carried_out_after_the_longest_delay(self):
+        """Guards against calls that come later than the platform allows."""
+
+        async def run():
+            self.backend.crash()
+            await self.start(1)
+            await self.restart(12)
+            await asyncio.sleep(1)
+
+        virtual_time.run(run())
+        self.assertEqual(self.backend.starts, [])
+
+
 if __name__ == '__main__':
     unittest.main()
