--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -38,13 +38,15 @@
 
 @dataclass(slots=True)
 class LateStart:
-    """A start without an answer that a backend server may still carry out."""
+    """A start that a backend server may still carry out, or carry out again."""
 
     # Local and Unix time until which it may be carried out.
     until_ms: int
     until_unix_ms: int
-    # Local time until which the task waits for an answer of the backend server.
+    # Local time until which the task waits for the backend server if that seems to be
+    # down, and the local time of its last loss.
     waits_until_ms: int = 0
+    lost_at_ms: int = 0
     # Whether a former leader may have sent it; otherwise a try without an answer is
     # known.
     is_assumed: bool = False
@@ -68,6 +70,8 @@
     checkpoint: str = ''
     # The start order was sent. Until then, no backend server can run the task.
     start_sent: bool = False
+    # Local time at which the start was sent, while its outcome is not known; else 0.
+    start_pending_ms: int = 0
     # The scheduler has decided to stop the run, and its end is not known yet.
     stopping: bool = False
     # Time on the clock of the backend server after which it rejects the start of the
@@ -243,6 +247,8 @@
     leased_until_ms: int = 0
     # Another lifetime under the same id came before it, as far as this leader knows.
     follows_another: bool = False
+    # It was known at the begin of the term; the leader may not know of an earlier one.
+    known_at_begin: bool = False
     # The end of the lease was applied. Tasks that are left may run in a later lifetime.
     lease_lapsed: bool = False
     report: BackendReport | None = None
@@ -375,12 +381,12 @@
 def reassign(task: TaskState, backend: BackendState) -> None:
     """Moves the current run of a task to another lifetime of its backend server."""
     start_sent, stopping, isolated = task.start_sent, task.stopping, task.isolated
-    unconfirmed = task.unconfirmed
+    unconfirmed, pending_ms = task.unconfirmed, task.start_pending_ms
     unassign(task)
     task.isolated = isolated
     assign(task, backend)
     task.start_sent, task.stopping = start_sent, stopping
-    task.unconfirmed = unconfirmed
+    task.unconfirmed, task.start_pending_ms = unconfirmed, pending_ms
     task.pace_known = False
 
 
@@ -399,7 +405,7 @@
     task.backend = None
     task.start_sent = task.stopping = task.unconfirmed = False
     task.in_later_lifetime = False
-    task.missing_reports = 0
+    task.missing_reports = task.start_pending_ms = 0
     task.measured_from_ms = task.start_deadline_ms = 0
     task.pace_percent, task.pace_known = 100, True
     backend.tasks_by_name.pop(task.name, None)
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -2,9 +2,13 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from dandelionknot.jobs._generated import (
     ClientAccount,
     EndReason,
+    Host,
+    HostsListed,
     OrderOutcome,
     Resources,
     StartTask,
@@ -36,7 +40,7 @@
         self.test_bed.step()
         self.token = self.test_bed.token
 
-    def submit(self, accepted):
+    def submit(self, accepted, tasks=1, rack=''):
         """Submits a task whose first try on b1 has no answer.
 
         The second try is accepted, or has no answer either and is not carried out.
@@ -60,7 +64,8 @@
             )
 
         self.test_bed.execute = leave_open
-        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        step = StepSpec(task_count=tasks, resources=SMALL, preferred_rack=rack)
+        self.test_bed.submit(step)
         self.test_bed.step(TICK_MS)
         self.test_bed.execute = execute
         self.test_bed.backends['b2'] = self.other
@@ -176,6 +181,94 @@
         self.run_for_listed(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
         self.assertEqual(len(self.other.started), 1)
 
+    def test_the_wait_outlasts_the_entry_of_a_lost_server(self):
+        """Guards against a task that is placed when the entry of its server goes."""
+        self.submit(accepted=False)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.scheduler.remove_backend('b1')
+        self.run_for(LONGEST_WAIT_MS - 2 * SOON_MS)
+        self.assertEqual(self.other.started, [])
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
+    def test_a_list_from_before_the_loss_ends_no_wait(self):
+        """Guards against the former server of a host that an old list shows."""
+        self.submit(accepted=False)
+        rows = [Host(host_id='h1', pool='p', state='up', backend_id='b0')]
+        listed = HostsListed(hosts=rows, sent_ms=self.test_bed.now_ms - LEASE_MS)
+        self.test_bed.scheduler.hosts_listed(listed)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.restart()
+        self.backend.cut_off = True
+        self.run_for(LONGEST_WAIT_MS - SOON_MS)
+        self.assertEqual(self.other.started, [])
+
+    def test_a_server_whose_later_lifetime_is_registered_is_not_reached(self):
+        """Guards against a start elsewhere before the later lifetime has answered."""
+        self.submit(accepted=False)
+        self.state.full_until_ms = 10**12
+        self.run_for(SOON_MS)
+        self.task.late_starts_by_backend_id['b1'].has_failed = True
+        self.state.full_until_ms = 0
+        self.backend.restart()
+        self.backend.cut_off = True
+        self.start_late()
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+
+    def test_a_host_in_maintenance_ends_the_long_wait(self):
+        """Guards against a wait for a server that cannot be up."""
+        self.submit(accepted=True)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        rows = [Host(host_id='h1', pool='p', state='upkeep')]
+        self.test_bed.now_ms += 1
+        listed = HostsListed(hosts=rows, sent_ms=self.test_bed.now_ms)
+        self.test_bed.scheduler.hosts_listed(listed)
+        self.run_for(LONGEST_WAIT_MS + SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
+    def test_a_start_is_open_once(self):
+        """Guards against a wait that begins anew when the task is requeued."""
+        self.submit(accepted=False)
+        self.test_bed.scheduler.contact_lost(
+            self.state, OrderOutcome.NO_ANSWER, self.test_bed.now_ms + LEASE_MS
+        )
+        self.backend.cut_off = True
+        self.run_for(LATE_CALL_MS + LONGEST_WAIT_MS + SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
+    def test_an_end_before_the_outcome_of_its_start_is_not_acknowledged(self):
+        """Guards against a late start of a run that was shorter than its tries."""
+        self.test_bed.execute = lambda command: None
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL))
+        self.test_bed.step(TICK_MS)
+        self.backend.start(TASK, 1)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.phase(), 'done')
+        self.assertEqual(len(self.backend.ends), 1)
+
+    def test_a_done_task_does_not_count_towards_the_limit(self):
+        """Guards against an account that waits for runs which have ended."""
+        limit = Resources(cpu_millicores=SMALL.cpu_millicores)
+        self.test_bed.accounts = [ClientAccount(name='sofia', keys=['k'], limit=limit)]
+        self.test_bed.configure()
+        self.submit(accepted=True)
+        self.backend.end(TASK, EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.crash()
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='j2')
+        self.run_for(SOON_MS)
+        self.assertEqual(len(self.other.started), 1)
+
     def test_a_new_leader_waits_for_the_server_of_an_open_start(self):
         """Guards against a leader that does not know which starts are open.
 
@@ -232,6 +325,45 @@
         self.run_for(SOON_MS)
         self.assertEqual(self.test_bed.running()[TASK], ['b2'])
 
+    def test_a_task_leaves_a_server_that_crashes_under_it_alone(self):
+        """Guards against a sound task that is given up because of one bad server."""
+        self.submit(accepted=False)
+        self.crash()
+        self.backend.crashes_always = True
+        execute = self.test_bed.execute
+
+        def lose_answers(command):
+            execute(command)
+            state = self.test_bed.scheduler.backends_by_id.get('b1')
+            if isinstance(command, StartTask) and command.backend_id == 'b1':
+                self.test_bed.scheduler.start_finished(
+                    state,
+                    command.order.task_name,
+                    command.order.run,
+                    OrderOutcome.NO_ANSWER,
+                    self.test_bed.now_ms,
+                    unanswered_ms=self.test_bed.now_ms,
+                )
+
+        self.test_bed.execute = lose_answers
+        for _ in range(60):
+            self.run_for(SOON_MS)
+            self.test_bed.list_hosts()
+            if self.other.started:
+                break
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
+    def test_the_best_server_is_found_for_the_next_task(self):
+        """Guards against tasks that follow another one to the server of its start."""
+        self.other.labels = ('std', 'r2-1')
+        self.submit(accepted=False, tasks=2, rack='r2-1')
+        for task in self.task.step.tasks:
+            self.test_bed.scheduler.requeue(task, 'test')
+        self.task.step.tasks[1].late_starts_by_backend_id.clear()
+        self.test_bed.step(TICK_MS)
+        places = self.test_bed.running()
+        self.assertEqual(places, {TASK: ['b1'], 'j1.0.0.1': ['b2']})
+
     def test_a_task_leaves_a_server_that_is_to_go_away(self):
         """Guards against a task that waits for room on a server without starts."""
         self.submit(accepted=False)
@@ -314,6 +446,7 @@
             self.test_bed.step(TICK_MS)
         self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
         self.assertEqual(self.task.backend.backend_id, 'b1')
+        self.assertFalse(self.task.pace_known)
         self.assertEqual(self.other.started + self.backend.started, [(TASK, 2)])
 
     def test_a_task_waits_until_its_earlier_run_has_ended(self):
@@ -330,6 +463,30 @@
         started = self.backend.started + self.other.started
         self.assertEqual(sorted(run for _, run in started), [1, 3])
 
+    def test_a_task_waits_for_a_run_on_a_server_that_is_lost(self):
+        """Guards against a start before the lease of a listed run has expired."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        self.test_bed.step(TICK_MS)
+        self.test_bed.lose(self.backend)
+        self.backend.down_until_ms = 10**12
+        self.test_bed.scheduler.remove_backend('b1')
+        for _ in range(0, LEASE_MS - 2 * TICK_MS, TICK_MS):
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(self.other.started, [])
+        self.test_bed.step(4 * TICK_MS)
+        self.assertEqual(self.other.started, [(TASK, 3)])
+
+    def test_a_malformed_report_ends_no_run(self):
+        """Guards against a start beside a run whose row was left out."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        report = replace(self.backend.hold_report(), running=[], complete=False)
+        state = self.test_bed.scheduler.backends_by_id['b1']
+        now_ms = self.test_bed.now_ms
+        self.test_bed.scheduler.hold_answered(state, report, now_ms, now_ms, now_ms)
+        self.assertIn('b1', self.task.stray_backends_by_id)
+
 
 if __name__ == '__main__':
     unittest.main()
