--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -15,7 +15,7 @@
 from dandelionknot.jobs import _lifetimes, _strays, _usability
 from dandelionknot.jobs._generated import Resources
 from dandelionknot.jobs._leases import max_later_lease_ms
-from dandelionknot.jobs._maintenance import shows_end
+from dandelionknot.jobs._maintenance import UP, shows_end
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -34,11 +34,16 @@
 SENDING_MS = 3000
 # Time for which restarts of backend servers under their ids are expected to go on.
 RESTARTS_KEPT_MS = 60_000
-# Longest delay of an acknowledgement without such restarts. The platform requires that
-# most ends are acknowledged within 4 s.
+# Without such restarts, share of the ends in a term that may wait for longer than the
+# time below. The platform requires that four fifths are acknowledged within 4 s.
+MAX_DELAYED_SHARE = 0.1
 SHORT_DELAY_MS = 3000
 # Most ends that may wait to be acknowledged, since one report lists a limited number.
 MAX_WITHHELD_ENDS = 250
+# Time from the sending of a start until its first try counts as unanswered, and until
+# its last try was made.
+FIRST_TRY_MS = 150
+TRIES_MS = 1150
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
@@ -54,6 +59,11 @@
     until_ms = tried_ms + LATE_CALL_MS
     starts_by_backend_id = task.late_starts_by_backend_id
     start = starts_by_backend_id.setdefault(backend.backend_id, LateStart(0, 0))
+    bound_until_ms = tried_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    task.bound_until_ms = max(task.bound_until_ms, bound_until_ms)
+    if start.is_assumed:
+        # It is stored from now on.
+        scheduler.mark_dirty(task.step.job)
     start.is_assumed = False
     start.host_id = backend.host_id
     if until_ms <= start.until_ms:
@@ -64,6 +74,24 @@
     scheduler.mark_dirty(task.step.job)
 
 
+def note_pending(scheduler: Scheduler, task: TaskState, now_ms: int) -> None:
+    """Records the tries of a start whose outcome comes after the end of its run."""
+    sent_ms = task.start_pending_ms
+    if task.backend is not None and sent_ms and now_ms >= sent_ms + FIRST_TRY_MS:
+        tried_ms = min(now_ms, sent_ms + TRIES_MS)
+        note_unanswered(scheduler, task, task.backend, tried_ms)
+
+
+def note_not_carried_out(
+    scheduler: Scheduler, task: TaskState, backend: BackendState
+) -> None:
+    """Records that a start of a former leader has had no effect yet."""
+    start = task.late_starts_by_backend_id.get(backend.backend_id)
+    if start is not None:
+        start.is_assumed = False
+        scheduler.mark_dirty(task.step.job)
+
+
 def job_restored(state: JobState, now_ms: int, unix_ms: int) -> None:
     """Restores until when ends of a job are not acknowledged from its record."""
     left_ms = min(state.late_until_unix_ms - unix_ms, LATE_CALL_MS)
@@ -100,14 +128,15 @@
 
 def plan(scheduler: Scheduler, now_ms: int) -> None:
     """Forgets starts that can no longer be carried out, or whose runs have ended."""
-    bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
+    longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     for account in scheduler.accounts_by_name.values():
         account.unseen = NOTHING
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
+        _keep_loss_times(scheduler, task, longest_ms)
         if task.backend is not None:
-            task.bound_until_ms = bound_until_ms
-        elif must_wait(scheduler, task, now_ms):
-            task.bound_until_ms = bound_until_ms
+            task.bound_until_ms = now_ms + longest_ms
+        elif task.phase is TaskPhase.WAITING and must_wait(scheduler, task, now_ms):
+            task.bound_until_ms = now_ms + longest_ms
             _add_unseen(task)
         task.late_starts_by_backend_id = {
             backend_id: start
@@ -119,6 +148,18 @@
             del scheduler.late_start_tasks_by_name[name]
 
 
+def _keep_loss_times(scheduler: Scheduler, task: TaskState, longest_ms: int) -> None:
+    """Keeps the times of losses, since states of lost servers may be forgotten."""
+    for backend_id, start in task.late_starts_by_backend_id.items():
+        state = scheduler.backends_by_id.get(backend_id)
+        if state is None or state.reachable or not state.lost_at_ms:
+            continue
+        if not start.is_assumed:
+            start.lost_at_ms = state.lost_at_ms
+            waits_until_ms = state.lost_at_ms + longest_ms
+            start.waits_until_ms = max(start.waits_until_ms, waits_until_ms)
+
+
 def _add_unseen(task: TaskState) -> None:
     """Counts a run that may be under way towards the limit of its client account."""
     account, used = task.step.job.account, task.step.spec.resources
@@ -137,7 +178,7 @@
     backend = task.backend
     if backend is None:
         return
-    if task.start_sent and task.phase is TaskPhase.PLACED and not task.unconfirmed:
+    if task.start_pending_ms:
         note_unanswered(scheduler, task, backend, now_ms)
     task.bound_until_ms = now_ms + max_later_lease_ms(scheduler.hold_max_ms)
     start = task.late_starts_by_backend_id.get(backend.backend_id)
@@ -171,23 +212,26 @@
     if _is_reached(scheduler, backend_id):
         return False
     host = scheduler.maintenance.hosts_by_id.get(start.host_id)
-    if host is not None and host.backend_id not in ('', backend_id):
+    is_listed_since = scheduler.hosts_listed_ms > start.lost_at_ms
+    if host is not None and host.backend_id not in ('', backend_id) and is_listed_since:
         return False
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     if not seems_down(scheduler, backend_id, start.host_id):
         return now_ms < start.until_ms + longest_ms
     if start.is_assumed:
         return now_ms < start.waits_until_ms
-    state = scheduler.backends_by_id.get(backend_id)
-    lost_at_ms = state.lost_at_ms if state is not None else 0
-    lapses_at_ms = lost_at_ms + longest_ms if lost_at_ms else 0
-    return now_ms < max(start.waits_until_ms, lapses_at_ms)
+    return now_ms < start.waits_until_ms
 
 
 def _is_reached(scheduler: Scheduler, backend_id: str) -> bool:
     """Whether the latest lifetime of a backend server has answered its link."""
     state = scheduler.backends_by_id.get(backend_id)
-    return state is not None and state.reachable and state.fenced
+    return (
+        state is not None
+        and state.reachable
+        and state.fenced
+        and state.contested_by is None
+    )
 
 
 def seems_down(scheduler: Scheduler, backend_id: str, host_id: str) -> bool:
@@ -198,7 +242,8 @@
     hosts_by_id = scheduler.maintenance.hosts_by_id
     if hosts_by_id and host_id:
         host = hosts_by_id.get(host_id)
-        return host is None or shows_end(host, backend_id)
+        is_away = host is not None and not host.backend_id and host.state != UP
+        return host is None or is_away or shows_end(host, backend_id)
     state = scheduler.backends_by_id.get(backend_id)
     return state is None or (state.report is None and state.contested_by is None)
 
@@ -208,7 +253,7 @@
     return any(
         may_run_unseen(scheduler, backend_id, start, now_ms)
         for task in scheduler.late_start_tasks_by_name.values()
-        if task.backend is None
+        if task.backend is None and task.phase is TaskPhase.WAITING
         for backend_id, start in task.late_starts_by_backend_id.items()
     )
 
@@ -220,24 +265,25 @@
 
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
-    holds for a limited time, not if the backend server is to go away, and not for a
-    task that has failed, which may be its fault.
+    holds for a limited time, not if the backend server is to go away, and not if the
+    task has failed there or crashed a server alone, which may be the server's fault.
     """
-    if not task.late_starts_by_backend_id or task.failed_runs:
+    if not task.late_starts_by_backend_id or task.crashed_alone_runs:
         return backends
     if task.step.spec.speculative or now_ms >= task.bound_until_ms:
         return backends
-    open_ids = {
-        backend_id
+    bound_to = [
+        scheduler.backends_by_id[backend_id]
         for backend_id, start in task.late_starts_by_backend_id.items()
         if now_ms < start.until_ms
+        and not start.has_failed
         and not (start.is_assumed and task.suspected)
         and _is_reached(scheduler, backend_id)
         and not _usability.is_closed(scheduler, scheduler.backends_by_id[backend_id])
-    }
-    if not open_ids:
+    ]
+    if not bound_to:
         return backends
-    return [backend for backend in backends if backend.backend_id in open_ids]
+    return [backend for backend in bound_to if backend in backends]
 
 
 def withhold_end(
@@ -246,6 +292,7 @@
     task: TaskState,
     number: int,
     now_ms: int,
+    unix_ms: int,
 ) -> None:
     """Delays the acknowledgement of an end as done while a start may be carried out.
 
@@ -254,20 +301,39 @@
     stored, since the next leader acknowledges the ends that this one has not.
     """
     state = task.step.job
+    # The end of one member of a gang stands for all of them.
+    tasks = task.step.tasks if task.step.spec.gang else [task]
     starts = [
         start
-        for start in task.late_starts_by_backend_id.values()
+        for member in tasks
+        for start in member.late_starts_by_backend_id.values()
         if not start.is_assumed
     ]
-    for start in starts:
-        state.late_until_unix_ms = max(state.late_until_unix_ms, start.until_unix_ms)
-    until_ms = max(state.former_late_until_ms, *(start.until_ms for start in starts), 0)
-    if not until_ms:
-        return
-    restarted_ms = scheduler.last_restart_ms
-    if restarted_ms is None or now_ms - restarted_ms > RESTARTS_KEPT_MS:
+    until_ms = max((start.until_ms for start in starts), default=0)
+    if not _may_delay(scheduler, now_ms):
         until_ms = min(until_ms, now_ms + SHORT_DELAY_MS)
+    until_ms = max(until_ms, state.former_late_until_ms)
+    if until_ms <= now_ms:
+        return
     backend.withheld_until_ms_by_end[number] = until_ms
+    until_unix_ms = until_ms - now_ms + unix_ms
+    if until_unix_ms > state.late_until_unix_ms:
+        state.late_until_unix_ms = until_unix_ms
+        scheduler.mark_dirty(state)
+
+
+def _may_delay(scheduler: Scheduler, now_ms: int) -> bool:
+    """Whether an end may be acknowledged as late as its start may be carried out."""
+    restarted_ms = scheduler.last_restart_ms
+    if restarted_ms is not None and now_ms - restarted_ms <= RESTARTS_KEPT_MS:
+        return True
+    return scheduler.ends_delayed <= MAX_DELAYED_SHARE * scheduler.ends_listed
+
+
+def count_end(scheduler: Scheduler, backend: BackendState) -> None:
+    """Counts an end that was listed. It waits for those before it."""
+    scheduler.ends_listed += 1
+    scheduler.ends_delayed += bool(backend.withheld_until_ms_by_end)
 
 
 def end_to_acknowledge(backend: BackendState, now_ms: int) -> int:
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -8,6 +8,7 @@
 from dandelionknot.jobs import (
     _crashes,
     _ends,
+    _late_starts,
     _lifetimes,
     _losses,
     _strays,
@@ -67,7 +68,7 @@
             answered_born_ms=report.born_ms,
         )
         return
-    _lifetimes.answered(scheduler, backend, report, sent_ms, now_ms)
+    _lifetimes.answered(scheduler, backend, report, sent_ms, now_ms, unix_ms)
     backend.fenced = True
     backend.lapses_at_ms = None
     backend.lease_lapsed = False
@@ -86,6 +87,25 @@
             Event.BACKEND_GOES_ON,
             {'backend_id': backend.backend_id, 'host_id': backend.host_id},
         )
+    _apply_ends(scheduler, backend, report, now_ms, unix_ms)
+    running = {row.task_name: row for row in report.running}
+    if report.complete:
+        _strays.forget_ended(backend, running)
+    for row in report.running:
+        _apply_running(scheduler, backend, row, sent_ms, now_ms)
+    if not report.complete:
+        backend.lists_incomplete = True
+    if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
+        _requeue_missing(scheduler, backend, running, sent_ms, report.clock_ms)
+
+
+def _apply_ends(
+    scheduler: Scheduler,
+    backend: BackendState,
+    report: HoldReport,
+    now_ms: int,
+    unix_ms: int,
+) -> None:
     for ended in report.ended:
         if ended.number <= backend.seen_end:
             continue
@@ -95,14 +115,7 @@
             own = ended.reason in OWN_ENDS
             _crashes.run_ended(scheduler, backend, task, ended.run, own)
             _ends.apply_end(scheduler, backend, task, ended, now_ms, unix_ms)
-    running = {row.task_name: row for row in report.running}
-    _strays.forget_ended(backend, running)
-    for row in report.running:
-        _apply_running(scheduler, backend, row, sent_ms, now_ms)
-    if not report.complete:
-        backend.lists_incomplete = True
-    if len(report.ended) < MAX_ENDS_LISTED and not backend.lists_incomplete:
-        _requeue_missing(scheduler, backend, running, sent_ms, report.clock_ms)
+        _late_starts.count_end(scheduler, backend)
 
 
 def _find_task(scheduler: Scheduler, name: str) -> TaskState | None:
@@ -161,7 +174,8 @@
             continue
         if task.unconfirmed:
             # The backend server has accepted the fencing token of this term and rejects
-            # starts of a former term, so the run cannot start any more.
+            # starts of a former term. A later lifetime may still carry it out.
+            _late_starts.note_not_carried_out(scheduler, task, backend)
             scheduler.requeue(task, 'run not reported to the new leader')
         elif _has_missed_start(task, clock_ms):
             scheduler.requeue(task, 'its start was not carried out in time')
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -118,6 +118,10 @@
     late_start_tasks_by_name: dict[str, TaskState] = field(default_factory=dict)
     # Local time at which the last restart of a backend server under its id was learnt.
     last_restart_ms: int | None = None
+    # Number of ends that were listed in this term, and of those that waited to be
+    # acknowledged.
+    ends_listed: int = 0
+    ends_delayed: int = 0
     # Local times of the last signs of life that records of former leaders name.
     restored_signs_ms: dict[Lifetime, int] = field(default_factory=dict)
     # Lifetimes that have certainly ended, so that late entries of them are ignored.
@@ -261,7 +265,7 @@
             Event.BACKEND_GONE,
             {'backend_id': backend_id, 'tasks': len(backend.tasks_by_name)},
         )
-        if not backend.tasks_by_name:
+        if not backend.tasks_by_name and not backend.stray_tasks_by_name:
             del self.backends_by_id[backend_id]
 
     def requeue_tasks(
@@ -394,6 +398,7 @@
         task = backend.tasks_by_name.get(name)
         if task is None or task.run != run:
             return
+        task.start_pending_ms = 0
         if unanswered_ms:
             _late_starts.note_unanswered(self, task, backend, unanswered_ms)
         if outcome is OrderOutcome.ACCEPTED or outcome is OrderOutcome.SUPERSEDED:
@@ -474,8 +479,6 @@
             task.step.asked_lifetimes.discard(backend.lifetime)
         elif outcome is OrderOutcome.OTHER_LIFETIME:
             backend.avoid_until_ms = now + UNHEALTHY_PAUSE_MS
-        # The refusal answers the last try, and earlier ones were noted.
-        task.start_sent = False
         self.requeue(task, outcome.value)
 
     def stop_finished(
