Say what an open start means for its task

Cause: the read-through of the diff: the module's doc comment explained only the wait, one condition stood twice, and ends of speculative steps were delayed, which the platform's rules do not need. Change: the three consequences are named with their functions; the condition stands once; speculative steps are left out; NO_RESOURCES for NOTHING. Before and after: the job tests pass.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -4,8 +4,12 @@
 the backend server to which a start was sent, a stop, a newer fencing token or the
 deadline of the start bars it. A later lifetime under the same id has seen none of
 these, so it carries the start out, unless it has accepted a call with a newer token.
-A task with such an open start is therefore placed again only when the backend server
-has answered, or when a run that it may have begun unseen has certainly ended.
+Such a start is open for as long as that may happen. Its task
+
+- waits until the backend server has answered, or until a run that it may have begun
+  unseen has certainly ended (`must_wait`);
+- is then bound to that backend server for a while (`allowed_backends`);
+- is not acknowledged as done meanwhile (`withhold_end`).
 """
 
 from __future__ import annotations
@@ -47,7 +51,7 @@
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
-NOTHING = Resources()
+NO_RESOURCES = Resources()
 
 
 def note_unanswered(
@@ -130,7 +134,7 @@
     """Forgets starts that can no longer be carried out, or whose runs have ended."""
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     for account in scheduler.accounts_by_name.values():
-        account.unseen = NOTHING
+        account.unseen = NO_RESOURCES
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
         _keep_loss_times(scheduler, task, longest_ms)
         if task.backend is not None:
@@ -218,8 +222,6 @@
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     if not seems_down(scheduler, backend_id, start.host_id):
         return now_ms < start.until_ms + longest_ms
-    if start.is_assumed:
-        return now_ms < start.waits_until_ms
     return now_ms < start.waits_until_ms
 
 
@@ -300,6 +302,8 @@
     task once more. One that is lost with its backend server does not. The time is
     stored, since the next leader acknowledges the ends that this one has not.
     """
+    if task.step.spec.speculative:
+        return
     state = task.step.job
     # The end of one member of a gang stands for all of them.
     tasks = task.step.tasks if task.step.spec.gang else [task]
