Take the latest placement for open, and leave a server that is avoided

And a task stood still for 3.9 s while its server was avoided for no progress. Cause: a new leader kept the recorded time of an earlier open start and did not count the latest placement, and did not know the host of a recorded start. The binding went by whether the server answers, not by whether it gets starts. Change: the later of both times counts; hosts are filled in; a server that is avoided for longer than a second binds no task. Ruled out: to release tasks at each pause of starts, as after a refusal.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -48,6 +48,9 @@
 # its last try was made.
 FIRST_TRY_MS = 150
 TRIES_MS = 1150
+# Longest pause of starts to a backend server that does not release its tasks. Servers
+# whose tasks fail or make no progress are avoided for longer.
+MAX_PAUSE_MS = 1000
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
@@ -115,12 +118,11 @@
     for task in tasks_of(state):
         if task.backend is not None and task.unconfirmed:
             until_unix_ms = task.placed_unix_ms + SENDING_MS + LATE_CALL_MS
-            task.late_starts_by_backend_id.setdefault(
-                task.backend.backend_id,
-                LateStart(
-                    0, until_unix_ms, is_assumed=True, host_id=task.backend.host_id
-                ),
+            latest = task.late_starts_by_backend_id.setdefault(
+                task.backend.backend_id, LateStart(0, 0, is_assumed=True)
             )
+            latest.until_unix_ms = max(latest.until_unix_ms, until_unix_ms)
+            latest.host_id = task.backend.host_id
         for start in task.late_starts_by_backend_id.values():
             left_ms = start.until_unix_ms - unix_ms
             start.until_ms = now_ms + min(left_ms, SENDING_MS + LATE_CALL_MS)
@@ -153,12 +155,13 @@
 
 
 def _keep_loss_times(scheduler: Scheduler, task: TaskState, longest_ms: int) -> None:
-    """Keeps the times of losses, since states of lost servers may be forgotten."""
+    """Keeps hosts and times of losses, since states of servers may be forgotten."""
     for backend_id, start in task.late_starts_by_backend_id.items():
         state = scheduler.backends_by_id.get(backend_id)
-        if state is None or state.reachable or not state.lost_at_ms:
+        if state is None:
             continue
-        if not start.is_assumed:
+        start.host_id = start.host_id or state.host_id
+        if not (state.reachable or start.is_assumed) and state.lost_at_ms:
             start.lost_at_ms = state.lost_at_ms
             waits_until_ms = state.lost_at_ms + longest_ms
             start.waits_until_ms = max(start.waits_until_ms, waits_until_ms)
@@ -267,8 +270,9 @@
 
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
-    holds for a limited time, not if the backend server is to go away, and not if the
-    task has failed there or crashed a server alone, which may be the server's fault.
+    holds for a limited time, not if the backend server is to go away or is avoided, and
+    not if the task has failed there or crashed a server alone, which may be the fault
+    of the server.
     """
     if not task.late_starts_by_backend_id or task.crashed_alone_runs:
         return backends
@@ -281,13 +285,20 @@
         and not start.has_failed
         and not (start.is_assumed and task.suspected)
         and _is_reached(scheduler, backend_id)
-        and not _usability.is_closed(scheduler, scheduler.backends_by_id[backend_id])
+        and _takes_starts_soon(scheduler, scheduler.backends_by_id[backend_id], now_ms)
     ]
     if not bound_to:
         return backends
     return [backend for backend in bound_to if backend in backends]
 
 
+def _takes_starts_soon(
+    scheduler: Scheduler, backend: BackendState, now_ms: int
+) -> bool:
+    is_avoided = backend.avoid_until_ms > now_ms + MAX_PAUSE_MS
+    return not (is_avoided or _usability.is_closed(scheduler, backend))
+
+
 def withhold_end(
     scheduler: Scheduler,
     backend: BackendState,
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -321,10 +321,18 @@
         """Guards against attempts that are all made on one bad server."""
         self.submit(accepted=True)
         self.backend.end(TASK, EndReason.FAILED)
-        self.state.avoid_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
+        self.state.full_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
         self.run_for(SOON_MS)
         self.assertEqual(self.test_bed.running()[TASK], ['b2'])
 
+    def test_a_task_leaves_a_server_that_is_avoided(self):
+        """Guards against a job that stands still while a bad server gets no starts."""
+        self.submit(accepted=True)
+        self.backend.end(TASK, EndReason.STOPPED)
+        self.state.avoid_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
     def test_a_task_leaves_a_server_that_crashes_under_it_alone(self):
         """Guards against a sound task that is given up because of one bad server."""
         self.submit(accepted=False)
@@ -417,6 +425,19 @@
                 self.run_for(ACKNOWLEDGE_WITHIN_MS - 2 * SOON_MS)
                 self.assertEqual(len(self.backend.ends), int(restarts))
 
+    def test_a_new_leader_counts_from_the_latest_placement(self):
+        """Guards against a leader that knows only an earlier open start of a task."""
+        self.submit(accepted=False)
+        self.run_for(LATE_CALL_MS // 3)
+        self.backend.end(TASK, EndReason.STOPPED)
+        self.run_for(SOON_MS)
+        placed_unix_ms = self.task.placed_unix_ms
+        self.assertEqual(self.task.backend.backend_id, 'b1')
+        self.test_bed.new_leader()
+        [start] = self.task.late_starts_by_backend_id.values()
+        self.assertGreater(start.until_ms, placed_unix_ms + LATE_CALL_MS)
+        self.assertEqual(start.host_id, 'h1')
+
     def test_a_start_that_a_new_leader_does_not_find_is_open(self):
         """Guards against a late start of a former leader after the task is done."""
         self.test_bed.execute = lambda command: None
