Learn how long tasks run instead of trusting declared times

Due times, tiers and demand were computed from declared times. Change: the leader keeps weighted statistics of both logarithms for each queue, stores them with the counts of waiting jobs, and computes expected times by regression. The first tasks of a step that are done correct the due time of their job. Ruled out: size of the tasks, number of tasks and steps (correlation with the run time below 0.15).

--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -177,7 +177,9 @@
     scheduler.waiting_checked_unix_ms = now_unix_ms
     if scheduler.waiting is not None and counts == scheduler.waiting.jobs_by_queue:
         return None
-    scheduler.waiting = WaitingJobs(jobs_by_queue=counts)
+    scheduler.waiting = WaitingJobs(
+        jobs_by_queue=counts, run_times_by_queue=dict(scheduler.run_times.by_queue)
+    )
     return scheduler.waiting
 
 
--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -109,10 +109,10 @@
     def job_accepted(self, state: JobState, pool: str) -> None:
         """Records the work of a new job, from which the demand is estimated."""
         work = sum(
-            step.task_count
-            * occupied_cpu_millicores(step)
-            * min(step.estimated_ms, MAX_RUN_MS)
-            for step in state.job.spec.steps
+            step.task_count * occupied_cpu_millicores(step) * min(task_ms, MAX_RUN_MS)
+            for step, task_ms in zip(
+                state.job.spec.steps, state.task_ms_by_step, strict=True
+            )
             if not step.long_running
         )
         if work and not state.job.spec.repeats and not state.beyond_share:
--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -7,7 +7,7 @@
 from dandelionknot.events import Event
 from dandelionknot.jobs import _late_starts
 from dandelionknot.jobs._generated import EndedTask, EndReason, JobPhase
-from dandelionknot.jobs._records import occurrence_count
+from dandelionknot.jobs._records import occurrence_count, task_measured
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -57,7 +57,7 @@
     current = task.backend is backend and task.run == ended.run
     if current:
         if ended.reason is EndReason.DONE and task.measured_from_ms:
-            task.step.durations_ms.append(now_ms - task.measured_from_ms)
+            _measure(scheduler, task, now_ms - task.measured_from_ms)
         unassign(task)
         if task.phase is not TaskPhase.DONE:
             task.phase = TaskPhase.WAITING
@@ -89,6 +89,18 @@
     scheduler.mark_dirty(state)
 
 
+def _measure(scheduler: Scheduler, task: TaskState, measured_ms: int) -> None:
+    """Records the run time of a task that is done."""
+    step = task.step
+    task_measured(step, measured_ms)
+    scheduler.run_times.observe(
+        step.job.queue.name,
+        step.spec.estimated_ms,
+        measured_ms,
+        weight=1 / len(step.tasks),
+    )
+
+
 def _task_done(scheduler: Scheduler, task: TaskState, unix_ms: int) -> None:
     step = task.step
     # All members of a gang end together, so all are done as soon as one is.
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -638,12 +638,39 @@
     homes_by_host_id: dict[str, str] = field(default_factory=dict)
 
 
+class RunTimeStatistics(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Declared and measured run times of the tasks of a queue, as weighted statistics of their natural logarithms.
+    """
+
+    weight: Annotated[
+        float,
+        Meta(description="Number of steps that were observed. Older ones count less."),
+    ]
+    declared_mean: float
+    measured_mean: float
+    declared_variance: float = 0
+    measured_variance: float = 0
+    covariance: float = 0
+
+
 class WaitingJobs(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
-    Stored number of accepted jobs of each queue of which no task has started, for all entry hosts to read.
+    What the leader has stored about the queues, for all entry hosts and for the next leader to read.
     """
 
-    jobs_by_queue: dict[str, int] = field(default_factory=dict)
+    jobs_by_queue: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description="Number of accepted jobs of each queue of which no task has started."
+            ),
+        ]
+       
+    ) = field(default_factory=dict)
+    run_times_by_queue: dict[str, RunTimeStatistics] = field(
+        default_factory=dict
+    )
 
 
 class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_ranking.py
+++ b/dandelionknot/jobs/_ranking.py
@@ -67,5 +67,5 @@
     steps = occurrences[max(occurrences)]
     return critical_path_ms(
         [step.spec for step in steps],
-        frozenset(step.index for step in steps if step.done == len(step.tasks)),
+        [0 if step.done == len(step.tasks) else step.expected_ms for step in steps],
     )
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -1,5 +1,7 @@
 """Conversion between the state of a job and its stored record."""
 
+from statistics import median
+
 from dandelionknot.jobs._generated import (
     Job,
     JobPhase,
@@ -8,6 +10,7 @@
     StepSpec,
     TaskRecord,
 )
+from dandelionknot.jobs._run_times import RunTimes
 from dandelionknot.jobs._state import (
     AccountState,
     JobState,
@@ -38,40 +41,76 @@
     return max(1, job.spec.repeats)
 
 
-def critical_path_ms(steps: list[StepSpec], done: frozenset[int] = frozenset()) -> int:
-    """Returns the estimated time of the critical path of steps that are not done.
+def critical_path_ms(steps: list[StepSpec], task_ms: list[int]) -> int:
+    """Returns the time of the critical path of steps, given that of each step.
 
     The critical path is the chain of dependent steps that takes longest.
     """
     ends: list[int] = []
-    for number, step in enumerate(steps):
+    for step, own_ms in zip(steps, task_ms, strict=True):
         earlier = [ends[index] for index in step.after if index < len(ends)]
-        own_ms = 0 if number in done else step.estimated_ms
         ends.append(max(earlier, default=0) + own_ms)
     return max(ends, default=0)
 
 
 def new_job_state(
-    job: Job, queue: Queue, account: AccountState, accepted_ms: int
+    job: Job,
+    queue: Queue,
+    account: AccountState,
+    accepted_ms: int,
+    run_times: RunTimes,
 ) -> JobState:
     """Returns the state of a job with no open occurrence.
 
     `accepted_ms` is the time of acceptance on the local clock.
     """
     state = JobState(job=job, queue=queue, account=account, accepted_ms=accepted_ms)
-    state.critical_path_ms = critical_path_ms(job.spec.steps)
-    state.due_ms = accepted_ms + int(
-        queue.stretch * state.critical_path_ms + queue.objective_ms
-    )
+    state.task_ms_by_step = [
+        step.estimated_ms
+        if step.long_running
+        else run_times.expected_ms(queue.name, step.estimated_ms)
+        for step in job.spec.steps
+    ]
+    state.critical_path_ms = critical_path_ms(job.spec.steps, state.task_ms_by_step)
+    state.due_ms = _due_ms(state)
     return state
 
 
+def _due_ms(state: JobState) -> int:
+    queue = state.queue
+    path_ms = queue.stretch * state.critical_path_ms
+    return state.accepted_ms + int(path_ms + queue.objective_ms)
+
+
+def task_measured(step: StepState, measured_ms: int) -> None:
+    """Records the run time of a task that is done, and when its job is due by it.
+
+    Tasks of one step run for about as long, so the first ones show the time of the
+    others.
+    """
+    step.durations_ms.append(measured_ms)
+    step.expected_ms = int(median(step.durations_ms))
+    state = step.job
+    steps = state.steps_by_occurrence[step.occurrence]
+    state.critical_path_ms = critical_path_ms(
+        state.job.spec.steps, [other.expected_ms for other in steps]
+    )
+    if step.occurrence == max(state.steps_by_occurrence):
+        state.due_ms = _due_ms(state)
+
+
 def open_occurrence(state: JobState, occurrence: int) -> list[StepState]:
     """Creates the steps and tasks of an occurrence that has become due."""
     job = state.job
     steps = []
     for index, spec in enumerate(job.spec.steps):
-        step = StepState(job=state, spec=spec, occurrence=occurrence, index=index)
+        step = StepState(
+            job=state,
+            spec=spec,
+            occurrence=occurrence,
+            index=index,
+            expected_ms=state.task_ms_by_step[index],
+        )
         step.tasks = [
             TaskState(name=task_name(job.job_id, occurrence, index, i), step=step)
             for i in range(spec.task_count)
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -56,6 +56,7 @@
     open_occurrence,
     restore,
 )
+from dandelionknot.jobs._run_times import RunTimes
 from dandelionknot.jobs._state import (
     AccountState,
     BackendState,
@@ -167,6 +168,7 @@
     last_standstill_check_ms: int = 0
     # Local time at which the last applied list of hosts was requested; 0 if none was.
     hosts_listed_ms: int = 0
+    run_times: RunTimes = field(default_factory=RunTimes)
     capacity: Capacity = field(default_factory=Capacity)
     maintenance: MaintenanceScheduler = field(default_factory=MaintenanceScheduler)
 
@@ -201,7 +203,8 @@
         if queue is None:
             queue = Queue(name=job.queue, host='', path_prefix='', service=job.service)
         accepted_ms = now_ms - max(0, unix_ms - job.accepted_unix_ms)
-        state = new_job_state(job, queue, self.account(job.client_account), accepted_ms)
+        account = self.account(job.client_account)
+        state = new_job_state(job, queue, account, accepted_ms, self.run_times)
         _ranking.record_share(state)
         self.jobs_by_id[job.job_id] = state
         self.capacity.job_accepted(state, _planning.service_of(self, state))
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -152,6 +152,9 @@
     index: int
     tasks: list[TaskState] = field(default_factory=list)
     done: int = 0
+    # Expected run time of a task: from what the caller declared and what is known of
+    # the queue, or from the tasks of the step that are done.
+    expected_ms: int = 0
     # Run times of the tasks that are done.
     durations_ms: list[int] = field(default_factory=list)
     # Number of tasks of this step that are assigned to each backend server.
@@ -202,6 +205,8 @@
     begun: bool = False
     # Steps of each occurrence that is open.
     steps_by_occurrence: dict[int, list[StepState]] = field(default_factory=dict)
+    # Expected run time of a task of each step when the job was accepted.
+    task_ms_by_step: list[int] = field(default_factory=list)
     critical_path_ms: int = 0
     due_ms: int = 0
     # The client account had submitted more than its share when the job was accepted.
