Count the time of a run anew in a later lifetime of its server

Cause: a run that is moved to a later lifetime of its backend server kept its time and progress of the former one. So a run of 60 ms was stopped as slower than the others of its step, its server was avoided for 4 s, and with that the task was no longer bound to the server that might carry its open start out. It was done elsewhere, and the server started once more and carried it out. Change: a run that moves to a later lifetime begins with no progress at the time of the move. Ruled out: to bind tasks to servers that are avoided, since a job then stands still. Before and after: the new test fails before.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -301,7 +301,14 @@
 
 
 def _move_run(scheduler: Scheduler, task: TaskState, target: BackendState) -> None:
+    """Moves a run to a later lifetime, in which it begins anew.
+
+    Its time and progress in the former lifetime do not count. They would make it look
+    slow, and its backend server would be avoided.
+    """
     reassign(task, target)
+    task.percent = 0
+    task.confirmed_at_ms = task.progressed_at_ms = scheduler.planned_ms
     scheduler.mark_dirty(task.step.job)
 
 
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -307,6 +307,24 @@
                 self.start_late()
                 self.run_for(SOON_MS)
 
+    def test_a_run_that_begins_anew_is_not_slow(self):
+        """Guards against a run that is stopped for its time in a former lifetime.
+
+        Its task would leave the server while its start is open.
+        """
+        self.submit(accepted=True)
+        self.task.step.durations_ms = [SOON_MS, SOON_MS]
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.run_for(2 * SOON_MS)
+        self.backend.restart()
+        self.start_late()
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.state.avoid_until_ms, 0)
+        self.assertEqual(self.backend.started, [(TASK, 1), (TASK, 1)])
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
     def test_a_task_that_failed_elsewhere_stays_with_the_server(self):
         """Guards against a second run by an open start of a task with a failed run."""
         self.submit(accepted=False)
