Keep a task that failed once with the server of its open start

Cause: one failed run released the task from the server that may carry its open start out. It was done on another server, whose end outlives the restart of the first one. Change: the task stays bound after its first failure there if other tasks have been done on that server, none has failed there since, and two attempts are left. A second failure releases it, as any one did before. Why it works: the end on the same server is not acknowledged while the start is open, and is lost with the lifetime. Ruled out: to wait until the start is no longer open, up to 12 s; to release the task after two failures on any server, which costs an attempt on a bad one (test_a_task_leaves_a_server_where_it_has_failed stays as it is). Before and after: the new test fails before.

--- a/dandelionknot/jobs/_ends.py
+++ b/dandelionknot/jobs/_ends.py
@@ -82,6 +82,7 @@
     )
     if ended.reason is EndReason.DONE and not task.step.spec.long_running:
         backend.consecutive_failures = 0
+        backend.has_done_tasks = True
         backend.failed_job_ids.clear()
         _task_done(scheduler, task, unix_ms)
     elif ended.reason is EndReason.FAILED:
@@ -123,12 +124,10 @@
     unix_ms: int,
 ) -> None:
     task.failed_runs = [*task.failed_runs, run][-MAX_STORED_FAILED_RUNS:]
-    late_start = task.late_starts_by_backend_id.get(backend.backend_id)
-    if late_start is not None:
-        late_start.has_failed = True
     pause = min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << min(task.failures - 1, 10))
     task.not_before_ms = now_ms + pause
     _record_backend_failure(scheduler, backend, task, now_ms)
+    _late_starts.note_failed(task, backend)
     state = task.step.job
     if task.step.spec.long_running or task.failures < state.queue.max_attempts:
         return
--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -54,6 +54,9 @@
 # Time for which a task waits at the begin of a term if its start may be open, but no
 # try without an answer is known, and its backend server seems to be down.
 ASSUMED_WAIT_MS = 2000
+# Fewest attempts that a failed task must have left to be bound to the backend server
+# where it failed, so that one more failure there leaves one for another server.
+MIN_ATTEMPTS_LEFT = 2
 NO_RESOURCES = Resources()
 
 
@@ -99,6 +102,23 @@
         scheduler.mark_dirty(task.step.job)
 
 
+def note_failed(task: TaskState, backend: BackendState) -> None:
+    """Records that a run has failed where a start of its task may be open.
+
+    One failure is taken for that of the task if other tasks have been done on the
+    backend server and none has failed there since. The last attempt of a task is left
+    for another one.
+    """
+    start = task.late_starts_by_backend_id.get(backend.backend_id)
+    if start is None:
+        return
+    start.failures += 1
+    attempts_left = task.step.job.queue.max_attempts - task.failures
+    is_sound = backend.has_done_tasks and backend.consecutive_failures == 1
+    if not is_sound or start.failures > 1 or attempts_left < MIN_ATTEMPTS_LEFT:
+        start.has_failed = True
+
+
 def job_restored(state: JobState, now_ms: int, unix_ms: int) -> None:
     """Restores until when ends of a job are not acknowledged from its record."""
     left_ms = min(state.late_until_unix_ms - unix_ms, LATE_CALL_MS)
@@ -271,7 +291,7 @@
     While a start is open, the task runs on the backend server that may carry it out.
     Nothing runs elsewhere then if that one starts again, as the run ends with it. This
     holds for a limited time, not if the backend server is to go away or is avoided, and
-    not if the task has failed there or crashed a server alone, which may be the fault
+    not if the task has crashed a server alone or failed there, if that may be the fault
     of the server.
     """
     if not task.late_starts_by_backend_id or task.crashed_alone_runs:
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -52,7 +52,9 @@
     is_assumed: bool = False
     # Host of the backend server; empty if it is not known.
     host_id: str = ''
-    # A run of the task has failed there since, which may be the server's fault.
+    # Number of runs of the task that have failed there since, and whether that may be
+    # the server's fault.
+    failures: int = 0
     has_failed: bool = False
 
 
@@ -284,6 +286,8 @@
     lists_incomplete: bool = False
     avoid_until_ms: int = 0
     consecutive_failures: int = 0
+    # A task has ended as done on it, so that not every task fails there.
+    has_done_tasks: bool = False
     failed_job_ids: set[str] = field(default_factory=set)
     cordoned: bool = False
     # Its host was ordered to move to another pool, or is borrowed and being drained so
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -343,6 +343,24 @@
         self.run_for(SOON_MS)
         self.assertEqual(self.test_bed.running()[TASK], ['b2'])
 
+    def test_a_task_that_fails_once_stays_with_a_sound_server(self):
+        """Guards against a task that is done elsewhere while its start is open.
+
+        The end on the other server stands when the first one restarts and carries the
+        start out. A second failure may be the fault of the server.
+        """
+        self.submit(accepted=True, tasks=2)
+        self.backend.end('j1.0.0.1', EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.FAILED)
+        self.state.full_until_ms = self.test_bed.now_ms + SOON_MS // 2
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+        self.backend.end(TASK, EndReason.FAILED)
+        self.state.full_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
     def test_a_task_leaves_a_server_that_is_avoided(self):
         """Guards against a job that stands still while a bad server gets no starts."""
         self.submit(accepted=True)
