Count runs that are being stopped towards the limit of their account

Cause: runs that a later lifetime carries out late are listed and stopped. If their task is done or runs elsewhere, they counted towards no limit, and the leader placed further tasks beside them. Change: a listed run that is being stopped counts until its server reports its end, or until the lease has expired. A task that waits for such a run counts once. Before and after: the new test fails before. Conclusion: runs that nobody has listed yet may still exceed the limit.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -157,13 +157,16 @@
     longest_ms = max_later_lease_ms(scheduler.hold_max_ms)
     for account in scheduler.accounts_by_name.values():
         account.unseen = NO_RESOURCES
+    for task in _strays.tasks_with_strays(scheduler, now_ms):
+        _add_unseen(task)
     for name, task in list(scheduler.late_start_tasks_by_name.items()):
         _keep_loss_times(scheduler, task, longest_ms)
         if task.backend is not None:
             task.bound_until_ms = now_ms + longest_ms
         elif task.phase is TaskPhase.WAITING and must_wait(scheduler, task, now_ms):
             task.bound_until_ms = now_ms + longest_ms
-            _add_unseen(task)
+            if not _strays.must_wait(scheduler, task, now_ms):
+                _add_unseen(task)
         task.late_starts_by_backend_id = {
             backend_id: start
             for backend_id, start in task.late_starts_by_backend_id.items()
@@ -188,7 +191,7 @@
 
 
 def _add_unseen(task: TaskState) -> None:
-    """Counts a run that may be under way towards the limit of its client account."""
+    """Counts one more run that may be under way towards a client account's limit."""
     account, used = task.step.job.account, task.step.spec.resources
     account.unseen = Resources(
         cpu_millicores=account.unseen.cpu_millicores + used.cpu_millicores,
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -231,7 +231,7 @@
     cpu_millicores: int = 0
     memory_mb: int = 0
     accelerators: int = 0
-    # Resources of waiting tasks of which a run may be under way.
+    # Resources of runs that may be under way beside those of assigned tasks.
     unseen: Resources = Resources()
 
 
--- a/dandelionknot/jobs/_strays.py
+++ b/dandelionknot/jobs/_strays.py
@@ -98,6 +98,20 @@
     )
 
 
+def tasks_with_strays(scheduler: Scheduler, now_ms: int) -> set[TaskState]:
+    """Returns the tasks of which another run than the current one may not have ended.
+
+    Such a run counts towards the limit of its client account until its backend server
+    reports its end, or until the lease has expired.
+    """
+    return {
+        task
+        for backend in scheduler.backends_by_id.values()
+        if backend.stray_tasks_by_name and may_run(scheduler, backend, now_ms)
+        for task in backend.stray_tasks_by_name.values()
+    }
+
+
 def may_run(scheduler: Scheduler, backend: BackendState, now_ms: int) -> bool:
     """Whether a lifetime of a backend server may still run tasks."""
     is_current = scheduler.backends_by_id.get(backend.backend_id) is backend
--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -541,6 +541,22 @@
         started = self.backend.started + self.other.started
         self.assertEqual(sorted(run for _, run in started), [1, 3])
 
+    def test_a_run_that_is_being_stopped_counts_towards_the_limit(self):
+        """Guards against an account that exceeds its limit by runs begun late."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        limit = Resources(cpu_millicores=SMALL.cpu_millicores)
+        self.test_bed.accounts = [ClientAccount(name='sofia', keys=['k'], limit=limit)]
+        self.test_bed.configure()
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='j2')
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+            self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+        self.backend.ignores_orders = False
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(len(self.test_bed.running()), 1)
+
     def test_a_task_waits_for_a_run_on_a_server_that_is_lost(self):
         """Guards against a start before the lease of a listed run has expired."""
         self.list_run(run=1, latest_run=2)
