Know a borrowed host as soon as its backend server appears

What callers saw: nothing yet; test_work_ends_when_the_load_ends: jobs of a whole host wait for up to 28 s longer than the test allows. Cause: a backend server counted as borrowed only after the first planning round in which moves are planned, and that round places tasks first. So a long-running task was started on a host that had been borrowed for large ones, after a move or a change of leader, and kept it from them. Change: the entry of a backend server names its host, so it is marked when the entry is applied. A new leader restores the homes of hosts before it applies the entries. Before and after: the new test fails before.

--- a/dandelionknot/jobs/_lifetimes.py
+++ b/dandelionknot/jobs/_lifetimes.py
@@ -141,6 +141,8 @@
     backend.leaving = report.draining
     backend.born_ms = report.born_ms or backend.born_ms
     backend.host_id = backend.host_id or report.host_id
+    # A long-running task might be placed on it before moves are planned next.
+    backend.borrowed = backend.host_id in scheduler.capacity.homes_by_host_id
     backend.address, backend.address_lent = report.address, False
     backend.entry_number = max(backend.entry_number, report.entry_number)
     backend.report = report
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -198,13 +198,13 @@
         self.scheduler.ended = deque(sorted(self.scheduler.ended))
         kept_ms = int(self.ports.settings.timing.status_kept_s * 1000)
         self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
+        homes = dict(view.borrowed.homes_by_host_id)
+        self.scheduler.capacity.homes_by_host_id = homes
         self.scheduler.note_replaced_lifetimes(view.backends_by_id.values())
         for report in view.backends_by_id.values():
             self._set_backend(report, now)
         limits_by_account = self.scheduler.millicores_by_account()
         self.scheduler.capacity.replay_arrivals(limits_by_account, now)
-        homes = dict(view.borrowed.homes_by_host_id)
-        self.scheduler.capacity.homes_by_host_id = homes
         maintenance = self.scheduler.maintenance
         # The former leader may have sent orders immediately before its term ended, so
         # orders about the same hosts wait for the handover time.
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -10,7 +10,7 @@
     StepSpec,
 )
 from tests.capacity_test_bed import OTHER, SPARE, CapacityTestCase
-from tests.job_test_bed import SERVICE
+from tests.job_test_bed import SERVICE, FakeBackend
 
 
 class CapacityTest(CapacityTestCase):
@@ -57,6 +57,19 @@
         self.run_rounds(100)
         self.assertEqual(sorted(self.pools.values()), sorted([SERVICE, SPARE] * 2))
 
+    def test_a_server_that_appears_on_a_borrowed_host_counts_as_borrowed_at_once(self):
+        """Guards against a long-running task that takes a borrowed host for good."""
+        test_bed = self.test_bed
+        test_bed.scheduler.capacity.homes_by_host_id['m-s0'] = SPARE
+        borrowed = test_bed.backends['s0'] = FakeBackend('s0', host_id='m-s0')
+        test_bed.scheduler.set_backend(borrowed.report(), test_bed.now_ms)
+        small = Resources(cpu_millicores=100, memory_mb=1)
+        step = StepSpec(task_count=3, resources=small, long_running=True)
+        test_bed.submit(step, job_id='long')
+        test_bed.step(100)
+        self.assertEqual(borrowed.started, [])
+        self.assertEqual(len(test_bed.running()), 3)
+
     def test_a_borrowed_host_is_drained_of_long_running_tasks(self):
         """Guards against a host that is never returned because of one such task."""
         self.run_rounds(2)
