--- a/tests/test_jobs_late_starts.py
+++ b/tests/test_jobs_late_starts.py
@@ -307,6 +307,24 @@
                 self.start_late()
                 self.run_for(SOON_MS)
 
+    def test_a_run_that_begins_anew_is_not_slow(self):
+        """Guards against a run that is stopped for its time in a former lifetime.
+
+        Its task would leave the server while its start is open.
+        """
+        self.submit(accepted=True)
+        self.task.step.durations_ms = [SOON_MS, SOON_MS]
+        self.run_for(SOON_MS)
+        self.test_bed.lose(self.backend)
+        self.run_for(2 * SOON_MS)
+        self.backend.restart()
+        self.start_late()
+        self.register(self.backend)
+        self.run_for(SOON_MS)
+        self.assertEqual(self.state.avoid_until_ms, 0)
+        self.assertEqual(self.backend.started, [(TASK, 1), (TASK, 1)])
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+
     def test_a_task_that_failed_elsewhere_stays_with_the_server(self):
         """Guards against a second run by an open start of a task with a failed run."""
         self.submit(accepted=False)
@@ -325,6 +343,24 @@
         self.run_for(SOON_MS)
         self.assertEqual(self.test_bed.running()[TASK], ['b2'])
 
+    def test_a_task_that_fails_once_stays_with_a_sound_server(self):
+        """Guards against a task that is done elsewhere while its start is open.
+
+        The end on the other server stands when the first one restarts and carries the
+        start out. A second failure may be the fault of the server.
+        """
+        self.submit(accepted=True, tasks=2)
+        self.backend.end('j1.0.0.1', EndReason.DONE)
+        self.run_for(SOON_MS)
+        self.backend.end(TASK, EndReason.FAILED)
+        self.state.full_until_ms = self.test_bed.now_ms + SOON_MS // 2
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+        self.backend.end(TASK, EndReason.FAILED)
+        self.state.full_until_ms = self.test_bed.now_ms + LONGEST_WAIT_MS
+        self.run_for(SOON_MS)
+        self.assertEqual(self.test_bed.running(), {TASK: ['b2']})
+
     def test_a_task_leaves_a_server_that_is_avoided(self):
         """Guards against a job that stands still while a bad server gets no starts."""
         self.submit(accepted=True)
@@ -505,6 +541,22 @@
         started = self.backend.started + self.other.started
         self.assertEqual(sorted(run for _, run in started), [1, 3])
 
+    def test_a_run_that_is_being_stopped_counts_towards_the_limit(self):
+        """Guards against an account that exceeds its limit by runs begun late."""
+        self.list_run(run=1, latest_run=2)
+        self.backend.ignores_orders = True
+        limit = Resources(cpu_millicores=SMALL.cpu_millicores)
+        self.test_bed.accounts = [ClientAccount(name='sofia', keys=['k'], limit=limit)]
+        self.test_bed.configure()
+        self.test_bed.submit(StepSpec(task_count=1, resources=SMALL), job_id='j2')
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+            self.assertEqual(self.test_bed.running(), {TASK: ['b1']})
+        self.backend.ignores_orders = False
+        for _ in range(10):
+            self.test_bed.step(TICK_MS)
+        self.assertEqual(len(self.test_bed.running()), 1)
+
     def test_a_task_waits_for_a_run_on_a_server_that_is_lost(self):
         """Guards against a start before the lease of a listed run has expired."""
         self.list_run(run=1, latest_run=2)
