Give client accounts without a limit a share of a full pool

Cause: only accounts with a limit had a share, so that an account without one that sends 5 to 15 times its usual crowds out all others of its queue. And once an account was beyond its share, all of its jobs were, since the window counted those beyond it too: it got nothing instead of its share. Change: a job has a level: 0 for what its account submits within its weight in jobs per second, 1 for as much again, and so on. While a task of a service waits for room, jobs of level 0 go first and the others by level, which is weighted max-min fairness: accounts that ask for less leave the rest to the others in proportion to their weights. Accounts with a limit keep their rule (behind the others at all times, no demand), for the excess only. Demand still counts all jobs of accounts without a limit. A new leader adds stored jobs in the order of acceptance, on which the levels depend. Ruled out: fixed windows of a second, which let twice the share through at their border; one count for each account, which cannot tell how far accounts are beyond their shares.

--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -70,8 +70,10 @@
             service = backend.report.service
             backends_by_service.setdefault(service, []).append(backend)
     steps_by_service: dict[str, list[StepState]] = {}
+    full = scheduler.full_services
     for state in sorted(
-        scheduler.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
+        scheduler.open_jobs_by_id.values(),
+        key=lambda job: _ranking.rank(job, now_ms, service_of(scheduler, job) in full),
     ):
         if state.job.spec.repeats:
             scheduler.open_due_occurrences(state, now_ms, unix_ms)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -1,6 +1,5 @@
 """The scheduler's state of jobs, tasks, client accounts and backend servers."""
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -15,6 +14,7 @@
     StepSpec,
     StopTask,
 )
+from dandelionknot.jobs._shares import AccountShare
 
 # Phases in which no task of a job is started any more.
 FINAL_PHASES = frozenset({JobPhase.DONE, JobPhase.FAILED, JobPhase.CANCELLED})
@@ -209,7 +209,10 @@
     task_ms_by_step: list[int] = field(default_factory=list)
     critical_path_ms: int = 0
     due_ms: int = 0
-    # The client account had submitted more than its share when the job was accepted.
+    # How far the client account was beyond its share when the job was accepted; 0 is
+    # within it.
+    share_level: int = 0
+    # The account was beyond its share and has a limit.
     beyond_share: bool = False
     # Local time since which nothing of it has run although a task is ready, or 0, and
     # the cause that was logged.
@@ -229,8 +232,7 @@
     name: str
     limit: Resources = Resources()
     weight: float = 1.0
-    # Acceptance times of its jobs within the last share window.
-    recent_unix_ms: deque[int] = field(default_factory=deque)
+    share: AccountShare = field(default_factory=AccountShare)
     cpu_millicores: int = 0
     memory_mb: int = 0
     accelerators: int = 0
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -192,7 +192,10 @@
             self.scheduler.set_configuration(view.configuration)
         self.scheduler.excluded_zones = frozenset(view.excluded_zones)
         self.scheduler.run_times.by_queue.update(view.waiting.run_times_by_queue)
-        for entry in view.jobs_by_id.values():
+        # The shares of the client accounts depend on the order of acceptance.
+        for entry in sorted(
+            view.jobs_by_id.values(), key=lambda entry: entry.job.accepted_unix_ms
+        ):
             self._add_job(entry, now, unix)
         # Jobs are restored in no particular order, while the scheduler deletes ended
         # jobs from the front of `ended`, which must hold the earliest end.
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -244,13 +244,15 @@
             )
         )
 
-    def submit(self, *steps: StepSpec, job_id: str = 'j1', **spec) -> Job:
+    def submit(
+        self, *steps: StepSpec, job_id: str = 'j1', account: str = 'sofia', **spec
+    ) -> Job:
         """Adds an accepted job to the store and the scheduler."""
         job = Job(
             job_id=job_id,
             queue=self.queue.name,
             service=SERVICE,
-            client_account='sofia',
+            client_account=account,
             accepted_unix_ms=self.now_ms,
             spec=JobSpec(payload='p', steps=list(steps), **spec),
             accepted_queue=self.queue,
