Pack long-running tasks where hosts can be moved, and log the hosts of pools

Cause: long-running tasks stood on the least used hosts. Change: with a standby pool, long-running tasks without a latency objective share hosts, at most as many of a step on one as it allows to be unavailable, in racks by turns. Event 8320 and the metric dandelionknot_pool_hosts show wanted, present, running and pinned.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -111,6 +111,7 @@
     POOL_LACKS_HOSTS = 8308
     SURGE_PREDICTED = 8309
     CORDON_ENDED = 8310
+    POOL_HOSTS = 8320
 
 
 @dataclass(frozen=True, slots=True)
@@ -502,6 +503,15 @@
         'more can be moved now; logged when this begins.',
         'If it lasts, compare `wanted` of all pools with the hosts that there are.',
     ),
+    Event.POOL_HOSTS: EventInfo(
+        INFO,
+        'How many hosts a pool needs and holds, at most once a second and only after '
+        'a change: `wanted` are those that the division of all hosts grants it, '
+        '`present` those that can run tasks, `running` those that do, `pinned` those '
+        'with a long-running task, which cannot be moved.',
+        'Compare `wanted` and `present` of all pools to see where hosts are missing or '
+        'idle.',
+    ),
     Event.SURGE_PREDICTED: EventInfo(
         INFO,
         'A recurrent surge of a pool is expected, and hosts are moved to it.',
--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -37,6 +37,7 @@
     BackendState,
     JobState,
     StepState,
+    has_long_running,
     occupied_cpu_millicores,
 )
 from dandelionknot.jobs._turns import Turns
@@ -48,7 +49,9 @@
 PLAN_EVERY_MS = 200
 # Idle time after which a host of one pool may be lent to another.
 LEND_AFTER_MS = 400
-# Idle time after which a borrowed host is returned to its home pool.
+# Idle time after which a borrowed host is returned to its home pool. It is longer than
+# the windows of the arrival rates (`_arrivals`), so that a pause between jobs does not
+# count as the end of a surge.
 RETURN_AFTER_MS = 3000
 # Idle time after which a host that belongs to its pool is moved to a standby pool.
 STANDBY_AFTER_MS = 4000
@@ -63,6 +66,8 @@
 REPLAYED_MS = 60_000
 # Orders that the platform accepts per second, unless the settings state another rate.
 DEFAULT_ORDERS_PER_S = 25.0
+# Shortest time between two logs of the hosts of a pool.
+LOG_HOSTS_EVERY_MS = 1000
 # A move counts as failed if the host is not listed as up in its new pool this long
 # after the order. The answer to the order may have been lost.
 MOVE_TIMEOUT_MS = 4000
@@ -97,8 +102,11 @@
     # Local time until which no move of a host is ordered, since its last one was
     # refused.
     refused_until_by_host_id: dict[str, int] = field(default_factory=dict)
-    # Local time of the last planning round.
+    # Local time of the last planning round, and of the last log of the hosts of pools.
     planned_ms: int = 0
+    hosts_logged_ms: int = 0
+    # What was logged about each pool.
+    logged_hosts_by_pool: dict[str, dict] = field(default_factory=dict)
     # The home pools have changed and have to be stored.
     dirty: bool = False
 
@@ -194,6 +202,7 @@
             self.emptying_host_ids,
         )
         self._log_changes(scheduler)
+        self._log_hosts(scheduler, now_ms)
         if not orders:
             orders = self._order_moves_home(scheduler, now_ms)
         if not orders:
@@ -213,6 +222,36 @@
                 )
                 backend.borrowed = host_id in self.homes_by_host_id
 
+    def _log_hosts(self, scheduler: Scheduler, now_ms: int) -> None:
+        """Logs how many hosts each pool needs and holds, if that has changed."""
+        if now_ms - self.hosts_logged_ms < LOG_HOSTS_EVERY_MS:
+            return
+        self.hosts_logged_ms = now_ms
+        running: dict[str, int] = {}
+        pinned: dict[str, int] = {}
+        for backend in scheduler.backends_by_id.values():
+            if backend.report is None or not backend.tasks_by_name:
+                continue
+            pool = backend.report.service
+            running[pool] = running.get(pool, 0) + 1
+            pinned[pool] = pinned.get(pool, 0) + has_long_running(backend)
+        for pool, demand in self.demand_by_pool.items():
+            fields = {
+                'pool': pool,
+                'wanted': demand.wanted,
+                'present': demand.present,
+                'arriving': demand.arriving,
+                'own': demand.own,
+                'running': running.get(pool, 0),
+                'pinned': pinned.get(pool, 0),
+                'unplaced': demand.unplaced,
+                'predicted_millicores': int(demand.predicted_millicores),
+                'standby': self._standby_count(scheduler),
+            }
+            if fields != self.logged_hosts_by_pool.get(pool):
+                self.logged_hosts_by_pool[pool] = fields
+                scheduler.note(Event.POOL_HOSTS, fields)
+
     def _log_changes(self, scheduler: Scheduler) -> None:
         """Logs the pools that begin to lack hosts, and new predictions."""
         for pool, demand in self.demand_by_pool.items():
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -9,6 +9,7 @@
     StepState,
     TaskPhase,
     TaskState,
+    has_long_running,
     occupied_cpu_millicores,
 )
 
@@ -20,6 +21,12 @@
 # Cost, for a long-running task, of a host that is due for maintenance: the task would
 # have to be moved soon.
 MAINTENANCE_DUE_PENALTY = 3.0
+# Cost, for a packed task, of a host without long-running tasks: the host could not be
+# moved to another pool any more.
+OPENED_HOST_PENALTY = 2.0
+# Cost, for a packed task, of a host with as many tasks of its step as may be
+# unavailable at the same time: it could not be emptied at once.
+OVER_BUDGET_PENALTY = 3.0
 # Cost of a host that is borrowed from another pool.
 BORROWED_PENALTY = 3.0
 # Largest share of its limit that a client account may use when copies of its tasks are
@@ -116,15 +123,24 @@
 
 
 def best_backend(
-    step: StepState, backends: Iterable[BackendState]
+    step: StepState, backends: Iterable[BackendState], packs_long_running: bool = False
 ) -> BackendState | None:
-    """Returns the backend server with the lowest cost that can take a task, or None."""
+    """Returns the backend server with the lowest cost that can take a task, or None.
+
+    `packs_long_running` is whether hosts without long-running tasks are of use
+    elsewhere, since they can be moved to another pool at any time.
+    """
+    packs = packs_long_running and is_packed(step.spec)
+    racks = _racks_in_use(step) if packs else {}
     best: BackendState | None = None
     best_cost = 0.0
     for backend in backends:
         if not can_take(backend, step):
             continue
-        cost = _cost(step, backend)
+        if packs:
+            cost = _packing_cost(step, backend, racks)
+        else:
+            cost = _cost(step, backend)
         if best is None or cost < best_cost:
             best, best_cost = backend, cost
     return best
@@ -159,6 +175,56 @@
     return cost
 
 
+def is_packed(spec: StepSpec) -> bool:
+    """Whether tasks of a step may share few hosts with other long-running tasks.
+
+    Tasks with a latency objective slow each other, so they are spread.
+    """
+    return (
+        spec.long_running
+        and not spec.latency_objective_ms
+        and not spec.uses_idle_capacity
+    )
+
+
+def _racks_in_use(step: StepState) -> dict[str, int]:
+    """Returns how many tasks of a step are placed in each rack."""
+    counts: dict[str, int] = {}
+    for task in step.tasks:
+        if task.backend is not None:
+            rack = task.backend.rack
+            counts[rack] = counts.get(rack, 0) + 1
+    return counts
+
+
+def _packing_cost(
+    step: StepState, backend: BackendState, tasks_by_rack: dict[str, int]
+) -> float:
+    """Returns the cost of a host for a task that is packed; the lowest is best.
+
+    Hosts that run long-running tasks already come first, as long as they can be emptied
+    at once within the availability budget of the step, and of those and the others each
+    time the ones in the rack with the fewest tasks of the step, so that the loss of a
+    rack ends as few of them as possible.
+    """
+    report = backend.report
+    assert report is not None
+    cost = tasks_by_rack.get(backend.rack, 0) / max(1, len(step.tasks))
+    cost -= backend.cpu_millicores / max(1, report.room.cpu_millicores) / 2
+    tasks_here = step.tasks_by_backend_id.get(backend.backend_id, 0)
+    if tasks_here >= max(1, step.spec.max_unavailable):
+        cost += OVER_BUDGET_PENALTY
+    elif not has_long_running(backend):
+        cost += OPENED_HOST_PENALTY
+    if report.cold_left_ms:
+        cost += COLD_PENALTY
+    if step.spec.preferred_rack and backend.rack != step.spec.preferred_rack:
+        cost += REMOTE_RACK_PENALTY
+    cost += MAINTENANCE_DUE_PENALTY * backend.maintenance_due
+    cost += BORROWED_PENALTY * backend.borrowed
+    return cost
+
+
 def _interfering_count(spec: StepSpec, backend: BackendState) -> int:
     """Returns how many tasks on a backend server slow a new one or are slowed by it."""
     return sum(
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -250,7 +250,8 @@
             or not _placement.can_take(backend, step)
         ):
             ready = [b for b in allowed if b.placed_at_ms <= now_ms - spacing_ms]
-            backend = _placement.best_backend(step, ready)
+            packs = scheduler.capacity.active()
+            backend = _placement.best_backend(step, ready, packs)
         if backend is None and len(allowed) < len(backends):
             continue
         if backend is None:
--- a/dandelionknot/jobs/_pools.py
+++ b/dandelionknot/jobs/_pools.py
@@ -6,7 +6,7 @@
 
 from dandelionknot.jobs._demand import MIN_HOSTS
 from dandelionknot.jobs._generated import Host
-from dandelionknot.jobs._state import BackendState
+from dandelionknot.jobs._state import BackendState, has_long_running
 
 # Share of its own hosts that a pool keeps as a reserve beyond its demand. Surges that
 # are predicted need less of it, since their hosts are moved before they begin.
@@ -91,7 +91,7 @@
         backend = backends_by_id.get(host.backend_id)
         if backend is None or host.host_id in moving_host_ids:
             continue
-        if any(task.step.spec.long_running for task in backend.tasks_by_name.values()):
+        if has_long_running(backend):
             continue
         is_new = host.host_id not in emptying_host_ids
         found.append((is_new, backend.cpu_millicores, host.host_id, host.pool))
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -360,6 +360,11 @@
             yield from step.tasks
 
 
+def has_long_running(backend: BackendState) -> bool:
+    """Whether a long-running task is assigned to a backend server."""
+    return any(t.step.spec.long_running for t in backend.tasks_by_name.values())
+
+
 def occupied_cpu_millicores(spec: StepSpec) -> int:
     """Returns the millicores by which a task of a step reduces the room of its host.
 
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -28,6 +28,7 @@
     __slots__ = (
         '_decisions',
         '_job_seconds',
+        '_pool_hosts',
         '_registry',
         '_standstill_seconds',
         '_start_seconds',
@@ -71,6 +72,12 @@
             buckets=HISTOGRAM_BOUNDS_S,
             registry=self._registry,
         )
+        self._pool_hosts = Gauge(
+            'dandelionknot_pool_hosts',
+            'Hosts of each pool by kind: wanted, present, arriving, running, pinned',
+            ['pool', 'kind'],
+            registry=self._registry,
+        )
         self.leading = Gauge(
             'dandelionknot_leading',
             'Whether this process decides where tasks run',
@@ -96,6 +103,9 @@
                 fields['queue'], fields['client_account'], fields['phase']
             ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
 
+        elif event is Event.POOL_HOSTS:
+            for kind in ('wanted', 'present', 'arriving', 'running', 'pinned'):
+                self._pool_hosts.labels(fields['pool'], kind).set(fields[kind])
         elif event is Event.JOB_RUNS_AGAIN:
             self._standstill_seconds.labels(fields['queue'], fields['cause']).observe(
                 fields['stood_ms'] / MILLISECONDS_PER_SECOND
