--- a/dandelionknot/jobs/_capacity.py
+++ b/dandelionknot/jobs/_capacity.py
@@ -52,9 +52,9 @@
 # Idle time after which a borrowed host is returned to its home pool. It is longer than
 # the windows of the arrival rates (`_arrivals`), so that a pause between jobs does not
 # count as the end of a surge.
-RETURN_AFTER_MS = 3000
+RETURN_AFTER_MS = 1500
 # Idle time after which a host that belongs to its pool is moved to a standby pool.
-STANDBY_AFTER_MS = 4000
+STANDBY_AFTER_MS = 2500
 # A pool drains borrowed hosts only while this many hosts beyond its demand remain.
 DRAIN_RESERVE = 1
 # Most borrowed hosts that one pool drains at the same time.
