--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -712,6 +712,163 @@
     ) = 120
 
 
+class ManagerLimits(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    What the machine of a process has, and limits on clients of the process.
+    """
+
+    memory_mb: (
+        Annotated[
+            float,
+            Meta(description="Memory of the machine in MB.", ge=64.0, le=1048576.0),
+        ]
+       
+    ) = 200
+    max_fds: (
+        Annotated[
+            int,
+            Meta(
+                description="Most open descriptors of the process.", ge=512, le=1048576
+            ),
+        ]
+       
+    ) = 4100
+    file_fds: (
+        Annotated[int, Meta(description="Descriptors kept for files.", ge=0, le=65536)]
+       
+    ) = 200
+    request_memory_percent: (
+        Annotated[
+            int,
+            Meta(
+                description="Percentage of the memory for all requests that are not answered yet.",
+                ge=5,
+                le=50,
+            ),
+        ]
+       
+    ) = 15
+    max_body_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Largest body of a call of a caller in bytes.",
+                ge=65536,
+                le=16000000,
+            ),
+        ]
+       
+    ) = 2000000
+    max_header_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Largest start line and headers of a request in bytes.",
+                ge=4096,
+                le=65536,
+            ),
+        ]
+       
+    ) = 16384
+    small_body_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Largest body in bytes that may use the whole memory for requests.",
+                ge=1024,
+                le=65536,
+            ),
+        ]
+       
+    ) = 16384
+    max_chunked_bodies: (
+        Annotated[
+            int,
+            Meta(
+                description="Most unfinished chunked bodies. An eighth of them may be longer than 4096 bytes.",
+                ge=8,
+                le=4096,
+            ),
+        ]
+       
+    ) = 64
+    header_timeout_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Longest time from the first byte of a request to the end of its headers.",
+                ge=1000,
+                le=600000,
+            ),
+        ]
+       
+    ) = 10000
+    stalled_timeout_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Longest time in which less than 4096 bytes of an unfinished body arrive.",
+                ge=1000,
+                le=600000,
+            ),
+        ]
+       
+    ) = 10000
+    body_timeout_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Longest time from the first byte of a request to the end of its body.",
+                ge=1000,
+                le=3600000,
+            ),
+        ]
+       
+    ) = 60000
+    idle_timeout_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Longest time without a request on an open connection.",
+                ge=1000,
+                le=86400000,
+            ),
+        ]
+       
+    ) = 600000
+    answer_timeout_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Longest time for which an answer waits for a client that does not read it.",
+                ge=1000,
+                le=600000,
+            ),
+        ]
+       
+    ) = 30000
+    readiness_connections: (
+        Annotated[
+            int,
+            Meta(
+                description="Most open connections of the readiness port.",
+                ge=4,
+                le=4096,
+            ),
+        ]
+       
+    ) = 64
+    metrics_connections: (
+        Annotated[
+            int,
+            Meta(
+                description="Most open connections of the metrics port.", ge=2, le=4096
+            ),
+        ]
+       
+    ) = 16
+
+
 class ManagerSettings(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
     Settings of a manager process.
@@ -749,6 +906,9 @@
     timing: ManagerTiming = field(
         default_factory=lambda: convert({}, type=ManagerTiming)
     )
+    limits: ManagerLimits = field(
+        default_factory=lambda: convert({}, type=ManagerLimits)
+    )
 
 
 class Job(Struct, frozen=True, kw_only=True, omit_defaults=True):
