Apply the limits on clients on the ports of a manager

Change: `_http_server.py` reports what happens on each connection to the table, and closes or refuses what it decides, for callers, readiness and metrics. It counts bytes where the stream reads them from the socket, so that headers and pipelined requests count too. Reasons are logged once a second by port and reason (event 8013) and counted in the metrics. Bodies of forms are not decoded by the HTTP library any more before a handler sees the request.

Ruled out: the timers of the HTTP library, which cost a timer for each request. One task checks all connections every 0.5 s; the library's header timer, which ran for every request before, is switched off.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -72,6 +72,7 @@
     LINES_LEFT_OUT = 8010
     UNEXPECTED_ERROR = 8011
     MESSAGE_DROPPED = 8012
+    CLIENTS_LIMITED = 8013
     JOB_ACCEPTED = 8101
     JOB_REFUSED = 8102
     JOB_CANCEL_STORED = 8103
@@ -484,6 +485,14 @@
         'A message between two tasks was dropped, since the mailbox was full.',
         'Restart the process, and report what it was doing.',
     ),
+    Event.CLIENTS_LIMITED: EventInfo(
+        WARNING,
+        'Connections of clients were closed or their requests refused because of a '
+        'limit; `reason` names it and `count` is their number since the last line '
+        'for this port and reason.',
+        'If ordinary callers are concerned, raise the limit; see `limits` in the '
+        'settings. Otherwise find the clients at the balancer.',
+    ),
     Event.BACKEND_ANSWER_MALFORMED: EventInfo(
         ERROR,
         'An answer of a backend server, or one row of it, does not match the '
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -9,10 +9,10 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
-from dandelionknot.addresses import split_address
+from dandelionknot._http_server import LimitedServer
+from dandelionknot._request_limits import Port, RequestTable
 from dandelionknot.clock import MILLISECONDS_PER_SECOND
 from dandelionknot.events import Event
 
@@ -26,13 +26,16 @@
     """The metrics of one process."""
 
     __slots__ = (
+        '_client_limits',
         '_decisions',
         '_job_seconds',
         '_registry',
         '_standstill_seconds',
         '_start_seconds',
         '_task_ends',
+        'client_connections',
         'leading',
+        'request_bytes',
         'view_age',
     )
 
@@ -71,6 +74,23 @@
             buckets=HISTOGRAM_BOUNDS_S,
             registry=self._registry,
         )
+        self._client_limits = Counter(
+            'dandelionknot_client_limits',
+            'Connections closed and requests refused because of a limit on clients',
+            ['port', 'reason'],
+            registry=self._registry,
+        )
+        self.client_connections = Gauge(
+            'dandelionknot_client_connections',
+            'Open connections of clients',
+            ['port'],
+            registry=self._registry,
+        )
+        self.request_bytes = Gauge(
+            'dandelionknot_request_bytes',
+            'Memory kept for requests that are not answered yet',
+            registry=self._registry,
+        )
         self.leading = Gauge(
             'dandelionknot_leading',
             'Whether this process decides where tasks run',
@@ -95,7 +115,10 @@
             self._job_seconds.labels(
                 fields['queue'], fields['client_account'], fields['phase']
             ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
-
+        elif event is Event.CLIENTS_LIMITED:
+            self._client_limits.labels(fields['port'], fields['reason']).inc(
+                fields['count']
+            )
         elif event is Event.JOB_RUNS_AGAIN:
             self._standstill_seconds.labels(fields['queue'], fields['cause']).observe(
                 fields['stood_ms'] / MILLISECONDS_PER_SECOND
@@ -111,15 +134,20 @@
 
     __slots__ = ('_metrics', '_server', '_update')
 
-    def __init__(self, metrics: ManagerMetrics, update: Callable[[], None]):
+    def __init__(
+        self,
+        metrics: ManagerMetrics,
+        update: Callable[[], None],
+        table: RequestTable,
+        limits: Port,
+    ):
         self._metrics = metrics
         self._update = update
-        self._server = HTTPServer(self._answer)
+        self._server = LimitedServer(self._answer, table, limits)
 
     def listen(self, address: str) -> None:
         """Listens on `IP:PORT`."""
-        host, port = split_address(address)
-        self._server.listen(port, host)
+        self._server.listen_on(address)
 
     def _answer(self, request: HTTPServerRequest) -> None:
         status, reason, body = 404, 'Not Found', b''
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -6,10 +6,13 @@
 
 from result import Err
 
+from dandelionknot._http_server import sweep
+from dandelionknot._request_limits import RequestTable
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.events import Event, log_event, set_up_logging
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.manager._core import ManagerCore
+from dandelionknot.manager._limits import add_ports, request_limits
 from dandelionknot.manager._metrics import ManagerMetrics, MetricsServer
 from dandelionknot.manager.settings import ManagerSettings, load_manager_settings
 from dandelionknot.platform import (
@@ -39,6 +42,7 @@
         'metrics',
         'metrics_server',
         'readiness',
+        'requests',
         'settings',
     )
 
@@ -47,7 +51,11 @@
         self.metrics = ManagerMetrics()
         adapter = PlatformAdapter.from_settings(settings)
         self.core = ManagerCore(settings, adapter, self.metrics.observe)
-        self.metrics_server = MetricsServer(self.metrics, self._update_gauges)
+        self.requests = RequestTable(request_limits(settings.limits))
+        ports = add_ports(self.requests, settings.limits)
+        self.metrics_server = MetricsServer(
+            self.metrics, self._update_gauges, self.requests, ports.metrics
+        )
         call_handler = self.core.call_handler
         self.callers = CallerServer(
             CallerPort(
@@ -57,13 +65,21 @@
                 cancel=call_handler.cancel,
                 waiting=call_handler.waiting,
                 is_stopping=self.core.stopping.is_set,
-            )
+            ),
+            self.requests,
+            ports.callers,
+        )
+        self.readiness = ReadinessServer(
+            call_handler.ready, self.requests, ports.readiness
         )
-        self.readiness = ReadinessServer(call_handler.ready)
 
     def _update_gauges(self) -> None:
         self.metrics.leading.set(self.core.leadership.leading())
         self.metrics.view_age.set(seconds(self.core.call_handler.age_ms()))
+        self.metrics.request_bytes.set(self.requests.charged_bytes)
+        for port in self.requests.ports:
+            connections = len(port.connections)
+            self.metrics.client_connections.labels(port.name).set(connections)
 
     def start(self) -> None:
         """Starts the servers and the tasks."""
@@ -72,6 +88,9 @@
         if self.settings.metrics_address:
             self.metrics_server.listen(self.settings.metrics_address)
         self.core.start()
+        self.core.tasks.append(
+            asyncio.create_task(sweep(self.requests, self.metrics.observe))
+        )
         log_event(
             Event.MANAGER_STARTED,
             availability_zone=self.settings.availability_zone,
--- a/dandelionknot/platform/_callers.py
+++ b/dandelionknot/platform/_callers.py
@@ -3,17 +3,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any
-from weakref import WeakSet
 
 import msgspec
 from result import Err
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
+from tornado.iostream import StreamClosedError
 
-from dandelionknot.addresses import split_address
+from dandelionknot._http_server import LimitedServer, has_room
+from dandelionknot._request_limits import Port, RequestTable
 from dandelionknot.events import log_unexpected_error
 from dandelionknot.jobs._generated import (
     CallerReply,
@@ -41,6 +38,11 @@
 }
 # Status of the answer to a call about an unknown job.
 GONE = 410
+# Memory of a decoded step, for the budget of requests that are not answered yet.
+STEP_BYTES = 800
+# Jobs that are smaller when decoded are not counted. They are most of all, and the
+# number of connections limits them.
+MAX_UNCOUNTED_BYTES = 16_384
 # Names of the phases on the wire.
 NAMES_BY_PHASE = {
     JobPhase.QUEUED: 'queued',
@@ -80,39 +82,19 @@
     is_stopping: Callable[[], bool]
 
 
-class _TrackingServer(HTTPServer):
-    """An HTTP server that keeps track of its open connections."""
-
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Creates the server without connections."""
-        super().initialize(*args, **kwargs)
-        self._streams: WeakSet[IOStream] = WeakSet()
-
-    def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        """Adds a new connection to the open ones."""
-        self._streams.add(stream)
-        super().handle_stream(stream, address)
-
-    def close_streams(self) -> None:
-        """Closes all open connections in one step."""
-        for stream in list(self._streams):
-            stream.close()
-
-
 class CallerServer:
     """The HTTP server for callers; each call is handled in its own asyncio task."""
 
     __slots__ = ('_calls', '_port', '_server')
 
-    def __init__(self, port: CallerPort):
+    def __init__(self, port: CallerPort, table: RequestTable, limits: Port):
         self._port = port
-        self._server = _TrackingServer(self._accept)
+        self._server = LimitedServer(self._accept, table, limits)
         self._calls: set[asyncio.Task] = set()
 
     def listen(self, address: str) -> None:
         """Listens on `IP:PORT`."""
-        host, number = split_address(address)
-        self._server.add_sockets(bind_sockets(number, host, backlog=512))
+        self._server.listen_on(address)
 
     @property
     def calls_in_progress(self) -> int:
@@ -191,6 +173,9 @@
             spec = decode_job_spec(request.body)
             if isinstance(spec, Err):
                 return 400, msgspec.json.encode({'reason': str(spec.err_value)}), 0
+            size = len(spec.ok_value.steps) * STEP_BYTES
+            if size > MAX_UNCOUNTED_BYTES and not has_room(request, size):
+                return 503, b'{"reason":"memory"}', 1
             submit = self._port.submit
             reply = await submit(queue, key, job_id, spec.ok_value, deadline_ms)
             return _response(reply, gone=False)
@@ -233,14 +218,13 @@
 
     __slots__ = ('_ready', '_server')
 
-    def __init__(self, ready: Callable[[], bool]):
+    def __init__(self, ready: Callable[[], bool], table: RequestTable, limits: Port):
         self._ready = ready
-        self._server = HTTPServer(self._answer)
+        self._server = LimitedServer(self._answer, table, limits)
 
     def listen(self, address: str) -> None:
         """Listens on `IP:PORT`."""
-        host, number = split_address(address)
-        self._server.add_sockets(bind_sockets(number, host))
+        self._server.listen_on(address)
 
     def _answer(self, request: HTTPServerRequest) -> None:
         ready = request.path == READINESS_PATH and self._ready()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from dandelionknot._http_connections import HttpConnections
+from dandelionknot._request_limits import RequestLimits, RequestTable
 from dandelionknot.clock import now_ms
 from dandelionknot.events import Event
 from dandelionknot.jobs import _demand
@@ -402,7 +403,8 @@
             waiting=lambda queue, key: CallerReply(verdict=CallerVerdict.KNOWN),
             is_stopping=lambda: False,
         )
-        server = CallerServer(port)
+        table = RequestTable(RequestLimits(budget_bytes=1_000_000))
+        server = CallerServer(port, table, table.add_port('callers', 8, 10_000))
         address = f'127.0.0.1:{free_port()}'
         server.listen(address)
         client = HttpConnections(address)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 
+from dandelionknot._request_limits import RequestLimits, RequestTable
 from dandelionknot.jobs._generated import CallerReply, CallerVerdict
 from dandelionknot.platform._callers import CallerPort, CallerServer
 from standins.fleet import free_port
@@ -21,6 +22,7 @@
             read.append(queue)
             return CallerReply(verdict=CallerVerdict.KNOWN, waiting_jobs=0)
 
+        table = RequestTable(RequestLimits(budget_bytes=1_000_000))
         server = CallerServer(
             CallerPort(
                 find_queue=lambda host, path: ('desk', ''),
@@ -29,7 +31,9 @@
                 cancel=None,
                 waiting=waiting,
                 is_stopping=lambda: True,
-            )
+            ),
+            table,
+            table.add_port('callers', CONNECTIONS, 1000),
         )
         address = '127.0.0.1', free_port()
         server.listen('{}:{}'.format(*address))
