Let chunks wait for their turn

Cause: the HTTP library parses up to 256 chunks of a body before other tasks run, and goes on with what a closed connection has in its buffer. 300 clients that send chunks of one byte and connect again kept the event loop from other tasks for seconds: leases expired and every call was refused.

Change: the chunks of all requests are counted, and beyond 5,000 per second (`chunks_per_s`) a body waits for its turn, or is refused with 503 if that takes longer than 5 s. Bodies in small chunks are read in pieces of 1 KB, with a turn of the event loop between them. What a closed connection has in its buffer is discarded.

Ruled out: the limit on the number of unfinished chunked bodies alone. With it, the pause was up to 10 s, since each connection that it closed was parsed to the end of its buffer, 16 KB or 2,700 chunks.

--- a/dandelionknot/_http_server.py
+++ b/dandelionknot/_http_server.py
@@ -22,6 +22,7 @@
 from dandelionknot._request_limits import (
     Connection,
     LimitReason,
+    Phase,
     Port,
     RequestTable,
 )
@@ -33,6 +34,12 @@
 # this and the longest headers.
 READ_BYTES = 16 * 1024
 BACKLOG = 512
+# Bytes that are read at once before the headers of a request are known.
+HEADER_READ_BYTES = 4096
+# Bytes of a body in small chunks that are read in one turn of the event loop.
+CHUNKED_READ_BYTES = 1024
+# Framing of a chunked body counts as small up to this part of the body.
+SMALL_FRAMING_PART = 8
 # Interval at which time limits are checked and closed connections are logged.
 SWEEP_MS = 500
 # Interval at which the reasons are logged, each in one line by port.
@@ -45,6 +52,7 @@
 STATUS_BY_REASON = {
     LimitReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     LimitReason.CHUNKS_TOO_SMALL: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    LimitReason.CHUNKS: HTTPStatus.SERVICE_UNAVAILABLE,
     LimitReason.MEMORY: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
@@ -63,16 +71,19 @@
     table: RequestTable
     # Set once the connection is in the table.
     connection: Connection | None = None
+    # The tornado version is pinned; it has no public access to what is not parsed yet.
+    _read_buffer: bytearray
     _read_buffer_size: int
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket and counts the bytes."""
         size = super().read_from_fd(buf)  # type: ignore[misc]
-        if size and self.connection is not None:
+        connection = self.connection
+        if size and connection is not None:
             unparsed = self._read_buffer_size + size
-            close_all(
-                self.table.received(self.connection, size, unparsed, now_ms()),
-            )
+            close_all(self.table.received(connection, size, unparsed, now_ms()))
+            if not connection.is_open:
+                return None
         return size
 
     def write(self, data: bytes | memoryview) -> asyncio.Future:
@@ -82,14 +93,51 @@
             self.table.answer_waits(self.connection, len(data), now_ms())
         return future
 
+    def discard(self) -> None:
+        """Closes the stream, so that what it has read already is not parsed."""
+        self.close()  # type: ignore[attr-defined]
+        self._read_buffer.clear()
+        self._read_buffer_size = 0
+
     @property
     def unparsed_bytes(self) -> int:
         """Bytes that have been read from the socket and not been parsed."""
         return self._read_buffer_size
 
+    @property
+    def unparsed_lines(self) -> int:
+        """Line ends in these bytes."""
+        return self._read_buffer.count(b'\n')
+
 
 class _Stream(_Counting, IOStream):
-    pass
+    """A stream that reads little at once where parsing it may take long."""
+
+    # Whether other tasks run before the next read.
+    _pauses = False
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads from the socket; reports no data once after each piece of chunks.
+
+        The event loop then runs other tasks first, and the pieces are counted.
+        """
+        if self._pauses:
+            self._pauses = False
+            return None
+        connection = self.connection
+        if connection is None or connection.phase is Phase.BODY:
+            if connection is None or not connection.is_chunked:
+                return super().read_from_fd(buf)
+            self._pauses = True
+            return super().read_from_fd(memoryview(buf)[: _piece_size(connection)])
+        return super().read_from_fd(memoryview(buf)[:HEADER_READ_BYTES])
+
+
+def _piece_size(connection: Connection) -> int:
+    body = connection.body_bytes
+    framing = connection.received_bytes - connection.header_bytes - body
+    is_small = framing * SMALL_FRAMING_PART <= body
+    return READ_BYTES if is_small else CHUNKED_READ_BYTES
 
 
 class _TlsStream(_Counting, SSLIOStream):
@@ -99,7 +147,7 @@
 def close_all(connections: Iterable[Connection]) -> None:
     """Closes the sockets of connections that were removed from the table."""
     for connection in connections:
-        connection.stream.close()  # type: ignore[attr-defined]
+        connection.stream.discard()  # type: ignore[attr-defined]
 
 
 class _LimitedRequest(HTTPMessageDelegate):
@@ -144,10 +192,9 @@
         if headers.get('Content-Type', '').lower().startswith(FORM_TYPES):
             del headers['Content-Type']
         waiting = self._inner.headers_received(start_line, headers)
-        # The headers of all connections are handled before the first chunk is parsed,
-        # so that no more than the permitted number of chunked bodies are parsed in one
-        # turn of the event loop.
-        return asyncio.sleep(0) if is_chunked and waiting is None else waiting
+        if not is_chunked or waiting is not None:
+            return waiting
+        return self._wait_for_chunks(stream.unparsed_lines)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Counts a piece of the body; refuses the request once it exceeds a limit."""
@@ -160,7 +207,21 @@
             self._inner.on_connection_close()
             self._refuse(reason)
             return None
-        return self._inner.data_received(chunk)
+        waiting = self._inner.data_received(chunk)
+        if waiting is not None or not _connection(stream).is_chunked:
+            return waiting
+        return self._wait_for_chunks(stream.unparsed_lines)
+
+    def _wait_for_chunks(self, lines: int) -> Awaitable[None] | None:
+        stream = self._stream
+        reason, wait_ms = stream.table.wait_for_chunks(
+            _connection(stream), lines, now_ms()
+        )
+        if reason is not None:
+            self._inner.on_connection_close()
+            self._refuse(reason)
+            return None
+        return asyncio.sleep(seconds(wait_ms)) if wait_ms else None
 
     def finish(self) -> None:
         """Hands the complete request to its handler."""
@@ -184,11 +245,12 @@
                 'Connection': 'close',
             }
         )
-        if reason is LimitReason.MEMORY:
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
             headers['Retry-After'] = str(RETRY_AFTER_S)
         start = ResponseStartLine('HTTP/1.1', status, status.phrase)
         self._http.write_headers(start, headers, body)
         self._http.finish()
+        self._stream.discard()
 
 
 def has_room(request: HTTPServerRequest, size: int) -> bool:
--- a/dandelionknot/_request_limits.py
+++ b/dandelionknot/_request_limits.py
@@ -35,11 +35,13 @@
 # Framing of a chunked body, beyond the size of the body itself, that is read. Chunks of
 # a few bytes cost far more processor time than their bytes.
 FRAMING_BYTES = 64 * 1024
-# Received bytes beyond which an unfinished chunked body counts as long. In chunks of
-# one byte, these are 680 chunks, or 20 ms on a slow core.
-LONG_CHUNKED_BYTES = 4096
-# Share of the unfinished chunked bodies that may be long.
-LONG_CHUNKED_SHARE = 0.125
+# Framing of one chunk in bytes. It is more for chunks of 16 bytes and above, which are
+# then counted a little too high.
+CHUNK_FRAMING_BYTES = 5
+# Chunks of each request that are read in any case.
+FREE_CHUNKS = 16
+# A request with chunks is refused if it had to wait longer than this for its turn.
+MAX_CHUNK_WAIT_MS = 5000
 # Time for which a connection that was refused may stay open until its answer is sent.
 REFUSED_MS = 2000
 
@@ -50,7 +52,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     CHUNKS_TOO_SMALL = 'chunks_too_small'
     HEADERS_TOO_LARGE = 'headers_too_large'
-    CHUNKED_BODIES = 'chunked_bodies'
+    CHUNKS = 'chunks'
     MEMORY = 'memory'
     CONNECTIONS = 'connections'
     HEADER_TIMEOUT = 'header_timeout'
@@ -81,9 +83,8 @@
     # Bytes of all requests that are not answered yet.
     budget_bytes: int
     max_header_bytes: int = 16_384
-    # Unfinished chunked bodies. The HTTP library parses up to 256 chunks of each of
-    # them before other tasks run.
-    max_chunked_bodies: int = 64
+    # Chunks of all bodies together; a chunk takes about 30 us on a slow core.
+    chunks_per_s: int = 5000
     # Up to this size, a body may use the whole budget.
     small_body_bytes: int = 16_384
     header_timeout_ms: int = 10_000
@@ -120,6 +121,8 @@
     header_bytes: int = 0
     since_progress_bytes: int = 0
     is_chunked: bool = False
+    # Chunks that were counted so far.
+    chunks: int = 0
     is_large: bool = False
     # Size that is kept free for an announced large body and for what is made of it.
     reserved_bytes: int = 0
@@ -140,8 +143,9 @@
     ports: list[Port] = field(default_factory=list)
     charged_bytes: int = 0
     large_bytes: int = 0
-    # Unfinished requests with a chunked body.
-    chunked: set[Connection] = field(default_factory=set)
+    # Chunks that may be parsed now; below 0 while some wait for their turn.
+    chunk_credit: float = 0.0
+    credited_ms: int = 0
     reasons: Counter[tuple[str, LimitReason]] = field(default_factory=Counter)
 
     def add_port(self, name: str, max_connections: int, max_body_bytes: int) -> Port:
@@ -189,12 +193,9 @@
             connection.since_progress_bytes = 0
             connection.progressed_ms = now_ms
         self._charge(connection)
-        closed: list[Connection] = []
-        if connection.is_chunked and _is_long(connection):
-            closed = self._close_long_chunked(connection)
-        if self.charged_bytes > self.limits.budget_bytes:
-            closed += self._free_budget(connection)
-        return closed
+        if self.charged_bytes <= self.limits.budget_bytes:
+            return []
+        return self._free_budget(connection)
 
     def headers_received(
         self, connection: Connection, announced: int | None, unparsed: int, now_ms: int
@@ -209,8 +210,9 @@
         connection.header_bytes = connection.received_bytes - unparsed
         connection.unparsed_bytes = unparsed
         if announced is None:
+            connection.is_chunked = True
             self._charge(connection)
-            return None, self._add_chunked(connection)
+            return None, []
         if announced > connection.port.max_body_bytes:
             return self._refuse(connection, LimitReason.BODY_TOO_LARGE), []
         if announced <= self.limits.small_body_bytes:
@@ -239,12 +241,36 @@
         most = connection.port.max_body_bytes * COPIES_OF_BODY
         return self._make_large(connection, min(2 * needed, most))
 
+    def wait_for_chunks(
+        self, connection: Connection, lines: int, now_ms: int
+    ) -> tuple[LimitReason | None, int]:
+        """Returns the refusal of a chunked body, or how long it waits in ms.
+
+        `lines` are the line ends that have been received but not parsed; a chunk has
+        two of them. The chunks of all requests wait in turn, so that parsing them does
+        not keep other tasks from running.
+        """
+        parsed = connection.received_bytes - connection.header_bytes
+        parsed -= connection.unparsed_bytes + connection.body_bytes
+        chunks = parsed // CHUNK_FRAMING_BYTES + lines // 2
+        new = chunks - max(connection.chunks, FREE_CHUNKS)
+        if new <= 0:
+            return None, 0
+        connection.chunks = chunks
+        rate = self.limits.chunks_per_s
+        credit = self.chunk_credit + (now_ms - self.credited_ms) * rate / 1000
+        self.credited_ms = now_ms
+        self.chunk_credit = min(credit, rate) - new
+        wait_ms = int(max(0.0, -self.chunk_credit) * 1000 / rate)
+        if wait_ms > MAX_CHUNK_WAIT_MS:
+            self.chunk_credit += new
+            return self._refuse(connection, LimitReason.CHUNKS), 0
+        return None, wait_ms
+
     def completed(self, connection: Connection, now_ms: int) -> None:
         """Notes that a request is complete and is handed to its handler."""
         connection.phase = Phase.HANDLED
         connection.progressed_ms = now_ms
-        if connection.is_chunked:
-            self._remove_chunked(connection)
 
     def decoded(self, connection: Connection, size: int) -> bool:
         """Whether there is room for `size` bytes that were decoded from a request.
@@ -272,7 +298,8 @@
         connection.phase = Phase.HEADERS if unparsed else Phase.IDLE
         connection.began_ms = connection.progressed_ms = now_ms
         connection.unparsed_bytes = connection.received_bytes = unparsed
-        connection.body_bytes = connection.header_bytes = 0
+        connection.body_bytes = connection.header_bytes = connection.chunks = 0
+        connection.is_chunked = False
         connection.reserved_bytes = connection.since_progress_bytes = 0
         self._charge(connection)
         connection.is_large = False
@@ -334,31 +361,6 @@
             if connection.is_large:
                 self.large_bytes += change
 
-    def _add_chunked(self, connection: Connection) -> list[Connection]:
-        """Adds a chunked body; at the limit, the oldest others are closed."""
-        closed: list[Connection] = []
-        if len(self.chunked) >= self.limits.max_chunked_bodies:
-            closed = _oldest_first(self.chunked)[:1]
-            self._close(closed[0], LimitReason.CHUNKED_BODIES)
-        connection.is_chunked = True
-        self.chunked.add(connection)
-        return closed
-
-    def _remove_chunked(self, connection: Connection) -> None:
-        connection.is_chunked = False
-        self.chunked.discard(connection)
-
-    def _close_long_chunked(self, connection: Connection) -> list[Connection]:
-        """Closes the long chunked body whose progress has stalled, or this one."""
-        most = max(1, int(self.limits.max_chunked_bodies * LONG_CHUNKED_SHARE))
-        long = _oldest_first(each for each in self.chunked if _is_long(each))
-        if len(long) <= most:
-            return []
-        stalled_ms = connection.progressed_ms - STALLED_MS
-        victim = long[0] if long[0].progressed_ms <= stalled_ms else connection
-        self._close(victim, LimitReason.CHUNKED_BODIES)
-        return [victim]
-
     def _excess(self, more: int = 0) -> int:
         return self.charged_bytes + more - self.limits.budget_bytes
 
@@ -426,7 +428,6 @@
     def _refuse(self, connection: Connection, reason: LimitReason) -> LimitReason:
         self.reasons[connection.port.name, reason] += 1
         connection.phase = Phase.REFUSED
-        self._remove_chunked(connection)
         return reason
 
     def _close(self, connection: Connection, reason: LimitReason) -> None:
@@ -436,7 +437,6 @@
     def _remove(self, connection: Connection) -> None:
         connection.is_open = False
         connection.port.connections.discard(connection)
-        self._remove_chunked(connection)
         self.charged_bytes -= connection.charged_bytes
         if connection.is_large:
             self.large_bytes -= connection.charged_bytes
@@ -447,9 +447,5 @@
     return connection.phase is not Phase.HANDLED
 
 
-def _is_long(connection: Connection) -> bool:
-    return connection.received_bytes - connection.header_bytes > LONG_CHUNKED_BYTES
-
-
 def _oldest_first(connections: Iterable[Connection]) -> list[Connection]:
     return sorted(connections, key=lambda each: each.progressed_ms)
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -781,17 +781,17 @@
         ]
        
     ) = 16384
-    max_chunked_bodies: (
+    chunks_per_s: (
         Annotated[
             int,
             Meta(
-                description="Most unfinished chunked bodies. An eighth of them may be longer than 4096 bytes.",
-                ge=8,
-                le=4096,
+                description="Chunks of chunked bodies per second; others wait for their turn.",
+                ge=100,
+                le=1000000,
             ),
         ]
        
-    ) = 64
+    ) = 5000
     header_timeout_ms: (
         Annotated[
             int,
--- a/dandelionknot/manager/_limits.py
+++ b/dandelionknot/manager/_limits.py
@@ -38,7 +38,7 @@
         budget_bytes=memory * limits.request_memory_percent // 100,
         max_header_bytes=limits.max_header_bytes,
         small_body_bytes=limits.small_body_bytes,
-        max_chunked_bodies=limits.max_chunked_bodies,
+        chunks_per_s=limits.chunks_per_s,
         header_timeout_ms=limits.header_timeout_ms,
         stalled_timeout_ms=limits.stalled_timeout_ms,
         body_timeout_ms=limits.body_timeout_ms,
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -14,6 +14,49 @@
 
 
 class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_bodies_of_legal_size_are_served_however_they_arrive(self):
+        """Guards against limits that refuse the bodies of ordinary callers."""
+        steps = b','.join([b'{"count":1,"image":"%s"}' % (b'i' * 300)] * 3000)
+        body = b'{"spec":"work","steps":[%s]}' % steps
+        received = []
+
+        async def submit(queue, key, job_id, spec, deadline_ms):
+            received.append(len(spec.steps))
+            return CallerReply(verdict=CallerVerdict.ACCEPTED)
+
+        table = RequestTable(RequestLimits(budget_bytes=10_000_000))
+        port = CallerPort(
+            find_queue=lambda host, path: ('desk', '00000000000000aa'),
+            submit=submit,
+            state=None,
+            cancel=None,
+            waiting=None,
+            is_stopping=lambda: False,
+        )
+        server = CallerServer(port, table, table.add_port('callers', 4, len(body)))
+        address = '127.0.0.1', free_port()
+        server.listen('{}:{}'.format(*address))
+        reader, writer = await asyncio.open_connection(*address)
+        self.addCleanup(writer.close)
+        start = b'POST /quotes/00000000000000aa HTTP/1.1\r\nHost: desk.example\r\n'
+        for size in (len(body), 30_000, 500):
+            for chunked in (False, True):
+                pieces = [body[i : i + size] for i in range(0, len(body), size)]
+                head = b'Content-Length: %d\r\n\r\n' % len(body)
+                if chunked:
+                    head = b'Transfer-Encoding: chunked\r\n\r\n'
+                    pieces = [b'%x\r\n%s\r\n' % (len(p), p) for p in (*pieces, b'')]
+                writer.write(start + head)
+                for piece in pieces:
+                    writer.write(piece)
+                    await writer.drain()
+                answer = await reader.readuntil(b'\r\n\r\n{}')
+                self.assertIn(b'202 Accepted', answer)
+        self.assertEqual(received, [3000] * 6)
+        await server.stop()
+        await server.close()
+        self.assertEqual((table.charged_bytes, table.large_bytes), (0, 0))
+
     async def test_no_request_is_read_while_the_connections_close(self):
         """Guards against requests that are read but not answered at a graceful stop."""
         read = []
