Apply the limits on clients to callers and operators of an entry host

Cause: the ports of an entry host had the defaults of the HTTP library: 64 MB for a body of a caller before the handler's own limit applied to what it kept, no bound for all bodies or connections together, and no time limit for a body.

Change: both ports use `LimitedServer` with one table. The memory and the descriptors of the machine are settings (`memory_mb`, `max_fds`), with the smallest machine as default. Refusals have the usual body with an error code: `body_too_large` (413) and `queue_full` (429). Log lines of event 8013 are counted in `clients_limited`.

No crowd was played against an entry host yet.

--- a/dandelionknot/_generated_classes.py
+++ b/dandelionknot/_generated_classes.py
@@ -1085,6 +1085,8 @@
     statsd: StatsdSettings | None = None
     log_level: LogLevel = LogLevel.INFO
     max_body_bytes: int = 1048576
+    memory_mb: int = 200
+    max_fds: int = 4100
     max_requests: int = 20000
     member_lease_ms: int = 10000
     peer_ping_interval_ms: int = 2000
--- a/dandelionknot/_http_server.py
+++ b/dandelionknot/_http_server.py
@@ -245,7 +245,7 @@
                 'Connection': 'close',
             }
         )
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        if status is not HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             headers['Retry-After'] = str(RETRY_AFTER_S)
         start = ResponseStartLine('HTTP/1.1', status, status.phrase)
         self._http.write_headers(start, headers, body)
--- a/dandelionknot/entry/__init__.py
+++ b/dandelionknot/entry/__init__.py
@@ -12,12 +12,14 @@
 
 from dandelionknot import decisions
 from dandelionknot._http_client import HttpClient, http_target, new_http_client
+from dandelionknot._http_server import sweep
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.configuration import Configuration
 from dandelionknot.context import Context
 from dandelionknot.entry._caller_server import start_caller_server
 from dandelionknot.entry._changes import run_changes
+from dandelionknot.entry._client_limits import EntryPorts
 from dandelionknot.entry._dispatcher import run_dispatcher, run_ticks
 from dandelionknot.entry._host_health import fleet_health
 from dandelionknot.entry._links import run_links
@@ -44,6 +46,7 @@
     WaitUntilIdle,
     WaitUntilReleased,
 )
+from dandelionknot.metrics import Counter
 from dandelionknot.operators import EditDecisions
 from dandelionknot.ports import PlatformPort
 from dandelionknot.settings import EntrySettings
@@ -250,13 +253,18 @@
     peer_server = await start_peer_server(
         settings.peer_address, identity, dispatcher, context.metrics.count
     )
-    servers = [
-        start_caller_server(settings, dispatcher),
-        start_operator_server(settings, dispatcher, state.outboxes.changes),
+    ports = EntryPorts.from_settings(settings)
+    servers: list[HTTPServer] = [
+        start_caller_server(settings, dispatcher, ports),
+        start_operator_server(settings, dispatcher, state.outboxes.changes, ports),
     ]
     coroutines = [
         run_dispatcher(state, dispatcher),
         run_ticks(dispatcher),
+        sweep(
+            ports.table,
+            lambda event, fields: context.metrics.count(Counter.CLIENTS_LIMITED),
+        ),
         *_platform_coroutines(state, dispatcher, platform),
         *_link_coroutines(state, dispatcher, identity, backend_client),
     ]
--- a/dandelionknot/entry/_caller_server.py
+++ b/dandelionknot/entry/_caller_server.py
@@ -4,13 +4,15 @@
 import ssl
 from http import HTTPStatus
 
-import tornado.httpserver
-import tornado.netutil
+import tornado.iostream
 import tornado.web
 from result import Err
 
 from dandelionknot import codec
+from dandelionknot._http_server import LimitedServer
 from dandelionknot._mailbox import Mailbox
+from dandelionknot._request_limits import LimitReason
+from dandelionknot.entry._client_limits import EntryPorts
 from dandelionknot.messages import (
     AnswerBody,
     CallerGone,
@@ -24,15 +26,13 @@
     RunState,
     SubmitRequest,
 )
-from dandelionknot.settings import EntrySettings, split_address
+from dandelionknot.settings import EntrySettings
 
-MAX_HEADER_BYTES = 16 * 1024
 # A longer API key is truncated to one character more, so that it is still too long.
 MAX_KEY_LENGTH = 256
 # Longest time for which a call that fetches an answer may wait for it.
 MAX_FETCH_WAIT_MS = 60_000
 BEARER = 'Bearer '
-CHUNK_BYTES = 64 * 1024
 
 STATUS_BY_CODE: dict[ErrorCode, HTTPStatus] = {
     ErrorCode.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -234,9 +234,20 @@
     return context
 
 
+def refusal_of(reason: LimitReason, max_bytes: int) -> tuple[HTTPStatus, bytes]:
+    """Returns the refusal of a request that a limit on clients forbids to read."""
+    code, message = ErrorCode.QUEUE_FULL, f'the entry host is overloaded: {reason}'
+    if reason is LimitReason.BODY_TOO_LARGE:
+        code = ErrorCode.BODY_TOO_LARGE
+        message = f'the body is larger than {max_bytes} bytes'
+    elif reason is LimitReason.CHUNKS_TOO_SMALL:
+        code, message = ErrorCode.BODY_TOO_LARGE, 'the chunks of the body are too small'
+    return status_of(code), codec.encode_json(not_run(code, message))
+
+
 def start_caller_server(
-    settings: EntrySettings, dispatcher: Mailbox
-) -> tornado.httpserver.HTTPServer:
+    settings: EntrySettings, dispatcher: Mailbox, ports: EntryPorts
+) -> LimitedServer:
     """Starts the HTTP server for callers on the caller address."""
     arguments = {'dispatcher': dispatcher, 'settings': settings}
     application = tornado.web.Application(
@@ -250,14 +261,12 @@
         default_handler_args=arguments,
         log_function=lambda handler: None,
     )
-    host, port = split_address(settings.caller_address)
-    server = tornado.httpserver.HTTPServer(
+    server = LimitedServer(
         application,
+        ports.table,
+        ports.callers,
         ssl_options=server_context(settings),
-        max_header_size=MAX_HEADER_BYTES,
-        chunk_size=CHUNK_BYTES,
-        max_body_size=64 * 1024 * 1024,
-        idle_connection_timeout=60,
+        refusal=lambda reason: refusal_of(reason, settings.max_body_bytes),
     )
-    server.add_sockets(tornado.netutil.bind_sockets(port, host))
+    server.listen_on(settings.caller_address)
     return server
--- a/dandelionknot/entry/_operator_server.py
+++ b/dandelionknot/entry/_operator_server.py
@@ -4,14 +4,14 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 from result import Err
 
 from dandelionknot import codec, decisions
+from dandelionknot._http_server import LimitedServer
 from dandelionknot._mailbox import Mailbox
-from dandelionknot.entry._caller_server import BEARER, MAX_HEADER_BYTES, server_context
+from dandelionknot.entry._caller_server import BEARER, refusal_of, server_context
+from dandelionknot.entry._client_limits import MAX_CHANGE_BYTES, EntryPorts
 from dandelionknot.events import Event, log_event
 from dandelionknot.messages import (
     ChangeQuery,
@@ -29,12 +29,10 @@
     EntrySettings,
     OperatorAccess,
     operators_of,
-    split_address,
 )
 
 # Limits how long the answer to a change waits for its acceptance.
 ACCEPTANCE_WAIT_MS = 8000
-MAX_CHANGE_BYTES = 4 * 1024 * 1024
 
 STATUS_BY_OUTCOME = {
     ChangeOutcome.ACCEPTED: HTTPStatus.OK,
@@ -190,8 +188,8 @@
 
 
 def start_operator_server(
-    settings: EntrySettings, dispatcher: Mailbox, changes: Mailbox
-) -> tornado.httpserver.HTTPServer:
+    settings: EntrySettings, dispatcher: Mailbox, changes: Mailbox, ports: EntryPorts
+) -> LimitedServer:
     """Starts the HTTP server on the operator address."""
     arguments = {
         'dispatcher': dispatcher,
@@ -213,12 +211,12 @@
         ],
         log_function=lambda handler: None,
     )
-    host, port = split_address(settings.operator_address)
-    server = tornado.httpserver.HTTPServer(
+    server = LimitedServer(
         application,
+        ports.table,
+        ports.operators,
         ssl_options=server_context(settings),
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_CHANGE_BYTES,
+        refusal=lambda reason: refusal_of(reason, MAX_CHANGE_BYTES),
     )
-    server.add_sockets(tornado.netutil.bind_sockets(port, host))
+    server.listen_on(settings.operator_address)
     return server
--- a/dandelionknot/metrics.py
+++ b/dandelionknot/metrics.py
@@ -35,6 +35,7 @@
     WORK_NOT_KEPT = 'work_not_kept'
     WORK_TAKEN_OVER = 'work_taken_over'
     TICKS_LATE = 'ticks_late'
+    CLIENTS_LIMITED = 'clients_limited'
 
 
 MEANING_BY_COUNTER: dict[Counter, str] = {
@@ -54,6 +55,7 @@
     Counter.WORK_NOT_KEPT: 'Asynchronous requests that could not be stored.',
     Counter.WORK_TAKEN_OVER: 'Asynchronous requests taken over from a former owner.',
     Counter.TICKS_LATE: 'Ticks of the dispatcher that came more than 1 s late.',
+    Counter.CLIENTS_LIMITED: 'Log lines of event 8013, one a second by port and limit.',
 }
 
 
