Limit what peers that have not proven the secret can send

Cause: the port for peers reads messages of 4 MB, and up to 16 of them for each link, before it knows whether the other side has the secret of the fleet.

Change: until then a message has at most 64 KB and there are at most 128 such links; later ones get 503. At most two messages of a link wait.

Ruled out: the former size with 4 unproven links; after a restart of many entry hosts at once, links of members would be refused.

Left open: the library has no limit on connections whose opening handshake has not begun; it closes them after 10 s.

--- a/dandelionknot/entry/_peers.py
+++ b/dandelionknot/entry/_peers.py
@@ -10,11 +10,13 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from result import Err, Ok, Result
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
+from websockets.http11 import Request, Response
 
 from dandelionknot import codec
 from dandelionknot._mailbox import Call, Mailbox
@@ -42,6 +44,13 @@
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Messages of a link that wait until they are handled. The default of 16 would let one
+# link hold 64 MB.
+MAX_WAITING_MESSAGES = 2
+# Largest message of a link that has not proven the secret of the fleet yet, and most
+# such links: together they hold 16 MB at most.
+MAX_HELLO_BYTES = 64 * 1024
+MAX_UNPROVEN_LINKS = 128
 LINK_MAILBOX_CAPACITY = 1000
 RECONNECT_DELAY_MS = 200
 # Limits the wait for each message of the authentication handshake.
@@ -402,15 +411,20 @@
     identity: PeerIdentity,
     dispatcher: Mailbox,
     count: Count,
+    unproven: set[ServerConnection],
 ) -> None:
+    unproven.add(connection)
     try:
         member_id = await _authenticate_client(connection, identity)
     except LINK_ERRORS:
         member_id = None
+    finally:
+        unproven.discard(connection)
     if member_id is None:
         count('peers_refused')
         log_event(Event.PEER_REFUSED, address=str(connection.remote_address))
         return
+    connection.protocol.max_message_size = MAX_MESSAGE_BYTES
     try:
         await _serve_messages(connection, dispatcher, count)
     except* LINK_ERRORS:
@@ -459,16 +473,28 @@
     address: str, identity: PeerIdentity, dispatcher: Mailbox, count: Count
 ) -> Server:
     """Starts the server that accepts links from other entry hosts."""
+    unproven: set[ServerConnection] = set()
 
     async def handle(connection: ServerConnection) -> None:
-        await _serve_connection(connection, identity, dispatcher, count)
+        await _serve_connection(connection, identity, dispatcher, count, unproven)
+
+    def refuse_too_many(
+        connection: ServerConnection, request: Request
+    ) -> Response | None:
+        if len(unproven) < MAX_UNPROVEN_LINKS:
+            connection.protocol.max_message_size = MAX_HELLO_BYTES
+            return None
+        count('peers_refused')
+        return connection.respond(HTTPStatus.SERVICE_UNAVAILABLE, '')
 
     host, port = split_address(address)
     return await serve(
         handle,
         host,
         port,
+        process_request=refuse_too_many,
         max_size=MAX_MESSAGE_BYTES,
+        max_queue=MAX_WAITING_MESSAGES,
         ping_interval=None,
         compression=None,
     )
