End the wait for chunks when the connection closes

Cause: a process under a crowd with small chunks did not end within the 6 s of its grace time after SIGTERM. The stop waits until the receivers of all connections have ended, and a body that waited for its turn slept for up to 5 s.

Change: the wait ends with the connection.

The new test fails without the fix (60 s, then the guard of the test) and passes with it.

--- a/dandelionknot/_http_server.py
+++ b/dandelionknot/_http_server.py
@@ -1,6 +1,7 @@
 """HTTP server that applies the limits of `_request_limits` to its connections."""
 
 import asyncio
+import contextlib
 import socket
 import ssl
 from collections.abc import Awaitable, Callable, Iterable
@@ -71,6 +72,8 @@
     table: RequestTable
     # Set once the connection is in the table.
     connection: Connection | None = None
+    # Set when the stream closes while its body waits.
+    _closing: asyncio.Event | None = None
     # The tornado version is pinned; it has no public access to what is not parsed yet.
     _read_buffer: bytearray
     _read_buffer_size: int
@@ -93,9 +96,27 @@
             self.table.answer_waits(self.connection, len(data), now_ms())
         return future
 
+    def close(self, exc_info: Any = False) -> None:
+        """Closes the stream and ends a wait."""
+        super().close(exc_info)  # type: ignore[misc]
+        if self._closing is not None:
+            self._closing.set()
+
+    async def wait_while_open(self, wait_ms: int) -> None:
+        """Waits until the time has passed or the stream is closed.
+
+        A server that stops waits until the receivers of all connections have ended.
+        """
+        self._closing = asyncio.Event()
+        if self.closed():  # type: ignore[attr-defined]
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds(wait_ms)):
+                await self._closing.wait()
+
     def discard(self) -> None:
         """Closes the stream, so that what it has read already is not parsed."""
-        self.close()  # type: ignore[attr-defined]
+        self.close()
         self._read_buffer.clear()
         self._read_buffer_size = 0
 
@@ -221,7 +242,7 @@
             self._inner.on_connection_close()
             self._refuse(reason)
             return None
-        return asyncio.sleep(seconds(wait_ms)) if wait_ms else None
+        return stream.wait_while_open(wait_ms) if wait_ms else None
 
     def finish(self) -> None:
         """Hands the complete request to its handler."""
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -3,11 +3,14 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from dandelionknot._request_limits import RequestLimits, RequestTable
+from dandelionknot.clock import now_ms
 from dandelionknot.jobs._generated import CallerReply, CallerVerdict
 from dandelionknot.platform._callers import CallerPort, CallerServer
 from standins.fleet import free_port
+from standins.waiting import wait_until
 
 REQUEST = b'GET /quotes/ HTTP/1.1\r\nHost: desk.example\r\n\r\n'
 CONNECTIONS = 8
@@ -57,6 +60,29 @@
         await server.close()
         self.assertEqual((table.charged_bytes, table.large_bytes), (0, 0))
 
+    @mock.patch('dandelionknot._request_limits.MAX_CHUNK_WAIT_MS', 10**9)
+    async def test_a_body_that_waits_does_not_delay_a_stop(self):
+        """Guards against a process that is killed since chunks wait for their turn."""
+        table = RequestTable(RequestLimits(budget_bytes=1_000_000))
+        # The next chunks wait for a day.
+        table.chunk_credit = -86_400.0 * table.limits.chunks_per_s
+        table.credited_ms = now_ms()
+        port = mock.create_autospec(CallerPort, instance=True)
+        server = CallerServer(port, table, table.add_port('callers', 4, 100_000))
+        address = '127.0.0.1', free_port()
+        server.listen('{}:{}'.format(*address))
+        _, writer = await asyncio.open_connection(*address)
+        self.addCleanup(writer.close)
+        start = b'POST /quotes/00000000000000aa HTTP/1.1\r\nHost: desk.example\r\n'
+        writer.write(start + b'Transfer-Encoding: chunked\r\n\r\n' + b'1\r\n \r\n' * 99)
+        await wait_until(lambda: table.credited_ms and table.charged_bytes > 0, 60)
+        await server.stop()
+        # The wait for a day would outlast this limit by far.
+        async with asyncio.timeout(60) as limit:
+            await server.close()
+        self.assertFalse(limit.expired())
+        self.assertEqual(table.charged_bytes, 0)
+
     async def test_no_request_is_read_while_the_connections_close(self):
         """Guards against requests that are read but not answered at a graceful stop."""
         read = []
