--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,14 @@
 
 import fire
 
-from soak.faults import FAULTS, LIFETIMES, LOSSES, RECUT_NAMES, RECUT_REACHED_NAMES
+from soak.faults import (
+    CROWD_NAMES,
+    FAULTS,
+    LIFETIMES,
+    LOSSES,
+    RECUT_NAMES,
+    RECUT_REACHED_NAMES,
+)
 from soak.profiles import PROFILES_BY_NAME
 from soak.run import FAULT_GAP_MS, RunSettings, run_seed
 
@@ -17,6 +24,7 @@
     'lifetimes': tuple(LIFETIMES),
     'recut': RECUT_NAMES,
     'recut-reached': RECUT_REACHED_NAMES,
+    'crowds': CROWD_NAMES,
 }
 # Profiles other than `small` on which groups of faults are played by default.
 PROFILE_NAMES_BY_FAULTS = {'recut': 'mixed', 'recut-reached': 'mixed'}
@@ -37,12 +45,12 @@
     """Makes one run for each seed and prints the problems that were found.
 
     `seeds` is a number or a range such as 1-50. `faults` is `all`, `losses`,
-    `lifetimes`, `recut`, `recut-reached`, `none`, or one or more fault names joined by
-    plus signs, and `gap_ms` the mean time from one fault to the next. `all` leaves out
-    `lifetimes` and both `recut`s. `profile` is `small`, `mixed` or `grown`, by default
-    `mixed` for `recut` and `recut-reached`, and else `small`; its numbers of members,
-    backend servers and jobs, and the limit of its client account, are replaced by those
-    that are given.
+    `lifetimes`, `recut`, `recut-reached`, `crowds`, `none`, or one or more fault names
+    joined by plus signs, and `gap_ms` the mean time from one fault to the next. `all`
+    leaves out `lifetimes`, both `recut`s and `crowds`. `profile` is `small`, `mixed` or
+    `grown`, by default `mixed` for `recut` and `recut-reached`, and else `small`; its
+    numbers of members, backend servers and jobs, and the limit of its client account,
+    are replaced by those that are given.
 
     For each seed that failed, the logs of the processes are copied to a folder below
     `logs`. Exits with status 1 if a seed failed.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,12 @@
 
 from dandelionknot.clock import now_ms, seconds
 from emulator.backends import Backend
+from soak.crowds import (
+    huge_bodies,
+    unfinished_bodies,
+    unfinished_chunks,
+    unfinished_headers,
+)
 from soak.fleet import GRACE_S, Member, SoakFleet
 from standins.job_platform import MAX_KEPT_S, LateCalls
 from standins.relay import Relay
@@ -456,4 +462,16 @@
 }
 RECUT_NAMES = (*(['recut'] * 3), 'kill', 'stop', 'pause')
 RECUT_REACHED_NAMES = (*(['recut_reached'] * 3), 'kill', 'stop', 'pause')
-ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | RECUT
+# Clients that are not under control, kept apart for the same reason, and other faults
+# that overlap with them.
+CROWDS: dict[str, Fault] = {
+    function.__name__: function
+    for function in (
+        unfinished_bodies,
+        unfinished_chunks,
+        huge_bodies,
+        unfinished_headers,
+    )
+}
+CROWD_NAMES = (*CROWDS, 'kill', 'stop')
+ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | RECUT | CROWDS
