Forecast the wait of new jobs and refuse those that cannot end in useful time

Cause: a queue in a surge accepts more work than its pool can do before the work has lost its value; the callers of the rest wait in vain. Change: the leader forecasts, for queues with an objective, how long a new job waits until its first start, and publishes non-trivial forecasts with the counts of waiting jobs. Entry hosts refuse a job only if even the favorable wait exceeds the longest one after which the job may be useful. It takes effect only with the setting admission_forecast, which is off by default. Ruled out: comparing clocks to find the age of a forecast. The age is bounded by the local time at which the previous answered watch call was sent.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -111,6 +111,8 @@
     POOL_LACKS_HOSTS = 8308
     SURGE_PREDICTED = 8309
     CORDON_ENDED = 8310
+    BACKLOG_BEGAN = 8321
+    BACKLOG_ENDED = 8322
 
 
 @dataclass(frozen=True, slots=True)
@@ -340,8 +342,10 @@
     Event.JOB_ACCEPTED: EventInfo(INFO, 'A job was accepted and stored.', NO_ACTION),
     Event.JOB_REFUSED: EventInfo(
         INFO,
-        'A call was refused; its job never runs unless `verdict` is `unknown`.',
-        NO_ACTION,
+        'A call was refused; its job never runs unless `verdict` is `unknown`. With a '
+        '`cause`, the job could not have ended in useful time: `backlog` is what the '
+        'leader has published, `burst` what this host has accepted since.',
+        'If `cause` is frequent, see "Too little room" in OPERATIONS.md.',
     ),
     Event.JOB_CANCEL_STORED: EventInfo(
         INFO, 'The cancellation of a job was stored.', NO_ACTION
@@ -473,6 +477,15 @@
         'maintenance cannot begin because of `reason`. It is tried again later.',
         'If this continues, look for the tasks that the host may not lose.',
     ),
+    Event.BACKLOG_BEGAN: EventInfo(
+        INFO,
+        'New jobs of a queue have to wait `wait_ms` for a start. Entry hosts learn it '
+        'and refuse those that cannot end in useful time.',
+        'If this continues, see "Too little room" in OPERATIONS.md.',
+    ),
+    Event.BACKLOG_ENDED: EventInfo(
+        INFO, 'New jobs of a queue start soon again.', NO_ACTION
+    ),
     Event.UNEXPECTED_ERROR: EventInfo(
         ERROR,
         'An operation failed with an exception that the program does not expect; '
--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -27,8 +27,8 @@
 MAX_DELETIONS = 6
 # Most records in a batch that also deletes jobs, so that both fit into one write.
 MAX_RECORDS_BESIDE_DELETIONS = 6
-# Shortest time between two writes of the counts of waiting jobs. Callers may receive
-# counts that are up to two seconds old.
+# Shortest time between two writes of the counts of waiting jobs, unless forecasts are
+# written. Callers may receive counts that are up to two seconds old.
 WAITING_INTERVAL_MS = 800
 # A job that was placed counts as waiting again if none of its runs has begun after this
 # time. Usually its first one begins within some milliseconds.
@@ -123,7 +123,7 @@
     scheduler.maintenance.dirty.difference_update(names)
     batch.deleted_job_ids = _take_deletable(scheduler, len(records), now_unix_ms)
     _take_host_orders(scheduler, batch, now_unix_ms)
-    batch.waiting = _take_waiting_counts(scheduler, now_unix_ms)
+    batch.waiting = _take_waiting(scheduler, now_unix_ms)
     return batch
 
 
@@ -162,23 +162,31 @@
     batch.host_orders, scheduler.host_orders = scheduler.host_orders, []
 
 
-def _take_waiting_counts(scheduler: Scheduler, now_unix_ms: int) -> WaitingJobs | None:
-    """Returns the number of waiting jobs of each queue, or None to store none.
+def _take_waiting(scheduler: Scheduler, now_unix_ms: int) -> WaitingJobs | None:
+    """Returns the counts of waiting jobs and the forecasts, or None to store none.
 
-    This is the case if no number has changed, or if the numbers were computed less than
-    `WAITING_INTERVAL_MS` ago.
+    This is the case if there is no forecast to store, and either no count has changed
+    or the counts were computed less than `WAITING_INTERVAL_MS` ago.
     """
-    if 0 <= now_unix_ms - scheduler.waiting_checked_unix_ms < WAITING_INTERVAL_MS:
+    has_forecasts = scheduler.forecasts.update(scheduler)
+    age_ms = now_unix_ms - scheduler.waiting_checked_unix_ms
+    is_due = not 0 <= age_ms < WAITING_INTERVAL_MS
+    # Counts are written with each forecast. Between two, they would make it look newer.
+    if not has_forecasts and (scheduler.forecasts.by_queue or not is_due):
         return None
     counts: dict[str, int] = {}
     for state in scheduler.open_jobs_by_id.values():
         if _is_waiting(state, scheduler.planned_ms):
             counts[state.job.queue] = counts.get(state.job.queue, 0) + 1
     scheduler.waiting_checked_unix_ms = now_unix_ms
-    if scheduler.waiting is not None and counts == scheduler.waiting.jobs_by_queue:
+    former = scheduler.waiting
+    if not has_forecasts and former is not None and counts == former.jobs_by_queue:
         return None
     scheduler.waiting = WaitingJobs(
-        jobs_by_queue=counts, run_times_by_queue=dict(scheduler.run_times.by_queue)
+        jobs_by_queue=counts,
+        run_times_by_queue=dict(scheduler.run_times.by_queue),
+        forecasts_by_queue=scheduler.forecasts.by_queue,
+        forecast_unix_ms=scheduler.forecasts.computed_unix_ms,
     )
     return scheduler.waiting
 
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -654,6 +654,43 @@
     covariance: float = 0
 
 
+class ExpectedWait(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Expected time until the first start of a job that is accepted now and is due `span_ms` later.
+    """
+
+    span_ms: int
+    wait_ms: int
+    shortest_wait_ms: Annotated[
+        int,
+        Meta(
+            description="The same if the pool works off its backlog faster than expected."
+        ),
+    ]
+
+
+class QueueForecast(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Backlog of a queue, as the leader expects it to be worked off.
+    """
+
+    waits: Annotated[
+        list[ExpectedWait], Meta(description="In ascending order of `span_ms`.")
+    ]
+    millicores: Annotated[
+        int,
+        Meta(
+            description="Room for short tasks, with the hosts that are on their way to the pool. The backlog is worked off at this rate."
+        ),
+    ]
+    demand_millicores: Annotated[
+        int,
+        Meta(
+            description="What the jobs that arrive now or in a predicted surge keep in use."
+        ),
+    ]
+
+
 class WaitingJobs(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
     What the leader has stored about the queues, for all entry hosts and for the next leader to read.
@@ -671,6 +708,24 @@
     run_times_by_queue: dict[str, RunTimeStatistics] = field(
         default_factory=dict
     )
+    forecasts_by_queue: (
+        Annotated[
+            dict[str, QueueForecast],
+            Meta(
+                description="Queues whose new jobs have to wait; a new job of any other queue starts soon."
+            ),
+        ]
+       
+    ) = field(default_factory=dict)
+    forecast_unix_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Time at which the forecasts were computed; 0 if there are none."
+            ),
+        ]
+       
+    ) = 0
 
 
 class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -762,6 +817,15 @@
     ) = 25
     advice_address: str = ""
     min_lease_ms: int = 1000
+    admission_forecast: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether jobs that cannot end in useful time are refused, for queues with an objective."
+            ),
+        ]
+       
+    ) = False
     processor_share: (
         Annotated[float, Meta(description="Share of a core that the process may use.")]
        
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -28,6 +28,7 @@
 from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._capacity import Capacity
 from dandelionknot.jobs._crashes import Loss
+from dandelionknot.jobs._forecast import Forecasts
 from dandelionknot.jobs._generated import (
     AskAdvice,
     BackendReport,
@@ -169,6 +170,7 @@
     # Local time at which the last applied list of hosts was requested; 0 if none was.
     hosts_listed_ms: int = 0
     run_times: RunTimes = field(default_factory=RunTimes)
+    forecasts: Forecasts = field(default_factory=Forecasts)
     capacity: Capacity = field(default_factory=Capacity)
     maintenance: MaintenanceScheduler = field(default_factory=MaintenanceScheduler)
 
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -25,6 +26,7 @@
     ManagerSettings,
     Queue,
 )
+from dandelionknot.jobs._load_shedding import Attempts, LoadShedding, Refusal
 from dandelionknot.jobs._state import FINAL_PHASES
 from dandelionknot.jobs._stored import cancel_key, job_key
 from dandelionknot.manager._view import JobEntry, View, job_entry
@@ -55,6 +57,9 @@
 # If the store has not answered a watch call for this long, it is assumed to reject the
 # calls of this host.
 STORE_SILENCE_MS = 1000
+# Time limit of the read before a refusal for load: a quarter of an objective of 600 ms,
+# after which a refusal is late for its caller.
+REFUSAL_READ_TIMEOUT_MS = 150
 
 
 @dataclass(slots=True)
@@ -67,6 +72,10 @@
     configuration_key: str
     observe: Callable[[Event, dict[str, Any]], None]
     admission: Admission = field(default_factory=Admission)
+    load_shedding: LoadShedding = field(
+        default_factory=lambda: LoadShedding(random.random)
+    )
+    attempts: Attempts = field(default_factory=Attempts)
     stopping: bool = False
     was_fresh: bool = False
 
@@ -120,8 +129,25 @@
 
         A repeated call with the same id is accepted without storing a second job.
         """
+        if not self.settings.admission_forecast:
+            return await self._submit(queue_name, key, job_id, spec, deadline_ms)
+        verdict = CallerVerdict.UNKNOWN
+        self.attempts.begin(job_id)
+        try:
+            reply = await self._submit(queue_name, key, job_id, spec, deadline_ms)
+            verdict = reply.verdict
+        finally:
+            is_known = verdict is not CallerVerdict.UNKNOWN
+            self.attempts.end(job_id, is_known)
+        return reply
+
+    async def _submit(
+        self, queue_name: str, key: str, job_id: str, spec: JobSpec, deadline_ms: int
+    ) -> CallerReply:
         give_up_ms = now_ms() + deadline_ms - ANSWER_MARGIN_MS
         unknown = False
+        is_admitted = not self.settings.admission_forecast
+        publication = self.view.waiting
         while True:
             self._refresh()
             queue = self.admission.queue(queue_name)
@@ -137,20 +163,17 @@
                 return self._refuse(
                     job_id, CallerVerdict.KEY_UNKNOWN, 'unknown key', unknown
                 )
+            if not is_admitted:
+                is_admitted = True
+                reply = await self._shed(queue, account, job_id, spec, give_up_ms)
+                if reply is not None:
+                    return reply
             written = await self._write_job(queue, account, job_id, spec, give_up_ms)
             if isinstance(written, Err):
                 unknown = unknown or not written.err_value.not_done
                 problem = written.err_value.message
             elif self._evaluate_write(written.ok_value, job_id):
-                self._log(
-                    Event.JOB_ACCEPTED,
-                    job_id=job_id,
-                    queue=queue.name,
-                    client_account=account,
-                    configuration_version=self.admission.version,
-                    repeated=unknown,
-                )
-                return CallerReply(verdict=CallerVerdict.ACCEPTED)
+                return self._accept(queue, account, job_id, repeated=unknown)
             else:
                 problem = 'the configuration changed meanwhile'
             late = now_ms() + RETRY_MS >= give_up_ms
@@ -159,9 +182,79 @@
             store_silent = not unknown and self.age_ms() > STORE_SILENCE_MS
             if late or store_silent:
                 verdict = CallerVerdict.NOT_ACCEPTED
+                self.load_shedding.not_stored(queue, spec, publication)
                 return self._refuse(job_id, verdict, problem, unknown)
             await asyncio.sleep(seconds(RETRY_MS if isinstance(written, Err) else 0))
 
+    def _accept(
+        self, queue: Queue, account: str, job_id: str, repeated: bool
+    ) -> CallerReply:
+        self._log(
+            Event.JOB_ACCEPTED,
+            job_id=job_id,
+            queue=queue.name,
+            client_account=account,
+            configuration_version=self.admission.version,
+            repeated=repeated,
+        )
+        return CallerReply(verdict=CallerVerdict.ACCEPTED)
+
+    async def _shed(
+        self, queue: Queue, account: str, job_id: str, spec: JobSpec, give_up_ms: int
+    ) -> CallerReply | None:
+        """Returns the reply to a job that cannot end in useful time, else None.
+
+        A job that an earlier call has stored is accepted. If that is not known, None is
+        returned, so that the write decides.
+        """
+        now, view = now_ms(), self.view
+        age_ms = now - view.waiting_written_after_ms
+        refusal = self.load_shedding.decide(
+            job_id, queue, spec, view.waiting, age_ms, now, unix_ms()
+        )
+        if refusal is None or self.attempts.may_be_stored(job_id):
+            return None
+        timeout_ms = min(REFUSAL_READ_TIMEOUT_MS, self._timeout_ms(give_up_ms))
+        page = await self.store.read_page(job_key(job_id), '', timeout_ms)
+        if isinstance(page, Err) or self.attempts.may_be_stored(job_id):
+            return None
+        if any(item.key == job_key(job_id) for item in page.ok_value.items):
+            return self._accept(queue, account, job_id, repeated=True)
+        self.load_shedding.refused(job_id, refusal.retry_after_s, now)
+        return self._refuse_for_load(queue, account, job_id, refusal, age_ms)
+
+    def _refuse_for_load(
+        self,
+        queue: Queue,
+        account: str,
+        job_id: str,
+        refusal: Refusal,
+        forecast_age_ms: int,
+    ) -> CallerReply:
+        reason = (
+            f'a start is expected in {refusal.wait_ms} ms, '
+            f'but is useful only within {refusal.useful_wait_ms} ms'
+        )
+        verdict = CallerVerdict.NOT_ACCEPTED
+        self._log(
+            Event.JOB_REFUSED,
+            job_id=job_id,
+            verdict=verdict.value,
+            reason=reason,
+            cause=refusal.cause.value,
+            queue=queue.name,
+            client_account=account,
+            wait_ms=refusal.wait_ms,
+            useful_wait_ms=refusal.useful_wait_ms,
+            accepted_here=refusal.accepted_here,
+            forecast_age_ms=forecast_age_ms,
+            retry_after_s=refusal.retry_after_s,
+            configuration_version=self.admission.version,
+        )
+        return CallerReply(
+            verdict=verdict, reason=reason, retry_after_s=refusal.retry_after_s
+        )
+
     async def _write_job(
         self, queue: Queue, account: str, job_id: str, spec: JobSpec, give_up_ms: int
     ) -> Result[Written, StoreError]:
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -192,6 +192,7 @@
             self.scheduler.set_configuration(view.configuration)
         self.scheduler.excluded_zones = frozenset(view.excluded_zones)
         self.scheduler.run_times.by_queue.update(view.waiting.run_times_by_queue)
+        self.scheduler.forecasts.enabled = self.ports.settings.admission_forecast
         for entry in view.jobs_by_id.values():
             self._add_job(entry, now, unix)
         # Jobs are restored in no particular order, while the scheduler deletes ended
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -28,6 +28,7 @@
     __slots__ = (
         '_decisions',
         '_job_seconds',
+        '_refused_for_load',
         '_registry',
         '_standstill_seconds',
         '_start_seconds',
@@ -50,6 +51,12 @@
             ['reason'],
             registry=self._registry,
         )
+        self._refused_for_load = Counter(
+            'dandelionknot_refused_for_load',
+            'Jobs refused because they could not have ended in useful time',
+            ['queue', 'cause'],
+            registry=self._registry,
+        )
         self._start_seconds = Histogram(
             'dandelionknot_start_seconds',
             'Time from the acceptance of a job to the start of a first run',
@@ -87,6 +94,8 @@
         self._decisions.labels(event.name.lower()).inc()
         if event is Event.TASK_ENDED:
             self._task_ends.labels(fields['reason']).inc()
+        elif event is Event.JOB_REFUSED and 'cause' in fields:
+            self._refused_for_load.labels(fields['queue'], fields['cause']).inc()
         elif event is Event.TASK_STARTED and fields['run'] == 1:
             self._start_seconds.labels(
                 fields['queue'], fields['client_account']
--- a/dandelionknot/manager/_view.py
+++ b/dandelionknot/manager/_view.py
@@ -100,6 +100,10 @@
     wave_records_by_name: dict[str, WaveRecord] = field(default_factory=dict)
     borrowed: BorrowedHosts = BorrowedHosts()
     waiting: WaitingJobs = WaitingJobs()
+    # Local time after which `waiting` was certainly written; 0 if it is not known.
+    waiting_written_after_ms: int = 0
+    # The same for the items that are being applied. The watcher sets it.
+    applied_written_after_ms: int = 0
     # Item `LEADER_PRESENCE_KEY` of the current leader, or None if no process is leader.
     leader: Item | None = None
     revision: int = 0
@@ -146,6 +150,7 @@
     def _apply_waiting(self, _: str, item: Item) -> ViewEvent | None:
         if not item.deleted:
             self.waiting = msgspec.json.decode(item.value, type=WaitingJobs)
+            self.waiting_written_after_ms = self.applied_written_after_ms
         return None
 
     def _apply_borrowed(self, _: str, item: Item) -> ViewEvent | None:
--- a/dandelionknot/manager/_watch.py
+++ b/dandelionknot/manager/_watch.py
@@ -41,6 +41,10 @@
     sets_view_age: bool = True
     subscribers: list[Mailbox] = field(default_factory=list)
     revision: int = 0
+    # Local time at which the last answered call was sent; 0 before the first answer.
+    # The store held no later changes than it knows when it answers, so the changes in
+    # the next answer were written after this time.
+    answered_sent_ms: int = 0
     on_progress: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def run(self) -> None:
@@ -59,6 +63,7 @@
             if not loaded:
                 log_event(Event.STORE_HISTORY_LOST, revision=self.revision)
                 continue
+            self.answered_sent_ms = sent_ms
             if self.sets_view_age:
                 self.view.current_as_of_ms = sent_ms
                 self.view.revision = self.revision
@@ -95,7 +100,8 @@
             after = page.items[-1].key
         keys = {item.key for item in items}
         gone = self.view.deletions_of_missing(self.prefix, keys, first_revision)
-        self._publish([*sort_for_view(items), *gone])
+        # Nothing is known of the age of items that a full read contains.
+        self._publish([*sort_for_view(items), *gone], written_after_ms=0)
         self.revision = max(self.revision, first_revision)
         return Ok(True)
 
@@ -109,12 +115,13 @@
         if isinstance(result.ok_value, HistoryLost):
             return Ok(False)
         changes: StoreChanges = result.ok_value
-        self._publish(changes.items)
+        self._publish(changes.items, self.answered_sent_ms)
         self.revision = max(self.revision, changes.store_revision)
         return Ok(True)
 
-    def _publish(self, items: list[Item]) -> None:
+    def _publish(self, items: list[Item], written_after_ms: int) -> None:
         events: list[ViewEvent] = []
+        self.view.applied_written_after_ms = written_after_ms
         for item in items:
             try:
                 event = self.view.apply(item)
