--- a/dandelionknot/jobs/_forecast.py
+++ b/dandelionknot/jobs/_forecast.py
@@ -10,7 +10,7 @@
 placed count as backlog: about as much work is begun and unfinished when a new job
 starts as is now. Work that no host of the pool can take, waits for advice, or exceeds
 the limit of its client account takes no room, so it does not count either. Neither do
-jobs that will have lost their value before their turn.
+jobs that will have lost their value long before their turn.
 """
 
 from __future__ import annotations
@@ -47,6 +47,12 @@
 # 0.15 of it unused. The run times of tens of jobs together are expected with an error
 # of 0.13 (0.41 for one).
 BEST_SPEED = 1.25
+# Multiple of the time left to start a job in time, or in useful time, up to which the
+# job counts as backlog. At 1, the wait for a full queue would be just the time that the
+# new job has: each of the jobs before it is left out at its own limit, and the new job
+# starts in useful time instead of another accepted one. The multiple is above the
+# product of the margins on speed and on run times (`_load_shedding.PATH_MARGIN`).
+COUNTED_MULTIPLE = 2.0
 # Quantiles of the spans of the open jobs for which a wait is published. A job with
 # another span is decided by the next shorter one, so it is assumed to go before jobs
 # that it may have to follow.
@@ -214,7 +220,8 @@
     expected = backlog.waits_ms(1.0)
     if max(expected) < MIN_WAIT_SHARE * queue.objective_ms:
         return None
-    shortest = backlog.waits_ms(BEST_SPEED)
+    # At the higher speed, fewer jobs lose their value before their turn.
+    shortest = map(min, expected, backlog.waits_ms(BEST_SPEED))
     return QueueForecast(
         waits=[
             ExpectedWait(
@@ -290,7 +297,7 @@
     ) -> list[float]:
         """Returns, for each span, when the jobs before the new one are started.
 
-        A job that is reached after its time `until_ms` is skipped.
+        A job that is reached long after its time `until_ms` is skipped.
         """
         left = self._allowances()
         done = -self._startable_now(jobs)
@@ -302,7 +309,7 @@
                 if job.due_ms <= self.now_ms + self.spans[len(waits)]:
                     break
                 waits.append(wait_ms)
-            if self.now_ms + wait_ms > until_ms(job):
+            if wait_ms > COUNTED_MULTIPLE * (until_ms(job) - self.now_ms):
                 continue
             work = min(job.work, left.get(job.account, job.work))
             if job.account in left:
