Group the backend servers by service once for each forecast

Cause: each service looked through all backend servers, 284 times 660 at the grown size. Change: they are grouped once, and jobs that have started are left out first.

--- a/dandelionknot/jobs/_forecast.py
+++ b/dandelionknot/jobs/_forecast.py
@@ -141,12 +141,15 @@
     jobs_by_service: dict[str, list[JobState]] = {}
     for state in scheduler.open_jobs_by_id.values():
         configured = scheduler.queues_by_name.get(state.job.queue)
-        if configured is not None:
+        if configured is not None and not state.started:
             jobs_by_service.setdefault(configured.service, []).append(state)
+    if not jobs_by_service:
+        return {}
+    backends_by_service = _serving_backends(scheduler)
     limits_by_account = scheduler.millicores_by_account()
     forecasts = {}
     for service, states in jobs_by_service.items():
-        backends = _serving_backends(scheduler, service)
+        backends = backends_by_service.get(service, [])
         rooms = _largest_rooms(backends)
         pending = [
             job for state in states if (job := pending_job(state, rooms, now_ms))
@@ -336,17 +339,19 @@
         return self.room.free * sum(paths_ms) / max(1, len(paths_ms))
 
 
-def _serving_backends(scheduler: Scheduler, service: str) -> list[BackendState]:
-    """Returns the backend servers that get starts now or may get some soon."""
-    return [
-        backend
-        for backend in scheduler.backends_by_id.values()
-        if (report := backend.report) is not None
-        and report.service == service
-        and not report.draining
-        and report.availability_zone not in scheduler.excluded_zones
-        and (backend.reachable or not backend.fenced)
-    ]
+def _serving_backends(scheduler: Scheduler) -> dict[str, list[BackendState]]:
+    """Returns the backend servers that get starts now or soon, by service."""
+    backends: dict[str, list[BackendState]] = {}
+    for backend in scheduler.backends_by_id.values():
+        report = backend.report
+        if (
+            report is not None
+            and not report.draining
+            and report.availability_zone not in scheduler.excluded_zones
+            and (backend.reachable or not backend.fenced)
+        ):
+            backends.setdefault(report.service, []).append(backend)
+    return backends
 
 
 def _room_of(
