--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -196,6 +196,7 @@
         for entry in sorted(
             view.jobs_by_id.values(), key=lambda entry: entry.job.accepted_unix_ms
         ):
+        self.scheduler.forecasts.enabled = self.ports.settings.admission_forecast
             self._add_job(entry, now, unix)
         # Jobs are restored in no particular order, while the scheduler deletes ended
         # jobs from the front of `ended`, which must hold the earliest end.
