--- a/dandelionknot/jobs/_interference.py
+++ b/dandelionknot/jobs/_interference.py
@@ -32,8 +32,8 @@
 # Standard errors by which an effect must exceed 0 to be proven. Each pair is tested a
 # few times within the time in which its observations are replaced.
 PROVEN_ERRORS = 3.0
-# Standard errors by which a proven effect must stay above 0. With two, verdicts about
-# a true slow-down by half ended twice as often while loads changed.
+# Standard errors by which a proven effect must stay above 0. With two, verdicts on a
+# true slow-down by two ended more than twice as often while loads changed.
 KEPT_ERRORS = 1.0
 # Standard errors by which an effect must be below `MIN_EFFECT` to be excluded.
 EXCLUDED_ERRORS = 2.0
