Compute where a job would be placed without adding it

Cause: operators cannot see where a job would go, or why a host is passed over, before they submit it.

--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -673,6 +673,146 @@
     )
 
 
+class PlacementQuery(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Question of an operator where a job would be placed now. It changes nothing. The queue is named, or found by host and path of a call.
+    """
+
+    submission: Annotated[
+        str, Meta(description="Body of the call that would submit the job.")
+    ]
+    queue: str = ""
+    host: str = ""
+    path: str = ""
+    client_account: str = ""
+
+
+class PlacementOutcome(StrEnum):
+    """
+    Outcome of such a question. With not_leading, another process may lead; with no_leader, none is known to.
+    """
+
+    ANSWERED = "answered"
+    NOT_FOUND = "not_found"
+    MALFORMED = "malformed"
+    NOT_LEADING = "not_leading"
+    NO_LEADER = "no_leader"
+    BUSY = "busy"
+
+
+class HostForStep(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    A backend server as a place for the tasks of a step. The best has the lowest cost.
+    """
+
+    backend_id: str
+    host_id: str = ""
+    availability_zone: str = ""
+    rack: str = ""
+    tasks: (
+        Annotated[int, Meta(description="Number of tasks that would start there.")]
+       
+    ) = 0
+    cost: float = 0
+    passed_over: (
+        Annotated[
+            str,
+            Meta(description="Why it can take no task of the step; empty if it can."),
+        ]
+       
+    ) = ""
+    neighbours: (
+        Annotated[
+            list[str],
+            Meta(description="Images on it that are known to interfere with the step."),
+        ]
+       
+    ) = field(default_factory=list)
+
+
+class StepPlacement(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Where the tasks of a step would be placed.
+    """
+
+    tasks: int
+    starts_now: int = 0
+    waits_for: (
+        Annotated[str, Meta(description="What the other tasks wait for.")]
+    ) = ""
+    expected_wait_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Estimate of the time until the first of them starts; -1 if it is not known."
+            ),
+        ]
+       
+    ) = 0
+    hosts: list[HostForStep] = field(default_factory=list)
+    hosts_left_out: (
+        Annotated[int, Meta(description="Number of further hosts that are not listed.")]
+       
+    ) = 0
+    hosts_by_reason: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description="Number of all hosts that are passed over for each reason."
+            ),
+        ]
+       
+    ) = field(default_factory=dict)
+
+
+class PlacementAnswer(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Answer to a placement query.
+    """
+
+    outcome: PlacementOutcome
+    member_id: Annotated[str, Meta(description="Process that answers.")]
+    leader_id: (
+        Annotated[str, Meta(description="Process that leads as far as it knows.")]
+       
+    ) = ""
+    leader_address: str = ""
+    view_age_ms: (
+        Annotated[
+            int,
+            Meta(description="Highest age of what it knows; -1 if it knows nothing."),
+        ]
+       
+    ) = -1
+    queue: str = ""
+    service: str = ""
+    client_account: str = ""
+    accepted: (
+        Annotated[bool, Meta(description="Whether a call would be accepted.")]
+       
+    ) = False
+    reason: str = ""
+    steps: list[StepPlacement] = field(default_factory=list)
+    steps_left_out: (
+        Annotated[int, Meta(description="Number of further steps that are not listed.")]
+       
+    ) = 0
+
+
+class LeaderItem(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Value of the item that shows that a process leads.
+    """
+
+    member_id: str
+    query_address: (
+        Annotated[
+            str, Meta(description="Address at which it answers placement queries.")
+        ]
+       
+    ) = ""
+
+
 class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
     Stored state of a wave, from which a new leader continues it.
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -60,6 +60,16 @@
     )
 
 
+def total_resources(spec: StepSpec, count: int) -> Resources:
+    """Returns the resources that a number of tasks of a step need together."""
+    needed = spec.resources
+    return Resources(
+        cpu_millicores=needed.cpu_millicores * count,
+        memory_mb=needed.memory_mb * count,
+        accelerators=needed.accelerators * count,
+    )
+
+
 def has_room_for_copies(account: AccountState) -> bool:
     """Whether a client account stays within its limit if its tasks run twice."""
     limit = account.limit
@@ -143,6 +153,13 @@
     return best
 
 
+def cost_of(
+    step: StepState, backend: BackendState, effects: Effects = NO_EFFECTS
+) -> float:
+    """Returns the cost by which `best_backend` chooses among backend servers."""
+    return _cost(step, backend, effects)
+
+
 def _cost(step: StepState, backend: BackendState, effects: Effects) -> float:
     """Returns the cost of running a task on a backend server; the lowest is best.
 
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -20,7 +20,7 @@
     _strays,
     _usability,
 )
-from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
+from dandelionknot.jobs._generated import AskAdvice, JobPhase
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -72,18 +72,15 @@
             service = backend.report.service
             backends_by_service.setdefault(service, []).append(backend)
     steps_by_service: dict[str, list[StepState]] = {}
-    for state in sorted(
-        scheduler.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
-    ):
+    for state in jobs_in_order(scheduler, now_ms):
         if state.job.spec.repeats:
             scheduler.open_due_occurrences(state, now_ms, unix_ms)
         steps = steps_by_service.setdefault(service_of(scheduler, state), [])
-        steps.extend(_ready_steps(state))
+        steps.extend(ready_steps(state))
     for service, steps in steps_by_service.items():
         backends = backends_by_service.get(service)
         if backends:
-            left = _place_suspects(scheduler, steps, backends, now_ms)
-            if _place_steps(scheduler, steps, left, now_ms):
+            if place_steps(scheduler, steps, backends, now_ms):
                 scheduler.full_services.discard(service)
             else:
                 scheduler.full_services.add(service)
@@ -97,6 +94,27 @@
         scheduler.ordered_at_ms_by_host_id[order.host_id] = now_ms
 
 
+def jobs_in_order(scheduler: Scheduler, now_ms: int) -> list[JobState]:
+    """Returns the open jobs in the order in which their tasks are placed."""
+    return sorted(
+        scheduler.open_jobs_by_id.values(), key=lambda job: _ranking.rank(job, now_ms)
+    )
+
+
+def place_steps(
+    scheduler: Scheduler,
+    steps: list[StepState],
+    backends: list[BackendState],
+    now_ms: int,
+) -> bool:
+    """Places waiting tasks of a service on its usable backend servers.
+
+    Returns whether no step waits for room.
+    """
+    left = _place_suspects(scheduler, steps, backends, now_ms)
+    return _place_steps(scheduler, steps, left, now_ms)
+
+
 def _place_suspects(
     scheduler: Scheduler,
     steps: list[StepState],
@@ -278,12 +296,7 @@
         return True
     if any(_late_starts.must_wait(scheduler, task, now_ms) for task in waiting):
         return True
-    needed = step.spec.resources
-    total = Resources(
-        cpu_millicores=needed.cpu_millicores * len(waiting),
-        memory_mb=needed.memory_mb * len(waiting),
-        accelerators=needed.accelerators * len(waiting),
-    )
+    total = _placement.total_resources(step.spec, len(waiting))
     if not _placement.is_within_limit(step.job.account, total):
         return True
     effects = scheduler.interference.effect_by_pair
@@ -367,7 +380,7 @@
         )
 
 
-def _ready_steps(state: JobState) -> list[StepState]:
+def ready_steps(state: JobState) -> list[StepState]:
     """Returns the steps with waiting tasks for which all earlier steps are done."""
     ready = []
     for steps in state.steps_by_occurrence.values():
--- a/dandelionknot/jobs/_usability.py
+++ b/dandelionknot/jobs/_usability.py
@@ -45,12 +45,12 @@
         if backend.report is None or backend.report.service != service:
             continue
         if not is_usable(scheduler, backend, now_ms):
-            reason = _reason(scheduler, backend)
+            reason = unusable_reason(scheduler, backend)
             counts[reason] = counts.get(reason, 0) + 1
     return counts
 
 
-def _reason(scheduler: Scheduler, backend: BackendState) -> str:
+def unusable_reason(scheduler: Scheduler, backend: BackendState) -> str:
     """Returns the first reason for which a backend server is not usable."""
     report = backend.report
     holds_by_reason = {
