Add the command `where` and its endpoint

Cause: only the leader knows where jobs go, and operators do not know which process leads. The item of the leader states its address. The command follows to the leader; exit code 9 if none answers. Bodies at the metrics address are limited to 64 KB. Ruled out: forwarding between processes, which have no protocol; answers of followers.

--- a/dandelionknot/cli/_commands.py
+++ b/dandelionknot/cli/_commands.py
@@ -21,6 +21,9 @@
 from dandelionknot.cli import (
     _commands_queries as queries,
 )
+from dandelionknot.cli import (
+    _commands_where as where_to,
+)
 from dandelionknot.cli._command_options import Command
 
 PROGRAM = 'dandelionknot'
@@ -37,6 +40,7 @@
     'entry': local.entry,
     'manager': local.manager,
     'explain': local.explain,
+    'where': where_to.where,
     'check': files.check,
     'diff': files.diff_files,
     'apply': files.apply,
--- a/dandelionknot/cli/_operator_client.py
+++ b/dandelionknot/cli/_operator_client.py
@@ -7,12 +7,19 @@
 from typing import TypeVar
 from urllib.parse import quote
 
+import msgspec
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from dandelionknot import codec
 from dandelionknot.configuration import Configuration
+from dandelionknot.jobs._generated import PlacementAnswer, PlacementQuery
 from dandelionknot.messages import AnswerBody, ErrorCode, Refusal, RequestBody, RunState
 from dandelionknot.operators import (
     ChangeReport,
@@ -116,6 +123,24 @@
     return await _call(endpoint, 'POST', '/v1/requests', AnswerBody, body)
 
 
+async def ask_placement(
+    endpoint: Endpoint, query: PlacementQuery
+) -> Result[PlacementAnswer, OperatorError]:
+    """Asks a manager where a job would be placed.
+
+    An answer that names no placement has an error status, and is returned too.
+    """
+    fetched = await _fetch(endpoint, 'POST', '/where', msgspec.json.encode(query))
+    if isinstance(fetched, Err):
+        return fetched
+    response, source = fetched.ok_value, f'manager {endpoint.address}'
+    try:
+        return Ok(msgspec.json.decode(response.body, type=PlacementAnswer))
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        message = f'{source} answered with HTTP status {response.code}'
+        return Err(OperatorError(kind=PortErrorKind.MALFORMED, message=message))
+
+
 async def _call(
     endpoint: Endpoint,
     method: str,
@@ -123,6 +148,16 @@
     cls: type[B],
     body: bytes | None = None,
 ) -> Result[B, OperatorError]:
+    fetched = await _fetch(endpoint, method, path, body)
+    if isinstance(fetched, Err):
+        return fetched
+    response, source = fetched.ok_value, f'entry host {endpoint.address}'
+    return _decode_answer(source, response.code, response.body, cls)
+
+
+async def _fetch(
+    endpoint: Endpoint, method: str, path: str, body: bytes | None
+) -> Result[HTTPResponse, OperatorError]:
     source = f'entry host {endpoint.address}'
     headers = {'Content-Type': 'application/json'} if body is not None else {}
     if endpoint.token:
@@ -139,12 +174,11 @@
     )
     client = AsyncHTTPClient(force_instance=True, max_body_size=MAX_ANSWER_BYTES)
     try:
-        response = await client.fetch(request, raise_error=False)
+        return Ok(await client.fetch(request, raise_error=False))
     except (OSError, HTTPClientError, ValueError) as error:
         return Err(_transport_error(source, error))
     finally:
         client.close()
-    return _decode_answer(source, response.code, response.body, cls)
 
 
 def _transport_error(source: str, error: BaseException) -> OperatorError:
--- a/dandelionknot/exit_status.py
+++ b/dandelionknot/exit_status.py
@@ -15,4 +15,5 @@
     CONFLICT = 6
     PENDING = 7
     UNKNOWN_OUTCOME = 8
+    NO_LEADER = 9
     INTERRUPTED = 130
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -10,6 +10,7 @@
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._generated import LeaderItem
 from dandelionknot.jobs._scheduler import Batch
 from dandelionknot.jobs._stored import (
     BORROWED_KEY,
@@ -146,6 +147,13 @@
         return False
 
 
+def presence_value(member_id: str, query_address: str) -> bytes:
+    """Returns the value of the item that shows that a process leads."""
+    return msgspec.json.encode(
+        LeaderItem(member_id=member_id, query_address=query_address)
+    )
+
+
 def leader_value(member_id: str, term: int, number: int) -> bytes:
     """Returns the value of the leader's item that a numbered write of a term sets."""
     return msgspec.json.encode({'member_id': member_id, 'term': term, 'write': number})
--- a/dandelionknot/manager/_core.py
+++ b/dandelionknot/manager/_core.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from dandelionknot._mailbox import Mailbox
 from dandelionknot.events import Event
 from dandelionknot.jobs._generated import AskAdvice, ManagerSettings
 from dandelionknot.jobs._stored import FLEET_PREFIX, Fact
@@ -52,6 +53,7 @@
     __slots__ = (
         'adapter',
         'call_handler',
+        'leader',
         'leadership',
         'observe',
         'settings',
@@ -83,7 +85,9 @@
             lead=self._lead,
             is_eligible=self._is_eligible,
             cores=settings.processor_share * settings.processor_speed,
+            query_address=settings.metrics_address,
         )
+        self.leader: Leader | None = None
         self.watchers = [
             Watcher(adapter.new_store(), self.view, adapter.operator_prefix),
             Watcher(adapter.new_store(), self.view, FLEET_PREFIX, sets_view_age=False),
@@ -107,7 +111,20 @@
             stopping=self.stopping,
             observe=self.observe,
         )
-        return await Leader.from_ports(ports, term).run()
+        self.leader = Leader.from_ports(ports, term)
+        try:
+            return await self.leader.run()
+        finally:
+            self.leader = None
+
+    def leader_mailbox(self) -> Mailbox | None:
+        """Returns the mailbox of the task that owns the scheduler, while there is one.
+
+        A term whose lease has not been renewed does not count.
+        """
+        if self.leader is None or not self.leadership.leading():
+            return None
+        return self.leader.mailbox
 
     def start(self) -> None:
         """Starts the watchers and the leadership task."""
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -8,9 +8,10 @@
 
 from result import Result
 
-from dandelionknot._mailbox import Mailbox
+from dandelionknot._mailbox import Call, Mailbox
 from dandelionknot.clock import now_ms, seconds, unix_ms
 from dandelionknot.events import Event, log_event, log_unexpected_error
+from dandelionknot.jobs import _placement_query
 from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._generated import (
     AdviceGiven,
@@ -23,10 +24,12 @@
     HostOrderFinished,
     HostsListed,
     ManagerSettings,
+    PlacementAnswer,
     StartFinished,
     StopFinished,
     TasksExpected,
 )
+from dandelionknot.jobs._placement_query import PlacementQuestion
 from dandelionknot.jobs._scheduler import Command, Scheduler
 from dandelionknot.jobs._state import BackendState
 from dandelionknot.jobs._stored import (
@@ -304,9 +307,23 @@
                 self.fencing_token = max(self.fencing_token, message.revision)
                 self._send_commands(self.scheduler.confirm(message.batch))
                 self._acknowledge_ends()
+            case Call(message=PlacementQuestion() as question):
+                message.answer(self._answer_question(question))
             case _:
                 self._handle_view_event(message)
 
+    def _answer_question(self, question: PlacementQuestion) -> PlacementAnswer | None:
+        """Returns where a job would be placed; None if that is not known."""
+        if not self.term.is_valid():
+            return None
+        try:
+            return _placement_query.answer(
+                self.scheduler, question, now_ms(), unix_ms()
+            )
+        except Exception as error:
+            log_unexpected_error('placement query', error)
+            return None
+
     def _handle_host_order_end(self, message: HostOrderFinished) -> None:
         order, outcome = message.order, message.outcome
         log_event(
--- a/dandelionknot/manager/_leadership.py
+++ b/dandelionknot/manager/_leadership.py
@@ -12,7 +12,7 @@
 from dandelionknot.events import Event, log_event, log_unexpected_error
 from dandelionknot.jobs._leases import HOLD_GRACE_MS
 from dandelionknot.jobs._stored import LEADER_KEY, LEADER_PRESENCE_KEY
-from dandelionknot.manager._commit import leader_value
+from dandelionknot.manager._commit import leader_value, presence_value
 from dandelionknot.manager._view import View
 from dandelionknot.store import Precondition, Put, Store, WriteOutcome
 
@@ -84,6 +84,8 @@
     lead: Callable[[Term], Coroutine[Any, Any, str]]
     is_eligible: Callable[[], bool]
     cores: float = LEADER_CORES
+    # Address at which this process answers placement queries; empty if it does not.
+    query_address: str = ''
     term: Term | None = None
 
     def leading(self) -> bool:
@@ -120,7 +122,11 @@
             [Precondition(LEADER_KEY, 0)],
             [
                 Put(LEADER_KEY, value, lease.lease_id),
-                Put(LEADER_PRESENCE_KEY, value, lease.lease_id),
+                Put(
+                    LEADER_PRESENCE_KEY,
+                    presence_value(self.member_id, self.query_address),
+                    lease.lease_id,
+                ),
             ],
             [],
             CALL_TIMEOUT_MS,
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -4,19 +4,27 @@
 their log lines are dropped.
 """
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
 
 from dandelionknot.addresses import split_address
 from dandelionknot.clock import MILLISECONDS_PER_SECOND
 from dandelionknot.events import Event
 
 METRICS_PATH = '/metrics'
+QUERY_PATH = '/where'
+# Largest body of a placement query: far above that of a job with a payload of 4,000
+# bytes and as many steps as a query tells about.
+MAX_QUERY_BYTES = 64 * 1024
 # Upper bounds of the histogram buckets, equal on all hosts so that histograms can be
 # added.
 HISTOGRAM_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64)
@@ -123,14 +131,25 @@
 
 
 class MetricsServer:
-    """Serves the metrics of a process over HTTP; calls `update` before each answer."""
+    """Serves the metrics of a process over HTTP; calls `update` before each answer.
 
-    __slots__ = ('_metrics', '_server', '_update')
+    It also passes the bodies of placement queries to `query`, which returns a status
+    and the body of the answer.
+    """
 
-    def __init__(self, metrics: ManagerMetrics, update: Callable[[], None]):
+    __slots__ = ('_metrics', '_queries', '_query', '_server', '_update')
+
+    def __init__(
+        self,
+        metrics: ManagerMetrics,
+        update: Callable[[], None],
+        query: Callable[[bytes], Awaitable[tuple[int, bytes]]],
+    ):
         self._metrics = metrics
         self._update = update
-        self._server = HTTPServer(self._answer)
+        self._query = query
+        self._queries: set[asyncio.Task] = set()
+        self._server = HTTPServer(self._answer, max_body_size=MAX_QUERY_BYTES)
 
     def listen(self, address: str) -> None:
         """Listens on `IP:PORT`."""
@@ -138,15 +157,31 @@
         self._server.listen(port, host)
 
     def _answer(self, request: HTTPServerRequest) -> None:
-        status, reason, body = 404, 'Not Found', b''
+        if request.path == QUERY_PATH and request.method == 'POST':
+            query = asyncio.create_task(self._answer_query(request))
+            self._queries.add(query)
+            query.add_done_callback(self._queries.discard)
+            return
+        status, body = HTTPStatus.NOT_FOUND, b''
         if request.path == METRICS_PATH:
             self._update()
-            status, reason, body = 200, 'OK', self._metrics.text()
-        headers = HTTPHeaders(
-            {'Content-Type': CONTENT_TYPE_LATEST, 'Content-Length': str(len(body))}
-        )
-        connection = request.connection
-        if connection is not None:
-            start = ResponseStartLine('HTTP/1.1', status, reason)
+            status, body = HTTPStatus.OK, self._metrics.text()
+        _respond(request, status, body, CONTENT_TYPE_LATEST)
+
+    async def _answer_query(self, request: HTTPServerRequest) -> None:
+        status, body = await self._query(request.body)
+        _respond(request, status, body, 'application/json')
+
+
+def _respond(
+    request: HTTPServerRequest, status: int, body: bytes, content_type: str
+) -> None:
+    headers = HTTPHeaders(
+        {'Content-Type': content_type, 'Content-Length': str(len(body))}
+    )
+    connection = request.connection
+    if connection is not None:
+        start = ResponseStartLine('HTTP/1.1', status, HTTPStatus(status).phrase)
+        with contextlib.suppress(StreamClosedError):
             connection.write_headers(start, headers, body)
             connection.finish()
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -11,12 +11,14 @@
 from dandelionknot.exit_status import ExitStatus
 from dandelionknot.manager._core import ManagerCore
 from dandelionknot.manager._metrics import ManagerMetrics, MetricsServer
+from dandelionknot.manager._queries import PlacementQueries
 from dandelionknot.manager.settings import ManagerSettings, load_manager_settings
 from dandelionknot.platform import (
     CallerPort,
     CallerServer,
     PlatformAdapter,
     ReadinessServer,
+    decode_job_spec,
 )
 
 # A stop waits for calls in progress until this long before the process is killed.
@@ -47,8 +49,17 @@
         self.metrics = ManagerMetrics()
         adapter = PlatformAdapter.from_settings(settings)
         self.core = ManagerCore(settings, adapter, self.metrics.observe)
-        self.metrics_server = MetricsServer(self.metrics, self._update_gauges)
         call_handler = self.core.call_handler
+        queries = PlacementQueries(
+            settings.member_id,
+            self.core.view,
+            call_handler.age_ms,
+            self.core.leader_mailbox,
+            decode_job_spec,
+        )
+        self.metrics_server = MetricsServer(
+            self.metrics, self._update_gauges, queries.answer
+        )
         self.callers = CallerServer(
             CallerPort(
                 find_queue=call_handler.find_queue,
--- a/dandelionknot/platform/__init__.py
+++ b/dandelionknot/platform/__init__.py
@@ -2,10 +2,12 @@
 
 from dandelionknot.platform._adapter import PlatformAdapter
 from dandelionknot.platform._callers import CallerPort, CallerServer, ReadinessServer
+from dandelionknot.platform._decode import decode_job_spec
 
 __all__ = [
     'CallerPort',
     'CallerServer',
     'PlatformAdapter',
     'ReadinessServer',
+    'decode_job_spec',
 ]
--- a/tests/test_manager_process.py
+++ b/tests/test_manager_process.py
@@ -169,6 +169,31 @@
         timeline = self.explain('00000000000000bb')
         self.assertRegex(timeline, r'job refused: .*reason=.*503.*view_age_ms=\d+')
 
+    async def test_the_leader_is_asked_where_a_job_would_go(self):
+        """Guards against processes that do not know whom to ask, or answer nothing."""
+        self.platform.add_backend('i-1', 'desk')
+        for member_id in ('edge-1', 'edge-2'):
+            await self.start(member_id)
+        job = self.directory / 'job.json'
+        job.write_bytes(msgspec.json.encode(JOB))
+        texts = []
+
+        async def answers(address):
+            words = ['where', 'desk.example/quotes/', str(job), '--account', 'sofia']
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+                status = await asyncio.to_thread(
+                    cli.main, [*words, '--manager', address]
+                )
+            texts.append(out.getvalue())
+            return status is ExitStatus.SUCCESS
+
+        for address in self.metrics.values():
+            await wait_until(lambda address=address: answers(address), MAX_WAIT_S)
+            self.assertRegex(
+                texts[-1], r'i-1: 1 task, .*\nanswered by the leader edge-'
+            )
+
     async def test_a_stopped_leader_hands_over_and_a_killed_one_is_replaced(self):
         """Guards against a fleet that starts no tasks after its leader has ended."""
         backend = self.platform.add_backend('i-1', 'desk')
