Keep the fixed penalty until the effect on the serving task is known

Cause: by reading the code. An effect that is excluded on the task that uses idle capacity removed the fixed penalty, although the effect on the serving task was not known. And each placed task of an image with a proven neighbour searched all hosts for one that it avoids, only for a log line. Change: only the known effect on the serving task replaces the fixed penalty; the search is made at most every 100 ms. Conclusion: a test states the cost for each known direction.

--- a/dandelionknot/jobs/_interference.py
+++ b/dandelionknot/jobs/_interference.py
@@ -147,6 +147,8 @@
     effect_by_pair: dict[tuple[str, str], float] = field(default_factory=dict)
     evaluated_ms: int = 0
     forgotten_ms: int = 0
+    # Local time at which it was last searched for hosts that a placed task avoids.
+    searched_ms: int = 0
     # Proven pairs of images whose sums gave way to those of another image.
     evicted: list[PairEstimate] = field(default_factory=list)
 
--- a/dandelionknot/jobs/_neighbours.py
+++ b/dandelionknot/jobs/_neighbours.py
@@ -27,6 +27,10 @@
 # 4 neighbours, and up to 6 ms with all sums in use.
 EVALUATE_EVERY_MS = 400
 
+# Shortest time between two searches for hosts that a placed task avoids. One looks at
+# all hosts, and tells only what is logged.
+SEARCH_EVERY_MS = 100
+
 
 def sample(scheduler: Scheduler, backend: BackendState, now_ms: int) -> None:
     """Observes the readings of the serving tasks of a backend server after a report."""
@@ -157,6 +161,9 @@
     beside = _placement.proven_neighbours(step.spec, backend, effects)
     event = Event.NEIGHBOUR_NOT_AVOIDED
     if not beside:
+        if scheduler.planned_ms < scheduler.interference.searched_ms + SEARCH_EVERY_MS:
+            return
+        scheduler.interference.searched_ms = scheduler.planned_ms
         event = Event.NEIGHBOUR_AVOIDED
         for other in scheduler.backends_by_id.values():
             if other.report is None or backend.report is None:
--- a/dandelionknot/jobs/_placement.py
+++ b/dandelionknot/jobs/_placement.py
@@ -193,8 +193,9 @@
 ) -> float:
     """Returns the cost of the tasks that slow a new one or are slowed by it.
 
-    An image whose effect is known counts once, by that effect; any other task counts
-    if one of the two serves and the other uses idle capacity.
+    Each image counts by the effects of the two on each other that are known. A task
+    that uses idle capacity counts as a fixed cost beside a serving one, in addition,
+    unless its effect on the serving one is known.
     """
     is_serving = bool(spec.latency_objective_ms)
     may_interfere = spec.uses_idle_capacity or is_serving
@@ -204,25 +205,21 @@
     unknown = 0
     for task in backend.tasks_by_name.values():
         other = task.step.spec
-        effect = _known_effect(spec.image, other.image, effects)
-        if effect is not None:
-            effect_by_image[other.image] = effect
-        elif spec.uses_idle_capacity:
-            unknown += bool(other.latency_objective_ms)
-        elif is_serving:
-            unknown += other.uses_idle_capacity
+        if effects:
+            effect_by_image[other.image] = _effect(spec.image, other.image, effects)
+        if spec.uses_idle_capacity:
+            if other.latency_objective_ms:
+                unknown += (other.image, spec.image) not in effects
+        elif is_serving and other.uses_idle_capacity:
+            unknown += (spec.image, other.image) not in effects
     known = EFFECT_PENALTY * sum(effect_by_image.values())
     return INTERFERENCE_PENALTY * unknown + min(known, MAX_EFFECT_PENALTY)
 
 
-def _known_effect(image: str, other: str, effects: Effects) -> float | None:
-    """Returns the sum of the effects of two images on each other, None if unknown."""
-    if not effects or not image or not other:
-        return None
-    own, caused = effects.get((image, other)), effects.get((other, image))
-    if own is None and caused is None:
-        return None
-    return (own or 0.0) + (caused or 0.0 if image != other else 0.0)
+def _effect(image: str, other: str, effects: Effects) -> float:
+    """Returns the sum of the known effects of two images on each other."""
+    effect = effects.get((image, other), 0.0)
+    return effect + effects.get((other, image), 0.0) if image != other else effect
 
 
 def proven_neighbours(
@@ -230,7 +227,7 @@
 ) -> set[str]:
     """Returns the images on a backend server that interfere with a task."""
     images = {task.step.spec.image for task in backend.tasks_by_name.values()}
-    return {image for image in images if _known_effect(spec.image, image, effects)}
+    return {image for image in images if _effect(spec.image, image, effects) > 0}
 
 
 def place_gang(
--- a/tests/test_jobs_interference.py
+++ b/tests/test_jobs_interference.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from dandelionknot.events import Event
-from dandelionknot.jobs import _interference
+from dandelionknot.jobs import _interference, _placement
 from dandelionknot.jobs._generated import (
     HoldReport,
     Resources,
@@ -257,6 +257,33 @@
         self.run_for(1)
         self.assertFalse(set(self.places('gang')) & set(self.places('shop')))
 
+    def test_the_fixed_penalty_stays_until_the_effect_on_the_serving_task_is_known(
+        self,
+    ):
+        """Guards against a harmless effect one way that hides an unknown other one."""
+        self.test_bed.submit(step('shop', **SHOP), job_id='shop')
+        self.run_for(2)
+        scheduler = self.test_bed.scheduler
+        [serving] = self.places('shop')
+        filling = self.test_bed.submit(step('batch', **BATCH), job_id='batch')
+        [state] = scheduler.jobs_by_id[filling.job_id].steps_by_occurrence[0]
+        backend = scheduler.backends_by_id[serving]
+        costs = [
+            _placement.cost_of(state, backend, effects)
+            for effects in (
+                {},
+                {('batch', 'shop'): 0.0},
+                {('shop', 'batch'): 0.0},
+                {('shop', 'batch'): math.log(1.5)},
+            )
+        ]
+        bare = costs[2]
+        self.assertEqual(
+            [round(cost - bare, 6) for cost in costs],
+            [_placement.INTERFERENCE_PENALTY] * 2
+            + [0.0, _placement.INTERFERENCE_PENALTY],
+        )
+
     def test_a_full_fleet_places_as_before(self):
         """Guards against tasks that wait for a host without the neighbour."""
         for effect in (0.0, math.log(4)):
