--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -11,6 +11,7 @@
     _isolation,
     _late_starts,
     _lifetimes,
+    _neighbours,
     _pacing,
     _placement,
     _progress,
@@ -19,7 +20,7 @@
     _strays,
     _usability,
 )
-from dandelionknot.jobs._generated import AskAdvice, JobPhase, Resources
+from dandelionknot.jobs._generated import AskAdvice, JobPhase
 from dandelionknot.jobs._state import (
     BackendState,
     JobState,
@@ -56,6 +57,7 @@
     _drains.plan(scheduler, now_ms)
     _progress.plan(scheduler, now_ms)
     _pacing.plan(scheduler, now_ms)
+    _neighbours.plan(scheduler, now_ms)
     for order in scheduler.maintenance.plan(scheduler, now_ms):
         scheduler.host_orders.append(order)
         scheduler.note(
@@ -70,20 +72,15 @@
             service = backend.report.service
             backends_by_service.setdefault(service, []).append(backend)
     steps_by_service: dict[str, list[StepState]] = {}
-    full = scheduler.full_services
-    for state in sorted(
-        scheduler.open_jobs_by_id.values(),
-        key=lambda job: _ranking.rank(job, now_ms, service_of(scheduler, job) in full),
-    ):
+    for state in jobs_in_order(scheduler, now_ms):
         if state.job.spec.repeats:
             scheduler.open_due_occurrences(state, now_ms, unix_ms)
         steps = steps_by_service.setdefault(service_of(scheduler, state), [])
-        steps.extend(_ready_steps(state))
+        steps.extend(ready_steps(state))
     for service, steps in steps_by_service.items():
         backends = backends_by_service.get(service)
         if backends:
-            left = _place_suspects(scheduler, steps, backends, now_ms)
-            if _place_steps(scheduler, steps, left, now_ms):
+            if place_steps(scheduler, steps, backends, now_ms):
                 scheduler.full_services.discard(service)
             else:
                 scheduler.full_services.add(service)
@@ -97,6 +94,29 @@
         scheduler.ordered_at_ms_by_host_id[order.host_id] = now_ms
 
 
+def jobs_in_order(scheduler: Scheduler, now_ms: int) -> list[JobState]:
+    """Returns the open jobs in the order in which their tasks are placed."""
+    full = scheduler.full_services
+    return sorted(
+        scheduler.open_jobs_by_id.values(),
+        key=lambda job: _ranking.rank(job, now_ms, service_of(scheduler, job) in full),
+    )
+
+
+def place_steps(
+    scheduler: Scheduler,
+    steps: list[StepState],
+    backends: list[BackendState],
+    now_ms: int,
+) -> bool:
+    """Places waiting tasks of a service on its usable backend servers.
+
+    Returns whether no step waits for room.
+    """
+    left = _place_suspects(scheduler, steps, backends, now_ms)
+    return _place_steps(scheduler, steps, left, now_ms)
+
+
 def _place_suspects(
     scheduler: Scheduler,
     steps: list[StepState],
@@ -242,7 +262,9 @@
             return True
         # Tasks are packed, so the best host for one task is also the best for the next.
         # Long-running tasks are spread, so each needs a new choice.
+        effects, image = scheduler.interference.effect_by_pair, step.spec.image
         spread = step.spec.long_running or spacing_ms > 0
+        spread = spread or effects.get((image, image), 0.0) > 0
         if (
             backend is None
             or spread
@@ -251,7 +273,7 @@
         ):
             ready = [b for b in allowed if b.placed_at_ms <= now_ms - spacing_ms]
             packs = scheduler.capacity.active()
-            backend = _placement.best_backend(step, ready, packs)
+            backend = _placement.best_backend(step, ready, packs, effects)
         if backend is None and len(allowed) < len(backends):
             continue
         if backend is None:
@@ -277,15 +299,11 @@
         return True
     if any(_late_starts.must_wait(scheduler, task, now_ms) for task in waiting):
         return True
-    needed = step.spec.resources
-    total = Resources(
-        cpu_millicores=needed.cpu_millicores * len(waiting),
-        memory_mb=needed.memory_mb * len(waiting),
-        accelerators=needed.accelerators * len(waiting),
-    )
+    total = _placement.total_resources(step.spec, len(waiting))
     if not _placement.is_within_limit(step.job.account, total):
         return True
-    places = _placement.place_gang(step, backends)
+    effects = scheduler.interference.effect_by_pair
+    places = _placement.place_gang(step, backends, effects)
     if places is None:
         return False
     run = max(task.run for task in step.tasks) + 1
@@ -304,6 +322,7 @@
     task.reading = 0.0
     task.placed_unix_ms = scheduler.planned_unix_ms
     task.started_at_ms = scheduler.planned_ms
+    _neighbours.note_placed(scheduler, task, backend)
     assign(task, backend)
     backend.placed_at_ms = scheduler.planned_ms
     state = task.step.job
@@ -364,7 +383,7 @@
         )
 
 
-def _ready_steps(state: JobState) -> list[StepState]:
+def ready_steps(state: JobState) -> list[StepState]:
     """Returns the steps with waiting tasks for which all earlier steps are done."""
     ready = []
     for steps in state.steps_by_occurrence.values():
--- a/dandelionknot/manager/_limits.py
+++ b/dandelionknot/manager/_limits.py
@@ -18,8 +18,10 @@
 # Share of the descriptors for callers. The others are for connections to the store and
 # the backend servers, of which a leader of 180 backend servers has some hundred.
 CALLERS_SHARE = 0.5
-# Largest body that is read on ports without callers. Health checks have none.
-MAX_OTHER_BODY_BYTES = 4096
+# Largest body of a health check, which needs none, and of a placement query, which
+# holds a job.
+MAX_READINESS_BODY_BYTES = 4096
+MAX_QUERY_BYTES = 65_536
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,9 +65,10 @@
     if allowed != resource.RLIM_INFINITY:
         max_fds = min(max_fds, allowed)
     callers = caller_connections(limits, max_fds)
-    other = MAX_OTHER_BODY_BYTES
     return ManagerPorts(
         callers=table.add_port('callers', callers, limits.max_body_bytes),
-        readiness=table.add_port('readiness', limits.readiness_connections, other),
-        metrics=table.add_port('metrics', limits.metrics_connections, other),
+        readiness=table.add_port(
+            'readiness', limits.readiness_connections, MAX_READINESS_BODY_BYTES
+        ),
+        metrics=table.add_port('metrics', limits.metrics_connections, MAX_QUERY_BYTES),
     )
--- a/dandelionknot/manager/_metrics.py
+++ b/dandelionknot/manager/_metrics.py
@@ -4,12 +4,16 @@
 their log lines are dropped.
 """
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
 
 from dandelionknot._http_server import LimitedServer
 from dandelionknot._request_limits import Port, RequestTable
@@ -17,6 +21,7 @@
 from dandelionknot.events import Event
 
 METRICS_PATH = '/metrics'
+QUERY_PATH = '/where'
 # Upper bounds of the histogram buckets, equal on all hosts so that histograms can be
 # added.
 HISTOGRAM_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64)
@@ -28,8 +33,10 @@
     __slots__ = (
         '_client_limits',
         '_decisions',
+        '_interference',
         '_job_seconds',
         '_pool_hosts',
+        '_record_by_event',
         '_refused_for_load',
         '_registry',
         '_standstill_seconds',
@@ -105,6 +112,12 @@
             'Memory kept for requests that are not answered yet',
             registry=self._registry,
         )
+        self._interference = Gauge(
+            'dandelionknot_interference_slow_down',
+            'Factor by which tasks of an image are slowed beside a neighbour',
+            ['victim', 'neighbour'],
+            registry=self._registry,
+        )
         self.leading = Gauge(
             'dandelionknot_leading',
             'Whether this process decides where tasks run',
@@ -115,33 +128,66 @@
             'How old what is known of the store may be',
             registry=self._registry,
         )
+        self._record_by_event: dict[Event, Callable[[dict[str, Any]], None]] = {
+            Event.TASK_STARTED: self._record_task_start,
+            Event.TASK_ENDED: self._record_task_end,
+            Event.JOB_ENDED: self._record_job_end,
+            Event.JOB_REFUSED: self._record_refusal,
+            Event.JOB_RUNS_AGAIN: self._record_standstill,
+            Event.POOL_HOSTS: self._record_pool,
+            Event.CLIENTS_LIMITED: self._record_limited_clients,
+            Event.INTERFERENCE_FOUND: self._record_interference,
+            Event.INTERFERENCE_ENDED: self._record_interference_end,
+        }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
-        """Counts an event and records the latencies in its fields."""
+        """Counts an event and records what its fields measure."""
         self._decisions.labels(event.name.lower()).inc()
-        if event is Event.TASK_ENDED:
-            self._task_ends.labels(fields['reason']).inc()
-        elif event is Event.JOB_REFUSED and 'cause' in fields:
-            self._refused_for_load.labels(fields['queue'], fields['cause']).inc()
-        elif event is Event.TASK_STARTED and fields['run'] == 1:
+        record = self._record_by_event.get(event)
+        if record is not None:
+            record(fields)
+
+    def _record_task_start(self, fields: dict[str, Any]) -> None:
+        if fields['run'] == 1:
             self._start_seconds.labels(
                 fields['queue'], fields['client_account']
             ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
-        elif event is Event.JOB_ENDED:
-            self._job_seconds.labels(
-                fields['queue'], fields['client_account'], fields['phase']
-            ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
-        elif event is Event.POOL_HOSTS:
-            for kind in ('wanted', 'present', 'arriving', 'running', 'pinned'):
-                self._pool_hosts.labels(fields['pool'], kind).set(fields[kind])
-        elif event is Event.CLIENTS_LIMITED:
-            self._client_limits.labels(fields['port'], fields['reason']).inc(
-                fields['count']
-            )
-        elif event is Event.JOB_RUNS_AGAIN:
-            self._standstill_seconds.labels(fields['queue'], fields['cause']).observe(
-                fields['stood_ms'] / MILLISECONDS_PER_SECOND
-            )
+
+    def _record_task_end(self, fields: dict[str, Any]) -> None:
+        self._task_ends.labels(fields['reason']).inc()
+
+    def _record_job_end(self, fields: dict[str, Any]) -> None:
+        self._job_seconds.labels(
+            fields['queue'], fields['client_account'], fields['phase']
+        ).observe(fields['job_age_ms'] / MILLISECONDS_PER_SECOND)
+
+    def _record_refusal(self, fields: dict[str, Any]) -> None:
+        if 'cause' in fields:
+            self._refused_for_load.labels(fields['queue'], fields['cause']).inc()
+
+    def _record_standstill(self, fields: dict[str, Any]) -> None:
+        self._standstill_seconds.labels(fields['queue'], fields['cause']).observe(
+            fields['stood_ms'] / MILLISECONDS_PER_SECOND
+        )
+
+    def _record_pool(self, fields: dict[str, Any]) -> None:
+        for kind in ('wanted', 'present', 'arriving', 'running', 'pinned'):
+            self._pool_hosts.labels(fields['pool'], kind).set(fields[kind])
+
+    def _record_limited_clients(self, fields: dict[str, Any]) -> None:
+        counter = self._client_limits.labels(fields['port'], fields['reason'])
+        counter.inc(fields['count'])
+
+    def _record_interference(self, fields: dict[str, Any]) -> None:
+        gauge = self._interference.labels(fields['victim'], fields['neighbour'])
+        gauge.set(fields['slow_down'])
+
+    def _record_interference_end(self, fields: dict[str, Any]) -> None:
+        self._interference.remove(fields['victim'], fields['neighbour'])
+
+    def forget_decisions_of_leader(self) -> None:
+        """Removes what only a leader knows."""
+        self._interference.clear()
 
     def text(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
@@ -149,9 +195,13 @@
 
 
 class MetricsServer:
-    """Serves the metrics of a process over HTTP; calls `update` before each answer."""
+    """Serves the metrics of a process over HTTP; calls `update` before each answer.
+
+    It also passes the bodies of placement queries to `query`, which returns a status
+    and the body of the answer.
+    """
 
-    __slots__ = ('_metrics', '_server', '_update')
+    __slots__ = ('_metrics', '_queries', '_query', '_server', '_update')
 
     def __init__(
         self,
@@ -159,9 +209,12 @@
         update: Callable[[], None],
         table: RequestTable,
         limits: Port,
+        query: Callable[[bytes], Awaitable[tuple[int, bytes]]],
     ):
         self._metrics = metrics
         self._update = update
+        self._query = query
+        self._queries: set[asyncio.Task] = set()
         self._server = LimitedServer(self._answer, table, limits)
 
     def listen(self, address: str) -> None:
@@ -169,15 +222,31 @@
         self._server.listen_on(address)
 
     def _answer(self, request: HTTPServerRequest) -> None:
-        status, reason, body = 404, 'Not Found', b''
+        if request.path == QUERY_PATH and request.method == 'POST':
+            query = asyncio.create_task(self._answer_query(request))
+            self._queries.add(query)
+            query.add_done_callback(self._queries.discard)
+            return
+        status, body = HTTPStatus.NOT_FOUND, b''
         if request.path == METRICS_PATH:
             self._update()
-            status, reason, body = 200, 'OK', self._metrics.text()
-        headers = HTTPHeaders(
-            {'Content-Type': CONTENT_TYPE_LATEST, 'Content-Length': str(len(body))}
-        )
-        connection = request.connection
-        if connection is not None:
-            start = ResponseStartLine('HTTP/1.1', status, reason)
+            status, body = HTTPStatus.OK, self._metrics.text()
+        _respond(request, status, body, CONTENT_TYPE_LATEST)
+
+    async def _answer_query(self, request: HTTPServerRequest) -> None:
+        status, body = await self._query(request.body)
+        _respond(request, status, body, 'application/json')
+
+
+def _respond(
+    request: HTTPServerRequest, status: int, body: bytes, content_type: str
+) -> None:
+    headers = HTTPHeaders(
+        {'Content-Type': content_type, 'Content-Length': str(len(body))}
+    )
+    connection = request.connection
+    if connection is not None:
+        start = ResponseStartLine('HTTP/1.1', status, HTTPStatus(status).phrase)
+        with contextlib.suppress(StreamClosedError):
             connection.write_headers(start, headers, body)
             connection.finish()
--- a/dandelionknot/manager/daemon.py
+++ b/dandelionknot/manager/daemon.py
@@ -14,12 +14,14 @@
 from dandelionknot.manager._core import ManagerCore
 from dandelionknot.manager._limits import add_ports, request_limits
 from dandelionknot.manager._metrics import ManagerMetrics, MetricsServer
+from dandelionknot.manager._queries import PlacementQueries
 from dandelionknot.manager.settings import ManagerSettings, load_manager_settings
 from dandelionknot.platform import (
     CallerPort,
     CallerServer,
     PlatformAdapter,
     ReadinessServer,
+    decode_job_spec,
 )
 
 # A stop waits for calls in progress until this long before the process is killed.
@@ -53,10 +55,21 @@
         self.core = ManagerCore(settings, adapter, self.metrics.observe)
         self.requests = RequestTable(request_limits(settings.limits))
         ports = add_ports(self.requests, settings.limits)
+        call_handler = self.core.call_handler
+        queries = PlacementQueries(
+            settings.member_id,
+            self.core.view,
+            call_handler.age_ms,
+            self.core.leader_mailbox,
+            decode_job_spec,
+        )
         self.metrics_server = MetricsServer(
-            self.metrics, self._update_gauges, self.requests, ports.metrics
+            self.metrics,
+            self._update_gauges,
+            self.requests,
+            ports.metrics,
+            queries.answer,
         )
-        call_handler = self.core.call_handler
         self.callers = CallerServer(
             CallerPort(
                 find_queue=call_handler.find_queue,
@@ -74,7 +87,10 @@
         )
 
     def _update_gauges(self) -> None:
-        self.metrics.leading.set(self.core.leadership.leading())
+        leading = self.core.leadership.leading()
+        self.metrics.leading.set(leading)
+        if not leading:
+            self.metrics.forget_decisions_of_leader()
         self.metrics.view_age.set(seconds(self.core.call_handler.age_ms()))
         self.metrics.request_bytes.set(self.requests.charged_bytes)
         for port in self.requests.ports:
