Keep a failed task only with the server of a try without an answer

Cause: also binds a failed task to the server of a start that a new leader only assumes to be open. The standstills were not traced further. Change: such a start releases the task at its first failure, as before. The 33 tests of test_jobs_late_starts pass. There is no test of this case yet.

--- a/dandelionknot/jobs/_late_starts.py
+++ b/dandelionknot/jobs/_late_starts.py
@@ -106,8 +106,8 @@
     """Records that a run has failed where a start of its task may be open.
 
     One failure is taken for that of the task if other tasks have been done on the
-    backend server and none has failed there since. The last attempt of a task is left
-    for another one.
+    backend server, none has failed there since, and a try without an answer is known.
+    The last attempt of a task is left for another one.
     """
     start = task.late_starts_by_backend_id.get(backend.backend_id)
     if start is None:
@@ -115,6 +115,7 @@
     start.failures += 1
     attempts_left = task.step.job.queue.max_attempts - task.failures
     is_sound = backend.has_done_tasks and backend.consecutive_failures == 1
+    is_sound = is_sound and not start.is_assumed
     if not is_sound or start.failures > 1 or attempts_left < MIN_ATTEMPTS_LEFT:
         start.has_failed = True
 
