Restore other jobs beside one whose acceptance time is malformed

Cause: stored jobs are restored in the order of acceptance since, and one without a valid time made the sort raise, so that no leader could begin its term. Change: such a job counts as accepted first; restoring it fails on its own.

--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -198,9 +198,7 @@
         self.scheduler.run_times.by_queue.update(view.waiting.run_times_by_queue)
         self.scheduler.forecasts.enabled = self.ports.settings.admission_forecast
         # The shares of the client accounts depend on the order of acceptance.
-        for entry in sorted(
-            view.jobs_by_id.values(), key=lambda entry: entry.job.accepted_unix_ms
-        ):
+        for entry in sorted(view.jobs_by_id.values(), key=_accepted_unix_ms):
             self._add_job(entry, now, unix)
         # Jobs are restored in no particular order, while the scheduler deletes ended
         # jobs from the front of `ended`, which must hold the earliest end.
@@ -526,3 +524,9 @@
             if backend.stored_end > backend.acknowledged_end:
                 backend.acknowledged_end = backend.stored_end
                 link.inbox.send(EndsStored(number=backend.stored_end))
+
+
+def _accepted_unix_ms(entry: JobEntry) -> int:
+    """Returns when a stored job was accepted, or 0 if its record is malformed."""
+    accepted = entry.job.accepted_unix_ms
+    return accepted if isinstance(accepted, int) else 0
