Show in a placement query whether a job would be refused for load

Cause: the query and the admission by forecast were built side by side, so that the query showed places for jobs that entry hosts would refuse. Change: the query decides by the leader's last forecast with the function of the entry hosts; both use one text for the reason. Wording of a few doc comments. Test: the new one fails without the change (the job was shown as accepted).

--- a/dandelionknot/_request_limits.py
+++ b/dandelionknot/_request_limits.py
@@ -268,7 +268,7 @@
         return None, wait_ms
 
     def completed(self, connection: Connection, now_ms: int) -> None:
-        """Notes that a request is complete and is handed to its handler."""
+        """Records that a request is complete and is handed to its handler."""
         connection.phase = Phase.HANDLED
         connection.progressed_ms = now_ms
 
@@ -286,7 +286,7 @@
         return True
 
     def answer_waits(self, connection: Connection, unsent: int, now_ms: int) -> None:
-        """Notes that a part of an answer waits for its client."""
+        """Records that a part of an answer waits for its client."""
         if connection.phase is Phase.HANDLED:
             connection.phase = Phase.ANSWERED
             connection.began_ms = now_ms
@@ -294,7 +294,7 @@
             self._charge(connection)
 
     def answered(self, connection: Connection, unparsed: int, now_ms: int) -> None:
-        """Notes that the next request is expected; the last one was answered."""
+        """Records that the next request is expected; the last one was answered."""
         connection.phase = Phase.HEADERS if unparsed else Phase.IDLE
         connection.began_ms = connection.progressed_ms = now_ms
         connection.unparsed_bytes = connection.received_bytes = unparsed
--- a/dandelionknot/jobs/_load_shedding.py
+++ b/dandelionknot/jobs/_load_shedding.py
@@ -95,6 +95,14 @@
     accepted_here: int
     retry_after_s: int
 
+    @property
+    def reason(self) -> str:
+        """Text for callers and operators."""
+        return (
+            f'a start is expected in {self.wait_ms} ms, '
+            f'but is useful only within {self.useful_wait_ms} ms'
+        )
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -177,7 +185,7 @@
             self.return_at_ms_by_id.popitem(last=False)
 
     def not_stored(self, queue: Queue, spec: JobSpec, publication: WaitingJobs) -> None:
-        """Takes back the count of a job that was let in and was not stored."""
+        """Reverts the count of a job that was let in and was not stored."""
         is_counted = publication is self.publication and not is_exempt(queue, spec)
         if is_counted and self.jobs_by_queue.get(queue.name):
             run_times = publication.run_times_by_queue
--- a/dandelionknot/jobs/_placement_query.py
+++ b/dandelionknot/jobs/_placement_query.py
@@ -25,7 +25,9 @@
     Queue,
     Resources,
     StepPlacement,
+    WaitingJobs,
 )
+from dandelionknot.jobs._load_shedding import LoadShedding
 from dandelionknot.jobs._ranking import record_share
 from dandelionknot.jobs._records import new_job_state, open_occurrence
 from dandelionknot.jobs._state import (
@@ -74,6 +76,7 @@
             reason='no queue is configured for this name, or host and path',
         )
     reason = _refusal(scheduler, queue, query.client_account)
+    reason = reason or _load_refusal(scheduler, queue, question.spec, now_ms, unix_ms)
     steps = []
     if not reason:
         job = Job(
@@ -120,6 +123,29 @@
     return '' if queue.open_to_all else 'the queue needs a client account'
 
 
+def _load_refusal(
+    scheduler: Scheduler, queue: Queue, spec: JobSpec, now_ms: int, unix_ms: int
+) -> str:
+    """Returns why an entry host would refuse a job for load, or an empty text.
+
+    It decides by the leader's last forecast; what a host has accepted since is not
+    known here.
+    """
+    forecasts = scheduler.forecasts
+    if not forecasts.enabled or forecasts.computed_ms is None:
+        return ''
+    publication = WaitingJobs(
+        run_times_by_queue=scheduler.run_times.by_queue,
+        forecasts_by_queue=forecasts.by_queue,
+        forecast_unix_ms=forecasts.computed_unix_ms,
+    )
+    age_ms = now_ms - forecasts.computed_ms
+    refusal = LoadShedding(random=lambda: 0.0).decide(
+        JOB_ID, queue, spec, publication, age_ms, now_ms, unix_ms
+    )
+    return refusal.reason if refusal else ''
+
+
 def _steps(
     scheduler: Scheduler, job: Job, queue: Queue, now_ms: int, unix_ms: int
 ) -> list[StepPlacement]:
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -231,10 +231,7 @@
         refusal: Refusal,
         forecast_age_ms: int,
     ) -> CallerReply:
-        reason = (
-            f'a start is expected in {refusal.wait_ms} ms, '
-            f'but is useful only within {refusal.useful_wait_ms} ms'
-        )
+        reason = refusal.reason
         verdict = CallerVerdict.NOT_ACCEPTED
         self._log(
             Event.JOB_REFUSED,
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -200,8 +200,8 @@
         # The shares of the client accounts depend on the order of acceptance.
         for entry in sorted(view.jobs_by_id.values(), key=_accepted_unix_ms):
             self._add_job(entry, now, unix)
-        # Jobs are restored in no particular order, while the scheduler deletes ended
-        # jobs from the front of `ended`, which must hold the earliest end.
+        # Ended jobs are deleted from the front of `ended`, which must hold the earliest
+        # end.
         self.scheduler.ended = deque(sorted(self.scheduler.ended))
         kept_ms = int(self.ports.settings.timing.status_kept_s * 1000)
         self.scheduler.status_kept_ms = kept_ms + STATUS_MARGIN_MS
--- a/tests/test_placement_query.py
+++ b/tests/test_placement_query.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import msgspec
+from msgspec.structs import replace
 
 from dandelionknot import cli
 from dandelionknot._mailbox import Mailbox
@@ -20,13 +21,16 @@
 from dandelionknot.jobs import _placement_query
 from dandelionknot.jobs._generated import (
     ClientAccount,
+    ExpectedWait,
     JobSpec,
     ManagerLimits,
     PlacementQuery,
     Queue,
+    QueueForecast,
     Resources,
     StepSpec,
 )
+from dandelionknot.jobs._load_shedding import MAX_FORECAST_AGE_MS
 from dandelionknot.jobs._placement_query import PlacementQuestion
 from dandelionknot.jobs._stored import LEADER_PRESENCE_KEY
 from dandelionknot.manager._commit import presence_value
@@ -201,6 +205,25 @@
             self.assertEqual((answer.accepted, answer.reason), (accepted, reason))
         self.assertEqual(ask(test_bed, step(), queue='none').outcome, 'not_found')
 
+    def test_a_job_that_entry_hosts_refuse_for_load_is_shown_as_refused(self):
+        """Guards against a place for a job that would not be accepted."""
+        test_bed = fleet()
+        queue = replace(test_bed.queue, objective_ms=600)
+        test_bed.queue = queue
+        test_bed.configure()
+        wait = ExpectedWait(span_ms=0, wait_ms=90_000, shortest_wait_ms=60_000)
+        forecasts = test_bed.scheduler.forecasts
+        forecasts.enabled = True
+        forecasts.by_queue[queue.name] = QueueForecast(
+            waits=[wait], millicores=64_000, demand_millicores=64_000
+        )
+        forecasts.computed_ms = forecasts.computed_unix_ms = test_bed.now_ms
+        answer = ask(test_bed, step())
+        self.assertEqual((answer.accepted, answer.steps), (False, []))
+        self.assertIn('a start is expected in 90000 ms', answer.reason)
+        test_bed.now_ms += MAX_FORECAST_AGE_MS + 1
+        self.assertTrue(ask(test_bed, step()).accepted)
+
     def test_the_wait_lasts_until_a_short_task_ends(self):
         """Guards against waits that ignore what runs, and jobs that are ahead."""
         test_bed = JobTestBed(FakeBackend('b1'))
