Keep the cost of planning at that of the former code

Cause: a planning round at 660 hosts and 400 waiting jobs took 20.9 ms instead of 18.8 ms: each job's service was looked up once more for the shares.

--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -97,10 +97,13 @@
 def jobs_in_order(scheduler: Scheduler, now_ms: int) -> list[JobState]:
     """Returns the open jobs in the order in which their tasks are placed."""
     full = scheduler.full_services
-    return sorted(
-        scheduler.open_jobs_by_id.values(),
-        key=lambda job: _ranking.rank(job, now_ms, service_of(scheduler, job) in full),
-    )
+
+    def rank(state: JobState) -> tuple:
+        # Only jobs beyond a share rank otherwise if their service is full.
+        is_full = state.share_level > 0 and service_of(scheduler, state) in full
+        return _ranking.rank(state, now_ms, is_full)
+
+    return sorted(scheduler.open_jobs_by_id.values(), key=rank)
 
 
 def place_steps(
@@ -386,16 +389,24 @@
 def ready_steps(state: JobState) -> list[StepState]:
     """Returns the steps with waiting tasks for which all earlier steps are done."""
     ready = []
+    # Members of an enumeration are slow to look up, and this runs for each task.
+    waiting = TaskPhase.WAITING
     for steps in state.steps_by_occurrence.values():
         for step in steps:
             if step.done == len(step.tasks):
                 continue
-            if any(
-                steps[index].done < len(steps[index].tasks)
-                for index in step.spec.after
-                if index < len(steps)
-            ):
+            if step.spec.after and not _are_earlier_done(steps, step):
                 continue
-            if any(task.phase is TaskPhase.WAITING for task in step.tasks):
-                ready.append(step)
+            for task in step.tasks:
+                if task.phase is waiting:
+                    ready.append(step)
+                    break
     return ready
+
+
+def _are_earlier_done(steps: list[StepState], step: StepState) -> bool:
+    return all(
+        steps[index].done == len(steps[index].tasks)
+        for index in step.spec.after
+        if index < len(steps)
+    )
