--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -394,6 +394,8 @@
     fence: int = 0
     deadline: int = 0
     runs: dict[str, Run] = field(default_factory=dict)
+    # Sum of the resources of all runs.
+    used: dict[str, int] = field(default_factory=dict)
     barred: dict[str, int] = field(default_factory=dict)
     ends: list[list] = field(default_factory=list)
     next_end: int = 1
@@ -427,6 +429,7 @@
         self.up = False
         self.server.stop()
         self.runs.clear()
+        self.used.clear()
         self.barred.clear()
         self.ends.clear()
         self.tickets.clear()
@@ -487,6 +490,7 @@
 
     def _end(self, run: Run, how: str) -> None:
         del self.runs[run.task]
+        self._count_use(run.task, -1)
         self.barred[run.task] = max(run.run, self.barred.get(run.task, 0))
         self.ends.append([self.next_end, run.task, run.run, how, ''])
         self.next_end += 1
@@ -556,17 +560,21 @@
             return 409, self._stamp() | {'reason': 'room'}
         lasts_ms, how = self.lasts(task, run)
         self.runs[task] = Run(task, run, now_ms(), now_ms() + lasts_ms, how)
+        self._count_use(task, 1)
         self.starts.append((now_ms(), task, run))
         text = f'{self.worker_id}: {task} run {run} starts'
         self.record.note(text, show=self.notes)
         return 200, self._stamp()
 
     def _has_room(self, task: str) -> bool:
-        used = dict(self.needs(task))
-        for name in self.runs:
-            for what, amount in self.needs(name).items():
-                used[what] = used.get(what, 0) + amount
-        return all(amount <= self.room.get(what, 0) for what, amount in used.items())
+        return all(
+            self.used.get(what, 0) + amount <= self.room.get(what, 0)
+            for what, amount in self.needs(task).items()
+        )
+
+    def _count_use(self, task: str, sign: int) -> None:
+        for what, amount in self.needs(task).items():
+            self.used[what] = self.used.get(what, 0) + sign * amount
 
     def _stop(self, task: str, run: int) -> None:
         current = self.runs.get(task)
