Review case 13: a late acknowledgement makes a task run twice

Cause: a lifetime of a worker that has not been reached yet carries out a start and a hold call that were meant for the former one. It forgets the end of the run, and the task is started again. Change: a script with three late calls and a crash.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,11 @@
-"""Submissions of a queue with advice come at once. All of them must get their turn."""
+"""A worker's calls are carried out late, and it crashes and returns under its id.
+
+A task that has ended as done there must not be started again.
+"""
 
 import asyncio
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common3'))
@@ -11,64 +15,93 @@
 WORKERS = 8
 ROOM = {'cpu': 32_000, 'mem_mb': 65_536}
 TASK = {'cpu': 1600, 'mem_mb': 3000}
-BODY = {'spec': 'quote', 'steps': [{'count': 2, 'est_ms': 640} | TASK]}
-SUBMISSIONS = 40
-# A call about the eight workers takes 280 ms; all calls together take 11.2 s.
-ADVICE = {'decide_ms': 200, 'each_ms': 10, 'valid_ms': 30_000}
-# Time between two submissions when they don't come at once.
-SPACED_S = 0.6
-# Time for all to be done after the last was accepted: five times that of all calls.
-PATIENCE_S = 56
+# The label of the worker that is disturbed, which both submissions need.
+LABEL = 'r1-0'
+FIRST_ID, SECOND_ID = '00000000000000d1', '00000000000000d2'
+FIRST_MS, SECOND_MS = 300, 500
+# Times since the first call without an answer: the crash, the return, and when the
+# late start and the late acknowledgement are carried out.
+CRASH_MS, BACK_MS, LATE_START_MS, LATE_HOLD_MS = 500, 2100, 2250, 2850
+# Time for which calls to the new lifetime get no answer, and when they are carried out.
+NO_ANSWER_MS, LATER_MS = 500, 6000
+WATCHED_S = 15
+
+
+@dataclass
+class Disturbed(rig.NotingWorker):
+    """A worker that leaves some calls unanswered and carries them out late."""
+
+    trouble: bool = True
+    begun_ms: int = 0
+    is_start_late: bool = False
+
+    def delay_s(self, request: rig.Request) -> float | None:
+        """Returns after how many seconds a call is carried out; None if at once."""
+        if not self.trouble:
+            return None
+        now, body, late_ms = rig.now_ms(), request.json(), 0
+        if self.lifetimes > 1:
+            if now < self.begun_ms + BACK_MS + NO_ANSWER_MS:
+                late_ms = now + LATER_MS
+        elif body.get('acked_upto') and not self.begun_ms:
+            self.begun_ms = now
+            late_ms = now + LATE_HOLD_MS
+        elif body.get('task', '').startswith(SECOND_ID) and not self.is_start_late:
+            self.is_start_late = True
+            late_ms = self.begun_ms + LATE_START_MS
+        return self.note_call(request, late_ms)
+
+
+def lasts(task: str, run: int) -> tuple[int, str]:
+    """Returns the duration of a run and how it ends."""
+    return (FIRST_MS if task.startswith(FIRST_ID) else SECOND_MS), 'done'
+
+
+def body(lasts_ms: int) -> dict:
+    """Returns a submission of one task that needs the label."""
+    step = {'count': 1, 'est_ms': lasts_ms, 'requires': LABEL} | TASK
+    return {'spec': 'quote', 'steps': [step]}
 
 
 async def case(deployment: rig.Rig, trouble: bool) -> int:
-    """Returns 1 if accepted submissions never get their turn."""
+    """Returns 1 if a task is started after its end as done was taken note of."""
     record = deployment.record
     for number in range(WORKERS):
-        deployment.workers.append(
-            rig.Worker(
-                deployment.store,
-                record,
-                f'w{number}',
-                'desk',
-                ROOM,
-                rack=f'r1-{number // 4}',
-                machine=f'm{number}',
-                lasts=lambda task, run: (640, 'done'),
-                needs=lambda task: TASK,
-                needs_ticket=True,
-                notes=False,
-            )
+        worker = Disturbed(
+            deployment.store,
+            record,
+            f'w{number}',
+            'desk',
+            ROOM,
+            rack=f'r1-{number}',
+            machine=f'm{number}',
+            lasts=lasts,
+            needs=lambda task: TASK,
+            trouble=trouble and number == 0,
         )
-    advice = rig.Advice(record, deployment.workers, ADVICE)
-    await advice.server.listen()
-    configuration = rig.configuration()
-    configuration['routes'][0]['advice'] = ADVICE
-    await deployment.begin(
-        configuration, managers=3, advice_address=advice.server.address
-    )
-    ids = [f'{number:016x}' for number in range(1, SUBMISSIONS + 1)]
+        worker.held_back = worker.delay_s
+        deployment.workers.append(worker)
+    await deployment.begin(rig.configuration(), managers=3)
+    await asyncio.sleep(2)
+    disturbed = deployment.workers[0]
+    await deployment.submit(FIRST_ID, body(FIRST_MS))
+    await rig.until(lambda: bool(disturbed.done), 5)
+    await deployment.submit(SECOND_ID, body(SECOND_MS))
     if trouble:
-        await asyncio.gather(*(deployment.submit(i, BODY) for i in ids))
-    else:
-        for i in ids:
-            await deployment.submit(i, BODY)
-            await asyncio.sleep(SPACED_S)
-    end = rig.now_ms() + PATIENCE_S * 1000
-    left = ids
-    while left and rig.now_ms() < end:
-        await asyncio.sleep(2)
-        states = [await deployment.state(i) for i in left]
-        left = [i for i, state in zip(left, states, strict=True) if state != 'done']
-        record.note(
-            f'{SUBMISSIONS - len(left)} of {SUBMISSIONS} done; advice: '
-            f'{advice.answered} calls handled, {advice.rejected} rejected, '
-            f'{advice.waiting} waiting'
-        )
-    begun = {task.split('.')[0] for w in deployment.workers for _, task, _ in w.starts}
-    record.note(f'{len(set(ids) - begun)} accepted submissions never began')
-    advice.server.stop()
-    return 1 if set(ids) - begun else 0
+        if not await rig.until(lambda: disturbed.is_start_late, 5):
+            return 2
+        await rig.sleep_until(disturbed.begun_ms + CRASH_MS)
+        record.note(f'{disturbed.worker_id} crashes with {list(disturbed.runs)}')
+        disturbed.crash()
+        await rig.sleep_until(disturbed.begun_ms + BACK_MS)
+        await disturbed.begin()
+        record.note(f'{disturbed.worker_id} is up again, with a new lifetime')
+    await asyncio.sleep(WATCHED_S)
+    record.note(
+        f'{disturbed.unanswered} of {disturbed.calls} calls got no answer; '
+        f'second submission: {await deployment.state(SECOND_ID)}'
+    )
+    return 1 if disturbed.broken else 0
 
 
 if __name__ == '__main__':
--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -606,6 +606,78 @@
         return min(99, 100 * (now_ms() - run.began_ms) // max(1, lasts))
 
 
+@dataclass
+class End:
+    """The end of a run as done, and whether the system has taken note of it."""
+
+    number: int
+    task: str
+    lapsed: bool = False
+    noted: bool = False
+
+
+@dataclass
+class NotingWorker(Worker):
+    """A worker that notes each start of a task whose end was taken note of."""
+
+    lifetimes: int = 0
+    # Ends as done in this lifetime, and in all of them.
+    listed: list[End] = field(default_factory=list)
+    done: list[End] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    # Calls since the first one without an answer, and how many got none.
+    calls: int = 0
+    unanswered: int = 0
+
+    async def begin(self) -> None:
+        """Begins a lifetime."""
+        self.lifetimes += 1
+        self.listed = []
+        await super().begin()
+
+    def note_call(self, request: Request, late_ms: int) -> float | None:
+        """Counts a call; returns how long it waits for `late_ms`, None if that is 0."""
+        if self.unanswered or late_ms:
+            self.calls += 1
+        if not late_ms:
+            return None
+        self.unanswered += 1
+        self.record.note(f'{request.path} {request.json()} gets no answer')
+        return (late_ms - now_ms()) / 1000
+
+    def advance(self) -> None:
+        """Ends what is due, and notes whether the lease has expired."""
+        if self.up and self.clock() >= self.deadline:
+            for end in self.listed:
+                end.lapsed = end.lapsed or not end.noted
+        super().advance()
+
+    def _end(self, run: Run, how: str) -> None:
+        super()._end(run, how)
+        if how == 'done':
+            end = End(self.next_end - 1, run.task, self.clock() >= self.deadline)
+            self.listed.append(end)
+            self.done.append(end)
+
+    async def _hold(self, body: dict) -> Answer:
+        for end in self.listed:
+            if end.number <= body.get('acked_upto', 0) and not end.noted:
+                end.noted = True
+                self.record.note(f'the end of {end.task} is taken note of')
+        return await super()._hold(body)
+
+    def _start(self, body: dict) -> Answer:
+        starts = len(self.starts)
+        answer = super()._start(body)
+        if len(self.starts) > starts:
+            for end in self.done:
+                if end.task == body['task'] and end.noted and not end.lapsed:
+                    text = f'{end.task} is started as run {body["run"]} after its end'
+                    self.broken.append(text)
+                    self.record.note(text)
+        return answer
+
+
 class Cloud:
     """The platform's list of machines."""
 
@@ -943,6 +1015,11 @@
     } | fields
 
 
+async def sleep_until(time_ms: int) -> None:
+    """Waits until a time of the steady clock."""
+    await asyncio.sleep(max(0, time_ms - now_ms()) / 1000)
+
+
 async def until(
     condition: Callable[[], bool | Awaitable[bool]], timeout_s: float
 ) -> bool:
