Review case 14: an end is acknowledged while its start may be carried out late

Cause: the acknowledgement is delayed for 3 s only once more than a tenth of the ends of a term were delayed. Change: a script with three late calls and a crash. The case takes the place of the tasks that last, which come back by themselves.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,101 +1,110 @@
-"""Tasks that last fail now and then, each by its own fault, on sound workers.
+"""A worker's calls are carried out late, and it crashes and returns under its id.
 
-Each has to be started again while there is capacity.
+A task whose end as done was taken note of must not be started again.
 """
 
 import asyncio
-import random
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common3'))
 
 import rig
 
-WORKERS = 2
+WORKERS = 8
 ROOM = {'cpu': 32_000, 'mem_mb': 65_536}
-SUBMISSIONS = 8
-TASKS = 5
-TASK = {'cpu': 500, 'mem_mb': 500}
-BODY = {
-    'spec': 'night pack',
-    'steps': [{'count': TASKS, 'est_ms': 700, 'daemon': True, 'may_miss': 1} | TASK],
-}
-# Range of the times after which a run fails.
-FAILS_AFTER_MS = (8_000, 40_000)
-UNLIMITED_MS = 10**9
-WATCHED_S = 60
-# The rule counts from 6 s after the last run of a task that lasts, and for 3 s.
-LAST_RUN_MS = 6_000
-NOTHING_RUNS_MS = 3_000
+TASK = {'cpu': 1600, 'mem_mb': 3000}
+# The label of the worker that is disturbed, which both submissions need.
+LABEL = 'r1-0'
+FIRST_ID, SECOND_ID = '00000000000000d1', '00000000000000d2'
+TASK_MS = 300
+# Time between the two submissions, in which the worker is well.
+PAUSE_S = 14
+# When the late start is carried out, from its sending, and when the worker is back
+# before that. Calls to its new lifetime get no answer for some time before and after.
+LATE_START_MS, BACK_MS, NO_ANSWER_MS = 5200, 5050, 350
+# When other calls without an answer are carried out. The worker rejects a late start
+# of a task that has ended there in the same lifetime.
+LATER_MS = 6000
+WATCHED_S = 12
 
 
-async def case(deployment: rig.Rig, trouble: bool) -> int:
-    """Returns 1 if a task that lasts isn't started again in time."""
-    record = deployment.record
-    rng = random.Random(12)
+@dataclass
+class Disturbed(rig.NotingWorker):
+    """A worker that leaves some calls unanswered and carries them out late."""
+
+    trouble: bool = True
+    # When the first try of each submission's start came.
+    first_ms: int = 0
+    second_ms: int = 0
+
+    def delay_s(self, request: rig.Request) -> float | None:
+        """Returns after how many seconds a call is carried out; None if at once."""
+        if not self.trouble:
+            return None
+        now, task, late_ms = rig.now_ms(), request.json().get('task', ''), 0
+        if self.lifetimes > 1:
+            if now < self.second_ms + BACK_MS + NO_ANSWER_MS:
+                late_ms = now + LATER_MS
+        elif task.startswith(FIRST_ID) and not self.first_ms:
+            self.first_ms = now
+            late_ms = now + LATER_MS
+        elif task.startswith(SECOND_ID) and not self.second_ms:
+            self.second_ms = now
+            late_ms = now + LATE_START_MS
+        return self.note_call(request, late_ms)
+
+    def has_noted(self, job_id: str) -> bool:
+        """Whether the end of a submission's task was taken note of."""
+        return any(end.noted for end in self.done if end.task.startswith(job_id))
+
 
-    def lasts(task: str, run: int) -> tuple[int, str]:
-        return (rng.randint(*FAILS_AFTER_MS) if trouble else UNLIMITED_MS), 'failed'
+def lasts(task: str, run: int) -> tuple[int, str]:
+    """Returns the duration of a run and how it ends."""
+    return TASK_MS, 'done'
 
+
+async def case(deployment: rig.Rig, trouble: bool) -> int:
+    """Returns 1 if a task is started after its end as done was taken note of."""
+    record = deployment.record
     for number in range(WORKERS):
-        deployment.workers.append(
-            rig.Worker(
-                deployment.store,
-                record,
-                f'w{number}',
-                'desk',
-                ROOM,
-                rack=f'r1-{number}',
-                machine=f'm{number}',
-                lasts=lasts,
-                needs=lambda task: TASK,
-                notes=False,
-            )
+        worker = Disturbed(
+            deployment.store,
+            record,
+            f'w{number}',
+            'desk',
+            ROOM,
+            rack=f'r1-{number}',
+            machine=f'm{number}',
+            lasts=lasts,
+            needs=lambda task: TASK,
+            trouble=trouble and number == 0,
         )
+        worker.held_back = worker.delay_s
+        deployment.workers.append(worker)
     await deployment.begin(rig.configuration(), managers=3)
-    ids = [f'{number:016x}' for number in range(1, SUBMISSIONS + 1)]
-    for job_id in ids:
-        await deployment.submit(job_id, BODY)
-    names = [f'{job_id}.0.0.{index}' for job_id in ids for index in range(TASKS)]
-    if not await rig.until(lambda: len(running(deployment)) == len(names), 15):
-        return 2
-    idle_since = dict.fromkeys(names, 0)
-    longest: dict[str, int] = {}
-    begin = rig.now_ms()
-    noted = 0
-    while rig.now_ms() < begin + WATCHED_S * 1000:
-        await asyncio.sleep(0.05)
-        at_work = running(deployment)
-        now = rig.now_ms()
-        for name in names:
-            if name in at_work:
-                idle_since[name] = 0
-                continue
-            idle_since[name] = idle_since[name] or now
-            longest[name] = max(longest.get(name, 0), now - idle_since[name])
-        if now - noted > 2000:
-            noted = now
-            away = [now - since for since in idle_since.values() if since]
-            record.note(
-                f'{len(at_work)} of {len(names)} tasks at work, '
-                f'longest without a run: {max(away, default=0)} ms'
-            )
-    late = {
-        name: gap
-        for name, gap in longest.items()
-        if gap >= LAST_RUN_MS + NOTHING_RUNS_MS
-    }
+    await asyncio.sleep(2)
+    disturbed = deployment.workers[0]
+    step = {'count': 1, 'est_ms': TASK_MS, 'requires': LABEL} | TASK
+    body = {'spec': 'quote', 'steps': [step]}
+    await deployment.submit(FIRST_ID, body)
+    await asyncio.sleep(PAUSE_S)
+    await deployment.submit(SECOND_ID, body)
+    if trouble:
+        if not await rig.until(lambda: disturbed.has_noted(SECOND_ID), 20):
+            return 2
+        record.note(f'{disturbed.worker_id} crashes with {list(disturbed.runs)}')
+        disturbed.crash()
+        await rig.sleep_until(disturbed.second_ms + BACK_MS)
+        await disturbed.begin()
+        record.note(f'{disturbed.worker_id} is up again, with a new lifetime')
+    await asyncio.sleep(WATCHED_S)
     record.note(
-        f'{len(late)} of {len(names)} tasks had no run for 9 s or more on end: '
-        f'{sorted(late.values(), reverse=True)[:10]} ms'
+        f'{disturbed.unanswered} of {disturbed.calls} calls got no answer; '
+        f'second submission: {await deployment.state(SECOND_ID)}'
     )
-    return 1 if late else 0
-
-
-def running(deployment: rig.Rig) -> set[str]:
-    """Returns the names of the tasks that run."""
-    return {name for worker in deployment.workers for name in worker.runs}
+    return 1 if disturbed.broken else 0
 
 
 if __name__ == '__main__':
