--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -1046,9 +1046,10 @@
         (keep / log.name).write_bytes(log.read_bytes())
 
 
-def run_case(folder: Path, case: Callable[[Rig, bool], Awaitable[int]]) -> int:
+def run_case(
+    folder: Path, case: Callable[[Rig, bool], Awaitable[int]], trouble: bool
+) -> int:
     """Runs a case; returns 1 if the rule was broken, 0 if it held, 2 if it failed."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder / 'record.txt')
     if not (ROOT / 'target' / 'deps').is_dir():
         record.note('the build of the deploy file is missing')
--- a/review/further-3/advice_burst.py
+++ b/review/further-3/advice_burst.py
@@ -1,6 +1,7 @@
 """Submissions of a queue with advice come at once. All of them must get their turn."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -72,4 +73,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(rig.run_case(Path(__file__).parent, case))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(rig.run_case(Path(__file__).parent, case, is_troubled))
--- a/review/further-3/lasting_failures.py
+++ b/review/further-3/lasting_failures.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -99,4 +100,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(rig.run_case(Path(__file__).parent, case))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(rig.run_case(Path(__file__).parent, case, is_troubled))
