--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import sys
 import uuid
 from pathlib import Path
@@ -93,4 +94,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(rig.run_case(Path(__file__).parent, case))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(rig.run_case(Path(__file__).parent, case, is_troubled))
