--- a/review/14/case.py
+++ b/review/14/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -108,4 +109,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(rig.run_case(Path(__file__).parent, case))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(rig.run_case(Path(__file__).parent, case, is_troubled))
