--- a/review/15/case.py
+++ b/review/15/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -83,4 +84,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(rig.run_case(Path(__file__).parent, case))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(rig.run_case(Path(__file__).parent, case, is_troubled))
