Keep acknowledgements and starts of a server from being open together

Cause: a call without an answer may be carried out seconds later, by the next lifetime of the server too. A late start began the task there, its run ended as end 1, and a late hold of the former lifetime, which acknowledged end 1, made the server forget it. The first answer of that lifetime listed neither a run nor an end, which the leader took for proof that nothing had run.

Change: a start has the revision of the write that stored it as its token, and so have all later calls of its link. A lifetime that has carried out the start rejects the acknowledgements that were sent before it. While a start is in progress, or may be carried out late, the link acknowledges nothing. A call that a later one of the same link has overtaken is repeated and ends no term. Event 8123 tells of ends that were never listed.

Ruled out: no starts for 12 s after an acknowledgement without an answer (idle room); the same run number as a probe (it does not tell how the run ended).

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -95,6 +95,7 @@
     INTERFERENCE_ENDED = 8120
     NEIGHBOUR_AVOIDED = 8121
     NEIGHBOUR_NOT_AVOIDED = 8122
+    ENDS_MISSING = 8123
     BACKEND_APPEARED = 8201
     BACKEND_DRAINING = 8202
     BACKEND_GONE = 8203
@@ -386,6 +387,13 @@
         'the run goes on.',
         NO_ACTION,
     ),
+    Event.ENDS_MISSING: EventInfo(
+        WARNING,
+        'A backend server numbers its ends without gaps, and a report leaves out '
+        '`missing` of them. It has forgotten them before this leader could learn of '
+        'them, so their tasks may be started again.',
+        'Report it with the lines of this backend server.',
+    ),
     Event.INTERFERENCE_FOUND: EventInfo(
         INFO,
         'Tasks of the image `victim` are slowed by the factor `slow_down` while tasks '
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -366,6 +366,15 @@
     backend_id: str
     born_ms: int
     order: StartOrder
+    fencing_token: (
+        Annotated[
+            int,
+            Meta(
+                description="Token of this call and of all later ones to the lifetime, unless an earlier one was higher."
+            ),
+        ]
+       
+    ) = 0
 
 
 class StopTask(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/dandelionknot/jobs/_reports.py
+++ b/dandelionknot/jobs/_reports.py
@@ -112,6 +112,7 @@
     for ended in report.ended:
         if ended.number <= backend.seen_end:
             continue
+        _check_numbers(scheduler, backend, ended.number)
         backend.seen_end = ended.number
         task = _find_task(scheduler, ended.task_name)
         if task is not None:
@@ -121,6 +122,24 @@
         _late_starts.count_end(scheduler, backend)
 
 
+def _check_numbers(scheduler: Scheduler, backend: BackendState, number: int) -> None:
+    """Logs ends before a numbered one that were never listed.
+
+    A former leader may have acknowledged those of a lifetime that it knew.
+    """
+    missing = number - backend.seen_end - 1
+    if missing and (backend.seen_end or not backend.known_at_begin):
+        scheduler.note(
+            Event.ENDS_MISSING,
+            {
+                'backend_id': backend.backend_id,
+                'born_ms': backend.born_ms,
+                'missing': missing,
+                'next_end': number,
+            },
+        )
+
+
 def _find_task(scheduler: Scheduler, name: str) -> TaskState | None:
     state = scheduler.jobs_by_id.get(job_id_of(name))
     return find_task(state, name) if state is not None else None
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec.structs import replace
 from result import Result
 
 from dandelionknot._mailbox import Call, Mailbox
@@ -26,6 +27,7 @@
     ManagerSettings,
     PlacementAnswer,
     StartFinished,
+    StartTask,
     StopFinished,
     TasksExpected,
 )
@@ -113,11 +115,11 @@
     other_tasks: set[asyncio.Task] = field(default_factory=set)
     committer: Committer | None = None
     hosts: HostTask | None = None
-    # Fencing token of the next backend link: the revision of the last write of this
-    # term. A start is stored before it is sent, so a link that is opened after that has
-    # a higher token than the start.
+    # Fencing token of the next backend link, and of the starts that are sent next: the
+    # revision of the last write of this term. A start is stored before it is sent, so
+    # it has a higher token than all calls that were made before it was stored.
     fencing_token: int = 0
-    # Lifetime and token of the last link to each backend server.
+    # Lifetime and latest token of the last link to each backend server.
     last_links_by_backend_id: dict[str, tuple[int, int]] = field(default_factory=dict)
     # Local time of the next planning round.
     plan_due_ms: int = 0
@@ -466,6 +468,7 @@
             report=self.mailbox.send,
             may_order=self.term.is_valid,
             may_hold=self.term.may_hold,
+            fencing_token=self.fencing_token,
         )
         self.links[key] = link
         self.last_links_by_backend_id[key[0]] = key[1], self.fencing_token
@@ -487,9 +490,14 @@
                     self.scheduler.host_order_sent(command, now_ms())
                     self.hosts.inbox.send(command)
                 continue
-            link = self.links.get((command.backend_id, command.born_ms))
-            if link is not None:
-                link.inbox.send(command)
+            key = command.backend_id, command.born_ms
+            link = self.links.get(key)
+            if link is None:
+                continue
+            if isinstance(command, StartTask):
+                command = replace(command, fencing_token=self.fencing_token)
+                self.last_links_by_backend_id[key[0]] = key[1], self.fencing_token
+            link.inbox.send(command)
 
     async def _request_advice(self, request: AskAdvice) -> None:
         advice = AdviceGiven(request=request, tickets_by_backend_id={}, valid_ms=0)
--- a/dandelionknot/manager/_link.py
+++ b/dandelionknot/manager/_link.py
@@ -22,6 +22,7 @@
     StopTask,
     TasksExpected,
 )
+from dandelionknot.jobs._late_starts import LATE_CALL_MS, MAX_WITHHELD_ENDS
 from dandelionknot.jobs._leases import LeaseClock, task_lease_ms
 from dandelionknot.manager._ports import BackendClient
 
@@ -81,6 +82,9 @@
     }
 )
 
+# Longest wait for the answers to starts before a hold call that acknowledges ends.
+STARTS_WAIT_MS = TRY_TIMEOUTS_MS[0]
+
 # Name and number of a run.
 RunKey = tuple[str, int]
 
@@ -91,6 +95,12 @@
 
     The lease is renewed only while the backend server runs, or is expected to run,
     tasks, or has ended runs that are not acknowledged.
+
+    A call without an answer may be carried out late, by the next lifetime too. An
+    acknowledgement would then make that one forget the end of a run that a late start
+    has begun there. So the two are never open together: a start has a higher fencing
+    token than the acknowledgements before it, which are rejected once the start is
+    carried out, and nothing is acknowledged while a start is open.
     """
 
     client: BackendClient
@@ -101,6 +111,8 @@
     # Return whether starts and stops may be sent, and whether leases may be extended.
     may_order: Callable[[], bool]
     may_hold: Callable[[], bool]
+    # Fencing token of the latest calls.
+    fencing_token: int = 0
     inbox: Mailbox = field(default_factory=lambda: Mailbox(4096))
     clock: LeaseClock = field(init=False)
     # Whether the backend server did not answer the last calls.
@@ -117,7 +129,11 @@
     # Whether the scheduler waits for a report on a run.
     report_soon: bool = False
     starts_in_progress: set[RunKey] = field(default_factory=set)
-    # Those of them whose run has been stopped, so that they are not repeated.
+    # Set while no start is in progress.
+    starts_answered: asyncio.Event = field(default_factory=asyncio.Event)
+    # Local time until which a start without an answer may be carried out.
+    start_open_until_ms: int = 0
+    # Starts in progress whose run has been stopped, so that they are not repeated.
     withdrawn_starts: set[RunKey] = field(default_factory=set)
     stops_in_progress: set[RunKey] = field(default_factory=set)
     # Latest pace that is not carried out yet, by run.
@@ -135,6 +151,7 @@
     def __post_init__(self) -> None:
         """Creates the lease clock, which has no reading yet."""
         self.contact_checked.set()
+        self.starts_answered.set()
         self.clock = LeaseClock(now_ms(), self.hold_max_ms)
 
     async def run(self) -> None:
@@ -152,6 +169,8 @@
                     self.report_soon = message.report_soon
                     self.wake.set()
                     continue
+                if isinstance(message, StartTask):
+                    self._expect_start(message)
                 task = asyncio.create_task(self._carry_out(message))
                 self.running.add(task)
                 task.add_done_callback(self.running.discard)
@@ -161,6 +180,21 @@
                 task.cancel()
             self.client.close()
 
+    def _expect_start(self, message: StartTask) -> None:
+        """Keeps a start and acknowledgements from being open together."""
+        self.starts_in_progress.add((message.order.task_name, message.order.run))
+        self.starts_answered.clear()
+        if message.fencing_token > self.fencing_token:
+            self.fencing_token = message.fencing_token
+            self.client.use_token(message.fencing_token)
+
+    def _is_overtaken(self, outcome: OrderOutcome, token: int) -> bool:
+        """Whether a call was rejected because a later one of this link came first.
+
+        `token` is the fencing token of the call, which had no effect.
+        """
+        return outcome is OrderOutcome.FENCED and token < self.fencing_token
+
     async def _carry_out(self, message: object) -> None:
         try:
             await self._send_order(message)
@@ -178,7 +212,6 @@
     async def _start(self, message: StartTask) -> None:
         """Sends a start, if need be repeatedly, and reports its outcome."""
         key = (message.order.task_name, message.order.run)
-        self.starts_in_progress.add(key)
         # After an unexpected error, the start may have been carried out.
         finished = self._start_finished(
             message, OrderOutcome.NO_ANSWER, unanswered_ms=now_ms()
@@ -203,13 +236,17 @@
                 break
             sent_ms = now_ms()
             deadline = self.clock.extend(sent_ms, self._lease_ms())
+            token = self.fencing_token
             answer = await self.client.start(message.order, deadline, timeout_ms)
             outcome = answer.outcome
+            if self._is_overtaken(outcome, token):
+                outcome = OrderOutcome.NOT_SENT
             is_later_lifetime = answer.clock_ms >= 0 and self.clock.shows_restart(
                 answer.clock_ms, sent_ms
             )
             if outcome is OrderOutcome.NO_ANSWER:
                 unanswered_ms = now_ms()
+                self.start_open_until_ms = unanswered_ms + LATE_CALL_MS
             if outcome not in (
                 OrderOutcome.NO_ANSWER,
                 OrderOutcome.NOT_SENT,
@@ -247,6 +284,8 @@
 
     def _report_start(self, key: RunKey, finished: StartFinished) -> None:
         self.starts_in_progress.discard(key)
+        if not self.starts_in_progress:
+            self.starts_answered.set()
         self.withdrawn_starts.discard(key)
         self.busy = True
         self.wake.set()
@@ -328,7 +367,10 @@
         timeouts_ms = iter(TRY_TIMEOUTS_MS)
         while True:
             if self.may_order() and not self.is_contact_lost:
+                token = self.fencing_token
                 outcome = await send(next(timeouts_ms, ORDER_TIMEOUT_MS))
+                if self._is_overtaken(outcome, token):
+                    continue
                 if outcome in CARRIED_OUT or outcome in POINTLESS:
                     return outcome
                 if not is_logged:
@@ -354,10 +396,14 @@
         """Returns the number of the last end to acknowledge; 0 if none is new.
 
         The call may reach a later lifetime, which numbers its ends from 1 and would
-        forget those up to this number. So nothing is acknowledged again.
+        forget those up to this number. So nothing is acknowledged again, and nothing
+        while a start may be carried out late, unless so many ends wait that the report
+        might not list the next ones.
         """
         is_new = self.stored_end > self.acknowledged_end
-        return self.stored_end if is_new else 0
+        is_open = self.starts_in_progress or now_ms() < self.start_open_until_ms
+        is_late = self.seen_end - self.acknowledged_end >= MAX_WITHHELD_ENDS
+        return self.stored_end if is_new and (is_late or not is_open) else 0
 
     def _wait_ms(self) -> int:
         if self.report_soon:
@@ -399,16 +445,21 @@
         Without contact, the call is a probe, which does not extend the lease.
         """
         probing = self.is_contact_lost or not self.clock.known
+        if self.stored_end > self.acknowledged_end and not probing:
+            await self._wait_for_starts()
         sent_ms = now_ms()
         # Without contact, the scheduler may give up the tasks of the backend server
         # once their lease expires, so a probe must not extend it.
         deadline = 0 if probing else self.clock.extend(sent_ms, self._lease_ms())
         wait_ms = 0 if probing else self._wait_ms()
         acknowledged = 0 if probing else self._end_to_acknowledge()
+        token = self.fencing_token
         result = await self.client.hold(
             deadline, acknowledged, wait_ms, ORDER_TIMEOUT_MS
         )
         failed_ms = now_ms()
+        if isinstance(result, Err) and self._is_overtaken(result.err_value, token):
+            return
         if isinstance(result, Err) and not probing:
             self.contact_checked.clear()
             try:
@@ -451,6 +502,14 @@
             )
         )
 
+    async def _wait_for_starts(self) -> None:
+        """Waits for the answers to starts in progress, which usually come at once."""
+        try:
+            async with asyncio.timeout(seconds(STARTS_WAIT_MS)):
+                await self.starts_answered.wait()
+        except TimeoutError:
+            return
+
     async def _check_contact(
         self, result: Err[OrderOutcome]
     ) -> Result[HoldReport, OrderOutcome]:
@@ -463,10 +522,12 @@
         for timeout_ms in CHECK_TIMEOUTS_MS:
             if result.err_value is not OrderOutcome.NO_ANSWER:
                 break
+            token = self.fencing_token
             checked = await self.client.hold(0, 0, 0, timeout_ms)
             if isinstance(checked, Ok):
                 return checked
-            result = checked
+            if not self._is_overtaken(checked.err_value, token):
+                result = checked
         return result
 
     async def _handle_failed_hold(
--- a/dandelionknot/manager/_ports.py
+++ b/dandelionknot/manager/_ports.py
@@ -17,7 +17,10 @@
 
 
 class BackendClient(Protocol):
-    """Calls to one lifetime of a backend server under one fencing token."""
+    """Calls to one lifetime of a backend server under a fencing token."""
+
+    def use_token(self, fencing_token: int) -> None:
+        """Sets the fencing token of all further calls."""
 
     async def hold(
         self, deadline_ms: int, acknowledged_end: int, wait_ms: int, timeout_ms: int
--- a/dandelionknot/platform/_backends.py
+++ b/dandelionknot/platform/_backends.py
@@ -35,12 +35,16 @@
 
 @dataclass(slots=True)
 class PlatformBackendClient:
-    """Calls to one lifetime of a backend server under one fencing token."""
+    """Calls to one lifetime of a backend server under a fencing token."""
 
     client: HttpConnections
     backend_id: str
     fencing_token: int
 
+    def use_token(self, fencing_token: int) -> None:
+        """Sets the fencing token of all further calls."""
+        self.fencing_token = fencing_token
+
     async def hold(
         self, deadline_ms: int, acknowledged_end: int, wait_ms: int, timeout_ms: int
     ) -> Result[HoldReport, OrderOutcome]:
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -343,7 +343,7 @@
 
 @dataclass(slots=True)
 class BackendClient:
-    """Client of one backend server for one process and one fencing token.
+    """Client of one backend server for one process, with its latest fencing token.
 
     Single-element lists hold values that the fleet changes during an experiment.
     """
@@ -358,6 +358,10 @@
     # that do not reach the server, hold calls among them, as many are on their way.
     late_share: list[float]
 
+    def use_token(self, fencing_token: int) -> None:
+        """Sets the fencing token of all further calls."""
+        self.token = fencing_token
+
     def _is_reachable(self) -> bool:
         pair = (self.member_id, self.backend.backend_id)
         return self.backend.up and pair not in self.cut_paths
--- a/tests/test_manager_link.py
+++ b/tests/test_manager_link.py
@@ -55,6 +55,10 @@
         # Clock in the answers to starts; -1 if they do not state it.
         self.start_clock_ms = -1
         self.stops = 0
+        self.token = 0
+
+    def use_token(self, fencing_token):
+        self.token = fencing_token
 
     async def hold(self, deadline_ms, acknowledged_end, wait_ms, timeout_ms):
         self.deadlines.append(deadline_ms)
