Store the progress of large jobs in parts, and let no record stop others

Cause: three faults that meet. The record of a job is one item that grows with its crashes, checkpoints and occurrences. The committer repeats any write that has no success. And batches are written one at a time, so that one record stands before all others.

Change: the progress of a job of more than 50 tasks is stored in parts of 50 tasks; only parts that have changed are written. Long checkpoints are left out of an item and logged. A status that no repeat changes ends the repeats: the batch is written in pieces, and only the job whose piece is rejected ends, as failed with a reason. If the store rejects an empty write too, no job ends. Small jobs come first in a batch, jobs with many tasks take turns. A job that is larger than a value is refused at its submission with 400 and the reason. The next leader restores records with parts, parts without a record, and records of the former version; it deletes parts of ended jobs. The state of a job is read from all pages, and what is known of removed queues is not stored.

Ruled out: to drop fields of crashes (they decide whether a task is given up); compression (moves the limit only).

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -108,6 +108,8 @@
     RECORDS_NOT_STORED = 8209
     ORDER_REPEATED = 8210
     BACKEND_GOES_ON = 8211
+    RECORDS_REJECTED = 8212
+    CHECKPOINTS_LEFT_OUT = 8213
     ZONES_EXCLUDED = 8301
     WAVE_ADVANCED = 8302
     UPKEEP_ORDERED = 8303
@@ -508,6 +510,19 @@
         'The store did not accept records; no task is started until a retry succeeds.',
         NO_ACTION,
     ),
+    Event.RECORDS_REJECTED: EventInfo(
+        ERROR,
+        'The store does not take some records, now or later. The jobs in `job_ids` are '
+        'ended as failed; others are stored. An empty list stands for the records of '
+        'hosts, waves and counts.',
+        'Compare `largest_bytes` of event 8209 with `max_value_bytes` in the settings.',
+    ),
+    Event.CHECKPOINTS_LEFT_OUT: EventInfo(
+        WARNING,
+        'Checkpoints of `tasks` are too large to be stored with those of other tasks. '
+        'After a change of the leader, these tasks begin anew.',
+        'None, or let the tasks of this queue write shorter checkpoints.',
+    ),
     Event.ZONES_EXCLUDED: EventInfo(
         INFO,
         'Operators took availability zones out of service or returned them.',
--- a/dandelionknot/jobs/_batches.py
+++ b/dandelionknot/jobs/_batches.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dandelionknot.events import Event
 from dandelionknot.jobs import _late_starts
 from dandelionknot.jobs._generated import (
     BorrowedHosts,
     HostOrder,
+    JobPart,
     JobPhase,
     JobRecord,
     RepeatStart,
@@ -17,7 +19,13 @@
     WaitingJobs,
     WaveRecord,
 )
-from dandelionknot.jobs._records import record_of
+from dandelionknot.jobs._records import (
+    digest_of,
+    is_split,
+    part_numbers,
+    part_of,
+    record_of,
+)
 from dandelionknot.jobs._state import BackendState, JobState, TaskPhase, TaskState
 
 if TYPE_CHECKING:
@@ -28,6 +36,14 @@
 MAX_DELETIONS = 6
 # Most records in a batch that also deletes jobs, so that both fit into one write.
 MAX_RECORDS_BESIDE_DELETIONS = 6
+# Entries that a batch keeps for the records of jobs with many tasks, so that they are
+# stored beside those of many others.
+ENTRIES_FOR_PARTS = 8
+# Size from which a batch takes no further part of a record. The link of an entry host
+# may carry as little as 5 Mbit/s.
+PARTS_BYTES = 131_072
+# Most tasks that one log line names.
+MAX_NAMES_LOGGED = 5
 # Shortest time between two writes of the counts of waiting jobs, unless forecasts are
 # written. Callers may receive counts that are up to two seconds old.
 WAITING_INTERVAL_MS = 800
@@ -73,6 +89,10 @@
     # Orders about hosts that may be sent once the hosts are stored as ordered.
     host_orders: list[HostOrder] = field(default_factory=list)
     deleted_job_ids: list[str] = field(default_factory=list)
+    # Parts of the records of jobs with many tasks, by their numbers, and those to
+    # delete since their jobs have ended.
+    parts_by_job_id: dict[str, dict[int, JobPart]] = field(default_factory=dict)
+    deleted_parts: list[tuple[str, int]] = field(default_factory=list)
     # Runs whose start may be repeated once the records are stored.
     repeats: list[PlacedRun] = field(default_factory=list)
 
@@ -80,6 +100,8 @@
         """Whether anything has to be written to the store."""
         return bool(
             self.records_by_job_id
+            or self.parts_by_job_id
+            or self.deleted_parts
             or self.waves_by_name
             or self.borrowed is not None
             or self.waiting is not None
@@ -100,21 +122,14 @@
     leaves no record to store later. Otherwise, an end could be acknowledged before the
     record that shows it is stored.
     """
-    job_ids = list(scheduler.dirty_job_ids)[:limit]
-    for job_id in job_ids:
-        del scheduler.dirty_job_ids[job_id]
-    records = {
-        job_id: record_of(scheduler.jobs_by_id[job_id])
-        for job_id in job_ids
-        if job_id in scheduler.jobs_by_id
-    }
-    starts = _take_placed_runs(scheduler, set(job_ids))
-    repeats = _take_unanswered_runs(scheduler)
-    now_ms = scheduler.planned_ms
-    ends = []
+    batch = Batch({}, [], [])
+    stored_ids = _take_records(scheduler, batch, limit)
+    batch.starts = _take_placed_runs(scheduler, stored_ids)
+    batch.repeats = _take_unanswered_runs(scheduler)
     if not scheduler.dirty_job_ids:
-        ends = _late_starts.ends_to_acknowledge(scheduler, now_ms)
-    batch = Batch(records, starts, ends, repeats=repeats)
+        batch.ends_by_backend = _late_starts.ends_to_acknowledge(
+            scheduler, scheduler.planned_ms
+        )
     names = sorted(scheduler.maintenance.dirty)[:MAX_WAVES]
     for name in names:
         wave = scheduler.maintenance.waves_by_name.get(name)
@@ -122,12 +137,113 @@
             batch.waves_by_name[name] = wave.record()
             batch.wave_numbers_by_name[name] = wave.wave.number
     scheduler.maintenance.dirty.difference_update(names)
-    batch.deleted_job_ids = _take_deletable(scheduler, len(records), now_unix_ms)
+    entries = _entries(batch)
+    batch.deleted_parts = _take_deleted_parts(scheduler, limit - entries)
+    entries += len(batch.deleted_parts)
+    batch.deleted_job_ids = _take_deletable(scheduler, entries, now_unix_ms)
     _take_host_orders(scheduler, batch, now_unix_ms)
     batch.waiting = _take_waiting(scheduler, now_unix_ms)
     return batch
 
 
+def _take_records(scheduler: Scheduler, batch: Batch, limit: int) -> set[str]:
+    """Adds the records of changed jobs; returns the ids of those wholly stored with it.
+
+    Jobs with many tasks come last and take turns, so that none keeps others waiting.
+    """
+    split = {
+        job_id: state
+        for job_id in scheduler.dirty_job_ids
+        if (state := scheduler.jobs_by_id.get(job_id)) and is_split(state)
+    }
+    kept = min(ENTRIES_FOR_PARTS, limit // 2) if split else 0
+    job_ids = [job_id for job_id in scheduler.dirty_job_ids if job_id not in split]
+    job_ids = job_ids[: limit - kept]
+    for job_id in job_ids:
+        del scheduler.dirty_job_ids[job_id]
+        if job_id in scheduler.jobs_by_id:
+            state = scheduler.jobs_by_id[job_id]
+            batch.records_by_job_id[job_id] = _record_of(scheduler, state)
+    stored_ids = set(job_ids)
+    size_bytes = 0
+    for job_id, state in split.items():
+        if _entries(batch) >= limit or size_bytes >= PARTS_BYTES:
+            break
+        del scheduler.dirty_job_ids[job_id]
+        taken_bytes, is_whole = _take_parts(
+            scheduler, batch, state, limit - _entries(batch), PARTS_BYTES - size_bytes
+        )
+        size_bytes += taken_bytes
+        if is_whole:
+            stored_ids.add(job_id)
+        else:
+            scheduler.dirty_job_ids[job_id] = None
+    return stored_ids
+
+
+def _take_parts(
+    scheduler: Scheduler, batch: Batch, state: JobState, entries: int, max_bytes: int
+) -> tuple[int, bool]:
+    """Adds changed parts of a job's record; the last entry is that of the job itself.
+
+    Returns the size of the parts, and whether nothing of the job is left to store.
+    """
+    job_id = state.job.job_id
+    if state.final:
+        scheduler.ended_parts += [(job_id, n) for n in state.digests_by_part]
+        state.digests_by_part.clear()
+        batch.records_by_job_id[job_id] = _record_of(scheduler, state)
+        return 0, True
+    if state.unchecked_parts is None:
+        state.unchecked_parts = part_numbers(state)
+    size_bytes = 0
+    parts: dict[int, JobPart] = {}
+    while state.unchecked_parts:
+        if len(parts) + 1 >= entries or size_bytes >= max_bytes:
+            break
+        number = state.unchecked_parts.pop(0)
+        part = part_of(state, number, scheduler.max_value_bytes)
+        digest, part_bytes = digest_of(part)
+        if part != JobPart() and state.digests_by_part.get(number) != digest:
+            state.digests_by_part[number] = digest
+            parts[number] = part
+            size_bytes += part_bytes
+    if parts:
+        batch.parts_by_job_id[job_id] = parts
+    if state.unchecked_parts:
+        return size_bytes, False
+    batch.records_by_job_id[job_id] = _record_of(scheduler, state)
+    return size_bytes, True
+
+
+def _record_of(scheduler: Scheduler, state: JobState) -> JobRecord:
+    record = record_of(state, scheduler.max_value_bytes)
+    names, state.left_out_names = state.left_out_names, []
+    if names:
+        scheduler.note(
+            Event.CHECKPOINTS_LEFT_OUT,
+            {
+                'job_id': state.job.job_id,
+                'tasks': len(names),
+                'first_tasks': names[:MAX_NAMES_LOGGED],
+            },
+        )
+    return record
+
+
+def _entries(batch: Batch) -> int:
+    parts = sum(len(parts) for parts in batch.parts_by_job_id.values())
+    return len(batch.records_by_job_id) + parts
+
+
+def _take_deleted_parts(scheduler: Scheduler, room: int) -> list[tuple[str, int]]:
+    """Returns and clears parts to delete, as many as the batch has room for."""
+    room = max(0, room)
+    taken = scheduler.ended_parts[:room]
+    scheduler.ended_parts = scheduler.ended_parts[room:]
+    return taken
+
+
 def _take_placed_runs(scheduler: Scheduler, job_ids: set[str]) -> list[PlacedRun]:
     """Returns the placed runs of jobs whose records are taken."""
     runs = []
@@ -193,7 +309,11 @@
         return None
     scheduler.waiting = WaitingJobs(
         jobs_by_queue=counts,
-        run_times_by_queue=dict(scheduler.run_times.by_queue),
+        run_times_by_queue={
+            name: statistics
+            for name, statistics in scheduler.run_times.by_queue.items()
+            if name in scheduler.queues_by_name
+        },
         forecasts_by_queue=scheduler.forecasts.by_queue,
         forecast_unix_ms=scheduler.forecasts.computed_unix_ms,
     )
@@ -214,7 +334,7 @@
     Jobs are deleted `status_kept_ms` after their end.
     """
     expired: list[str] = []
-    if records > MAX_RECORDS_BESIDE_DELETIONS:
+    if records > MAX_RECORDS_BESIDE_DELETIONS or scheduler.ended_parts:
         return expired
     while scheduler.ended and len(expired) < MAX_DELETIONS:
         ended_unix_ms, job_id = scheduler.ended[0]
--- a/dandelionknot/jobs/_generated.py
+++ b/dandelionknot/jobs/_generated.py
@@ -166,9 +166,18 @@
     ) = field(default_factory=dict)
 
 
+class JobPart(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Stored progress of a range of the tasks of a job that has many.
+    """
+
+    done: list[str] = field(default_factory=list)
+    tasks_by_name: dict[str, TaskRecord] = field(default_factory=dict)
+
+
 class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
-    Stored progress of a job. Tasks that are done are only listed by name; other placed tasks have a record.
+    Stored progress of a job. Tasks that are done are only listed by name; other placed tasks have a record. Those of a job with many tasks are stored in parts instead.
     """
 
     phase: JobPhase
@@ -1157,6 +1166,12 @@
     ) = 25
     advice_address: str = ""
     min_lease_ms: int = 1000
+    max_value_bytes: (
+        Annotated[
+            int, Meta(description="Largest value that the store takes.", ge=65536)
+        ]
+       
+    ) = 1048576
     admission_forecast: (
         Annotated[
             bool,
--- a/dandelionknot/jobs/_records.py
+++ b/dandelionknot/jobs/_records.py
@@ -1,9 +1,15 @@
 """Conversion between the state of a job and its stored record."""
 
+from collections.abc import Iterable
+from hashlib import blake2b
 from statistics import median
 
+import msgspec
+from msgspec.structs import replace
+
 from dandelionknot.jobs._generated import (
     Job,
+    JobPart,
     JobPhase,
     JobRecord,
     Queue,
@@ -12,6 +18,7 @@
 )
 from dandelionknot.jobs._run_times import RunTimes
 from dandelionknot.jobs._state import (
+    FINAL_PHASES,
     AccountState,
     JobState,
     LateStart,
@@ -19,11 +26,17 @@
     StepState,
     TaskPhase,
     TaskState,
+    tasks_of,
 )
 
 # Stretch of a job whose queue is not configured any more. The stretch is the multiple
 # of its estimated time within which a job is due.
 DEFAULT_STRETCH = 2.0
+# Most tasks whose progress one item of the store holds. With all crashes that are kept
+# of each, they take some 100 KB.
+PART_TASKS = 50
+# Share of the largest value of the store that the checkpoints in one item may take.
+CHECKPOINT_SHARE = 1 / 16
 
 
 def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
@@ -149,8 +162,21 @@
     return steps[step].tasks[index]
 
 
-def record_of(state: JobState) -> JobRecord:
-    """Returns the record of a job to store.
+def is_split(state: JobState) -> bool:
+    """Whether the progress of a job's tasks is stored in parts.
+
+    So no item grows with the number of tasks, and a task that changes does not cause
+    the progress of all of them to be written.
+    """
+    return occurrence_count(state.job) * _tasks_per_occurrence(state) > PART_TASKS
+
+
+def _tasks_per_occurrence(state: JobState) -> int:
+    return sum(step.task_count for step in state.job.spec.steps)
+
+
+def record_of(state: JobState, max_value_bytes: int) -> JobRecord:
+    """Returns the record of a job to store, without that of tasks in parts.
 
     The record of a job that has ended holds no tasks, since none is started again.
     """
@@ -161,25 +187,95 @@
             reason=state.end_reason,
             late_until_unix_ms=state.late_until_unix_ms,
         )
-    done = []
-    records = {}
-    for steps in state.steps_by_occurrence.values():
-        for step in steps:
-            for task in step.tasks:
-                suffix = task.name.split('.', 1)[1]
-                if task.phase is TaskPhase.DONE:
-                    done.append(suffix)
-                elif task.run:
-                    records[suffix] = _task_record(task)
-    phase = JobPhase.RUNNING if state.started else JobPhase.QUEUED
+    part = JobPart()
+    if not is_split(state):
+        part = _part_of(list(tasks_of(state)), max_value_bytes)
     return JobRecord(
-        phase=phase,
-        done=done,
+        phase=JobPhase.RUNNING if state.started else JobPhase.QUEUED,
+        done=part.done,
         late_until_unix_ms=state.late_until_unix_ms,
-        tasks_by_name=records,
+        tasks_by_name=part.tasks_by_name,
     )
 
 
+def part_numbers(state: JobState) -> list[int]:
+    """Returns the numbers of the parts with tasks of open occurrences."""
+    size = _tasks_per_occurrence(state)
+    numbers: set[int] = set()
+    for occurrence in state.steps_by_occurrence:
+        first, last = occurrence * size, (occurrence + 1) * size - 1
+        numbers.update(range(first // PART_TASKS, last // PART_TASKS + 1))
+    return sorted(numbers)
+
+
+def part_of(state: JobState, number: int, max_value_bytes: int) -> JobPart:
+    """Returns a part of the record of a job with many tasks."""
+    size = _tasks_per_occurrence(state)
+    first, end = number * PART_TASKS, (number + 1) * PART_TASKS
+    tasks: list[TaskState] = []
+    for occurrence in range(first // size, (end - 1) // size + 1):
+        steps = state.steps_by_occurrence.get(occurrence, [])
+        before = occurrence * size
+        for step in steps:
+            start, stop = max(0, first - before), max(0, end - before)
+            tasks += step.tasks[start:stop]
+            before += len(step.tasks)
+    return _part_of(tasks, max_value_bytes)
+
+
+def digest_of(part: JobPart) -> tuple[bytes, int]:
+    """Returns a digest that shows whether a part has changed, and its size in bytes."""
+    encoded = msgspec.json.encode(part)
+    return blake2b(encoded, digest_size=16).digest(), len(encoded)
+
+
+def merged(record: JobRecord | None, parts: Iterable[JobPart]) -> JobRecord | None:
+    """Returns the record of a job with the tasks in its parts.
+
+    What a part says goes before what the record of an earlier version says.
+    """
+    parts = list(parts)
+    if not parts or (record is not None and record.phase in FINAL_PHASES):
+        return record
+    record = record or JobRecord(phase=JobPhase.RUNNING)
+    done = dict.fromkeys(record.done)
+    tasks_by_name = dict(record.tasks_by_name)
+    for part in parts:
+        tasks_by_name.update(part.tasks_by_name)
+        done.update(dict.fromkeys(part.done))
+    for suffix in done:
+        tasks_by_name.pop(suffix, None)
+    return replace(record, done=list(done), tasks_by_name=tasks_by_name)
+
+
+def _part_of(tasks: list[TaskState], max_value_bytes: int) -> JobPart:
+    """Returns the stored progress of some tasks.
+
+    Checkpoints that would make it too large are left out, the longest ones first. Their
+    tasks resume from them only under this leader.
+    """
+    done = []
+    records = {}
+    for task in tasks:
+        suffix = task.name.split('.', 1)[1]
+        if task.phase is TaskPhase.DONE:
+            done.append(suffix)
+        elif task.run:
+            records[suffix] = _task_record(task)
+    left_bytes = int(CHECKPOINT_SHARE * max_value_bytes)
+    for task in sorted(tasks, key=lambda task: len(task.checkpoint)):
+        suffix = task.name.split('.', 1)[1]
+        if suffix not in records or not task.checkpoint:
+            continue
+        left_bytes -= len(task.checkpoint.encode())
+        if left_bytes < 0:
+            records[suffix] = replace(records[suffix], checkpoint='')
+            if not task.checkpoint_left_out:
+                task.step.job.left_out_names.append(task.name)
+        task.checkpoint_left_out = left_bytes < 0
+    return JobPart(done=done, tasks_by_name=records)
+
+
 def _task_record(task: TaskState) -> TaskRecord:
     return TaskRecord(
         run=task.run,
--- a/dandelionknot/jobs/_scheduler.py
+++ b/dandelionknot/jobs/_scheduler.py
@@ -137,6 +137,10 @@
     excluded_zones: frozenset[str] = frozenset()
     # Jobs whose record has to be stored, in the order in which they changed.
     dirty_job_ids: dict[str, None] = field(default_factory=dict)
+    # Largest value that the store takes.
+    max_value_bytes: int = 1_048_576
+    # Parts of the records of ended jobs that have to be deleted.
+    ended_parts: list[tuple[str, int]] = field(default_factory=list)
     # Placed tasks that are not part of a batch of records yet.
     placed: list[TaskState] = field(default_factory=list)
     # Runs of whose start a try was not answered, which is not stored yet.
@@ -194,9 +198,17 @@
         return self.accounts_by_name.setdefault(name, AccountState(name=name))
 
     def add_job(
-        self, job: Job, record: JobRecord | None, now_ms: int, unix_ms: int
+        self,
+        job: Job,
+        record: JobRecord | None,
+        now_ms: int,
+        unix_ms: int,
+        parts: Collection[int] = (),
     ) -> None:
-        """Adds an accepted job and restores its progress if it has a record."""
+        """Adds an accepted job and restores its progress if it has a record.
+
+        `parts` has the numbers of the stored parts of its record, if there are any.
+        """
         if job.job_id in self.jobs_by_id:
             return
         # A job whose queue is not configured any more keeps the rules of that queue.
@@ -212,9 +224,11 @@
         placed = restore(state, record) if record is not None else []
         _late_starts.job_restored(state, now_ms, unix_ms)
         if state.final:
+            self.ended_parts += [(job.job_id, number) for number in parts]
             self.ended.append((state.ended_unix_ms, job.job_id))
             return
         self.open_jobs_by_id[job.job_id] = state
+        state.digests_by_part = dict.fromkeys(parts, b'')
         for task, stored in placed:
             backend = _lifetimes.restored(
                 self, stored.backend_id, stored.born_ms, now_ms
@@ -316,6 +330,7 @@
 
     def mark_dirty(self, state: JobState) -> None:
         """Marks a job whose record has to be stored."""
+        state.unchecked_parts = None
         self.dirty_job_ids[state.job.job_id] = None
 
     def note(self, event: Event, fields: dict) -> None:
@@ -681,6 +696,19 @@
         """Returns the records to store next, at most `limit` of them."""
         return _batches.take_batch(self, limit, now_unix_ms)
 
+    def records_rejected(self, job_ids: Iterable[str], unix_ms: int) -> None:
+        """Ends jobs whose record the store never takes.
+
+        Their starts could not be stored either, so they would wait for ever. Callers
+        are told instead.
+        """
+        for job_id in job_ids:
+            state = self.jobs_by_id.get(job_id)
+            if state is None or state.final:
+                continue
+            state.end_reason = 'its progress cannot be stored'
+            _ends.end_job(self, state, JobPhase.FAILED, unix_ms)
+
     def confirm(self, batch: Batch) -> list[Command]:
         """Returns the commands that may be sent after a batch was stored."""
         return _batches.confirm(self, batch)
--- a/dandelionknot/jobs/_state.py
+++ b/dandelionknot/jobs/_state.py
@@ -70,6 +70,8 @@
     born_ms: int = 0
     failed_runs: list[int] = field(default_factory=list)
     checkpoint: str = ''
+    # The checkpoint is too large to be stored with those of other tasks.
+    checkpoint_left_out: bool = False
     # The start order was sent. Until then, no backend server can run the task.
     start_sent: bool = False
     # Local time at which the start was sent, while its outcome is not known; else 0.
@@ -205,6 +207,13 @@
     placed_at_ms: int = 0
     # A run of it has begun, as far as this leader knows.
     begun: bool = False
+    # Digest of each part of the record as it was last passed to the store, by its
+    # number; empty if it is not known. Parts that may have changed since then; None
+    # stands for all.
+    digests_by_part: dict[int, bytes] = field(default_factory=dict)
+    unchecked_parts: list[int] | None = None
+    # Tasks whose checkpoint is left out of the record since the last log line.
+    left_out_names: list[str] = field(default_factory=list)
     # Steps of each occurrence that is open.
     steps_by_occurrence: dict[int, list[StepState]] = field(default_factory=dict)
     # Expected run time of a task of each step when the job was accepted.
--- a/dandelionknot/jobs/_stored.py
+++ b/dandelionknot/jobs/_stored.py
@@ -21,6 +21,9 @@
 JOB_PREFIX = 'dandelionknot/jobs/'
 RECORD_SUFFIX = '/record'
 CANCEL_SUFFIX = '/cancelled'
+# Prefix of the items with the parts of the records of jobs with many tasks. Callers ask
+# for the state of a job, which is read without them.
+PART_PREFIX = 'dandelionknot/parts/'
 
 
 def job_key(job_id: str) -> str:
@@ -33,6 +36,11 @@
     return JOB_PREFIX + job_id + RECORD_SUFFIX
 
 
+def part_key(job_id: str, number: int) -> str:
+    """Returns the key of a part of a job's record."""
+    return f'{PART_PREFIX}{job_id}/{number}'
+
+
 def cancel_key(job_id: str) -> str:
     """Returns the key of the item that is stored when a caller cancels a job."""
     return JOB_PREFIX + job_id + CANCEL_SUFFIX
--- a/dandelionknot/manager/_call_handler.py
+++ b/dandelionknot/manager/_call_handler.py
@@ -169,6 +169,9 @@
                 if reply is not None:
                     return reply
             written = await self._write_job(queue, account, job_id, spec, give_up_ms)
+            if isinstance(written, Err) and written.err_value.rejected:
+                verdict, problem = CallerVerdict.MALFORMED, written.err_value.message
+                return self._refuse(job_id, verdict, problem, unknown)
             if isinstance(written, Err):
                 unknown = unknown or not written.err_value.not_done
                 problem = written.err_value.message
@@ -264,13 +267,17 @@
             spec=spec,
             accepted_queue=queue,
         )
-        key = job_key(job_id)
+        key, value = job_key(job_id), msgspec.json.encode(job)
+        limit = self.settings.max_value_bytes
+        if len(value) > limit:
+            problem = f'the job takes {len(value)} bytes, and at most {limit} are kept'
+            return Err(StoreError(not_done=True, message=problem, rejected=True))
         return await self.store.write(
             [
                 Precondition(self.configuration_key, self.view.configuration_revision),
                 Precondition(key, 0),
             ],
-            [Put(key, msgspec.json.encode(job))],
+            [Put(key, value)],
             [],
             self._timeout_ms(give_up_ms),
         )
@@ -360,11 +367,17 @@
 
         Returns the job, or None if it is not stored, and the revision of its job item.
         """
-        key = job_key(job_id)
-        page = await self.store.read_page(key, '', self._timeout_ms(give_up_ms))
-        if isinstance(page, Err):
-            return page
-        items = page.ok_value.items
+        key, after = job_key(job_id), ''
+        items: list[Item] = []
+        while True:
+            # A job that takes almost a whole value fills a page by itself.
+            page = await self.store.read_page(key, after, self._timeout_ms(give_up_ms))
+            if isinstance(page, Err):
+                return page
+            items += page.ok_value.items
+            if not page.ok_value.more or not page.ok_value.items:
+                break
+            after = items[-1].key
         revision = next((item.revision for item in items if item.key == key), 0)
         return Ok((job_entry(job_id, items), revision))
 
--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -1,8 +1,9 @@
 """The task that writes the records of the leader to the store."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 import msgspec
 from result import Err
@@ -10,8 +11,8 @@
 from dandelionknot._mailbox import Mailbox
 from dandelionknot.clock import now_ms, seconds
 from dandelionknot.events import Event, log_event
+from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._generated import LeaderItem
-from dandelionknot.jobs._scheduler import Batch
 from dandelionknot.jobs._stored import (
     BORROWED_KEY,
     LEADER_KEY,
@@ -19,6 +20,7 @@
     WAVE_RECORD_PREFIX,
     cancel_key,
     job_key,
+    part_key,
     record_key,
 )
 from dandelionknot.store import Precondition, Put, Store, WriteOutcome, Written
@@ -29,8 +31,9 @@
 MAX_RECORDS = 24
 # Time limit of one write to the store.
 WRITE_TIMEOUT_MS = 700
-# Pause before a failed write is repeated.
+# Pause before a failed write is repeated, and before writes are that the store rejects.
 RETRY_MS = 40
+REJECTED_RETRY_MS = 1000
 
 
 @dataclass(slots=True)
@@ -42,6 +45,18 @@
     # Revision of the write. It was conditional on the leader's item, so it is higher
     # than all earlier terms and lower than all later ones.
     revision: int
+    # Jobs of which the store does not take a record, and which are not stored.
+    rejected_job_ids: list[str] = field(default_factory=list)
+
+
+class Stored(StrEnum):
+    """What became of a write."""
+
+    STORED = 'stored'
+    # The store answers that it does not take the write, now or later.
+    REJECTED = 'rejected'
+    # The term has ended.
+    ENDED = 'ended'
 
 
 @dataclass(slots=True)
@@ -59,6 +74,9 @@
     item. A write whose answer was lost is repeated. If the item already has the value
     that the write sets, the lost try was carried out. If the repeated try is carried
     out, the revision changes, so the lost one cannot be carried out any more.
+
+    A batch that the store rejects is written in pieces, so that a record that is never
+    taken does not keep those of other jobs from being stored.
     """
 
     store: Store
@@ -80,18 +98,66 @@
             message = await self.inbox.receive()
             started_ms = now_ms()
             if isinstance(message, Batch):
-                puts, deleted_keys = self.entries(message)
-                if not await self._store(puts, deleted_keys):
+                rejected_job_ids = await self._store_batch(message)
+                if rejected_job_ids is None:
                     return
                 took_ms = now_ms() - started_ms
-                self.report(BatchStored(message, took_ms, self.revision))
+                self.report(
+                    BatchStored(message, took_ms, self.revision, rejected_job_ids)
+                )
 
-    def entries(self, batch: Batch) -> tuple[list[Put], list[str]]:
-        """Returns the items to write and the keys to delete for a batch."""
+    async def _store_batch(self, batch: Batch) -> list[str] | None:
+        """Stores a batch; returns the jobs that are not stored, None if the term ended.
+
+        If not all of it is stored, no end is acknowledged and no order about a host is
+        sent with it.
+        """
+        while True:
+            stored = await self._store(*self.entries(batch))
+            if stored is not Stored.REJECTED:
+                return None if stored is Stored.ENDED else []
+            outcomes = {}
+            for name, puts, deleted_keys in self._pieces(batch):
+                outcomes[name] = await self._store(puts, deleted_keys)
+                if outcomes[name] is Stored.ENDED:
+                    return None
+            if Stored.STORED in outcomes.values():
+                break
+            # The store may reject every write, which is no fault of the records.
+            if await self._store([], []) is not Stored.REJECTED:
+                break
+            await asyncio.sleep(seconds(REJECTED_RETRY_MS))
+        rejected = [name for name, o in outcomes.items() if o is Stored.REJECTED]
+        log_event(Event.RECORDS_REJECTED, job_ids=[name for name in rejected if name])
+        batch.ends_by_backend.clear()
+        batch.host_orders.clear()
+        return [name for name in rejected if name]
+
+    def _pieces(self, batch: Batch) -> Iterator[tuple[str, list[Put], list[str]]]:
+        """Yields the writes for each job of a batch, and for what is left without one.
+
+        Each comes with the id of its job, or with an empty text.
+        """
+        job_ids = dict.fromkeys([*batch.records_by_job_id, *batch.parts_by_job_id])
+        for job_id in job_ids:
+            yield job_id, self._job_puts(batch, job_id), []
+        rest = replace(batch, records_by_job_id={}, parts_by_job_id={})
+        yield '', *self.entries(rest)
+
+    def _job_puts(self, batch: Batch, job_id: str) -> list[Put]:
         puts = [
-            Put(record_key(job_id), msgspec.json.encode(record))
-            for job_id, record in batch.records_by_job_id.items()
+            Put(part_key(job_id, number), msgspec.json.encode(part))
+            for number, part in batch.parts_by_job_id.get(job_id, {}).items()
         ]
+        record = batch.records_by_job_id.get(job_id)
+        if record is not None:
+            puts.append(Put(record_key(job_id), msgspec.json.encode(record)))
+        return puts
+
+    def entries(self, batch: Batch) -> tuple[list[Put], list[str]]:
+        """Returns the items to write and the keys to delete for a batch."""
+        job_ids = dict.fromkeys([*batch.records_by_job_id, *batch.parts_by_job_id])
+        puts = [put for job_id in job_ids for put in self._job_puts(batch, job_id)]
         for name, record in batch.waves_by_name.items():
             number = batch.wave_numbers_by_name[name]
             puts.append(self.wave_status(number, record.done))
@@ -105,10 +171,11 @@
             for job_id in batch.deleted_job_ids
             for key in (record_key, cancel_key, job_key)
         ]
+        deleted_keys += [part_key(*part) for part in batch.deleted_parts]
         return puts, deleted_keys
 
-    async def _store(self, puts: list[Put], deleted_keys: list[str]) -> bool:
-        """Repeats a write until it is answered; returns False if the term has ended."""
+    async def _store(self, puts: list[Put], deleted_keys: list[str]) -> Stored:
+        """Repeats a write until it is carried out or rejected, or the term ends."""
         self.number += 1
         value = leader_value(self.member_id, self.term, self.number)
         puts = [Put(LEADER_KEY, value, self.lease_id), *puts]
@@ -119,15 +186,20 @@
                 [condition], puts, deleted_keys, WRITE_TIMEOUT_MS
             )
             if not isinstance(result, Err):
-                return self._finish_write(result.ok_value, value)
+                is_stored = self._finish_write(result.ok_value, value)
+                return Stored.STORED if is_stored else Stored.ENDED
             if not failed:
                 log_event(
                     Event.RECORDS_NOT_STORED,
                     reason=result.err_value.message,
                     not_done=result.err_value.not_done,
+                    rejected=result.err_value.rejected,
                     records=len(puts) - 1,
+                    largest_bytes=max(len(put.value) for put in puts),
                 )
                 failed = True
+            if result.err_value.rejected:
+                return Stored.REJECTED
             await asyncio.sleep(seconds(RETRY_MS))
 
     def _finish_write(self, written: Written, value: bytes) -> bool:
--- a/dandelionknot/manager/_leader.py
+++ b/dandelionknot/manager/_leader.py
@@ -132,6 +132,7 @@
         """Returns the leader of a new term."""
         scheduler = Scheduler(hold_max_ms=ports.settings.timing.hold_max_ms)
         scheduler.capacity.orders_per_s = ports.settings.host_orders_per_s
+        scheduler.max_value_bytes = ports.settings.max_value_bytes
         scheduler.interference.enabled = ports.settings.avoid_interference
         view = View(decode_fact=ports.decode_fact)
         return cls(
@@ -231,7 +232,9 @@
     def _add_job(self, entry: JobEntry, now: int, unix: int) -> None:
         """Adds a stored job; one that cannot be restored does not affect the others."""
         try:
-            self.scheduler.add_job(entry.job, entry.record, now, unix)
+            self.scheduler.add_job(
+                entry.job, entry.whole_record(), now, unix, entry.parts_by_number
+            )
             if entry.cancelled:
                 self.scheduler.cancel_job(entry.job.job_id, unix)
         except Exception as error:
@@ -316,6 +319,7 @@
             case BatchStored():
                 self.committing = False
                 self.fencing_token = max(self.fencing_token, message.revision)
+                self.scheduler.records_rejected(message.rejected_job_ids, unix_ms())
                 self._send_commands(self.scheduler.confirm(message.batch))
                 self._acknowledge_ends()
             case Call(message=PlacementQuestion() as question):
--- a/dandelionknot/manager/_view.py
+++ b/dandelionknot/manager/_view.py
@@ -18,17 +18,20 @@
     BorrowedHosts,
     Job,
     JobConfiguration,
+    JobPart,
     JobPhase,
     JobRecord,
     UpkeepWave,
     WaitingJobs,
     WaveRecord,
 )
+from dandelionknot.jobs._records import merged
 from dandelionknot.jobs._stored import (
     BORROWED_KEY,
     CANCEL_SUFFIX,
     JOB_PREFIX,
     LEADER_PRESENCE_KEY,
+    PART_PREFIX,
     RECORD_SUFFIX,
     WAITING_KEY,
     WAVE_RECORD_PREFIX,
@@ -48,6 +51,12 @@
     job: Job
     record: JobRecord | None = None
     cancelled: bool = False
+    # Parts of the record, if the job has many tasks.
+    parts_by_number: dict[int, JobPart] = field(default_factory=dict)
+
+    def whole_record(self) -> JobRecord | None:
+        """Returns the record with the tasks of its parts, as a leader restores it."""
+        return merged(self.record, self.parts_by_number.values())
 
     @property
     def phase(self) -> JobPhase:
@@ -133,6 +142,7 @@
                 return None
             return _apply_or_log(apply_by_suffix[suffix], job_id, item)
         for prefix, apply_item in (
+            (PART_PREFIX, self._apply_part),
             (WAVE_RECORD_PREFIX, self._apply_wave_record),
             (LEADER_PRESENCE_KEY, self._apply_leader),
             (WAITING_KEY, self._apply_waiting),
@@ -180,6 +190,18 @@
             entry.record = msgspec.json.decode(item.value, type=JobRecord)
         return None
 
+    def _apply_part(self, name: str, item: Item) -> ViewEvent | None:
+        job_id, _, number = name.partition('/')
+        entry = self.jobs_by_id.get(job_id)
+        if entry is None or not number.isdecimal():
+            return None
+        if item.deleted:
+            entry.parts_by_number.pop(int(number), None)
+        else:
+            part = msgspec.json.decode(item.value, type=JobPart)
+            entry.parts_by_number[int(number)] = part
+        return None
+
     def _apply_cancel(self, job_id: str, item: Item) -> ViewEvent | None:
         entry = self.jobs_by_id.get(job_id)
         if entry is None or item.deleted:
--- a/dandelionknot/platform/_store.py
+++ b/dandelionknot/platform/_store.py
@@ -37,6 +37,8 @@
 PRECONDITION_FAILED = 412
 # If the store answers a call with one of these statuses, it has not carried it out.
 NOT_DONE = (429, 503)
+# With one of these, it would not carry out the same call later either.
+REJECTED = (400, 403, 413)
 
 
 @dataclass(slots=True)
@@ -172,7 +174,9 @@
         if status in wanted:
             return answer
         message = f'{path.split("?")[0]}: HTTP status {status}'
-        return Err(StoreError(not_done=status in NOT_DONE, message=message))
+        rejected = status in REJECTED
+        not_done = rejected or status in NOT_DONE
+        return Err(StoreError(not_done=not_done, message=message, rejected=rejected))
 
 
 def _malformed_error(problem: str) -> StoreError:
--- a/dandelionknot/store.py
+++ b/dandelionknot/store.py
@@ -91,11 +91,13 @@
     """A call that returned no usable answer.
 
     If `not_done` is true, a write has not taken effect and never will. Otherwise the
-    write may have taken effect or may still do so.
+    write may have taken effect or may still do so. If `rejected` is true, the store
+    takes no such call, so that it is of no use to repeat it.
     """
 
     not_done: bool
     message: str
+    rejected: bool = False
 
 
 class Store(Protocol):
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -53,6 +53,8 @@
     unanswered_puts: list[Put] = field(default_factory=list)
     # Additional delay of every call.
     slow_ms: int = 0
+    # Size above which the store rejects a value.
+    max_value_bytes: int = 1_048_576
     # Number of calls that clients have made.
     calls: int = 0
     # Watches that wait for a change of an item under a prefix.
@@ -225,6 +227,9 @@
         if problem:
             return Err(problem)
         store = self.store
+        if any(len(put.value) > store.max_value_bytes for put in puts):
+            message = 'HTTP status 400'
+            return Err(StoreError(not_done=True, message=message, rejected=True))
         if store.rng.random() < store.lost_share:
             store.unanswered_puts = puts
             if store.rng.random() < store.late_share:
--- a/measure/scheduler_cost.py
+++ b/measure/scheduler_cost.py
@@ -36,6 +36,8 @@
 STANDBY_POOL = 'standby'
 TASKS_PER_BACKEND = 8
 NOW_MS = 1_000_000
+# Largest value of the store.
+VALUE_BYTES = 1_048_576
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
@@ -165,7 +167,9 @@
             lambda: scheduler.hold_answered(backend, report, NOW_MS, NOW_MS, NOW_MS),
             ROUNDS * 50,
         ),
-        timed_us(lambda: msgspec.json.encode(record_of(state)), ROUNDS * 50),
+        timed_us(
+            lambda: msgspec.json.encode(record_of(state, VALUE_BYTES)), ROUNDS * 50
+        ),
     ]
     return [*times, observed_report_us(scheduler, backend, report)]
 
--- a/tests/job_test_bed.py
+++ b/tests/job_test_bed.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from dandelionknot.jobs._batches import Batch
 from dandelionknot.jobs._generated import (
     BackendReport,
     ClientAccount,
@@ -26,6 +27,7 @@
     StepSpec,
     StopTask,
 )
+from dandelionknot.jobs._records import merged
 from dandelionknot.jobs._scheduler import Scheduler
 from dandelionknot.jobs._state import BackendState, Lifetime
 
@@ -175,6 +177,7 @@
         self.backends = {backend.backend_id: backend for backend in backends}
         self.jobs: dict[str, Job] = {}
         self.records: dict = {}
+        self.parts: dict[str, dict] = {}
         # Tasks that crash each backend server on which they start, or once they have
         # run for the given time.
         self.crash_after_ms_by_name: dict[str, int] = {}
@@ -205,9 +208,9 @@
         self.tokens_by_lifetime.clear()
         self.configure()
         for job in self.jobs.values():
-            scheduler.add_job(
-                job, self.records.get(job.job_id), self.now_ms, self.now_ms
-            )
+            parts = self.parts.get(job.job_id, {})
+            record = merged(self.records.get(job.job_id), parts.values())
+            scheduler.add_job(job, record, self.now_ms, self.now_ms, parts)
         reports = [
             self.entries_by_id.get(backend.backend_id, backend.report())
             for backend in self.backends.values()
@@ -296,7 +299,7 @@
         self.scheduler.plan(self.now_ms, self.now_ms)
         commands = self.scheduler.take_commands()
         batch = self.scheduler.take_batch(self.records_per_batch, self.now_ms)
-        self.records.update(batch.records_by_job_id)
+        self.store(batch)
         commands += self.scheduler.confirm(batch)
         for backend_id, backend in self.backends.items():
             state = self.scheduler.backends_by_id.get(backend_id)
@@ -306,6 +309,14 @@
             self.execute(command)
         return commands
 
+    def store(self, batch: Batch) -> None:
+        """Stores the records of a batch."""
+        self.records.update(batch.records_by_job_id)
+        for job_id, parts in batch.parts_by_job_id.items():
+            self.parts.setdefault(job_id, {}).update(parts)
+        for job_id, number in batch.deleted_parts:
+            del self.parts[job_id][number]
+
     def execute(self, command) -> None:
         """Carries out a command on its backend server and reports the outcome."""
         state = self.scheduler.backends_by_id.get(getattr(command, 'backend_id', ''))
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -26,7 +26,7 @@
 from dandelionknot.manager import _leadership, _watch
 from dandelionknot.manager._hosts import HostTask
 from dandelionknot.manager._leader import Leader
-from dandelionknot.manager._view import View
+from dandelionknot.manager._view import JobEntry, View
 from dandelionknot.platform import _decode, _items
 from dandelionknot.platform._backends import PlatformBackendClient
 from dandelionknot.platform._callers import CallerPort, CallerServer
@@ -380,10 +380,7 @@
         spec = _decode.decode_job_spec(step()).unwrap()
         good = test_bed.submit(*spec.steps)
         bad = msgspec.structs.replace(good, job_id='bad', accepted_unix_ms=None)
-        view.jobs_by_id = {
-            job.job_id: mock.Mock(job=job, record=None, cancelled=False)
-            for job in (bad, good)
-        }
+        view.jobs_by_id = {job.job_id: JobEntry(job) for job in (bad, good)}
         leader._load_scheduler()
         self.assertEqual(list(leader.scheduler.open_jobs_by_id), [good.job_id])
 
--- a/tests/test_jobs_run_times.py
+++ b/tests/test_jobs_run_times.py
@@ -110,6 +110,16 @@
         scheduler.take_batch(10, self.bed.now_ms + WAITING_INTERVAL_MS)
         self.assertEqual(scheduler.waiting.run_times_by_queue, learned)
 
+    def test_what_is_known_of_a_removed_queue_is_not_stored(self):
+        """Guards against an item that grows with each queue that ever existed."""
+        scheduler = self.bed.scheduler
+        for name in ('removed', self.bed.queue.name):
+            scheduler.run_times.observe(name, 300, 900, 1.0)
+        self.bed.submit(self.step)
+        scheduler.take_batch(10, self.bed.now_ms + WAITING_INTERVAL_MS)
+        stored = scheduler.waiting.run_times_by_queue
+        self.assertEqual(list(stored), [self.bed.queue.name])
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_manager_admission.py
+++ b/tests/test_manager_admission.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import msgspec
+from msgspec.structs import replace
 
 from dandelionknot.clock import now_ms, unix_ms
 from dandelionknot.events import Event
@@ -13,6 +15,8 @@
     ClientAccount,
     ExpectedWait,
     JobConfiguration,
+    JobPhase,
+    JobRecord,
     JobSpec,
     ManagerSettings,
     Queue,
@@ -22,7 +26,12 @@
     WaitingJobs,
 )
 from dandelionknot.jobs._load_shedding import MAX_FORECAST_AGE_MS
-from dandelionknot.jobs._stored import FLEET_PREFIX, WAITING_KEY, job_key
+from dandelionknot.jobs._stored import (
+    FLEET_PREFIX,
+    WAITING_KEY,
+    job_key,
+    record_key,
+)
 from dandelionknot.manager._call_handler import CallHandler
 from dandelionknot.manager._view import View
 from dandelionknot.manager._watch import Watcher
@@ -165,6 +174,37 @@
 
         self.run_full(scenario)
 
+    def test_a_job_that_cannot_be_kept_is_refused_at_once(self):
+        """Guards against a job that is larger than a value of the store."""
+
+        async def scenario(host):
+            host.handler.settings = replace(host.handler.settings, max_value_bytes=200)
+            began_ms = now_ms()
+            reply = await host.submit()
+            self.assert_verdict(reply, CallerVerdict.MALFORMED)
+            self.assertIn('at most 200 are kept', reply.reason)
+            # A store that takes less than the settings say.
+            host.handler.settings = replace(host.handler.settings, max_value_bytes=9999)
+            host.store.max_value_bytes = 200
+            reply = await host.submit()
+            self.assert_verdict(reply, CallerVerdict.MALFORMED)
+            self.assertLess(now_ms() - began_ms, 200)
+
+        self.run_full(scenario, enabled=False)
+
+    def test_the_state_of_a_job_is_read_from_all_pages(self):
+        """Guards against a job shown as queued whose record is on the next page."""
+
+        async def scenario(host):
+            self.assert_verdict(await host.submit(), CallerVerdict.ACCEPTED)
+            record = JobRecord(phase=JobPhase.DONE)
+            host.store.put(record_key('a'), msgspec.json.encode(record))
+            with mock.patch('emulator.store.MAX_PAGE_ITEMS', 1):
+                reply = await host.handler.state('desk', 'k', 'a', 3000)
+            self.assertIs(reply.phase, JobPhase.DONE)
+
+        self.run_full(scenario, enabled=False)
+
     def test_without_the_store_no_refusal_rests_on_the_forecast(self):
         """Guards against a refusal that no read has confirmed."""
 
--- a/tests/test_manager_commit.py
+++ b/tests/test_manager_commit.py
@@ -39,6 +39,10 @@
     return Batch(found, [], [])
 
 
+def has(store, job_id):
+    return record_key(job_id) in store.items_by_key
+
+
 class SizeTest(unittest.TestCase):
     def test_the_largest_batch_fits_into_one_write(self):
         """Guards against a batch that the store rejects at every try as too large."""
@@ -109,6 +113,40 @@
         self.assertEqual([type(report) for report in reports], [TermEnded])
         self.assertNotIn(record_key('j1'), store.items_by_key)
 
+    def test_a_record_that_is_too_large_does_not_hold_up_others(self):
+        """Guards against a leader that repeats one rejected write for ever."""
+        sizes = {'j1': 'x' * 5000, 'j2': ''}
+        records = {
+            job_id: JobRecord(phase=JobPhase.RUNNING, reason=reason)
+            for job_id, reason in sizes.items()
+        }
+        large = Batch(records, [], [(None, 1)])
+
+        def prepare(store):
+            store.max_value_bytes = 4000
+
+        batches = [large, batch(j3=JobPhase.RUNNING)]
+        store, reports = self.run_committer(prepare, batches)
+        self.assertEqual([type(report) for report in reports], [BatchStored] * 2)
+        self.assertEqual(reports[0].rejected_job_ids, ['j1'])
+        # The ends might be those of the job that is not stored.
+        self.assertEqual(large.ends_by_backend, [])
+        stored = [job_id for job_id in 'j1 j2 j3'.split() if has(store, job_id)]
+        self.assertEqual(stored, ['j2', 'j3'])
+
+    def test_a_store_that_rejects_every_write_ends_no_job(self):
+        """Guards against jobs that are given up for a fault of the store."""
+
+        def prepare(store):
+            store.max_value_bytes = 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(5, setattr, store, 'max_value_bytes', 10_000)
+
+        store, reports = self.run_committer(prepare, [batch(j1=JobPhase.RUNNING)])
+        self.assertEqual([type(report) for report in reports], [BatchStored])
+        self.assertEqual(reports[0].rejected_job_ids, [])
+        self.assertTrue(has(store, 'j1'))
+
     def test_an_outage_delays_batches_and_loses_none(self):
         """Guards against a batch that is dropped while the store does not answer."""
 
