Ask the advice service unless a waiting task has a place

Cause: the service was asked only if no server with a ticket had room. Whether a task may be placed there is another question: it needs the label, and fewer tasks of the step on the server than max_per_server.

Change: the service is asked unless a waiting task may be placed on a server with a ticket, or all members of a gang may. It is asked about servers that may take a task, and first about those to which waiting tasks are bound.

Ruled out: to ask about all servers at once at the begin (each costs time, and a server that starts again has to be asked about anyway).

--- a/dandelionknot/jobs/_placement_query.py
+++ b/dandelionknot/jobs/_placement_query.py
@@ -364,11 +364,11 @@
     if label and not any(b.report and label in b.report.labels for b in usable):
         return 'a host with its label'
     free = [backend for backend in usable if _placement.has_room(backend, spec)]
-    if not free or spec.gang:
+    if not free:
         return ROOM
-    if any(_placement.is_allowed_on(step, backend) for backend in free):
-        return 'steps that wait for room before it'
-    return 'a host that its rules allow'
+    if not any(_placement.is_allowed_on(step, backend) for backend in free):
+        return 'a host that its rules allow'
+    return ROOM if spec.gang else 'steps that wait for room before it'
 
 
 def _expected_wait_ms(
--- a/dandelionknot/jobs/_planning.py
+++ b/dandelionknot/jobs/_planning.py
@@ -343,7 +343,7 @@
     """Returns the backend servers on which a step may run.
 
     For a queue that needs advice, these are the servers with a valid ticket. The advice
-    service is asked about further servers if none of these has room.
+    service is asked about further servers if these do not do for what waits.
     """
     if not step.job.queue.needs_advice:
         return backends
@@ -358,11 +358,42 @@
         else:
             del tickets[backend.backend_id]
             step.asked_lifetimes.discard(backend.lifetime)
-    if not any(_placement.has_room(b, step.spec) for b in allowed):
+    bound_to = _bound_backends(scheduler, step, backends, now_ms)
+    if any(backend not in allowed for backend in bound_to):
+        _ask_advice(scheduler, step, bound_to, now_ms)
+    elif not _have_place(step, allowed):
         _ask_advice(scheduler, step, backends, now_ms)
     return allowed
 
 
+def _have_place(step: StepState, backends: list[BackendState]) -> bool:
+    """Whether a task of a step may be placed on one of some backend servers.
+
+    All members of a gang have to be placed. Room alone is not enough: a server may lack
+    the required label, or run as many tasks of the step as it may.
+    """
+    if step.spec.gang:
+        return _placement.place_gang(step, backends) is not None
+    return any(_placement.can_take(backend, step) for backend in backends)
+
+
+def _bound_backends(
+    scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
+) -> list[BackendState]:
+    """Returns the only backend servers on which some waiting tasks may be placed.
+
+    Those are the servers to which a start of the task is open.
+    """
+    found: dict[str, BackendState] = {}
+    for task in step.tasks:
+        if task.phase is not TaskPhase.WAITING or not task.late_starts_by_backend_id:
+            continue
+        allowed = _late_starts.allowed_backends(scheduler, task, backends, now_ms)
+        if len(allowed) < len(backends):
+            found.update((backend.backend_id, backend) for backend in allowed)
+    return list(found.values())
+
+
 def _ask_advice(
     scheduler: Scheduler, step: StepState, backends: list[BackendState], now_ms: int
 ) -> None:
@@ -372,7 +403,7 @@
         backend.lifetime
         for backend in backends
         if backend.lifetime not in step.asked_lifetimes
-        and _placement.has_room(backend, step.spec)
+        and _placement.can_take(backend, step)
     ][:MAX_ADVICE_IDS]
     if asked:
         step.advice_pending = True
--- a/dandelionknot/jobs/_standstill.py
+++ b/dandelionknot/jobs/_standstill.py
@@ -155,7 +155,11 @@
         cause = Cause.SUSPECTED
     elif not any(_placement.can_take(backend, step) for backend in usable):
         cause = Cause.ROOM
-    elif step.job.queue.needs_advice and not step.tickets_by_backend_id:
+    elif step.job.queue.needs_advice and not any(
+        backend.backend_id in step.tickets_by_backend_id
+        and _placement.can_take(backend, step)
+        for backend in usable
+    ):
         cause = Cause.ADVICE
     return cause, task
 
