Emulate servers that carry out late calls before they are called

Change: hold calls with an acknowledgement may be late, and the group `unreached` restarts servers that cannot be reached for 2 to 6 s, with short tasks. Seeds of the other groups draw the same numbers as before.

Ruled out: late holds in all groups.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -25,7 +25,8 @@
     leaders are killed; with `writes`, backend servers crash while records are written;
     with `silence`, they restart unnoticed and are cut off; with `recut` or
     `recut_hosts`, without or with a list of hosts, they restart, carry out starts late
-    and are cut off; with `maintenance`, hosts go down as operators order. Exits with
+    and are cut off; with `unreached`, they carry out late calls after a restart before
+    they are called; with `maintenance`, hosts go down as operators order. Exits with
     status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
--- a/emulator/backends.py
+++ b/emulator/backends.py
@@ -115,6 +115,8 @@
     late_rng: random.Random = field(default_factory=lambda: random.Random(0))
     # Share of the calls that are carried out late, if that of the fleet is lower.
     late_share: float = 0.0
+    # Share of the hold calls with an acknowledgement that are carried out late.
+    late_hold_share: float = 0.0
     # Share of the calls that it refuses as unhealthy, without any effect.
     refused_share: float = 0.0
     fence: int = 0
@@ -410,6 +412,11 @@
         await asyncio.sleep(seconds(NETWORK_DELAY_MS))
         return outcome if self._is_reachable() else OrderOutcome.NO_ANSWER
 
+    def _is_late_hold(self) -> bool:
+        # Seeds of experiments without late holds draw as many numbers as before.
+        share = self.backend.late_hold_share
+        return share > 0 and self.backend.late_rng.random() < share
+
     def _delay(self, call: LateCall, delay_ms: int) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(seconds(delay_ms), self.backend.carry_out_late, call)
@@ -454,6 +461,10 @@
             return Err(OrderOutcome.NO_ANSWER)
         if self._is_refused():
             return Err(OrderOutcome.UNHEALTHY)
+        if acknowledged_end and self._is_late_hold():
+            self._delay(call, _late_delay_ms(backend.late_rng))
+            await asyncio.sleep(seconds(timeout_ms + wait_ms))
+            return Err(OrderOutcome.NO_ANSWER)
         report = backend.hold(deadline_ms, acknowledged_end, token)
         if report is None:
             return Err(OrderOutcome.FENCED)
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -17,6 +17,7 @@
     MAINTENANCE,
     RECUT,
     SILENCE,
+    UNREACHED,
     WRITES,
 )
 from emulator.fleet import LIMIT, SERVICES, EmulatedFleet
@@ -116,6 +117,21 @@
     return replace(with_recut(experiment), lists_hosts=True)
 
 
+def with_unreached(experiment: Experiment) -> Experiment:
+    """Returns the experiment with servers that are called late after their restart.
+
+    Its tasks are short, so that they end before that.
+    """
+    return replace(
+        experiment,
+        faults=tuple(UNREACHED),
+        limit=Resources(),
+        jobs_per_s=8.0,
+        run_ms=100,
+        fault_gap_ms=1500,
+    )
+
+
 def with_maintenance(experiment: Experiment) -> Experiment:
     """Returns the experiment with planned maintenance as its faults.
 
@@ -137,6 +153,7 @@
     'silence': with_silence,
     'recut': with_recut,
     'recut_hosts': with_recut_and_hosts,
+    'unreached': with_unreached,
     'maintenance': with_maintenance,
 }
 
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -321,6 +321,29 @@
     await asyncio.gather(*others)
 
 
+async def restart_unreached(fleet: EmulatedFleet) -> None:
+    """Restarts a backend server whose new lifetime carries out calls before it answers.
+
+    Starts and acknowledgements before the crash are unanswered and carried out late.
+    """
+    rng = fleet.rng
+    backends = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    backends = [b for b in backends if b.up and b.runs_by_name and not b.late_share]
+    if not backends:
+        return
+    backend = rng.choice(backends)
+    backend.late_share = backend.late_hold_share = 0.5
+    await _wait(fleet, 300, 1500)
+    pairs = {(member_id, backend.backend_id) for member_id in fleet.members_by_id}
+    fleet.cut_paths |= pairs
+    if backend.up:
+        backend.crash()
+        await fleet.restart_later(backend, rng.randint(300, 1000))
+    await _wait(fleet, 2000, 6000)
+    backend.late_share = backend.late_hold_share = 0.0
+    fleet.cut_paths -= pairs
+
+
 async def wave(fleet: EmulatedFleet) -> None:
     """Orders the maintenance of some hosts, or of those with a rare label."""
     rng = fleet.rng
@@ -386,10 +409,14 @@
 SILENCE: dict[str, Fault] = {'silent_restart': silent_restart}
 # Restarts with starts that are carried out late, and cuts soon after them.
 RECUT: dict[str, Fault] = {'restart_and_cut': restart_and_cut}
+# Restarts of servers that carry out starts and acknowledgements before they are called.
+UNREACHED: dict[str, Fault] = {'restart_unreached': restart_unreached}
 # Planned maintenance of hosts, also with lost answers and lost hosts.
 MAINTENANCE: dict[str, Fault] = {
     'wave': wave,
     'wave_without_answers': wave_without_answers,
     'wave_after_loss': wave_after_loss,
 }
-ALL_FAULTS = FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | RECUT | MAINTENANCE
+ALL_FAULTS = (
+    FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | RECUT | UNREACHED | MAINTENANCE
+)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -41,6 +41,9 @@
 # Seeds of the group `recut` in which a later lifetime carried out a start beside
 # another run of the task or after its end.
 LATE_START_SEEDS = (5, 6)
+# Seeds of the group `unreached` that fail without the rule that keeps starts and
+# acknowledgements from being open together, or with the former limit on delayed ends.
+UNREACHED_SEEDS = (1, 2, 7)
 # A seed of an open fault, in a test of its own so that the others run.
 OPEN_LATE_START_SEED = 19
 
@@ -100,6 +103,17 @@
                 verdict = run_experiment(GROUPS['recut'](Experiment(seed=seed)))
                 self.assertEqual(verdict.problems, [], verdict.faults)
 
+    def test_calls_reach_a_lifetime_before_its_leader(self):
+        """Guards against starts of tasks whose end was acknowledged by a late call.
+
+        A server starts again and carries out starts and acknowledgements of its former
+        lifetime before it answers a call.
+        """
+        for seed in UNREACHED_SEEDS:
+            with self.subTest(seed=seed):
+                verdict = run_experiment(GROUPS['unreached'](Experiment(seed=seed)))
+                self.assertEqual(verdict.problems, [], verdict.faults)
+
     def test_a_stopped_start_reaches_a_later_lifetime(self):
         """Guards against tasks that run twice by a start whose stop was acknowledged.
 
