Emulate jobs of many tasks, and steps that need tickets

Change: the groups `large_jobs` (crashes under jobs of 250 tasks, with a store of small values) and `advice` (a lasting task on each server, tickets that outlast the experiment, pairs of servers crash). The check that a run is stored before it starts reads parts of records too.

--- a/dandelionknot/events.py
+++ b/dandelionknot/events.py
@@ -519,8 +519,8 @@
     ),
     Event.CHECKPOINTS_LEFT_OUT: EventInfo(
         WARNING,
-        'Checkpoints of `tasks` are too large to be stored with those of other tasks. '
-        'After a change of the leader, these tasks begin anew.',
+        'The checkpoints of a number of tasks are too large to be stored with those of '
+        'other tasks. After a change of the leader, these tasks begin anew.',
         'None, or let the tasks of this queue write shorter checkpoints.',
     ),
     Event.ZONES_EXCLUDED: EventInfo(
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -26,8 +26,9 @@
     with `silence`, they restart unnoticed and are cut off; with `recut` or
     `recut_hosts`, without or with a list of hosts, they restart, carry out starts late
     and are cut off; with `unreached`, they carry out late calls after a restart before
-    they are called; with `maintenance`, hosts go down as operators order. Exits with
-    status 1 if a seed failed.
+    they are called; with `large_jobs`, servers crash under jobs of many tasks; with
+    `advice`, pairs of them crash under steps that need tickets; with `maintenance`,
+    hosts go down as operators order. Exits with status 1 if a seed failed.
     """
     first, _, last = str(seeds).partition('-')
     settings = Experiment(
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -15,15 +15,19 @@
     LIFETIMES,
     LOSSES,
     MAINTENANCE,
+    PAIRS,
     RECUT,
     SILENCE,
     UNREACHED,
     WRITES,
 )
 from emulator.fleet import LIMIT, SERVICES, EmulatedFleet
+from emulator.store import MAX_VALUE_BYTES
 
 # Time after a fault in which it may still explain what happens.
 STABLE_MS = 3000
+# Largest value of a store that takes the record of a job of many tasks before a crash.
+SMALL_VALUE_BYTES = 65_536
 # Time for every accepted job to end after the last fault.
 SETTLE_MS = 30_000
 
@@ -49,6 +53,12 @@
     rare_share: float = 0.0
     # Share of the jobs whose tasks are long.
     long_share: float = 0.0
+    # Share of the jobs that have many tasks.
+    large_share: float = 0.0
+    # Largest value that the store takes.
+    max_value_bytes: int = MAX_VALUE_BYTES
+    # Whether tasks need tickets, which are valid for longer than the experiment.
+    needs_advice: bool = False
 
 
 def with_losses(experiment: Experiment) -> Experiment:
@@ -132,6 +142,41 @@
     )
 
 
+def with_large_jobs(experiment: Experiment) -> Experiment:
+    """Returns the experiment with crashes under jobs of many tasks.
+
+    The store takes the record of such a job in one value until a server crashes under
+    most of its tasks.
+    """
+    return replace(
+        experiment,
+        faults=('crash_backend',),
+        limit=Resources(),
+        jobs_per_s=2.0,
+        run_ms=1500,
+        large_share=0.2,
+        max_value_bytes=SMALL_VALUE_BYTES,
+        fault_gap_ms=4000,
+    )
+
+
+def with_advice(experiment: Experiment) -> Experiment:
+    """Returns the experiment with tickets, and a lasting task on each server.
+
+    Two servers of a service crash at a time, and are back under their ids.
+    """
+    return replace(
+        experiment,
+        faults=tuple(PAIRS),
+        limit=Resources(),
+        jobs_per_s=1.0,
+        backends=8,
+        lasting_tasks=4,
+        needs_advice=True,
+        fault_gap_ms=14_000,
+    )
+
+
 def with_maintenance(experiment: Experiment) -> Experiment:
     """Returns the experiment with planned maintenance as its faults.
 
@@ -154,6 +199,8 @@
     'recut': with_recut,
     'recut_hosts': with_recut_and_hosts,
     'unreached': with_unreached,
+    'large_jobs': with_large_jobs,
+    'advice': with_advice,
     'maintenance': with_maintenance,
 }
 
@@ -193,6 +240,9 @@
     )
     fleet.rare_share = experiment.rare_share
     fleet.long_share = experiment.long_share
+    fleet.large_share = experiment.large_share
+    fleet.needs_advice = experiment.needs_advice
+    fleet.store.max_value_bytes = experiment.max_value_bytes
     for backend in fleet.backends_by_id.values():
         backend.mean_ms = experiment.run_ms
     verdict = Verdict()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -6,7 +6,7 @@
 
 from dandelionknot.clock import now_ms, seconds
 from emulator.backends import Backend
-from emulator.fleet import EmulatedFleet
+from emulator.fleet import SERVICES, EmulatedFleet
 from emulator.hosts import order_wave
 
 # Name of the fault that does not disturb the managers themselves.
@@ -344,6 +344,18 @@
     fleet.cut_paths -= pairs
 
 
+async def crash_pair(fleet: EmulatedFleet) -> None:
+    """Crashes two backend servers of a service, which are back under their ids."""
+    service = fleet.rng.choice(SERVICES)
+    backends = [fleet.backends_by_id[i] for i in sorted(fleet.backends_by_id)]
+    backends = [b for b in backends if b.up and b.service == service]
+    lost = fleet.rng.sample(backends, min(2, len(backends)))
+    for backend in lost:
+        backend.crash()
+    for backend in lost:
+        await fleet.restart_later(backend, fleet.rng.randint(300, 800))
+
+
 async def wave(fleet: EmulatedFleet) -> None:
     """Orders the maintenance of some hosts, or of those with a rare label."""
     rng = fleet.rng
@@ -411,6 +423,8 @@
 RECUT: dict[str, Fault] = {'restart_and_cut': restart_and_cut}
 # Restarts of servers that carry out starts and acknowledgements before they are called.
 UNREACHED: dict[str, Fault] = {'restart_unreached': restart_unreached}
+# Crashes of two servers of a service.
+PAIRS: dict[str, Fault] = {'crash_pair': crash_pair}
 # Planned maintenance of hosts, also with lost answers and lost hosts.
 MAINTENANCE: dict[str, Fault] = {
     'wave': wave,
@@ -418,5 +432,13 @@
     'wave_after_loss': wave_after_loss,
 }
 ALL_FAULTS = (
-    FAULTS | LOSSES | LIFETIMES | WRITES | SILENCE | RECUT | UNREACHED | MAINTENANCE
+    FAULTS
+    | LOSSES
+    | LIFETIMES
+    | WRITES
+    | SILENCE
+    | RECUT
+    | UNREACHED
+    | PAIRS
+    | MAINTENANCE
 )
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -16,6 +16,7 @@
     CallerVerdict,
     ClientAccount,
     JobConfiguration,
+    JobPart,
     JobRecord,
     JobSpec,
     ManagerSettings,
@@ -25,6 +26,7 @@
     StepSpec,
     UpkeepWave,
 )
+from dandelionknot.jobs._records import merged
 from dandelionknot.jobs._state import FINAL_PHASES
 from dandelionknot.jobs._stored import (
     JOB_PREFIX,
@@ -33,6 +35,7 @@
     ConfigurationFact,
     Fact,
     WaveFact,
+    part_key,
     record_key,
 )
 from dandelionknot.manager._core import ManagerCore
@@ -57,6 +60,10 @@
 SERVICES = ('desk', 'night')
 KEY = 'secret-key'
 ACCOUNT = 'showroom'
+# Number of tasks of a large job.
+LARGE_TASKS = 250
+# Time for which a ticket is valid, longer than an experiment.
+TICKET_MS = 600_000
 # Interval at which the backend servers advance and the invariants are checked.
 ADVANCE_INTERVAL_MS = 5
 # Label of one backend server of each service that some jobs require.
@@ -136,7 +143,7 @@
             AdviceGiven(
                 request=request,
                 tickets_by_backend_id=dict.fromkeys(request.backend_ids, 't'),
-                valid_ms=3000,
+                valid_ms=TICKET_MS,
             )
         )
 
@@ -170,6 +177,10 @@
     rare_share: float = 0.0
     # Share of the jobs whose tasks are long.
     long_share: float = 0.0
+    # Share of the jobs that have many tasks.
+    large_share: float = 0.0
+    # Whether tasks need tickets, which are valid for longer than an experiment.
+    needs_advice: bool = False
     # Share of the jobs of which a task crashes each backend server that starts it.
     deadly_share: float = 0.0
     deadly_task_names: set[str] = field(default_factory=set)
@@ -233,6 +244,7 @@
                     service=service,
                     max_attempts=MAX_ATTEMPTS,
                     objective_ms=600,
+                    needs_advice=self.needs_advice,
                 )
                 for service in SERVICES
             ],
@@ -287,6 +299,7 @@
             caller_address='127.0.0.1:0',
             readiness_address='127.0.0.1:0',
             store_address='127.0.0.1:0',
+            max_value_bytes=self.store.max_value_bytes,
             timing=TIMING,
         )
         member.cut = [False]
@@ -324,6 +337,10 @@
             after=[0],
         )
         steps = [first, second] if self.rng.random() < 0.5 else [first]
+        if self.large_share and self.rng.random() < self.large_share:
+            light = Resources(cpu_millicores=50, memory_mb=10)
+            large = replace(first, task_count=LARGE_TASKS, resources=light)
+            return JobSpec(payload='work', steps=[large])
         if self.rare_share and self.rng.random() < self.rare_share:
             steps = [replace(step, required_label=RARE_LABEL) for step in steps]
         if self.long_share and self.rng.random() < self.long_share:
@@ -469,6 +486,15 @@
         job_id, _, suffix = task_name.partition('.')
         item = self.store.items_by_key.get(record_key(job_id))
         record = msgspec.json.decode(item.value, type=JobRecord) if item else None
+        prefix = part_key(job_id, 0).removesuffix('0')
+        record = merged(
+            record,
+            (
+                msgspec.json.decode(part.value, type=JobPart)
+                for key, part in self.store.items_by_key.items()
+                if key.startswith(prefix)
+            ),
+        )
         if record is None:
             self.oracle.report(f'task {task_name} starts without a record of its job')
         elif suffix not in record.done and record.phase not in FINAL_PHASES:
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -30,6 +30,8 @@
 MAX_ENTRIES = 32
 # Delay of a write that is carried out late.
 LATE_DELAY_RANGE_MS = (1000, 6000)
+# Size above which the store rejects a value.
+MAX_VALUE_BYTES = 1_048_576
 
 
 @dataclass(slots=True)
@@ -54,7 +56,7 @@
     # Additional delay of every call.
     slow_ms: int = 0
     # Size above which the store rejects a value.
-    max_value_bytes: int = 1_048_576
+    max_value_bytes: int = MAX_VALUE_BYTES
     # Number of calls that clients have made.
     calls: int = 0
     # Watches that wait for a change of an item under a prefix.
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -35,9 +35,14 @@
 UP_MS = 60_000
 # Seeds in which a later lifetime accepted starts that were meant for the former one.
 LIFETIME_SEEDS = (3, 4, 11)
-# Seeds that fail without the fix of review case 8, 9, or 6 and 7 of the project, by the
-# group of faults.
-GROUP_SEEDS = {'writes': (4, 5), 'silence': (2, 7), 'maintenance': (2, 4)}
+# Seeds that fail without the fix of a case of a review, by the group of faults.
+GROUP_SEEDS = {
+    'writes': (4, 5),
+    'silence': (2, 7),
+    'maintenance': (2, 4),
+    'large_jobs': (1,),
+    'advice': (1, 2),
+}
 # Seeds of the group `recut` in which a later lifetime carried out a start beside
 # another run of the task or after its end.
 LATE_START_SEEDS = (5, 6)
@@ -129,7 +134,8 @@
 
         A start goes out before its record is stored; a run that a silent later lifetime
         has accepted starts again; a host gets no work after its maintenance, or for one
-        that cannot begin.
+        that cannot begin; a large record stops all writes; a lost task is not placed on
+        a host that no ticket was asked for.
         """
         for name, seeds in GROUP_SEEDS.items():
             for seed in seeds:
