Send orders about hosts of a batch that was stored in pieces

Found while reading the diff: if the store rejects a batch as a whole but takes each piece of it, the orders about hosts that the batch recorded were dropped, and its ends waited for the next batch, although all of it was stored.

Change: ends wait only if a record was rejected, and orders are dropped only if their own record was.

test_a_batch_that_is_stored_in_pieces_has_its_effects failed before.

--- a/dandelionknot/manager/_commit.py
+++ b/dandelionknot/manager/_commit.py
@@ -34,6 +34,8 @@
 # Pause before a failed write is repeated, and before writes are that the store rejects.
 RETRY_MS = 40
 REJECTED_RETRY_MS = 1000
+# Name of the piece of a batch that belongs to no job.
+REST = ''
 
 
 @dataclass(slots=True)
@@ -109,8 +111,8 @@
     async def _store_batch(self, batch: Batch) -> list[str] | None:
         """Stores a batch; returns the jobs that are not stored, None if the term ended.
 
-        If not all of it is stored, no end is acknowledged and no order about a host is
-        sent with it.
+        If a record is not stored, no end is acknowledged with the batch, as it may be
+        that of a run of its job. No order about a host is sent without its record.
         """
         while True:
             stored = await self._store(*self.entries(batch))
@@ -128,21 +130,24 @@
                 break
             await asyncio.sleep(seconds(REJECTED_RETRY_MS))
         rejected = [name for name, o in outcomes.items() if o is Stored.REJECTED]
-        log_event(Event.RECORDS_REJECTED, job_ids=[name for name in rejected if name])
-        batch.ends_by_backend.clear()
-        batch.host_orders.clear()
-        return [name for name in rejected if name]
+        job_ids = [name for name in rejected if name != REST]
+        if rejected:
+            log_event(Event.RECORDS_REJECTED, job_ids=job_ids)
+            batch.ends_by_backend.clear()
+        if REST in rejected:
+            batch.host_orders.clear()
+        return job_ids
 
     def _pieces(self, batch: Batch) -> Iterator[tuple[str, list[Put], list[str]]]:
         """Yields the writes for each job of a batch, and for what is left without one.
 
-        Each comes with the id of its job, or with an empty text.
+        Each comes with the id of its job, or with `REST`.
         """
         job_ids = dict.fromkeys([*batch.records_by_job_id, *batch.parts_by_job_id])
         for job_id in job_ids:
             yield job_id, self._job_puts(batch, job_id), []
         rest = replace(batch, records_by_job_id={}, parts_by_job_id={})
-        yield '', *self.entries(rest)
+        yield REST, *self.entries(rest)
 
     def _job_puts(self, batch: Batch, job_id: str) -> list[Put]:
         puts = [
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -57,6 +57,8 @@
     slow_ms: int = 0
     # Size above which the store rejects a value.
     max_value_bytes: int = MAX_VALUE_BYTES
+    # Number of items above which it rejects a write.
+    max_puts: int = MAX_ENTRIES
     # Number of calls that clients have made.
     calls: int = 0
     # Watches that wait for a change of an item under a prefix.
@@ -229,7 +231,8 @@
         if problem:
             return Err(problem)
         store = self.store
-        if any(len(put.value) > store.max_value_bytes for put in puts):
+        is_large = any(len(put.value) > store.max_value_bytes for put in puts)
+        if is_large or len(puts) > store.max_puts:
             message = 'HTTP status 400'
             return Err(StoreError(not_done=True, message=message, rejected=True))
         if store.rng.random() < store.lost_share:
--- a/tests/test_manager_commit.py
+++ b/tests/test_manager_commit.py
@@ -5,7 +5,13 @@
 import unittest
 
 from dandelionknot.jobs._batches import Batch
-from dandelionknot.jobs._generated import JobPhase, JobRecord, StepSpec, UpkeepWave
+from dandelionknot.jobs._generated import (
+    HostOrder,
+    JobPhase,
+    JobRecord,
+    StepSpec,
+    UpkeepWave,
+)
 from dandelionknot.jobs._stored import LEADER_KEY, record_key
 from dandelionknot.manager._commit import (
     MAX_RECORDS,
@@ -134,6 +140,22 @@
         stored = [job_id for job_id in 'j1 j2 j3'.split() if has(store, job_id)]
         self.assertEqual(stored, ['j2', 'j3'])
 
+    def test_a_batch_that_is_stored_in_pieces_has_its_effects(self):
+        """Guards against orders about hosts that are recorded and never sent."""
+        orders = [HostOrder(host_id='h1', pool='p')]
+        records = {
+            job_id: JobRecord(phase=JobPhase.RUNNING) for job_id in ('j1', 'j2', 'j3')
+        }
+        large = Batch(records, [], [(None, 1)], host_orders=list(orders))
+
+        def prepare(store):
+            store.max_puts = 2
+
+        _, reports = self.run_committer(prepare, [large])
+        self.assertEqual(reports[0].rejected_job_ids, [])
+        self.assertEqual(large.ends_by_backend, [(None, 1)])
+        self.assertEqual(large.host_orders, orders)
+
     def test_a_store_that_rejects_every_write_ends_no_job(self):
         """Guards against jobs that are given up for a fault of the store."""
 
